--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV ?= .venv
+BIN = $(VENV)/bin
+PYTHON ?= python3
+
+.PHONY: install test check golden demo up bench capacity clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+install: $(VENV)/.installed
+
+test: install
+	$(BIN)/pytest -n 4
+
+check: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+golden: install
+	$(BIN)/python -m lavendershift.tools.golden
+
+demo: install
+	PATH="$(abspath $(BIN)):$$PATH" bash scripts/demo.sh
+
+up: install
+	PATH="$(abspath $(BIN)):$$PATH" bash scripts/up.sh
+
+bench: install
+	$(BIN)/lavendershift-bench proxy
+
+capacity: install
+	$(BIN)/python -m lavendershift.tools.capacity
+
+clean:
+	rm -rf $(VENV) build run
--- /dev/null
+++ b/lavendershift/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/lavendershift/errors.py
@@ -0,0 +1,227 @@
+"""The closed list of error kinds and the answer that belongs to each.
+
+Whatever goes wrong on the way of a request ends in one ``ErrorKind``. The
+table ``ANSWERS`` says what the caller is told: the HTTP status, whether the
+request ran, whether it drew on the budget, when to come back, and which
+counter is raised. Nothing else in the package chooses a status or claims that
+a request did not run::
+
+    answer = ANSWERS[ErrorKind.BUDGET_EXHAUSTED]
+    assert answer.ran is Ran.NO
+"""
+
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+
+class Ran(Enum):
+    """Whether a request ran on a backend server."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Every way a request can end other than with its whole answer."""
+
+    INVALID_REQUEST = "invalid_request"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    KEY_REQUIRED = "key_required"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_PENDING = "budget_pending"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    NO_SERVER = "no_server"
+    LOG_UNAVAILABLE = "log_unavailable"
+    STARTING = "starting"
+    STOPPING = "stopping"
+    CONFIGURATION_STALE = "configuration_stale"
+    IN_PROGRESS = "in_progress"
+    SERVER_REFUSED = "server_refused"
+    SERVER_FAILED = "server_failed"
+    ANSWER_TRUNCATED = "answer_truncated"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """What a caller is told about an error kind.
+
+    ``retry_after`` is the default time to come back; ``None`` means that
+    repeating the same request cannot help.
+    """
+
+    status: int
+    ran: Ran
+    consumed: Ran
+    retry_after: timedelta | None
+    counter: str
+    message: str
+
+
+def _refuse(
+    status: int, counter: str, message: str, retry_after_s: float | None = None
+) -> Answer:
+    """Build the answer to a request that did not run and consumed nothing."""
+    wait = None if retry_after_s is None else timedelta(seconds=retry_after_s)
+    return Answer(status, Ran.NO, Ran.NO, wait, f"refused.{counter}", message)
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.INVALID_REQUEST: _refuse(
+        400, "invalid_request", "The request is malformed."
+    ),
+    ErrorKind.TOO_LARGE: _refuse(413, "too_large", "The request is too large."),
+    ErrorKind.UNAUTHENTICATED: _refuse(
+        401, "unauthenticated", "The API key is not known."
+    ),
+    ErrorKind.FORBIDDEN: _refuse(403, "forbidden", "The customer may not do this."),
+    ErrorKind.UNKNOWN_MODEL: _refuse(404, "unknown_model", "No such model."),
+    ErrorKind.UNKNOWN_SERVICE: _refuse(404, "unknown_service", "No such service."),
+    ErrorKind.KEY_REQUIRED: _refuse(
+        428, "key_required", "A call that may not be repeated needs an Idempotency-Key."
+    ),
+    ErrorKind.KEY_REUSED: _refuse(
+        422, "key_reused", "The Idempotency-Key was used for a different request."
+    ),
+    ErrorKind.KEY_EXPIRED: _refuse(
+        410, "key_expired", "The Idempotency-Key is older than the time keys are kept."
+    ),
+    ErrorKind.BUDGET_EXHAUSTED: _refuse(
+        402, "budget_exhausted", "The prepaid budget cannot cover this request.", 60
+    ),
+    ErrorKind.BUDGET_PENDING: _refuse(
+        429, "budget_pending", "The budget is covered by requests in flight.", 2
+    ),
+    ErrorKind.RATE_LIMITED: _refuse(
+        429, "rate_limited", "The rate limit is reached.", 1
+    ),
+    ErrorKind.OVERLOADED: _refuse(
+        503, "overloaded", "All backend servers are busy.", 2
+    ),
+    ErrorKind.DEADLINE_UNREACHABLE: _refuse(
+        503, "deadline_unreachable", "The deadline cannot be met.", 5
+    ),
+    ErrorKind.NO_SERVER: _refuse(
+        503, "no_server", "No backend server is available.", 5
+    ),
+    ErrorKind.LOG_UNAVAILABLE: _refuse(
+        503, "log_unavailable", "The log service is away; the call was not run.", 10
+    ),
+    ErrorKind.STARTING: _refuse(503, "starting", "This router is starting.", 1),
+    ErrorKind.STOPPING: _refuse(503, "stopping", "This router is shutting down.", 0),
+    ErrorKind.CONFIGURATION_STALE: _refuse(
+        503, "configuration_stale", "This router waits for its configuration.", 2
+    ),
+    ErrorKind.IN_PROGRESS: _refuse(
+        409, "in_progress", "A request with this Idempotency-Key is still running.", 2
+    ),
+    ErrorKind.SERVER_REFUSED: _refuse(
+        503, "server_refused", "The backend server refused the request.", 2
+    ),
+    ErrorKind.SERVER_FAILED: Answer(
+        502,
+        Ran.UNKNOWN,
+        Ran.UNKNOWN,
+        timedelta(seconds=2),
+        "failed.server_failed",
+        "The backend server failed.",
+    ),
+    ErrorKind.ANSWER_TRUNCATED: Answer(
+        502,
+        Ran.YES,
+        Ran.YES,
+        timedelta(seconds=1),
+        "failed.answer_truncated",
+        "The answer was cut off.",
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        504,
+        Ran.UNKNOWN,
+        Ran.UNKNOWN,
+        None,
+        "failed.outcome_unknown",
+        "The call may have run; it is never run again under this Idempotency-Key.",
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504,
+        Ran.UNKNOWN,
+        Ran.UNKNOWN,
+        timedelta(seconds=5),
+        "failed.deadline_exceeded",
+        "The deadline passed before the answer was complete.",
+    ),
+    ErrorKind.INTERNAL: Answer(
+        500,
+        Ran.UNKNOWN,
+        Ran.UNKNOWN,
+        timedelta(seconds=5),
+        "failed.internal",
+        "An internal error occurred.",
+    ),
+}
+
+
+class RequestError(Exception):
+    """A request that ends with an error kind instead of its whole answer.
+
+    ``detail`` adds to the table's message, ``retry_after`` replaces the
+    table's default time to come back.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = "",
+        retry_after: timedelta | None = None,
+    ) -> None:
+        super().__init__(f"{kind.value}: {detail}" if detail else kind.value)
+        self.kind = kind
+        self.detail = detail
+        self.retry_after = retry_after
+
+    @property
+    def answer(self) -> Answer:
+        """The table's answer with this error's own time to come back."""
+        answer = ANSWERS[self.kind]
+        if self.retry_after is None:
+            return answer
+        return answer._replace(retry_after=self.retry_after)
+
+
+class DecodeError(ValueError):
+    """Data from outside that does not have the expected form.
+
+    ``location`` names the place, for example ``ledger-0@1520[3].tokens``.
+    """
+
+    def __init__(self, location: str, reason: str) -> None:
+        super().__init__(f"{location}: {reason}")
+        self.location = location
+        self.reason = reason
+
+
+class LogUnavailableError(Exception):
+    """The log service did not answer; a write may or may not have taken effect."""
+
+
+class RecordsExpiredError(Exception):
+    """Records asked for are no longer retained.
+
+    ``first_offset`` is the first offset that still is.
+    """
+
+    def __init__(self, stream: str, first_offset: int) -> None:
+        super().__init__(f"{stream}: records before {first_offset} have expired")
+        self.stream = stream
+        self.first_offset = first_offset
--- /dev/null
+++ b/lavendershift/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins shipped with lavendershift; each registers itself when imported."""
--- /dev/null
+++ b/lavendershift/records.py
@@ -0,0 +1,319 @@
+"""Records kept in the streams of the platform's log service.
+
+Every kind of record is a ``NamedTuple`` filled into a registry by a decorator.
+On the wire a record is a JSON array of its kind and its fields in order, which
+keeps it short and readable::
+
+    >>> encode_record(Charge("c1", "acme", "r1.7", "acme/k9", 120))
+    ['charge', 'c1', 'acme', 'r1.7', 'acme/k9', 120]
+
+The configuration stream holds ``Change`` and ``TopUp`` records, published by
+operators. Each ledger stream holds the records of the budgets that hash to
+it, written by routers. All readers fold the records of a stream in offset
+order, so that they reach the same verdict on each. Amounts are in tokens.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+import xxhash
+
+from lavendershift.errors import DecodeError
+
+CONFIG_STREAM = "config"
+LEDGER_STREAM_PREFIX = "ledger-"
+CHECKPOINT_STREAM_SUFFIX = "-checkpoints"
+
+RECORD_KINDS: dict[str, type] = {}
+KIND_OF_RECORD: dict[type, str] = {}
+
+RecordType = TypeVar("RecordType", bound=type)
+
+
+def register_record(kind: str) -> Callable[[RecordType], RecordType]:
+    """Return a decorator that files a record type under ``kind``."""
+
+    def register(record_type: RecordType) -> RecordType:
+        if kind in RECORD_KINDS:
+            raise ValueError(f"record kind {kind!r} is registered twice")
+        RECORD_KINDS[kind] = record_type
+        KIND_OF_RECORD[record_type] = kind
+        return record_type
+
+    return register
+
+
+class Setting(NamedTuple):
+    """One value set, or with ``value`` ``None`` removed, on a node of the tree.
+
+    ``path`` is the node's path, ``""`` for the root and for example
+    ``"desks/rennes/plume"`` for a customer.
+    """
+
+    path: str
+    key: str
+    value: str | int | float | bool | list[str] | None
+
+
+@register_record("change")
+class Change(NamedTuple):
+    """A change to the settings tree.
+
+    It is rejected when a key it touches was changed after ``base_offset``.
+    """
+
+    id: str
+    base_offset: int
+    author: str
+    settings: list[Setting]
+
+
+@register_record("top_up")
+class TopUp(NamedTuple):
+    """Tokens added to a prepaid budget; a repeated id counts once."""
+
+    id: str
+    budget: str
+    tokens: int
+    author: str
+
+
+@register_record("join")
+class Join(NamedTuple):
+    """A router incarnation that asks to take part in a ledger stream."""
+
+    id: str
+    incarnation: str
+    vm: str
+    failure_domain: str
+    config_offset: int
+
+
+@register_record("grant")
+class Grant(NamedTuple):
+    """A router's claim of up to ``tokens`` of a budget to spend from.
+
+    It counts for as much as the budget has left at its offset, which may be
+    less than asked for or nothing. ``config_offset`` is the configuration
+    offset that the router had folded.
+    """
+
+    id: str
+    budget: str
+    incarnation: str
+    tokens: int
+    config_offset: int
+
+
+@register_record("return")
+class Return(NamedTuple):
+    """Unspent tokens that an incarnation hands back to the budget."""
+
+    id: str
+    budget: str
+    incarnation: str
+    tokens: int
+
+
+@register_record("transfer")
+class Transfer(NamedTuple):
+    """Unspent tokens that one incarnation handed directly to another."""
+
+    id: str
+    budget: str
+    sender: str
+    receiver: str
+    tokens: int
+
+
+@register_record("charge")
+class Charge(NamedTuple):
+    """Tokens that a request consumed, drawn from an incarnation's grants.
+
+    ``request`` is the scoped key ``customer/idempotency key``. The first
+    charge of a request bills it; a later one of another attempt is consumed
+    but not billed.
+    """
+
+    id: str
+    budget: str
+    incarnation: str
+    request: str
+    tokens: int
+
+
+@register_record("claim")
+class Claim(NamedTuple):
+    """A router's claim to run a request that may not be repeated.
+
+    ``fingerprint`` is a hash of the request's content, so that a key used
+    again for different content is noticed.
+    """
+
+    id: str
+    request: str
+    budget: str
+    incarnation: str
+    fingerprint: str
+
+
+@register_record("outcome")
+class Outcome(NamedTuple):
+    """The recorded answer of a claimed request, with the tokens it consumed.
+
+    It bills the request like a charge.
+    """
+
+    id: str
+    request: str
+    budget: str
+    incarnation: str
+    tokens: int
+    status: int
+    content_type: str
+    body: str
+
+
+@register_record("evict")
+class Evict(NamedTuple):
+    """The end of an incarnation's right to new grants and claims."""
+
+    id: str
+    incarnation: str
+    author: str
+
+
+@register_record("evict_ack")
+class EvictAck(NamedTuple):
+    """``incarnation`` has logged all transfers it had from ``evicted``.
+
+    It accepts no further ones.
+    """
+
+    id: str
+    evicted: str
+    incarnation: str
+
+
+class Unspent(NamedTuple):
+    """Tokens of one budget that a closing incarnation had left."""
+
+    budget: str
+    tokens: int
+
+
+@register_record("close")
+class Close(NamedTuple):
+    """The end of an incarnation by itself: what it hands back, and no more."""
+
+    id: str
+    incarnation: str
+    unspent: list[Unspent]
+
+
+@register_record("release")
+class Release(NamedTuple):
+    """Tokens in doubt of an evicted incarnation, freed on evidence.
+
+    It counts only after every other incarnation has acknowledged the
+    eviction. ``evidence`` is a sentence kept for the operators.
+    """
+
+    id: str
+    budget: str
+    incarnation: str
+    tokens: int
+    evidence: str
+    author: str
+
+
+@register_record("checkpoint")
+class Checkpoint(NamedTuple):
+    """One part of the folded state of ``stream`` just before ``next_offset``.
+
+    The ``parts`` parts of one ``id`` together hold the state; ``state`` is
+    the text of the JSON form defined by the fold.
+    """
+
+    id: str
+    stream: str
+    next_offset: int
+    part: int
+    parts: int
+    state: str
+
+
+Record = (
+    Change
+    | TopUp
+    | Join
+    | Grant
+    | Return
+    | Transfer
+    | Charge
+    | Claim
+    | Outcome
+    | Evict
+    | EvictAck
+    | Close
+    | Release
+    | Checkpoint
+)
+
+
+class Entry(NamedTuple):
+    """A record as read back, with its offset and the log's time in ms (Unix).
+
+    ``record`` is ``None`` where the stream holds something that is no valid
+    record; ``fault`` then says where and why.
+    """
+
+    offset: int
+    time_ms: int
+    record: Record | None
+    fault: str = ""
+
+
+def encode_record(record: Record) -> list[Any]:
+    """Return the JSON form of ``record``: its kind, then its fields."""
+    return [KIND_OF_RECORD[type(record)], *msgspec.to_builtins(record)]
+
+
+def decode_record(data: Any, location: str = "record") -> Record:
+    """Return the record whose JSON form is ``data``.
+
+    Raises ``DecodeError`` with ``location`` and the faulty field.
+    """
+    if not isinstance(data, list) or not data or not isinstance(data[0], str):
+        raise DecodeError(location, "expected an array that starts with a kind")
+    record_type = RECORD_KINDS.get(data[0])
+    if record_type is None:
+        raise DecodeError(location, f"unknown record kind {data[0][:40]!r}")
+    try:
+        record: Record = msgspec.convert(data[1:], record_type)
+    except msgspec.ValidationError as error:
+        raise DecodeError(f"{location}.{data[0]}", str(error)) from None
+    tokens = getattr(record, "tokens", 0)
+    if tokens < 0:
+        raise DecodeError(f"{location}.{data[0]}.tokens", "must not be negative")
+    return record
+
+
+def decode_entry(stream: str, offset: int, time_ms: int, data: Any) -> Entry:
+    """Return the entry at ``offset``; an invalid record becomes a fault."""
+    try:
+        return Entry(offset, time_ms, decode_record(data, f"{stream}@{offset}"))
+    except DecodeError as error:
+        return Entry(offset, time_ms, None, str(error))
+
+
+def find_ledger_stream(budget: str, shards: int) -> str:
+    """Return the name of the ledger stream that ``budget`` belongs to."""
+    shard = xxhash.xxh64_intdigest(budget.encode()) % shards
+    return f"{LEDGER_STREAM_PREFIX}{shard}"
+
+
+def name_checkpoint_stream(stream: str) -> str:
+    """Return the name of the stream that keeps checkpoints of ``stream``."""
+    return stream + CHECKPOINT_STREAM_SUFFIX
--- /dev/null
+++ b/lavendershift/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs, one module per command."""
