Settings of a process from one table

Every key has a kind, range, unit, default and description in settings_table.py, which also makes docs/SETTINGS.md and the defaults file.

--- /dev/null
+++ b/lavendershift/settings_table.py
@@ -0,0 +1,385 @@
+"""The table of all settings of a process.
+
+Each row gives a key's section, kind, range, default, unit and description. The
+checks in ``lavendershift.settings``, ``--print-defaults`` and the page
+``docs/SETTINGS.md`` all come from this table.
+"""
+
+from enum import Enum
+from typing import Any, NamedTuple
+
+from lavendershift.values import ValueRule
+
+
+class Program(Enum):
+    """A process that reads settings."""
+
+    ROUTER = "router"
+    RELAY = "relay"
+
+
+BOTH = (Program.ROUTER, Program.RELAY)
+ROUTER = (Program.ROUTER,)
+RELAY = (Program.RELAY,)
+
+
+class SettingRow(NamedTuple):
+    """One key of the settings file; without a default it is required.
+
+    ``unit`` names what a number counts. A duration's unit is also the last
+    part of its key.
+    """
+
+    section: str
+    key: str
+    rule: ValueRule
+    default: Any
+    unit: str
+    description: str
+    programs: tuple[Program, ...] = BOTH
+
+
+def _duration(low: float, high: float) -> ValueRule:
+    """Return the rule of a length of time in the key's unit."""
+    return ValueRule("number", low, high)
+
+
+def _count(low: int, high: int) -> ValueRule:
+    """Return the rule of a whole number."""
+    return ValueRule("integer", low, high)
+
+
+_NAME = ValueRule("name")
+_TEXT = ValueRule("text")
+_LEVELS = ("debug", "info", "notice", "warning", "error")
+
+SETTINGS: tuple[SettingRow, ...] = (
+    SettingRow("vm", "name", _NAME, None, "", "Name of this VM in the tree."),
+    SettingRow("vm", "failure_domain", _NAME, None, "", "Failure domain of this VM."),
+    SettingRow(
+        "listen",
+        "address",
+        ValueRule("address"),
+        None,
+        "",
+        "Address for callers.",
+        ROUTER,
+    ),
+    SettingRow(
+        "listen",
+        "peer_address",
+        ValueRule("endpoint"),
+        None,
+        "",
+        "Address for the other processes of the fleet.",
+    ),
+    SettingRow(
+        "listen",
+        "tls_certificate",
+        _TEXT,
+        "",
+        "",
+        "PEM file with the certificate chain for callers; empty for plain HTTP.",
+        ROUTER,
+    ),
+    SettingRow(
+        "listen",
+        "tls_key",
+        _TEXT,
+        "",
+        "",
+        "PEM file with the key of the certificate.",
+        ROUTER,
+    ),
+    SettingRow(
+        "log",
+        "client",
+        _NAME,
+        "relay",
+        "",
+        "Registered client of the log: through relays or the log service itself.",
+        ROUTER,
+    ),
+    SettingRow(
+        "log",
+        "client",
+        _NAME,
+        "http",
+        "",
+        "Registered client of the log service.",
+        RELAY,
+    ),
+    SettingRow(
+        "log",
+        "relays",
+        ValueRule("endpoints"),
+        [],
+        "",
+        "Relays in order of preference, that of this VM first.",
+        ROUTER,
+    ),
+    SettingRow(
+        "log",
+        "url",
+        ValueRule("url"),
+        "http://127.0.0.1:7300",
+        "",
+        "The platform's log service.",
+    ),
+    SettingRow(
+        "log",
+        "timeout_s",
+        _duration(0.05, 60),
+        2.0,
+        "s",
+        "Time after which a call to the log counts as unanswered.",
+    ),
+    SettingRow(
+        "members",
+        "url",
+        ValueRule("url"),
+        "http://127.0.0.1:7301",
+        "",
+        "The platform's membership list.",
+        ROUTER,
+    ),
+    SettingRow(
+        "members",
+        "poll_s",
+        _duration(0.1, 60),
+        2.0,
+        "s",
+        "Time between reads of the membership list.",
+        ROUTER,
+    ),
+    SettingRow(
+        "peers",
+        "heartbeat_s",
+        _duration(0.05, 60),
+        1.0,
+        "s",
+        "Time between heartbeats to the other routers.",
+        ROUTER,
+    ),
+    SettingRow(
+        "peers",
+        "lost_after_s",
+        _duration(0.2, 600),
+        5.0,
+        "s",
+        "Silence after which a router counts as unreachable from here.",
+        ROUTER,
+    ),
+    SettingRow(
+        "peers",
+        "evict_after_s",
+        _duration(1, 86_400),
+        60.0,
+        "s",
+        "Silence after which an unlisted router is evicted from the ledger.",
+        ROUTER,
+    ),
+    SettingRow(
+        "ledger",
+        "shards",
+        _count(1, 1_024),
+        1,
+        "streams",
+        "Ledger streams; the same on all routers.",
+        ROUTER,
+    ),
+    SettingRow(
+        "ledger",
+        "checkpoint_every",
+        _count(100, 10_000_000),
+        5_000,
+        "records",
+        "Records of a stream between two checkpoints.",
+        ROUTER,
+    ),
+    SettingRow(
+        "ledger",
+        "key_retention_h",
+        _duration(1, 8_760),
+        48.0,
+        "h",
+        "Time for which an Idempotency-Key is remembered.",
+        ROUTER,
+    ),
+    SettingRow(
+        "ledger",
+        "holding_policy",
+        _NAME,
+        "adaptive",
+        "",
+        "Registered policy of how many tokens to hold ahead.",
+        ROUTER,
+    ),
+    SettingRow(
+        "limits",
+        "max_body_bytes",
+        _count(1_024, 1 << 30),
+        8 << 20,
+        "bytes",
+        "Largest request body.",
+        ROUTER,
+    ),
+    SettingRow(
+        "limits",
+        "max_header_bytes",
+        _count(1_024, 1 << 20),
+        16 << 10,
+        "bytes",
+        "Largest request header.",
+        ROUTER,
+    ),
+    SettingRow(
+        "limits",
+        "max_connections",
+        _count(1, 100_000),
+        2_000,
+        "connections",
+        "Callers' connections open at once.",
+        ROUTER,
+    ),
+    SettingRow(
+        "limits",
+        "max_in_flight",
+        _count(1, 100_000),
+        1_000,
+        "requests",
+        "Requests in flight at once.",
+        ROUTER,
+    ),
+    SettingRow(
+        "limits",
+        "caller_idle_s",
+        _duration(1, 3_600),
+        60.0,
+        "s",
+        "Time after which a silent caller's connection is closed.",
+        ROUTER,
+    ),
+    SettingRow(
+        "limits",
+        "max_buffered_bytes",
+        _count(1_024, 1 << 30),
+        1 << 20,
+        "bytes",
+        "Bytes of one answer held for a caller that reads slowly.",
+        ROUTER,
+    ),
+    SettingRow(
+        "servers",
+        "tls_ca",
+        _TEXT,
+        "",
+        "",
+        "PEM file of the authorities that sign backend servers' certificates.",
+        ROUTER,
+    ),
+    SettingRow(
+        "servers",
+        "connect_timeout_s",
+        _duration(0.05, 60),
+        1.0,
+        "s",
+        "Time to connect to a backend server.",
+        ROUTER,
+    ),
+    SettingRow(
+        "servers",
+        "load_poll_s",
+        _duration(0.1, 60),
+        1.0,
+        "s",
+        "Time between reads of a backend server's load.",
+        ROUTER,
+    ),
+    SettingRow(
+        "servers",
+        "routing_policy",
+        _NAME,
+        "affinity",
+        "",
+        "Registered policy that chooses a backend server.",
+        ROUTER,
+    ),
+    SettingRow(
+        "retries",
+        "share",
+        ValueRule("number", 0, 1),
+        0.1,
+        "retries per success",
+        "Share of successes that may be spent on retries.",
+        ROUTER,
+    ),
+    SettingRow(
+        "retries",
+        "burst",
+        _count(0, 10_000),
+        10,
+        "retries",
+        "Retries that may be saved up.",
+        ROUTER,
+    ),
+    SettingRow(
+        "shutdown",
+        "drain_s",
+        _duration(0, 86_400),
+        600.0,
+        "s",
+        "Time given to requests in flight at a graceful shutdown.",
+        ROUTER,
+    ),
+    SettingRow(
+        "relay",
+        "cache_records",
+        _count(100, 10_000_000),
+        50_000,
+        "records",
+        "Records of each stream kept in memory.",
+        RELAY,
+    ),
+    SettingRow(
+        "relay",
+        "batch_ms",
+        _duration(0, 1_000),
+        5.0,
+        "ms",
+        "Time for which appends are collected into one.",
+        RELAY,
+    ),
+    SettingRow(
+        "metrics",
+        "statsd",
+        ValueRule("optional address"),
+        "",
+        "",
+        "UDP address of the statsd server; empty to send nothing.",
+    ),
+    SettingRow(
+        "logging",
+        "path",
+        _TEXT,
+        "",
+        "",
+        "File for the JSON lines; empty for standard error.",
+    ),
+    SettingRow(
+        "logging",
+        "level",
+        ValueRule("text", choices=_LEVELS),
+        "info",
+        "",
+        "Lowest level that is logged.",
+    ),
+    SettingRow(
+        "plugins",
+        "modules",
+        ValueRule("names"),
+        [],
+        "",
+        "Python modules whose register function is called at start.",
+    ),
+)
--- /dev/null
+++ b/lavendershift/tools/pages.py
@@ -0,0 +1,26 @@
+"""Writes the reference pages in ``docs`` that are made from tables.
+
+Run ``python -m lavendershift.tools.pages`` from the root of the repository
+after a change to one of the tables; a test compares pages and tables.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from lavendershift.settings_page import render_settings_page
+
+DOCS = Path("docs")
+
+PAGES: dict[str, Callable[[], str]] = {
+    "SETTINGS.md": render_settings_page,
+}
+
+
+def main() -> None:
+    """Write every page."""
+    for name, render in PAGES.items():
+        (DOCS / name).write_text(render(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
