Add the ledger fold: grants, charges, claims, transfers, evictions, checkpoints

The order of the log is the only arbiter: each rule is a pure step on the folded state, so all readers reach the same verdict. Transfers count once by loan, whichever of the two parties logged them; records abandon and recall are new.

--- /dev/null
+++ b/lavendershift/ledger.py
@@ -0,0 +1,260 @@
+"""The fold of a ledger stream.
+
+Every reader folds the same records in offset order under the same rules and
+reaches the same verdict on each, so the order of the log is the only arbiter
+between routers: no clock, lease or leader takes part in it::
+
+    ledger = Ledger("ledger-0", find_prepaid)
+    for entry in entries:
+        verdict = ledger.fold(entry)
+
+The rules themselves are in ``ledger_rules``. The prepaid total of a budget
+comes from the configuration, which is another stream. Grants and joins cite
+how far their author had folded it, and the fold uses the highest offset cited
+so far, so all readers use the same total. A reader must therefore have folded
+the configuration up to ``required_config_offset(entry)`` before the entry.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from lavendershift.balances import Balance, BudgetView
+from lavendershift.checkpoints import join_checkpoint, split_checkpoint
+from lavendershift.errors import DecodeError
+from lavendershift.incarnations import (
+    IncarnationState,
+    IncarnationTable,
+    Membership,
+    parse_record_id,
+)
+from lavendershift.ledger_rules import RULES, FindPrepaid, Verdict
+from lavendershift.records import (
+    Checkpoint,
+    Entry,
+    Evict,
+    EvictAck,
+    Grant,
+    Join,
+    Record,
+    Release,
+    find_ledger_stream,
+)
+from lavendershift.requests import RequestState, RequestTable
+
+KEY_RETENTION = timedelta(hours=24)
+STATE_VERSION = 1
+
+
+class Ledger:
+    """Folded state of one ledger stream.
+
+    ``find_prepaid`` returns the prepaid tokens of a budget as of a
+    configuration offset. ``shards`` is the number of ledger streams.
+    """
+
+    def __init__(
+        self,
+        stream: str,
+        prepaid: FindPrepaid,
+        shards: int = 1,
+        key_retention: timedelta = KEY_RETENTION,
+    ) -> None:
+        self.stream = stream
+        self.shards = shards
+        self.key_retention = key_retention
+        self.next_offset = 0
+        self.config_offset = 0
+        self.time_ms = 0
+        self.incarnations = IncarnationTable()
+        self.requests = RequestTable(key_retention)
+        self.balances: dict[str, Balance] = {}
+        self.loans: dict[tuple[str, str], str] = {}
+        self.operator_ids: dict[str, None] = {}
+        self._find_prepaid = prepaid
+
+    def required_config_offset(self, entry: Entry) -> int:
+        """Return how far the configuration must be folded before ``entry``."""
+        if isinstance(entry.record, Grant | Join):
+            return entry.record.config_offset
+        return 0
+
+    def fold(self, entry: Entry) -> Verdict:
+        """Apply the next entry; raises ``ValueError`` for any other offset."""
+        if entry.offset != self.next_offset:
+            raise ValueError(f"offset {entry.offset}, expected {self.next_offset}")
+        self.next_offset += 1
+        self.time_ms = max(self.time_ms, entry.time_ms)
+        self._expire()
+        record = entry.record
+        rule = RULES.get(type(record))
+        if record is None or rule is None:
+            return Verdict(False, 0, entry.fault or "not a ledger record")
+        fault = self._find_fault(record)
+        if fault:
+            return Verdict(False, 0, fault)
+        return rule(self, record, entry)
+
+    def find_budget(self, budget: str) -> BudgetView:
+        """Return the balances of ``budget`` as of the last folded entry."""
+        balance = self.balances.get(budget) or Balance()
+        prepaid = self._find_prepaid(budget, self.config_offset)
+        in_doubt = sum(
+            tokens
+            for incarnation, tokens in balance.held.items()
+            if not self.incarnations.is_joined(incarnation)
+        )
+        return BudgetView(
+            prepaid,
+            prepaid - balance.outstanding,
+            balance.spent,
+            balance.billed,
+            balance.overdrawn,
+            dict(balance.held),
+            in_doubt,
+        )
+
+    def find_available(self, budget: str) -> int:
+        """Return the tokens of ``budget`` that may still be granted."""
+        balance = self.balances.get(budget)
+        outstanding = balance.outstanding if balance else 0
+        return self._find_prepaid(budget, self.config_offset) - outstanding
+
+    def rights(self, budget: str, incarnation: str) -> int:
+        """Return what ``incarnation`` holds of ``budget``, unspent."""
+        balance = self.balances.get(budget)
+        return balance.held.get(incarnation, 0) if balance else 0
+
+    def find_request(self, request: str) -> RequestState | None:
+        """Return what is known of a request key, ``None`` for an unknown one."""
+        return self.requests.find(request)
+
+    def find_incarnation(self, incarnation: str) -> IncarnationState | None:
+        """Return the state of an incarnation, ``None`` for an unknown one."""
+        return self.incarnations.find(incarnation)
+
+    def live_incarnations(self) -> list[str]:
+        """Return the incarnations that joined and neither closed nor were evicted."""
+        return [
+            name
+            for name, state in self.incarnations.states.items()
+            if state.state is Membership.JOINED
+        ]
+
+    def budgets(self) -> list[str]:
+        """Return the budgets that have ever had a grant."""
+        return list(self.balances)
+
+    def find_balance(self, budget: str) -> Balance:
+        """Return the mutable balance of ``budget`` for use by the rules."""
+        return self.balances.setdefault(budget, Balance())
+
+    def make_checkpoint(self, checkpoint_id: str) -> list[Checkpoint]:
+        """Return the folded state as records of bounded size."""
+        state = [
+            STATE_VERSION,
+            self.shards,
+            self.next_offset,
+            self.config_offset,
+            self.time_ms,
+            self.incarnations.dump(),
+            self.requests.dump(),
+            {budget: balance.dump() for budget, balance in self.balances.items()},
+            [[*key, receiver] for key, receiver in self.loans.items()],
+            list(self.operator_ids),
+        ]
+        return split_checkpoint(checkpoint_id, self.stream, self.next_offset, state)
+
+    @classmethod
+    def restore(
+        cls,
+        checkpoints: Iterable[Checkpoint],
+        prepaid: FindPrepaid,
+        key_retention: timedelta = KEY_RETENTION,
+    ) -> "Ledger":
+        """Return the ledger that made ``checkpoints``, all parts of one id.
+
+        Raises ``DecodeError`` when a part is missing or of another version.
+        """
+        parts = list(checkpoints)
+        state = join_checkpoint(parts)
+        if state[0] != STATE_VERSION:
+            raise DecodeError(f"checkpoint {parts[0].id}", "unknown state version")
+        ledger = cls(parts[0].stream, prepaid, state[1], key_retention)
+        ledger.next_offset, ledger.config_offset, ledger.time_ms = state[2:5]
+        ledger.incarnations = IncarnationTable.load(state[5])
+        ledger.requests = RequestTable.load(state[6], key_retention)
+        ledger.balances = {name: Balance.load(data) for name, data in state[7].items()}
+        ledger.loans = {(loan[0], loan[1]): loan[2] for loan in state[8]}
+        ledger.operator_ids = dict.fromkeys(state[9])
+        return ledger
+
+    def collapse(self, incarnation: str) -> None:
+        """Forget a closed incarnation that holds nothing of any budget."""
+        state = self.incarnations.find(incarnation)
+        if state is None or state.state is not Membership.CLOSED:
+            return
+        if any(incarnation in balance.held for balance in self.balances.values()):
+            return
+        self.incarnations.finish(incarnation, self.time_ms)
+        for balance in self.balances.values():
+            balance.forget(incarnation)
+        self.loans = {
+            key: receiver
+            for key, receiver in self.loans.items()
+            if incarnation not in (key[0], receiver)
+        }
+
+    def _find_fault(self, record: Record) -> str:
+        """Return why ``record`` is void whatever its kind, or an empty string."""
+        budget = getattr(record, "budget", None)
+        if budget is not None and self._is_foreign(budget):
+            return "budget of another stream"
+        parsed = parse_record_id(record.id)
+        if parsed is not None and parsed.author in self.incarnations.finished:
+            return "author is closed"
+        if parsed is not None and parsed.author in self.incarnations.states:
+            return self._find_sequence_fault(record, parsed.author, parsed.seq)
+        if isinstance(record, Join):
+            named = parsed is not None and parsed.author == record.incarnation
+            return "" if named else "id is not of the incarnation's own sequence"
+        if not _is_operators(record):
+            return "author never joined"
+        if record.id in self.operator_ids:
+            return "repeated"
+        self.operator_ids[record.id] = None
+        return ""
+
+    def _find_sequence_fault(self, record: Record, author: str, seq: int) -> str:
+        if not self.incarnations.advance(author, seq):
+            return "repeated"
+        if not self.incarnations.is_open(author):
+            return "author is closed"
+        named = getattr(record, "incarnation", author)
+        if named != author and not _may_name_others(record):
+            return "id is not of the incarnation's own sequence"
+        return ""
+
+    def _is_foreign(self, budget: str) -> bool:
+        if self.shards == 1:
+            return False
+        return find_ledger_stream(budget, self.shards) != self.stream
+
+    def _expire(self) -> None:
+        self.requests.expire(self.time_ms)
+        limit = self.time_ms - self.key_retention / timedelta(milliseconds=1)
+        finished = self.incarnations.finished
+        while finished:
+            name = next(iter(finished))
+            if finished[name] >= limit:
+                return
+            del finished[name]
+
+
+def _may_name_others(record: Record) -> bool:
+    """Return whether a router may write ``record`` about another router."""
+    return isinstance(record, Evict | Release)
+
+
+def _is_operators(record: Record) -> bool:
+    """Return whether ``record`` may come from outside the routers."""
+    return isinstance(record, Evict | EvictAck | Release)
--- a/lavendershift/records.py
+++ b/lavendershift/records.py
@@ -118,13 +118,32 @@
 
 @register_record("transfer")
 class Transfer(NamedTuple):
-    """Unspent tokens that one incarnation handed directly to another."""
+    """Unspent tokens that one incarnation handed directly to another.
+
+    Sender and receiver may both log it, each under an id of its own sequence;
+    it counts once by ``loan``, the id of the ``BorrowRequest`` it answers.
+    """
 
     id: str
     budget: str
     sender: str
     receiver: str
     tokens: int
+    loan: str = ""
+
+
+@register_record("recall")
+class Recall(NamedTuple):
+    """A plea of ``incarnation`` that others return idle tokens of a budget.
+
+    It changes no balance; the routers that hold idle tokens answer it with
+    ``Return`` records.
+    """
+
+    id: str
+    budget: str
+    incarnation: str
+    tokens: int
 
 
 @register_record("charge")
@@ -158,6 +177,18 @@
     fingerprint: str
 
 
+@register_record("abandon")
+class Abandon(NamedTuple):
+    """A claimant's statement that it never dispatched the claimed request.
+
+    The key is free again for any router.
+    """
+
+    id: str
+    request: str
+    incarnation: str
+
+
 @register_record("outcome")
 class Outcome(NamedTuple):
     """The recorded answer of a claimed request, with the tokens it consumed.
@@ -251,8 +282,10 @@
     | Grant
     | Return
     | Transfer
+    | Recall
     | Charge
     | Claim
+    | Abandon
     | Outcome
     | Evict
     | EvictAck
