--- /dev/null
+++ b/lavendershift/loads.py
@@ -0,0 +1,72 @@
+"""How busy a server is, from one's own requests and from lagging reports.
+
+Own requests in flight are known exactly. Those of other routers are what the
+last report counted beyond one's own at its time; as the report ages, the
+estimate decays towards the mean over all servers, which no server stands out
+from.
+"""
+
+import math
+from collections import deque
+from datetime import timedelta
+from typing import NamedTuple
+
+from lavendershift.clocks import Clock
+
+REPORT_DECAY = timedelta(seconds=3)
+HISTORY_LENGTH = 512  # changes of one's own count that are remembered
+
+
+class LoadReport(NamedTuple):
+    """What a server said of itself, ``age`` before now.
+
+    ``running`` and ``waiting`` count requests of all routers.
+    """
+
+    running: int
+    waiting: int
+    age: timedelta = timedelta()
+    kv_used: float = 0.0
+    adapters: tuple[str, ...] = ()
+
+
+class LoadEstimate:
+    """The requests in flight on one server."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._history: deque[tuple[timedelta, int]] = deque(maxlen=HISTORY_LENGTH)
+        self._reported_at = timedelta()
+        self.in_flight = 0
+        self.pending_tokens = 0
+        self.others: float | None = None
+
+    def count(self, change: int) -> None:
+        """Add ``change`` to one's own requests in flight."""
+        self.in_flight += change
+        self._history.append((self._clock.elapsed(), self.in_flight))
+
+    def record(self, report: LoadReport) -> None:
+        """Take over a report, unless a newer one is known."""
+        time = self._clock.elapsed() - max(report.age, timedelta())
+        if self.others is not None and time < self._reported_at:
+            return
+        total = report.running + report.waiting
+        self.others = max(float(total - self._find_own(time)), 0.0)
+        self._reported_at = time
+
+    def _find_own(self, time: timedelta) -> int:
+        own = 0
+        for changed, count in self._history:
+            if changed > time:
+                break
+            own = count
+        return own
+
+    def estimate(self, mean_others: float) -> float:
+        """Return own requests plus the estimate of everybody else's."""
+        if self.others is None:
+            return self.in_flight + mean_others
+        age = self._clock.elapsed() - self._reported_at
+        trust = math.exp(-(age / REPORT_DECAY))
+        return self.in_flight + mean_others + (self.others - mean_others) * trust
--- /dev/null
+++ b/lavendershift/plugins/routing_least_in_flight.py
@@ -0,0 +1,24 @@
+"""Routing policy ``least_in_flight``: the fewest of one's own requests."""
+
+import random
+from collections.abc import Sequence
+
+from lavendershift.routing import RouteRequest, register_routing_policy
+from lavendershift.servers import Candidate
+
+
+@register_routing_policy("least_in_flight")
+class LeastInFlightPolicy:
+    """Counts only what this router itself has in flight."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self,
+        request: RouteRequest,
+        candidates: Sequence[Candidate],
+    ) -> Candidate:
+        """Return a candidate with the fewest, at random among equals."""
+        fewest = min(c.in_flight for c in candidates)
+        return self._rng.choice([c for c in candidates if c.in_flight == fewest])
--- /dev/null
+++ b/lavendershift/plugins/routing_two_choices.py
@@ -0,0 +1,24 @@
+"""Routing policy ``two_choices``: the less loaded of two random servers."""
+
+import random
+from collections.abc import Sequence
+
+from lavendershift.routing import RouteRequest, register_routing_policy
+from lavendershift.servers import Candidate
+
+
+@register_routing_policy("two_choices")
+class TwoChoicesPolicy:
+    """Compares estimated loads, relative to capacity."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self,
+        request: RouteRequest,
+        candidates: Sequence[Candidate],
+    ) -> Candidate:
+        """Return the less loaded of two candidates drawn at random."""
+        drawn = self._rng.sample(list(candidates), min(2, len(candidates)))
+        return min(drawn, key=lambda c: c.load / max(c.capacity, 1))
--- /dev/null
+++ b/lavendershift/servers.py
@@ -0,0 +1,343 @@
+"""A router's view of the backend servers.
+
+``ServerPool`` brings together what the settings tree, the platform's
+membership list, the servers' lagging load reports and cache events, and this
+router's own requests say about each server, and answers which of them a
+request could go to now::
+
+    pool = ServerPool(clock, rng, failure_domain="rennes")
+    pool.update_settings({"engine1": settings})
+    pool.start("engine1", "attempt-1", tokens=900, prefix=())
+    pool.note_first_token("attempt-1")
+    pool.finish("attempt-1", AttemptResult.COMPLETED)
+
+A server that either the tree or the list calls leaving gets no new work from
+the moment the pool is told.
+"""
+
+import random
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+from lavendershift import signals
+from lavendershift.clocks import Clock
+from lavendershift.concurrency import ConcurrencyLimit, PrefillRate
+from lavendershift.ejection import Ejection, OutlierDetector
+from lavendershift.loads import LoadEstimate, LoadReport
+from lavendershift.prefixes import BLOCK_TOKENS, CacheEvent, PrefixIndex
+
+SERVICE_TIME_WEIGHT = 0.05  # of the newest observation
+INITIAL_SERVICE_S = 2.0  # time in flight before the first observation
+
+
+class ServerSettings(NamedTuple):
+    """Settings of one backend server, from node ``servers/<name>``."""
+
+    name: str
+    kind: str
+    address: str
+    failure_domain: str
+    models: tuple[str, ...]
+    service: str
+    capacity: int
+    state: str
+    fencing: str
+
+
+class AttemptResult(Enum):
+    """How an attempt on a server ended, as far as the server is concerned."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Candidate(NamedTuple):
+    """A server that could take a request, as it looks at this moment.
+
+    ``in_flight`` counts this router's own requests, ``load`` everybody's by
+    estimate. ``pending_tokens`` are prompt tokens whose first token is still
+    awaited, ``held_tokens`` the leading prompt tokens believed to be in its
+    prefix cache. ``slowness`` is the ratio of its first tokens to those of an
+    idle server.
+    """
+
+    name: str
+    address: str
+    same_domain: bool
+    capacity: int
+    limit: int
+    in_flight: int
+    load: float
+    pending_tokens: float
+    held_tokens: int
+    slowness: float
+    has_adapter: bool
+
+    @property
+    def has_room(self) -> bool:
+        """Whether it is below its limit and its estimated capacity."""
+        return self.in_flight < self.limit and self.load < self.capacity
+
+
+class _Attempt(NamedTuple):
+    """One request in flight on a server."""
+
+    server: str
+    tokens: int
+    started: timedelta
+    awaits_first_token: bool
+
+
+class _Group:
+    """Servers that serve the same, which are compared with each other."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.outliers = OutlierDetector(rng)
+        self.prefill = PrefillRate()
+        self.service_s = INITIAL_SERVICE_S
+
+    def observe_service(self, seconds: float) -> None:
+        """Note the time that a completed request was in flight."""
+        self.service_s += SERVICE_TIME_WEIGHT * (seconds - self.service_s)
+
+
+class _Server:
+    """All that is known of one backend server."""
+
+    def __init__(
+        self, clock: Clock, settings: ServerSettings, group: _Group, initial: float
+    ) -> None:
+        self.settings = settings
+        self.group = group
+        self.load = LoadEstimate(clock)
+        self.limit = ConcurrencyLimit(settings.capacity, initial)
+        self.cache = PrefixIndex(clock)
+        self.adapters: frozenset[str] = frozenset()
+        self.membership: str | None = None
+
+
+class ServerPool:
+    """The backend servers as one router sees them.
+
+    ``routers`` is the number of live routers, which sets how much of a
+    server's capacity is tried before anything was observed.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        failure_domain: str = "",
+        routers: int = 1,
+    ) -> None:
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._routers = routers
+        self._servers: dict[str, _Server] = {}
+        self._attempts: dict[str, _Attempt] = {}
+        self._rng = rng
+        self._groups: dict[str, _Group] = {}
+
+    def estimate_service_time(self, model: str = "", service: str = "") -> timedelta:
+        """Return the mean time that completed requests were in flight."""
+        for server in self._servers.values():
+            if serves(server.settings, model, service):
+                return timedelta(seconds=server.group.service_s)
+        return timedelta(seconds=INITIAL_SERVICE_S)
+
+    def estimate_first_token(self, tokens: int, model: str = "") -> timedelta:
+        """Return the time to first token of an idle server of ``model``."""
+        for server in self._servers.values():
+            if serves(server.settings, model, ""):
+                return server.group.prefill.estimate_first_token(tokens)
+        return PrefillRate().estimate_first_token(tokens)
+
+    def update_routers(self, routers: int) -> None:
+        """Note the number of live routers that share the servers."""
+        self._routers = max(routers, 1)
+
+    def update_settings(self, settings: Mapping[str, ServerSettings]) -> None:
+        """Take over the servers of the settings tree; others are dropped."""
+        for name in self._servers.keys() - settings.keys():
+            del self._servers[name]
+        for name, server in settings.items():
+            known = self._servers.get(name)
+            if known is None or known.settings.address != server.address:
+                self._add(server, known)
+            else:
+                known.settings = server
+                known.group = self._find_group(server)
+                known.limit.set_capacity(server.capacity)
+        self._update_groups()
+
+    def _find_group(self, settings: ServerSettings) -> _Group:
+        key = settings.service or ",".join(sorted(settings.models))
+        return self._groups.setdefault(key, _Group(self._rng))
+
+    def _update_groups(self) -> None:
+        for group in self._groups.values():
+            names = [n for n, s in self._servers.items() if s.group is group]
+            group.outliers.update_servers(set(names))
+
+    def _add(self, settings: ServerSettings, known: _Server | None) -> None:
+        initial = 2 * settings.capacity / self._routers
+        server = _Server(self._clock, settings, self._find_group(settings), initial)
+        if known is not None:
+            server.membership = known.membership
+            server.load.count(known.load.in_flight)
+        self._servers[settings.name] = server
+
+    def update_membership(self, states: Mapping[str, str]) -> None:
+        """Take over the platform's list: the state of each listed server.
+
+        A server that was listed and no longer is counts as gone. A list
+        without any known server is taken for a fault of the list and ignored,
+        and a server that was never listed goes by its settings.
+        """
+        if not states.keys() & self._servers.keys():
+            return
+        for name, server in self._servers.items():
+            listed = states.get(name)
+            if listed is not None:
+                server.membership = listed
+            elif server.membership is not None:
+                server.membership = "gone"
+
+    def record_load(self, server: str, report: LoadReport) -> None:
+        """Note a server's load report."""
+        known = self._servers.get(server)
+        if known is None:
+            return
+        known.load.record(report)
+        known.adapters = frozenset(report.adapters)
+
+    def record_cache_events(
+        self, server: str, events: Sequence[CacheEvent], last_seq: int
+    ) -> None:
+        """Note a server's cache events; see ``PrefixIndex.note_events``."""
+        known = self._servers.get(server)
+        if known is not None:
+            known.cache.note_events(events, last_seq)
+
+    def start(
+        self, server: str, attempt: str, tokens: int, prefix: Sequence[str] = ()
+    ) -> None:
+        """Note that ``attempt``, with ``tokens`` prompt tokens, goes to ``server``."""
+        known = self._servers[server]
+        held = known.cache.count_held(prefix) * BLOCK_TOKENS
+        uncached = max(tokens - held, 0)
+        now = self._clock.elapsed()
+        self._attempts[attempt] = _Attempt(server, uncached, now, True)
+        known.load.count(1)
+        known.load.pending_tokens += uncached
+        known.cache.note_used(prefix)
+
+    def note_first_token(self, attempt: str) -> None:
+        """Note the first token, or the first byte of a service's answer."""
+        started = self._attempts.get(attempt)
+        if started is None or not started.awaits_first_token:
+            return
+        self._attempts[attempt] = started._replace(awaits_first_token=False)
+        known = self._servers.get(started.server)
+        if known is None:
+            return
+        now = self._clock.elapsed()
+        waited = now - started.started
+        known.load.pending_tokens -= started.tokens
+        group = known.group
+        unloaded = group.prefill.estimate_first_token(started.tokens)
+        known.limit.observe(waited, unloaded, known.load.in_flight, now)
+        group.prefill.observe(started.tokens, waited)
+        ratio = waited / unloaded
+        self._announce(group.outliers.record_slowness(started.server, ratio, now))
+
+    def finish(self, attempt: str, result: AttemptResult) -> None:
+        """Note that ``attempt`` is no longer in flight; unknown ones are ignored."""
+        ended = self._attempts.pop(attempt, None)
+        known = None if ended is None else self._servers.get(ended.server)
+        if ended is None or known is None:
+            return
+        now = self._clock.elapsed()
+        known.load.count(-1)
+        if ended.awaits_first_token:
+            known.load.pending_tokens -= ended.tokens
+        if result is AttemptResult.COMPLETED:
+            known.group.outliers.record_success(ended.server)
+            known.group.observe_service((now - ended.started).total_seconds())
+        elif result is AttemptResult.FAILED:
+            self._announce(known.group.outliers.record_failure(ended.server, now))
+
+    def _announce(self, ejection: Ejection | None) -> None:
+        if ejection is not None:
+            signals.server_ejected.send(self, ejection=ejection)
+
+    def is_available(self, name: str) -> bool:
+        """Tell whether a server may get new work: not leaving, gone or ejected."""
+        server = self._servers.get(name)
+        if server is None or server.settings.state != "live":
+            return False
+        if server.membership not in (None, "live"):
+            return False
+        return not server.group.outliers.is_ejected(name, self._clock.elapsed())
+
+    def list_candidates(
+        self,
+        model: str = "",
+        service: str = "",
+        prefix: Sequence[str] = (),
+        adapter: str = "",
+    ) -> list[Candidate]:
+        """Return the available servers for a model or service, busy ones too."""
+        serving = [
+            server
+            for server in self._servers.values()
+            if serves(server.settings, model, service)
+            and self.is_available(server.settings.name)
+        ]
+        mean_others = self._find_mean_others(serving)
+        return [
+            self._describe(server, prefix, adapter, mean_others) for server in serving
+        ]
+
+    def _find_mean_others(self, servers: Sequence[_Server]) -> float:
+        known = [s.load.others for s in servers if s.load.others is not None]
+        if known:
+            return sum(known) / len(known)
+        own = sum(server.load.in_flight for server in servers)
+        return own * (self._routers - 1) / max(len(servers), 1)
+
+    def _describe(
+        self,
+        server: _Server,
+        prefix: Sequence[str],
+        adapter: str,
+        mean_others: float,
+    ) -> Candidate:
+        settings = server.settings
+        outliers = server.group.outliers
+        probe_limit = outliers.find_probe_limit(settings.name)
+        limit = server.limit.limit
+        return Candidate(
+            name=settings.name,
+            address=settings.address,
+            same_domain=settings.failure_domain == self._failure_domain,
+            capacity=settings.capacity,
+            limit=limit if probe_limit is None else min(limit, probe_limit),
+            in_flight=server.load.in_flight,
+            load=server.load.estimate(mean_others),
+            pending_tokens=server.load.pending_tokens,
+            held_tokens=server.cache.count_held(prefix) * BLOCK_TOKENS,
+            slowness=outliers.find_slowness(settings.name),
+            has_adapter=not adapter or adapter in server.adapters,
+        )
+
+
+def serves(settings: ServerSettings, model: str, service: str) -> bool:
+    """Tell whether a server serves ``model``, or ``service`` where it is given."""
+    if service:
+        return settings.kind == "service" and settings.service == service
+    return settings.kind == "engine" and model in settings.models
--- /dev/null
+++ b/lavendershift/tests/test_prefixes.py
@@ -0,0 +1,55 @@
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavendershift.clocks import ManualClock
+from lavendershift.prefixes import (
+    BLOCK_BYTES,
+    GAP_TRUST,
+    CacheEvent,
+    PrefixIndex,
+    hash_prefix,
+)
+
+
+@settings(derandomize=True, database=None)
+@given(st.binary(max_size=3), st.binary(max_size=3), st.integers(0, 4))
+def test_hashes_agree_exactly_on_the_shared_blocks(left, right, shared):
+    start = b"x" * BLOCK_BYTES * shared
+    one = hash_prefix(start + left.ljust(BLOCK_BYTES, b"-"))
+    other = hash_prefix(start + right.ljust(BLOCK_BYTES, b"-"))
+    assert len(one) == shared + 1
+    assert one[:shared] == other[:shared]
+    same = left.ljust(BLOCK_BYTES, b"-") == right.ljust(BLOCK_BYTES, b"-")
+    assert (one[shared] == other[shared]) == same
+
+
+def test_a_gap_in_cache_events_makes_older_beliefs_expire():
+    clock = ManualClock()
+    index = PrefixIndex(clock)
+    index.note_events([CacheEvent(1, "stored", "a"), CacheEvent(2, "stored", "b")], 2)
+    assert index.count_held(["a", "b"]) == 2
+    clock.advance(timedelta(seconds=1))
+    index.note_events([CacheEvent(9, "stored", "c")], 9)
+    assert index.count_held(["a", "b"]) == 2
+    clock.advance(GAP_TRUST)
+    index.note_used(["c"])
+    assert index.count_held(["a", "b"]) == 0
+    assert index.count_held(["c"]) == 1
+
+
+def test_an_evicted_prefix_and_a_restarted_server_hold_nothing():
+    index = PrefixIndex(ManualClock())
+    index.note_used(["a", "b"])
+    index.note_events([CacheEvent(1, "evicted", "b")], 1)
+    assert index.count_held(["a", "b"]) == 1
+    index.note_events([], 0)
+    assert index.count_held(["a"]) == 0
+
+
+def test_the_number_of_held_blocks_is_bounded():
+    index = PrefixIndex(ManualClock(), max_blocks=2)
+    index.note_used(["a", "b", "c"])
+    assert index.count_held(["a"]) == 0
+    assert index.count_held(["b", "c"]) == 2
--- /dev/null
+++ b/lavendershift/tests/test_servers.py
@@ -0,0 +1,156 @@
+import random
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavendershift import signals
+from lavendershift.clocks import ManualClock
+from lavendershift.ejection import MAX_EJECTED_SHARE
+from lavendershift.loads import LoadReport
+from lavendershift.servers import AttemptResult, ServerPool, ServerSettings
+
+
+def make_settings(name, state="live", capacity=8):
+    return ServerSettings(
+        name=name,
+        kind="engine",
+        address=f"127.0.0.1:{9000 + int(name[1:])}",
+        failure_domain="rennes",
+        models=("plume",),
+        service="",
+        capacity=capacity,
+        state=state,
+        fencing="ignored",
+    )
+
+
+def make_pool(count=6, **kwargs):
+    clock = ManualClock()
+    pool = ServerPool(clock, random.Random(5), **kwargs)
+    names = [f"e{i}" for i in range(count)]
+    pool.update_settings({name: make_settings(name) for name in names})
+    return clock, pool
+
+
+def list_names(pool):
+    return {c.name for c in pool.list_candidates(model="plume")}
+
+
+def test_a_leaving_server_gets_no_new_work_by_tree_or_list():
+    _, pool = make_pool(4)
+    pool.update_membership({"e0": "leaving", "e1": "live", "e2": "live"})
+    assert list_names(pool) == {"e1", "e2", "e3"}
+    pool.update_membership({"e0": "live", "e1": "live"})
+    assert list_names(pool) == {"e0", "e1", "e3"}
+    pool.update_membership({})
+    assert list_names(pool) == {"e0", "e1", "e3"}
+    tree = {"e0": make_settings("e0", "leaving"), "e1": make_settings("e1")}
+    pool.update_settings(tree)
+    assert list_names(pool) == {"e1"}
+
+
+def test_a_failing_server_is_ejected_then_probed_and_trusted_again():
+    clock, pool = make_pool()
+    seen = []
+
+    def keep(sender, ejection):
+        seen.append(ejection)
+
+    with signals.server_ejected.connected_to(keep, pool):
+        for attempt in range(3):
+            pool.start("e0", f"a{attempt}", 10)
+            pool.finish(f"a{attempt}", AttemptResult.FAILED)
+    assert [e.server for e in seen] == ["e0"]
+    assert "e0" not in list_names(pool)
+    clock.advance(seen[0].length)
+    limits = []
+    for attempt in range(8):
+        [view] = [c for c in pool.list_candidates("plume") if c.name == "e0"]
+        limits.append(view.limit)
+        pool.start("e0", f"b{attempt}", 10)
+        pool.finish(f"b{attempt}", AttemptResult.COMPLETED)
+    assert limits[:3] == [1, 2, 4]
+    assert limits[-1] == 8
+
+
+def test_a_failed_probe_doubles_the_ejection():
+    clock, pool = make_pool()
+    lengths = []
+
+    def keep(sender, ejection):
+        lengths.append(ejection.length)
+
+    with signals.server_ejected.connected_to(keep, pool):
+        for attempt in range(8):
+            pool.start("e0", f"a{attempt}", 10)
+            pool.finish(f"a{attempt}", AttemptResult.FAILED)
+            clock.advance(lengths[-1] if lengths else timedelta())
+    assert len(lengths) == 6
+    assert lengths == sorted(set(lengths))
+
+
+@settings(derandomize=True, database=None, max_examples=60)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 5), st.sampled_from(AttemptResult), st.floats(0, 3)),
+        max_size=120,
+    )
+)
+def test_the_share_of_ejected_servers_stays_below_the_floor(steps):
+    clock, pool = make_pool()
+    for number, (server, result, seconds) in enumerate(steps):
+        pool.start(f"e{server}", f"a{number}", 100)
+        clock.advance(timedelta(seconds=seconds / 10))
+        pool.note_first_token(f"a{number}")
+        pool.finish(f"a{number}", result)
+        assert 6 - len(list_names(pool)) <= 6 * MAX_EJECTED_SHARE
+    assert all(c.in_flight == 0 for c in pool.list_candidates("plume"))
+    assert all(c.pending_tokens == 0 for c in pool.list_candidates("plume"))
+
+
+def test_a_slow_server_is_ejected_as_an_outlier():
+    clock, pool = make_pool()
+    for number in range(12):
+        for server in range(6):
+            pool.start(f"e{server}", f"a{number}", 1000)
+            clock.advance(timedelta(seconds=4 if server == 3 else 0.4))
+            pool.note_first_token(f"a{number}")
+            pool.finish(f"a{number}", AttemptResult.COMPLETED)
+        if "e3" not in list_names(pool):
+            break
+    assert list_names(pool) == {"e0", "e1", "e2", "e4", "e5"}
+
+
+def test_slow_first_tokens_lower_the_limit_and_fast_ones_raise_it():
+    clock, pool = make_pool(1)
+
+    def run(seconds, rounds):
+        for number in range(rounds):
+            for slot in range(8):
+                pool.start("e0", f"{number}.{slot}", 1000)
+            clock.advance(timedelta(seconds=seconds))
+            for slot in range(8):
+                pool.note_first_token(f"{number}.{slot}")
+                pool.finish(f"{number}.{slot}", AttemptResult.COMPLETED)
+        return pool.list_candidates("plume")[0].limit
+
+    assert run(0.4, 5) == 8
+    assert run(6, 8) <= 4
+    assert run(0.4, 30) == 8
+
+
+def test_own_requests_are_not_counted_twice_and_old_reports_fade():
+    clock, pool = make_pool(2, routers=2)
+    for number in range(3):
+        pool.start("e0", f"a{number}", 10)
+    clock.advance(timedelta(seconds=1))
+    pool.start("e0", "later", 10)
+    pool.record_load("e0", LoadReport(5, 0, timedelta(milliseconds=500)))
+    pool.record_load("e1", LoadReport(0, 0))
+    loads = {c.name: c.load for c in pool.list_candidates("plume")}
+    assert 5.5 <= loads["e0"] <= 6.0
+    clock.advance(timedelta(minutes=1))
+    loads = {c.name: c.load for c in pool.list_candidates("plume")}
+    assert round(loads["e0"], 3) == 5.0
+    assert round(loads["e1"], 3) == 1.0
