--- a/lavendershift/ledger_rules.py
+++ b/lavendershift/ledger_rules.py
@@ -30,6 +30,8 @@
 if TYPE_CHECKING:
     from lavendershift.ledger import Ledger
 
+RECEIVER_CLOSED = "receiver is closed"
+
 
 class Verdict(NamedTuple):
     """What the fold made of a record.
@@ -119,7 +121,7 @@
     if sender is None:
         return "sender is unknown"
     if receiver is None or receiver.state is Membership.CLOSED:
-        return "receiver is closed"
+        return RECEIVER_CLOSED
     if not sender.evicted:
         return ""
     if receiver.join_offset > sender.evict_offset:
