--- /dev/null
+++ b/lavendershift_standins/engine.py
@@ -0,0 +1,272 @@
+"""Stand-in for a model engine.
+
+It batches continuously, caches prompt prefixes, honours priorities, resumes
+and cancels streams, reports its load with a lag, publishes cache events late
+and with gaps, and takes orders. Its answers follow from prompt and model, see
+``lavendershift_standins.answers``.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any, NamedTuple, TypedDict
+
+from lavendershift.clocks import Clock
+from lavendershift_standins.application import StandInApp
+from lavendershift_standins.batch import Batch, Caller, Run, RunState
+from lavendershift_standins.commandline import run_program
+from lavendershift_standins.completions import CompletionHandler, ResumeHandler
+from lavendershift_standins.enginecontrol import (
+    CacheEventsHandler,
+    CancelHandler,
+    ControlLogHandler,
+    FenceHandler,
+    Fences,
+    LoadHandler,
+    LoadHistory,
+    LoadReport,
+    OrdersHandler,
+    RequestHandler,
+)
+from lavendershift_standins.prefixcache import PrefixCache
+from lavendershift_standins.prompts import BYTES_PER_TOKEN, Prompt, hash_prefixes
+from lavendershift_standins.steploop import StepLoop
+
+
+class EngineSettings(NamedTuple):
+    """Settings of the model engine and their defaults.
+
+    Answers have between ``min_output_tokens`` and ``max_output_tokens``
+    tokens, as the prompt decides, and never more than the request allows.
+    ``time_scale`` multiplies the time of steps and of loading; ``queue`` is
+    the number of requests that may wait.
+    """
+
+    name: str = "engine"
+    address: str = "127.0.0.1"
+    port: int = 0
+    models: list[str] = ["index-large"]
+    adapters: list[str] = []
+    role: str = "mixed"
+    capacity: int = 32
+    queue: int = 256
+    step_ms: float = 10.0
+    prefill_tokens_per_ms: float = 20.0
+    time_scale: float = 1.0
+    tokens_per_event: int = 1
+    min_output_tokens: int = 16
+    max_output_tokens: int = 256
+    cache_blocks: int = 4096
+    cache_block_bytes: int = 256
+    cache_event_lag_ms: int = 1000
+    cache_event_gaps: float = 0.05
+    load_lag_ms: int = 500
+    fencing_honoured: bool = False
+    load_model_ms: int = 2000
+    load_adapter_ms: int = 500
+    cancel_on_disconnect: bool = False
+
+
+class Execution(TypedDict):
+    """A request that the engine was given, for checkers.
+
+    ``state`` is that of the protocol, or ``waiting`` while no part ran.
+    """
+
+    request_id: str
+    idempotency_key: str
+    holder: str
+    model: str
+    prompt_hash: str
+    prompt_tokens: int
+    completion_tokens: int
+    state: str
+    started_ms: int
+
+
+class EngineApp(StandInApp):
+    """Serves the OpenAI interface and the control calls of an engine."""
+
+    program = "engine"
+
+    def __init__(self, settings: EngineSettings, clock: Clock, rng: Random) -> None:
+        super().__init__(settings, clock, rng)
+        self.models = list(settings.models)
+        self.adapters = list(settings.adapters)
+        self.role = settings.role
+        self.runs: dict[str, Run] = {}
+        self.fences = Fences(settings.fencing_honoured)
+        self.cache = PrefixCache(
+            settings.cache_blocks,
+            timedelta(milliseconds=settings.cache_event_lag_ms),
+            settings.cache_event_gaps,
+            rng,
+        )
+        self.batch = Batch(
+            settings.capacity,
+            settings.prefill_tokens_per_ms * settings.step_ms,
+            self._start_run,
+            self._finish_run,
+        )
+        self._load = LoadHistory(timedelta(milliseconds=settings.load_lag_ms))
+        self._steps = StepLoop(self._step, self._find_interval_s)
+        self._orders: deque[tuple[float, Callable[[], None]]] = deque()
+        self._loading: asyncio.Task[None] | None = None
+
+    def list_routes(self) -> list[tuple[Any, ...]]:
+        """Return the routes."""
+        return [
+            (r"/v1/completions", CompletionHandler, {"is_chat": False}),
+            (r"/v1/chat/completions", CompletionHandler, {"is_chat": True}),
+            (r"/control/load", LoadHandler),
+            (r"/control/cancel/([^/]+)", CancelHandler),
+            (r"/control/requests/([^/]+)", RequestHandler),
+            (r"/control/requests/([^/]+)/stream", ResumeHandler),
+            (r"/control/cache-events", CacheEventsHandler),
+            (r"/control/fence", FenceHandler),
+            (r"/control/orders", OrdersHandler),
+            (r"/control/log", ControlLogHandler),
+        ]
+
+    async def on_start(self) -> None:
+        """Make the first load report."""
+        self._report_load()
+
+    async def on_stop(self) -> None:
+        """Stop stepping and loading."""
+        self._steps.stop()
+        if self._loading is not None:
+            self._loading.cancel()
+
+    @property
+    def now_s(self) -> int:
+        """The wall-clock time in seconds (Unix)."""
+        return self.now_ms // 1000
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may wait."""
+        return self.batch.waiting >= self.settings.queue
+
+    def has_model(self, name: str) -> bool:
+        """Return whether a model or adapter is loaded."""
+        return name in self.models or name in self.adapters
+
+    def make_request_id(self) -> str:
+        """Return an id for a request that came without one."""
+        return f"{self.settings.name}-{self.rng.getrandbits(64):016x}"
+
+    def submit(self, prompt: Prompt, caller: Caller) -> Run:
+        """Queue a request."""
+        prefixes = hash_prefixes(
+            prompt.model, prompt.text, self.settings.cache_block_bytes
+        )
+        run = Run(prompt, caller, self._find_output_tokens(prompt), prefixes)
+        self.runs[caller.request_id] = run
+        self.batch.add(run)
+        self._report_load()
+        self._steps.wake()
+        return run
+
+    def leave(self, run: Run) -> None:
+        """Note that the connection that brought a request is gone."""
+        if self.settings.cancel_on_disconnect:
+            self.batch.cancel(run)
+
+    def find_load(self) -> LoadReport:
+        """Return the load as callers see it."""
+        return self._load.find_seen(self.clock.elapsed())
+
+    def list_runs(self, holder: str) -> list[Run]:
+        """Return the requests of one holder."""
+        return [run for run in self.runs.values() if run.caller.holder == holder]
+
+    def list_executions(self) -> list[Execution]:
+        """Return all requests in the order in which they came."""
+        return [self._describe(run) for run in self.runs.values()]
+
+    def follow_order(self, order: str, name: str) -> None:
+        """Carry out an order; models and adapters are loaded one by one."""
+        if order == "set_role":
+            self.role = name
+            self._report_load()
+            return
+        held, load_ms = {
+            "load_model": (self.models, self.settings.load_model_ms),
+            "load_adapter": (self.adapters, self.settings.load_adapter_ms),
+        }[order]
+
+        def finish() -> None:
+            if name not in held:
+                held.append(name)
+            self._report_load()
+
+        self._orders.append((load_ms * self.settings.time_scale / 1000, finish))
+        if self._loading is None or self._loading.done():
+            self._loading = asyncio.ensure_future(self._load_ordered())
+
+    async def _load_ordered(self) -> None:
+        while self._orders:
+            duration_s, finish = self._orders.popleft()
+            await asyncio.sleep(duration_s)
+            finish()
+
+    def _find_output_tokens(self, prompt: Prompt) -> int:
+        low, high = self.settings.min_output_tokens, self.settings.max_output_tokens
+        tokens: int = low + int(prompt.hash[:8], 16) % (high - low + 1)
+        return min(tokens, prompt.max_tokens) if prompt.max_tokens else tokens
+
+    def _start_run(self, run: Run) -> int:
+        run.started_ms = self.now_ms
+        cached = self.cache.look_up(run.prefixes)
+        self.cache.store(run.prefixes, self.clock.elapsed())
+        cached_tokens = cached * self.settings.cache_block_bytes // BYTES_PER_TOKEN
+        return max(0, run.prompt.tokens - cached_tokens)
+
+    def _finish_run(self, run: Run) -> None:
+        run.prefixes = []
+
+    def _step(self) -> bool:
+        self.batch.step()
+        self._report_load()
+        return not self.batch.is_idle
+
+    def _find_interval_s(self) -> float:
+        step_ms: float = self.settings.step_ms * self.settings.time_scale
+        return step_ms * self.faults.slow_factor / 1000
+
+    def _report_load(self) -> None:
+        report = LoadReport(
+            time_ms=self.now_ms,
+            running=len(self.batch.running),
+            waiting=self.batch.waiting,
+            capacity=self.settings.capacity,
+            kv_used=self.cache.used,
+            models=self.models[:],
+            adapters=self.adapters[:],
+            role=self.role,
+        )
+        self._load.add(self.clock.elapsed(), report)
+
+    def _describe(self, run: Run) -> Execution:
+        state = run.state.value
+        if run.state is RunState.RUNNING and not run.started:
+            state = "waiting"
+        return Execution(
+            request_id=run.caller.request_id,
+            idempotency_key=run.caller.idempotency_key,
+            holder=run.caller.holder,
+            model=run.prompt.model,
+            prompt_hash=run.prompt.hash,
+            prompt_tokens=run.prompt_tokens,
+            completion_tokens=run.produced,
+            state=state,
+            started_ms=run.started_ms,
+        )
+
+
+def main() -> None:
+    """Run the model engine."""
+    run_program(EngineApp, EngineSettings)
--- /dev/null
+++ b/lavendershift_standins/enginecontrol.py
@@ -0,0 +1,213 @@
+"""The engine's control calls: load, cancel, state, fence, orders and log."""
+
+from collections import deque
+from datetime import timedelta
+from typing import Any, Literal, NamedTuple
+
+from pydantic import TypeAdapter, ValidationError
+from tornado.web import Finish
+from typing_extensions import TypedDict
+
+from lavendershift_standins.application import StandInHandler
+from lavendershift_standins.batch import Run, RunState
+from lavendershift_standins.events import make_usage
+
+
+class LoadReport(TypedDict):
+    """The answer of ``GET /control/load``; ``kv_used`` is a share of 1."""
+
+    time_ms: int
+    running: int
+    waiting: int
+    capacity: int
+    kv_used: float
+    models: list[str]
+    adapters: list[str]
+    role: str
+
+
+class DatedReport(NamedTuple):
+    """A load report and when it was made."""
+
+    made: timedelta
+    report: LoadReport
+
+
+class LoadHistory:
+    """Load reports, of which callers see those a lag old."""
+
+    def __init__(self, lag: timedelta) -> None:
+        self._lag = lag
+        self._reports: deque[DatedReport] = deque()
+
+    def add(self, now: timedelta, report: LoadReport) -> None:
+        """Keep a report and forget those that nobody will see."""
+        self._reports.append(DatedReport(now, report))
+        self._drop_unseen(now)
+
+    def find_seen(self, now: timedelta) -> LoadReport:
+        """Return the newest report that is a lag old, at first the oldest."""
+        self._drop_unseen(now)
+        return self._reports[0].report
+
+    def _drop_unseen(self, now: timedelta) -> None:
+        seen = now - self._lag
+        while len(self._reports) > 1 and self._reports[1].made <= seen:
+            self._reports.popleft()
+
+
+class Fences:
+    """The highest fencing token raised for each holder and for orders."""
+
+    def __init__(self, honoured: bool) -> None:
+        self.honoured = honoured
+        self._raised: dict[str, int] = {}
+        self._order_token = 0
+
+    def allows(self, holder: str, token: int) -> bool:
+        """Return whether a request with this token may run."""
+        return not self.honoured or token >= self._raised.get(holder, 0)
+
+    def allows_order(self, token: int) -> bool:
+        """Return whether an order with this token counts, and remember it."""
+        if self.honoured and token < self._order_token:
+            return False
+        self._order_token = max(self._order_token, token)
+        return True
+
+    def raise_token(self, holder: str, token: int) -> int:
+        """Raise the token of ``holder`` and return the one in force."""
+        self._raised[holder] = max(token, self._raised.get(holder, 0))
+        return self._raised[holder]
+
+
+class FenceCall(TypedDict):
+    """The body of ``POST /control/fence``."""
+
+    holder: str
+    token: int
+
+
+class OrderCall(TypedDict):
+    """The body of ``POST /control/orders``."""
+
+    order: Literal["load_model", "load_adapter", "set_role"]
+    name: str
+    fencing_token: int
+
+
+FENCE_CALL: TypeAdapter[FenceCall] = TypeAdapter(FenceCall)
+ORDER_CALL: TypeAdapter[OrderCall] = TypeAdapter(OrderCall)
+
+
+class ControlHandler(StandInHandler):
+    """A control call with a checked body."""
+
+    def read_call(self, adapter: TypeAdapter[Any]) -> Any:
+        """Return the checked body; ends the call with 400 and the field."""
+        try:
+            return adapter.validate_python(self.read_json())
+        except ValidationError as error:
+            first = error.errors()[0]
+            location = ".".join(str(part) for part in first["loc"])
+            self.answer_error(400, f"{location}: {first['msg']}")
+            raise Finish from None
+
+    def find_run(self, request_id: str) -> Run:
+        """Return a run; ends the call with 404 for an unknown id."""
+        run: Run | None = self.standin.runs.get(request_id)
+        if run is None:
+            self.answer_error(404, "no such request")
+            raise Finish
+        return run
+
+
+class LoadHandler(ControlHandler):
+    """Answers the load."""
+
+    async def get(self) -> None:
+        """Answer the load as it stood a while ago."""
+        await self.reply(self.standin.find_load())
+
+
+class CancelHandler(ControlHandler):
+    """Cancels a request."""
+
+    async def post(self, request_id: str) -> None:
+        """End a request and answer its usage."""
+        run = self.find_run(request_id)
+        self.standin.batch.cancel(run)
+        await self.reply({"state": run.state.value, "usage": make_usage(run)})
+
+
+class RequestHandler(ControlHandler):
+    """Answers the state of a request."""
+
+    async def get(self, request_id: str) -> None:
+        """Answer state and usage so far."""
+        run = self.find_run(request_id)
+        await self.reply({"state": run.state.value, "usage": make_usage(run)})
+
+
+class CacheEventsHandler(ControlHandler):
+    """Answers cache events."""
+
+    async def get(self) -> None:
+        """Answer the events after a sequence number."""
+        after = self.get_query_argument("after", "0")
+        if not after.isdigit():
+            self.answer_error(400, "after: expected a number")
+            return
+        events = self.standin.cache.list_events(
+            int(after), self.standin.clock.elapsed()
+        )
+        last_seq = events[-1]["seq"] if events else int(after)
+        await self.reply({"events": events, "last_seq": last_seq})
+
+
+class FenceHandler(ControlHandler):
+    """Raises fencing tokens."""
+
+    async def post(self) -> None:
+        """Raise a holder's token; answer what it used and what still runs."""
+        if not self.standin.fences.honoured:
+            self.answer_error(501, "fencing tokens are ignored here")
+            return
+        call = self.read_call(FENCE_CALL)
+        token = self.standin.fences.raise_token(call["holder"], call["token"])
+        runs = self.standin.list_runs(call["holder"])
+        answer = {
+            "holder": call["holder"],
+            "token": token,
+            "usage": {
+                run.caller.request_id: run.prompt_tokens + run.produced for run in runs
+            },
+            "running": [
+                run.caller.request_id for run in runs if run.state is RunState.RUNNING
+            ],
+        }
+        await self.reply(answer)
+
+
+class OrdersHandler(ControlHandler):
+    """Takes orders."""
+
+    async def post(self) -> None:
+        """Accept an order with 202; its effect may take a while."""
+        call = self.read_call(ORDER_CALL)
+        if not self.standin.fences.allows_order(call["fencing_token"]):
+            self.answer_error(409, "the fencing token is old")
+            return
+        self.standin.follow_order(call["order"], call["name"])
+        self.set_status(202)
+        await self.reply({"order": call["order"], "name": call["name"]})
+
+
+class ControlLogHandler(StandInHandler):
+    """Answers everything the engine was given to run."""
+
+    affected_by_faults = False
+
+    async def get(self) -> None:
+        """Answer the requests in the order in which they came."""
+        self.write_json({"executions": self.standin.list_executions()})
--- /dev/null
+++ b/lavendershift_standins/log.py
@@ -0,0 +1,198 @@
+"""Stand-in for the platform's log service.
+
+Streams live in memory. Appends are limited to a rate; reads wait for the next
+append when there is nothing to read; entries expire by age or number.
+"""
+
+import asyncio
+from datetime import timedelta
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+from tornado.web import Finish
+
+from lavendershift.clocks import Clock
+from lavendershift_standins.application import StandInApp, StandInHandler
+from lavendershift_standins.commandline import run_program
+from lavendershift_standins.logstream import ReadPage, Retention, Stream
+
+DEFAULT_READ_LIMIT = 1000
+MAX_READ_LIMIT = 10_000
+MAX_WAIT_MS = 30_000
+
+
+class LogSettings(NamedTuple):
+    """Settings of the log service and their defaults.
+
+    ``retention_ms`` and ``retention_records`` of 0 keep entries for ever;
+    ``appends_per_s`` of 0 sets no limit.
+    """
+
+    name: str = "log"
+    address: str = "127.0.0.1"
+    port: int = 0
+    appends_per_s: float = 300.0
+    append_burst: float = 300.0
+    retention_ms: int = 0
+    retention_records: int = 0
+    delay_ms: int = 1
+
+
+class RateLimit:
+    """A token bucket."""
+
+    def __init__(self, per_s: float, burst: float, clock: Clock) -> None:
+        self._per_s = per_s
+        self._burst = max(burst, 1.0)
+        self._clock = clock
+        self._left = self._burst
+        self._filled = clock.elapsed()
+
+    def take(self) -> bool:
+        """Return whether one more call is within the rate, and count it."""
+        if self._per_s <= 0:
+            return True
+        now = self._clock.elapsed()
+        passed = (now - self._filled) / timedelta(seconds=1)
+        self._filled = now
+        self._left = min(self._burst, self._left + passed * self._per_s)
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class RecordsHandler(StandInHandler):
+    """Appends to a stream and reads from it."""
+
+    async def post(self, name: str) -> None:
+        """Append an array of records in one step."""
+        try:
+            raw = msgspec.json.decode(self.request.body, type=list[msgspec.Raw])
+        except msgspec.DecodeError as error:
+            self.answer_error(400, f"body: {error}")
+            return
+        if not self.standin.rate_limit.take():
+            self.answer_error(429, "over the rate limit of appends")
+            return
+        await self.standin.pause()
+        first = self.standin.append(name, [bytes(record) for record in raw])
+        await self.reply({"first_offset": first, "count": len(raw)})
+
+    async def get(self, name: str) -> None:
+        """Answer entries from an offset on, waiting for the first."""
+        offset = self.read_count("offset", 0)
+        limit = min(self.read_count("limit", DEFAULT_READ_LIMIT), MAX_READ_LIMIT)
+        wait_ms = min(self.read_count("wait_ms", 0), MAX_WAIT_MS)
+        await self.standin.pause()
+        page = await self.standin.read(name, offset, limit, wait_ms)
+        if page is None:
+            self.set_status(410)
+            first = self.standin.find_first_offset(name)
+            await self.reply({"first_offset": first})
+            return
+        await self.reply_ready()
+        self.write_page(page)
+
+    def write_page(self, page: ReadPage) -> None:
+        """Write a page from its ready parts."""
+        self.set_header("Content-Type", "application/json")
+        self.write(
+            b'{"entries":[%s],"next_offset":%d,"end_offset":%d}'
+            % (b",".join(page.entries), page.next_offset, page.end_offset)
+        )
+
+    def read_count(self, name: str, default: int) -> int:
+        """Return a query argument that is a count; ends the call with 400."""
+        text = self.get_query_argument(name, str(default))
+        if not text.isascii() or not text.isdigit():
+            self.answer_error(400, f"{name}: expected a whole number, not negative")
+            raise Finish
+        return int(text)
+
+
+class ControlStreamsHandler(StandInHandler):
+    """Answers which streams exist."""
+
+    affected_by_faults = False
+
+    async def get(self) -> None:
+        """Answer each stream's first and end offset and the number of appends."""
+        streams = {
+            name: {"first_offset": s.first_offset, "end_offset": s.end_offset}
+            for name, s in self.standin.streams.items()
+        }
+        self.write_json({"streams": streams, "appends": self.standin.appends})
+
+
+class LogApp(StandInApp):
+    """Serves append-only streams."""
+
+    program = "log"
+
+    def __init__(self, settings: LogSettings, clock: Clock, rng: Random) -> None:
+        super().__init__(settings, clock, rng)
+        self.streams: dict[str, Stream] = {}
+        self.appends = 0
+        self.rate_limit = RateLimit(
+            settings.appends_per_s, settings.append_burst, clock
+        )
+        self._retention = Retention(
+            settings.retention_ms or None, settings.retention_records or None
+        )
+
+    def list_routes(self) -> list[tuple[Any, ...]]:
+        """Return the routes."""
+        return [
+            (r"/streams/([A-Za-z0-9._-]+)/records", RecordsHandler),
+            (r"/control/streams", ControlStreamsHandler),
+        ]
+
+    def append(self, name: str, records: list[bytes]) -> int:
+        """Append ``records`` to a stream, which comes to exist."""
+        self.appends += 1
+        stream = self._find_stream(name)
+        stream.expire(self.now_ms)
+        return stream.append(records, self.now_ms)
+
+    async def read(
+        self, name: str, offset: int, limit: int, wait_ms: int
+    ) -> ReadPage | None:
+        """Return a page, or ``None`` when ``offset`` is no longer retained."""
+        end = self.clock.elapsed() + timedelta(milliseconds=wait_ms)
+        while True:
+            page = self.read_now(name, offset, limit)
+            if page is None or page.entries or limit == 0:
+                return page
+            left = (end - self.clock.elapsed()) / timedelta(seconds=1)
+            if left <= 0:
+                return page
+            await self._find_stream(name).wait_appended(left)
+
+    def read_now(self, name: str, offset: int, limit: int) -> ReadPage | None:
+        """Return a page without waiting."""
+        stream = self._find_stream(name)
+        stream.expire(self.now_ms)
+        if offset < stream.first_offset:
+            return None
+        return stream.read(offset, limit)
+
+    def find_first_offset(self, name: str) -> int:
+        """Return the first retained offset of a stream."""
+        return self._find_stream(name).first_offset
+
+    def _find_stream(self, name: str) -> Stream:
+        """Return a stream; one that was never written reads as empty."""
+        return self.streams.setdefault(name, Stream(self._retention))
+
+    async def pause(self) -> None:
+        """Take the time that a call takes."""
+        delay_ms = self.settings.delay_ms * self.faults.slow_factor
+        if delay_ms > 0:
+            await asyncio.sleep(delay_ms / 1000)
+
+
+def main() -> None:
+    """Run the log service."""
+    run_program(LogApp, LogSettings)
--- /dev/null
+++ b/lavendershift_standins/prefixcache.py
@@ -0,0 +1,82 @@
+"""The engine's cache of prompt prefixes and the events it publishes about it."""
+
+from collections import OrderedDict, deque
+from datetime import timedelta
+from random import Random
+from typing import Literal, NamedTuple, TypedDict
+
+MAX_EVENTS = 10_000
+
+
+class CacheEvent(TypedDict):
+    """A prefix stored in the cache or evicted from it."""
+
+    seq: int
+    kind: Literal["stored", "evicted"]
+    prefix: str
+
+
+class DatedEvent(NamedTuple):
+    """An event and when it happened."""
+
+    happened: timedelta
+    event: CacheEvent
+
+
+class PrefixCache:
+    """A least recently used cache of prefix hashes, of limited size.
+
+    Its events are published ``lag`` late, and with the probability ``gaps``
+    never.
+    """
+
+    def __init__(self, blocks: int, lag: timedelta, gaps: float, rng: Random) -> None:
+        self._blocks = blocks
+        self._lag = lag
+        self._gaps = gaps
+        self._rng = rng
+        self._held: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[DatedEvent] = deque(maxlen=MAX_EVENTS)
+        self._seq = 0
+
+    @property
+    def used(self) -> float:
+        """The share of the cache in use."""
+        return len(self._held) / self._blocks if self._blocks else 0.0
+
+    def look_up(self, prefixes: list[str]) -> int:
+        """Return how many of ``prefixes``, the shortest first, are held."""
+        for i, prefix in enumerate(prefixes):
+            if prefix not in self._held:
+                return i
+            self._held.move_to_end(prefix)
+        return len(prefixes)
+
+    def store(self, prefixes: list[str], now: timedelta) -> None:
+        """Hold ``prefixes``, evicting the least recently used."""
+        for prefix in prefixes[: self._blocks]:
+            if prefix not in self._held:
+                self._publish("stored", prefix, now)
+            self._held[prefix] = None
+            self._held.move_to_end(prefix)
+        while len(self._held) > self._blocks:
+            evicted, _ = self._held.popitem(last=False)
+            self._publish("evicted", evicted, now)
+
+    def list_events(self, after: int, now: timedelta) -> list[CacheEvent]:
+        """Return the events after ``after`` that are old enough to be seen."""
+        seen = now - self._lag
+        return [
+            event
+            for happened, event in self._events
+            if event["seq"] > after and happened <= seen
+        ]
+
+    def _publish(
+        self, kind: Literal["stored", "evicted"], prefix: str, now: timedelta
+    ) -> None:
+        self._seq += 1
+        if self._gaps and self._rng.random() < self._gaps:
+            return
+        event = CacheEvent(seq=self._seq, kind=kind, prefix=prefix)
+        self._events.append(DatedEvent(now, event))
--- /dev/null
+++ b/lavendershift_standins/prompts.py
@@ -0,0 +1,129 @@
+"""Completion requests as the engine reads them from their JSON bodies.
+
+Both forms of the OpenAI interface become one ``Prompt``. Its text is the
+prompt itself, or each chat message as a line with its role followed by its
+content.
+"""
+
+from typing import Any, NamedTuple
+
+import xxhash
+
+from lavendershift_standins.answers import hash_prompt
+
+BYTES_PER_TOKEN = 4
+MESSAGE_TOKENS = 4  # what the role and the delimiters of a message take
+
+
+class PromptError(ValueError):
+    """A body that is no completion request; the text names the field."""
+
+
+class Prompt(NamedTuple):
+    """A completion request.
+
+    ``max_tokens`` of 0 leaves the length to the engine.
+    """
+
+    model: str
+    text: str
+    tokens: int
+    hash: str
+    is_chat: bool
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+
+
+def count_tokens(text: str) -> int:
+    """Return the number of tokens of ``text``, at most its UTF-8 bytes."""
+    return -(-len(text.encode()) // BYTES_PER_TOKEN)
+
+
+def hash_prefixes(model: str, text: str, block_bytes: int) -> list[str]:
+    """Return the hash of each prefix of ``text`` that is whole blocks long.
+
+    A prefix of ``k`` blocks has the XXH64 of the model's name, a zero byte and
+    the first ``k * block_bytes`` bytes of the text.
+    """
+    data = text.encode()
+    digest = xxhash.xxh64(model.encode() + b"\0")
+    hashes = []
+    for end in range(block_bytes, len(data) + 1, block_bytes):
+        digest.update(data[end - block_bytes : end])
+        hashes.append(digest.hexdigest())
+    return hashes
+
+
+def read_prompt(body: Any, is_chat: bool) -> Prompt:
+    """Return the request in a decoded body; raises ``PromptError``."""
+    if not isinstance(body, dict):
+        raise PromptError("body: expected an object")
+    model = body.get("model")
+    if not isinstance(model, str):
+        raise PromptError("model: expected a string")
+    if body.get("n", 1) not in (1, None):
+        raise PromptError("n: only 1 is supported")
+    text, tokens = _read_chat(body) if is_chat else _read_text(body)
+    options = body.get("stream_options") or {}
+    return Prompt(
+        model,
+        text,
+        tokens,
+        hash_prompt(model, text),
+        is_chat,
+        _read_max_tokens(body),
+        bool(body.get("stream", False)),
+        isinstance(options, dict) and bool(options.get("include_usage", False)),
+    )
+
+
+def _read_max_tokens(body: dict[str, Any]) -> int:
+    value = body.get("max_tokens")
+    if value is None:
+        value = body.get("max_completion_tokens")
+    if value is None:
+        return 0
+    if not isinstance(value, int) or value < 1:
+        raise PromptError("max_tokens: expected a whole number of 1 or more")
+    return value
+
+
+def _read_text(body: dict[str, Any]) -> tuple[str, int]:
+    prompt = body.get("prompt")
+    if isinstance(prompt, list) and len(prompt) == 1:
+        prompt = prompt[0]
+    if not isinstance(prompt, str):
+        raise PromptError("prompt: expected one string")
+    return prompt, count_tokens(prompt)
+
+
+def _read_chat(body: dict[str, Any]) -> tuple[str, int]:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise PromptError("messages: expected an array that is not empty")
+    lines = []
+    tokens = 0
+    for i, message in enumerate(messages):
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise PromptError(f"messages.{i}.role: expected a string")
+        content = _read_content(message.get("content"), f"messages.{i}.content")
+        lines.append(f"{message['role']}\n{content}\n")
+        tokens += count_tokens(content) + MESSAGE_TOKENS
+    return "".join(lines), tokens
+
+
+def _read_content(content: Any, location: str) -> str:
+    if content is None:
+        return ""
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list):
+        raise PromptError(f"{location}: expected a string or an array of parts")
+    texts = []
+    for part in content:
+        text = part.get("text") if isinstance(part, dict) else None
+        if not isinstance(text, str):
+            raise PromptError(f"{location}: only text parts are supported")
+        texts.append(text)
+    return "".join(texts)
--- /dev/null
+++ b/lavendershift_standins/service.py
@@ -0,0 +1,142 @@
+"""Stand-in for a plain service such as courier bookings or a catalogue.
+
+It takes any method and path, remembers every execution in order, and answers
+with JSON that depends on the call alone. It does not recognise repeated calls
+itself: whoever sends one twice finds two executions in ``GET /control/log``.
+"""
+
+import asyncio
+from collections import Counter
+from random import Random
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+import xxhash
+
+from lavendershift.clocks import Clock
+from lavendershift_standins.application import StandInApp, StandInHandler
+from lavendershift_standins.commandline import run_program
+
+
+class ServiceSettings(NamedTuple):
+    """Settings of the plain service and their defaults."""
+
+    name: str = "service"
+    address: str = "127.0.0.1"
+    port: int = 0
+    delay_ms: int = 5
+
+
+class Execution(TypedDict):
+    """A call that ran."""
+
+    request_id: str
+    idempotency_key: str
+    method: str
+    path: str
+    content_type: str
+    body_hash: str
+    time_ms: int
+
+
+class ServiceAnswer(TypedDict):
+    """What the service answers; it depends on the call alone."""
+
+    service: str
+    method: str
+    path: str
+    body_hash: str
+    idempotency_key: str
+
+
+class CallHandler(StandInHandler):
+    """Runs any call."""
+
+    async def run_call(self, path: str) -> None:
+        """Record the call as run, wait and answer it."""
+        execution = self.standin.record_call(self.request)
+        await self.standin.pause()
+        await self.reply_ready()
+        body = msgspec.json.encode(self.standin.make_answer(execution))
+        await self.send(body)
+
+    async def send(self, body: bytes) -> None:
+        """Send the answer, or as much of it as a fault lets through."""
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(body)))
+        cut = self.standin.faults.find_truncation(self)
+        if cut is None:
+            self.write(body)
+            return
+        self.write(body[: cut.length])
+        await self.flush()
+        if cut.answer == "hang":
+            await self.wait_closed()
+        self.close_connection()
+
+    get = post = put = patch = delete = head = options = run_call  # type: ignore
+
+
+class ControlLogHandler(StandInHandler):
+    """Answers the executions."""
+
+    affected_by_faults = False
+
+    async def get(self) -> None:
+        """Answer all executions in order, and their number by key and path."""
+        counts = [
+            {"idempotency_key": key, "path": path, "count": count}
+            for (key, path), count in self.standin.counts.items()
+        ]
+        self.write_json({"executions": self.standin.executions, "counts": counts})
+
+
+class ServiceApp(StandInApp):
+    """Serves any HTTP call and counts what ran."""
+
+    program = "service"
+
+    def __init__(self, settings: ServiceSettings, clock: Clock, rng: Random) -> None:
+        super().__init__(settings, clock, rng)
+        self.executions: list[Execution] = []
+        self.counts: Counter[tuple[str, str]] = Counter()
+
+    def list_routes(self) -> list[tuple[Any, ...]]:
+        """Return the routes."""
+        return [(r"/control/log", ControlLogHandler), (r"(/.*)", CallHandler)]
+
+    def record_call(self, request: Any) -> Execution:
+        """Remember that a call ran."""
+        headers = request.headers
+        execution = Execution(
+            request_id=headers.get("Request-Id", ""),
+            idempotency_key=headers.get("Idempotency-Key", ""),
+            method=request.method,
+            path=request.uri,
+            content_type=headers.get("Content-Type", ""),
+            body_hash=xxhash.xxh64_hexdigest(request.body),
+            time_ms=self.now_ms,
+        )
+        self.executions.append(execution)
+        self.counts[execution["idempotency_key"], request.path] += 1
+        return execution
+
+    def make_answer(self, execution: Execution) -> ServiceAnswer:
+        """Return the answer to a call."""
+        return ServiceAnswer(
+            service=self.settings.name.rstrip("0123456789-"),
+            method=execution["method"],
+            path=execution["path"],
+            body_hash=execution["body_hash"],
+            idempotency_key=execution["idempotency_key"],
+        )
+
+    async def pause(self) -> None:
+        """Take the time that a call takes."""
+        delay_ms = self.settings.delay_ms * self.faults.slow_factor
+        await asyncio.sleep(delay_ms / 1000)
+
+
+def main() -> None:
+    """Run the plain service."""
+    run_program(ServiceApp, ServiceSettings)
--- /dev/null
+++ b/lavendershift_standins/steploop.py
@@ -0,0 +1,44 @@
+"""The one timer that drives an engine's steps."""
+
+import asyncio
+from collections.abc import Callable
+
+MAX_STEPS_BEHIND = 5  # more are skipped rather than run in a burst
+
+
+class StepLoop:
+    """Calls ``step`` at a steady pace until it returns ``False``.
+
+    ``find_interval_s`` gives the time of a step and may change.
+    """
+
+    def __init__(
+        self, step: Callable[[], bool], find_interval_s: Callable[[], float]
+    ) -> None:
+        self._step = step
+        self._find_interval_s = find_interval_s
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+
+    def wake(self) -> None:
+        """Start stepping unless already doing so."""
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._due = loop.time() + self._find_interval_s()
+            self._timer = loop.call_at(self._due, self._run)
+
+    def stop(self) -> None:
+        """Stop stepping."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _run(self) -> None:
+        self._timer = None
+        if not self._step():
+            return
+        loop = asyncio.get_running_loop()
+        interval = self._find_interval_s()
+        earliest = loop.time() - MAX_STEPS_BEHIND * interval
+        self._due = max(self._due + interval, earliest)
+        self._timer = loop.call_at(self._due, self._run)
