Fold of the configuration stream and schema of the settings tree

Every reader folds entries in offset order with the same checks as publishing, so racing changes get one accepted and one rejected with its cause. A change is rejected when a key it touches changed at or after its base offset; ids count once, and a duplicate of a change whose verdict is forgotten still conflicts with its own first occurrence. Property tests compare full replay with a restart from a checkpoint at every offset and with a small model.

--- /dev/null
+++ b/lavendershift/configuration.py
@@ -0,0 +1,301 @@
+"""The fold of the configuration stream: the settings tree and top-ups in force.
+
+All readers fold the same entries in offset order and reach the same verdict on
+each, so that operators who race each other get one accepted change and one
+told why. What is in force only ever moves on to higher offsets::
+
+    configuration = Configuration()
+    verdict = configuration.fold(entry)
+    if not verdict.accepted:
+        print(verdict.reason)
+    caller = configuration.find_caller("sk-rennes-1")
+
+A change is rejected when a key it touches was changed by an accepted change
+at or after its base offset, or when it would leave the tree invalid. Invalid
+records have no effect, and a verdict that says why.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+from returns.result import Failure, Success
+
+from lavendershift.changes import check_form, check_id, group_updates
+from lavendershift.errors import DecodeError
+from lavendershift.nodes import (
+    CallerSettings,
+    ModelSettings,
+    ServerSettings,
+    ServiceSettings,
+    VmSettings,
+    build_caller,
+    build_node,
+)
+from lavendershift.records import Change, Entry, TopUp
+from lavendershift.topups import TopUpEntry, TopUpHistory
+from lavendershift.tree import MAX_TOKENS, find_row, format_place
+from lavendershift.tree_values import ResolvedValue, TreeValues, sort_values
+from lavendershift.values import ValueRule, check_value
+from lavendershift.verdicts import Status, Verdict, VerdictHistory, make_verdict
+
+STATE_FORM = 1
+BUDGET_NAME = ValueRule("name")
+
+Node = TypeVar("Node", ServerSettings, ServiceSettings, VmSettings, ModelSettings)
+
+
+class _State(NamedTuple):
+    """The JSON form of a checkpoint's state."""
+
+    form: int
+    next_offset: int
+    nodes: dict[str, dict[str, Any]]
+    changed_at: list[tuple[str, str, int]]
+    top_ups: list[TopUpEntry]
+    verdicts: list[Verdict]
+
+
+class Configuration:
+    """The settings tree and prepaid budgets just before ``next_offset``."""
+
+    def __init__(self) -> None:
+        self._next_offset = 0
+        self._values = TreeValues()
+        self._top_ups = TopUpHistory()
+        self._verdicts = VerdictHistory()
+        self._callers: dict[str, CallerSettings] = {}
+        self._families: dict[str, Mapping[str, Any]] = {}
+        self._budgets: list[str] | None = None
+
+    @property
+    def next_offset(self) -> int:
+        """One past the last folded entry; it only rises."""
+        return self._next_offset
+
+    def fold(self, entry: Entry) -> Verdict:
+        """Take in the next entry of the stream and return the verdict on it.
+
+        Raises ``ValueError`` for an entry at any other offset than
+        ``next_offset``.
+        """
+        if entry.offset != self._next_offset:
+            raise ValueError(f"expected {self._next_offset}, got {entry.offset}")
+        verdict = self._judge(entry)
+        self._verdicts.add(verdict)
+        self._next_offset += 1
+        return verdict
+
+    def check(self, change: Change) -> str:
+        """Return why ``change`` would be rejected now, or ``""``."""
+        return self._find_reason(change, self._next_offset)
+
+    def resolve(self, path: str, key: str) -> Any:
+        """Return the value in force; raises ``KeyError`` for an unknown key."""
+        return self.explain(path, key).value
+
+    def explain(self, path: str, key: str) -> ResolvedValue:
+        """Return the value in force and where it comes from.
+
+        Raises ``KeyError`` when the tree has no such key at ``path``.
+        """
+        match find_row(path, key):
+            case Success(row):
+                return self._values.resolve(path, key, row)
+            case Failure(reason):
+                raise KeyError(reason)
+        raise AssertionError("a result is a success or a failure")
+
+    def find_caller(self, api_key: str) -> CallerSettings | None:
+        """Return the settings of the caller that ``api_key`` belongs to."""
+        digest = hashlib.sha256(api_key.encode("utf-8", "replace")).hexdigest()
+        path = self._values.find_key_owner(digest)
+        if path is None:
+            return None
+        caller = self._callers.get(path)
+        if caller is None:
+            caller = build_caller(path, self._values.resolve_all(path))
+            self._callers[path] = caller
+        return caller
+
+    def servers(self) -> Mapping[str, ServerSettings]:
+        """Return the backend servers by name."""
+        return self._build_family("servers", ServerSettings)
+
+    def services(self) -> Mapping[str, ServiceSettings]:
+        """Return the plain services by name."""
+        return self._build_family("services", ServiceSettings)
+
+    def vms(self) -> Mapping[str, VmSettings]:
+        """Return the VMs that run routers by name."""
+        return self._build_family("vms", VmSettings)
+
+    def models(self) -> Mapping[str, ModelSettings]:
+        """Return the models and aliases by name."""
+        return self._build_family("models", ModelSettings)
+
+    def resolve_model(self, name: str) -> str:
+        """Return the model that ``name`` stands for; itself if no alias."""
+        model = self.models().get(name)
+        return model.alias_of if model and model.alias_of else name
+
+    def prepaid(self, budget: str, config_offset: int) -> int:
+        """Return the tokens added to ``budget`` below ``config_offset``."""
+        return self._top_ups.count_prepaid(budget, config_offset)
+
+    def budgets(self) -> list[str]:
+        """Return the names of budgets topped up or named in the tree, sorted."""
+        if self._budgets is None:
+            named = {node.get("budget") for node in self._values.nodes.values()}
+            topped_up = self._top_ups.list_budgets()
+            self._budgets = sorted({name for name in named if name} | {*topped_up})
+        return self._budgets
+
+    def nodes(self) -> dict[str, dict[str, Any]]:
+        """Return the values set on each node, without inherited ones."""
+        return sort_values(self._values.nodes)
+
+    def find_verdict(self, record_id: str) -> Verdict | None:
+        """Return what became of the change or top-up with this id.
+
+        Only the latest ones are kept; ``None`` does not mean that the id was
+        never seen.
+        """
+        change = self._verdicts.find("change", record_id)
+        return change or self._verdicts.find("top_up", record_id)
+
+    def verdicts(self) -> list[Verdict]:
+        """Return the latest verdicts, oldest first."""
+        return self._verdicts.list_verdicts()
+
+    def top_ups(self) -> list[TopUpEntry]:
+        """Return all top-ups that counted, oldest first."""
+        return self._top_ups.list_entries()
+
+    def encode_state(self) -> str:
+        """Return the state as text, the same on every reader at this offset."""
+        changed_at = self._values.changed_at
+        state = _State(
+            form=STATE_FORM,
+            next_offset=self._next_offset,
+            nodes=sort_values(self._values.nodes),
+            changed_at=sorted((*place, changed_at[place]) for place in changed_at),
+            top_ups=self._top_ups.list_entries(),
+            verdicts=self._verdicts.list_verdicts(),
+        )
+        return msgspec.json.encode(state).decode()
+
+    @classmethod
+    def restore(cls, state: str) -> "Configuration":
+        """Return the configuration of a checkpoint; raises ``DecodeError``."""
+        try:
+            decoded = msgspec.json.decode(state, type=_State)
+        except msgspec.DecodeError as error:
+            raise DecodeError("config checkpoint", str(error)) from None
+        if decoded.form != STATE_FORM:
+            raise DecodeError("config checkpoint", f"unknown form {decoded.form}")
+        configuration = cls()
+        configuration._next_offset = decoded.next_offset
+        configuration._values.restore(decoded.nodes)
+        configuration._values.changed_at = {
+            (path, key): offset for path, key, offset in decoded.changed_at
+        }
+        configuration._top_ups = TopUpHistory(decoded.top_ups)
+        configuration._verdicts = VerdictHistory(decoded.verdicts)
+        return configuration
+
+    def _build_family(self, family: str, node_type: type[Node]) -> Mapping[str, Node]:
+        """Return the typed nodes ``family/NAME`` by name."""
+        nodes = self._families.get(family)
+        if nodes is None:
+            names = self._values.list_names(family)
+            nodes = {
+                name: build_node(
+                    node_type, name, self._values.resolve_all(f"{family}/{name}")
+                )
+                for name in names
+            }
+            self._families[family] = nodes
+        return nodes
+
+    def _judge(self, entry: Entry) -> Verdict:
+        """Return the verdict on an entry, giving effect to an accepted one."""
+        record = entry.record
+        if isinstance(record, Change):
+            status, reason = self._fold_change(record, entry.offset)
+        elif isinstance(record, TopUp):
+            status, reason = self._fold_top_up(record, entry.offset)
+        elif record is None:
+            return make_verdict(entry, Status.REJECTED, entry.fault or "no record")
+        else:
+            reason = "no record of the configuration stream"
+            return make_verdict(entry, Status.REJECTED, reason)
+        return make_verdict(entry, status, reason)
+
+    def _fold_change(self, change: Change, offset: int) -> tuple[Status, str]:
+        """Apply a change that stands; else return why it doesn't."""
+        earlier = self._verdicts.find("change", change.id)
+        if earlier is not None:
+            return Status.DUPLICATE, f"repeats offset {earlier.offset}"
+        reason = self._find_reason(change, offset)
+        if reason:
+            return Status.REJECTED, reason
+        updates = group_updates(change)
+        self._values.apply(updates, offset)
+        self._forget_cached(updates)
+        return Status.ACCEPTED, ""
+
+    def _find_reason(self, change: Change, offset: int) -> str:
+        """Return why ``change`` can't be accepted at ``offset``, or ``""``."""
+        return (
+            check_id(change.id)
+            or check_form(change, offset)
+            or self._find_conflict(change)
+            or self._values.find_defect(group_updates(change))
+        )
+
+    def _find_conflict(self, change: Change) -> str:
+        """Return which key was changed since the change's base, or ``""``."""
+        for setting in change.settings:
+            place = (setting.path, setting.key)
+            changed_at = self._values.changed_at.get(place, -1)
+            if changed_at >= change.base_offset:
+                return (
+                    f"{format_place(*place)}: changed at offset {changed_at}, "
+                    f"after the base offset {change.base_offset}"
+                )
+        return ""
+
+    def _fold_top_up(self, top_up: TopUp, offset: int) -> tuple[Status, str]:
+        """Count a top-up that stands; else return why it doesn't."""
+        earlier = self._top_ups.find_offset(top_up.id)
+        if earlier is not None:
+            return Status.DUPLICATE, f"repeats offset {earlier}"
+        reason = self.check_top_up(top_up)
+        if reason:
+            return Status.REJECTED, reason
+        self._top_ups.add(TopUpEntry(offset, top_up.budget, top_up.tokens, top_up.id))
+        self._budgets = None
+        return Status.ACCEPTED, ""
+
+    def check_top_up(self, top_up: TopUp) -> str:
+        """Return why ``top_up`` would be rejected, or ``""``."""
+        total = self.prepaid(top_up.budget, self._next_offset) + top_up.tokens
+        if top_up.tokens <= 0:
+            return "tokens: must be positive"
+        if total > MAX_TOKENS:
+            return f"tokens: the budget would exceed {MAX_TOKENS:,}"
+        match check_value(BUDGET_NAME, top_up.budget):
+            case Failure(reason):
+                return f"budget: {reason}"
+        return check_id(top_up.id)
+
+    def _forget_cached(self, paths: Iterable[str]) -> None:
+        """Drop the cached views that a change of ``paths`` may alter."""
+        for path in paths:
+            family = path.partition("/")[0]
+            self._families.pop(family, None)
+            if family in ("", "desks"):
+                self._callers.clear()
+                self._budgets = None
--- /dev/null
+++ b/lavendershift/tests/test_configuration.py
@@ -0,0 +1,306 @@
+import hashlib
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavendershift import verdicts
+from lavendershift.configuration import Configuration
+from lavendershift.errors import DecodeError
+from lavendershift.nodes import ServiceSettings
+from lavendershift.records import Change, Entry, Evict, Setting, TopUp, decode_entry
+from lavendershift.verdicts import Status
+
+KEYS = [hashlib.sha256(key.encode()).hexdigest() for key in ("k1", "k2")]
+VALID = [
+    ("", "weight", 3.0),
+    ("", "budget", "shared"),
+    ("desks/rennes", "budget", "rennes"),
+    ("desks/rennes", "weight", 2),
+    ("desks/rennes/plume", "budget", "plume"),
+    ("desks/rennes/plume", "api_key_hashes", [KEYS[0]]),
+    ("desks/rennes/plume/app", "api_key_hashes", KEYS),
+    ("models/small", "alias_of", "large"),
+    ("models/large", "alias_of", "largest"),
+    ("vms/r1", "state", "leaving"),
+]
+INVALID = [
+    ("desks/rennes", "wieght", 2.0),
+    ("desks/rennes", "weight", "much"),
+    ("desks/rennes", "capacity", 3),
+    ("desk/rennes", "weight", 2.0),
+    ("", "hold_share", 1.5),
+]
+ENGINE = [
+    ("servers/e1", "address", "127.0.0.1:8001"),
+    ("servers/e1", "failure_domain", "rennes"),
+]
+
+
+def make_change(change_id, base, places, author="ana"):
+    return Change(change_id, base, author, [Setting(*place) for place in places])
+
+
+def fold_all(records, configuration=None):
+    configuration = configuration or Configuration()
+    start = configuration.next_offset
+    found = []
+    for offset, record in enumerate(records, start):
+        fault = "config@0: broken" if record is None else ""
+        found.append(configuration.fold(Entry(offset, offset * 10, record, fault)))
+    return configuration, found
+
+
+setting_places = st.one_of(
+    st.sampled_from(VALID),
+    st.sampled_from(VALID).map(lambda place: (*place[:2], None)),
+    st.sampled_from(INVALID),
+)
+changes = st.builds(
+    make_change,
+    st.sampled_from([f"c{number}" for number in range(12)]),
+    st.integers(-1, 12),
+    st.one_of(
+        st.lists(setting_places, max_size=3),
+        st.sampled_from([ENGINE, ENGINE[:1], [(*ENGINE[0][:2], None)]]),
+    ),
+)
+top_ups = st.builds(
+    TopUp,
+    st.sampled_from(["t1", "t2", "t3"]),
+    st.sampled_from(["plume", "rennes", ""]),
+    st.integers(0, 50),
+    st.just("ben"),
+)
+histories = st.lists(
+    st.one_of(
+        changes, changes, top_ups, st.none(), st.just(Evict("r1/1", "r1", "ana"))
+    ),
+    max_size=14,
+)
+deterministic = settings(
+    derandomize=True, database=None, deadline=None, max_examples=200
+)
+
+
+def view(configuration):
+    """Return everything that a reader can see of what is in force."""
+    end = configuration.next_offset
+    return (
+        [configuration.find_caller(key) for key in ("k1", "k2", "k3")],
+        configuration.servers(),
+        configuration.services(),
+        configuration.vms(),
+        configuration.models(),
+        configuration.budgets(),
+        [configuration.prepaid("plume", offset) for offset in range(end + 1)],
+        configuration.explain("desks/rennes/plume/app", "weight"),
+    )
+
+
+@deterministic
+@given(histories)
+def test_same_verdict_and_view_on_every_reader(records):
+    reader, found = fold_all(records)
+    for cut in range(len(records) + 1):
+        early, early_found = fold_all(records[:cut])
+        restarted = Configuration.restore(early.encode_state())
+        view(restarted)
+        rest_found = []
+        for record in records[cut:]:
+            rest_found += fold_all([record], restarted)[1]
+            view(restarted)
+        assert early_found + rest_found == found
+        assert restarted.encode_state() == reader.encode_state()
+        assert view(restarted) == view(Configuration.restore(reader.encode_state()))
+
+
+@deterministic
+@given(histories)
+def test_accepted_configuration_never_reverts(records):
+    """Compare with a model that knows only verdicts and the newest change."""
+    configuration = Configuration()
+    in_force = {}
+    accepted_ids = set()
+    for offset, record in enumerate(records):
+        before = configuration.encode_state()
+        for wrong in {0, offset - 1, offset + 1} - {offset}:
+            with pytest.raises(ValueError, match="expected"):
+                configuration.fold(Entry(wrong, 0, record))
+        assert configuration.encode_state() == before
+        nodes = configuration.nodes()
+        _, [verdict] = fold_all([record], configuration)
+        assert configuration.next_offset == offset + 1
+        touched = {(s.path, s.key): s.value for s in getattr(record, "settings", [])}
+        if verdict.accepted and isinstance(record, Change):
+            assert record.id not in accepted_ids
+            accepted_ids.add(record.id)
+            for place, value in touched.items():
+                changed_at, _ = in_force.get(place, (-1, None))
+                assert changed_at < record.base_offset
+                in_force[place] = (offset, value)
+        else:
+            assert verdict.reason or verdict.accepted
+            assert configuration.nodes() == nodes
+        expected = {
+            place: value for place, (_, value) in in_force.items() if value is not None
+        }
+        assert expected == {
+            (path, key): value
+            for path, values in configuration.nodes().items()
+            for key, value in values.items()
+        }
+
+
+@deterministic
+@given(histories)
+def test_top_up_ids_count_once_at_their_first_valid_offset(records):
+    configuration, _ = fold_all(records)
+    first = {}
+    for offset, record in enumerate(records):
+        if isinstance(record, TopUp) and record.tokens and record.budget:
+            first.setdefault(record.id, (offset, record))
+    for budget in ("plume", "rennes"):
+        for cited in range(len(records) + 1):
+            expected = sum(
+                record.tokens
+                for offset, record in first.values()
+                if record.budget == budget and offset < cited
+            )
+            assert configuration.prepaid(budget, cited) == expected
+
+
+def test_racing_operators_get_one_accepted_and_one_told_why():
+    first = make_change("a", 0, [("", "weight", 2.0)], "ana")
+    second = make_change("b", 0, [("", "weight", 3.0)], "ben")
+    other = make_change("c", 0, [("desks/rennes", "weight", 3.0)], "ben")
+    rebased = make_change("d", 1, [("", "weight", 3.0)], "ben")
+    configuration, found = fold_all([first, second, other, first, rebased])
+    assert [verdict.status for verdict in found] == [
+        Status.ACCEPTED,
+        Status.REJECTED,
+        Status.ACCEPTED,
+        Status.DUPLICATE,
+        Status.ACCEPTED,
+    ]
+    assert "changed at offset 0, after the base offset 0" in found[1].reason
+    assert configuration.find_verdict("a") == found[0]
+    assert configuration.resolve("desks/brest", "weight") == 3.0
+
+
+def test_duplicate_of_a_forgotten_change_has_no_effect(monkeypatch):
+    monkeypatch.setattr(verdicts, "MAX_VERDICTS", 2)
+    first = make_change("a", 0, [("", "weight", 2.0)])
+    others = [TopUp(f"t{number}", "plume", 1, "ana") for number in range(3)]
+    removal = make_change("b", 4, [("", "weight", None)])
+    records = [first, *others, removal, *[None] * 3, first, others[0]]
+    configuration, found = fold_all(records)
+    assert configuration.find_verdict("a") is not None
+    assert not found[-2].accepted
+    assert found[-1].status is Status.DUPLICATE
+    assert configuration.resolve("", "weight") == 1.0
+    assert len(configuration.verdicts()) == 2
+
+
+@pytest.mark.parametrize(
+    ("records", "reason"),
+    [
+        ([make_change("a", 0, [INVALID[0]])], "did you mean 'weight'?"),
+        ([make_change("a", 0, [INVALID[1]])], "should be a valid number"),
+        ([make_change("a", 0, [INVALID[2]])], "only at servers/NAME"),
+        ([make_change("a", 0, [INVALID[3]])], "is no path of the tree"),
+        ([make_change("a", 0, [INVALID[4]])], "less than or equal to 1"),
+        ([make_change("a", 0, [VALID[0], VALID[0]])], "set twice"),
+        ([make_change("a", 0, [])], "has none"),
+        ([make_change("a", 1, [VALID[0]])], "base_offset: 1 is not from 0 to 0"),
+        ([make_change("a", -1, [VALID[0]])], "base_offset: -1"),
+        ([make_change("", 0, [VALID[0]])], "id: expected"),
+        ([make_change("a", 0, ENGINE[:1])], "failure_domain: is required"),
+        ([make_change("a", 0, [VALID[5], VALID[6]])], "belongs to desks/rennes/plume"),
+        ([make_change("a", 0, [VALID[7], VALID[8]])], "'large' is itself an alias"),
+        (
+            [make_change("a", 0, [VALID[7]]), make_change("b", 1, [VALID[8]])],
+            "models/small is an alias of it",
+        ),
+        (
+            [make_change("a", 0, [VALID[8]]), make_change("b", 1, [VALID[7]])],
+            "'large' is itself an alias",
+        ),
+        ([TopUp("t", "plume", 0, "ana")], "must be positive"),
+        ([TopUp("t", "", 5, "ana")], "budget: "),
+        ([TopUp("t", "plume", 10**15 + 1, "ana")], "would exceed"),
+        ([Evict("r1/1", "r1", "ana")], "no record of the configuration stream"),
+        ([None], "config@0: broken"),
+    ],
+)
+def test_invalid_records_are_skipped_with_a_reason(records, reason):
+    _, found = fold_all(records)
+    assert found[-1].status is Status.REJECTED
+    assert reason in found[-1].reason
+
+
+@deterministic
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+        lambda item: st.lists(item, max_size=4),
+        max_leaves=8,
+    ),
+    st.sampled_from(["change", "top_up", "evict", "nonsense"]),
+)
+def test_any_json_folds_without_a_crash(data, kind):
+    fields = data if isinstance(data, list) else [data]
+    for record in (data, [kind, *fields], [kind, "id", 0, "ana", [[*fields]]]):
+        entry = decode_entry("config", 0, 5, record)
+        verdict = Configuration().fold(entry)
+        assert verdict.accepted or verdict.reason
+
+
+def test_inheritance_and_source():
+    configuration, found = fold_all([make_change("a", 0, VALID[:6])])
+    assert found[0].accepted, found[0].reason
+    path = "desks/rennes/plume/app"
+    assert configuration.explain(path, "weight") == (2.0, "desks/rennes")
+    assert configuration.explain(path, "hold_share") == (0.5, None)
+    assert configuration.explain("desks/brest", "weight") == (3.0, "")
+    caller = configuration.find_caller("k1")
+    assert caller.customer == "desks/rennes/plume"
+    assert (caller.budget, caller.weight) == ("plume", 2.0)
+    assert caller.deadline == timedelta(seconds=120)
+    assert configuration.find_caller("k1") is caller
+    assert configuration.find_caller("unknown") is None
+    with pytest.raises(KeyError, match="did you mean 'weight'"):
+        configuration.resolve("", "wieght")
+
+
+def test_an_api_key_may_move_to_another_caller_in_one_change():
+    moved = [(*VALID[5][:2], None), VALID[6]]
+    records = [make_change("a", 0, [VALID[5]]), make_change("b", 1, moved)]
+    configuration, found = fold_all(records)
+    assert found[1].accepted, found[1].reason
+    assert configuration.find_caller("k1").application == "app"
+
+
+def test_aliases_and_servers():
+    places = [VALID[7], *ENGINE, ("servers/e1", "models", ["large"])]
+    configuration, _ = fold_all([make_change("a", 0, places)])
+    assert configuration.resolve_model("small") == "large"
+    assert configuration.resolve_model("large") == "large"
+    server = configuration.servers()["e1"]
+    assert (server.capacity, server.models) == (16, ("large",))
+
+
+def test_non_repeatable_prefixes_cover_whole_segments():
+    service = ServiceSettings("desk", ("POST /proofs", "PUT /"), 0)
+    assert not service.is_repeatable("POST", "/proofs/7")
+    assert not service.is_repeatable("POST", "/proofs?x=1")
+    assert service.is_repeatable("POST", "/proofsheets")
+    assert service.is_repeatable("GET", "/proofs")
+    assert not service.is_repeatable("PUT", "/anything")
+
+
+@pytest.mark.parametrize("state", ["", "{}", "[1]", "[2,0,{},[],[],[]]"])
+def test_a_damaged_checkpoint_is_an_error(state):
+    with pytest.raises(DecodeError):
+        Configuration.restore(state)
--- /dev/null
+++ b/lavendershift/topups.py
@@ -0,0 +1,65 @@
+"""Tokens prepaid by budget, as of any configuration offset.
+
+The ledger fold asks for the prepaid tokens at the offset that its records
+cite, which may lie far behind the newest, so the whole history is kept.
+"""
+
+from bisect import bisect_left
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class TopUpEntry(NamedTuple):
+    """A top-up that counted, with the offset at which it was folded."""
+
+    offset: int
+    budget: str
+    tokens: int
+    id: str
+
+
+class _Prepaid(NamedTuple):
+    """Offsets of a budget's top-ups and the running totals after each."""
+
+    offsets: list[int]
+    totals: list[int]
+
+
+class TopUpHistory:
+    """Every top-up that counted; a repeated id is known for good."""
+
+    def __init__(self, entries: Iterable[TopUpEntry] = ()) -> None:
+        self._entries: list[TopUpEntry] = []
+        self._offset_of: dict[str, int] = {}
+        self._prepaid: dict[str, _Prepaid] = {}
+        for entry in entries:
+            self.add(entry)
+
+    def add(self, entry: TopUpEntry) -> None:
+        """Count ``entry``, whose offset must lie beyond all earlier ones."""
+        self._entries.append(entry)
+        self._offset_of[entry.id] = entry.offset
+        prepaid = self._prepaid.setdefault(entry.budget, _Prepaid([], []))
+        total = prepaid.totals[-1] if prepaid.totals else 0
+        prepaid.offsets.append(entry.offset)
+        prepaid.totals.append(total + entry.tokens)
+
+    def find_offset(self, top_up_id: str) -> int | None:
+        """Return the offset at which the id counted, if it did."""
+        return self._offset_of.get(top_up_id)
+
+    def count_prepaid(self, budget: str, offset: int) -> int:
+        """Return the tokens added to ``budget`` at offsets below ``offset``."""
+        prepaid = self._prepaid.get(budget)
+        if prepaid is None:
+            return 0
+        count = bisect_left(prepaid.offsets, offset)
+        return prepaid.totals[count - 1] if count else 0
+
+    def list_entries(self) -> list[TopUpEntry]:
+        """Return the top-ups in the order of their offsets."""
+        return list(self._entries)
+
+    def list_budgets(self) -> list[str]:
+        """Return the names of all budgets ever topped up."""
+        return list(self._prepaid)
--- /dev/null
+++ b/lavendershift/tree_values.py
@@ -0,0 +1,171 @@
+"""Values set on the nodes of the settings tree.
+
+``TreeValues`` holds what is set where and when it last changed, resolves
+values through inheritance, and checks that a set of updates leaves every node
+it touches whole.
+"""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from lavendershift.tree import (
+    ROWS,
+    NodeKind,
+    TreeRow,
+    find_node_kind,
+    format_place,
+    list_ancestors,
+)
+
+API_KEYS = "api_key_hashes"
+ALIAS = "alias_of"
+
+Updates = Mapping[str, Mapping[str, Any]]
+
+
+class ResolvedValue(NamedTuple):
+    """A value in force and the path it comes from; ``None`` for the default."""
+
+    value: Any
+    path: str | None
+
+
+class TreeValues:
+    """Values of the tree, by path and key.
+
+    ``nodes`` has only what is set; ``changed_at`` also the offsets at which
+    values were removed.
+    """
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, dict[str, Any]] = {}
+        self.changed_at: dict[tuple[str, str], int] = {}
+        self._key_owners: dict[str, str] = {}
+        self._aliases: dict[str, set[str]] = {}
+
+    def apply(self, updates: Updates, offset: int) -> None:
+        """Set the values in ``updates``; ``None`` removes one."""
+        for path, values in updates.items():
+            self._unindex(path)
+            node = self.preview(path, updates)
+            if node:
+                self.nodes[path] = node
+            else:
+                self.nodes.pop(path, None)
+            for key in values:
+                self.changed_at[path, key] = offset
+        for path in updates:
+            self._index(path)
+
+    def restore(self, nodes: Mapping[str, dict[str, Any]]) -> None:
+        """Take over the values of a checkpoint."""
+        self.nodes = dict(nodes)
+        for path in nodes:
+            self._index(path)
+
+    def preview(self, path: str, updates: Updates) -> dict[str, Any]:
+        """Return the values of ``path`` as they would be after ``updates``."""
+        node = {**self.nodes.get(path, {}), **updates.get(path, {})}
+        return {key: value for key, value in node.items() if value is not None}
+
+    def resolve(self, path: str, key: str, row: TreeRow) -> ResolvedValue:
+        """Return the value of ``key`` in force at ``path``."""
+        for place in list_ancestors(path) if row.inherited else [path]:
+            value = self.nodes.get(place, {}).get(key)
+            if value is not None:
+                return ResolvedValue(value, place)
+        return ResolvedValue(row.default, None)
+
+    def resolve_all(self, path: str) -> dict[str, Any]:
+        """Return all values in force at ``path`` by key."""
+        kind = find_node_kind(path)
+        assert kind is not None, path
+        rows = ROWS[kind]
+        values = {key: row.default for key, row in rows.items()}
+        for place in reversed(list_ancestors(path)):
+            for key, value in self.nodes.get(place, {}).items():
+                if place == path or (key in rows and rows[key].inherited):
+                    values[key] = value
+        return values
+
+    def find_key_owner(self, digest: str) -> str | None:
+        """Return the path of the caller that an API key's hash belongs to."""
+        return self._key_owners.get(digest)
+
+    def list_names(self, family: str) -> list[str]:
+        """Return the names of the nodes ``family/NAME``, sorted."""
+        prefix = f"{family}/"
+        paths = sorted(path for path in self.nodes if path.startswith(prefix))
+        return [path.removeprefix(prefix) for path in paths]
+
+    def find_defect(self, updates: Updates) -> str:
+        """Return why the tree would not be whole after ``updates``, or ``""``."""
+        for path in sorted(updates):
+            node = self.preview(path, updates)
+            defect = find_missing_key(path, node) or self._find_alias_chain(
+                path, node, updates
+            )
+            if defect:
+                return defect
+        return self._find_shared_key(updates)
+
+    def _find_alias_chain(
+        self, path: str, node: dict[str, Any], updates: Updates
+    ) -> str:
+        """Return why an alias would stand for another alias, or ``""``."""
+        target = node.get(ALIAS)
+        if find_node_kind(path) is not NodeKind.MODEL or not target:
+            return ""
+        if self.preview(f"models/{target}", updates).get(ALIAS):
+            return f"{format_place(path, ALIAS)}: {target!r} is itself an alias"
+        name = path.removeprefix("models/")
+        for other in sorted(self._aliases.get(name, ())):
+            if self.preview(other, updates).get(ALIAS) == name:
+                return f"{format_place(path, ALIAS)}: {other} is an alias of it"
+        return ""
+
+    def _find_shared_key(self, updates: Updates) -> str:
+        """Return why an API key would belong to two callers, or ``""``."""
+        owners: dict[str, str] = {}
+        for path in sorted(updates):
+            for digest in self.preview(path, updates).get(API_KEYS, ()):
+                owner = owners.get(digest) or self._key_owners.get(digest) or path
+                kept = self.preview(owner, updates).get(API_KEYS, ())
+                if owner != path and digest in kept:
+                    place = format_place(path, API_KEYS)
+                    return f"{place}: {digest[:8]}... belongs to {owner}"
+                owners[digest] = path
+        return ""
+
+    def _index(self, path: str) -> None:
+        """File the API keys and the alias that are set at ``path``."""
+        node = self.nodes.get(path, {})
+        for digest in node.get(API_KEYS, ()):
+            self._key_owners[digest] = path
+        if node.get(ALIAS):
+            self._aliases.setdefault(node[ALIAS], set()).add(path)
+
+    def _unindex(self, path: str) -> None:
+        """Undo ``_index`` before the values at ``path`` change."""
+        node = self.nodes.get(path, {})
+        for digest in node.get(API_KEYS, ()):
+            if self._key_owners.get(digest) == path:
+                del self._key_owners[digest]
+        if node.get(ALIAS):
+            self._aliases[node[ALIAS]].discard(path)
+
+
+def find_missing_key(path: str, node: Mapping[str, Any]) -> str:
+    """Return which required key a non-empty node lacks, or ``""``."""
+    kind = find_node_kind(path)
+    if not node or kind is None:
+        return ""
+    for row in ROWS[kind].values():
+        if row.default is None and row.key not in node:
+            return f"{format_place(path, row.key)}: is required"
+    return ""
+
+
+def sort_values(nodes: Mapping[str, dict[str, Any]]) -> dict[str, dict[str, Any]]:
+    """Return the values ordered by path and key."""
+    return {path: dict(sorted(nodes[path].items())) for path in sorted(nodes)}
