--- a/lavendershift/allowances.py
+++ b/lavendershift/allowances.py
@@ -15,7 +15,6 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -37,35 +36,7 @@
     Transfer,
     Unspent,
 )
-
-
-class Reservation(NamedTuple):
-    """Tokens set aside for one attempt of a request."""
-
-    budget: str
-    request: str
-    attempt: str
-    tokens: int
-
-
-class Shortage(NamedTuple):
-    """Why a reservation was not made.
-
-    ``in_flight`` tokens are reserved by running attempts and may come free,
-    ``in_doubt`` ones belong to attempts whose usage is unknown. ``active`` is
-    false when this incarnation may not spend at all any more.
-    """
-
-    wanted: int
-    free: int
-    in_flight: int
-    in_doubt: int
-    active: bool = True
-
-    @property
-    def in_flight_covers(self) -> bool:
-        """Whether attempts in flight could free enough."""
-        return self.active and self.free + self.in_flight >= self.wanted
+from lavendershift.reservations import Reservation, Shortage
 
 
 class AllowanceBook:
@@ -172,6 +143,7 @@
             self.incarnation,
             reservation.request,
             used_tokens,
+            reservation.attempt,
         )
 
     def settle_outcome(
@@ -193,6 +165,7 @@
             status,
             content_type,
             body,
+            reservation.attempt,
         )
 
     def keep_in_doubt(self, reservation: Reservation) -> None:
--- a/lavendershift/ledger.py
+++ b/lavendershift/ledger.py
@@ -36,6 +36,7 @@
     Grant,
     Join,
     Record,
+    Recover,
     Release,
     find_ledger_stream,
 )
@@ -252,9 +253,9 @@
 
 def _may_name_others(record: Record) -> bool:
     """Return whether a router may write ``record`` about another router."""
-    return isinstance(record, Evict | Release)
+    return isinstance(record, Evict | Release | Recover)
 
 
 def _is_operators(record: Record) -> bool:
     """Return whether ``record`` may come from outside the routers."""
-    return isinstance(record, Evict | EvictAck | Release)
+    return isinstance(record, Evict | EvictAck | Release | Recover)
--- a/lavendershift/ledger_rules.py
+++ b/lavendershift/ledger_rules.py
@@ -22,6 +22,7 @@
     Join,
     Outcome,
     Recall,
+    Recover,
     Release,
     Return,
     Transfer,
@@ -167,14 +168,29 @@
 
     The tokens of a void outcome were consumed all the same.
     """
-    if ledger.requests.accepts_outcome(record):
-        return _consume(ledger, record, entry)
-    balance = ledger.find_balance(record.budget)
-    tokens = balance.consume(record.incarnation, record.tokens)
-    return Verdict(False, tokens, "not the open claim of the incarnation")
+    if not ledger.requests.accepts_outcome(record):
+        verdict = _consume(ledger, record, entry)
+        reason = "not the open claim of the incarnation"
+        return Verdict(False, verdict.tokens, reason)
+    verdict = _consume(ledger, record, entry)
+    ledger.requests.set_outcome(record, ledger.time_ms)
+    return verdict._replace(counted=True)
+
+
+@register_rule(Recover)
+def fold_recover(ledger: "Ledger", record: Recover, entry: Entry) -> Verdict:
+    """Charge an attempt that an evicted incarnation did not log itself."""
+    state = ledger.find_incarnation(record.incarnation)
+    if state is None or not state.evicted:
+        return Verdict(False, 0, "incarnation is not evicted")
+    return _consume(ledger, record, entry)
 
 
-def _consume(ledger: "Ledger", record: Charge | Outcome, entry: Entry) -> Verdict:
+def _consume(
+    ledger: "Ledger", record: Charge | Outcome | Recover, entry: Entry
+) -> Verdict:
+    if ledger.requests.is_charged(record.request, record.attempt):
+        return Verdict(False, 0, "attempt is charged")
     balance = ledger.find_balance(record.budget)
     tokens = balance.consume(record.incarnation, record.tokens)
     if ledger.requests.add_charge(record, tokens, ledger.time_ms):
--- /dev/null
+++ b/lavendershift/rates.py
@@ -0,0 +1,47 @@
+"""Estimates of how fast a budget is being drawn on.
+
+The estimate is an average over the recent past in which older amounts weigh
+exponentially less. It is corrected for a short history, so that it is usable
+from the first request on::
+
+    rates = RateEstimator(timedelta(minutes=10))
+    rates.add(500, now)
+    tokens_per_s = rates.estimate(now)
+"""
+
+import math
+from datetime import timedelta
+
+MIN_HISTORY_S = 30.0  # less history than this counts as this much
+
+
+class RateEstimator:
+    """Tokens per second, averaged over about ``window``."""
+
+    def __init__(self, window: timedelta) -> None:
+        self._window_s = window.total_seconds()
+        self._level = 0.0
+        self._first_s: float | None = None
+        self._last_s = 0.0
+
+    def add(self, tokens: int, now: timedelta) -> None:
+        """Note ``tokens`` drawn at ``now``, an elapsed time of any origin."""
+        now_s = now.total_seconds()
+        if self._first_s is None:
+            self._first_s = self._last_s = now_s
+        self._decay(now_s)
+        self._level += tokens / self._window_s
+
+    def estimate(self, now: timedelta) -> float:
+        """Return the rate in tokens per second as of ``now``."""
+        if self._first_s is None:
+            return 0.0
+        now_s = now.total_seconds()
+        self._decay(now_s)
+        history_s = max(now_s - self._first_s, MIN_HISTORY_S)
+        return self._level / (1.0 - math.exp(-history_s / self._window_s))
+
+    def _decay(self, now_s: float) -> None:
+        if now_s > self._last_s:
+            self._level *= math.exp((self._last_s - now_s) / self._window_s)
+            self._last_s = now_s
--- a/lavendershift/records.py
+++ b/lavendershift/records.py
@@ -152,7 +152,8 @@
 
     ``request`` is the scoped key ``customer/idempotency key``. The first
     charge of a request bills it; a later one of another attempt is consumed
-    but not billed.
+    but not billed. ``attempt`` is the id the backend server knows the attempt
+    by; an attempt is charged once.
     """
 
     id: str
@@ -160,6 +161,7 @@
     incarnation: str
     request: str
     tokens: int
+    attempt: str = ""
 
 
 @register_record("claim")
@@ -204,6 +206,7 @@
     status: int
     content_type: str
     body: str
+    attempt: str = ""
 
 
 @register_record("evict")
@@ -259,6 +262,24 @@
     author: str
 
 
+@register_record("recover")
+class Recover(NamedTuple):
+    """The charge of an attempt that an evicted incarnation did not log itself.
+
+    Whoever writes it has the tokens from the backend server. It bills like a
+    charge; the incarnation's own charge of the attempt may still follow and
+    is then a repeat.
+    """
+
+    id: str
+    budget: str
+    incarnation: str
+    request: str
+    tokens: int
+    attempt: str
+    author: str
+
+
 @register_record("checkpoint")
 class Checkpoint(NamedTuple):
     """One part of the folded state of ``stream`` just before ``next_offset``.
@@ -291,6 +312,7 @@
     | EvictAck
     | Close
     | Release
+    | Recover
     | Checkpoint
 )
 
--- a/lavendershift/requests.py
+++ b/lavendershift/requests.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from lavendershift.records import Charge, Claim, Outcome
+from lavendershift.records import Charge, Claim, Outcome, Recover
 
 MARKER_RETENTIONS = 30  # an expired claim is remembered this many times longer
 
@@ -18,7 +18,7 @@
 class AttemptCharge(NamedTuple):
     """Tokens that one attempt of a request consumed."""
 
-    id: str
+    attempt: str
     incarnation: str
     tokens: int
 
@@ -95,19 +95,31 @@
             and state.outcome is None
         )
 
-    def add_charge(self, record: Charge | Outcome, tokens: int, time_ms: int) -> bool:
+    def is_charged(self, request: str, attempt: str) -> bool:
+        """Return whether a charge of ``attempt`` has been folded."""
+        state = self.states.get(request)
+        if state is None or not attempt:
+            return False
+        return any(charge.attempt == attempt for charge in state.charges)
+
+    def add_charge(
+        self, record: Charge | Outcome | Recover, tokens: int, time_ms: int
+    ) -> bool:
         """Add an attempt's tokens; return whether they bill the request."""
         state = self.states.get(record.request) or RequestState(record.budget)
         bills = state.billed is None and not state.expired
-        charge = AttemptCharge(record.id, record.incarnation, tokens)
+        charge = AttemptCharge(record.attempt, record.incarnation, tokens)
         state = state._replace(charges=(*state.charges, charge))
         if bills:
             state = state._replace(billed=tokens)
-        if isinstance(record, Outcome):
-            state = state._replace(outcome=record)
         self._store(record.request, state, time_ms)
         return bills
 
+    def set_outcome(self, record: Outcome, time_ms: int) -> None:
+        """Keep the recorded answer of a claimed request."""
+        state = self.states[record.request]._replace(outcome=record)
+        self._store(record.request, state, time_ms)
+
     def expire(self, time_ms: int) -> None:
         """Drop what was last touched longer ago than keys are kept."""
         limit = time_ms - self._retention_ms
--- /dev/null
+++ b/lavendershift/reservations.py
@@ -0,0 +1,32 @@
+"""Reservations of tokens, and why one could not be made."""
+
+from typing import NamedTuple
+
+
+class Reservation(NamedTuple):
+    """Tokens set aside for one attempt of a request."""
+
+    budget: str
+    request: str
+    attempt: str
+    tokens: int
+
+
+class Shortage(NamedTuple):
+    """Why a reservation was not made.
+
+    ``in_flight`` tokens are reserved by running attempts and may come free,
+    ``in_doubt`` ones belong to attempts whose usage is unknown. ``active`` is
+    false when this incarnation may not spend at all any more.
+    """
+
+    wanted: int
+    free: int
+    in_flight: int
+    in_doubt: int
+    active: bool = True
+
+    @property
+    def in_flight_covers(self) -> bool:
+        """Whether attempts in flight could free enough."""
+        return self.active and self.free + self.in_flight >= self.wanted
