--- a/lavendershift_standins/batch.py
+++ b/lavendershift_standins/batch.py
@@ -38,7 +38,6 @@
         "listeners",
         "output_tokens",
         "prefill_left",
-        "prefixes",
         "produced",
         "prompt",
         "started",
@@ -46,13 +45,10 @@
         "state",
     )
 
-    def __init__(
-        self, prompt: Prompt, caller: Caller, output_tokens: int, prefixes: list[str]
-    ) -> None:
+    def __init__(self, prompt: Prompt, caller: Caller, output_tokens: int) -> None:
         self.prompt = prompt
         self.caller = caller
         self.output_tokens = output_tokens
-        self.prefixes = prefixes
         self.state = RunState.RUNNING
         self.started = False
         self.started_ms = 0
@@ -75,7 +71,7 @@
     """The running and the waiting requests of an engine.
 
     ``start`` is called when a request leaves the queue and returns how many
-    prompt tokens have yet to be processed; ``finish`` is called when it ends.
+    prompt tokens have yet to be processed.
     """
 
     def __init__(
@@ -83,7 +79,6 @@
         capacity: int,
         prefill_tokens_per_step: float,
         start: Callable[[Run], int],
-        finish: Callable[[Run], None],
     ) -> None:
         self.capacity = capacity
         self.running: list[Run] = []
@@ -91,7 +86,6 @@
         self._count = 0
         self._prefill_tokens_per_step = prefill_tokens_per_step
         self._start = start
-        self._finish = finish
 
     @property
     def is_idle(self) -> bool:
@@ -132,7 +126,6 @@
             if run.produced >= run.output_tokens:
                 run.state = RunState.DONE
                 finished = True
-                self._finish(run)
             run.notify()
         if finished:
             self.running = [r for r in self.running if r.state is RunState.RUNNING]
--- a/lavendershift_standins/engine.py
+++ b/lavendershift_standins/engine.py
@@ -31,7 +31,7 @@
     RequestHandler,
 )
 from lavendershift_standins.prefixcache import PrefixCache
-from lavendershift_standins.prompts import BYTES_PER_TOKEN, Prompt, hash_prefixes
+from lavendershift_standins.prompts import BLOCK_TOKENS, Prompt
 from lavendershift_standins.steploop import StepLoop
 
 
@@ -58,8 +58,7 @@
     tokens_per_event: int = 1
     min_output_tokens: int = 16
     max_output_tokens: int = 256
-    cache_blocks: int = 4096
-    cache_block_bytes: int = 256
+    cache_blocks: int = 1024
     cache_event_lag_ms: int = 1000
     cache_event_gaps: float = 0.05
     load_lag_ms: int = 500
@@ -108,7 +107,6 @@
             settings.capacity,
             settings.prefill_tokens_per_ms * settings.step_ms,
             self._start_run,
-            self._finish_run,
         )
         self._load = LoadHistory(timedelta(milliseconds=settings.load_lag_ms))
         self._steps = StepLoop(self._step, self._find_interval_s)
@@ -160,10 +158,7 @@
 
     def submit(self, prompt: Prompt, caller: Caller) -> Run:
         """Queue a request."""
-        prefixes = hash_prefixes(
-            prompt.model, prompt.text, self.settings.cache_block_bytes
-        )
-        run = Run(prompt, caller, self._find_output_tokens(prompt), prefixes)
+        run = Run(prompt, caller, self._find_output_tokens(prompt))
         self.runs[caller.request_id] = run
         self.batch.add(run)
         self._report_load()
@@ -220,13 +215,10 @@
 
     def _start_run(self, run: Run) -> int:
         run.started_ms = self.now_ms
-        cached = self.cache.look_up(run.prefixes)
-        self.cache.store(run.prefixes, self.clock.elapsed())
-        cached_tokens = cached * self.settings.cache_block_bytes // BYTES_PER_TOKEN
-        return max(0, run.prompt.tokens - cached_tokens)
-
-    def _finish_run(self, run: Run) -> None:
-        run.prefixes = []
+        cached = self.cache.look_up(run.prompt.prefixes)
+        self.cache.store(run.prompt.prefixes, self.clock.elapsed())
+        run.prompt = run.prompt._replace(prefixes=[])  # long, and needed no more
+        return max(0, run.prompt.tokens - cached * BLOCK_TOKENS)
 
     def _step(self) -> bool:
         self.batch.step()
--- a/lavendershift_standins/enginecontrol.py
+++ b/lavendershift_standins/enginecontrol.py
@@ -158,11 +158,8 @@
         if not after.isdigit():
             self.answer_error(400, "after: expected a number")
             return
-        events = self.standin.cache.list_events(
-            int(after), self.standin.clock.elapsed()
-        )
-        last_seq = events[-1]["seq"] if events else int(after)
-        await self.reply({"events": events, "last_seq": last_seq})
+        now = self.standin.clock.elapsed()
+        await self.reply(self.standin.cache.list_events(int(after), now))
 
 
 class FenceHandler(ControlHandler):
--- a/lavendershift_standins/prefixcache.py
+++ b/lavendershift_standins/prefixcache.py
@@ -16,11 +16,22 @@
     prefix: str
 
 
+class CacheEvents(TypedDict):
+    """The answer of ``GET /control/cache-events``.
+
+    ``last_seq`` is that of the newest event, published or not.
+    """
+
+    events: list[CacheEvent]
+    last_seq: int
+
+
 class DatedEvent(NamedTuple):
-    """An event and when it happened."""
+    """An event, when it happened and whether it is ever published."""
 
     happened: timedelta
     event: CacheEvent
+    published: bool
 
 
 class PrefixCache:
@@ -56,27 +67,24 @@
         """Hold ``prefixes``, evicting the least recently used."""
         for prefix in prefixes[: self._blocks]:
             if prefix not in self._held:
-                self._publish("stored", prefix, now)
+                self._record("stored", prefix, now)
             self._held[prefix] = None
             self._held.move_to_end(prefix)
         while len(self._held) > self._blocks:
             evicted, _ = self._held.popitem(last=False)
-            self._publish("evicted", evicted, now)
+            self._record("evicted", evicted, now)
 
-    def list_events(self, after: int, now: timedelta) -> list[CacheEvent]:
+    def list_events(self, after: int, now: timedelta) -> CacheEvents:
         """Return the events after ``after`` that are old enough to be seen."""
-        seen = now - self._lag
-        return [
-            event
-            for happened, event in self._events
-            if event["seq"] > after and happened <= seen
-        ]
-
-    def _publish(
+        seen = [dated for dated in self._events if dated.happened <= now - self._lag]
+        events = [d.event for d in seen if d.published and d.event["seq"] > after]
+        last_seq = seen[-1].event["seq"] if seen else 0
+        return CacheEvents(events=events, last_seq=last_seq)
+
+    def _record(
         self, kind: Literal["stored", "evicted"], prefix: str, now: timedelta
     ) -> None:
         self._seq += 1
-        if self._gaps and self._rng.random() < self._gaps:
-            return
+        published = self._rng.random() >= self._gaps
         event = CacheEvent(seq=self._seq, kind=kind, prefix=prefix)
-        self._events.append(DatedEvent(now, event))
+        self._events.append(DatedEvent(now, event, published))
--- a/lavendershift_standins/prompts.py
+++ b/lavendershift_standins/prompts.py
@@ -7,12 +7,16 @@
 
 from typing import Any, NamedTuple
 
+import msgspec
 import xxhash
 
 from lavendershift_standins.answers import hash_prompt
 
 BYTES_PER_TOKEN = 4
 MESSAGE_TOKENS = 4  # what the role and the delimiters of a message take
+BLOCK_BYTES = 1024  # of a prompt prefix, the unit of the prefix cache
+BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
+MAX_BLOCKS = 256
 
 
 class PromptError(ValueError):
@@ -22,13 +26,15 @@
 class Prompt(NamedTuple):
     """A completion request.
 
-    ``max_tokens`` of 0 leaves the length to the engine.
+    ``prefixes`` are the hashes of the prompt's bytes, or for a chat of the JSON
+    array of ``messages`` and ``tools``. ``max_tokens`` of 0 leaves the length
+    to the engine.
     """
 
     model: str
-    text: str
     tokens: int
     hash: str
+    prefixes: list[str]
     is_chat: bool
     max_tokens: int
     stream: bool
@@ -40,17 +46,16 @@
     return -(-len(text.encode()) // BYTES_PER_TOKEN)
 
 
-def hash_prefixes(model: str, text: str, block_bytes: int) -> list[str]:
-    """Return the hash of each prefix of ``text`` that is whole blocks long.
+def hash_prefixes(data: bytes) -> list[str]:
+    """Return the hash of each prefix of a prompt that is whole blocks long.
 
-    A prefix of ``k`` blocks has the XXH64 of the model's name, a zero byte and
-    the first ``k * block_bytes`` bytes of the text.
+    A prefix of ``k`` blocks has the XXH3-64 of the first ``k * BLOCK_BYTES``
+    bytes, in hexadecimal.
     """
-    data = text.encode()
-    digest = xxhash.xxh64(model.encode() + b"\0")
+    digest = xxhash.xxh3_64()
     hashes = []
-    for end in range(block_bytes, len(data) + 1, block_bytes):
-        digest.update(data[end - block_bytes : end])
+    for k in range(min(len(data) // BLOCK_BYTES, MAX_BLOCKS)):
+        digest.update(data[k * BLOCK_BYTES : (k + 1) * BLOCK_BYTES])
         hashes.append(digest.hexdigest())
     return hashes
 
@@ -68,9 +73,9 @@
     options = body.get("stream_options") or {}
     return Prompt(
         model,
-        text,
         tokens,
         hash_prompt(model, text),
+        hash_prefixes(_encode_prefix(body, text, is_chat)),
         is_chat,
         _read_max_tokens(body),
         bool(body.get("stream", False)),
@@ -78,6 +83,13 @@
     )
 
 
+def _encode_prefix(body: dict[str, Any], text: str, is_chat: bool) -> bytes:
+    """Return the bytes that prefixes of the prompt are hashed from."""
+    if is_chat:
+        return msgspec.json.encode([body["messages"], body.get("tools")])
+    return text.encode()
+
+
 def _read_max_tokens(body: dict[str, Any]) -> int:
     value = body.get("max_tokens")
     if value is None:
--- a/lavendershift_standins/service.py
+++ b/lavendershift_standins/service.py
@@ -42,7 +42,6 @@
 class ServiceAnswer(TypedDict):
     """What the service answers; it depends on the call alone."""
 
-    service: str
     method: str
     path: str
     body_hash: str
@@ -124,7 +123,6 @@
     def make_answer(self, execution: Execution) -> ServiceAnswer:
         """Return the answer to a call."""
         return ServiceAnswer(
-            service=self.settings.name.rstrip("0123456789-"),
             method=execution["method"],
             path=execution["path"],
             body_hash=execution["body_hash"],
