--- /dev/null
+++ b/lavendershift/candidates.py
@@ -0,0 +1,31 @@
+"""What a routing policy is told of each server it may choose."""
+
+from typing import NamedTuple
+
+
+class Candidate(NamedTuple):
+    """A server that could take a request, as it looks at this moment.
+
+    ``in_flight`` counts this router's own requests, ``load`` everybody's by
+    estimate. ``pending_tokens`` are prompt tokens whose first token is still
+    awaited, ``held_tokens`` the leading prompt tokens believed to be in its
+    prefix cache. ``slowness`` is the ratio of its first tokens to those of an
+    idle server.
+    """
+
+    name: str
+    address: str
+    same_domain: bool
+    capacity: int
+    limit: int
+    in_flight: int
+    load: float
+    pending_tokens: float
+    held_tokens: int
+    slowness: float
+    has_adapter: bool
+
+    @property
+    def has_room(self) -> bool:
+        """Whether it is below its limit and its estimated capacity."""
+        return self.in_flight < self.limit and self.load < self.capacity
--- a/lavendershift/plugins/routing_affinity.py
+++ b/lavendershift/plugins/routing_affinity.py
@@ -10,8 +10,8 @@
 import random
 from collections.abc import Sequence
 
+from lavendershift.candidates import Candidate
 from lavendershift.routing import RouteRequest, register_routing_policy
-from lavendershift.servers import Candidate
 
 LOAD_TOKENS = 64  # prefill tokens that one request in flight costs
 ADAPTER_TOKENS = 4096  # prefill tokens that loading an adapter costs
--- a/lavendershift/plugins/routing_least_in_flight.py
+++ b/lavendershift/plugins/routing_least_in_flight.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Sequence
 
+from lavendershift.candidates import Candidate
 from lavendershift.routing import RouteRequest, register_routing_policy
-from lavendershift.servers import Candidate
 
 
 @register_routing_policy("least_in_flight")
--- a/lavendershift/routing.py
+++ b/lavendershift/routing.py
@@ -20,8 +20,9 @@
 
 from returns.result import Failure, Result, Success
 
+from lavendershift.candidates import Candidate
 from lavendershift.errors import ErrorKind
-from lavendershift.servers import Candidate, ServerPool
+from lavendershift.servers import ServerPool
 
 BATCH_SHARE = 0.75  # of a server's capacity; the rest is kept for interactive
 
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -22,30 +22,18 @@
 from typing import NamedTuple
 
 from lavendershift import signals
+from lavendershift.candidates import Candidate
 from lavendershift.clocks import Clock
 from lavendershift.concurrency import ConcurrencyLimit, PrefillRate
 from lavendershift.ejection import Ejection, OutlierDetector
 from lavendershift.loads import LoadEstimate, LoadReport
+from lavendershift.nodes import ServerSettings
 from lavendershift.prefixes import BLOCK_TOKENS, CacheEvent, PrefixIndex
 
 SERVICE_TIME_WEIGHT = 0.05  # of the newest observation
 INITIAL_SERVICE_S = 2.0  # time in flight before the first observation
 
 
-class ServerSettings(NamedTuple):
-    """Settings of one backend server, from node ``servers/<name>``."""
-
-    name: str
-    kind: str
-    address: str
-    failure_domain: str
-    models: tuple[str, ...]
-    service: str
-    capacity: int
-    state: str
-    fencing: str
-
-
 class AttemptResult(Enum):
     """How an attempt on a server ended, as far as the server is concerned."""
 
@@ -55,34 +43,6 @@
     FAILED = "failed"
 
 
-class Candidate(NamedTuple):
-    """A server that could take a request, as it looks at this moment.
-
-    ``in_flight`` counts this router's own requests, ``load`` everybody's by
-    estimate. ``pending_tokens`` are prompt tokens whose first token is still
-    awaited, ``held_tokens`` the leading prompt tokens believed to be in its
-    prefix cache. ``slowness`` is the ratio of its first tokens to those of an
-    idle server.
-    """
-
-    name: str
-    address: str
-    same_domain: bool
-    capacity: int
-    limit: int
-    in_flight: int
-    load: float
-    pending_tokens: float
-    held_tokens: int
-    slowness: float
-    has_adapter: bool
-
-    @property
-    def has_room(self) -> bool:
-        """Whether it is below its limit and its estimated capacity."""
-        return self.in_flight < self.limit and self.load < self.capacity
-
-
 class _Attempt(NamedTuple):
     """One request in flight on a server."""
 
--- a/lavendershift/tests/test_servers.py
+++ b/lavendershift/tests/test_servers.py
@@ -8,7 +8,8 @@
 from lavendershift.clocks import ManualClock
 from lavendershift.ejection import MAX_EJECTED_SHARE
 from lavendershift.loads import LoadReport
-from lavendershift.servers import AttemptResult, ServerPool, ServerSettings
+from lavendershift.nodes import ServerSettings
+from lavendershift.servers import AttemptResult, ServerPool
 
 
 def make_settings(name, state="live", capacity=8):
