--- a/lavendershift/allowances.py
+++ b/lavendershift/allowances.py
@@ -99,10 +99,13 @@
         """Return the reservations of attempts whose usage is unknown."""
         return list(self._doubtful.values())
 
-    def ask_grant(self, budget: str, tokens: int) -> Grant:
-        """Return the record that asks the log for ``tokens``."""
-        offset = self._ledger.config_offset
-        grant = Grant(self._next_id(), budget, self.incarnation, tokens, offset)
+    def ask_grant(self, budget: str, tokens: int, config_offset: int) -> Grant:
+        """Return the record that asks the log for ``tokens``.
+
+        ``config_offset`` is how far this router has folded the configuration;
+        top-ups up to there can be granted from.
+        """
+        grant = Grant(self._next_id(), budget, self.incarnation, tokens, config_offset)
         self._asked[grant.id] = grant
         return grant
 
@@ -235,8 +238,9 @@
     def make_close(self) -> Close:
         """Return the record that ends this incarnation and all it holds.
 
-        Tokens in doubt are not handed back. Raises ``ValueError`` while
-        attempts are in flight.
+        Tokens in doubt are not handed back, and nothing can be settled here
+        afterwards: those attempts are charged by ``Recover``. Raises
+        ``ValueError`` while attempts are in flight.
         """
         if self._reservations:
             raise ValueError(f"{len(self._reservations)} attempts are in flight")
@@ -251,6 +255,8 @@
         return Close(self._next_id(), self.incarnation, unspent)
 
     def _spend(self, reservation: Reservation, used_tokens: int) -> None:
+        if self.closed:
+            raise ValueError(f"{self.incarnation} is closed")
         doubtful = reservation.attempt in self._doubtful
         held = self._doubtful if doubtful else self._reservations
         if held.pop(reservation.attempt, None) != reservation:
--- a/lavendershift/ledger.py
+++ b/lavendershift/ledger.py
@@ -95,18 +95,22 @@
             return Verdict(False, 0, fault)
         return rule(self, record, entry)
 
-    def find_budget(self, budget: str) -> BudgetView:
-        """Return the balances of ``budget`` as of the last folded entry."""
+    def find_budget(self, budget: str, config_offset: int | None = None) -> BudgetView:
+        """Return the balances of ``budget`` as of the last folded entry.
+
+        The prepaid total is as of ``config_offset``, by default the highest
+        one cited so far.
+        """
         balance = self.balances.get(budget) or Balance()
-        prepaid = self._find_prepaid(budget, self.config_offset)
+        available = self.find_available(budget, config_offset)
         in_doubt = sum(
             tokens
             for incarnation, tokens in balance.held.items()
             if not self.incarnations.is_joined(incarnation)
         )
         return BudgetView(
-            prepaid,
-            prepaid - balance.outstanding,
+            available + balance.outstanding,
+            available,
             balance.spent,
             balance.billed,
             balance.overdrawn,
@@ -114,11 +118,12 @@
             in_doubt,
         )
 
-    def find_available(self, budget: str) -> int:
+    def find_available(self, budget: str, config_offset: int | None = None) -> int:
         """Return the tokens of ``budget`` that may still be granted."""
         balance = self.balances.get(budget)
         outstanding = balance.outstanding if balance else 0
-        return self._find_prepaid(budget, self.config_offset) - outstanding
+        offset = self.config_offset if config_offset is None else config_offset
+        return self._find_prepaid(budget, offset) - outstanding
 
     def rights(self, budget: str, incarnation: str) -> int:
         """Return what ``incarnation`` holds of ``budget``, unspent."""
--- /dev/null
+++ b/lavendershift/tests/checker.py
@@ -0,0 +1,183 @@
+"""Judge of whole runs, from what callers, backend servers and the log saw.
+
+It shares no code with the logic it judges. Its input is plain data: records
+are raw JSON arrays, everything else numbers and strings. It never folds the
+ledger: consumption is what the backend servers ran, and bills are the first
+charge of each request in the order of the log::
+
+    for finding in judge(Run(...)):
+        print(finding.check, finding.detail)
+"""
+
+from collections import Counter, defaultdict
+from typing import Any, NamedTuple
+
+
+class Deposit(NamedTuple):
+    """Prepaid tokens in force from ``time_ms`` on."""
+
+    time_ms: int
+    budget: str
+    tokens: int
+
+
+class Execution(NamedTuple):
+    """One attempt that a backend server ran.
+
+    ``call`` names the caller's call that led to it: a caller's retry with the
+    same key is another call of the same ``request``.
+    """
+
+    time_ms: int
+    call: str
+    request: str
+    attempt: str
+    budget: str
+    tokens: int
+    repeatable: bool
+    answer: str
+
+
+class Reply(NamedTuple):
+    """What a caller got: kind ``answer``, ``refused`` or ``unknown``.
+
+    ``refused`` means that it was told "not run"; ``body`` is the answer as
+    the caller received it, and ``whole`` whether it looked complete.
+    """
+
+    time_ms: int
+    call: str
+    request: str
+    kind: str
+    body: str = ""
+    whole: bool = True
+
+
+class Run(NamedTuple):
+    """All that was seen of a run.
+
+    ``log`` holds ``[offset, time_ms, record]``. ``bills`` are the tokens billed
+    per request as the system itself reports them, ``overdrawn`` the tokens per
+    budget that it reports as consumed without cover. ``drained`` says that
+    every charge had the time to reach the log.
+    """
+
+    deposits: list[Deposit]
+    executions: list[Execution]
+    replies: list[Reply]
+    log: list[Any]
+    bills: dict[str, int]
+    overdrawn: dict[str, int]
+    drained: bool = True
+
+
+class Finding(NamedTuple):
+    """A broken promise: the check that found it, and where."""
+
+    check: str
+    detail: str
+
+
+def judge(run):
+    """Return all findings; an empty list is a clean run."""
+    checks = [
+        check_spend,
+        check_bills,
+        check_charges,
+        check_once,
+        check_answers,
+        check_refusals,
+    ]
+    return [finding for check in checks for finding in check(run)]
+
+
+def check_spend(run):
+    """Consumption never exceeds what was prepaid by then."""
+    events = [(d.time_ms, 0, d.budget, d.tokens) for d in run.deposits]
+    events += [(e.time_ms, 1, e.budget, -e.tokens) for e in run.executions]
+    left = Counter()
+    for time_ms, _, budget, tokens in sorted(events):
+        left[budget] += tokens
+        if left[budget] < 0:
+            yield Finding("overspend", f"{budget} {-left[budget]} over at {time_ms}")
+    for budget, tokens in run.overdrawn.items():
+        if tokens:
+            yield Finding("overdrawn", f"{budget} reports {tokens} without cover")
+
+
+def find_charges(run):
+    """Return ``(request, tokens, attempt)`` of the log, each attempt once."""
+    charges, ids, attempts = [], set(), set()
+    for _, _, record in run.log:
+        kind, record_id = record[0], record[1]
+        if kind == "charge":
+            _, _, _, _, request, tokens, attempt = record
+        elif kind == "outcome":
+            request, tokens, attempt = record[2], record[5], record[9]
+        elif kind == "recover":
+            _, _, _, _, request, tokens, attempt, _ = record
+        else:
+            continue
+        if record_id in ids or (request, attempt) in attempts:
+            continue
+        ids.add(record_id)
+        attempts.add((request, attempt))
+        charges.append((request, tokens, attempt))
+    return charges
+
+
+def check_bills(run):
+    """Each executed request is billed once, at its first charge."""
+    expected = {}
+    for request, tokens, _ in find_charges(run):
+        expected.setdefault(request, tokens)
+    for request in expected.keys() | run.bills.keys():
+        if expected.get(request) != run.bills.get(request):
+            seen = f"log {expected.get(request)}, reported {run.bills.get(request)}"
+            yield Finding("bill", f"{request}: {seen}")
+    if not run.drained:
+        return
+    for request in {e.request for e in run.executions}:
+        if request not in run.bills:
+            yield Finding("unbilled", request)
+
+
+def check_charges(run):
+    """Each charge in the log is the usage of an attempt that ran."""
+    usage = {e.attempt: (e.request, e.tokens) for e in run.executions}
+    for request, tokens, attempt in find_charges(run):
+        if usage.get(attempt) != (request, tokens):
+            yield Finding(
+                "charge", f"{attempt}: {request} {tokens}, ran {usage.get(attempt)}"
+            )
+
+
+def check_once(run):
+    """A request that may not be repeated ran at most once; an attempt too."""
+    counts = Counter(e.request for e in run.executions if not e.repeatable)
+    counts.update(e.attempt for e in run.executions)
+    for name, count in counts.items():
+        if count > 1:
+            yield Finding("ran twice", f"{name} ran {count} times")
+
+
+def check_answers(run):
+    """A caller gets one reply, and an answer is whole and its own."""
+    answers = defaultdict(set)
+    for execution in run.executions:
+        answers[execution.request].add(execution.answer)
+    for reply in run.replies:
+        looks_whole = reply.kind == "answer" and reply.whole
+        if looks_whole and reply.body not in answers[reply.request]:
+            yield Finding("answer", f"{reply.call} got {reply.body[:60]!r}")
+    for call, count in Counter(reply.call for reply in run.replies).items():
+        if count > 1:
+            yield Finding("replies", f"{call} got {count}")
+
+
+def check_refusals(run):
+    """A call that was refused as not run has no execution, then or later."""
+    ran = {execution.call for execution in run.executions}
+    for reply in run.replies:
+        if reply.kind == "refused" and reply.call in ran:
+            yield Finding("refusal", f"{reply.call} was told not run, and ran")
