--- /dev/null
+++ b/lavendershift/completions.py
@@ -0,0 +1,278 @@
+"""Requests to model engines: parsing, token bounds and answer streams.
+
+The parts that know the OpenAI-compatible format stand here. A request body is
+parsed once, to find what routing and budgets need and to set the output limit
+explicitly; an answer stream is forwarded as it came, and only events that may
+carry usage or an error are parsed.
+"""
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple, TypeGuard
+
+import msgspec
+
+from lavendershift.errors import ErrorKind, RequestError
+
+TOKENS_PER_MESSAGE = 8  # role and separator tokens around each message
+TOKENS_PER_PROMPT = 16  # start and end tokens around the whole prompt
+DEFAULT_MAX_OUTPUT_TOKENS = 1024
+MAX_CHOICES = 16
+MAX_EVENT_BYTES = 1024 * 1024
+
+USAGE_MARK = b'"usage"'
+ERROR_MARK = b'"error"'
+END_OF_STREAM = b"data: [DONE]\n\n"
+
+
+class CompletionRequest(NamedTuple):
+    """What is known of a request to a model engine.
+
+    ``prompt_bound`` and ``output_bound`` are upper bounds in tokens on what
+    the engine can consume, summed over all choices. ``body`` is what is sent
+    to the engine, ``prompt`` the bytes that prefix caching works on.
+    """
+
+    model: str
+    chat: bool
+    stream: bool
+    wants_usage: bool
+    prompt: bytes
+    prompt_bound: int
+    output_bound: int
+    body: bytes
+
+    @property
+    def token_bound(self) -> int:
+        """Upper bound on the tokens that one run consumes."""
+        return self.prompt_bound + self.output_bound
+
+
+class Usage(NamedTuple):
+    """Tokens that an engine reports for a request."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+    @property
+    def total(self) -> int:
+        """All tokens consumed."""
+        return self.prompt_tokens + self.completion_tokens
+
+
+def parse_completion(body: bytes, chat: bool, output_limit: int) -> CompletionRequest:
+    """Parse the body of a completion request.
+
+    ``output_limit`` is the most output tokens a choice may have; 0 stands for
+    the default. Raises ``RequestError`` with a located ``INVALID_REQUEST``.
+    """
+    data = _decode_object(body)
+    model = _take(data, "model", str)
+    stream = _take(data, "stream", bool, False)
+    choices = _parse_choices(data)
+    limit = _parse_output_limit(data, output_limit or DEFAULT_MAX_OUTPUT_TOKENS, chat)
+    prompts = _count_prompts(data, chat)
+    prompt, prompt_bound = _bound_prompt(data, chat)
+    wants_usage = _prepare_stream_options(data, stream)
+    return CompletionRequest(
+        model=model,
+        chat=chat,
+        stream=stream,
+        wants_usage=wants_usage,
+        prompt=prompt,
+        prompt_bound=prompt_bound + prompts * TOKENS_PER_PROMPT,
+        output_bound=limit * choices * prompts,
+        body=msgspec.json.encode(data),
+    )
+
+
+def parse_usage(data: Any) -> Usage | None:
+    """Return the usage in a decoded answer or event, if it has a valid one."""
+    usage = data.get("usage") if isinstance(data, dict) else None
+    if not isinstance(usage, dict):
+        return None
+    prompt = usage.get("prompt_tokens")
+    completion = usage.get("completion_tokens")
+    if not _is_count(prompt) or not _is_count(completion):
+        return None
+    return Usage(prompt, completion)
+
+
+class AnswerStream:
+    """Splits an engine's answer stream into what the caller is sent and not.
+
+    Bytes go in as they arrive; whole events come out. The usage is kept, the
+    end mark is held back until the answer is charged, and a usage event that
+    the caller did not ask for is dropped::
+
+        stream = AnswerStream(wants_usage=False)
+        caller.write(stream.feed(chunk))
+    """
+
+    def __init__(self, wants_usage: bool) -> None:
+        self.usage: Usage | None = None
+        self.complete = False
+        self.failed = False
+        self.events = 0
+        self._wants_usage = wants_usage
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Take a chunk and return the bytes to forward, maybe none."""
+        data = self._rest + chunk if self._rest else chunk
+        end = data.rfind(b"\n\n")
+        if end < 0:
+            self._keep(data)
+            return b""
+        events = data[: end + 2]
+        self._keep(data[end + 2 :])
+        if self._is_plain(events):
+            self.events += events.count(b"\n\n")
+            return events
+        return b"".join(self._filter(events))
+
+    def _keep(self, rest: bytes) -> None:
+        if len(rest) > MAX_EVENT_BYTES:
+            self.failed = True
+            rest = b""
+        self._rest = rest
+
+    def _is_plain(self, events: bytes) -> bool:
+        return (
+            USAGE_MARK not in events
+            and ERROR_MARK not in events
+            and END_OF_STREAM not in events
+            and not self.complete
+        )
+
+    def _filter(self, events: bytes) -> Iterator[bytes]:
+        for event in events[:-2].split(b"\n\n"):
+            if self.complete or self.failed:
+                return
+            if event.strip() == b"data: [DONE]":
+                self.complete = True
+                return
+            if self._inspect(event):
+                self.events += 1
+                yield event + b"\n\n"
+
+    def _inspect(self, event: bytes) -> bool:
+        """Note usage and errors of an event; whether to forward it."""
+        if not event.startswith(b"data:"):
+            return True
+        try:
+            data = msgspec.json.decode(event[5:])
+        except msgspec.DecodeError:
+            self.failed = True
+            return False
+        if isinstance(data, dict) and data.get("error"):
+            self.failed = True
+            return False
+        usage = parse_usage(data)
+        if usage is None:
+            return True
+        self.usage = usage
+        return self._wants_usage or bool(data.get("choices"))
+
+
+def _is_count(value: Any) -> TypeGuard[int]:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def _decode_object(body: bytes) -> dict[str, Any]:
+    try:
+        data = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise RequestError(ErrorKind.INVALID_REQUEST, f"body: {error}") from None
+    if not isinstance(data, dict):
+        raise RequestError(ErrorKind.INVALID_REQUEST, "body: expected an object")
+    return data
+
+
+def _take(data: dict[str, Any], key: str, kind: type, default: Any = None) -> Any:
+    value = data.get(key, default)
+    if value is None and default is not None:
+        value = default
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise RequestError(
+            ErrorKind.INVALID_REQUEST, f"body.{key}: expected {kind.__name__}"
+        )
+    return value
+
+
+def _parse_choices(data: dict[str, Any]) -> int:
+    choices = max(_take(data, "n", int, 1), _take(data, "best_of", int, 1))
+    if not 1 <= choices <= MAX_CHOICES:
+        raise RequestError(
+            ErrorKind.INVALID_REQUEST, f"body.n: expected 1 to {MAX_CHOICES}"
+        )
+    return choices
+
+
+def _parse_output_limit(data: dict[str, Any], limit: int, chat: bool) -> int:
+    """Set and return the output limit per choice, in tokens."""
+    newer = data.pop("max_completion_tokens", None) if chat else None
+    if newer is not None:
+        data["max_tokens"] = newer
+    asked = _take(data, "max_tokens", int, limit)
+    if asked < 1:
+        raise RequestError(ErrorKind.INVALID_REQUEST, "body.max_tokens: must be over 0")
+    data["max_tokens"] = min(asked, limit)
+    return data["max_tokens"]
+
+
+def _prepare_stream_options(data: dict[str, Any], stream: bool) -> bool:
+    """Make the engine report usage; whether the caller asked for it itself."""
+    options = _take(data, "stream_options", dict, {})
+    if not stream:
+        data.pop("stream_options", None)
+        return True
+    data["stream_options"] = {**options, "include_usage": True}
+    return options.get("include_usage") is True
+
+
+def _count_prompts(data: dict[str, Any], chat: bool) -> int:
+    prompt = None if chat else data.get("prompt")
+    if isinstance(prompt, list) and prompt and not isinstance(prompt[0], int):
+        return len(prompt)
+    return 1
+
+
+def _bound_prompt(data: dict[str, Any], chat: bool) -> tuple[bytes, int]:
+    """Return the prompt's bytes and an upper bound on its tokens.
+
+    A token of a byte-level tokenizer stands for at least one byte.
+    """
+    if not chat:
+        return _bound_text_prompt(data.get("prompt"))
+    messages = _take(data, "messages", list)
+    if not messages:
+        raise RequestError(ErrorKind.INVALID_REQUEST, "body.messages: is empty")
+    for index, message in enumerate(messages):
+        _check_message(message, f"body.messages[{index}]")
+    prompt = msgspec.json.encode([messages, data.get("tools")])
+    return prompt, len(prompt) + TOKENS_PER_MESSAGE * len(messages)
+
+
+def _bound_text_prompt(prompt: Any) -> tuple[bytes, int]:
+    if isinstance(prompt, str):
+        text = prompt.encode()
+        return text, len(text)
+    if isinstance(prompt, list) and prompt:
+        text = msgspec.json.encode(prompt)
+        return text, len(text)
+    raise RequestError(
+        ErrorKind.INVALID_REQUEST, "body.prompt: expected a string or a list"
+    )
+
+
+def _check_message(message: Any, location: str) -> None:
+    if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+        raise RequestError(ErrorKind.INVALID_REQUEST, f"{location}.role: is missing")
+    content = message.get("content")
+    if not isinstance(content, list):
+        return
+    for part in content:
+        if not isinstance(part, dict) or part.get("type") != "text":
+            raise RequestError(
+                ErrorKind.INVALID_REQUEST, f"{location}.content: only text is served"
+            )
--- /dev/null
+++ b/lavendershift/dispatch.py
@@ -0,0 +1,399 @@
+"""Dispatching completions to model engines, attempt by attempt.
+
+An attempt goes through reserved, placed, sent, answering, and ends settled or
+in doubt. Until the first byte of an answer has been sent to the caller, a
+failed attempt may be repeated on another engine under a reservation of its
+own; afterwards the answer is whole or ends with an explicit error.
+"""
+
+import asyncio
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+from tornado.httputil import HTTPHeaders
+
+from lavendershift import signals
+from lavendershift.admission import RequestContext
+from lavendershift.allocators import HeldReservation
+from lavendershift.budgets import Budgets
+from lavendershift.clocks import Clock
+from lavendershift.completions import (
+    END_OF_STREAM,
+    AnswerStream,
+    CompletionRequest,
+    Usage,
+    parse_usage,
+)
+from lavendershift.errors import ErrorKind, Ran, RequestError
+from lavendershift.evidence import UsageInquiry
+from lavendershift.placement import Placed, Placement
+from lavendershift.prefixes import hash_prefix
+from lavendershift.retries import AttemptOutcome, GiveUp, Retries, RetryReason
+from lavendershift.routing import RouteRequest
+from lavendershift.servers import AttemptResult
+from lavendershift.sinks import AnswerSink
+from lavendershift.upstreams import (
+    Delivery,
+    Transfer,
+    UpstreamCall,
+    UpstreamClient,
+    UpstreamResult,
+)
+
+PRIORITY_LEVELS = {"interactive": "0", "batch": "10"}
+CLIENT_ERRORS = range(400, 500)
+CANCEL_GRACE = timedelta(seconds=5)  # for a cancelled stream to report its usage
+
+
+class DispatchSettings(NamedTuple):
+    """Bounds of the dispatch of completions."""
+
+    connect_timeout: timedelta
+    max_buffered_bytes: int
+
+
+class Attempt:
+    """One attempt of a completion and what is known of its answer."""
+
+    def __init__(self, number: int, held: HeldReservation, placed: Placed) -> None:
+        self.number = number
+        self.id = placed.attempt
+        self.held = held
+        self.placed = placed
+        self.transfer = Transfer()
+        self.usage: Usage | None = None
+        self.whole = False
+        self.late = False
+        self.settled = False
+
+
+class CompletionDispatcher:
+    """Runs completions on the engines."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: DispatchSettings,
+        budgets: Budgets,
+        placement: Placement,
+        retries: Retries,
+        client: UpstreamClient,
+        inquiry: UsageInquiry,
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._budgets = budgets
+        self._placement = placement
+        self._retries = retries
+        self._client = client
+        self._inquiry = inquiry
+
+    async def run(
+        self, context: RequestContext, request: CompletionRequest, sink: AnswerSink
+    ) -> None:
+        """Answer a request through ``sink``; raises ``RequestError``."""
+        route = make_route(context, request)
+        earlier_ran = Ran.NO
+        number = 0
+        while True:
+            number += 1
+            attempt = await self._prepare(context, request, route, number, earlier_ran)
+            outcome = await self._run_attempt(context, request, attempt, sink)
+            if outcome is None:
+                self._retries.record_success()
+                return
+            route = route._replace(excluded=route.excluded | {attempt.placed.server})
+            outcome = outcome._replace(
+                earlier_ran=earlier_ran,
+                servers_left=self._placement.has_untried(route),
+            )
+            decision = self._retries.decide(outcome)
+            if isinstance(decision, GiveUp):
+                raise RequestError(decision.kind)
+            signals.request_retried.send(
+                self, context=context, attempt=attempt.id, reason=decision.reason
+            )
+            earlier_ran = combine(earlier_ran, outcome.ran)
+            await asyncio.sleep(decision.delay.total_seconds())
+
+    async def _prepare(
+        self,
+        context: RequestContext,
+        request: CompletionRequest,
+        route: RouteRequest,
+        number: int,
+        earlier_ran: Ran,
+    ) -> Attempt:
+        """Reserve tokens and a place for the next attempt."""
+        attempt_id = f"{context.attempt}-{number}"
+        try:
+            held = await self._budgets.reserve(context, request.token_bound, attempt_id)
+            try:
+                placed = await self._placement.place(context, route, attempt_id)
+            except BaseException:
+                self._budgets.cancel(held)
+                raise
+        except RequestError as error:
+            if earlier_ran is Ran.NO:
+                raise
+            raise RequestError(ErrorKind.SERVER_FAILED, error.kind.value) from None
+        return Attempt(number, held, placed)
+
+    async def _run_attempt(
+        self,
+        context: RequestContext,
+        request: CompletionRequest,
+        attempt: Attempt,
+        sink: AnswerSink,
+    ) -> AttemptOutcome | None:
+        """Run one attempt; return how it failed, or ``None`` when answered."""
+        signals.request_dispatched.send(
+            self, context=context, attempt=attempt.id, server=attempt.placed.server
+        )
+        reader = _AnswerForwarder(
+            attempt, request, sink, self._placement, self._settings.max_buffered_bytes
+        )
+        call = self._make_call(context, request, attempt)
+        work = asyncio.ensure_future(
+            self._client.run_call(
+                call, attempt.transfer, reader.take_status, reader.take_chunk
+            )
+        )
+        result = await self._await_answer(work, context, attempt, sink)
+        if result is None:
+            attempt.late = True
+            raise RequestError(ErrorKind.DEADLINE_EXCEEDED)
+        reader.take_result(result)
+        return await self._conclude(context, attempt, result, reader, sink)
+
+    async def _await_answer(
+        self,
+        work: "asyncio.Future[UpstreamResult]",
+        context: RequestContext,
+        attempt: Attempt,
+        sink: AnswerSink,
+    ) -> UpstreamResult | None:
+        """Return the result, or ``None`` when the deadline passes first.
+
+        A request that is late, or whose caller has gone, is cancelled on the
+        engine and settled in the background.
+        """
+        while True:
+            left = context.deadline - self._clock.elapsed()
+            timeout = min(max(left.total_seconds(), 0.0), 1.0)
+            done, _ = await asyncio.wait([work], timeout=timeout)
+            if done:
+                return work.result()
+            if left <= timedelta() or sink.closed:
+                asyncio.ensure_future(self._abandon(work, attempt))
+                return None
+
+    async def _abandon(
+        self, work: "asyncio.Future[UpstreamResult]", attempt: Attempt
+    ) -> None:
+        """Cancel an attempt on its engine and settle what it used."""
+        attempt.transfer.resume()
+        await self._inquiry.cancel_attempt(attempt.placed.address, attempt.id)
+        await asyncio.wait([work], timeout=CANCEL_GRACE.total_seconds())
+        if not work.done():
+            attempt.transfer.abort()
+        result = await work
+        await self._settle(attempt, result)
+        self._placement.release(attempt.placed, AttemptResult.CANCELLED)
+
+    async def _conclude(
+        self,
+        context: RequestContext,
+        attempt: Attempt,
+        result: UpstreamResult,
+        reader: "_AnswerForwarder",
+        sink: AnswerSink,
+    ) -> AttemptOutcome | None:
+        """Settle a finished attempt, then end the caller's answer."""
+        await self._settle(attempt, result)
+        if attempt.whole:
+            self._placement.release(attempt.placed, AttemptResult.COMPLETED)
+            reader.finish()
+            return None
+        if result.status in CLIENT_ERRORS and result.delivery is Delivery.ANSWERED:
+            self._placement.release(attempt.placed, AttemptResult.COMPLETED)
+            raise RequestError(ErrorKind.INVALID_REQUEST, summarize_error(result.body))
+        reason, ran = classify(result)
+        refused = reason is RetryReason.REFUSED
+        self._placement.release(
+            attempt.placed, AttemptResult.REFUSED if refused else AttemptResult.FAILED
+        )
+        return self._describe(context, attempt, reason, ran, sink)
+
+    async def _settle(self, attempt: Attempt, result: UpstreamResult) -> None:
+        if attempt.usage is not None:
+            await self._budgets.settle(attempt.held, attempt.usage.total)
+        elif attempt.whole:
+            await self._budgets.settle(attempt.held, attempt.held.reservation.tokens)
+        elif proves_no_run(result):
+            self._budgets.cancel(attempt.held)
+        else:
+            self._inquiry.start(attempt.held, attempt.placed.address, attempt.id)
+
+    def _describe(
+        self,
+        context: RequestContext,
+        attempt: Attempt,
+        reason: RetryReason,
+        ran: Ran,
+        sink: AnswerSink,
+    ) -> AttemptOutcome:
+        return AttemptOutcome(
+            reason=RetryReason.TRUNCATED if sink.started else reason,
+            ran=ran,
+            repeatable=True,
+            attempts=attempt.number,
+            answer_started=sink.started,
+            deadline=context.deadline,
+        )
+
+    def _make_call(
+        self, context: RequestContext, request: CompletionRequest, attempt: Attempt
+    ) -> UpstreamCall:
+        path = "/v1/chat/completions" if request.chat else "/v1/completions"
+        headers = {
+            "Content-Type": "application/json",
+            "Request-Id": attempt.id,
+            "Priority": PRIORITY_LEVELS[context.priority],
+        }
+        return UpstreamCall(
+            "POST",
+            f"http://{attempt.placed.address}{path}",
+            headers,
+            request.body,
+            self._settings.connect_timeout,
+            context.deadline - self._clock.elapsed() + 2 * CANCEL_GRACE,
+        )
+
+
+class _AnswerForwarder:
+    """Carries one attempt's answer from the engine to the caller."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        request: CompletionRequest,
+        sink: AnswerSink,
+        placement: Placement,
+        max_buffered_bytes: int,
+    ) -> None:
+        self._attempt = attempt
+        self._request = request
+        self._sink = sink
+        self._placement = placement
+        self._max_buffered_bytes = max_buffered_bytes
+        self._stream = AnswerStream(request.wants_usage)
+        self._body = b""
+
+    def take_status(self, status: int, headers: HTTPHeaders) -> bool:
+        """Begin the answer; whether its body is handed over in chunks."""
+        if status != 200 or not self._request.stream:
+            return False
+        return headers.get("Content-Type", "").startswith("text/event-stream")
+
+    def take_chunk(self, chunk: bytes) -> None:
+        """Forward a chunk of a stream, unless the attempt was given up."""
+        self._placement.note_first_token(self._attempt.placed)
+        events = self._stream.feed(chunk)
+        if events and not self._attempt.late and not self._sink.closed:
+            if not self._sink.started:
+                self._sink.begin(200, "text/event-stream", self._attempt.id)
+            waiting = self._sink.write(events)
+            if waiting > self._max_buffered_bytes:
+                self._hold_back()
+        self._note_stream()
+
+    def take_result(self, result: UpstreamResult) -> None:
+        """Note the end of the transfer, with the body of a plain answer."""
+        self._note_stream()
+        if self._request.stream or result.status != 200:
+            return
+        if result.delivery is not Delivery.ANSWERED:
+            return
+        try:
+            data = msgspec.json.decode(result.body)
+        except msgspec.DecodeError:
+            return
+        self._attempt.usage = parse_usage(data)
+        self._attempt.whole = isinstance(data, dict) and "choices" in data
+        self._body = result.body
+
+    def finish(self) -> None:
+        """End the caller's answer as complete."""
+        if self._attempt.late or self._sink.closed:
+            return
+        if self._request.stream:
+            if not self._sink.started:
+                self._sink.begin(200, "text/event-stream", self._attempt.id)
+            self._sink.finish(END_OF_STREAM)
+            return
+        self._sink.begin(200, "application/json", self._attempt.id)
+        self._sink.finish(self._body)
+
+    def _note_stream(self) -> None:
+        self._attempt.usage = self._stream.usage
+        self._attempt.whole = self._stream.complete and not self._stream.failed
+
+    def _hold_back(self) -> None:
+        self._attempt.transfer.pause()
+        asyncio.ensure_future(self._resume_when_taken())
+
+    async def _resume_when_taken(self) -> None:
+        while self._sink.write(b"") > self._max_buffered_bytes // 2:
+            if self._sink.closed:
+                break
+            await asyncio.sleep(0.01)
+        self._attempt.transfer.resume()
+
+
+def make_route(context: RequestContext, request: CompletionRequest) -> RouteRequest:
+    """Return what routing has to know of a completion."""
+    return RouteRequest(
+        model=request.model,
+        prefix=hash_prefix(request.prompt),
+        prompt_tokens=len(request.prompt) // 4,
+        max_tokens=request.output_bound,
+        priority=context.priority,
+        deadline=context.deadline,
+    )
+
+
+def classify(result: UpstreamResult) -> tuple[RetryReason, Ran]:
+    """Return why an attempt failed and whether it ran."""
+    if result.delivery is Delivery.NOT_SENT:
+        return RetryReason.CONNECT_FAILED, Ran.NO
+    if result.delivery is Delivery.REFUSED:
+        return RetryReason.REFUSED, Ran.NO
+    return RetryReason.FAILED, Ran.UNKNOWN
+
+
+def proves_no_run(result: UpstreamResult) -> bool:
+    """Whether an attempt that has no usage certainly consumed nothing."""
+    if result.delivery in (Delivery.NOT_SENT, Delivery.REFUSED):
+        return True
+    return result.delivery is Delivery.ANSWERED and result.status in CLIENT_ERRORS
+
+
+def combine(earlier: Ran, latest: Ran) -> Ran:
+    """Return whether a request ran in any of its attempts."""
+    for ran in (Ran.YES, Ran.UNKNOWN):
+        if ran in (earlier, latest):
+            return ran
+    return Ran.NO
+
+
+def summarize_error(body: bytes) -> str:
+    """Return the message of an engine's error answer, shortened."""
+    try:
+        data = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return ""
+    error = data.get("error") if isinstance(data, dict) else None
+    message = error.get("message") if isinstance(error, dict) else error
+    return str(message or "")[:200]
--- /dev/null
+++ b/lavendershift/feeds.py
@@ -0,0 +1,117 @@
+"""Following the configuration stream.
+
+The feed folds the stream into a ``Configuration`` that only ever moves
+forwards. It restores from a checkpoint where the log no longer retains the
+beginning, and counts as ready once it has reached the end of the stream and
+every offset that a peer has told of.
+"""
+
+import asyncio
+import contextlib
+from datetime import timedelta
+
+from lavendershift import signals
+from lavendershift.checkpoints import join_checkpoint, split_checkpoint
+from lavendershift.clocks import Clock
+from lavendershift.configuration import Configuration
+from lavendershift.errors import LogUnavailableError
+from lavendershift.followers import StreamFollower, read_checkpoint
+from lavendershift.records import CONFIG_STREAM, Entry, name_checkpoint_stream
+from lavendershift.streams import LogClient
+
+RESTORE_RETRY = timedelta(milliseconds=200)
+
+
+class ConfigurationFeed:
+    """Keeps ``configuration`` up to date with the log.
+
+    A checkpoint is written every ``checkpoint_every`` entries by the router
+    whose turn ``is_writer`` says it is; a second one would be harmless.
+    """
+
+    def __init__(self, log: LogClient, clock: Clock, checkpoint_every: int) -> None:
+        self.configuration = Configuration()
+        self._log = log
+        self._clock = clock
+        self._checkpoint_every = checkpoint_every
+        self._last_checkpoint = 0
+        self._folded = asyncio.Event()
+        self._follower: StreamFollower | None = None
+        self._checkpoints: set[asyncio.Task[None]] = set()
+
+    @property
+    def offset(self) -> int:
+        """Number of configuration entries folded."""
+        return self.configuration.next_offset
+
+    def is_ready(self, required_offset: int) -> bool:
+        """Whether the end, and ``required_offset`` told by peers, was reached."""
+        follower = self._follower
+        if follower is None or not follower.caught_up.is_set():
+            return False
+        return self.offset >= required_offset
+
+    async def start(self) -> None:
+        """Restore the latest checkpoint and start following."""
+        await self._restore_until_answered()
+        self._follower = StreamFollower(
+            self._log,
+            CONFIG_STREAM,
+            self.offset,
+            self._fold,
+            self._restore,
+            self._clock,
+        )
+        self._follower.start()
+
+    async def stop(self) -> None:
+        """Stop following."""
+        for task in self._checkpoints:
+            task.cancel()
+        if self._follower is not None:
+            await self._follower.stop()
+
+    async def wait_for(self, offset: int) -> None:
+        """Return once the configuration is folded up to ``offset``."""
+        while self.offset < offset:
+            await self._folded.wait()
+
+    async def _fold(self, entry: Entry) -> None:
+        self.configuration.fold(entry)
+        self._folded.set()
+        self._folded = asyncio.Event()
+        signals.configuration_changed.send(self, offset=self.offset)
+        if self.offset - self._last_checkpoint >= self._checkpoint_every:
+            self._last_checkpoint = self.offset
+            task = asyncio.ensure_future(self._write_checkpoint())
+            self._checkpoints.add(task)
+            task.add_done_callback(self._checkpoints.discard)
+
+    async def _restore_until_answered(self) -> None:
+        while True:
+            try:
+                await self._restore()
+                return
+            except LogUnavailableError:
+                await asyncio.sleep(RESTORE_RETRY.total_seconds())
+
+    async def _restore(self) -> int:
+        parts = await read_checkpoint(self._log, CONFIG_STREAM)
+        if parts and parts[0].next_offset > self.offset:
+            restored = Configuration.restore(join_checkpoint(parts)[0])
+            self.configuration = restored
+            self._last_checkpoint = self.offset
+            self._folded.set()
+            self._folded = asyncio.Event()
+            signals.configuration_changed.send(self, offset=self.offset)
+        return self.offset
+
+    async def _write_checkpoint(self) -> None:
+        state = [self.configuration.encode_state()]
+        checkpoint_id = f"{CONFIG_STREAM}@{self.offset}"
+        parts = split_checkpoint(checkpoint_id, CONFIG_STREAM, self.offset, state)
+        with contextlib.suppress(LogUnavailableError):
+            for part in parts:
+                await self._log.append_records(
+                    name_checkpoint_stream(CONFIG_STREAM), [part]
+                )
--- /dev/null
+++ b/lavendershift/followers.py
@@ -0,0 +1,137 @@
+"""Following a stream of the log and folding its entries in order."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from lavendershift.clocks import Clock
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.records import Checkpoint, Entry, name_checkpoint_stream
+from lavendershift.streams import LogClient
+
+READ_LIMIT = 1000
+READ_WAIT = timedelta(seconds=5)
+RETRY_PAUSE = timedelta(milliseconds=200)  # pause after a failed read
+
+FoldEntry = Callable[[Entry], Awaitable[None]]
+
+
+class StreamFollower:
+    """Reads ``stream`` from ``offset`` on and hands each entry to ``fold``.
+
+    ``caught_up`` is set once the end of the stream as known at the time was
+    reached. When entries expire before they were read, ``on_expired`` has to
+    bring the fold forward from a checkpoint and return its next offset.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        stream: str,
+        offset: int,
+        fold: FoldEntry,
+        on_expired: Callable[[], Awaitable[int]],
+        clock: Clock,
+    ) -> None:
+        self.stream = stream
+        self.next_offset = offset
+        self.end_offset = offset
+        self.caught_up = asyncio.Event()
+        self._log = log
+        self._fold = fold
+        self._on_expired = on_expired
+        self._clock = clock
+        self._confirmed = clock.elapsed()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def silent_for(self) -> timedelta:
+        """Time since the log last answered a read."""
+        return self._clock.elapsed() - self._confirmed
+
+    def start(self) -> None:
+        """Start following in the background."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._advance()
+            except LogUnavailableError:
+                await asyncio.sleep(RETRY_PAUSE.total_seconds())
+            except RecordsExpiredError:
+                await self._recover()
+
+    async def _advance(self) -> None:
+        wait = READ_WAIT if self.caught_up.is_set() else timedelta()
+        result = await self._log.read_entries(
+            self.stream, self.next_offset, READ_LIMIT, wait
+        )
+        self._confirmed = self._clock.elapsed()
+        for entry in result.entries:
+            await self._fold(entry)
+            self.next_offset = entry.offset + 1
+        self.end_offset = max(result.end_offset, self.next_offset)
+        if self.next_offset >= result.end_offset:
+            self.caught_up.set()
+
+    async def _recover(self) -> None:
+        try:
+            self.next_offset = await self._on_expired()
+        except LogUnavailableError:
+            await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+
+async def find_end(log: LogClient, stream: str) -> tuple[int, int]:
+    """Return the first retained offset of ``stream`` and its end."""
+    try:
+        result = await log.read_entries(stream, 0, 1, timedelta())
+        return 0, result.end_offset
+    except RecordsExpiredError as error:
+        first = error.first_offset
+    result = await log.read_entries(stream, first, 1, timedelta())
+    return first, result.end_offset
+
+
+async def read_checkpoint(log: LogClient, stream: str) -> list[Checkpoint]:
+    """Return the parts of the latest whole checkpoint of ``stream``.
+
+    The list is empty where there is none.
+    """
+    checkpoints = name_checkpoint_stream(stream)
+    first, end = await find_end(log, checkpoints)
+    by_id: dict[str, dict[int, Checkpoint]] = {}
+    upper = end
+    while upper > first:
+        lower = max(first, upper - READ_LIMIT)
+        found = await _read_range(log, checkpoints, lower, upper)
+        for checkpoint in reversed(found):
+            parts = by_id.setdefault(checkpoint.id, {})
+            parts[checkpoint.part] = checkpoint
+            if len(parts) == checkpoint.parts:
+                return [parts[number] for number in sorted(parts)]
+        upper = lower
+    return []
+
+
+async def _read_range(
+    log: LogClient, stream: str, lower: int, upper: int
+) -> list[Checkpoint]:
+    checkpoints: list[Checkpoint] = []
+    offset = lower
+    while offset < upper:
+        result = await log.read_entries(stream, offset, upper - offset, timedelta())
+        if not result.entries:
+            break
+        records = [entry.record for entry in result.entries]
+        checkpoints += [r for r in records if isinstance(r, Checkpoint)]
+        offset = result.next_offset
+    return checkpoints
--- /dev/null
+++ b/lavendershift/plugins/http_log.py
@@ -0,0 +1,112 @@
+"""Log client that speaks to the platform's log service over HTTP."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.records import Record, decode_entry, encode_record
+from lavendershift.streams import ReadResult, register_log_client
+
+MAX_CLIENTS = 64
+
+
+class EntriesBody(NamedTuple):
+    """Raw entries: ``[offset, time_ms, record in its JSON form]``."""
+
+    entries: list[tuple[int, int, Any]]
+    next_offset: int
+    end_offset: int
+
+
+class _ReadAnswer(msgspec.Struct):
+    entries: list[tuple[int, int, Any]]
+    next_offset: int
+    end_offset: int
+
+
+class _AppendAnswer(msgspec.Struct):
+    first_offset: int
+
+
+class _ExpiredAnswer(msgspec.Struct):
+    first_offset: int
+
+
+@register_log_client("http")
+class HttpLogClient:
+    """Appends and reads records of the log service at ``url``.
+
+    ``timeout`` bounds each call, not counting the time a read was asked to
+    wait.
+    """
+
+    def __init__(self, url: str, timeout: timedelta) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = timeout
+        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    async def append_records(self, stream: str, records: Sequence[Record]) -> int:
+        """Append ``records`` and return the offset of the first."""
+        return await self.append_raw(stream, [encode_record(r) for r in records])
+
+    async def append_raw(self, stream: str, records: list[Any]) -> int:
+        """Append records already in their JSON form."""
+        response = await self._fetch(
+            f"/streams/{stream}/records", self._timeout, msgspec.json.encode(records)
+        )
+        return self._decode(response, _AppendAnswer).first_offset
+
+    async def read_entries(
+        self, stream: str, offset: int, limit: int, wait: timedelta
+    ) -> ReadResult:
+        """Return entries from ``offset`` on; see ``streams.LogClient``."""
+        body = await self.read_raw(stream, offset, limit, wait)
+        entries = [decode_entry(stream, *raw) for raw in body.entries]
+        return ReadResult(entries, body.next_offset, body.end_offset)
+
+    async def read_raw(
+        self, stream: str, offset: int, limit: int, wait: timedelta
+    ) -> EntriesBody:
+        """Return entries whose records are still in their JSON form."""
+        wait_ms = wait // timedelta(milliseconds=1)
+        path = f"/streams/{stream}/records?offset={offset}&limit={limit}"
+        response = await self._fetch(
+            f"{path}&wait_ms={wait_ms}", self._timeout + wait, None
+        )
+        if response.code == 410:
+            raise RecordsExpiredError(
+                stream, self._decode(response, _ExpiredAnswer).first_offset
+            )
+        answer = self._decode(response, _ReadAnswer)
+        return EntriesBody(answer.entries, answer.next_offset, answer.end_offset)
+
+    async def close(self) -> None:
+        """Close the HTTP client."""
+        self._http.close()
+
+    async def _fetch(
+        self, path: str, timeout: timedelta, body: bytes | None
+    ) -> HTTPResponse:
+        request = HTTPRequest(
+            self._url + path,
+            method="GET" if body is None else "POST",
+            body=body,
+            headers={"Content-Type": "application/json"},
+            connect_timeout=self._timeout.total_seconds(),
+            request_timeout=timeout.total_seconds(),
+        )
+        response = await self._http.fetch(request, raise_error=False)
+        if response.code not in (200, 410):
+            raise LogUnavailableError(f"{path}: status {response.code}")
+        return response
+
+    def _decode(self, response: HTTPResponse, answer_type: type) -> Any:
+        try:
+            return msgspec.json.decode(response.body, type=answer_type)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise LogUnavailableError(f"unreadable answer: {error}") from None
--- /dev/null
+++ b/lavendershift/plugins/relay_log.py
@@ -0,0 +1,65 @@
+"""Log client that reaches the log service through relays.
+
+The relay of the own VM comes first; where it does not answer, the next one in
+the list is asked and stays preferred until it fails in turn.
+"""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.messages import (
+    Appended,
+    AppendRequest,
+    Expired,
+    Message,
+    ReadReply,
+    ReadRequest,
+)
+from lavendershift.records import Record, decode_entry, encode_record
+from lavendershift.sockets import PeerUnavailableError, RequestSocket
+from lavendershift.streams import ReadResult, register_log_client
+
+
+@register_log_client("relay")
+class RelayLogClient:
+    """Appends and reads records through the relays at ``addresses``."""
+
+    def __init__(self, addresses: Sequence[str], timeout: timedelta) -> None:
+        self._sockets = [RequestSocket(address) for address in addresses]
+        self._timeout = timeout
+        self._preferred = 0
+
+    async def append_records(self, stream: str, records: Sequence[Record]) -> int:
+        """Append ``records`` and return the offset of the first."""
+        request = AppendRequest(stream, [encode_record(r) for r in records])
+        reply = await self._request(request, self._timeout)
+        if not isinstance(reply, Appended):
+            raise LogUnavailableError(f"append to {stream}: {reply}")
+        return reply.first_offset
+
+    async def read_entries(
+        self, stream: str, offset: int, limit: int, wait: timedelta
+    ) -> ReadResult:
+        """Return entries from ``offset`` on; see ``streams.LogClient``."""
+        wait_ms = wait // timedelta(milliseconds=1)
+        request = ReadRequest(stream, offset, limit, wait_ms)
+        reply = await self._request(request, self._timeout + wait)
+        if isinstance(reply, Expired):
+            raise RecordsExpiredError(stream, reply.first_offset)
+        if not isinstance(reply, ReadReply):
+            raise LogUnavailableError(f"read of {stream}: {reply}")
+        entries = [decode_entry(stream, *raw) for raw in reply.entries]
+        return ReadResult(entries, reply.next_offset, reply.end_offset)
+
+    async def close(self) -> None:
+        """Close the sockets to all relays."""
+        for socket in self._sockets:
+            socket.close()
+
+    async def _request(self, request: Message, timeout: timedelta) -> Message:
+        try:
+            return await self._sockets[self._preferred].request(request, timeout)
+        except PeerUnavailableError as error:
+            self._preferred = (self._preferred + 1) % len(self._sockets)
+            raise LogUnavailableError(str(error)) from None
--- /dev/null
+++ b/lavendershift/relay.py
@@ -0,0 +1,280 @@
+"""The relay: batches appends to the log service and caches what is read.
+
+One relay runs on each VM. It holds no authority: every record that passes
+through it is judged by the routers that fold it, so a lost or repeated batch
+does no harm. It exists because hundreds of routers would otherwise each poll
+the log service and spend its few hundred appends a second on their own.
+"""
+
+import asyncio
+import contextlib
+from collections import deque
+from datetime import timedelta
+from typing import Any, Protocol
+
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.messages import (
+    Appended,
+    AppendRequest,
+    Expired,
+    Failure,
+    Message,
+    ReadReply,
+    ReadRequest,
+)
+
+RAW_READ_LIMIT = 2000
+TAIL_WAIT = timedelta(seconds=10)
+TAIL_RETRY = timedelta(milliseconds=250)  # pause after the log failed to answer
+MAX_BATCH_RECORDS = 1000
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+
+
+class RawBody(Protocol):
+    """Raw entries and offsets as the log service gives them."""
+
+    entries: list[tuple[int, int, Any]]
+    next_offset: int
+    end_offset: int
+
+
+class RawLog(Protocol):
+    """A log client that leaves records in their JSON form."""
+
+    async def append_raw(self, stream: str, records: list[Any]) -> int:
+        """Append ``records`` and return the offset of the first."""
+        ...
+
+    async def read_raw(
+        self, stream: str, offset: int, limit: int, wait: timedelta
+    ) -> Any:
+        """Return a ``RawBody`` of entries from ``offset`` on."""
+        ...
+
+
+class StreamCache:
+    """The latest entries of one stream, contiguous and bounded in number.
+
+    Readers at the end wait on ``changed``, which is replaced at each change.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._entries: deque[tuple[int, int, Any]] = deque(maxlen=capacity)
+        self.next_offset = -1
+        self.healthy = True
+        self.changed = asyncio.Event()
+
+    @property
+    def first_offset(self) -> int:
+        """The first offset that is cached."""
+        return self.next_offset - len(self._entries)
+
+    def add_entries(self, entries: list[tuple[int, int, Any]]) -> None:
+        """Append entries read from the log and wake the waiting readers."""
+        self._entries.extend(entries)
+        self.next_offset = entries[-1][0] + 1
+        self.notify_readers()
+
+    def skip_to(self, offset: int) -> None:
+        """Forget all entries and go on at ``offset``, the first one retained."""
+        self._entries.clear()
+        self.next_offset = offset
+
+    def notify_readers(self) -> None:
+        """Wake all readers that wait for a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def has_offset(self, offset: int) -> bool:
+        """Whether a read from ``offset`` can be answered from the cache."""
+        return self.next_offset >= 0 and self.first_offset <= offset
+
+    def read_entries(self, offset: int, limit: int) -> list[tuple[int, int, Any]]:
+        """Return up to ``limit`` cached entries from ``offset`` on."""
+        start = offset - self.first_offset
+        stop = min(start + limit, len(self._entries))
+        return [self._entries[i] for i in range(start, stop)]
+
+
+class StreamTail:
+    """Follows one stream of the log into a cache."""
+
+    def __init__(self, stream: str, log: RawLog, capacity: int) -> None:
+        self.cache = StreamCache(capacity)
+        self._stream = stream
+        self._log = log
+        self._capacity = capacity
+        self._task = asyncio.ensure_future(self._follow())
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._advance()
+                self._set_healthy(True)
+            except LogUnavailableError:
+                self._set_healthy(False)
+                await asyncio.sleep(TAIL_RETRY.total_seconds())
+            except RecordsExpiredError as error:
+                self.cache.skip_to(error.first_offset)
+
+    async def _advance(self) -> None:
+        if self.cache.next_offset < 0:
+            await self._find_start()
+        body = await self._log.read_raw(
+            self._stream, self.cache.next_offset, RAW_READ_LIMIT, TAIL_WAIT
+        )
+        if body.entries:
+            self.cache.add_entries(list(body.entries))
+
+    async def _find_start(self) -> None:
+        first = 0
+        try:
+            body = await self._log.read_raw(self._stream, 0, 1, timedelta())
+        except RecordsExpiredError as error:
+            first = error.first_offset
+            body = await self._log.read_raw(self._stream, first, 1, timedelta())
+        self.cache.next_offset = max(first, body.end_offset - self._capacity)
+
+    def _set_healthy(self, healthy: bool) -> None:
+        if self.cache.healthy != healthy:
+            self.cache.healthy = healthy
+            self.cache.notify_readers()
+
+    async def stop(self) -> None:
+        """Stop following."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+
+class _Waiting:
+    """An append request that waits for its batch."""
+
+    def __init__(self, records: list[Any]) -> None:
+        self.records = records
+        self.reply: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+
+
+class AppendBatcher:
+    """Joins the append requests of one stream into few appends.
+
+    While an append is in flight, further requests gather; the next append
+    takes them together, in the order of their arrival.
+    """
+
+    def __init__(self, stream: str, log: RawLog, pause: timedelta) -> None:
+        self._stream = stream
+        self._log = log
+        self._pause = pause
+        self._waiting: deque[_Waiting] = deque()
+        self._task: asyncio.Task[None] | None = None
+
+    async def append(self, records: list[Any]) -> Message:
+        """Append ``records`` with a batch and return the reply for them."""
+        waiting = _Waiting(records)
+        self._waiting.append(waiting)
+        if self._task is None or self._task.done():
+            self._task = asyncio.ensure_future(self._run())
+        return await waiting.reply
+
+    async def _run(self) -> None:
+        while self._waiting:
+            await asyncio.sleep(self._pause.total_seconds())
+            await self._append_batch(self._take_batch())
+
+    def _take_batch(self) -> list[_Waiting]:
+        batch = [self._waiting.popleft()]
+        size = len(batch[0].records)
+        while self._waiting and size < MAX_BATCH_RECORDS:
+            size += len(self._waiting[0].records)
+            batch.append(self._waiting.popleft())
+        return batch
+
+    async def _append_batch(self, batch: list[_Waiting]) -> None:
+        records = [record for waiting in batch for record in waiting.records]
+        try:
+            offset = await self._log.append_raw(self._stream, records)
+        except LogUnavailableError as error:
+            self._reply_all(batch, Failure("log_unavailable", str(error)))
+            return
+        for waiting in batch:
+            self._reply(waiting, Appended(offset))
+            offset += len(waiting.records)
+
+    def _reply_all(self, batch: list[_Waiting], reply: Message) -> None:
+        for waiting in batch:
+            self._reply(waiting, reply)
+
+    def _reply(self, waiting: _Waiting, reply: Message) -> None:
+        if not waiting.reply.done():
+            waiting.reply.set_result(reply)
+
+
+class Relay:
+    """Answers the append and read requests of routers.
+
+    ``capacity`` is the number of entries cached per stream, ``batch_pause``
+    the time that an append waits for others to join it.
+    """
+
+    def __init__(self, log: RawLog, capacity: int, batch_pause: timedelta) -> None:
+        self._log = log
+        self._capacity = capacity
+        self._batch_pause = batch_pause
+        self._tails: dict[str, StreamTail] = {}
+        self._batchers: dict[str, AppendBatcher] = {}
+
+    async def handle_message(self, message: Message) -> Message:
+        """Return the reply to ``message``."""
+        if isinstance(message, AppendRequest):
+            return await self._append(message)
+        if isinstance(message, ReadRequest):
+            return await self._read(message)
+        return Failure("unexpected", type(message).__name__)
+
+    async def stop(self) -> None:
+        """Stop following all streams."""
+        for tail in self._tails.values():
+            await tail.stop()
+
+    async def _append(self, request: AppendRequest) -> Message:
+        if not request.records:
+            return Failure("unexpected", "an append without records")
+        batcher = self._batchers.get(request.stream)
+        if batcher is None:
+            batcher = AppendBatcher(request.stream, self._log, self._batch_pause)
+            self._batchers[request.stream] = batcher
+        return await batcher.append(request.records)
+
+    async def _read(self, request: ReadRequest) -> Message:
+        tail = self._find_tail(request.stream)
+        cache = tail.cache
+        if not cache.has_offset(request.offset):
+            return await self._read_log(request)
+        if request.offset >= cache.next_offset and request.wait_ms:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(request.wait_ms / 1000):
+                    await cache.changed.wait()
+        if not cache.has_offset(request.offset):
+            return await self._read_log(request)
+        entries = cache.read_entries(request.offset, request.limit)
+        if not entries and not cache.healthy:
+            return Failure("log_unavailable", "the log service does not answer")
+        return ReadReply(entries, request.offset + len(entries), cache.next_offset)
+
+    def _find_tail(self, stream: str) -> StreamTail:
+        if stream not in self._tails:
+            self._tails[stream] = StreamTail(stream, self._log, self._capacity)
+        return self._tails[stream]
+
+    async def _read_log(self, request: ReadRequest) -> Message:
+        limit = min(request.limit, RAW_READ_LIMIT)
+        try:
+            body = await self._log.read_raw(
+                request.stream, request.offset, limit, timedelta()
+            )
+        except RecordsExpiredError as error:
+            return Expired(error.first_offset)
+        except LogUnavailableError as error:
+            return Failure("log_unavailable", str(error))
+        return ReadReply(list(body.entries), body.next_offset, body.end_offset)
--- /dev/null
+++ b/lavendershift/router.py
@@ -0,0 +1,418 @@
+"""The router: the application that joins all stages of a request.
+
+A request passes admission, budgets, placement and dispatch, in this order;
+each stage is a module of its own. Around them run the feeds that follow the
+log, the peers, and the watchers of the membership list and the servers.
+"""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Any
+
+from logbook import Logger
+from tornado.httpserver import HTTPServer
+
+from lavendershift import signals
+from lavendershift.admission import Admission
+from lavendershift.allocators import TICK, BudgetAllocator
+from lavendershift.applications import SHIPPED_PLUGINS, Application, load_plugins
+from lavendershift.budgets import Budgets, Shard
+from lavendershift.calls import CallDispatcher
+from lavendershift.clocks import Clock
+from lavendershift.configuration import Configuration
+from lavendershift.discovery import Directory, find_share, list_routers
+from lavendershift.dispatch import CompletionDispatcher, DispatchSettings
+from lavendershift.errors import ErrorKind
+from lavendershift.evidence import UsageInquiry
+from lavendershift.feeds import ConfigurationFeed
+from lavendershift.handlers import make_web_application
+from lavendershift.membership import Membership, Vm, VmState
+from lavendershift.messages import BorrowRequest, Heartbeat, Lent
+from lavendershift.nodes import ServerSettings
+from lavendershift.peers import Peers
+from lavendershift.placement import Placement
+from lavendershift.records import Evict, Record
+from lavendershift.retries import Retries, RetryBudget
+from lavendershift.routing import ROUTING_POLICIES
+from lavendershift.servers import ServerPool
+from lavendershift.sessions import LedgerSession, SessionSettings
+from lavendershift.settings_sections import RouterSettings
+from lavendershift.streams import LOG_CLIENTS, LogClient
+from lavendershift.upstreams import UpstreamClient
+from lavendershift.watchers import LoadWatcher, MembersWatcher, Periodic
+
+QUEUE_STEP = timedelta(milliseconds=50)  # between looks at waiting requests
+MEMBERSHIP_STEP = timedelta(seconds=1)
+CLOSE_WAIT = timedelta(seconds=5)  # for the log to take the closing record
+DRAIN_STEP = timedelta(milliseconds=50)
+DISCOVERY_PAUSE = timedelta(seconds=2)  # between leaving discovery and refusing
+
+ROUTER_PLUGINS = (
+    *SHIPPED_PLUGINS,
+    "lavendershift.plugins.routing_affinity",
+    "lavendershift.plugins.routing_least_in_flight",
+    "lavendershift.plugins.routing_round_robin",
+    "lavendershift.plugins.routing_two_choices",
+)
+
+logger = Logger("lavendershift.router")
+
+
+class RouterApplication(Application):
+    """One router process.
+
+    ``rng`` seeds ids, routing and the order of discovery answers.
+    """
+
+    def __init__(
+        self, settings: RouterSettings, clock: Clock, rng: random.Random
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._stopping = False
+        self._leaving = False
+        self._attempts = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self.feed.configuration
+
+    def setup(self) -> None:
+        """Create all parts and add them in the order of their start."""
+        settings = self.settings
+        load_plugins([*ROUTER_PLUGINS, *settings.plugins.modules])
+        self._log = self._make_log_client()
+        self.add_part("log", stop=self._log.close)
+        self.feed = ConfigurationFeed(
+            self._log, self._clock, settings.ledger.checkpoint_every
+        )
+        sessions = self._make_sessions()
+        self.membership = Membership(
+            self._clock,
+            settings.vm.name,
+            sessions[0].participant.incarnation,
+            settings.peers.evict_after,
+        )
+        self.peers = self._make_peers()
+        self.budgets = Budgets({s.stream: self._make_shard(s) for s in sessions})
+        self._make_dispatch()
+        self.add_part("feed", self.feed.start, self.feed.stop)
+        for session in sessions:
+            self.add_part(session.stream, session.start, session.stop)
+        self.add_part("peers", self.peers.start, self.peers.stop)
+        self._add_watchers()
+        self.add_part("callers", self._listen, self._close_listener)
+        signals.record_folded.connect(self._note_folded)
+        signals.configuration_changed.connect(self._note_configuration)
+
+    def find_fault(self) -> ErrorKind | None:
+        """Return why the router takes no requests, ``None`` if it does."""
+        if self._stopping:
+            return ErrorKind.STOPPING
+        if not self.feed.is_ready(self.membership.required_config_offset):
+            if self.feed.offset:
+                return ErrorKind.CONFIGURATION_STALE
+            return ErrorKind.STARTING
+        if not all(session.joined for session in self._sessions):
+            return ErrorKind.STARTING
+        return None
+
+    def report_fault(self, error: BaseException) -> None:
+        """Log an error that has no kind of its own."""
+        logger.error("internal error: {!r}", error, exc_info=error)
+
+    def list_models(self) -> list[str]:
+        """Return the names of all models that a server may serve."""
+        models = set(self.configuration.models())
+        for server in self.configuration.servers().values():
+            models.update(server.models)
+        return sorted(models)
+
+    def list_routers(self, customer: str, failure_domain: str) -> Directory:
+        """Return the routers for a caller, best first."""
+        vms = self.configuration.vms()
+        addresses = {name: vm.address for name, vm in vms.items() if vm.state == "live"}
+        return list_routers(
+            customer, failure_domain, self._list_vms(), addresses, self._rng
+        )
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return the state that ``GET /v1/status`` shows."""
+        fault = self.find_fault()
+        return {
+            "vm": self.settings.vm.name,
+            "failure_domain": self.settings.vm.failure_domain,
+            "incarnation": self._sessions[0].participant.incarnation,
+            "ready": fault is None,
+            "fault": None if fault is None else fault.value,
+            "config_offset": self.feed.offset,
+            "ledgers": [self._describe_session(s) for s in self._sessions],
+            "in_flight": self.admission.in_flight,
+            "servers": {
+                name: self.pool.is_available(name)
+                for name in self.configuration.servers()
+            },
+            "peers": {
+                vm: beat.config_offset
+                for vm, beat in self.peers.list_reachable().items()
+            },
+        }
+
+    async def drain(self) -> None:
+        """Leave discovery, finish requests in flight and close the ledgers."""
+        self._leaving = True
+        await asyncio.sleep(DISCOVERY_PAUSE.total_seconds())
+        self._stopping = True
+        deadline = self._clock.elapsed() + self.settings.shutdown.drain
+        while self.admission.in_flight and self._clock.elapsed() < deadline:
+            await asyncio.sleep(DRAIN_STEP.total_seconds())
+        if not self.admission.in_flight:
+            await asyncio.gather(*(s.close(CLOSE_WAIT) for s in self._sessions))
+
+    def _make_log_client(self) -> LogClient:
+        log = self.settings.log
+        if log.client == "relay":
+            return LOG_CLIENTS["relay"](log.relays, log.timeout)
+        return LOG_CLIENTS[log.client](log.url, log.timeout)
+
+    def _make_sessions(self) -> list[LedgerSession]:
+        settings = self.settings
+        session_settings = SessionSettings(
+            settings.vm.name,
+            settings.vm.failure_domain,
+            settings.ledger.shards,
+            settings.ledger.checkpoint_every,
+            settings.ledger.key_retention,
+        )
+        self._sessions = [
+            LedgerSession(
+                f"ledger-{shard}",
+                self._log,
+                session_settings,
+                self._clock,
+                self._rng,
+                lambda budget, offset: self.configuration.prepaid(budget, offset),
+                self.feed.wait_for,
+                lambda: self.feed.offset,
+            )
+            for shard in range(settings.ledger.shards)
+        ]
+        return self._sessions
+
+    def _make_peers(self) -> Peers:
+        settings = self.settings
+        return Peers(
+            settings.vm.name,
+            settings.listen.peer_address,
+            self._clock,
+            self.membership,
+            settings.peers.heartbeat,
+            settings.peers.lost_after,
+            self._make_heartbeat,
+            self._lend,
+        )
+
+    def _make_shard(self, session: LedgerSession) -> Shard:
+        allocator = BudgetAllocator(
+            session,
+            self.settings.ledger.holding_policy,
+            self._clock,
+            self.peers.list_reachable,
+            self.peers.borrow,
+        )
+        return Shard(session, allocator)
+
+    def _make_dispatch(self) -> None:
+        settings = self.settings
+        self.admission = Admission(
+            self._clock,
+            lambda: self.configuration,
+            self.find_fault,
+            self._find_share,
+            self._make_attempt,
+            settings.limits.max_in_flight,
+        )
+        authorities = settings.servers.tls_ca
+        self._client = UpstreamClient(str(authorities) if authorities else "")
+        self.pool = ServerPool(self._clock, self._rng, settings.vm.failure_domain)
+        policy = ROUTING_POLICIES[settings.servers.routing_policy](self._rng)
+        self.placement = Placement(self._clock, self.pool, policy)
+        retries = Retries(
+            self._clock,
+            self._rng,
+            RetryBudget(settings.retries.share, settings.retries.burst),
+        )
+        self._inquiry = UsageInquiry(self._client, self.budgets)
+        bounds = DispatchSettings(
+            settings.servers.connect_timeout, settings.limits.max_buffered_bytes
+        )
+        self.completions = CompletionDispatcher(
+            self._clock,
+            bounds,
+            self.budgets,
+            self.placement,
+            retries,
+            self._client,
+            self._inquiry,
+        )
+        self.calls = CallDispatcher(
+            self._clock,
+            settings.servers.connect_timeout,
+            self.budgets,
+            self.placement,
+            retries,
+            self._client,
+        )
+
+    def _add_watchers(self) -> None:
+        settings = self.settings
+        members = MembersWatcher(
+            settings.members.url, self._client, self.membership, self.pool
+        )
+        load = LoadWatcher(
+            self._client,
+            self.pool,
+            self._list_servers,
+            lambda: int(self._clock.now().timestamp() * 1000),
+        )
+        works = [
+            ("members", settings.members.poll, members.poll),
+            ("load", settings.servers.load_poll, load.poll),
+            ("queues", QUEUE_STEP, self._start_waiting),
+            ("policies", TICK, self._run_policies),
+            ("membership", MEMBERSHIP_STEP, self._look_after_members),
+        ]
+        for name, interval, work in works:
+            periodic = Periodic(interval, work)
+            self.add_part(name, periodic.start, periodic.stop)
+
+        async def close_client() -> None:
+            await self._inquiry.stop()
+            self._client.close()
+
+        self.add_part("client", stop=close_client)
+
+    async def _listen(self) -> None:
+        limits = self.settings.limits
+        listen = self.settings.listen
+        options: dict[str, Any] = {}
+        if listen.tls_certificate is not None:
+            options["ssl_options"] = {
+                "certfile": str(listen.tls_certificate),
+                "keyfile": str(listen.tls_key),
+            }
+        self._server = HTTPServer(
+            make_web_application(self),
+            max_body_size=limits.max_body_bytes,
+            max_buffer_size=limits.max_body_bytes + limits.max_header_bytes,
+            max_header_size=limits.max_header_bytes,
+            idle_connection_timeout=limits.caller_idle.total_seconds(),
+            body_timeout=limits.caller_idle.total_seconds(),
+            **options,
+        )
+        self._server.listen(listen.address.port, listen.address.host)
+
+    async def _close_listener(self) -> None:
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def _make_attempt(self) -> str:
+        self._attempts += 1
+        return f"{self._sessions[0].participant.incarnation}-{self._attempts}"
+
+    def _make_heartbeat(self) -> Heartbeat:
+        session = self._sessions[0]
+        return Heartbeat(
+            self.settings.vm.name,
+            session.participant.incarnation,
+            self.settings.vm.failure_domain,
+            self.find_fault() is None and not self._leaving,
+            self.feed.offset,
+            session.ledger.next_offset,
+        )
+
+    def _lend(self, request: BorrowRequest) -> Lent:
+        return self.budgets.find_shard(request.budget).allocator.lend(request)
+
+    def _list_vms(self) -> list[Vm]:
+        own = Vm(
+            self.settings.vm.name,
+            self._sessions[0].participant.incarnation,
+            self.settings.vm.failure_domain,
+            VmState.LEAVING if self._is_leaving() else VmState.LIVE,
+            self.find_fault() is None,
+        )
+        return [own, *self.membership.list_vms()]
+
+    def _is_leaving(self) -> bool:
+        own = self.configuration.vms().get(self.settings.vm.name)
+        in_tree = own is not None and own.state == "leaving"
+        return self._leaving or in_tree or self.membership.is_leaving()
+
+    def _find_share(self, customer: str) -> float:
+        return find_share(customer, self.settings.vm.name, self._list_vms())
+
+    def _list_servers(self) -> list[ServerSettings]:
+        return list(self.configuration.servers().values())
+
+    def _note_folded(
+        self, session: LedgerSession, record: Record, **fields: Any
+    ) -> None:
+        if session not in self._sessions:
+            return
+        shard = self.budgets.find_shard_of(session.stream)
+        shard.allocator.note_folded(record, fields["verdict"])
+
+    def _note_configuration(self, feed: ConfigurationFeed, **fields: Any) -> None:
+        if feed is not self.feed:
+            return
+        self.pool.update_settings(self.configuration.servers())
+        self.peers.update_vms(self.configuration.vms())
+
+    async def _start_waiting(self) -> None:
+        self.placement.start_waiting()
+
+    async def _run_policies(self) -> None:
+        for shard in self.budgets.list_shards():
+            shard.allocator.run_policies()
+
+    async def _look_after_members(self) -> None:
+        """Note the ledger's incarnations and propose evictions."""
+        self.pool.update_routers(self.membership.count_live())
+        for session in self._sessions:
+            live = session.ledger.live_incarnations()
+            for name in live:
+                state = session.ledger.find_incarnation(name)
+                if state is not None:
+                    self.membership.note_incarnation(name, state.vm)
+        for eviction in self.membership.propose_evictions():
+            self._evict(eviction.incarnation)
+
+    def _evict(self, incarnation: str) -> None:
+        author = self.settings.vm.name
+        for session in self._sessions:
+            if incarnation not in session.ledger.live_incarnations():
+                self.membership.forget_incarnation(incarnation)
+                continue
+            session.participant.writer.submit(
+                lambda record_id: Evict(record_id, incarnation, author)
+            )
+
+    def _describe_session(self, session: LedgerSession) -> dict[str, Any]:
+        follower = session.follower
+        return {
+            "stream": session.stream,
+            "next_offset": session.ledger.next_offset,
+            "end_offset": follower.end_offset if follower else 0,
+            "log_silent_s": round(follower.silent_for.total_seconds(), 1)
+            if follower
+            else None,
+            "log_reachable": session.log_reachable,
+            "unconfirmed_records": session.participant.writer.backlog,
+            "incarnations": session.ledger.live_incarnations(),
+            "restored_bytes": session.restored_bytes,
+        }
--- /dev/null
+++ b/lavendershift/sockets.py
@@ -0,0 +1,100 @@
+"""Request and reply sockets between the processes of the fleet.
+
+Thin wrappers of pynng that carry typed messages and bound what a peer can
+cause: a reply that does not come in time raises ``PeerUnavailableError``, and
+undecodable data is answered with ``Failure`` instead of ending the server.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import pynng
+
+from lavendershift.errors import DecodeError
+from lavendershift.messages import (
+    MAX_MESSAGE_BYTES,
+    Failure,
+    Message,
+    decode_message,
+    encode_message,
+)
+
+Handler = Callable[[Message], Awaitable[Message]]
+
+
+class PeerUnavailableError(Exception):
+    """A process did not answer in time; whether it acted is unknown."""
+
+
+class RequestSocket:
+    """Sends requests to one address; any number may be in flight."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._socket = pynng.Req0(resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES)
+        self._socket.reconnect_time_min = 50
+        self._socket.reconnect_time_max = 1000
+        self._socket.dial(address, block=False)
+
+    async def request(self, message: Message, timeout: timedelta) -> Message:
+        """Send ``message`` and return the reply.
+
+        Raises ``PeerUnavailableError`` after ``timeout``.
+        """
+        with self._socket.new_context() as context:
+            try:
+                async with asyncio.timeout(timeout.total_seconds()):
+                    await context.asend(encode_message(message))
+                    data = await context.arecv()
+            except (TimeoutError, pynng.NNGException) as error:
+                raise PeerUnavailableError(f"{self.address}: {error!r}") from None
+        try:
+            return decode_message(data)
+        except DecodeError as error:
+            raise PeerUnavailableError(f"{self.address}: {error}") from None
+
+    def close(self) -> None:
+        """Close the socket; requests in flight fail."""
+        self._socket.close()
+
+
+class ReplySocket:
+    """Listens on an address and answers each request by a handler.
+
+    ``concurrency`` bounds the requests handled at a time; further ones wait
+    in the socket.
+    """
+
+    def __init__(self, address: str, handler: Handler, concurrency: int = 64) -> None:
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        self._socket.listen(address)
+        self._handler = handler
+        self._tasks = [
+            asyncio.ensure_future(self._serve(self._socket.new_context()))
+            for _ in range(concurrency)
+        ]
+
+    async def _serve(self, context: pynng.Context) -> None:
+        while True:
+            try:
+                data = await context.arecv()
+                reply = await self._answer(data)
+                await context.asend(encode_message(reply))
+            except pynng.Closed:
+                return
+            except pynng.NNGException:
+                await asyncio.sleep(0.01)
+
+    async def _answer(self, data: bytes) -> Message:
+        try:
+            return await self._handler(decode_message(data))
+        except DecodeError as error:
+            return Failure("undecodable", str(error))
+
+    async def close(self) -> None:
+        """Stop listening and wait for the handlers to end."""
+        self._socket.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/lavendershift/upstreams.py
@@ -0,0 +1,217 @@
+"""HTTP calls to backend servers, one attempt at a time.
+
+An attempt reports truthfully how far it came: whether anything was sent, and
+whether the whole answer arrived. Each attempt uses a connection of its own,
+because libcurl silently sends a request a second time when a reused
+connection turns out to be closed, which would run it twice.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+
+MAX_CLIENTS = 2000
+NOT_RUN_HEADER = "Not-Run"
+TRANSFER_FAILED_STATUS = 599  # tornado's status of a call that failed in transit
+
+
+class Delivery(Enum):
+    """How far an attempt came."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"
+
+
+class UpstreamCall(NamedTuple):
+    """One attempt to be sent to a backend server.
+
+    ``method`` and ``url`` as in HTTP; ``timeout`` covers the whole answer.
+    """
+
+    method: str
+    url: str
+    headers: dict[str, str]
+    body: bytes | None
+    connect_timeout: timedelta
+    timeout: timedelta
+
+
+class UpstreamResult(NamedTuple):
+    """What came of an attempt.
+
+    ``status`` is 0 where no answer began. ``body`` is empty for an answer
+    that was handed over in chunks.
+    """
+
+    delivery: Delivery
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+    detail: str
+
+
+class Transfer:
+    """Handle on an attempt in flight, to hold it back or abort it."""
+
+    def __init__(self) -> None:
+        self._curl: pycurl.Curl | None = None
+        self._paused = False
+        self._aborted = False
+
+    def attach(self, curl: pycurl.Curl) -> None:
+        """Take hold of the transfer's curl handle before it starts."""
+        self._curl = curl
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._check_abort)
+
+    def detach(self) -> None:
+        """Let go of the handle; it may serve another transfer from now on."""
+        self._curl = None
+
+    def pause(self) -> None:
+        """Stop reading from the backend server."""
+        if self._curl is not None and not self._paused:
+            self._paused = True
+            self._curl.pause(pycurl.PAUSE_RECV)
+
+    def resume(self) -> None:
+        """Go on reading after ``pause``."""
+        if self._curl is not None and self._paused:
+            self._paused = False
+            self._curl.pause(pycurl.PAUSE_CONT)
+
+    def abort(self) -> None:
+        """Make the transfer fail soon."""
+        self._aborted = True
+        self.resume()
+
+    def _check_abort(self, *progress: float) -> int:
+        return 1 if self._aborted else 0
+
+
+class UpstreamClient:
+    """Sends attempts to backend servers with one shared curl client."""
+
+    def __init__(self, ca_certificates: str = "") -> None:
+        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._ca_certificates = ca_certificates or None
+
+    async def run_call(
+        self,
+        call: UpstreamCall,
+        transfer: Transfer,
+        on_status: Callable[[int, HTTPHeaders], bool] | None = None,
+        on_chunk: Callable[[bytes], None] | None = None,
+    ) -> UpstreamResult:
+        """Send ``call`` and return what came of it.
+
+        With ``on_status`` and ``on_chunk`` the answer is handed over as it
+        arrives, if ``on_status`` returns true for it; other answers are
+        collected in the result.
+        """
+        answer = _AnswerReader(on_status, on_chunk)
+        request = HTTPRequest(
+            call.url,
+            method=call.method,
+            headers=call.headers,
+            body=call.body,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+            decompress_response=False,
+            connect_timeout=call.connect_timeout.total_seconds(),
+            request_timeout=max(call.timeout.total_seconds(), 0.001),
+            header_callback=answer.add_header_line,
+            streaming_callback=answer.add_chunk,
+            prepare_curl_callback=transfer.attach,
+            ca_certs=self._ca_certificates,
+        )
+        response = await self._http.fetch(request, raise_error=False)
+        transfer.detach()
+        return answer.make_result(response)
+
+    async def fetch(
+        self, method: str, url: str, timeout: timedelta, body: bytes | None = None
+    ) -> HTTPResponse:
+        """Make a control call; a failure is an answer with status 599."""
+        seconds = timeout.total_seconds()
+        request = HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            connect_timeout=seconds,
+            request_timeout=seconds,
+            allow_nonstandard_methods=True,
+            ca_certs=self._ca_certificates,
+        )
+        return await self._http.fetch(request, raise_error=False)
+
+    def close(self) -> None:
+        """Close the HTTP client; transfers in flight are abandoned."""
+        self._http.close()
+
+
+class _AnswerReader:
+    """Collects status, headers and body of an answer as curl reports them."""
+
+    def __init__(
+        self,
+        on_status: Callable[[int, HTTPHeaders], bool] | None,
+        on_chunk: Callable[[bytes], None] | None,
+    ) -> None:
+        self._on_status = on_status
+        self._on_chunk = on_chunk
+        self._status = 0
+        self._headers = HTTPHeaders()
+        self._chunks: list[bytes] = []
+        self._handed_over: bool | None = None
+
+    def add_header_line(self, line: str) -> None:
+        line = line.rstrip("\r\n")
+        if line.startswith("HTTP/"):
+            self._status = int(line.split(" ", 2)[1])
+            self._headers = HTTPHeaders()
+        elif line:
+            self._headers.parse_line(line)
+
+    def add_chunk(self, chunk: bytes) -> None:
+        if self._handed_over is None:
+            self._handed_over = self._ask_handover()
+        if self._handed_over and self._on_chunk is not None:
+            self._on_chunk(chunk)
+        else:
+            self._chunks.append(chunk)
+
+    def _ask_handover(self) -> bool:
+        if self._on_status is None:
+            return False
+        return self._on_status(self._status, self._headers)
+
+    def make_result(self, response: HTTPResponse) -> UpstreamResult:
+        delivery = self._judge_delivery(response)
+        detail = str(response.error) if response.error else ""
+        status = (
+            self._status if response.code == TRANSFER_FAILED_STATUS else response.code
+        )
+        return UpstreamResult(
+            delivery, status, self._headers, b"".join(self._chunks), detail
+        )
+
+    def _judge_delivery(self, response: HTTPResponse) -> Delivery:
+        if response.code == TRANSFER_FAILED_STATUS:
+            if not response.time_info.get("pretransfer"):
+                return Delivery.NOT_SENT
+            return Delivery.UNKNOWN
+        refused = response.code in (409, 429, 503)
+        if refused and self._headers.get(NOT_RUN_HEADER, "").lower() == "true":
+            return Delivery.REFUSED
+        return Delivery.ANSWERED
--- /dev/null
+++ b/lavendershift/watchers.py
@@ -0,0 +1,159 @@
+"""Periodic looks at the outside: the membership list and the servers' load."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from logbook import Logger
+
+from lavendershift.loads import LoadReport
+from lavendershift.membership import Member, Membership
+from lavendershift.nodes import ServerSettings
+from lavendershift.prefixes import CacheEvent
+from lavendershift.servers import ServerPool
+from lavendershift.upstreams import UpstreamClient
+
+CALL_TIMEOUT = timedelta(seconds=2)
+
+logger = Logger("lavendershift.watchers")
+
+
+class Periodic:
+    """Runs ``work`` every ``interval``; a failure does not end it."""
+
+    def __init__(self, interval: timedelta, work: Callable[[], Awaitable[None]]):
+        self._interval = interval
+        self._work = work
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start running."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """Stop running."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._work()
+            except Exception:
+                logger.exception("periodic work failed")
+            await asyncio.sleep(self._interval.total_seconds())
+
+
+class _MembersAnswer(msgspec.Struct):
+    members: list[Member]
+
+
+class MembersWatcher:
+    """Reads the platform's membership list into ``membership`` and ``pool``."""
+
+    def __init__(
+        self,
+        url: str,
+        client: UpstreamClient,
+        membership: Membership,
+        pool: ServerPool,
+    ) -> None:
+        self._url = f"{url.rstrip('/')}/members"
+        self._client = client
+        self._membership = membership
+        self._pool = pool
+
+    async def poll(self) -> None:
+        """Read the list once; without an answer the last one stays."""
+        response = await self._client.fetch("GET", self._url, CALL_TIMEOUT)
+        if response.code != 200:
+            return
+        members = decode_members(response.body)
+        if members is None:
+            return
+        self._membership.update_list(members)
+        servers = {m.name: m.state for m in members if m.role == "server"}
+        self._pool.update_membership(servers)
+
+
+def decode_members(body: bytes) -> list[Member] | None:
+    """Return the members in an answer, ``None`` for an invalid one."""
+    try:
+        data = msgspec.json.decode(body)
+        rows = data["members"]
+        return [msgspec.convert(_pick_fields(row), Member) for row in rows]
+    except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError):
+        return None
+
+
+def _pick_fields(row: Any) -> list[Any]:
+    return [row[field] for field in Member._fields]
+
+
+class _LoadAnswer(msgspec.Struct):
+    time_ms: int
+    running: int
+    waiting: int
+    kv_used: float = 0.0
+    adapters: list[str] = []
+
+
+class _EventsAnswer(msgspec.Struct):
+    events: list[dict[str, Any]]
+    last_seq: int
+
+
+class LoadWatcher:
+    """Reads load reports and cache events of the engines into ``pool``."""
+
+    def __init__(
+        self,
+        client: UpstreamClient,
+        pool: ServerPool,
+        list_servers: Callable[[], list[ServerSettings]],
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._client = client
+        self._pool = pool
+        self._list_servers = list_servers
+        self._now_ms = now_ms
+        self._last_seqs: dict[str, int] = {}
+
+    async def poll(self) -> None:
+        """Ask all engines once, side by side."""
+        engines = [s for s in self._list_servers() if s.kind == "engine"]
+        await asyncio.gather(*(self._poll_engine(engine) for engine in engines))
+
+    async def _poll_engine(self, engine: ServerSettings) -> None:
+        base = f"http://{engine.address}/control"
+        response = await self._client.fetch("GET", f"{base}/load", CALL_TIMEOUT)
+        if response.code != 200:
+            return
+        with contextlib.suppress(msgspec.DecodeError, msgspec.ValidationError):
+            load = msgspec.json.decode(response.body, type=_LoadAnswer)
+            age = timedelta(milliseconds=max(0, self._now_ms() - load.time_ms))
+            report = LoadReport(
+                load.running, load.waiting, age, load.kv_used, tuple(load.adapters)
+            )
+            self._pool.record_load(engine.name, report)
+        after = self._last_seqs.get(engine.name, 0)
+        response = await self._client.fetch(
+            "GET", f"{base}/cache-events?after={after}", CALL_TIMEOUT
+        )
+        if response.code == 200:
+            self._take_events(engine.name, response.body)
+
+    def _take_events(self, engine: str, body: bytes) -> None:
+        with contextlib.suppress(msgspec.DecodeError, msgspec.ValidationError):
+            answer = msgspec.json.decode(body, type=_EventsAnswer)
+            rows = [
+                [e.get("seq"), e.get("kind"), e.get("prefix")] for e in answer.events
+            ]
+            events = msgspec.convert(rows, list[CacheEvent])
+            self._pool.record_cache_events(engine, events, answer.last_seq)
+            self._last_seqs[engine] = answer.last_seq
--- /dev/null
+++ b/lavendershift/writers.py
@@ -0,0 +1,125 @@
+"""Ordered, repeatable appends of an incarnation's records to one stream.
+
+Records get ids ``incarnation/sequence`` and are appended strictly in order.
+A batch whose append was not confirmed is appended again unchanged before
+anything later, so that a fold can recognise duplicates by the sequence alone
+and a lost reply never loses or doubles a record.
+"""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from lavendershift.clocks import Clock
+from lavendershift.errors import LogUnavailableError
+from lavendershift.records import Record
+from lavendershift.streams import LogClient
+
+MAX_BATCH_RECORDS = 500
+RETRY_PAUSE = timedelta(milliseconds=200)  # pause after a failed append
+
+
+class StreamWriter:
+    """Appends the records of ``incarnation`` to ``stream``.
+
+    ::
+
+        writer = StreamWriter(log, "ledger-0", "r1.7", clock)
+        appended = writer.submit(lambda id: Return(id, "acme", "r1.7", 500))
+        await appended
+    """
+
+    def __init__(
+        self, log: LogClient, stream: str, incarnation: str, clock: Clock
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._incarnation = incarnation
+        self._clock = clock
+        self._sequence = 0
+        self._queue: deque[tuple[Record, asyncio.Future[int]]] = deque()
+        self._wakeup = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._failing_since: timedelta | None = None
+
+    @property
+    def failing_for(self) -> timedelta:
+        """How long appends have failed without a success; zero when healthy."""
+        if self._failing_since is None:
+            return timedelta()
+        return self._clock.elapsed() - self._failing_since
+
+    @property
+    def backlog(self) -> int:
+        """Number of records not yet confirmed."""
+        return len(self._queue)
+
+    def start(self) -> None:
+        """Start appending in the background."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def next_id(self) -> str:
+        """Return the next record id of this incarnation."""
+        self._sequence += 1
+        return f"{self._incarnation}/{self._sequence}"
+
+    def submit(self, make_record: Callable[[str], Record]) -> asyncio.Future[int]:
+        """Queue the record made for the next id.
+
+        Returns a future of its offset, which stays pending during an outage.
+        """
+        return self.submit_record(make_record(self.next_id()))
+
+    def submit_record(self, record: Record) -> asyncio.Future[int]:
+        """Queue a record whose id was taken from ``next_id`` just before."""
+        appended: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._queue.append((record, appended))
+        self._wakeup.set()
+        return appended
+
+    async def flush(self, timeout: timedelta) -> bool:
+        """Wait until all queued records are confirmed; false after ``timeout``."""
+        pending = [appended for _, appended in self._queue]
+        if not pending:
+            return True
+        _, late = await asyncio.wait(pending, timeout=timeout.total_seconds())
+        return not late
+
+    async def stop(self) -> None:
+        """Stop appending; unconfirmed records are dropped."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _run(self) -> None:
+        while True:
+            await self._wakeup.wait()
+            self._wakeup.clear()
+            while self._queue:
+                await self._append_batch()
+
+    async def _append_batch(self) -> None:
+        batch = [
+            self._queue[i] for i in range(min(len(self._queue), MAX_BATCH_RECORDS))
+        ]
+        records = [record for record, _ in batch]
+        offset = await self._append_until_confirmed(records)
+        for position, (_, appended) in enumerate(batch):
+            self._queue.popleft()
+            if not appended.done():
+                appended.set_result(offset + position)
+
+    async def _append_until_confirmed(self, records: list[Record]) -> int:
+        while True:
+            try:
+                offset = await self._log.append_records(self._stream, records)
+            except LogUnavailableError:
+                if self._failing_since is None:
+                    self._failing_since = self._clock.elapsed()
+                await asyncio.sleep(RETRY_PAUSE.total_seconds())
+                continue
+            self._failing_since = None
+            return offset
