Log lines, counters and gauges from closed vocabularies

Each refusal and retry reason has a counter taken from its table, and each log line the request key, customer, VM and failure domain. Lines have no field for texts of callers; errors are logged by type and place. The reference pages are generated and compared with their tables by tests/test_settings.py.

--- /dev/null
+++ b/lavendershift/logs.py
@@ -0,0 +1,197 @@
+"""The process's log: JSON lines with a closed vocabulary of events.
+
+Each line has the time, level, event, VM, failure domain, request key and
+customer, and the fields of its event. The fields are typed and closed as well,
+which keeps prompts, answers and secrets out: there is no field that could
+carry them::
+
+    log = EventLog(make_handler(settings.logging), "r1", "rennes", SystemClock())
+    log.write(Event.REQUEST_REFUSED, request="desks/a/b/k1", error="overloaded")
+"""
+
+import json
+import logging
+import sys
+import traceback
+from datetime import timedelta
+from enum import Enum
+from pathlib import Path
+from typing import Any, NamedTuple, TypedDict, Unpack
+
+import logbook
+
+from lavendershift.clocks import Clock
+from lavendershift.settings_sections import LoggingSection
+
+MAX_FIELD_LENGTH = 300  # characters
+MAX_FRAMES = 5  # innermost places of a traceback that are logged
+
+
+class Event(Enum):
+    """Everything that the log tells of."""
+
+    PROCESS_STARTED = "process_started"
+    PROCESS_STOPPING = "process_stopping"
+    PROCESS_STOPPED = "process_stopped"
+    REQUEST_ANSWERED = "request_answered"
+    REQUEST_REFUSED = "request_refused"
+    REQUEST_RETRIED = "request_retried"
+    CONFIGURATION_CHANGED = "configuration_changed"
+    RECORD_REJECTED = "record_rejected"
+    SERVER_EJECTED = "server_ejected"
+    LOG_LOST = "log_lost"
+    LOG_FOUND = "log_found"
+    INTERNAL_ERROR = "internal_error"
+    LIBRARY_MESSAGE = "library_message"
+
+
+class EventInfo(NamedTuple):
+    """The level at which an event is logged, and what it means."""
+
+    level: str
+    description: str
+
+
+EVENTS: dict[Event, EventInfo] = {
+    Event.PROCESS_STARTED: EventInfo("notice", "All parts of the process run."),
+    Event.PROCESS_STOPPING: EventInfo("notice", "A graceful shutdown began."),
+    Event.PROCESS_STOPPED: EventInfo("notice", "All parts of the process ended."),
+    Event.REQUEST_ANSWERED: EventInfo("info", "A request got its whole answer."),
+    Event.REQUEST_REFUSED: EventInfo("info", "A request ended with an error kind."),
+    Event.REQUEST_RETRIED: EventInfo("info", "An attempt is repeated."),
+    Event.CONFIGURATION_CHANGED: EventInfo(
+        "info", "The configuration was folded up to an offset."
+    ),
+    Event.RECORD_REJECTED: EventInfo("warning", "A record of a stream has no effect."),
+    Event.SERVER_EJECTED: EventInfo("warning", "A server gets no work for a while."),
+    Event.LOG_LOST: EventInfo("warning", "The log service stopped answering."),
+    Event.LOG_FOUND: EventInfo("notice", "The log service answers again."),
+    Event.INTERNAL_ERROR: EventInfo("error", "An error without a kind of its own."),
+    Event.LIBRARY_MESSAGE: EventInfo("warning", "A library logged a message."),
+}
+
+
+class EventFields(TypedDict, total=False):
+    """Fields that a line may have besides those on every line."""
+
+    attempt: str
+    budget: str
+    config_offset: int
+    duration_ms: int
+    error: str
+    incarnation: str
+    offset: int
+    place: str
+    reason: str
+    server: str
+    stream: str
+    tokens: int
+
+
+FIELD_NAMES = frozenset(EventFields.__annotations__)
+
+
+class EventLog:
+    """Writes events of one process to a logbook handler.
+
+    ``vm`` and ``failure_domain`` are put on each line.
+    """
+
+    def __init__(
+        self, handler: logbook.Handler, vm: str, failure_domain: str, clock: Clock
+    ) -> None:
+        self._logger = logbook.Logger("lavendershift")
+        self._logger.handlers.append(handler)
+        self._vm = vm
+        self._failure_domain = failure_domain
+        self._clock = clock
+
+    def write(
+        self,
+        event: Event,
+        request: str = "",
+        customer: str = "",
+        **fields: Unpack[EventFields],
+    ) -> None:
+        """Write one line; raises ``TypeError`` for a field that is not listed."""
+        unknown = fields.keys() - FIELD_NAMES
+        if unknown:
+            raise TypeError(f"no such field of a log line: {sorted(unknown)}")
+        info = EVENTS[event]
+        line = {
+            "time": self._clock.now().isoformat(timespec="milliseconds"),
+            "level": info.level,
+            "event": event.value,
+            "vm": self._vm,
+            "failure_domain": self._failure_domain,
+            "request": bound_text(request),
+            "customer": bound_text(customer),
+            **{key: bound_text(value) for key, value in fields.items()},
+        }
+        level = logbook.lookup_level(info.level.upper())
+        self._logger.log(level, event.value, extra={"line": line})
+
+    def write_error(self, error: BaseException, request: str = "") -> None:
+        """Write an unexpected error: its type and place, never its text."""
+        self.write(
+            Event.INTERNAL_ERROR,
+            request=request,
+            error=type(error).__name__,
+            place=format_traceback(error),
+        )
+
+
+class LibraryHandler(logging.Handler):
+    """Passes on warnings of libraries that use Python's ``logging``.
+
+    Only the message's template is written, since its arguments could hold
+    what callers sent.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line for ``record``."""
+        template = record.msg if isinstance(record.msg, str) and record.args else ""
+        error = record.exc_info[1] if record.exc_info else None
+        self._log.write(
+            Event.LIBRARY_MESSAGE,
+            reason=template,
+            error=type(error).__name__ if error else "",
+            place=f"{record.name}:{Path(record.pathname).name}:{record.lineno}",
+        )
+
+
+def bound_text(value: Any) -> Any:
+    """Return ``value``, with a text shortened to ``MAX_FIELD_LENGTH``."""
+    return value[:MAX_FIELD_LENGTH] if isinstance(value, str) else value
+
+
+def format_traceback(error: BaseException) -> str:
+    """Return the innermost places of the traceback, as ``file:line``."""
+    frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
+    return " ".join(f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames)
+
+
+def format_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    """Return a log record as one line of JSON."""
+    return json.dumps(record.extra["line"], ensure_ascii=False)
+
+
+def make_handler(section: LoggingSection) -> logbook.Handler:
+    """Return the handler that writes lines as ``section`` says."""
+    level = section.level.upper()
+    handler: logbook.Handler
+    if section.path is None:
+        handler = logbook.StreamHandler(sys.stderr, level=level)
+    else:
+        handler = logbook.FileHandler(str(section.path), level=level)
+    handler.formatter = format_line
+    return handler
+
+
+def in_milliseconds(length: timedelta) -> int:
+    """Return ``length`` in whole milliseconds, as log fields have it."""
+    return length // timedelta(milliseconds=1)
--- /dev/null
+++ b/lavendershift/plugins/statsd_metrics.py
@@ -0,0 +1,97 @@
+"""Plug-in that sends the process's counters and gauges to a statsd server.
+
+It serves every application that has ``metrics`` and whose settings name a
+statsd address. Counters are sent as their rise since the last time.
+"""
+
+import re
+from datetime import timedelta
+from typing import Any
+
+import statsd
+from tornado.ioloop import PeriodicCallback
+
+from lavendershift import signals
+from lavendershift.metrics import Metrics, Snapshot
+from lavendershift.values import Address
+
+SEND_INTERVAL = timedelta(seconds=1)
+UNSAFE = re.compile(r"[^A-Za-z0-9_.-]")
+
+
+class StatsdSender:
+    """Sends the changes of ``metrics`` since the last time, over UDP."""
+
+    def __init__(self, metrics: Metrics, address: Address, vm: str) -> None:
+        self._metrics = metrics
+        prefix = f"lavendershift.{escape_part(vm)}"
+        ipv6 = ":" in address.host
+        self._client = statsd.StatsClient(
+            address.host, address.port, prefix=prefix, ipv6=ipv6
+        )
+        self._sent = Snapshot({}, {})
+        self._timer = PeriodicCallback(self.send, SEND_INTERVAL)
+
+    def start(self) -> None:
+        """Start sending in intervals."""
+        self._timer.start()
+
+    def stop(self) -> None:
+        """Send what is left and close the socket."""
+        self._timer.stop()
+        self.send()
+        self._client.close()
+
+    def send(self) -> None:
+        """Send what changed since the last call."""
+        snapshot = self._metrics.snapshot()
+        with self._client.pipeline() as batch:
+            for name, count in snapshot.counters.items():
+                rise = count - self._sent.counters.get(name, 0)
+                if rise:
+                    batch.incr(name, rise)
+            for name, value in snapshot.gauges.items():
+                if self._sent.gauges.get(name) != value:
+                    batch.gauge(escape_name(name), value)
+        self._sent = snapshot
+
+
+def escape_part(text: str) -> str:
+    """Return ``text`` as one part of a statsd name."""
+    return UNSAFE.sub("_", text).replace(".", "_")
+
+
+def escape_name(name: str) -> str:
+    """Return a gauge's name with a budget's name inside it made one part."""
+    head, _, rest = name.partition(".")
+    middle, _, tail = rest.rpartition(".")
+    if head != "budget":
+        return name
+    return f"{head}.{escape_part(middle)}.{tail}"
+
+
+_senders: dict[int, StatsdSender] = {}
+
+
+def start_sender(application: Any, **_: Any) -> None:
+    """Start a sender for an application that has metrics and an address."""
+    metrics = getattr(application, "metrics", None)
+    settings = getattr(application, "settings", None)
+    if metrics is None or settings is None or settings.metrics.statsd is None:
+        return
+    sender = StatsdSender(metrics, settings.metrics.statsd, settings.vm.name)
+    _senders[id(application)] = sender
+    sender.start()
+
+
+def stop_sender(application: Any, **_: Any) -> None:
+    """Stop the sender of ``application``, if it has one."""
+    sender = _senders.pop(id(application), None)
+    if sender is not None:
+        sender.stop()
+
+
+def register() -> None:
+    """Hook the start and the end of the process."""
+    signals.started.connect(start_sender)
+    signals.stopped.connect(stop_sender)
--- a/lavendershift/tools/pages.py
+++ b/lavendershift/tools/pages.py
@@ -7,12 +7,16 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from lavendershift.metrics_page import render_counters_page
 from lavendershift.settings_page import render_settings_page
+from lavendershift.tree_page import render_tree_page
 
 DOCS = Path("docs")
 
 PAGES: dict[str, Callable[[], str]] = {
     "SETTINGS.md": render_settings_page,
+    "TREE.md": render_tree_page,
+    "COUNTERS.md": render_counters_page,
 }
 
 
