--- a/lavendershift_standins/application.py
+++ b/lavendershift_standins/application.py
@@ -15,7 +15,8 @@
 from tornado.web import Application, Finish, RequestHandler
 
 from lavendershift.clocks import Clock
-from lavendershift_standins.faults import FaultError, FaultSet, Phase
+from lavendershift_standins.faults import Phase
+from lavendershift_standins.faultset import FaultError, FaultSet
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
--- a/lavendershift_standins/batch.py
+++ b/lavendershift_standins/batch.py
@@ -34,6 +34,7 @@
     """A request on the engine and how far it has come."""
 
     __slots__ = (
+        "cached_tokens",
         "caller",
         "listeners",
         "output_tokens",
@@ -52,6 +53,7 @@
         self.state = RunState.RUNNING
         self.started = False
         self.started_ms = 0
+        self.cached_tokens = 0
         self.prefill_left = 0.0
         self.produced = 0
         self.listeners: list[Callable[[], None]] = []
@@ -70,8 +72,8 @@
 class Batch:
     """The running and the waiting requests of an engine.
 
-    ``start`` is called when a request leaves the queue and returns how many
-    prompt tokens have yet to be processed.
+    ``start`` is called when a request leaves the queue and returns how many of
+    its prompt tokens are cached.
     """
 
     def __init__(
@@ -134,7 +136,8 @@
         while self._waiting and len(self.running) < self.capacity:
             _, _, run = heapq.heappop(self._waiting)
             run.started = True
-            run.prefill_left = self._start(run)
+            run.cached_tokens = min(self._start(run), run.prompt.tokens)
+            run.prefill_left = run.prompt.tokens - run.cached_tokens
             self.running.append(run)
 
     def _prefill(self) -> None:
--- a/lavendershift_standins/engine.py
+++ b/lavendershift_standins/engine.py
@@ -7,8 +7,6 @@
 """
 
 import asyncio
-from collections import deque
-from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 from typing import Any, NamedTuple, TypedDict
@@ -33,6 +31,7 @@
 from lavendershift_standins.prefixcache import PrefixCache
 from lavendershift_standins.prompts import BLOCK_TOKENS, Prompt
 from lavendershift_standins.steploop import StepLoop
+from lavendershift_standins.weights import WeightStore
 
 
 class EngineSettings(NamedTuple):
@@ -86,12 +85,23 @@
 
 
 class EngineApp(StandInApp):
-    """Serves the OpenAI interface and the control calls of an engine."""
+    """Serves the OpenAI interface and the control calls of an engine.
+
+    Without a ``weights`` store it has one of its own, which serves one load at
+    a time.
+    """
 
     program = "engine"
 
-    def __init__(self, settings: EngineSettings, clock: Clock, rng: Random) -> None:
+    def __init__(
+        self,
+        settings: EngineSettings,
+        clock: Clock,
+        rng: Random,
+        weights: WeightStore | None = None,
+    ) -> None:
         super().__init__(settings, clock, rng)
+        self.weights = weights or WeightStore(parallel_loads=1)
         self.models = list(settings.models)
         self.adapters = list(settings.adapters)
         self.role = settings.role
@@ -110,8 +120,7 @@
         )
         self._load = LoadHistory(timedelta(milliseconds=settings.load_lag_ms))
         self._steps = StepLoop(self._step, self._find_interval_s)
-        self._orders: deque[tuple[float, Callable[[], None]]] = deque()
-        self._loading: asyncio.Task[None] | None = None
+        self._loading: set[asyncio.Task[None]] = set()
 
     def list_routes(self) -> list[tuple[Any, ...]]:
         """Return the routes."""
@@ -135,8 +144,8 @@
     async def on_stop(self) -> None:
         """Stop stepping and loading."""
         self._steps.stop()
-        if self._loading is not None:
-            self._loading.cancel()
+        for task in self._loading:
+            task.cancel()
 
     @property
     def now_s(self) -> int:
@@ -183,30 +192,30 @@
         return [self._describe(run) for run in self.runs.values()]
 
     def follow_order(self, order: str, name: str) -> None:
-        """Carry out an order; models and adapters are loaded one by one."""
+        """Carry out an order, at once or as soon as the weights are loaded."""
         if order == "set_role":
             self.role = name
             self._report_load()
+        elif order == "load_model":
+            self._start_loading(self.models, name, self.settings.load_model_ms)
+        else:
+            self._start_loading(self.adapters, name, self.settings.load_adapter_ms)
+
+    def _start_loading(self, held: list[str], name: str, load_ms: int) -> None:
+        duration_s = load_ms * self.settings.time_scale / 1000
+        task = asyncio.ensure_future(self._load_weights(held, name, duration_s))
+        self._loading.add(task)
+        task.add_done_callback(self._loading.discard)
+
+    async def _load_weights(
+        self, held: list[str], name: str, duration_s: float
+    ) -> None:
+        if name in held:
             return
-        held, load_ms = {
-            "load_model": (self.models, self.settings.load_model_ms),
-            "load_adapter": (self.adapters, self.settings.load_adapter_ms),
-        }[order]
-
-        def finish() -> None:
-            if name not in held:
-                held.append(name)
-            self._report_load()
-
-        self._orders.append((load_ms * self.settings.time_scale / 1000, finish))
-        if self._loading is None or self._loading.done():
-            self._loading = asyncio.ensure_future(self._load_ordered())
-
-    async def _load_ordered(self) -> None:
-        while self._orders:
-            duration_s, finish = self._orders.popleft()
-            await asyncio.sleep(duration_s)
-            finish()
+        await self.weights.load(duration_s * self.faults.slow_factor)
+        if name not in held:
+            held.append(name)
+        self._report_load()
 
     def _find_output_tokens(self, prompt: Prompt) -> int:
         low, high = self.settings.min_output_tokens, self.settings.max_output_tokens
@@ -218,7 +227,7 @@
         cached = self.cache.look_up(run.prompt.prefixes)
         self.cache.store(run.prompt.prefixes, self.clock.elapsed())
         run.prompt = run.prompt._replace(prefixes=[])  # long, and needed no more
-        return max(0, run.prompt.tokens - cached * BLOCK_TOKENS)
+        return cached * BLOCK_TOKENS
 
     def _step(self) -> bool:
         self.batch.step()
--- a/lavendershift_standins/faults.py
+++ b/lavendershift_standins/faults.py
@@ -13,15 +13,11 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
-from datetime import timedelta
+from collections.abc import Callable
 from enum import Enum
-from random import Random
-from typing import Any, Literal, NamedTuple, Protocol, TypeVar
+from typing import Annotated, Any, Literal, NamedTuple, Protocol, TypeVar
 
-from pydantic import TypeAdapter, ValidationError
-
-from lavendershift.clocks import Clock
+from pydantic import Field, TypeAdapter
 
 
 class Phase(Enum):
@@ -53,6 +49,10 @@
         ...
 
 
+ErrorStatus = Annotated[int, Field(ge=400, le=599)]
+Count = Annotated[int, Field(ge=1)]
+
+
 class When(NamedTuple):
     """The calls that a fault hits.
 
@@ -62,18 +62,9 @@
 
     path: str = ""
     method: str = ""
-    times: int | None = None
-    probability: float = 1.0
-    duration_ms: int | None = None
-
-
-class FaultError(ValueError):
-    """A fault that does not exist or has a wrong field, named by ``location``."""
-
-    def __init__(self, location: str, reason: str) -> None:
-        super().__init__(f"{location}: {reason}")
-        self.location = location
-        self.reason = reason
+    times: Count | None = None
+    probability: Annotated[float, Field(ge=0, le=1)] = 1.0
+    duration_ms: Count | None = None
 
 
 class FaultKind(NamedTuple):
@@ -110,7 +101,7 @@
 class Refuse(NamedTuple):
     """Refuses before the call runs, with ``Not-Run: true``."""
 
-    status: int = 503
+    status: ErrorStatus = 503
     when: When = When()
 
     async def strike(self, call: Call) -> bool:
@@ -123,7 +114,7 @@
 class Fail(NamedTuple):
     """Fails at once without running the call, and doesn't say so."""
 
-    status: int = 500
+    status: ErrorStatus = 500
     when: When = When()
 
     async def strike(self, call: Call) -> bool:
@@ -178,7 +169,7 @@
 class Delay(NamedTuple):
     """Sends the answer late."""
 
-    delay_ms: int = 1000
+    delay_ms: Count = 1000
     when: When = When()
 
     async def strike(self, call: Call) -> bool:
@@ -207,7 +198,7 @@
 class FailAfter(NamedTuple):
     """Runs the call, then answers with a failure that leaves this open."""
 
-    status: int = 500
+    status: ErrorStatus = 500
     when: When = When()
 
     async def strike(self, call: Call) -> bool:
@@ -224,7 +215,7 @@
     silent. A model engine goes on running the request.
     """
 
-    length: int = 1
+    length: Count = 1
     answer: Literal["close", "hang"] = "close"
     when: When = When()
 
@@ -233,127 +224,5 @@
 class Slow(NamedTuple):
     """Multiplies the time that a step of an engine or any other call takes."""
 
-    factor: float = 10.0
+    factor: Annotated[float, Field(gt=0)] = 10.0
     when: When = When()
-
-
-class ActiveFault:
-    """A fault in force and what is left of it."""
-
-    def __init__(self, kind: FaultKind, fault: Any, now: timedelta) -> None:
-        self.kind = kind
-        self.fault = fault
-        self.hits = 0
-        when: When = fault.when
-        self._end: timedelta | None = None
-        if when.duration_ms is not None:
-            self._end = now + timedelta(milliseconds=when.duration_ms)
-
-    def is_over(self, now: timedelta) -> bool:
-        """Return whether the fault is used up."""
-        times = self.fault.when.times
-        if times is not None and self.hits >= times:
-            return True
-        return self._end is not None and now >= self._end
-
-    def matches(self, method: str, path: str) -> bool:
-        """Return whether the fault is meant for this call."""
-        when: When = self.fault.when
-        return path.startswith(when.path) and when.method in ("", method)
-
-    def describe(self) -> dict[str, Any]:
-        """Return the JSON form, with the number of calls hit so far."""
-        fields = self.kind.adapter.dump_python(self.fault, mode="json")
-        named = dict(zip(self.fault._fields, fields, strict=True))
-        named["when"] = dict(zip(When._fields, named["when"], strict=True))
-        return {"fault": self.kind.name, **named, "hits": self.hits}
-
-
-class FaultSet:
-    """The faults in force of one program."""
-
-    def __init__(self, program: str, clock: Clock, rng: Random) -> None:
-        self._program = program
-        self._clock = clock
-        self._rng = rng
-        self._active: dict[str, ActiveFault] = {}
-
-    def add(self, body: Any) -> None:
-        """Put the fault of a JSON body in force; raises ``FaultError``."""
-        if not isinstance(body, dict):
-            raise FaultError("body", "expected an object")
-        fields = dict(body)
-        name = fields.pop("fault", None)
-        kind = FAULT_KINDS.get(name) if isinstance(name, str) else None
-        if kind is None or self._program not in kind.programs:
-            known = [k.name for k in self.list_kinds()]
-            raise FaultError("fault", f"unknown fault {name!r}, known are {known}")
-        try:
-            fault = kind.adapter.validate_python(fields)
-        except ValidationError as error:
-            first = error.errors()[0]
-            location = ".".join(str(part) for part in first["loc"]) or name
-            raise FaultError(location, first["msg"]) from None
-        self._active[name] = ActiveFault(kind, fault, self._clock.elapsed())
-
-    def list_kinds(self) -> list[FaultKind]:
-        """Return the kinds of fault that this program can show."""
-        return [k for k in FAULT_KINDS.values() if self._program in k.programs]
-
-    def remove(self, name: str = "") -> None:
-        """End the fault ``name``, or all of them."""
-        if name:
-            self._active.pop(name, None)
-        else:
-            self._active.clear()
-
-    def describe(self) -> list[dict[str, Any]]:
-        """Return the JSON form of all faults in force."""
-        self._drop_finished()
-        return [active.describe() for active in self._active.values()]
-
-    async def apply(self, phase: Phase, call: Call) -> bool:
-        """Let the faults of ``phase`` strike; return whether the call is over."""
-        for active in self._hit(phase, call):
-            if await active.fault.strike(call):
-                return True
-        return False
-
-    def find_truncation(self, call: Call) -> Truncate | None:
-        """Return the fault that breaks off the answer to ``call``, if any."""
-        for active in self._hit(Phase.BODY, call):
-            fault: Truncate = active.fault
-            return fault
-        return None
-
-    @property
-    def slow_factor(self) -> float:
-        """The factor by which everything takes longer now."""
-        active = self._active.get("slow")
-        if active is None:
-            return 1.0
-        if active.is_over(self._clock.elapsed()):
-            del self._active["slow"]
-            return 1.0
-        factor: float = active.fault.factor
-        return factor
-
-    def _hit(self, phase: Phase, call: Call) -> Iterator[ActiveFault]:
-        if not self._active:
-            return
-        self._drop_finished()
-        method, path = call.describe()
-        for active in list(self._active.values()):
-            if active.kind.phase is not phase or not active.matches(method, path):
-                continue
-            if self._rng.random() < active.fault.when.probability:
-                active.hits += 1
-                yield active
-
-    def _drop_finished(self) -> None:
-        now = self._clock.elapsed()
-        self._active = {
-            name: active
-            for name, active in self._active.items()
-            if not active.is_over(now)
-        }
--- a/lavendershift_standins/logstream.py
+++ b/lavendershift_standins/logstream.py
@@ -30,6 +30,7 @@
         self._retention = retention
         self._entries: list[bytes] = []
         self._times_ms: list[int] = []
+        self._last_ms = 0
         self._appended = asyncio.Event()
         self.first_offset = 0
 
@@ -45,13 +46,14 @@
         the clock stepped back.
         """
         first = self.end_offset
-        time_ms = max(now_ms, self._times_ms[-1]) if self._times_ms else now_ms
+        if not records:
+            return first
+        time_ms = self._last_ms = max(now_ms, self._last_ms)
         for i, record in enumerate(records):
             self._entries.append(b"[%d,%d,%s]" % (first + i, time_ms, record))
             self._times_ms.append(time_ms)
-        if records:
-            self._appended.set()
-            self._appended = asyncio.Event()
+        self._appended.set()
+        self._appended = asyncio.Event()
         return first
 
     def read(self, offset: int, limit: int) -> ReadPage:
@@ -61,11 +63,7 @@
         return ReadPage(entries, offset + len(entries), self.end_offset)
 
     def expire(self, now_ms: int) -> None:
-        """Drop the entries that the retention no longer covers.
-
-        The last entry's time is kept, so that time does not fall in a stream
-        that emptied.
-        """
+        """Drop the entries that the retention no longer covers."""
         count = 0
         if self._retention.records is not None:
             count = max(0, len(self._entries) - self._retention.records)
@@ -75,7 +73,7 @@
                 count += 1
         if count:
             del self._entries[:count]
-            del self._times_ms[: min(count, len(self._times_ms) - 1)]
+            del self._times_ms[:count]
             self.first_offset += count
 
     async def wait_appended(self, timeout_s: float) -> None:
--- /dev/null
+++ b/lavendershift_standins/tests/test_faults.py
@@ -0,0 +1,133 @@
+import asyncio
+
+import pytest
+
+from lavendershift_standins.faults import FAULT_KINDS
+
+
+async def check_refuse(bench, app):
+    await bench.fault(app, "refuse", status=429, when={"times": 1})
+    reply = await bench.call(app, "/a", b"x")
+    assert (reply.status, reply.headers["Not-Run"]) == (429, "true")
+    return 0
+
+
+async def check_fail(bench, app):
+    await bench.fault(app, "fail", when={"times": 1})
+    reply = await bench.call(app, "/a", b"x")
+    assert reply.status == 500
+    assert "Not-Run" not in reply.headers
+    return 0
+
+
+async def check_hang(bench, app):
+    await bench.fault(app, "hang", when={"times": 1})
+    assert (await bench.call(app, "/a", b"x", timeout_s=0.2)).broken
+    return 0
+
+
+async def check_close(bench, app):
+    await bench.fault(app, "close", when={"times": 1})
+    assert (await bench.call(app, "/a", b"x")).broken
+    return 0
+
+
+async def check_outage(bench, app):
+    for answer, status in (("503", 503), ("close", 599), ("hang", 599)):
+        await bench.fault(app, "outage", answer=answer, when={"times": 1})
+        assert (await bench.call(app, "/a", b"x", timeout_s=0.3)).status == status
+    return 0
+
+
+async def check_delay(bench, app):
+    await bench.fault(app, "delay", delay_ms=300, when={"times": 1})
+    pending = asyncio.ensure_future(bench.call(app, "/a", b"x"))
+    while not app.executions:
+        await asyncio.sleep(0.005)
+    assert not pending.done()
+    assert (await pending).status == 200
+    return 1
+
+
+async def check_lose_reply(bench, app):
+    await bench.fault(app, "lose_reply", when={"times": 1})
+    assert (await bench.call(app, "/a", b"x")).broken
+    return 1
+
+
+async def check_fail_after(bench, app):
+    await bench.fault(app, "fail_after", status=502, when={"times": 1})
+    reply = await bench.call(app, "/a", b"x")
+    assert reply.status == 502
+    assert "Not-Run" not in reply.headers
+    return 1
+
+
+async def check_truncate(bench, app):
+    for answer in ("close", "hang"):
+        when = {"times": 1}
+        await bench.fault(app, "truncate", length=5, answer=answer, when=when)
+        reply = await bench.call(app, "/a", b"x", timeout_s=0.3)
+        assert (reply.broken, len(reply.body)) == (True, 5)
+    return 2
+
+
+async def check_slow(bench, app):
+    await bench.fault(app, "slow", factor=100.0, when={"duration_ms": 60_000})
+    assert (await bench.call(app, "/a", b"x", timeout_s=0.1)).broken
+    await bench.call(app, "/control/faults/slow", method="DELETE")
+    return 1
+
+
+CHECKS = {
+    name.removeprefix("check_"): check
+    for name, check in globals().items()
+    if name.startswith("check_")
+}
+
+
+@pytest.mark.parametrize("name", FAULT_KINDS)
+def test_fault_strikes_and_ends(run, name):
+    async def scenario(bench):
+        app = await bench.service()
+        executed = await CHECKS[name](bench, app)
+        assert len(app.executions) == executed
+        assert (await bench.call(app, "/control/faults")).json == {"faults": []}
+        assert (await bench.call(app, "/a", b"x")).status == 200
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("body", "location"),
+    [
+        ({"fault": "explode"}, "fault"),
+        ({}, "fault"),
+        ([], "body"),
+        ({"fault": "refuse", "status": "many"}, "status"),
+        ({"fault": "refuse", "state": 503}, "state"),
+        ({"fault": "hang", "when": {"time": 1}}, "when.time"),
+        ({"fault": "hang", "when": {"probability": 2}}, "when.probability"),
+    ],
+)
+def test_wrong_fault_is_located(run, body, location):
+    async def scenario(bench):
+        app = await bench.service()
+        reply = await bench.call(app, "/control/faults", body)
+        assert (reply.status, reply.json["error"]["location"]) == (400, location)
+
+    run(scenario)
+
+
+def test_fault_hits_only_its_calls(run):
+    async def scenario(bench):
+        app = await bench.log()
+        when = {"path": "/streams/a/", "method": "POST"}
+        await bench.fault(app, "outage", when=when)
+        assert (await bench.call(app, "/streams/a/records", [1])).status == 503
+        assert (await bench.call(app, "/streams/a/records")).status == 200
+        assert (await bench.call(app, "/streams/b/records", [1])).status == 200
+        reply = await bench.call(app, "/control/faults", {"fault": "truncate"})
+        assert reply.status == 400
+
+    run(scenario)
