Add the operators' command

It folds the streams as the routers do, so it shows the same verdicts. A publisher whose reply was lost looks for its id in the stream and repeats the same record under the same id; without an answer in time it says unknown and exits with 2.

--- /dev/null
+++ b/lavendershift/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' program ``lavendershift``, one module a group."""
--- /dev/null
+++ b/lavendershift/commands/access.py
@@ -0,0 +1,232 @@
+"""How the commands reach the fleet: the log service and the routers' HTTP.
+
+``LogReader`` folds the configuration and the ledgers from the log exactly as
+the routers do, restoring the latest checkpoint where there is one, so that a
+command sees the same verdicts::
+
+    reader = LogReader(log)
+    configuration = await reader.read_configuration()
+"""
+
+import asyncio
+import getpass
+import secrets
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Annotated, NamedTuple
+
+import cappa
+import msgspec
+from rich.progress import Progress
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError
+
+from lavendershift.checkpoints import join_checkpoint
+from lavendershift.commands.output import make_progress
+from lavendershift.configuration import Configuration
+from lavendershift.errors import RecordsExpiredError
+from lavendershift.followers import find_end, read_checkpoint
+from lavendershift.ledger import Ledger
+from lavendershift.nodes import VmSettings
+from lavendershift.plugins.http_log import HttpLogClient
+from lavendershift.records import CONFIG_STREAM, LEDGER_STREAM_PREFIX, Entry
+from lavendershift.streams import LogClient
+
+READ_LIMIT = 1_000  # entries of one read
+STATUS_TIMEOUT = timedelta(seconds=2)
+ID_BYTES = 8
+
+
+class Access(msgspec.Struct, kw_only=True):
+    """Options of every command that reads the log."""
+
+    log: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("LAVENDERSHIFT_LOG", default="http://127.0.0.1:7300"),
+            help="URL of the log service, or LAVENDERSHIFT_LOG",
+        ),
+    ] = "http://127.0.0.1:7300"
+    timeout_s: Annotated[
+        float, cappa.Arg(long=True, help="Seconds to wait for one answer of the log")
+    ] = 5.0
+    json: Annotated[bool, cappa.Arg(long=True, help="Print JSON")] = False
+
+    def open_log(self) -> LogClient:
+        """Return a client of the log service."""
+        return HttpLogClient(self.log, timedelta(seconds=self.timeout_s))
+
+
+class LedgerAccess(Access, kw_only=True):
+    """Options of every command that reads the ledgers."""
+
+    shards: Annotated[
+        int,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("LAVENDERSHIFT_SHARDS", default="1"),
+            help="Ledger streams, as in the routers' settings",
+        ),
+    ] = 1
+    key_retention_h: Annotated[
+        float, cappa.Arg(long=True, help="Hours, as in the routers' settings")
+    ] = 48.0
+
+    @property
+    def key_retention(self) -> timedelta:
+        """Time for which request keys are kept."""
+        return timedelta(hours=self.key_retention_h)
+
+    def list_streams(self) -> list[str]:
+        """Return the names of all ledger streams."""
+        return [f"{LEDGER_STREAM_PREFIX}{shard}" for shard in range(self.shards)]
+
+
+class LogReader:
+    """Reads and folds streams up to their present end."""
+
+    def __init__(self, log: LogClient, progress: Progress | None = None) -> None:
+        self._log = log
+        self._progress = progress or make_progress()
+
+    async def read_configuration(self) -> Configuration:
+        """Return the configuration in force at the end of the stream."""
+        parts = await read_checkpoint(self._log, CONFIG_STREAM)
+        configuration = Configuration()
+        if parts:
+            configuration = Configuration.restore(join_checkpoint(parts)[0])
+        return await self.advance_configuration(configuration)
+
+    async def advance_configuration(
+        self, configuration: Configuration
+    ) -> Configuration:
+        """Fold what follows up to the present end."""
+        for entry in await self.read_rest(CONFIG_STREAM, configuration.next_offset):
+            configuration.fold(entry)
+        return configuration
+
+    async def read_ledger(
+        self, stream: str, shards: int, key_retention: timedelta
+    ) -> tuple[Ledger, Configuration]:
+        """Return a folded ledger and a configuration at least as new."""
+        parts = await read_checkpoint(self._log, stream)
+        start = parts[0].next_offset if parts else 0
+        entries = await self.read_rest(stream, start)
+        configuration = await self.read_configuration()
+        if parts:
+            ledger = Ledger.restore(parts, configuration.prepaid, key_retention)
+        else:
+            ledger = Ledger(stream, configuration.prepaid, shards, key_retention)
+        for entry in entries:
+            ledger.fold(entry)
+        return ledger, configuration
+
+    async def read_retained(self, stream: str) -> list[Entry]:
+        """Return all entries that the log still has."""
+        first, _ = await find_end(self._log, stream)
+        return await self.read_rest(stream, first)
+
+    async def read_rest(self, stream: str, offset: int) -> list[Entry]:
+        """Return the entries from ``offset`` to the end known at the start."""
+        entries: list[Entry] = []
+        end = offset + 1
+        with self._progress as progress:
+            task = progress.add_task(f"reading {stream}", total=None)
+            while offset < end:
+                result = await self._log.read_entries(
+                    stream, offset, READ_LIMIT, timedelta()
+                )
+                end = result.end_offset if not entries else end
+                entries += result.entries
+                if not result.entries:
+                    break
+                offset = result.next_offset
+                progress.update(task, completed=offset, total=end)
+        return entries
+
+
+class LedgerStatus(msgspec.Struct):
+    """How far a router has folded one ledger stream."""
+
+    stream: str
+    next_offset: int
+    end_offset: int
+    log_reachable: bool = True
+
+
+class RouterStatus(msgspec.Struct):
+    """What the commands use of a router's ``GET /v1/status``."""
+
+    vm: str
+    incarnation: str
+    ready: bool
+    config_offset: int
+    failure_domain: str = ""
+    fault: str | None = None
+    in_flight: int = 0
+    ledgers: list[LedgerStatus] = []
+    servers: dict[str, bool] = {}
+
+
+class StatusAnswer(NamedTuple):
+    """A router's status, or why there is none."""
+
+    vm: str
+    status: RouterStatus | None
+    fault: str
+
+
+class StatusClient:
+    """Asks routers for their status."""
+
+    def __init__(self, timeout: timedelta = STATUS_TIMEOUT) -> None:
+        self._timeout = timeout
+        self._http = CurlAsyncHTTPClient(force_instance=True)
+
+    async def fetch(self, vm: str, address: str) -> StatusAnswer:
+        """Return the answer of the router at ``address``."""
+        timeout = self._timeout.total_seconds()
+        try:
+            response = await self._http.fetch(
+                f"http://{address}/v1/status",
+                connect_timeout=timeout,
+                request_timeout=timeout,
+            )
+            status = msgspec.json.decode(response.body, type=RouterStatus)
+        except (HTTPClientError, OSError) as error:
+            return StatusAnswer(vm, None, str(error))
+        except msgspec.DecodeError as error:
+            return StatusAnswer(vm, None, f"unreadable answer: {error}")
+        return StatusAnswer(vm, status, "")
+
+    async def fetch_all(self, vms: Mapping[str, VmSettings]) -> list[StatusAnswer]:
+        """Return the answers of all ``vms``, asked at once, in their order."""
+        return await asyncio.gather(
+            *(self.fetch(name, vm.address) for name, vm in vms.items())
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+
+def make_id() -> str:
+    """Return a new random id for an operator's record."""
+    return secrets.token_hex(ID_BYTES)
+
+
+def find_author() -> str:
+    """Return the name that records cite as their author."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def describe_expired(error: RecordsExpiredError) -> str:
+    """Return what an operator can do about records that are gone."""
+    return (
+        f"{error}; no checkpoint covers them: start a router, which writes "
+        f"one, or restore the stream"
+    )
--- /dev/null
+++ b/lavendershift/commands/publish.py
@@ -0,0 +1,248 @@
+"""``lavendershift publish`` and ``drain``: changes to the settings tree."""
+
+import asyncio
+import sys
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Literal, NamedTuple
+
+import cappa
+from returns.result import Failure, Success
+
+from lavendershift.clocks import Clock, SystemClock
+from lavendershift.commands.access import (
+    Access,
+    LogReader,
+    StatusAnswer,
+    StatusClient,
+    find_author,
+    make_id,
+)
+from lavendershift.commands.output import (
+    ExitCode,
+    make_progress,
+    print_faults,
+    print_result,
+)
+from lavendershift.commands.publishing import Outcome, Published, Publisher
+from lavendershift.commands.running import run_command
+from lavendershift.commands.tree import select_changed
+from lavendershift.commands.treefiles import load_tree_file
+from lavendershift.configuration import Configuration
+from lavendershift.nodes import VmSettings
+from lavendershift.records import Change, Setting
+from lavendershift.streams import LogClient
+from lavendershift.values import suggest_name
+
+POLL_INTERVAL = timedelta(milliseconds=200)
+
+EXIT_OF_OUTCOME = {
+    Outcome.ACCEPTED: ExitCode.DONE,
+    Outcome.REJECTED: ExitCode.REFUSED,
+    Outcome.UNKNOWN: ExitCode.UNKNOWN,
+}
+
+
+class PublishResult(NamedTuple):
+    """What became of a change, and where it is known to be in force.
+
+    ``in_force`` and ``routers`` are ``None`` unless that was waited for;
+    ``behind`` names the routers that have not confirmed it.
+    """
+
+    id: str
+    outcome: Outcome
+    offset: int
+    reason: str
+    in_force: int | None = None
+    routers: int | None = None
+    behind: tuple[str, ...] = ()
+
+
+class Publishing(Access, kw_only=True):
+    """Options of every command that publishes."""
+
+    id: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="Id of an earlier try whose outcome is unknown"),
+    ] = None
+    author: Annotated[
+        str | None, cappa.Arg(long=True, help="Author, by default the user's name")
+    ] = None
+    publish_timeout_s: Annotated[
+        float, cappa.Arg(long=True, help="Seconds to try until the outcome is known")
+    ] = 30.0
+
+    def make_publisher(self, log: LogClient) -> Publisher:
+        """Return a publisher that keeps to the timeout."""
+        timeout = timedelta(seconds=self.publish_timeout_s)
+        return Publisher(log, SystemClock(), timeout)
+
+
+class TreePublishing(Publishing, kw_only=True):
+    """Options of every command that changes the tree."""
+
+    wait: Annotated[
+        bool, cappa.Arg(long=True, help="Wait until all routers have it in force")
+    ] = False
+    wait_s: Annotated[
+        float, cappa.Arg(long=True, help="Longest such wait, seconds")
+    ] = 30.0
+
+    async def publish_settings(
+        self,
+        log: LogClient,
+        configuration: Configuration,
+        settings: list[Setting],
+        base: int,
+    ) -> ExitCode:
+        """Publish ``settings`` as one change and report its outcome."""
+        change = Change(
+            self.id or make_id(), base, self.author or find_author(), settings
+        )
+        published = await self.make_publisher(log).publish(change, configuration)
+        result = PublishResult(*published)
+        if self.wait and published.outcome is Outcome.ACCEPTED:
+            wait = timedelta(seconds=self.wait_s)
+            result = await wait_in_force(
+                published, configuration, StatusClient(), SystemClock(), wait
+            )
+        print_result(result, describe_result(result), self.json)
+        if result.behind:
+            return ExitCode.UNKNOWN
+        return EXIT_OF_OUTCOME[result.outcome]
+
+
+@cappa.command(name="publish", help="Publish a file of settings to the tree")
+class Publish(TreePublishing, kw_only=True):
+    """Publish a file of settings to the tree.
+
+    The file has a table for each node. Only values that differ from those in
+    force are published, based on the newest configuration. With --base all
+    values are, and the change is rejected if any of their keys was changed at
+    that offset or later.
+
+    A change is accepted, rejected with its cause, or unknown when the log did
+    not answer in time. After "unknown" repeat the command with the --id that
+    it printed: the id counts once.
+
+    Example: `lavendershift publish tree.toml --wait`
+
+    Example: `lavendershift publish tree.toml --base 41`
+    """
+
+    file: Annotated[Path, cappa.Arg(help="Tree file")]
+    base: Annotated[
+        int | None, cappa.Arg(long=True, help="Offset the change was made against")
+    ] = None
+
+    def __call__(self) -> int:
+        """Publish the file."""
+        match load_tree_file(self.file):
+            case Failure(faults):
+                print_faults(faults, self.json)
+                return ExitCode.REFUSED
+            case Success(settings):
+                return run_command(self, lambda log: self.run(log, settings))
+        return ExitCode.UNKNOWN
+
+    async def run(self, log: LogClient, settings: list[Setting]) -> ExitCode:
+        """Publish what differs, or with a base everything."""
+        configuration = await LogReader(log).read_configuration()
+        if self.id and configuration.find_verdict(self.id):
+            return await self.publish_settings(log, configuration, settings, 0)
+        base = configuration.next_offset if self.base is None else self.base
+        if self.base is None:
+            settings = select_changed(configuration, settings)
+        if not settings:
+            print("nothing to change", file=sys.stderr)
+            return ExitCode.DONE
+        return await self.publish_settings(log, configuration, settings, base)
+
+
+@cappa.command(name="drain", help="Mark a VM or server as leaving")
+class Drain(TreePublishing, kw_only=True):
+    """Mark a VM or server as leaving, or with --undo as live again.
+
+    A leaving server gets no new work; a leaving VM is no longer offered to
+    callers. What is in flight goes on to its end.
+
+    Example: `lavendershift drain server index1 --wait`
+    """
+
+    kind: Annotated[Literal["vm", "server"], cappa.Arg(help="What leaves")]
+    name: Annotated[str, cappa.Arg(help="Its name in the tree")]
+    undo: Annotated[bool, cappa.Arg(long=True, help="Make it live again")] = False
+
+    def __call__(self) -> int:
+        """Publish the change of state."""
+        return run_command(self, self.run)
+
+    async def run(self, log: LogClient) -> ExitCode:
+        """Publish the change of state if there is such a node."""
+        configuration = await LogReader(log).read_configuration()
+        known = configuration.vms() if self.kind == "vm" else configuration.servers()
+        if self.name not in known:
+            nearest = suggest_name(self.name, known)
+            hint = f"; did you mean {nearest!r}?" if nearest else ""
+            print(f"no {self.kind} {self.name!r} in the tree{hint}", file=sys.stderr)
+            return ExitCode.REFUSED
+        state = "live" if self.undo else "leaving"
+        setting = Setting(f"{self.kind}s/{self.name}", "state", state)
+        base = configuration.next_offset
+        return await self.publish_settings(log, configuration, [setting], base)
+
+
+async def wait_in_force(
+    published: Published,
+    configuration: Configuration,
+    client: StatusClient,
+    clock: Clock,
+    wait: timedelta,
+) -> PublishResult:
+    """Return on how many of the tree's live routers the change is in force."""
+    vms = {name: vm for name, vm in configuration.vms().items() if vm.state == "live"}
+    deadline = clock.elapsed() + wait
+    behind = set(vms)
+    with make_progress() as progress:
+        task = progress.add_task("routers with the change in force", total=len(vms))
+        while True:
+            answers = await client.fetch_all(pick_vms(vms, behind))
+            behind -= find_confirmed(answers, published.offset)
+            progress.update(task, completed=len(vms) - len(behind))
+            if not behind or clock.elapsed() >= deadline:
+                break
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
+    client.close()
+    in_force = len(vms) - len(behind)
+    return PublishResult(*published, in_force, len(vms), tuple(sorted(behind)))
+
+
+def pick_vms(vms: dict[str, VmSettings], names: set[str]) -> dict[str, VmSettings]:
+    """Return the VMs with these names."""
+    return {name: vms[name] for name in sorted(names)}
+
+
+def find_confirmed(answers: list[StatusAnswer], offset: int) -> set[str]:
+    """Return the VMs whose router has folded the entry at ``offset``."""
+    return {
+        answer.vm
+        for answer in answers
+        if answer.status is not None and answer.status.config_offset > offset
+    }
+
+
+def describe_result(result: PublishResult) -> str:
+    """Return the result as a sentence."""
+    if result.outcome is Outcome.UNKNOWN:
+        return (
+            f"unknown: {result.reason}; it may take effect yet. "
+            f"Repeat with --id {result.id}"
+        )
+    if result.outcome is Outcome.REJECTED:
+        return f"rejected at offset {result.offset}: {result.reason}"
+    text = f"accepted at offset {result.offset}, id {result.id}"
+    if result.routers is None:
+        return text
+    text = f"{text}; in force on {result.in_force} of {result.routers} routers"
+    return f"{text}, not on {', '.join(result.behind)}" if result.behind else text
--- /dev/null
+++ b/lavendershift/commands/release.py
@@ -0,0 +1,150 @@
+"""``lavendershift budgets release``: tokens of a lost router set free."""
+
+import asyncio
+import sys
+from datetime import timedelta
+from typing import Annotated, NamedTuple
+
+import cappa
+
+from lavendershift.clocks import Clock, SystemClock
+from lavendershift.commands.access import LedgerAccess, LogReader, find_author, make_id
+from lavendershift.commands.output import ExitCode, print_result
+from lavendershift.commands.publishing import Outcome
+from lavendershift.commands.running import run_command
+from lavendershift.configuration import Configuration
+from lavendershift.errors import LogUnavailableError
+from lavendershift.ledger import Ledger
+from lavendershift.records import Release, find_ledger_stream
+from lavendershift.streams import LogClient
+
+RETRY_PAUSE = timedelta(milliseconds=200)
+
+
+class ReleaseResult(NamedTuple):
+    """What became of a release; ``tokens`` is what was set free."""
+
+    id: str
+    outcome: Outcome
+    offset: int
+    tokens: int
+    reason: str
+
+
+@cappa.command(name="release", help="Set a lost router's tokens free on evidence")
+class BudgetsRelease(LedgerAccess, kw_only=True):
+    """Set a lost router's tokens free on evidence.
+
+    Tokens of an evicted router stay in doubt, since it may have spent them.
+    Release them only when it is certain that it did not and never will: its
+    VM is destroyed, and the servers' own records show what they ran for it.
+
+    Example: `lavendershift budgets release plume r3.170-ab 5000
+    --evidence "VM r3 destroyed, no requests on any engine"`
+    """
+
+    budget: Annotated[str, cappa.Arg(help="Name of the budget")]
+    incarnation: Annotated[str, cappa.Arg(help="Incarnation that holds the tokens")]
+    tokens: Annotated[int, cappa.Arg(help="Tokens to set free")]
+    evidence: Annotated[str, cappa.Arg(long=True, help="Why they are unspent")]
+    id: Annotated[
+        str | None, cappa.Arg(long=True, help="Id of an earlier try with no outcome")
+    ] = None
+    author: Annotated[
+        str | None, cappa.Arg(long=True, help="Author, by default the user's name")
+    ] = None
+    publish_timeout_s: Annotated[
+        float, cappa.Arg(long=True, help="Seconds to try until the outcome is known")
+    ] = 30.0
+
+    def __call__(self) -> int:
+        """Publish the release."""
+        if self.tokens <= 0 or not self.evidence.strip():
+            print("tokens must be positive, evidence not empty", file=sys.stderr)
+            return ExitCode.UNKNOWN
+        return run_command(self, self.run)
+
+    async def run(self, log: LogClient) -> ExitCode:
+        """Publish the release and report what the ledger made of it."""
+        record = Release(
+            self.id or make_id(),
+            self.budget,
+            self.incarnation,
+            self.tokens,
+            self.evidence,
+            self.author or find_author(),
+        )
+        timeout = timedelta(seconds=self.publish_timeout_s)
+        result = await self.publish(log, record, SystemClock(), timeout)
+        print_result(result, describe_release(result), self.json)
+        if result.outcome is Outcome.UNKNOWN:
+            return ExitCode.UNKNOWN
+        accepted = result.outcome is Outcome.ACCEPTED
+        return ExitCode.DONE if accepted else ExitCode.REFUSED
+
+    async def publish(
+        self, log: LogClient, record: Release, clock: Clock, timeout: timedelta
+    ) -> ReleaseResult:
+        """Append ``record`` until the stream shows it, or time is up."""
+        stream = find_ledger_stream(self.budget, self.shards)
+        ledger, configuration = await LogReader(log).read_ledger(
+            stream, self.shards, self.key_retention
+        )
+        if record.id in ledger.operator_ids:
+            reason = "published before; see budgets show"
+            return ReleaseResult(record.id, Outcome.UNKNOWN, -1, 0, reason)
+        publisher = _ReleasePublisher(log, ledger, configuration)
+        deadline = clock.elapsed() + timeout
+        while True:
+            try:
+                return await publisher.publish(record)
+            except LogUnavailableError as error:
+                fault = str(error)
+            if clock.elapsed() >= deadline:
+                return ReleaseResult(record.id, Outcome.UNKNOWN, -1, 0, fault)
+            await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+
+class _ReleasePublisher:
+    """Appends a release and folds the ledger up to the verdict on it."""
+
+    def __init__(
+        self, log: LogClient, ledger: Ledger, configuration: Configuration
+    ) -> None:
+        self._log = log
+        self._reader = LogReader(log)
+        self._ledger = ledger
+        self._configuration = configuration
+
+    async def publish(self, record: Release) -> ReleaseResult:
+        """Append ``record`` unless an earlier try did; return the verdict."""
+        result = await self._find(record)
+        if result is None:
+            await self._log.append_records(self._ledger.stream, [record])
+            result = await self._find(record)
+        if result is None:
+            raise LogUnavailableError("the log does not show the record yet")
+        return result
+
+    async def _find(self, record: Release) -> ReleaseResult | None:
+        """Fold what is new and return the verdict on ``record`` if it is there."""
+        ledger = self._ledger
+        for entry in await self._reader.read_rest(ledger.stream, ledger.next_offset):
+            if ledger.required_config_offset(entry) > self._configuration.next_offset:
+                await self._reader.advance_configuration(self._configuration)
+            verdict = ledger.fold(entry)
+            if entry.record == record:
+                outcome = Outcome.ACCEPTED if verdict.counted else Outcome.REJECTED
+                return ReleaseResult(
+                    record.id, outcome, entry.offset, verdict.tokens, verdict.reason
+                )
+        return None
+
+
+def describe_release(result: ReleaseResult) -> str:
+    """Return the result as a sentence."""
+    if result.outcome is Outcome.UNKNOWN:
+        return f"unknown: {result.reason}. Repeat with --id {result.id}"
+    if result.outcome is Outcome.REJECTED:
+        return f"rejected at offset {result.offset}: {result.reason}"
+    return f"{result.tokens:,} tokens released at offset {result.offset}"
--- /dev/null
+++ b/lavendershift/commands/running.py
@@ -0,0 +1,38 @@
+"""Running a command's coroutine and turning its failures into exit codes."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+
+from lavendershift.commands.access import Access, describe_expired
+from lavendershift.commands.output import ExitCode
+from lavendershift.errors import DecodeError, LogUnavailableError, RecordsExpiredError
+from lavendershift.streams import LogClient
+
+
+def run_command(
+    access: Access, work: Callable[[LogClient], Awaitable[ExitCode]]
+) -> int:
+    """Run ``work`` with a log client and return the command's exit code."""
+    try:
+        return asyncio.run(_run_with_log(access, work))
+    except LogUnavailableError as error:
+        print(f"the log service does not answer: {error}", file=sys.stderr)
+    except RecordsExpiredError as error:
+        print(describe_expired(error), file=sys.stderr)
+    except DecodeError as error:
+        print(f"unreadable data: {error}", file=sys.stderr)
+    except KeyboardInterrupt:
+        print("interrupted", file=sys.stderr)
+    return ExitCode.UNKNOWN
+
+
+async def _run_with_log(
+    access: Access, work: Callable[[LogClient], Awaitable[ExitCode]]
+) -> ExitCode:
+    """Run ``work`` and close the log client after it."""
+    log = access.open_log()
+    try:
+        return await work(log)
+    finally:
+        await log.close()
--- /dev/null
+++ b/lavendershift/commands/status.py
@@ -0,0 +1,129 @@
+"""``lavendershift status``: the state of the fleet."""
+
+from typing import NamedTuple
+
+import cappa
+
+from lavendershift.commands.access import Access, LogReader, StatusAnswer, StatusClient
+from lavendershift.commands.output import ExitCode, print_json, print_rows
+from lavendershift.commands.running import run_command
+from lavendershift.configuration import Configuration
+from lavendershift.streams import LogClient
+
+
+class RouterRow(NamedTuple):
+    """One VM's router.
+
+    ``config_behind`` and ``ledger_behind`` count entries that the log has and
+    the router has not folded yet; a negative ``config_behind`` means that the
+    router follows another log than the one asked.
+    """
+
+    vm: str
+    failure_domain: str
+    state: str
+    ready: bool | None
+    config_offset: int | None
+    config_behind: int | None
+    ledger_behind: int | None
+    in_flight: int | None
+    incarnation: str
+    fault: str
+
+
+class ServerRow(NamedTuple):
+    """One backend server and on how many routers it is available."""
+
+    server: str
+    kind: str
+    failure_domain: str
+    state: str
+    available_on: int
+    routers: int
+
+
+@cappa.command(name="status", help="Show VMs, servers and versions in force")
+class StatusCommand(Access, kw_only=True):
+    """Show VMs, servers, the configuration in force and the lag of the log.
+
+    It ends with 2 when a live VM's router does not answer or is not ready.
+
+    Example: `lavendershift status --json`
+    """
+
+    def __call__(self) -> int:
+        """Print the tables."""
+        return run_command(self, self.run)
+
+    async def run(self, log: LogClient) -> ExitCode:
+        """Ask all routers of the tree and print what they answer."""
+        configuration = await LogReader(log).read_configuration()
+        client = StatusClient()
+        answers = await client.fetch_all(configuration.vms())
+        client.close()
+        routers = [make_router_row(answer, configuration) for answer in answers]
+        servers = list_servers(answers, configuration)
+        if self.json:
+            print_json(
+                {
+                    "config_offset": configuration.next_offset,
+                    "routers": [row._asdict() for row in routers],
+                    "servers": [row._asdict() for row in servers],
+                }
+            )
+        else:
+            offset = configuration.next_offset
+            print_rows(f"Routers, configuration at {offset}", routers, False)
+            print_rows("Backend servers", servers, False)
+        healthy = all(row.ready for row in routers if row.state == "live")
+        return ExitCode.DONE if healthy else ExitCode.UNKNOWN
+
+
+def make_router_row(answer: StatusAnswer, configuration: Configuration) -> RouterRow:
+    """Return the row of one VM."""
+    vm = configuration.vms()[answer.vm]
+    status = answer.status
+    if status is None:
+        return RouterRow(
+            answer.vm,
+            vm.failure_domain,
+            vm.state,
+            None,
+            None,
+            None,
+            None,
+            None,
+            "",
+            answer.fault,
+        )
+    behind = configuration.next_offset - status.config_offset
+    return RouterRow(
+        answer.vm,
+        vm.failure_domain,
+        vm.state,
+        status.ready,
+        status.config_offset,
+        behind,
+        sum(max(0, item.end_offset - item.next_offset) for item in status.ledgers),
+        status.in_flight,
+        status.incarnation,
+        status.fault or "",
+    )
+
+
+def list_servers(
+    answers: list[StatusAnswer], configuration: Configuration
+) -> list[ServerRow]:
+    """Return a row for each backend server of the tree."""
+    reported = [answer.status.servers for answer in answers if answer.status]
+    return [
+        ServerRow(
+            name,
+            server.kind,
+            server.failure_domain,
+            server.state,
+            sum(servers.get(name, False) for servers in reported),
+            len(reported),
+        )
+        for name, server in configuration.servers().items()
+    ]
