Refuse to start a deployment whose addresses are in use

Two runs of one deployment at a time shared half of each other's processes without a word. lib.sh now looks for listeners first. Tried against a run in progress: it names the address and ends with 1.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,10 +23,13 @@
 
 # Calls a plain service: call_service ROUTER CALLER IDEMPOTENCY_KEY METHOD PATH
 call_service() {
+    local body=()
+    if [ "$4" = POST ]; then
+        body=(-H 'Content-Type: application/json' -d '{"index": "Le Trieux"}')
+    fi
     curl -sS -m 30 -o "$RUN_DIR/answer" -w '%{http_code}\n' -X "$4" \
         -H "Authorization: Bearer $(find_key "$2")" -H "Idempotency-Key: $3" \
-        -H 'Content-Type: application/json' -d '{"index": "Le Trieux"}' \
-        "http://$1/services/$5"
+        "${body[@]}" "http://$1/services/$5"
 }
 
 expect() {
@@ -37,12 +40,12 @@
     echo "ok: $1 ($3)"
 }
 
-# Counts the executions of a key on all plain services.
+# Counts the executions of a key, which the router scopes, on all plain services.
 count_executions() {
     local pair
     for pair in $SERVICES; do
         curl -sS "http://${pair#*=}/control/log"
-    done | grep -o "\"idempotency_key\":\"$1\",\"method\"" | wc -l
+    done | grep -oE "\"idempotency_key\":\"([^\"]*/)?$1\",\"method\"" | wc -l
 }
 
 echo "== Start"
@@ -72,6 +75,7 @@
 complete "$FIRST" plume demo-cut 1024 "A long manuscript" >/dev/null 2>&1 &
 CUT=$!
 sleep 0.5
+disown "${PID_OF[r1]}"
 kill -9 "${PID_OF[r1]}"
 wait "$CUT" || echo "ok: the caller's connection broke"
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -61,8 +61,21 @@
         --name "$2" --address "${3%:*}" --port "${3##*:}"
 }
 
+# Fails where something already listens on one of the deployment's addresses.
+check_free() {
+    local pair address
+    for pair in "log=$LOG" "members=$MEMBERS" $ENGINES $SERVICES $ROUTERS; do
+        address=${pair#*=}
+        if (: <>"/dev/tcp/${address%:*}/${address##*:}") 2>/dev/null; then
+            echo "$address is in use; does the deployment run already?" >&2
+            return 1
+        fi
+    done
+}
+
 start_standins() {
     local pair
+    check_free
     start_standin log log "$LOG"
     start members standin-members --config "$DEPLOYMENT/standins/members.toml" \
         --set "file = \"$DEPLOYMENT/members.json\"" \
