--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,6 +9,8 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
+CATALOGUE_PRICE=2 # tokens, as in tree.toml
+APPROVAL_PRICE=20
 FIRST=$(find_router r1)
 SECOND=$(find_router r4)
 
@@ -32,6 +34,17 @@
         "${body[@]}" "http://$1/services/$5"
 }
 
+# Prints the tokens that the last completion's answer says it used.
+read_usage() {
+    grep -o '"total_tokens": *[0-9]*' "$RUN_DIR/answer" | grep -o '[0-9]*$'
+}
+
+# Prints what a budget was billed.
+read_bill() {
+    lavendershift budgets list --log "http://$LOG" --json "$1" |
+        python3 -c 'import json, sys; print(json.load(sys.stdin)[0]["billed"])'
+}
+
 expect() {
     if [ "$2" != "$3" ]; then
         echo "FAILED: $1: expected $2, got $3: $(head -c 500 "$RUN_DIR/answer")" >&2
@@ -57,6 +70,9 @@
 for customer in plume odet recouvrance iroise; do
     status=$(complete "$FIRST" "$customer" "demo-$customer" 40 "Index: $customer")
     expect "completion for $customer" 200 "$status"
+    if [ "$customer" = plume ]; then
+        bill=$(read_usage)
+    fi
 done
 status=$(call_service "$FIRST" plume catalogue-1 GET catalogue/titles/7)
 expect "catalogue lookup" 200 "$status"
@@ -86,7 +102,10 @@
 expect "executions of the approval" 1 "$(count_executions approval-1)"
 status=$(complete "$SECOND" plume demo-cut 1024 "A long manuscript")
 expect "completion repeated" 200 "$status"
+bill=$((bill + $(read_usage) + CATALOGUE_PRICE + APPROVAL_PRICE))
 
 echo "== Spend per customer"
+sleep 1 # charges reach the log in batches
+expect "plume is billed each request once" "$bill" "$(read_bill plume)"
 lavendershift budgets list --log "http://$LOG"
 echo "== Done"
