Stop routers without lost cancellations or closed sockets in use

Cause: a stop closed pynng sockets whose contexts were still in use (a page of pynng.exceptions.Closed per stop), and closed the HTTP client before the watchers that use it. pynng also swallows a cancellation that arrives together with a message; a task stopped in that moment went on and its stop waited for ever. Ruled out: closing the socket first and ignoring the error, as the contexts' destructors raise it again. Change: a reply socket ends its handlers, then its contexts, then itself; requests check for a swallowed cancellation; the HTTP client is stopped after all that use it. Answers carry no Etag.

--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -59,6 +59,9 @@
         """Leave out the server's version."""
         self.clear_header("Server")
 
+    def compute_etag(self) -> None:
+        """Send no Etag; answers are never asked for again by one."""
+
     def send_json(self, data: Any, status: int = 200) -> None:
         """Answer with ``data`` as JSON."""
         self.set_status(status)
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -100,6 +100,7 @@
         self.peers = self._make_peers()
         self.budgets = Budgets({s.stream: self._make_shard(s) for s in sessions})
         self._make_dispatch()
+        self.add_part("client", stop=self._close_client)
         self.add_part("feed", self.feed.start, self.feed.stop)
         for session in sessions:
             self.add_part(session.stream, session.start, session.stop)
@@ -290,12 +291,6 @@
             periodic = Periodic(interval, work)
             self.add_part(name, periodic.start, periodic.stop)
 
-        async def close_client() -> None:
-            await self._inquiry.stop()
-            self._client.close()
-
-        self.add_part("client", stop=close_client)
-
     async def _listen(self) -> None:
         limits = self.settings.limits
         listen = self.settings.listen
@@ -316,6 +311,10 @@
         )
         self._server.listen(listen.address.port, listen.address.host)
 
+    async def _close_client(self) -> None:
+        await self._inquiry.stop()
+        self._client.close()
+
     async def _close_listener(self) -> None:
         self._server.stop()
         await self._server.close_all_connections()
--- a/lavendershift/sockets.py
+++ b/lavendershift/sockets.py
@@ -42,13 +42,14 @@
 
         Raises ``PeerUnavailableError`` after ``timeout``.
         """
-        with self._socket.new_context() as context:
-            try:
+        try:
+            with self._socket.new_context() as context:
                 async with asyncio.timeout(timeout.total_seconds()):
                     await context.asend(encode_message(message))
                     data = await context.arecv()
-            except (TimeoutError, pynng.NNGException) as error:
-                raise PeerUnavailableError(f"{self.address}: {error!r}") from None
+        except (TimeoutError, pynng.NNGException) as error:
+            raise PeerUnavailableError(f"{self.address}: {error!r}") from None
+        check_cancelled()
         try:
             return decode_message(data)
         except DecodeError as error:
@@ -70,13 +71,14 @@
         self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         self._socket.listen(address)
         self._handler = handler
+        self._closing = False
+        self._contexts = [self._socket.new_context() for _ in range(concurrency)]
         self._tasks = [
-            asyncio.ensure_future(self._serve(self._socket.new_context()))
-            for _ in range(concurrency)
+            asyncio.ensure_future(self._serve(context)) for context in self._contexts
         ]
 
     async def _serve(self, context: pynng.Context) -> None:
-        while True:
+        while not self._closing:
             try:
                 data = await context.arecv()
                 reply = await self._answer(data)
@@ -94,7 +96,20 @@
 
     async def close(self) -> None:
         """Stop listening and wait for the handlers to end."""
-        self._socket.close()
+        self._closing = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for context in self._contexts:
+            context.close()
+        self._socket.close()
+
+
+def check_cancelled() -> None:
+    """Raise ``CancelledError`` if the current task was told to end.
+
+    pynng swallows a cancellation that arrives together with a message.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
