See top-ups that no ledger record has cited yet

Cause: what a budget has left was judged at the highest configuration offset cited in the ledger. Routers that joined before the configuration was folded cite 0, so the first request of a fresh fleet was refused as exhausted with 100,000 prepaid tokens, and after a top-up of an exhausted budget no grant was ever asked for. Ruled out: citing each configuration change by a record of its own. Change: the allocator looks at the router's own configuration offset; the fold still decides on the grant, which cites it. Result: the first request on a fleet of two routers got 402 before, 200 after.

--- a/lavendershift/allocators.py
+++ b/lavendershift/allocators.py
@@ -199,10 +199,12 @@
         state = self._budgets[budget]
         account = participant.book.account(budget)
         now = self._clock.elapsed()
+        # A top-up that no record has cited yet can be granted from all the same.
+        offset = max(ledger.config_offset, session.config_offset())
         return HoldingView(
             budget=budget,
-            prepaid=ledger.find_budget(budget).prepaid,
-            available=ledger.find_available(budget),
+            prepaid=ledger.find_budget(budget, offset).prepaid,
+            available=ledger.find_available(budget, offset),
             free=account.free,
             lendable=account.lendable,
             reserved=account.reserved,
