--- a/lavendershift/holdings.py
+++ b/lavendershift/holdings.py
@@ -36,8 +36,9 @@
     ``available`` may still be granted as far as this router has folded.
     ``free`` is unreserved here and ``lendable`` the part of it that may be
     given away. ``asked`` was asked for and not yet answered, by the log or by
-    a peer. ``wanted`` is what waiting requests need in all. ``recalled`` is
-    what others ask this router to hand back. Rates are in tokens per second:
+    a peer. ``wanted`` is what waiting requests need in all, ``least_wanted``
+    the need of the smallest of them. ``recalled`` is what others ask for that
+    are to be served before this router. Rates are in tokens per second:
     of this router, and of all routers together.
     """
 
@@ -49,6 +50,7 @@
     reserved: int
     asked: int
     wanted: int
+    least_wanted: int
     recalled: int
     own_rate: float
     fleet_rate: float
@@ -152,7 +154,7 @@
         return _borrow(view, target)
     surplus = view.free - view.wanted
     if view.recalled and view.lendable:
-        return _hand_back(view, view.recalled)
+        return _hand_back(view, view.recalled) + _recall(view)
     if surplus > target * HIGH_WATER:
         return _hand_back(view, surplus - target)
     ahead = surplus + view.asked
@@ -160,9 +162,7 @@
         return []
     if view.available > view.recalled:
         return _ask(view, max(target - ahead, view.missing))
-    if view.missing:
-        return [AskRecall(view.missing)]
-    return []
+    return _recall(view)
 
 
 def find_target(view: HoldingView) -> int:
@@ -187,6 +187,12 @@
     return [HandBack(tokens)]
 
 
+def _recall(view: HoldingView) -> list[Action]:
+    """Ask for what the smallest waiting request needs."""
+    short = view.least_wanted - view.free - view.asked
+    return [AskRecall(short)] if short > 0 else []
+
+
 def _borrow(view: HoldingView, target: int) -> list[Action]:
     """Borrow for waiting requests, from the nearest peer that holds most."""
     if not view.missing:
--- a/lavendershift/recalls.py
+++ b/lavendershift/recalls.py
@@ -1,9 +1,10 @@
-"""Open pleas for idle tokens, in the order of the log.
+"""Open pleas for idle tokens, smallest first.
 
 Near exhaustion several routers may each hold part of what a waiting request
-needs. The order of their ``Recall`` records decides who is served first: a
-router hands back to those ahead of it and keeps what it has from those behind,
-so that no two of them wait for each other's part.
+needs. All of them see the same ``Recall`` records and serve the smallest plea
+first, and of equal ones the one the log took in first: a router hands back to
+those ahead of it and keeps what it has from those behind, so that no two of
+them wait for each other's part.
 """
 
 from datetime import timedelta
@@ -44,7 +45,8 @@
         They all do while it has no plea of its own.
         """
         wanted = 0
-        for recall in self._find_live(budget, time_ms):
+        live = self._find_live(budget, time_ms)
+        for recall in sorted(live, key=lambda recall: recall.tokens):
             if recall.incarnation == incarnation:
                 break
             wanted += recall.tokens
--- a/lavendershift/tests/fleet.py
+++ b/lavendershift/tests/fleet.py
@@ -231,6 +231,7 @@
             account.reserved,
             self.book.asked(budget),
             self.wanted.get(budget, 0),
+            self.wanted.get(budget, 0),
             recalled,
             5.0,
             10.0,
--- a/lavendershift/tests/test_budget_schedules.py
+++ b/lavendershift/tests/test_budget_schedules.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
 from lavendershift.ledger import Ledger
@@ -18,6 +18,7 @@
         database=None,
         deadline=None,
         max_examples=count,
+        phases=[Phase.generate],  # shrinking 900 bytes takes minutes
         suppress_health_check=list(HealthCheck),
     )
 
--- /dev/null
+++ b/lavendershift/tests/test_ledger.py
@@ -0,0 +1,168 @@
+from datetime import timedelta
+
+import pytest
+
+from lavendershift.errors import DecodeError
+from lavendershift.incarnations import Membership
+from lavendershift.ledger import Ledger
+from lavendershift.records import (
+    Abandon,
+    Charge,
+    Claim,
+    Close,
+    Entry,
+    Evict,
+    EvictAck,
+    Grant,
+    Join,
+    Outcome,
+    Recover,
+    Release,
+    Return,
+    Transfer,
+    Unspent,
+)
+
+RETENTION = timedelta(seconds=10)
+
+
+class Log:
+    """A ledger that is fed one record after the other."""
+
+    def __init__(self, *names, prepaid=100):
+        self.ledger = Ledger(
+            "ledger-0", lambda budget, offset: prepaid + offset, key_retention=RETENTION
+        )
+        self.time_ms = 0
+        for name in names:
+            assert self.fold(Join(f"{name}/0", name, name, "d", 0)).counted
+
+    def fold(self, record):
+        entry = Entry(self.ledger.next_offset, self.time_ms, record)
+        return self.ledger.fold(entry)
+
+    def view(self):
+        return self.ledger.find_budget("b")
+
+
+def test_a_grant_counts_for_what_is_left():
+    log = Log("i", "j")
+    assert log.fold(Grant("i/1", "b", "i", 70, 0)).tokens == 70
+    assert log.fold(Grant("j/1", "b", "j", 70, 0)).tokens == 30
+    assert not log.fold(Grant("j/2", "b", "j", 1, 0)).counted
+    assert log.fold(Grant("j/3", "b", "j", 9, 5)).tokens == 5, "a top-up was cited"
+    assert log.ledger.config_offset == 5
+
+
+def test_void_records():
+    log = Log("i", "j")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    log.fold(Evict("op1", "j", "op"))
+    assert not log.fold(Grant("x/1", "b", "x", 1, 0)).counted, "never joined"
+    assert not log.fold(Grant("i/9", "b", "j", 1, 0)).counted, "of another"
+    assert not log.fold(Grant("j/1", "b", "j", 1, 0)).counted, "evicted"
+    assert not log.fold(Claim("j/2", "k", "b", "j", "f")).counted, "evicted"
+    assert not log.fold(Evict("op1", "i", "op")).counted, "repeated id"
+    assert not log.fold(None).counted
+    assert not log.fold(Release("op2", "b", "i", 5, "", "op")).counted, "not evicted"
+    with pytest.raises(ValueError, match="expected"):
+        log.ledger.fold(Entry(3, 0, None))
+
+
+def test_a_release_waits_for_all_that_may_have_borrowed():
+    log = Log("i", "j", "k")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    log.fold(Evict("op1", "i", "op"))
+    release = Release("op2", "b", "i", 80, "", "op")
+    assert log.fold(release).reason == "not acknowledged by j, k"
+    assert log.fold(Transfer("j/1", "b", "i", "j", 10, "l")).counted
+    log.fold(EvictAck("j/2", "i", "j"))
+    assert not log.fold(Transfer("j/3", "b", "i", "j", 10, "m")).counted
+    log.fold(Close("k/1", "k", []))
+    log.fold(Join("n/0", "n", "n", "d", 0))
+    assert not log.fold(Transfer("n/1", "b", "i", "n", 10, "o")).counted, "joined after"
+    assert log.fold(release._replace(id="op3")).tokens == 40
+    assert log.fold(Return("i/2", "b", "i", 40)).tokens == 0, "came back already"
+    assert (log.view().available, log.view().held) == (90, {"j": 10})
+
+
+def test_a_request_is_billed_at_its_first_charge_and_an_attempt_charged_once():
+    log = Log("i", "j")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    log.fold(Grant("j/1", "b", "j", 50, 0))
+    log.fold(Evict("op1", "j", "op"))
+    log.fold(Charge("i/2", "b", "i", "k", 10, "i-a1"))
+    assert log.fold(Recover("op2", "b", "j", "k", 20, "j-a1", "op")).counted
+    assert not log.fold(Charge("j/2", "b", "j", "k", 20, "j-a1")).counted
+    view = log.view()
+    assert (view.spent, view.billed, view.in_doubt) == (30, 10, 30)
+    verdict = log.fold(Charge("i/3", "b", "i", "q", 45, "i-a2"))
+    assert (verdict.tokens, verdict.reason) == (40, "overdrawn")
+    assert log.view().overdrawn == 5
+
+
+def test_a_claim_is_won_once_and_answered_by_its_claimant():
+    log = Log("i", "j")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    assert log.fold(Claim("i/2", "k", "b", "i", "f")).counted
+    assert log.fold(Claim("j/1", "k", "b", "j", "f")).reason == "already claimed"
+    assert "different" in log.fold(Claim("j/2", "k", "b", "j", "g")).reason
+    assert not log.fold(Abandon("j/3", "k", "j")).counted
+    log.fold(Evict("op1", "i", "op"))
+    assert not log.fold(Outcome("j/4", "k", "b", "j", 1, 200, "t", "x")).counted
+    assert log.fold(Outcome("i/3", "k", "b", "i", 7, 200, "t", "yes", "a")).counted
+    assert not log.fold(Abandon("i/4", "k", "i")).counted
+    state = log.ledger.find_request("k")
+    assert (state.outcome.body, state.claimant) == ("yes", "i")
+
+
+def test_keys_expire_by_log_time_and_claimed_ones_leave_a_marker():
+    log = Log("i", "j")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    log.fold(Charge("i/2", "b", "i", "plain", 1, "a1"))
+    log.fold(Claim("i/3", "claimed", "b", "i", "f"))
+    log.time_ms = 10_001
+    log.fold(None)
+    assert log.ledger.find_request("plain") is None
+    assert log.ledger.find_request("claimed").expired
+    assert log.fold(Claim("j/1", "claimed", "b", "j", "f")).reason == "key expired"
+    log.time_ms = 310_001
+    log.fold(None)
+    assert log.ledger.find_request("claimed") is None
+
+
+def test_a_closed_incarnation_shrinks_and_never_counts_again():
+    log = Log("i", "j")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    assert log.fold(Close("i/2", "i", [Unspent("b", 40)])).tokens == 40
+    assert log.ledger.find_incarnation("i").state is Membership.CLOSED
+    log.fold(Evict("op1", "i", "op"))
+    log.fold(EvictAck("j/1", "i", "j"))
+    log.fold(Release("op2", "b", "i", 10, "", "op"))
+    assert log.ledger.find_incarnation("i") is None
+    assert not log.fold(Join("i/0", "i", "i", "d", 0)).counted
+    assert log.ledger.live_incarnations() == ["j"]
+    assert log.view().available == 100
+
+
+def test_a_checkpoint_needs_all_its_parts():
+    log = Log("i")
+    log.fold(Grant("i/1", "b", "i", 90, 0))
+    for number in range(3000):
+        log.fold(Charge(f"i/{number + 2}", "b", "i", f"key{number}", 0, f"a{number}"))
+    parts = log.ledger.make_checkpoint("c")
+    assert len(parts) > 1
+    restored = Ledger.restore(parts[::-1], lambda budget, offset: 100, RETENTION)
+    assert restored.make_checkpoint("c") == parts
+    with pytest.raises(DecodeError, match="missing"):
+        Ledger.restore(parts[1:], lambda budget, offset: 100)
+
+
+def test_budgets_of_other_streams_are_foreign():
+    streams = {"ledger-0": 0, "ledger-1": 0}
+    for stream in streams:
+        ledger = Ledger(stream, lambda budget, offset: 100, shards=2)
+        ledger.fold(Entry(0, 0, Join("i/0", "i", "i", "d", 0)))
+        verdict = ledger.fold(Entry(1, 0, Grant("i/1", "acme", "i", 10, 0)))
+        streams[stream] = verdict.tokens
+    assert sorted(streams.values()) == [0, 10]
--- a/lavendershift/tests/world.py
+++ b/lavendershift/tests/world.py
@@ -35,7 +35,7 @@
         self.operator = Ledger(STREAM, self.prepaid)
         self.operator_outbox: list[Any] = []
         for budget in self.budgets:
-            self.top_up(budget, 300)
+            self.top_up(budget, 150)
         self.cores = [self.start(vm) for vm in range(VMS)]
         for core in self.cores:
             for budget in self.budgets:
@@ -170,7 +170,7 @@
         if attempt.incarnation in self.fenced or self.take(8) == 0:
             body = (attempt, 0, "")
             return self.send(Packet("refusal", attempt.incarnation, body))
-        tokens = 1 + (call.tokens - 1) * self.take(4) // 3
+        tokens = call.tokens if self.take(4) else 1 + self.take(call.tokens)
         answer = f"{call.request} by {attempt.id}"
         self.executions.append(
             Execution(
@@ -227,6 +227,14 @@
         if cores := self.alive():
             self.pick(cores).tick()
 
+    @step(6)
+    def ask(self):
+        """A router asks for more than any policy would."""
+        if cores := self.alive():
+            core, budget = self.pick(cores), self.pick(self.budgets)
+            tokens = 1 + self.take(60)
+            core.log(core.book.ask_grant(budget, tokens, core.config_offset))
+
     @step(2)
     def hand_back(self):
         if cores := self.alive():
@@ -243,7 +251,7 @@
 
     @step(2)
     def buy(self):
-        self.top_up(self.pick(self.budgets), 20 + self.take(100))
+        self.top_up(self.pick(self.budgets), 1 + self.take(60))
 
     def top_up(self, budget, tokens):
         self.top_ups.append((budget, tokens))
--- /dev/null
+++ b/lavendershift/tools/budget_fleet.py
@@ -0,0 +1,200 @@
+"""One run of the budget experiment: a policy on a trace under a scenario."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, TypedDict
+
+from lavendershift.holdings import HOLDING_POLICIES
+from lavendershift.ledger import Ledger
+from lavendershift.records import Evict
+from lavendershift.tools.budget_log import Reach, SimulatedLog, Timeline
+from lavendershift.tools.budget_router import (
+    BUDGET,
+    STREAM,
+    Holding,
+    SimulatedRouter,
+    Surroundings,
+)
+from lavendershift.tools.traces import (
+    DOMAIN_OF_ROUTER,
+    Death,
+    Scenario,
+    TracedRequest,
+)
+
+START_S = 1.0  # requests come in once all routers have joined
+DRAIN_S = 120.0
+EVICT_AFTER_S = 10.0
+REPLACE_AFTER_S = 60.0
+
+
+class RunFigures(TypedDict):
+    """What one run showed; tokens, seconds, and counts per 1,000 requests.
+
+    ``false_refusals`` could have been paid for from tokens that no running
+    request had reserved, ``missed`` ones from tokens that turned out unused.
+    ``unspendable`` is the part of the prepaid tokens left at the first
+    refusal, less running reservations and the largest single reservation.
+    ``stranded_by_death`` is the largest part of the remainder that one dead
+    router held.
+    """
+
+    policy: str
+    scenario: str
+    seed: int
+    requests: int
+    refused: int
+    overspend: int
+    false_refusals: float
+    missed: float
+    unspendable: float | None
+    stranded_by_death: float
+    in_doubt: int
+    appends_per_s: float
+    waited: float
+    mean_wait_ms: float
+    longest_wait_s: float
+
+
+class Refusal(NamedTuple):
+    """A refusal as one who knows everything judges it."""
+
+    at_s: float
+    false: bool
+    missed: bool
+
+
+class Fleet:
+    """Routers, log and callers of one run."""
+
+    def __init__(self, policy: str, holding: Holding, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.timeline = Timeline()
+        self.log = SimulatedLog(self.timeline)
+        self.reach = Reach(scenario, self.timeline)
+        self.refusals: list[Refusal] = []
+        self.waits: list[float] = []
+        self.consumed = self.reserved = self.unfinished = 0
+        self.overspend = self.largest = 0
+        self.unspendable: float | None = None
+        self.stranded = 0.0
+        self._config_offsets = [0] * len(DOMAIN_OF_ROUTER)
+        self._policy = policy
+        self._holding = holding
+        self._by_name: dict[str, SimulatedRouter] = {}
+        self._starts = 0
+        self.routers = [self._start(n) for n in range(len(DOMAIN_OF_ROUTER))]
+
+    def run(self, trace: Sequence[TracedRequest], seed: int) -> RunFigures:
+        """Run the trace to its end and return the figures."""
+        self.largest = max(request.tokens for request in trace)
+        for request in trace:
+            self.timeline.call_at(START_S + request.at_s, self._make_arrival(request))
+        for death in self.scenario.deaths:
+            self.timeline.call_at(death.at_s, self._make_death(death))
+        self.timeline.run(self.scenario.hours * 3600.0 + DRAIN_S)
+        return self._report(len(trace), seed)
+
+    def _make_arrival(self, request: TracedRequest):  # type: ignore[no-untyped-def]
+        return lambda: self.routers[request.router].handle(request)
+
+    def _make_death(self, death: Death):  # type: ignore[no-untyped-def]
+        return lambda: self._kill(death.router)
+
+    def _start(self, index: int) -> SimulatedRouter:
+        self._starts += 1
+        name = f"r{index}.{self._starts}"
+        around = Surroundings(
+            self.timeline,
+            self.log,
+            self.reach,
+            self._find_prepaid,
+            self._find_config_offset,
+            self._by_name.get,
+            self._on_refused,
+            self._on_started,
+            self._on_finished,
+        )
+        policy = HOLDING_POLICIES[self._policy]
+        router = SimulatedRouter(index, name, policy, self._holding, around)
+        self._by_name[name] = router
+        router.read()
+        return router
+
+    def _kill(self, index: int) -> None:
+        router = self.routers[index]
+        router.stop()
+        ledger = self._fold_log()
+        held = ledger.rights(BUDGET, router.name)
+        remainder = self._find_deposited() - self.consumed
+        self.stranded = max(self.stranded, held / max(1, remainder))
+        evict = Evict(f"evict-{router.name}", router.name, "experiment")
+        self.timeline.call_later(EVICT_AFTER_S, lambda: self.log.append([evict]))
+        self.timeline.call_later(REPLACE_AFTER_S, lambda: self._replace(index))
+
+    def _replace(self, index: int) -> None:
+        self.routers[index] = self._start(index)
+
+    def _fold_log(self) -> Ledger:
+        ledger = Ledger(STREAM, self._find_prepaid)
+        for entry in self.log.entries:
+            ledger.fold(entry)
+        return ledger
+
+    def _find_prepaid(self, budget: str, config_offset: int) -> int:
+        return sum(d.tokens for d in self.scenario.deposits[:config_offset])
+
+    def _find_config_offset(self, router: int) -> int:
+        if self.reach.reaches_log(router):
+            now_s = self.timeline.now_s
+            published = [d for d in self.scenario.deposits if d.at_s <= now_s]
+            self._config_offsets[router] = len(published)
+        return self._config_offsets[router]
+
+    def _find_deposited(self) -> int:
+        now_s = self.timeline.now_s
+        return sum(d.tokens for d in self.scenario.deposits if d.at_s <= now_s)
+
+    def _on_started(self, request: TracedRequest, waited_s: float) -> None:
+        self.waits.append(waited_s)
+        self.reserved += request.tokens
+        self.unfinished += request.used
+
+    def _on_finished(self, request: TracedRequest) -> None:
+        self.reserved -= request.tokens
+        self.unfinished -= request.used
+        self.consumed += request.used
+        over = self.consumed - self._find_deposited()
+        self.overspend = max(self.overspend, over)
+
+    def _on_refused(self, request: TracedRequest, waited_s: float) -> None:
+        left = self._find_deposited() - self.consumed
+        false = request.tokens <= left - self.reserved
+        missed = request.used <= left - self.unfinished
+        self.refusals.append(Refusal(self.timeline.now_s, false, missed))
+        if self.unspendable is None:
+            idle = left - self.reserved - self.largest
+            self.unspendable = max(0, idle) / self._find_deposited()
+
+    def _report(self, requests: int, seed: int) -> RunFigures:
+        ledger = self._fold_log()
+        budget = ledger.find_budget(BUDGET)
+        waited = [wait for wait in self.waits if wait > 0.0]
+        false = sum(refusal.false for refusal in self.refusals)
+        missed = sum(refusal.missed for refusal in self.refusals)
+        return RunFigures(
+            policy=self._policy,
+            scenario=self.scenario.name,
+            seed=seed,
+            requests=requests,
+            refused=len(self.refusals),
+            overspend=self.overspend + budget.overdrawn,
+            false_refusals=1000.0 * false / requests,
+            missed=1000.0 * missed / requests,
+            unspendable=self.unspendable,
+            stranded_by_death=self.stranded,
+            in_doubt=budget.in_doubt,
+            appends_per_s=self.log.appends / (self.scenario.hours * 3600.0),
+            waited=len(waited) / max(1, len(self.waits)),
+            mean_wait_ms=1000.0 * sum(self.waits) / max(1, len(self.waits)),
+            longest_wait_s=max(self.waits, default=0.0),
+        )
--- /dev/null
+++ b/lavendershift/tools/budget_log.py
@@ -0,0 +1,96 @@
+"""A log and event queue in virtual time for the budget experiment."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from datetime import timedelta
+
+from lavendershift.records import Entry, Record
+from lavendershift.tools.traces import DOMAIN_OF_ROUTER, Scenario
+
+APPEND_S = 0.010  # until the log has taken an append in
+NOTIFY_S = 0.010  # until readers have it
+RETRY_S = 1.0  # until an append that failed is tried again
+MS_PER_S = 1000
+
+
+class Timeline:
+    """Events in virtual time, run in order."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    @property
+    def now(self) -> timedelta:
+        """The time since the start of the run."""
+        return timedelta(seconds=self.now_s)
+
+    def call_at(self, at_s: float, function: Callable[[], None]) -> None:
+        """Run ``function`` at ``at_s``."""
+        heapq.heappush(self._events, (at_s, next(self._numbers), function))
+
+    def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Run ``function`` after ``delay_s``."""
+        self.call_at(self.now_s + delay_s, function)
+
+    def run(self, end_s: float) -> None:
+        """Run all events up to ``end_s``."""
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, function = heapq.heappop(self._events)
+            function()
+
+
+class Reach:
+    """Who reaches the log, and whom, at a time of a scenario."""
+
+    def __init__(self, scenario: Scenario, timeline: Timeline) -> None:
+        self._scenario = scenario
+        self._timeline = timeline
+
+    def reaches_log(self, router: int) -> bool:
+        """Return whether ``router`` can append and read now."""
+        cuts = self._scenario.cuts + self._scenario.outages
+        domain = DOMAIN_OF_ROUTER[router]
+        return not any(
+            domain in cut.domains and cut.start_s <= self._timeline.now_s < cut.end_s
+            for cut in cuts
+        )
+
+    def reaches_peer(self, router: int, peer: int) -> bool:
+        """Return whether two routers can talk directly now."""
+        own, other = DOMAIN_OF_ROUTER[router], DOMAIN_OF_ROUTER[peer]
+        if own == other:
+            return True
+        return not any(
+            (own in cut.domains or other in cut.domains)
+            and cut.start_s <= self._timeline.now_s < cut.end_s
+            for cut in self._scenario.cuts
+        )
+
+
+class SimulatedLog:
+    """One ledger stream that always keeps everything."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        self.entries: list[Entry] = []
+        self.appends = 0
+        self.readers: list[Callable[[], None]] = []
+        self._timeline = timeline
+        self._notifying = False
+
+    def append(self, records: list[Record]) -> None:
+        """Take in one append."""
+        self.appends += 1
+        time_ms = int(self._timeline.now_s * MS_PER_S)
+        for record in records:
+            self.entries.append(Entry(len(self.entries), time_ms, record))
+        if not self._notifying:
+            self._notifying = True
+            self._timeline.call_later(NOTIFY_S, self._notify)
+
+    def _notify(self) -> None:
+        self._notifying = False
+        for reader in list(self.readers):
+            reader()
