--- a/lavendershift/candidates.py
+++ b/lavendershift/candidates.py
@@ -7,10 +7,11 @@
     """A server that could take a request, as it looks at this moment.
 
     ``in_flight`` counts this router's own requests, ``load`` everybody's by
-    estimate. ``pending_tokens`` are prompt tokens whose first token is still
-    awaited, ``held_tokens`` the leading prompt tokens believed to be in its
-    prefix cache. ``slowness`` is the ratio of its first tokens to those of an
-    idle server.
+    estimate; ``share`` of the capacity may always be used by this router, so
+    that no router is shut out by estimates. ``pending_tokens`` are prompt
+    tokens whose first token is still awaited, ``held_tokens`` the leading
+    prompt tokens believed to be in its prefix cache. ``slowness`` is the ratio
+    of its first tokens to those of an idle server.
     """
 
     name: str
@@ -18,6 +19,7 @@
     same_domain: bool
     capacity: int
     limit: int
+    share: float
     in_flight: int
     load: float
     pending_tokens: float
@@ -28,4 +30,6 @@
     @property
     def has_room(self) -> bool:
         """Whether it is below its limit and its estimated capacity."""
-        return self.in_flight < self.limit and self.load < self.capacity
+        if self.in_flight >= self.limit:
+            return False
+        return self.load < self.capacity or self.in_flight < self.share
--- a/lavendershift/concurrency.py
+++ b/lavendershift/concurrency.py
@@ -17,7 +17,7 @@
 MIN_LIMIT = 2.0
 DECREASE = 0.9
 INCREASE = 1.0  # per limit's worth of fast first tokens
-SLOW_RATIO = 3.0  # first token against the unloaded estimate
+SLOW_RATIO = 2.0  # first token against the unloaded estimate
 SLOW_MARGIN = timedelta(milliseconds=250)  # jitter that is never called slow
 DECREASE_INTERVAL = timedelta(milliseconds=500)
 
--- a/lavendershift/loads.py
+++ b/lavendershift/loads.py
@@ -13,7 +13,7 @@
 
 from lavendershift.clocks import Clock
 
-REPORT_DECAY = timedelta(seconds=3)
+REPORT_DECAY = timedelta(seconds=1)
 HISTORY_LENGTH = 512  # changes of one's own count that are remembered
 
 
--- a/lavendershift/queues.py
+++ b/lavendershift/queues.py
@@ -26,7 +26,7 @@
 from lavendershift.fairness import FairShare
 
 MAX_WAITING = 256  # of each class
-MAX_INTERACTIVE_WAIT = timedelta(seconds=2)
+MAX_INTERACTIVE_WAIT = timedelta(seconds=1)
 URGENT_MARGIN = timedelta(seconds=10)  # before the latest start
 URGENT_INTERVAL = 4  # turns, of which one may go to urgent batch requests
 SHORTEST_RETRY = timedelta(milliseconds=100)
@@ -77,27 +77,22 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._interval_s = 1 / INITIAL_STARTS_PER_S
-        self._last: timedelta | None = None
+        self._last = clock.elapsed()
+
+    def note_busy(self) -> None:
+        """Note that the first request waits: the next interval starts."""
+        self._last = self._clock.elapsed()
 
     def note_start(self) -> None:
         """Note that a request was taken from the queue."""
         now = self._clock.elapsed()
-        if self._last is not None:
-            seconds = (now - self._last).total_seconds()
-            self._interval_s += RATE_WEIGHT * (seconds - self._interval_s)
+        seconds = (now - self._last).total_seconds()
+        self._interval_s += RATE_WEIGHT * (seconds - self._interval_s)
         self._last = now
 
-    def note_empty(self) -> None:
-        """Note that nothing waits: the next interval says nothing."""
-        self._last = None
-
     def estimate_wait(self, ahead: float) -> timedelta:
         """Return the wait behind ``ahead`` requests."""
-        interval = self._interval_s
-        if self._last is not None:
-            since = (self._clock.elapsed() - self._last).total_seconds()
-            interval = max(interval, since / 2)
-        return timedelta(seconds=(ahead + 1) * interval)
+        return timedelta(seconds=(ahead + 1) * self._interval_s)
 
 
 class _Line:
@@ -176,6 +171,10 @@
     def __len__(self) -> int:
         return len(self._tickets)
 
+    def has_waiting(self, priority: str) -> bool:
+        """Tell whether a newcomer of this class has to queue behind others."""
+        return len(self._lines[priority]) > 0
+
     def enqueue(self, ticket: Ticket) -> Result[Enqueued, RequestError]:
         """Let ``ticket`` wait, or refuse it at once.
 
@@ -196,6 +195,8 @@
                 return Failure(full)
             self._remove(loser)
             displaced.append(Refusal(loser, full))
+        if not self._tickets:
+            self._rate.note_busy()
         line.add(ticket)
         self._tickets[ticket.id] = ticket
         return Success(Enqueued(displaced))
@@ -232,11 +233,15 @@
         return [Refusal(t, refuse_late(now - t.latest_start)) for t in late]
 
     def estimate_wait(self, ticket: Ticket) -> timedelta:
-        """Return how long a newcomer would wait for its start."""
+        """Return how long a newcomer would wait for its start.
+
+        With nobody ahead it is zero: the next free place is its own, and its
+        start corrects an outdated estimate.
+        """
         ahead = self._lines[ticket.priority].count_ahead(ticket)
         if ticket.priority == "batch":
             ahead += len(self._lines["interactive"])
-        return self._rate.estimate_wait(ahead)
+        return self._rate.estimate_wait(ahead) if ahead else timedelta()
 
     def _check_wait(self, ticket: Ticket) -> RequestError | None:
         wait = self.estimate_wait(ticket)
@@ -260,8 +265,6 @@
     def _note_start(self) -> None:
         self._turns += 1
         self._rate.note_start()
-        if not self._tickets:
-            self._rate.note_empty()
 
     def _remove(self, ticket: Ticket) -> None:
         del self._tickets[ticket.id]
--- a/lavendershift/routing.py
+++ b/lavendershift/routing.py
@@ -24,7 +24,7 @@
 from lavendershift.errors import ErrorKind
 from lavendershift.servers import ServerPool
 
-BATCH_SHARE = 0.75  # of a server's capacity; the rest is kept for interactive
+BATCH_SHARE = 0.5  # of a server's capacity; the rest is kept for interactive
 
 
 class RouteRequest(NamedTuple):
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -49,7 +49,8 @@
     server: str
     tokens: int
     started: timedelta
-    awaits_first_token: bool
+    priority: str
+    awaits_first_token: bool = True
 
 
 class _Group:
@@ -58,11 +59,16 @@
     def __init__(self, rng: random.Random) -> None:
         self.outliers = OutlierDetector(rng)
         self.prefill = PrefillRate()
-        self.service_s = INITIAL_SERVICE_S
+        self._service_s: dict[str, float] = {}
 
-    def observe_service(self, seconds: float) -> None:
+    def find_service_s(self, priority: str) -> float:
+        """Return the mean time in flight of completed requests of a class."""
+        return self._service_s.get(priority, INITIAL_SERVICE_S)
+
+    def observe_service(self, priority: str, seconds: float) -> None:
         """Note the time that a completed request was in flight."""
-        self.service_s += SERVICE_TIME_WEIGHT * (seconds - self.service_s)
+        mean = self.find_service_s(priority)
+        self._service_s[priority] = mean + SERVICE_TIME_WEIGHT * (seconds - mean)
 
 
 class _Server:
@@ -102,11 +108,13 @@
         self._rng = rng
         self._groups: dict[str, _Group] = {}
 
-    def estimate_service_time(self, model: str = "", service: str = "") -> timedelta:
-        """Return the mean time that completed requests were in flight."""
+    def estimate_service_time(
+        self, model: str = "", service: str = "", priority: str = "interactive"
+    ) -> timedelta:
+        """Return the mean time that completed requests of a class were in flight."""
         for server in self._servers.values():
             if serves(server.settings, model, service):
-                return timedelta(seconds=server.group.service_s)
+                return timedelta(seconds=server.group.find_service_s(priority))
         return timedelta(seconds=INITIAL_SERVICE_S)
 
     def estimate_first_token(self, tokens: int, model: str = "") -> timedelta:
@@ -184,14 +192,19 @@
             known.cache.note_events(events, last_seq)
 
     def start(
-        self, server: str, attempt: str, tokens: int, prefix: Sequence[str] = ()
+        self,
+        server: str,
+        attempt: str,
+        tokens: int,
+        prefix: Sequence[str] = (),
+        priority: str = "interactive",
     ) -> None:
         """Note that ``attempt``, with ``tokens`` prompt tokens, goes to ``server``."""
         known = self._servers[server]
         held = known.cache.count_held(prefix) * BLOCK_TOKENS
         uncached = max(tokens - held, 0)
         now = self._clock.elapsed()
-        self._attempts[attempt] = _Attempt(server, uncached, now, True)
+        self._attempts[attempt] = _Attempt(server, uncached, now, priority)
         known.load.count(1)
         known.load.pending_tokens += uncached
         known.cache.note_used(prefix)
@@ -227,7 +240,8 @@
             known.load.pending_tokens -= ended.tokens
         if result is AttemptResult.COMPLETED:
             known.group.outliers.record_success(ended.server)
-            known.group.observe_service((now - ended.started).total_seconds())
+            seconds = (now - ended.started).total_seconds()
+            known.group.observe_service(ended.priority, seconds)
         elif result is AttemptResult.FAILED:
             self._announce(known.group.outliers.record_failure(ended.server, now))
 
@@ -287,6 +301,7 @@
             same_domain=settings.failure_domain == self._failure_domain,
             capacity=settings.capacity,
             limit=limit if probe_limit is None else min(limit, probe_limit),
+            share=settings.capacity / self._routers,
             in_flight=server.load.in_flight,
             load=server.load.estimate(mean_others),
             pending_tokens=server.load.pending_tokens,
--- a/lavendershift/tests/test_queues.py
+++ b/lavendershift/tests/test_queues.py
@@ -7,7 +7,12 @@
 
 from lavendershift.clocks import ManualClock
 from lavendershift.errors import ANSWERS, ErrorKind, Ran
-from lavendershift.queues import MAX_INTERACTIVE_WAIT, RequestQueue, Ticket
+from lavendershift.queues import (
+    MAX_INTERACTIVE_WAIT,
+    URGENT_INTERVAL,
+    RequestQueue,
+    Ticket,
+)
 
 
 def seconds(value):
@@ -38,9 +43,9 @@
     clock = ManualClock()
     queue = RequestQueue(clock)
     queue.enqueue(Ticket("b", "plume", "batch", seconds(8))).unwrap()
-    for number in range(8):
+    for number in range(4):
         queue.enqueue(Ticket(f"i{number}", "plume")).unwrap()
-    assert "b" in drain(queue)[:4]
+    assert "b" in drain(queue)[:URGENT_INTERVAL]
 
 
 def test_a_class_without_room_does_not_block_the_other():
@@ -92,6 +97,23 @@
     assert len(queue) == 100
 
 
+def test_an_outdated_estimate_does_not_refuse_for_ever():
+    clock = ManualClock()
+    queue = RequestQueue(clock)
+    for number in range(40):
+        queue.enqueue(Ticket(f"slow{number}", "plume")).unwrap()
+        clock.advance(seconds(30))
+        assert take(queue) is not None
+    for number in range(80):
+        queue.enqueue(
+            Ticket(f"fast{number}", "plume", deadline=clock.elapsed() + seconds(10))
+        ).unwrap()
+        clock.advance(timedelta(milliseconds=100))
+        assert take(queue) is not None
+    queue.enqueue(Ticket("first", "plume")).unwrap()
+    queue.enqueue(Ticket("second", "plume")).unwrap()
+
+
 def test_interactive_requests_wait_for_a_bounded_time():
     queue = RequestQueue(ManualClock())
     refused = 0
