Make fault schedules lend, evict and release more often

Trials with broken rules went unnoticed (release without acknowledgements, late return after a release): too few schedules had a loan under way at a release.

--- a/lavendershift/tests/world.py
+++ b/lavendershift/tests/world.py
@@ -235,6 +235,16 @@
             tokens = 1 + self.take(60)
             core.log(core.book.ask_grant(budget, tokens, core.config_offset))
 
+    @step(5)
+    def borrow(self):
+        """A router borrows though it could do without."""
+        if len(cores := self.alive()) > 1:
+            borrower, lender = self.pick(cores), self.pick(cores)
+            amount = 1 + self.take(40)
+            request = borrower.book.make_borrow(self.pick(self.budgets), amount)
+            if lender is not borrower:
+                self.send(Packet("borrow", lender.name, request))
+
     @step(2)
     def hand_back(self):
         if cores := self.alive():
@@ -346,6 +356,24 @@
             self.acknowledge(core)
             self.free(core)
 
+    @step(3)
+    def bury(self):
+        """Evict and free one that is gone as fast as the rules allow."""
+        gone = self.alive("dead", "frozen")
+        if gone:
+            core = self.pick(gone)
+            self.fenced.add(core.name)
+            self.publish(Evict(self.new_id("op"), core.name, "op"))
+            self.flush_operator()
+            self.free_evicted(core)
+
+    def free_evicted(self, core):
+        state = self.operator.find_incarnation(core.name)
+        if state is not None and state.evicted:
+            for treat in (self.recover, self.acknowledge, self.free):
+                treat(core)
+                self.flush_operator()
+
     def is_silent(self, core):
         """Nothing of it can run any more, and that can be known."""
         if core.name in self.fenced:
@@ -411,6 +439,8 @@
         for budget in self.budgets:
             used = sum(ran.tokens for ran in unlogged if ran.budget == budget)
             tokens = self.operator.rights(budget, core.name) - used
+            if self.more and self.take(2):
+                tokens //= 2
             if tokens > 0:
                 self.publish(
                     Release(
@@ -441,12 +471,8 @@
         for core in self.cores:
             self.publish(Evict(self.new_id("op"), core.name, "op"))
         self.flush_operator()
-        for treat in (self.recover, self.acknowledge, self.free):
-            for core in self.cores:
-                state = self.operator.find_incarnation(core.name)
-                if state is not None and state.evicted:
-                    treat(core)
-                    self.flush_operator()
+        for core in self.cores:
+            self.free_evicted(core)
 
     def flush_operator(self):
         self.log.append(self.time_ms, self.operator_outbox)
