--- a/lavendershift/commands/publish.py
+++ b/lavendershift/commands/publish.py
@@ -200,16 +200,21 @@
     clock: Clock,
     wait: timedelta,
 ) -> PublishResult:
-    """Return on how many of the tree's live routers the change is in force."""
-    vms = {name: vm for name, vm in configuration.vms().items() if vm.state == "live"}
+    """Return on how many of the tree's routers the change is in force.
+
+    A leaving VM counts for as long as its router answers.
+    """
+    vms = dict(configuration.vms())
     deadline = clock.elapsed() + wait
     behind = set(vms)
     with make_progress() as progress:
         task = progress.add_task("routers with the change in force", total=len(vms))
         while True:
             answers = await client.fetch_all(pick_vms(vms, behind))
-            behind -= find_confirmed(answers, published.offset)
-            progress.update(task, completed=len(vms) - len(behind))
+            for name in find_gone(answers, vms):
+                del vms[name]
+            behind = behind & set(vms) - find_confirmed(answers, published.offset)
+            progress.update(task, completed=len(vms) - len(behind), total=len(vms))
             if not behind or clock.elapsed() >= deadline:
                 break
             await asyncio.sleep(POLL_INTERVAL.total_seconds())
@@ -218,6 +223,15 @@
     return PublishResult(*published, in_force, len(vms), tuple(sorted(behind)))
 
 
+def find_gone(answers: list[StatusAnswer], vms: dict[str, VmSettings]) -> list[str]:
+    """Return the leaving VMs whose router does not answer."""
+    return [
+        answer.vm
+        for answer in answers
+        if answer.status is None and vms[answer.vm].state == "leaving"
+    ]
+
+
 def pick_vms(vms: dict[str, VmSettings], names: set[str]) -> dict[str, VmSettings]:
     """Return the VMs with these names."""
     return {name: vms[name] for name in sorted(names)}
--- a/lavendershift/tests/test_commands.py
+++ b/lavendershift/tests/test_commands.py
@@ -264,6 +264,12 @@
     assert "in force on 1 of 2 routers, not on r2" in out
     assert log.fold().servers()["index1"].state == "leaving"
     assert run("drain", "server", "index1", "--undo")[0] == 0
+    statuses.update(r1=[4], r2=[3, 4])
+    code, out, _ = run("drain", "vm", "r2", "--wait")
+    assert (code, "in force on 2 of 2 routers" in out) == (0, True)
+    statuses.update(r1=[5], r2=[None])
+    code, out, _ = run("drain", "vm", "r1", "--undo", "--wait")
+    assert (code, "in force on 1 of 1 routers" in out) == (0, True)
     code, _, err = run("drain", "vm", "r3")
     assert code == 1
     assert "did you mean" not in err or "'r1'" in err or "'r2'" in err
--- a/lavendershift/tests/test_configuration.py
+++ b/lavendershift/tests/test_configuration.py
@@ -357,6 +357,23 @@
         assert "".join([*taken, *slices]) == state
 
 
+def test_slices_hold_values_of_one_offset(monkeypatch):
+    monkeypatch.setattr(configuration_state, "SLICE_ITEMS", 1)
+    paths = ["desks/rennes", "desks/brest", "desks/quimper"]
+    places = [(path, "weight", 2.0) for path in paths]
+    configuration, _ = fold_all([make_change("a", 0, places)])
+    state = configuration.encode_state()
+    slices = configuration.encode_slices()
+    taken = [next(slices), next(slices)]
+    later = [
+        (path, "weight", value)
+        for path, value in zip(paths, (3.0, None, 4.0), strict=True)
+    ]
+    fold_all([make_change("b", 1, later), TopUp("t", "plume", 5, "ana")], configuration)
+    assert configuration.resolve("desks/quimper", "weight") == 4.0
+    assert "".join([*taken, *slices]) == state
+
+
 @pytest.mark.parametrize("state", ["", "{}", "[1]", "[3,0,[],[],[]]", "[2,0,[],[]]"])
 def test_a_damaged_checkpoint_is_an_error(state):
     with pytest.raises(DecodeError):
--- a/lavendershift/tests/test_logs.py
+++ b/lavendershift/tests/test_logs.py
@@ -11,8 +11,9 @@
 from lavendershift.errors import ANSWERS, ErrorKind, RequestError
 from lavendershift.logs import EVENTS, Event, EventLog, LibraryHandler, make_handler
 from lavendershift.metrics import RETRIES, Metrics, list_counters
-from lavendershift.plugins import event_lines, statsd_metrics
+from lavendershift.plugins import statsd_metrics
 from lavendershift.plugins.statsd_metrics import StatsdSender, escape_name
+from lavendershift.reports import EventReporter
 from lavendershift.retries import RetryReason
 from lavendershift.settings_sections import LoggingSection
 from lavendershift.values import Address
@@ -40,8 +41,9 @@
 
 
 def test_every_line_names_request_customer_vm_and_domain(log, lines):
-    application = SimpleNamespace(event_log=log)
-    event_lines.start_lines(application)
+    reporter = EventReporter(log)
+    reporter.connect()
+    signals.started.send(None)
     signals.request_answered.send(None, context=CONTEXT)
     error = RequestError(ErrorKind.OVERLOADED, PROMPT)
     signals.request_refused.send(None, context=CONTEXT, error=error)
@@ -50,9 +52,9 @@
         None, context=CONTEXT, attempt="x", reason=RetryReason.REFUSED
     )
     signals.configuration_changed.send(None, offset=4)
-    event_lines.note_stopping(application)
-    event_lines.stop_lines(application)
-    signals.configuration_changed.send(None, offset=5)
+    signals.stopping.send(None)
+    signals.stopped.send(None)
+    del reporter
     written = lines()
     common = {"time", "level", "event", "vm", "failure_domain", "request", "customer"}
     assert all(line.keys() >= common for line in written)
