--- a/lavendershift/commands/publish.py
+++ b/lavendershift/commands/publish.py
@@ -22,6 +22,7 @@
     ExitCode,
     make_progress,
     print_faults,
+    print_json,
     print_result,
 )
 from lavendershift.commands.publishing import Outcome, Published, Publisher
@@ -156,6 +157,8 @@
             settings = select_changed(configuration, settings)
         if not settings:
             print("nothing to change", file=sys.stderr)
+            if self.json:
+                print_json({"outcome": "unchanged"})
             return ExitCode.DONE
         return await self.publish_settings(log, configuration, settings, base)
 
--- a/lavendershift/tests/test_commands.py
+++ b/lavendershift/tests/test_commands.py
@@ -209,8 +209,9 @@
     assert code == 0
     assert len(json.loads(out)) == 10
     assert run("publish", tree)[0] == 0
-    code, _, err = run("publish", tree)
+    code, out, err = run("publish", tree, "--json")
     assert (code, log.end("config")) == (0, 1)
+    assert json.loads(out) == {"outcome": "unchanged"}
     assert "nothing to change" in err
     code, out, _ = run("tree", "show", "desks/rennes/plume/app", "--json")
     rows = {row["key"]: row for row in json.loads(out)}
