--- a/lavendershift/incarnations.py
+++ b/lavendershift/incarnations.py
@@ -29,7 +29,6 @@
     state: Membership
     join_offset: int
     evict_offset: int = -1
-    last_seq: int = -1
     acks: tuple[str, ...] = ()
 
     @property
@@ -62,14 +61,19 @@
 
     def __init__(self) -> None:
         self.states: dict[str, IncarnationState] = {}
+        self._sequences: dict[str, int] = {}
         self.finished: dict[str, int] = {}
 
+    def join(self, incarnation: str, seq: int, state: IncarnationState) -> None:
+        """Add an incarnation whose first record has the number ``seq``."""
+        self.states[incarnation] = state
+        self._sequences[incarnation] = seq
+
     def advance(self, author: str, seq: int) -> bool:
         """Note a record's sequence number; false when it is a repeat."""
-        state = self.states[author]
-        if seq <= state.last_seq:
+        if seq <= self._sequences[author]:
             return False
-        self.states[author] = state._replace(last_seq=seq)
+        self._sequences[author] = seq
         return True
 
     def find(self, incarnation: str) -> IncarnationState | None:
@@ -125,6 +129,7 @@
     def finish(self, incarnation: str, time_ms: int) -> None:
         """Shrink a closed incarnation to the time it closed."""
         del self.states[incarnation]
+        del self._sequences[incarnation]
         self.finished[incarnation] = time_ms
 
     def dump(self) -> list[Any]:
@@ -133,13 +138,13 @@
             [name, *state._replace(state=state.state.value)]  # type: ignore[arg-type]
             for name, state in self.states.items()
         ]
-        return [rows, self.finished]
+        return [rows, self._sequences, self.finished]
 
     @classmethod
     def load(cls, data: list[Any]) -> "IncarnationTable":
         """Return the table that ``dump`` gave."""
         table = cls()
-        rows, table.finished = data
+        rows, table._sequences, table.finished = data
         for name, *fields in rows:
             state = IncarnationState(*fields)
             table.states[name] = state._replace(
--- a/lavendershift/ledger_rules.py
+++ b/lavendershift/ledger_rules.py
@@ -70,7 +70,7 @@
         record.vm, record.failure_domain, Membership.JOINED, entry.offset
     )
     seq = int(record.id.rpartition("/")[2])
-    ledger.incarnations.states[record.incarnation] = state._replace(last_seq=seq)
+    ledger.incarnations.join(record.incarnation, seq, state)
     ledger.config_offset = max(ledger.config_offset, record.config_offset)
     return Verdict(True)
 
--- a/lavendershift/requests.py
+++ b/lavendershift/requests.py
@@ -6,7 +6,7 @@
 behind for longer, so that an old key is never mistaken for a new one.
 """
 
-from collections import deque
+from collections import OrderedDict
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -19,52 +19,47 @@
     """Tokens that one attempt of a request consumed."""
 
     attempt: str
-    incarnation: str
     tokens: int
 
 
 class RequestState(NamedTuple):
     """What the ledger knows of one request.
 
-    ``claimant`` is empty when nobody claimed it. ``billed`` is ``None`` until
-    a first charge or an outcome billed it. An ``expired`` request keeps
-    neither outcome nor charges, yet may not run again.
+    ``touched_ms`` is the log time of its last record. ``billed`` is ``None``
+    until a first charge or an outcome billed it. ``claimant`` is empty when
+    nobody claimed it. An ``expired`` request keeps neither outcome nor
+    charges, yet may not run again.
     """
 
     budget: str
+    touched_ms: int = 0
+    billed: int | None = None
+    charges: tuple[AttemptCharge, ...] = ()
     claimant: str = ""
     fingerprint: str = ""
     claim_offset: int = -1
     outcome: Outcome | None = None
-    billed: int | None = None
-    charges: tuple[AttemptCharge, ...] = ()
-    touched_ms: int = 0
     expired: bool = False
 
 
-class Touch(NamedTuple):
-    """A time at which a request had a record, in the order of the log."""
-
-    time_ms: int
-    request: str
+DEFAULT_FIELDS = tuple(RequestState(""))
 
 
 class RequestTable:
     """All request keys of one ledger stream that are still kept."""
 
     def __init__(self, key_retention: timedelta) -> None:
-        self.states: dict[str, RequestState] = {}
+        self.states: OrderedDict[str, RequestState] = OrderedDict()
+        self.expired: OrderedDict[str, RequestState] = OrderedDict()
         self._retention_ms = int(key_retention / timedelta(milliseconds=1))
-        self._touches: deque[Touch] = deque()
-        self._markers: deque[Touch] = deque()
 
     def find(self, request: str) -> RequestState | None:
         """Return the state of ``request`` if it is still kept."""
-        return self.states.get(request)
+        return self.states.get(request) or self.expired.get(request)
 
     def claim(self, record: Claim, offset: int, time_ms: int) -> str:
         """Record a claim; return why it is void, or an empty string."""
-        state = self.states.get(record.request) or RequestState(record.budget)
+        state = self.find(record.request) or RequestState(record.budget)
         reason = _find_claim_fault(state, record)
         if reason:
             return reason
@@ -72,8 +67,9 @@
             claimant=record.incarnation,
             fingerprint=record.fingerprint,
             claim_offset=offset,
+            touched_ms=time_ms,
         )
-        self._store(record.request, state, time_ms)
+        self._store(record.request, state)
         return ""
 
     def abandon(self, request: str, incarnation: str, time_ms: int) -> bool:
@@ -81,8 +77,10 @@
         state = self.states.get(request)
         if state is None or state.claimant != incarnation or state.outcome is not None:
             return False
-        state = state._replace(claimant="", fingerprint="", claim_offset=-1)
-        self._store(request, state, time_ms)
+        state = state._replace(
+            claimant="", fingerprint="", claim_offset=-1, touched_ms=time_ms
+        )
+        self._store(request, state)
         return True
 
     def accepts_outcome(self, record: Outcome) -> bool:
@@ -97,7 +95,7 @@
 
     def is_charged(self, request: str, attempt: str) -> bool:
         """Return whether a charge of ``attempt`` has been folded."""
-        state = self.states.get(request)
+        state = self.find(request)
         if state is None or not attempt:
             return False
         return any(charge.attempt == attempt for charge in state.charges)
@@ -106,66 +104,69 @@
         self, record: Charge | Outcome | Recover, tokens: int, time_ms: int
     ) -> bool:
         """Add an attempt's tokens; return whether they bill the request."""
-        state = self.states.get(record.request) or RequestState(record.budget)
+        state = self.find(record.request) or RequestState(record.budget)
         bills = state.billed is None and not state.expired
-        charge = AttemptCharge(record.attempt, record.incarnation, tokens)
-        state = state._replace(charges=(*state.charges, charge))
-        if bills:
-            state = state._replace(billed=tokens)
-        self._store(record.request, state, time_ms)
+        charge = AttemptCharge(record.attempt, tokens)
+        state = state._replace(
+            billed=tokens if bills else state.billed,
+            charges=(*state.charges, charge),
+            touched_ms=time_ms,
+        )
+        self._store(record.request, state)
         return bills
 
     def set_outcome(self, record: Outcome, time_ms: int) -> None:
         """Keep the recorded answer of a claimed request."""
-        state = self.states[record.request]._replace(outcome=record)
-        self._store(record.request, state, time_ms)
+        state = self.states[record.request]
+        self._store(record.request, state._replace(outcome=record, touched_ms=time_ms))
 
     def expire(self, time_ms: int) -> None:
         """Drop what was last touched longer ago than keys are kept."""
         limit = time_ms - self._retention_ms
-        while self._touches and self._touches[0].time_ms < limit:
-            self._expire_touch(self._touches.popleft())
+        while self.states and self._peek(self.states) < limit:
+            request, state = self.states.popitem(last=False)
+            if state.claimant:
+                self.expired[request] = state._replace(
+                    outcome=None, charges=(), expired=True
+                )
         limit = time_ms - self._retention_ms * MARKER_RETENTIONS
-        while self._markers and self._markers[0].time_ms < limit:
-            self._drop_marker(self._markers.popleft())
+        while self.expired and self._peek(self.expired) < limit:
+            self.expired.popitem(last=False)
 
     def dump(self) -> list[Any]:
-        """Return the table in a form that JSON can hold."""
-        rows = [[request, *state] for request, state in self.states.items()]
-        return [rows, list(self._touches), list(self._markers)]
+        """Return the table in a form that JSON can hold.
+
+        Fields at the end of a row that have their default value are left out.
+        """
+        return [_dump_rows(self.states), _dump_rows(self.expired)]
 
     @classmethod
     def load(cls, data: list[Any], key_retention: timedelta) -> "RequestTable":
         """Return the table that ``dump`` gave."""
         table = cls(key_retention)
-        rows, touches, markers = data
-        for request, *fields in rows:
-            table.states[request] = _load_state(fields)
-        table._touches = deque(Touch(*touch) for touch in touches)
-        table._markers = deque(Touch(*marker) for marker in markers)
+        for kept, rows in zip((table.states, table.expired), data, strict=True):
+            for request, *fields in rows:
+                kept[request] = _load_state(fields)
         return table
 
-    def _store(self, request: str, state: RequestState, time_ms: int) -> None:
-        if state.touched_ms != time_ms or request not in self.states:
-            self._touches.append(Touch(time_ms, request))
-        self.states[request] = state._replace(touched_ms=time_ms)
-
-    def _expire_touch(self, touch: Touch) -> None:
-        state = self.states.get(touch.request)
-        if state is None or state.touched_ms != touch.time_ms:
-            return
-        if not state.claimant:
-            del self.states[touch.request]
-            return
-        self.states[touch.request] = state._replace(
-            outcome=None, charges=(), expired=True
-        )
-        self._markers.append(touch)
+    def _peek(self, kept: "OrderedDict[str, RequestState]") -> int:
+        return kept[next(iter(kept))].touched_ms
+
+    def _store(self, request: str, state: RequestState) -> None:
+        kept = self.expired if state.expired else self.states
+        kept[request] = state
+        kept.move_to_end(request)
+
+
+def _dump_rows(kept: "OrderedDict[str, RequestState]") -> list[list[Any]]:
+    return [[request, *_trim(state)] for request, state in kept.items()]
+
 
-    def _drop_marker(self, marker: Touch) -> None:
-        state = self.states.get(marker.request)
-        if state is not None and state.touched_ms == marker.time_ms:
-            del self.states[marker.request]
+def _trim(state: RequestState) -> list[Any]:
+    fields = list(state)
+    while len(fields) > 1 and fields[-1] == DEFAULT_FIELDS[len(fields) - 1]:
+        fields.pop()
+    return fields
 
 
 def _find_claim_fault(state: RequestState, record: Claim) -> str:
--- a/lavendershift/tests/test_ledger.py
+++ b/lavendershift/tests/test_ledger.py
@@ -148,7 +148,7 @@
 def test_a_checkpoint_needs_all_its_parts():
     log = Log("i")
     log.fold(Grant("i/1", "b", "i", 90, 0))
-    for number in range(3000):
+    for number in range(6000):
         log.fold(Charge(f"i/{number + 2}", "b", "i", f"key{number}", 0, f"a{number}"))
     parts = log.ledger.make_checkpoint("c")
     assert len(parts) > 1
