Tell failed transfers apart, report events and measure the router's cost

Cause: tornado's fetch raises for failed transfers even when told not to, so a connection that broke ended as an internal error; the wait of each answer's small writes for an acknowledgement (Nagle) added 40 ms; a request whose sending raised leaked its reservation; an alias was sent on to the engine. Ruled out: reading errors by curl's number alone, which cannot tell a timeout before from one after the request was sent. Change: HttpClient hands the response with its timings back; no delay on caller connections; reservations stay in doubt when sending raises; GET with a body is refused; events and counters are wired; lavendershift-bench.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	PATH="$(abspath $(BIN)):$$PATH" bash scripts/up.sh
 
 bench: install
-	$(BIN)/lavendershift-bench proxy
+	PATH="$(abspath $(BIN)):$$PATH" bash scripts/bench.sh
 
 capacity: install
 	$(BIN)/python -m lavendershift.tools.capacity
--- a/lavendershift/allocators.py
+++ b/lavendershift/allocators.py
@@ -39,6 +39,7 @@
 WAIT_STEP = timedelta(milliseconds=250)  # between looks at what changed
 LOOK_PAUSE = timedelta(milliseconds=100)  # between looks ahead at one budget
 RECALL_PAUSE = timedelta(seconds=1)  # between pleas for the same budget
+EMPTY_PAUSE = timedelta(seconds=10)  # until a peer that lent nothing is asked again
 BORROW_KEEP_S = 60  # of the own rate that a lender keeps
 
 BorrowFrom = Callable[[str, BorrowRequest], Awaitable[Lent | None]]
@@ -67,8 +68,9 @@
 
     def __init__(self, demand: Demand) -> None:
         self.demand = demand
-        self.wanted = 0
+        self.waiting: list[int] = []
         self.borrowing = 0
+        self.empty_peers: dict[str, timedelta] = {}
         self.recalled_at: timedelta | None = None
         self.looked_at: timedelta | None = None
         self.own_rate = RateEstimator(RATE_WINDOW)
@@ -111,11 +113,11 @@
         if held is not None:
             self._look_ahead(state)
             return Success(held)
-        state.wanted += demand.tokens
+        state.waiting.append(demand.tokens)
         try:
             return await self._wait(demand, deadline)
         finally:
-            state.wanted -= demand.tokens
+            state.waiting.remove(demand.tokens)
 
     def note_used(self, budget: str, tokens: int) -> None:
         """Note that an attempt of this router used ``tokens``."""
@@ -144,7 +146,7 @@
         participant = self._session.participant
         state = self._budgets.get(request.budget)
         rate = state.own_rate.estimate(self._clock.elapsed()) if state else 0.0
-        wanted = state.wanted if state else 0
+        wanted = sum(state.waiting) if state else 0
         keep = wanted + int(rate * BORROW_KEEP_S)
         answer = participant.book.lend(request, keep)
         if answer.transfer is not None:
@@ -209,7 +211,8 @@
             lendable=account.lendable,
             reserved=account.reserved,
             asked=participant.book.asked(budget) + state.borrowing,
-            wanted=state.wanted,
+            wanted=sum(state.waiting),
+            least_wanted=min(state.waiting, default=0),
             recalled=self._recalls.wanted_ahead(
                 budget, participant.incarnation, ledger.time_ms
             ),
@@ -219,26 +222,28 @@
             log_reachable=session.log_reachable,
             hold_ahead=state.demand.hold_ahead,
             hold_share=state.demand.hold_share,
-            peers=self._describe_peers(budget),
+            peers=self._describe_peers(state),
         )
 
-    def _describe_peers(self, budget: str) -> tuple[Peer, ...]:
+    def _describe_peers(self, state: _BudgetState) -> tuple[Peer, ...]:
         ledger = self._session.ledger
         own = self._session.participant.incarnation
         beats = {beat.incarnation: beat for beat in self._list_peers().values()}
+        now = self._clock.elapsed()
         peers = []
         for name in ledger.live_incarnations():
-            state = ledger.find_incarnation(name)
-            if name == own or state is None:
+            if name == own:
                 continue
-            held = ledger.rights(budget, name)
-            peers.append(Peer(name, self._is_near(state.vm), name in beats, held))
+            beat = beats.get(name)
+            near = (
+                beat is not None and beat.failure_domain == self._session.failure_domain
+            )
+            emptied = state.empty_peers.get(name)
+            lends = emptied is None or now - emptied > EMPTY_PAUSE
+            held = ledger.rights(state.demand.budget, name)
+            peers.append(Peer(name, near, beat is not None and lends, held))
         return tuple(peers)
 
-    def _is_near(self, vm: str) -> bool:
-        beat = self._list_peers().get(vm)
-        return beat is not None and beat.failure_domain == self._session.failure_domain
-
     def _find_state(self, demand: Demand) -> _BudgetState:
         state = self._budgets.get(demand.budget)
         if state is None:
@@ -297,7 +302,9 @@
             lent = await self._borrow_from(action.peer, request)
         finally:
             self._budgets[budget].borrowing = 0
-        if lent is None:
+        if lent is None or lent.tokens == 0:
+            self._budgets[budget].empty_peers[action.peer] = self._clock.elapsed()
+            self._session.note_change()
             return
         transfer = participant.book.accept(lent)
         if transfer is not None:
--- a/lavendershift/calls.py
+++ b/lavendershift/calls.py
@@ -152,7 +152,12 @@
         except RequestError:
             self._placement.release(placed, AttemptResult.CANCELLED)
             raise
-        result = await self._send(context, call, placed)
+        try:
+            result = await self._send(context, call, placed)
+        except BaseException:
+            if held is not None:
+                self._budgets.keep_in_doubt(held)
+            raise
         if held is None:
             return result
         if result.delivery in (Delivery.NOT_SENT, Delivery.REFUSED):
@@ -213,7 +218,11 @@
         except RequestError:
             self._abandon_claim(context, held)
             raise
-        result = await self._send(context, call, placed)
+        try:
+            result = await self._send(context, call, placed)
+        except BaseException:
+            self._budgets.keep_in_doubt(held)
+            raise
         return await self._conclude(context, call, held, result)
 
     async def _claim(
@@ -299,9 +308,13 @@
             self._connect_timeout,
             context.deadline - self._clock.elapsed(),
         )
-        result = await self._client.run_call(request, Transfer())
-        self._placement.note_first_token(placed)
-        self._placement.release(placed, judge(result))
+        judged = AttemptResult.FAILED
+        try:
+            result = await self._client.run_call(request, Transfer())
+            self._placement.note_first_token(placed)
+            judged = judge(result)
+        finally:
+            self._placement.release(placed, judged)
         return result
 
 
--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -6,7 +6,7 @@
 carry usage or an error are parsed.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple, TypeGuard
 
 import msgspec
@@ -59,14 +59,21 @@
         return self.prompt_tokens + self.completion_tokens
 
 
-def parse_completion(body: bytes, chat: bool, output_limit: int) -> CompletionRequest:
+def parse_completion(
+    body: bytes,
+    chat: bool,
+    output_limit: int,
+    resolve_model: Callable[[str], str] = str,
+) -> CompletionRequest:
     """Parse the body of a completion request.
 
     ``output_limit`` is the most output tokens a choice may have; 0 stands for
-    the default. Raises ``RequestError`` with a located ``INVALID_REQUEST``.
+    the default. ``resolve_model`` replaces an alias by the model's own name,
+    which the engine is sent as well. Raises ``RequestError`` with a located
+    ``INVALID_REQUEST``.
     """
     data = _decode_object(body)
-    model = _take(data, "model", str)
+    model = data["model"] = resolve_model(_take(data, "model", str))
     stream = _take(data, "stream", bool, False)
     choices = _parse_choices(data)
     limit = _parse_output_limit(data, output_limit or DEFAULT_MAX_OUTPUT_TOKENS, chat)
--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -160,7 +160,12 @@
                 call, attempt.transfer, reader.take_status, reader.take_chunk
             )
         )
-        result = await self._await_answer(work, context, attempt, sink)
+        try:
+            result = await self._await_answer(work, context, attempt, sink)
+        except BaseException:
+            self._inquiry.start(attempt.held, attempt.placed.address, attempt.id)
+            self._placement.release(attempt.placed, AttemptResult.FAILED)
+            raise
         if result is None:
             attempt.late = True
             raise RequestError(ErrorKind.DEADLINE_EXCEEDED)
--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from lavendershift.router import RouterApplication
 
+BODILESS_METHODS = ("GET", "HEAD")
 OPENAI_ERROR_TYPES = {
     400: "invalid_request_error",
     401: "authentication_error",
@@ -139,8 +141,11 @@
     """A handler whose requests pass through admission."""
 
     def prepare(self) -> None:
-        """Create the sink."""
+        """Create the sink; small writes of a stream are sent at once."""
         self.sink = HandlerSink(self)
+        connection = self.request.connection
+        if isinstance(connection, HTTP1Connection):
+            connection.stream.set_nodelay(True)
 
     def on_connection_close(self) -> None:
         """Note that the caller has gone."""
@@ -184,12 +189,11 @@
     async def _complete(self, context: RequestContext, kind: str) -> None:
         caller = context.caller
         limit = caller.max_output_tokens
-        request = parse_completion(self.request.body, kind != "completions", limit)
-        model = self.router.configuration.resolve_model(request.model)
-        check_model(self.router, caller, model)
-        await self.router.completions.run(
-            context, request._replace(model=model), self.sink
-        )
+        resolve_model = self.router.configuration.resolve_model
+        chat = kind != "completions"
+        request = parse_completion(self.request.body, chat, limit, resolve_model)
+        check_model(self.router, caller, request.model)
+        await self.router.completions.run(context, request, self.sink)
 
 
 class ServiceHandler(RequestStageHandler):
@@ -208,6 +212,8 @@
         if allowed and service not in allowed:
             raise RequestError(ErrorKind.FORBIDDEN, f"service {service}")
         method = self.request.method or "GET"
+        if self.request.body and method in BODILESS_METHODS:
+            raise RequestError(ErrorKind.INVALID_REQUEST, f"{method} with a body")
         query = f"?{self.request.query}" if self.request.query else ""
         call = ServiceCall(
             service=service,
--- /dev/null
+++ b/lavendershift/httpclients.py
@@ -0,0 +1,45 @@
+"""The HTTP client of all processes: curl, with failures as answers."""
+
+from collections.abc import Callable
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
+
+TRANSFER_FAILED_STATUS = 599  # tornado's status of a call that failed in transit
+
+
+class _ReportingClient(CurlAsyncHTTPClient):
+    """Leaves the response on the error that ``fetch`` raises for it.
+
+    Its timings tell how far a failed transfer came.
+    """
+
+    def fetch_impl(
+        self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
+    ) -> None:
+        def report(response: HTTPResponse) -> None:
+            if isinstance(response.error, HTTPError):
+                response.error.response = response
+            callback(response)
+
+        super().fetch_impl(request, report)
+
+
+class HttpClient:
+    """Sends requests; at most ``max_clients`` are in flight at a time."""
+
+    def __init__(self, max_clients: int) -> None:
+        self._curl = _ReportingClient(force_instance=True, max_clients=max_clients)
+
+    async def fetch(self, request: HTTPRequest) -> HTTPResponse:
+        """Return the response; a failed transfer has ``TRANSFER_FAILED_STATUS``."""
+        try:
+            return await self._curl.fetch(request, raise_error=False)
+        except HTTPError as error:
+            if error.response is None:
+                return HTTPResponse(request, TRANSFER_FAILED_STATUS, error=error)
+            return error.response
+
+    def close(self) -> None:
+        """Close all connections; transfers in flight are abandoned."""
+        self._curl.close()
--- a/lavendershift/plugins/http_log.py
+++ b/lavendershift/plugins/http_log.py
@@ -5,10 +5,10 @@
 from typing import Any, NamedTuple
 
 import msgspec
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.httpclients import HttpClient
 from lavendershift.records import Record, decode_entry, encode_record
 from lavendershift.streams import ReadResult, register_log_client
 
@@ -48,7 +48,7 @@
     def __init__(self, url: str, timeout: timedelta) -> None:
         self._url = url.rstrip("/")
         self._timeout = timeout
-        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._http = HttpClient(MAX_CLIENTS)
 
     async def append_records(self, stream: str, records: Sequence[Record]) -> int:
         """Append ``records`` and return the offset of the first."""
@@ -100,7 +100,7 @@
             connect_timeout=self._timeout.total_seconds(),
             request_timeout=timeout.total_seconds(),
         )
-        response = await self._http.fetch(request, raise_error=False)
+        response = await self._http.fetch(request)
         if response.code not in (200, 410):
             raise LogUnavailableError(f"{path}: status {response.code}")
         return response
--- /dev/null
+++ b/lavendershift/reports.py
@@ -0,0 +1,85 @@
+"""Reporting what happens to the process's log.
+
+An ``EventReporter`` hooks the signals and writes a line for each that the
+vocabulary of ``lavendershift.logs`` has an event for.
+"""
+
+from typing import Any
+
+from lavendershift import signals
+from lavendershift.admission import RequestContext
+from lavendershift.errors import RequestError
+from lavendershift.logs import Event, EventLog
+from lavendershift.records import Record
+
+
+class EventReporter:
+    """Writes to ``log`` what the signals tell of."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+
+    def connect(self) -> None:
+        """Hook the signals for as long as this object lives."""
+        signals.started.connect(self._note_started)
+        signals.stopping.connect(self._note_stopping)
+        signals.stopped.connect(self._note_stopped)
+        signals.request_answered.connect(self._note_answered)
+        signals.request_refused.connect(self._note_refused)
+        signals.request_retried.connect(self._note_retried)
+        signals.configuration_changed.connect(self._note_configuration)
+        signals.record_folded.connect(self._note_folded)
+        signals.server_ejected.connect(self._note_ejected)
+
+    def _note_started(self, sender: Any, **_: Any) -> None:
+        self._log.write(Event.PROCESS_STARTED)
+
+    def _note_stopping(self, sender: Any, **_: Any) -> None:
+        self._log.write(Event.PROCESS_STOPPING)
+
+    def _note_stopped(self, sender: Any, **_: Any) -> None:
+        self._log.write(Event.PROCESS_STOPPED)
+
+    def _note_answered(self, sender: Any, context: RequestContext, **_: Any) -> None:
+        self._log.write(
+            Event.REQUEST_ANSWERED,
+            request=context.request,
+            customer=context.caller.customer,
+            attempt=context.attempt,
+        )
+
+    def _note_refused(
+        self, sender: Any, context: RequestContext | None, error: RequestError, **_: Any
+    ) -> None:
+        self._log.write(
+            Event.REQUEST_REFUSED,
+            request=context.request if context else "",
+            customer=context.caller.customer if context else "",
+            attempt=context.attempt if context else "",
+            error=error.kind.value,
+        )
+
+    def _note_retried(
+        self, sender: Any, context: RequestContext, attempt: str, reason: Any, **_: Any
+    ) -> None:
+        self._log.write(
+            Event.REQUEST_RETRIED,
+            request=context.request,
+            customer=context.caller.customer,
+            attempt=attempt,
+            reason=reason.value,
+        )
+
+    def _note_configuration(self, sender: Any, offset: int, **_: Any) -> None:
+        self._log.write(Event.CONFIGURATION_CHANGED, config_offset=offset)
+
+    def _note_folded(self, sender: Any, record: Record, verdict: Any, **_: Any) -> None:
+        if not verdict.counted:
+            self._log.write(
+                Event.RECORD_REJECTED, reason=f"{record.id}: {verdict.reason}"
+            )
+
+    def _note_ejected(self, sender: Any, ejection: Any, **_: Any) -> None:
+        self._log.write(
+            Event.SERVER_EJECTED, server=ejection.server, reason=ejection.cause.value
+        )
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
+import logging
 import random
 from datetime import timedelta
 from typing import Any
 
-from logbook import Logger
 from tornado.httpserver import HTTPServer
 
 from lavendershift import signals
@@ -27,12 +27,15 @@
 from lavendershift.evidence import UsageInquiry
 from lavendershift.feeds import ConfigurationFeed
 from lavendershift.handlers import make_web_application
+from lavendershift.logs import EventLog, LibraryHandler, make_handler
 from lavendershift.membership import Membership, Vm, VmState
 from lavendershift.messages import BorrowRequest, Heartbeat, Lent
+from lavendershift.metrics import Metrics
 from lavendershift.nodes import ServerSettings
 from lavendershift.peers import Peers
 from lavendershift.placement import Placement
 from lavendershift.records import Evict, Record
+from lavendershift.reports import EventReporter
 from lavendershift.retries import Retries, RetryBudget
 from lavendershift.routing import ROUTING_POLICIES
 from lavendershift.servers import ServerPool
@@ -54,10 +57,9 @@
     "lavendershift.plugins.routing_least_in_flight",
     "lavendershift.plugins.routing_round_robin",
     "lavendershift.plugins.routing_two_choices",
+    "lavendershift.plugins.statsd_metrics",
 )
 
-logger = Logger("lavendershift.router")
-
 
 class RouterApplication(Application):
     """One router process.
@@ -75,6 +77,8 @@
         self._stopping = False
         self._leaving = False
         self._attempts = 0
+        self._shares: dict[str, float] = {}
+        self._models: list[str] = []
 
     @property
     def configuration(self) -> Configuration:
@@ -85,6 +89,7 @@
         """Create all parts and add them in the order of their start."""
         settings = self.settings
         load_plugins([*ROUTER_PLUGINS, *settings.plugins.modules])
+        self._set_up_reports()
         self._log = self._make_log_client()
         self.add_part("log", stop=self._log.close)
         self.feed = ConfigurationFeed(
@@ -124,14 +129,11 @@
 
     def report_fault(self, error: BaseException) -> None:
         """Log an error that has no kind of its own."""
-        logger.error("internal error: {!r}", error, exc_info=error)
+        self.event_log.write_error(error)
 
     def list_models(self) -> list[str]:
         """Return the names of all models that a server may serve."""
-        models = set(self.configuration.models())
-        for server in self.configuration.servers().values():
-            models.update(server.models)
-        return sorted(models)
+        return self._models
 
     def list_routers(self, customer: str, failure_domain: str) -> Directory:
         """Return the routers for a caller, best first."""
@@ -161,6 +163,7 @@
                 vm: beat.config_offset
                 for vm, beat in self.peers.list_reachable().items()
             },
+            "counters": self.metrics.snapshot().counters,
         }
 
     async def drain(self) -> None:
@@ -174,6 +177,16 @@
         if not self.admission.in_flight:
             await asyncio.gather(*(s.close(CLOSE_WAIT) for s in self._sessions))
 
+    def _set_up_reports(self) -> None:
+        self.metrics = Metrics()
+        self.metrics.connect()
+        vm = self.settings.vm
+        handler = make_handler(self.settings.logging)
+        self.event_log = EventLog(handler, vm.name, vm.failure_domain, self._clock)
+        self._reporter = EventReporter(self.event_log)
+        self._reporter.connect()
+        logging.getLogger().addHandler(LibraryHandler(self.event_log))
+
     def _make_log_client(self) -> LogClient:
         log = self.settings.log
         if log.client == "relay":
@@ -288,7 +301,7 @@
             ("membership", MEMBERSHIP_STEP, self._look_after_members),
         ]
         for name, interval, work in works:
-            periodic = Periodic(interval, work)
+            periodic = Periodic(interval, work, self.report_fault)
             self.add_part(name, periodic.start, periodic.stop)
 
     async def _listen(self) -> None:
@@ -353,7 +366,11 @@
         return self._leaving or in_tree or self.membership.is_leaving()
 
     def _find_share(self, customer: str) -> float:
-        return find_share(customer, self.settings.vm.name, self._list_vms())
+        share = self._shares.get(customer)
+        if share is None:
+            share = find_share(customer, self.settings.vm.name, self._list_vms())
+            self._shares[customer] = share
+        return share
 
     def _list_servers(self) -> list[ServerSettings]:
         return list(self.configuration.servers().values())
@@ -369,7 +386,13 @@
     def _note_configuration(self, feed: ConfigurationFeed, **fields: Any) -> None:
         if feed is not self.feed:
             return
-        self.pool.update_settings(self.configuration.servers())
+        servers = self.configuration.servers()
+        models = set(self.configuration.models())
+        for server in servers.values():
+            models.update(server.models)
+        self._models = sorted(models)
+        self._shares.clear()
+        self.pool.update_settings(servers)
         self.peers.update_vms(self.configuration.vms())
 
     async def _start_waiting(self) -> None:
@@ -381,7 +404,9 @@
 
     async def _look_after_members(self) -> None:
         """Note the ledger's incarnations and propose evictions."""
+        self._shares.clear()
         self.pool.update_routers(self.membership.count_live())
+        self.metrics.set_gauge("requests.in_flight", self.admission.in_flight)
         for session in self._sessions:
             live = session.ledger.live_incarnations()
             for name in live:
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -87,7 +87,7 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._find_prepaid = find_prepaid
+        self.find_prepaid = find_prepaid
         self._wait_for_config = wait_for_config
         self.config_offset = config_offset
         self._watched: dict[str, asyncio.Future[Verdict]] = {}
@@ -204,7 +204,7 @@
         return self.ledger.next_offset
 
     def _adopt(self, parts: list[Checkpoint]) -> None:
-        ledger = Ledger.restore(parts, self._find_prepaid, self._settings.key_retention)
+        ledger = Ledger.restore(parts, self.find_prepaid, self._settings.key_retention)
         self.ledger.__dict__.update(ledger.__dict__)
         self.restored_bytes = sum(len(part.state) for part in parts)
         self._last_checkpoint = ledger.next_offset
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -12,13 +12,13 @@
 from typing import NamedTuple
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from lavendershift.httpclients import TRANSFER_FAILED_STATUS, HttpClient
+
 MAX_CLIENTS = 2000
 NOT_RUN_HEADER = "Not-Run"
-TRANSFER_FAILED_STATUS = 599  # tornado's status of a call that failed in transit
 
 
 class Delivery(Enum):
@@ -103,7 +103,7 @@
     """Sends attempts to backend servers with one shared curl client."""
 
     def __init__(self, ca_certificates: str = "") -> None:
-        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._http = HttpClient(MAX_CLIENTS)
         self._ca_certificates = ca_certificates or None
 
     async def run_call(
@@ -135,7 +135,7 @@
             prepare_curl_callback=transfer.attach,
             ca_certs=self._ca_certificates,
         )
-        response = await self._http.fetch(request, raise_error=False)
+        response = await self._http.fetch(request)
         transfer.detach()
         return answer.make_result(response)
 
@@ -153,7 +153,7 @@
             allow_nonstandard_methods=True,
             ca_certs=self._ca_certificates,
         )
-        return await self._http.fetch(request, raise_error=False)
+        return await self._http.fetch(request)
 
     def close(self) -> None:
         """Close the HTTP client; transfers in flight are abandoned."""
--- a/lavendershift/watchers.py
+++ b/lavendershift/watchers.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import msgspec
-from logbook import Logger
 
 from lavendershift.loads import LoadReport
 from lavendershift.membership import Member, Membership
@@ -18,15 +17,22 @@
 
 CALL_TIMEOUT = timedelta(seconds=2)
 
-logger = Logger("lavendershift.watchers")
-
 
 class Periodic:
-    """Runs ``work`` every ``interval``; a failure does not end it."""
+    """Runs ``work`` every ``interval``.
+
+    A failure is given to ``report`` and does not end it.
+    """
 
-    def __init__(self, interval: timedelta, work: Callable[[], Awaitable[None]]):
+    def __init__(
+        self,
+        interval: timedelta,
+        work: Callable[[], Awaitable[None]],
+        report: Callable[[BaseException], None],
+    ) -> None:
         self._interval = interval
         self._work = work
+        self._report = report
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -44,8 +50,8 @@
         while True:
             try:
                 await self._work()
-            except Exception:
-                logger.exception("periodic work failed")
+            except Exception as error:
+                self._report(error)
             await asyncio.sleep(self._interval.total_seconds())
 
 
--- a/lavendershift_standins/completions.py
+++ b/lavendershift_standins/completions.py
@@ -92,6 +92,7 @@
     async def stream_run(self, run: Run, first: int) -> None:
         """Stream the events of ``run`` from event ``first`` on."""
         cut = self.standin.faults.find_truncation(self)
+        self.request.connection.stream.set_nodelay(True)  # type: ignore[union-attr]
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-cache")
         await self.flush()
--- a/lavendershift_standins/passthrough.py
+++ b/lavendershift_standins/passthrough.py
@@ -26,6 +26,7 @@
 
     async def post(self) -> None:
         """Send the body to the engine and its answer back."""
+        self.request.connection.stream.set_nodelay(True)  # type: ignore[union-attr]
         request = HTTPRequest(
             f"http://{self.target}{self.request.path}",
             method="POST",
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -58,7 +58,7 @@
 # Starts a stand-in: start_standin PROGRAM NAME IP:PORT
 start_standin() {
     start "$2" "standin-$1" --config "$DEPLOYMENT/standins/$1.toml" \
-        --name "$2" --address "${3%:*}" --port "${3##*:}"
+        --name "$2" --address "${3%:*}" --port "${3##*:}" "${@:4}"
 }
 
 # Fails where something already listens on one of the deployment's addresses.
@@ -81,7 +81,8 @@
         --set "file = \"$DEPLOYMENT/members.json\"" \
         --address "${MEMBERS%:*}" --port "${MEMBERS##*:}"
     for pair in $ENGINES; do
-        start_standin engine "${pair%%=*}" "${pair#*=}"
+        # shellcheck disable=SC2086
+        start_standin engine "${pair%%=*}" "${pair#*=}" ${ENGINE_ARGS:-}
     done
     for pair in $SERVICES; do
         start_standin service "${pair%%=*}" "${pair#*=}"
