Divide a customer's limits by where its requests arrive

Cause: each router enforced an even part of a limit. Ruled out: counting the others' charges in the log (they come when requests end, so bursts of long answers would be admitted several times over); counting admissions and paying debts back (all routers stop together for seconds). Change: heartbeats carry the demand of the busiest customers, and each router enforces its own demand's part of the whole, at least half an even part.

--- a/lavendershift/admission.py
+++ b/lavendershift/admission.py
@@ -13,6 +13,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.configuration import Configuration
+from lavendershift.demands import Demands
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.limits import Limit, Permit, RateLimiter
 from lavendershift.nodes import CallerSettings
@@ -43,7 +44,8 @@
     """Admits requests under the configuration in force.
 
     ``find_fault`` returns the kind of error while the router takes no new
-    requests, ``share`` the part of a customer's limits that it enforces.
+    requests, ``find_least_share`` the part of a customer's limits that it
+    enforces at least, however much of the demand others have.
     """
 
     def __init__(
@@ -51,14 +53,16 @@
         clock: Clock,
         get_configuration: Callable[[], Configuration],
         find_fault: Callable[[], ErrorKind | None],
-        find_share: Callable[[str], float],
+        demands: Demands,
+        find_least_share: Callable[[str], float],
         make_attempt: Callable[[], str],
         max_in_flight: int,
     ) -> None:
         self._clock = clock
         self._get_configuration = get_configuration
         self._find_fault = find_fault
-        self._find_share = find_share
+        self._demands = demands
+        self._find_least_share = find_least_share
         self._make_attempt = make_attempt
         self._limiter = RateLimiter(clock)
         self._max_in_flight = max_in_flight
@@ -108,7 +112,10 @@
 
     def _take_permit(self, caller: CallerSettings) -> Permit:
         limits = self._list_limits(caller)
-        match self._limiter.admit(limits, self._find_share(caller.customer)):
+        self._demands.note_request(caller.customer)
+        floor = self._find_least_share(caller.customer)
+        share = self._demands.find_share(caller.customer, floor)
+        match self._limiter.admit(limits, share):
             case Success(permit):
                 return permit
             case Failure(error):
--- a/lavendershift/limits.py
+++ b/lavendershift/limits.py
@@ -10,8 +10,8 @@
 
     permit = limiter.admit([Limit("desks/rennes/plume", 5.0, 20)], share=1 / 6)
 
-A caller that uses few of the routers meets their shares before the fleet-wide
-limit; discovery spreads the callers of a customer over its home routers.
+The shares come from ``lavendershift.demands``: they follow where a customer's
+requests arrive, so that one that uses a single router has its whole limit.
 """
 
 import math
--- a/lavendershift/messages.py
+++ b/lavendershift/messages.py
@@ -80,12 +80,20 @@
     first_offset: int
 
 
+class CustomerDemand(NamedTuple):
+    """Requests per second that a customer offers to one router."""
+
+    customer: str
+    requests_per_s: float
+
+
 @register_message("heartbeat")
 class Heartbeat(NamedTuple):
     """A router's state, sent to its peers about once a second.
 
     ``config_offset`` is the offset up to which it has folded the
     configuration, ``ledger_offset`` the same of its first ledger stream.
+    ``demands`` names the customers that use it most.
     """
 
     vm: str
@@ -94,6 +102,7 @@
     ready: bool
     config_offset: int
     ledger_offset: int
+    demands: list[CustomerDemand] = []
 
 
 @register_message("borrow")
--- a/lavendershift/peers.py
+++ b/lavendershift/peers.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from lavendershift.clocks import Clock
+from lavendershift.demands import Demands
 from lavendershift.membership import Membership
 from lavendershift.messages import (
     BorrowRequest,
@@ -40,7 +41,7 @@
     """The other routers, as far as this one talks to them.
 
     ``make_heartbeat`` returns this router's own state, ``lend`` answers a
-    borrower.
+    borrower, and ``demands`` takes in what peers tell of their customers.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         lost_after: timedelta,
         make_heartbeat: Callable[[], Heartbeat],
         lend: Lend,
+        demands: Demands,
     ) -> None:
         self._vm = vm
         self._address = address
@@ -62,6 +64,7 @@
         self._lost_after = lost_after
         self._make_heartbeat = make_heartbeat
         self._lend = lend
+        self._demands = demands
         self._sockets: dict[str, RequestSocket] = {}
         self._status: dict[str, PeerStatus] = {}
         self._listener: ReplySocket | None = None
@@ -135,6 +138,7 @@
     def _note(self, beat: Heartbeat) -> None:
         self._status[beat.vm] = PeerStatus(beat, self._clock.elapsed())
         self._membership.record_heartbeat(beat)
+        self._demands.note_peer(beat.vm, beat.demands)
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -21,6 +21,7 @@
 from lavendershift.calls import CallDispatcher
 from lavendershift.clocks import Clock
 from lavendershift.configuration import Configuration
+from lavendershift.demands import Demands
 from lavendershift.discovery import Directory, find_share, list_routers
 from lavendershift.dispatch import CompletionDispatcher, DispatchSettings
 from lavendershift.errors import ErrorKind
@@ -49,6 +50,7 @@
 MEMBERSHIP_STEP = timedelta(seconds=1)
 CLOSE_WAIT = timedelta(seconds=5)  # for the log to take the closing record
 DRAIN_STEP = timedelta(milliseconds=50)
+LEAST_SHARE = 0.5  # of an even part of a customer's limits
 DISCOVERY_PAUSE = timedelta(seconds=2)  # between leaving discovery and refusing
 
 ROUTER_PLUGINS = (
@@ -102,6 +104,7 @@
             sessions[0].participant.incarnation,
             settings.peers.evict_after,
         )
+        self.demands = Demands(self._clock)
         self.peers = self._make_peers()
         self.budgets = Budgets({s.stream: self._make_shard(s) for s in sessions})
         self._make_dispatch()
@@ -228,6 +231,7 @@
             settings.peers.lost_after,
             self._make_heartbeat,
             self._lend,
+            self.demands,
         )
 
     def _make_shard(self, session: LedgerSession) -> Shard:
@@ -246,7 +250,8 @@
             self._clock,
             lambda: self.configuration,
             self.find_fault,
-            self._find_share,
+            self.demands,
+            self._find_least_share,
             self._make_attempt,
             settings.limits.max_in_flight,
         )
@@ -345,6 +350,7 @@
             self.find_fault() is None and not self._leaving,
             self.feed.offset,
             session.ledger.next_offset,
+            self.demands.list_demands(),
         )
 
     def _lend(self, request: BorrowRequest) -> Lent:
@@ -365,10 +371,11 @@
         in_tree = own is not None and own.state == "leaving"
         return self._leaving or in_tree or self.membership.is_leaving()
 
-    def _find_share(self, customer: str) -> float:
+    def _find_least_share(self, customer: str) -> float:
         share = self._shares.get(customer)
         if share is None:
             share = find_share(customer, self.settings.vm.name, self._list_vms())
+            share *= LEAST_SHARE
             self._shares[customer] = share
         return share
 
