--- /dev/null
+++ b/lavendershift/tests/network.py
@@ -0,0 +1,80 @@
+"""What the network and the backend servers do in a fault schedule."""
+
+from lavendershift.tests.checker import Execution
+from lavendershift.tests.fleet import Packet
+from lavendershift.tests.steps import step
+
+
+class Network:
+    """Steps of a ``World`` that move, lose, repeat and execute."""
+
+    @step(36)
+    def deliver(self):
+        if self.net:
+            packet = self.net[self.take(len(self.net))]
+            core = self.find_core(packet.to)
+            if core is not None and core.status == "frozen":
+                return
+            self.net.remove(packet)
+            if packet.to == "server":
+                self.execute(packet.body)
+            elif core is not None and core.status == "running":
+                core.receive(packet)
+
+    @step(2)
+    def repeat(self):
+        packets = [p for p in self.net if p.kind in ("borrow", "lent")]
+        if packets:
+            self.net.append(self.pick(packets))
+
+    @step(3)
+    def lose(self):
+        """A connection breaks; what it carried may still arrive later."""
+        if not self.net:
+            return
+        packet = self.pick(self.net)
+        if self.take(2):
+            self.net.remove(packet)
+        if packet.kind == "dispatch":
+            attempt = packet.body
+        elif packet.kind in ("response", "refusal"):
+            attempt = packet.body[0]
+        else:
+            return
+        core = self.find_core(attempt.incarnation)
+        if core.status == "running":
+            core.lose(attempt)
+
+    def execute(self, attempt):
+        call = attempt.call
+        if attempt.incarnation in self.fenced or self.take(8) == 0:
+            body = (attempt, 0, "")
+            return self.send(Packet("refusal", attempt.incarnation, body))
+        tokens = call.tokens if self.take(4) else 1 + self.take(call.tokens)
+        answer = f"{call.request} by {attempt.id}"
+        self.executions.append(
+            Execution(
+                self.time_ms,
+                call.id,
+                call.request,
+                attempt.id,
+                call.budget,
+                tokens,
+                call.repeatable,
+                answer,
+            )
+        )
+        body = (attempt, tokens, answer)
+        return self.send(Packet("response", attempt.incarnation, body))
+
+    @step(2)
+    def inquire(self):
+        """A server tells what an attempt in doubt has used."""
+        for core in self.alive():
+            for attempt in list(core.doubts.values()):
+                ran = next(
+                    (e for e in self.executions if e.attempt == attempt.id), None
+                )
+                if ran is not None:
+                    body = (attempt, ran.tokens, ran.answer)
+                    core.finish(Packet("response", core.name, body))
--- a/lavendershift/tests/test_ledger.py
+++ b/lavendershift/tests/test_ledger.py
@@ -86,6 +86,16 @@
     assert (log.view().available, log.view().held) == (90, {"j": 10})
 
 
+def test_what_a_release_freed_does_not_come_back_again():
+    log = Log("i")
+    log.fold(Grant("i/1", "b", "i", 50, 0))
+    log.fold(Evict("op1", "i", "op"))
+    log.fold(Release("op2", "b", "i", 30, "", "op"))
+    assert log.fold(Return("i/2", "b", "i", 40)).tokens == 10
+    assert log.fold(Close("i/3", "i", [Unspent("b", 5)])).tokens == 5
+    assert log.view().held == {"i": 5}
+
+
 def test_a_request_is_billed_at_its_first_charge_and_an_attempt_charged_once():
     log = Log("i", "j")
     log.fold(Grant("i/1", "b", "i", 50, 0))
--- a/lavendershift/tests/world.py
+++ b/lavendershift/tests/world.py
@@ -3,23 +3,17 @@
 from typing import Any
 
 from lavendershift.ledger import Ledger
-from lavendershift.records import Evict, EvictAck, Recover, Release, encode_record
-from lavendershift.tests.checker import Deposit, Execution, Reply, Run
+from lavendershift.records import Evict
+from lavendershift.tests.checker import Deposit, Reply, Run
 from lavendershift.tests.fleet import STREAM, Call, Core, FakeLog, Packet
+from lavendershift.tests.network import Network
+from lavendershift.tests.operators import Operators
+from lavendershift.tests.steps import STEPS, step
 
 VMS = 4
-STEPS: list[str] = []
 
 
-def step(weight):
-    def register(function):
-        STEPS.extend([function.__name__] * weight)
-        return function
-
-    return register
-
-
-class World:
+class World(Network, Operators):
     def __init__(self, choices: bytes, policy: str = "adaptive"):
         self.choices, self.at, self.policy = choices, 0, policy
         self.time_ms = self.ids = 0
@@ -127,78 +121,6 @@
         if open_calls:
             self.reply(self.pick(open_calls), "unknown")
 
-    # network
-    @step(36)
-    def deliver(self):
-        if self.net:
-            packet = self.net[self.take(len(self.net))]
-            core = self.find_core(packet.to)
-            if core is not None and core.status == "frozen":
-                return
-            self.net.remove(packet)
-            if packet.to == "server":
-                self.execute(packet.body)
-            elif core is not None and core.status == "running":
-                core.receive(packet)
-
-    @step(2)
-    def repeat(self):
-        packets = [p for p in self.net if p.kind in ("borrow", "lent")]
-        if packets:
-            self.net.append(self.pick(packets))
-
-    @step(3)
-    def lose(self):
-        """A connection breaks; what it carried may still arrive later."""
-        if not self.net:
-            return
-        packet = self.pick(self.net)
-        if self.take(2):
-            self.net.remove(packet)
-        if packet.kind == "dispatch":
-            attempt = packet.body
-        elif packet.kind in ("response", "refusal"):
-            attempt = packet.body[0]
-        else:
-            return
-        core = self.find_core(attempt.incarnation)
-        if core.status == "running":
-            core.lose(attempt)
-
-    def execute(self, attempt):
-        call = attempt.call
-        if attempt.incarnation in self.fenced or self.take(8) == 0:
-            body = (attempt, 0, "")
-            return self.send(Packet("refusal", attempt.incarnation, body))
-        tokens = call.tokens if self.take(4) else 1 + self.take(call.tokens)
-        answer = f"{call.request} by {attempt.id}"
-        self.executions.append(
-            Execution(
-                self.time_ms,
-                call.id,
-                call.request,
-                attempt.id,
-                call.budget,
-                tokens,
-                call.repeatable,
-                answer,
-            )
-        )
-        body = (attempt, tokens, answer)
-        return self.send(Packet("response", attempt.incarnation, body))
-
-    @step(2)
-    def inquire(self):
-        """A server tells what an attempt in doubt has used."""
-        for core in self.alive():
-            for attempt in list(core.doubts.values()):
-                ran = next(
-                    (e for e in self.executions if e.attempt == attempt.id), None
-                )
-                if ran is not None:
-                    body = (attempt, ran.tokens, ran.answer)
-                    core.finish(Packet("response", core.name, body))
-
     # log
     @step(6)
     def round(self):
@@ -322,132 +244,6 @@
         if cores := [core for core in self.alive() if not core.running]:
             self.pick(cores).retire()
 
-    # operators
-    def follow(self):
-        for entry in self.log.read(self.operator.next_offset, 10**6):
-            self.operator.fold(entry)
-
-    def publish(self, record):
-        self.operator_outbox.append(encode_record(record))
-
-    @step(2)
-    def operate(self):
-        if self.operator_outbox:
-            self.log.append(self.time_ms, self.operator_outbox)
-            if self.take(3):
-                self.operator_outbox = []
-
-    @step(1)
-    def evict(self):
-        core = self.pick(self.alive("dead", "frozen") or self.cores)
-        self.publish(Evict(self.new_id("op"), core.name, "op"))
-
-    @step(1)
-    def fence(self):
-        self.fenced.add(self.pick(self.alive("dead", "frozen") or self.cores).name)
-
-    @step(3)
-    def release(self):
-        self.follow()
-        core = self.pick(self.alive("dead", "frozen") or self.cores)
-        state = self.operator.find_incarnation(core.name)
-        if state is not None and state.evicted and self.is_silent(core):
-            self.recover(core)
-            self.acknowledge(core)
-            self.free(core)
-
-    @step(3)
-    def bury(self):
-        """Evict and free one that is gone as fast as the rules allow."""
-        gone = self.alive("dead", "frozen")
-        if gone:
-            core = self.pick(gone)
-            self.fenced.add(core.name)
-            self.publish(Evict(self.new_id("op"), core.name, "op"))
-            self.flush_operator()
-            self.free_evicted(core)
-
-    def free_evicted(self, core):
-        state = self.operator.find_incarnation(core.name)
-        if state is not None and state.evicted:
-            for treat in (self.recover, self.acknowledge, self.free):
-                treat(core)
-                self.flush_operator()
-
-    def is_silent(self, core):
-        """Nothing of it can run any more, and that can be known."""
-        if core.name in self.fenced:
-            return True
-        sent = [p.body.incarnation for p in self.net if p.kind == "dispatch"]
-        return core.status == "dead" and core.name not in sent
-
-    def find_unlogged(self, core):
-        requests = self.operator.requests
-        return [
-            execution
-            for execution in self.executions
-            if execution.attempt.startswith(f"{core.name}-a")
-            and not requests.is_charged(execution.request, execution.attempt)
-        ]
-
-    def recover(self, core):
-        """Charge what it ran to what it held, or to a dead lender of it."""
-        held = {
-            (budget, name): tokens
-            for budget in self.budgets
-            for name, tokens in self.operator.find_budget(budget).held.items()
-        }
-        lenders = [
-            other.name
-            for other in self.cores
-            if other is not core and self.is_dead(other)
-        ]
-        for ran in self.find_unlogged(core):
-            for name in [core.name, *lenders]:
-                if held.get((ran.budget, name), 0) >= ran.tokens:
-                    held[ran.budget, name] -= ran.tokens
-                    self.publish_recovery(ran, name)
-                    break
-
-    def publish_recovery(self, ran, incarnation):
-        self.publish(
-            Recover(
-                self.new_id("op"),
-                ran.budget,
-                incarnation,
-                ran.request,
-                ran.tokens,
-                ran.attempt,
-                "op",
-            )
-        )
-
-    def acknowledge(self, core):
-        """Answer for the dead that can no longer log what they borrowed."""
-        for name in self.operator.incarnations.find_missing_acks(core.name):
-            other = self.find_core(name)
-            if self.is_dead(other) and not self.find_unlogged(other):
-                self.publish(EvictAck(self.new_id("op"), core.name, name))
-
-    def is_dead(self, core):
-        state = self.operator.find_incarnation(core.name)
-        evicted = state is not None and state.evicted
-        return core.status == "dead" and evicted and self.is_silent(core)
-
-    def free(self, core):
-        unlogged = self.find_unlogged(core)
-        for budget in self.budgets:
-            used = sum(ran.tokens for ran in unlogged if ran.budget == budget)
-            tokens = self.operator.rights(budget, core.name) - used
-            if self.more and self.take(2):
-                tokens //= 2
-            if tokens > 0:
-                self.publish(
-                    Release(
-                        self.new_id("op"), budget, core.name, tokens, "silent", "op"
-                    )
-                )
-
     # the end
     def drain(self):
         self.cut = set()
@@ -474,11 +270,6 @@
         for core in self.cores:
             self.free_evicted(core)
 
-    def flush_operator(self):
-        self.log.append(self.time_ms, self.operator_outbox)
-        self.operator_outbox = []
-        self.follow()
-
     def settle(self):
         """Let every message and record that is on its way arrive."""
         for packet in list(self.net):
