--- a/lavendershift/allocators.py
+++ b/lavendershift/allocators.py
@@ -136,6 +136,10 @@
         elif isinstance(record, Recall) and record.budget in self._budgets:
             self._run_policy(record.budget)
 
+    def budgets(self) -> list[str]:
+        """Return the budgets in use at this router."""
+        return list(self._budgets)
+
     def run_policies(self) -> None:
         """Look at every budget in use; called about once a ``TICK``."""
         for budget in list(self._budgets):
--- a/lavendershift/feeds.py
+++ b/lavendershift/feeds.py
@@ -25,8 +25,8 @@
 class ConfigurationFeed:
     """Keeps ``configuration`` up to date with the log.
 
-    A checkpoint is written every ``checkpoint_every`` entries by the router
-    whose turn ``is_writer`` says it is; a second one would be harmless.
+    A checkpoint is written every ``checkpoint_every`` entries, and whenever
+    ``start_checkpoint`` is called; a second one would be harmless.
     """
 
     def __init__(self, log: LogClient, clock: Clock, checkpoint_every: int) -> None:
@@ -76,16 +76,20 @@
         while self.offset < offset:
             await self._folded.wait()
 
+    def start_checkpoint(self) -> None:
+        """Write a checkpoint of the configuration in the background."""
+        self._last_checkpoint = self.offset
+        task = asyncio.ensure_future(self._write_checkpoint())
+        self._checkpoints.add(task)
+        task.add_done_callback(self._checkpoints.discard)
+
     async def _fold(self, entry: Entry) -> None:
         self.configuration.fold(entry)
         self._folded.set()
         self._folded = asyncio.Event()
         signals.configuration_changed.send(self, offset=self.offset)
         if self.offset - self._last_checkpoint >= self._checkpoint_every:
-            self._last_checkpoint = self.offset
-            task = asyncio.ensure_future(self._write_checkpoint())
-            self._checkpoints.add(task)
-            task.add_done_callback(self._checkpoints.discard)
+            self.start_checkpoint()
 
     async def _restore_until_answered(self) -> None:
         while True:
@@ -107,11 +111,18 @@
         return self.offset
 
     async def _write_checkpoint(self) -> None:
-        state = [self.configuration.encode_state()]
-        checkpoint_id = f"{CONFIG_STREAM}@{self.offset}"
-        parts = split_checkpoint(checkpoint_id, CONFIG_STREAM, self.offset, state)
+        """Append a checkpoint, leaving the loop between its slices."""
+        offset = self.offset
+        slices = []
+        for part in self.configuration.encode_slices():
+            slices.append(part)
+            await asyncio.sleep(0)
+        checkpoint_id = f"{CONFIG_STREAM}@{offset}"
+        parts = split_checkpoint(
+            checkpoint_id, CONFIG_STREAM, offset, ["".join(slices)]
+        )
         with contextlib.suppress(LogUnavailableError):
-            for part in parts:
+            for checkpoint in parts:
                 await self._log.append_records(
-                    name_checkpoint_stream(CONFIG_STREAM), [part]
+                    name_checkpoint_stream(CONFIG_STREAM), [checkpoint]
                 )
--- a/lavendershift/followers.py
+++ b/lavendershift/followers.py
@@ -84,9 +84,10 @@
             self.caught_up.set()
 
     async def _recover(self) -> None:
-        try:
+        before = self.next_offset
+        with contextlib.suppress(LogUnavailableError):
             self.next_offset = await self._on_expired()
-        except LogUnavailableError:
+        if self.next_offset == before:
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
 
--- a/lavendershift/reports.py
+++ b/lavendershift/reports.py
@@ -76,7 +76,9 @@
     def _note_folded(self, sender: Any, record: Record, verdict: Any, **_: Any) -> None:
         if not verdict.counted:
             self._log.write(
-                Event.RECORD_REJECTED, reason=f"{record.id}: {verdict.reason}"
+                Event.RECORD_REJECTED,
+                request=getattr(record, "request", ""),
+                reason=f"{record.id}: {verdict.reason}",
             )
 
     def _note_ejected(self, sender: Any, ejection: Any, **_: Any) -> None:
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -50,6 +50,7 @@
 MEMBERSHIP_STEP = timedelta(seconds=1)
 CLOSE_WAIT = timedelta(seconds=5)  # for the log to take the closing record
 DRAIN_STEP = timedelta(milliseconds=50)
+CHECKPOINT_STEP = timedelta(seconds=1)  # between looks at whose turn it is
 LEAST_SHARE = 0.5  # of an even part of a customer's limits
 DISCOVERY_PAUSE = timedelta(seconds=2)  # between leaving discovery and refusing
 
@@ -81,6 +82,8 @@
         self._attempts = 0
         self._shares: dict[str, float] = {}
         self._models: list[str] = []
+        self._checkpoint_turn: int | None = None
+        self._gauged: dict[str, set[str]] = {}
 
     @property
     def configuration(self) -> Configuration:
@@ -304,6 +307,7 @@
             ("queues", QUEUE_STEP, self._start_waiting),
             ("policies", TICK, self._run_policies),
             ("membership", MEMBERSHIP_STEP, self._look_after_members),
+            ("checkpoints", CHECKPOINT_STEP, self._look_after_checkpoints),
         ]
         for name, interval, work in works:
             periodic = Periodic(interval, work, self.report_fault)
@@ -408,6 +412,16 @@
     async def _run_policies(self) -> None:
         for shard in self.budgets.list_shards():
             shard.allocator.run_policies()
+            self._update_gauges(shard)
+
+    def _update_gauges(self, shard: Shard) -> None:
+        budgets = set(shard.allocator.budgets())
+        for budget in self._gauged.get(shard.session.stream, set()) - budgets:
+            self.metrics.drop_budget(budget)
+        self._gauged[shard.session.stream] = budgets
+        for budget in budgets:
+            view = shard.session.ledger.find_budget(budget, self.feed.offset)
+            self.metrics.set_budget(budget, view)
 
     async def _look_after_members(self) -> None:
         """Note the ledger's incarnations and propose evictions."""
@@ -423,6 +437,20 @@
         for eviction in self.membership.propose_evictions():
             self._evict(eviction.incarnation)
 
+    async def _look_after_checkpoints(self) -> None:
+        """Write checkpoints when it is this router's turn in time."""
+        interval = self.settings.ledger.checkpoint_interval
+        turn = int(self._clock.now().timestamp() // interval.total_seconds())
+        due = self._checkpoint_turn not in (None, turn)
+        self._checkpoint_turn = turn
+        if not due or self.find_fault() is not None:
+            return
+        for session in self._sessions:
+            if session.is_checkpoint_writer(turn):
+                session.start_checkpoint()
+        if self._sessions[0].is_checkpoint_writer(turn):
+            self.feed.start_checkpoint()
+
     def _evict(self, incarnation: str) -> None:
         author = self.settings.vm.name
         for session in self._sessions:
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -248,27 +248,32 @@
         del self._writers[participant.incarnation]
         await participant.writer.stop()
 
-    def _maybe_checkpoint(self) -> None:
-        ledger = self.ledger
-        due = ledger.next_offset - self._last_checkpoint
-        if due < self._settings.checkpoint_every:
-            return
-        self._last_checkpoint = ledger.next_offset
-        if not self._is_checkpoint_writer():
-            return
-        checkpoint_id = f"{self.stream}@{ledger.next_offset}"
-        task = asyncio.ensure_future(
-            self._write_checkpoint(ledger.make_checkpoint(checkpoint_id))
-        )
+    def is_checkpoint_writer(self, turn: int) -> bool:
+        """Whether it is this router's turn to write a checkpoint.
+
+        All routers agree on the turns as far as they have folded the same
+        records; a checkpoint written twice does no harm.
+        """
+        live = sorted(self.ledger.live_incarnations())
+        return bool(live) and live[turn % len(live)] == self.participant.incarnation
+
+    def start_checkpoint(self) -> None:
+        """Write a checkpoint of the folded state in the background."""
+        offset = self.ledger.next_offset
+        self._last_checkpoint = offset
+        parts = self.ledger.make_checkpoint(f"{self.stream}@{offset}")
+        task = asyncio.ensure_future(self._write_checkpoint(parts))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
-    def _is_checkpoint_writer(self) -> bool:
-        live = sorted(self.ledger.live_incarnations())
-        if not live:
-            return False
-        turn = self.ledger.next_offset // self._settings.checkpoint_every
-        return live[turn % len(live)] == self.participant.incarnation
+    def _maybe_checkpoint(self) -> None:
+        every = self._settings.checkpoint_every
+        offset = self.ledger.next_offset
+        if offset - self._last_checkpoint < every:
+            return
+        self._last_checkpoint = offset
+        if self.is_checkpoint_writer(offset // every):
+            self.start_checkpoint()
 
     async def _write_checkpoint(self, parts: list[Checkpoint]) -> None:
         stream = name_checkpoint_stream(self.stream)
--- a/lavendershift/settings_sections.py
+++ b/lavendershift/settings_sections.py
@@ -71,6 +71,7 @@
 
     shards: int
     checkpoint_every: int
+    checkpoint_interval: timedelta
     key_retention: timedelta
     holding_policy: str
 
--- a/lavendershift/settings_table.py
+++ b/lavendershift/settings_table.py
@@ -197,6 +197,16 @@
         "Records of a stream between two checkpoints.",
         ROUTER,
     ),
+    SettingRow(
+        "ledger",
+        "checkpoint_interval_s",
+        _duration(5, 86_400),
+        600.0,
+        "s",
+        "Longest time between two checkpoints of a stream, also of one without new "
+        "records; at most a third of the log's retention.",
+        ROUTER,
+    ),
     SettingRow(
         "ledger",
         "key_retention_h",
--- a/lavendershift/tools/relay.py
+++ b/lavendershift/tools/relay.py
@@ -13,6 +13,7 @@
 from lavendershift.plugins.http_log import HttpLogClient
 from lavendershift.relay import Relay
 from lavendershift.settings import load_settings
+from lavendershift.settings_page import render_defaults
 from lavendershift.settings_sections import RelaySettings
 from lavendershift.settings_table import Program
 from lavendershift.sockets import ReplySocket
@@ -51,10 +52,21 @@
 class RelayCommand:
     """Arguments of the program."""
 
-    config: Annotated[Path, cappa.Arg(long=True, help="TOML settings file")]
+    config: Annotated[Path | None, cappa.Arg(long=True, help="TOML settings file")] = (
+        None
+    )
+    print_defaults: Annotated[
+        bool, cappa.Arg(long=True, help="print a settings file of all defaults")
+    ] = False
 
     def __call__(self) -> None:
         """Run the relay until it is told to stop."""
+        if self.print_defaults:
+            print(render_defaults(Program.RELAY), end="")
+            return
+        if self.config is None:
+            print("--config is required", file=sys.stderr)
+            raise cappa.Exit(code=2)
         match load_settings(self.config, Program.RELAY):
             case Success(RelaySettings() as settings):
                 asyncio.run(run_relay(settings))
--- a/lavendershift/tools/router.py
+++ b/lavendershift/tools/router.py
@@ -13,6 +13,7 @@
 from lavendershift.clocks import SystemClock
 from lavendershift.router import RouterApplication
 from lavendershift.settings import load_settings
+from lavendershift.settings_page import render_defaults
 from lavendershift.settings_sections import RouterSettings
 from lavendershift.settings_table import Program
 
@@ -22,10 +23,21 @@
 class RouterCommand:
     """Arguments of the program."""
 
-    config: Annotated[Path, cappa.Arg(long=True, help="TOML settings file")]
+    config: Annotated[Path | None, cappa.Arg(long=True, help="TOML settings file")] = (
+        None
+    )
+    print_defaults: Annotated[
+        bool, cappa.Arg(long=True, help="print a settings file of all defaults")
+    ] = False
 
     def __call__(self) -> None:
         """Run the router until it is told to stop."""
+        if self.print_defaults:
+            print(render_defaults(Program.ROUTER), end="")
+            return
+        if self.config is None:
+            print("--config is required", file=sys.stderr)
+            raise cappa.Exit(code=2)
         match load_settings(self.config, Program.ROUTER):
             case Success(RouterSettings() as settings):
                 asyncio.run(run_router(settings))
