Go on as one incarnation in all ledger streams, and start without the log

Cause: each stream had an incarnation of its own while heartbeats tell of one, so with two shards peers would have evicted the others for being superseded, and a router would have proposed its own new incarnation for eviction; a start in an outage of the log ended the process. Change: the router owns the incarnation and renews it in all streams; feeds and sessions restore in the background while health and discovery answer.

--- a/lavendershift/discovery.py
+++ b/lavendershift/discovery.py
@@ -14,7 +14,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lavendershift.membership import Vm, VmState, rank_by_hash
+from lavendershift.hashing import rank_by_hash
+from lavendershift.membership import Vm, VmState
 
 HOME_ROUTERS = 2  # for each customer in each failure domain
 TIME_TO_LIVE = timedelta(seconds=30)
--- a/lavendershift/feeds.py
+++ b/lavendershift/feeds.py
@@ -37,6 +37,7 @@
         self._last_checkpoint = 0
         self._folded = asyncio.Event()
         self._follower: StreamFollower | None = None
+        self._starting: asyncio.Task[None] | None = None
         self._checkpoints: set[asyncio.Task[None]] = set()
 
     @property
@@ -52,20 +53,13 @@
         return self.offset >= required_offset
 
     async def start(self) -> None:
-        """Restore the latest checkpoint and start following."""
-        await self._restore_until_answered()
-        self._follower = StreamFollower(
-            self._log,
-            CONFIG_STREAM,
-            self.offset,
-            self._fold,
-            self._restore,
-            self._clock,
-        )
-        self._follower.start()
+        """Restore the latest checkpoint, then follow, in the background."""
+        self._starting = asyncio.ensure_future(self._start_following())
 
     async def stop(self) -> None:
         """Stop following."""
+        if self._starting is not None:
+            self._starting.cancel()
         for task in self._checkpoints:
             task.cancel()
         if self._follower is not None:
@@ -91,6 +85,18 @@
         if self.offset - self._last_checkpoint >= self._checkpoint_every:
             self.start_checkpoint()
 
+    async def _start_following(self) -> None:
+        await self._restore_until_answered()
+        self._follower = StreamFollower(
+            self._log,
+            CONFIG_STREAM,
+            self.offset,
+            self._fold,
+            self._restore,
+            self._clock,
+        )
+        self._follower.start()
+
     async def _restore_until_answered(self) -> None:
         while True:
             try:
--- a/lavendershift/membership.py
+++ b/lavendershift/membership.py
@@ -14,9 +14,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-import xxhash
-
 from lavendershift.clocks import Clock
+from lavendershift.hashing import rank_by_hash
 from lavendershift.messages import Heartbeat
 
 SUSPECT_AFTER = timedelta(seconds=3)  # three heartbeats
@@ -121,6 +120,11 @@
         if incarnation != self._incarnation:
             self._incarnations.setdefault(incarnation, _Incarnation(vm, now))
 
+    def renew_incarnation(self, incarnation: str) -> None:
+        """Note that this router goes on as another incarnation."""
+        self._incarnation = incarnation
+        self._incarnations.pop(incarnation, None)
+
     def forget_incarnation(self, incarnation: str) -> None:
         """Drop an incarnation that the ledger calls closed or evicted."""
         self._incarnations.pop(incarnation, None)
@@ -207,13 +211,3 @@
         proposers = [vm.name for vm in self.list_vms() if vm.state is VmState.LIVE]
         ranked = rank_by_hash([*proposers, self._vm], incarnation)
         return PROPOSER_STEP * ranked.index(self._vm)
-
-
-def rank_by_hash(names: Sequence[str], key: str) -> list[str]:
-    """Return ``names`` in the order of their rendezvous hash with ``key``.
-
-    Removing a name leaves the order of the others as it was.
-    """
-    return sorted(
-        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{name}\n{key}".encode())
-    )
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -40,7 +40,11 @@
 from lavendershift.retries import Retries, RetryBudget
 from lavendershift.routing import ROUTING_POLICIES
 from lavendershift.servers import ServerPool
-from lavendershift.sessions import LedgerSession, SessionSettings
+from lavendershift.sessions import (
+    LedgerSession,
+    SessionSettings,
+    make_incarnation,
+)
 from lavendershift.settings_sections import RouterSettings
 from lavendershift.streams import LOG_CLIENTS, LogClient
 from lavendershift.upstreams import UpstreamClient
@@ -80,6 +84,7 @@
         self._stopping = False
         self._leaving = False
         self._attempts = 0
+        self.incarnation = make_incarnation(settings.vm.name, clock, rng)
         self._shares: dict[str, float] = {}
         self._models: list[str] = []
         self._checkpoint_turn: int | None = None
@@ -104,7 +109,7 @@
         self.membership = Membership(
             self._clock,
             settings.vm.name,
-            sessions[0].participant.incarnation,
+            self.incarnation,
             settings.peers.evict_after,
         )
         self.demands = Demands(self._clock)
@@ -112,12 +117,12 @@
         self.budgets = Budgets({s.stream: self._make_shard(s) for s in sessions})
         self._make_dispatch()
         self.add_part("client", stop=self._close_client)
+        self.add_part("callers", self._listen, self._close_listener)
         self.add_part("feed", self.feed.start, self.feed.stop)
         for session in sessions:
             self.add_part(session.stream, session.start, session.stop)
         self.add_part("peers", self.peers.start, self.peers.stop)
         self._add_watchers()
-        self.add_part("callers", self._listen, self._close_listener)
         signals.record_folded.connect(self._note_folded)
         signals.configuration_changed.connect(self._note_configuration)
 
@@ -155,7 +160,7 @@
         return {
             "vm": self.settings.vm.name,
             "failure_domain": self.settings.vm.failure_domain,
-            "incarnation": self._sessions[0].participant.incarnation,
+            "incarnation": self.incarnation,
             "ready": fault is None,
             "fault": None if fault is None else fault.value,
             "config_offset": self.feed.offset,
@@ -214,15 +219,24 @@
                 self._log,
                 session_settings,
                 self._clock,
-                self._rng,
+                self.incarnation,
                 lambda budget, offset: self.configuration.prepaid(budget, offset),
                 self.feed.wait_for,
                 lambda: self.feed.offset,
+                self._renew_incarnation,
             )
             for shard in range(settings.ledger.shards)
         ]
         return self._sessions
 
+    def _renew_incarnation(self) -> None:
+        """Go on as a new incarnation after the current one was evicted."""
+        vm = self.settings.vm.name
+        self.incarnation = make_incarnation(vm, self._clock, self._rng)
+        self.membership.renew_incarnation(self.incarnation)
+        for session in self._sessions:
+            session.rejoin(self.incarnation)
+
     def _make_peers(self) -> Peers:
         settings = self.settings
         return Peers(
@@ -343,13 +357,13 @@
 
     def _make_attempt(self) -> str:
         self._attempts += 1
-        return f"{self._sessions[0].participant.incarnation}-{self._attempts}"
+        return f"{self.incarnation}-{self._attempts}"
 
     def _make_heartbeat(self) -> Heartbeat:
         session = self._sessions[0]
         return Heartbeat(
             self.settings.vm.name,
-            session.participant.incarnation,
+            self.incarnation,
             self.settings.vm.failure_domain,
             self.find_fault() is None and not self._leaving,
             self.feed.offset,
@@ -363,7 +377,7 @@
     def _list_vms(self) -> list[Vm]:
         own = Vm(
             self.settings.vm.name,
-            self._sessions[0].participant.incarnation,
+            self.incarnation,
             self.settings.vm.failure_domain,
             VmState.LEAVING if self._is_leaving() else VmState.LIVE,
             self.find_fault() is None,
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -17,6 +17,7 @@
 from lavendershift import signals
 from lavendershift.allowances import AllowanceBook
 from lavendershift.clocks import Clock
+from lavendershift.errors import LogUnavailableError
 from lavendershift.followers import StreamFollower, read_checkpoint
 from lavendershift.ledger import Ledger, Verdict
 from lavendershift.records import (
@@ -31,6 +32,7 @@
 from lavendershift.writers import StreamWriter
 
 OUTAGE_AFTER = timedelta(seconds=2)  # of failed appends; shorter ones are retries
+RESTORE_RETRY = timedelta(milliseconds=200)
 CLOSE_POLL = timedelta(milliseconds=100)
 
 
@@ -63,6 +65,8 @@
 
     ``wait_for_config`` returns once the configuration is folded up to an
     offset, ``find_prepaid`` looks a budget's prepaid tokens up in it.
+    ``on_evicted`` is called when the current incarnation is evicted, and has
+    to call ``rejoin`` of all sessions with a new one.
     """
 
     def __init__(
@@ -71,10 +75,11 @@
         log: LogClient,
         settings: SessionSettings,
         clock: Clock,
-        rng: random.Random,
+        incarnation: str,
         find_prepaid: Callable[[str, int], int],
         wait_for_config: Callable[[int], Awaitable[None]],
         config_offset: Callable[[], int],
+        on_evicted: Callable[[], None],
     ) -> None:
         self.stream = stream
         self.ledger = Ledger(
@@ -86,7 +91,7 @@
         self._log = log
         self._settings = settings
         self._clock = clock
-        self._rng = rng
+        self._on_evicted = on_evicted
         self.find_prepaid = find_prepaid
         self._wait_for_config = wait_for_config
         self.config_offset = config_offset
@@ -95,8 +100,9 @@
         self._closing: set[asyncio.Task[None]] = set()
         self._last_checkpoint = 0
         self._writers: dict[str, StreamWriter] = {}
-        self._evicted: list[Participant] = []
-        self.participant = self._make_participant()
+        self._former: list[Participant] = []
+        self._starting: asyncio.Task[None] | None = None
+        self.participant = self._make_participant(incarnation)
 
     @property
     def joined(self) -> bool:
@@ -109,26 +115,32 @@
         return self.participant.writer.failing_for < OUTAGE_AFTER
 
     async def start(self) -> None:
-        """Restore the latest checkpoint and start following and joining."""
-        await self._restore()
-        self.follower = StreamFollower(
-            self._log,
-            self.stream,
-            self.ledger.next_offset,
-            self._fold,
-            self._restore,
-            self._clock,
-        )
-        self.follower.start()
-        self._join()
+        """Restore the latest checkpoint, then follow and join, in the background."""
+        self._starting = asyncio.ensure_future(self._start_following())
 
     async def stop(self) -> None:
         """Stop following and writing at once."""
+        if self._starting is not None:
+            self._starting.cancel()
         for task in self._closing:
             task.cancel()
         if self.follower is not None:
             await self.follower.stop()
-        await self.participant.writer.stop()
+        for writer in list(self._writers.values()):
+            await writer.stop()
+
+    def rejoin(self, incarnation: str) -> None:
+        """Go on as another incarnation.
+
+        The one until now ends its attempts in flight and then closes.
+        """
+        former = self.participant
+        self._former.append(former)
+        self.participant = self._make_participant(incarnation)
+        self._join()
+        task = asyncio.ensure_future(self._close_participant(former))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
     async def close(self, timeout: timedelta) -> bool:
         """Close and hand back what is unspent; false after ``timeout``."""
@@ -139,15 +151,6 @@
             participant.writer.submit_record(participant.book.make_close())
         return await participant.writer.flush(timeout)
 
-    def submit(self, record: Record) -> asyncio.Future[int]:
-        """Queue a record whose id was just taken from the participant's writer."""
-        return self.find_writer(record.id).submit_record(record)
-
-    def find_writer(self, record_id: str) -> StreamWriter:
-        """Return the writer of the incarnation that ``record_id`` belongs to."""
-        incarnation = record_id.rpartition("/")[0]
-        return self._writers[incarnation]
-
     async def wait_verdict(self, record_id: str, timeout: timedelta) -> Verdict | None:
         """Return the fold's verdict on a record not folded yet.
 
@@ -178,8 +181,28 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _make_participant(self) -> Participant:
-        incarnation = make_incarnation(self._settings.vm, self._clock, self._rng)
+    async def _start_following(self) -> None:
+        await self._restore_until_answered()
+        self.follower = StreamFollower(
+            self._log,
+            self.stream,
+            self.ledger.next_offset,
+            self._fold,
+            self._restore,
+            self._clock,
+        )
+        self.follower.start()
+        self._join()
+
+    async def _restore_until_answered(self) -> None:
+        while True:
+            try:
+                await self._restore()
+                return
+            except LogUnavailableError:
+                await asyncio.sleep(RESTORE_RETRY.total_seconds())
+
+    def _make_participant(self, incarnation: str) -> Participant:
         writer = StreamWriter(self._log, self.stream, incarnation, self._clock)
         book = AllowanceBook(incarnation, self.ledger, writer.next_id)
         self._writers[incarnation] = writer
@@ -214,14 +237,19 @@
         verdict = self.ledger.fold(entry)
         if entry.record is None:
             return
-        for participant in [self.participant, *self._evicted]:
+        for participant in [self.participant, *self._former]:
             for answer in participant.book.apply(entry.record, verdict):
                 participant.writer.submit_record(answer)
         self._notify(entry.record, verdict)
-        if isinstance(entry.record, Evict) and verdict.counted:
-            self._handle_eviction(entry.record.incarnation)
+        if self._ends_participant(entry.record, verdict):
+            self._on_evicted()
         self._maybe_checkpoint()
 
+    def _ends_participant(self, record: Record, verdict: Verdict) -> bool:
+        if not isinstance(record, Evict) or not verdict.counted:
+            return False
+        return record.incarnation == self.participant.incarnation
+
     def _notify(self, record: Record, verdict: Verdict) -> None:
         signals.record_folded.send(self, record=record, verdict=verdict)
         watched = self._watched.get(record.id)
@@ -229,22 +257,11 @@
             watched.set_result(verdict)
         self.note_change()
 
-    def _handle_eviction(self, incarnation: str) -> None:
-        if incarnation != self.participant.incarnation:
-            return
-        evicted = self.participant
-        self._evicted.append(evicted)
-        self.participant = self._make_participant()
-        self._join()
-        task = asyncio.ensure_future(self._close_participant(evicted))
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
-
     async def _close_participant(self, participant: Participant) -> None:
         while participant.book.in_flight():
             await asyncio.sleep(CLOSE_POLL.total_seconds())
         await participant.writer.submit_record(participant.book.make_close())
-        self._evicted.remove(participant)
+        self._former.remove(participant)
         del self._writers[participant.incarnation]
         await participant.writer.stop()
 
