Find whose turn it is only for incarnations overdue for eviction

Cause: each second a router ranked all VMs for every known incarnation, silent or not, so that the tick grew with the square of the fleet. Change: the rank is only found for an incarnation that is overdue; the order of proposers and the proposals are the same.

--- a/lavendershift/membership.py
+++ b/lavendershift/membership.py
@@ -187,9 +187,15 @@
         return [
             Eviction(name, incarnation.vm, now - incarnation.heard_at)
             for name, incarnation in sorted(self._incarnations.items())
-            if self._find_overdue(name, incarnation) >= self._find_turn(name)
+            if self._is_ours_to_propose(name, incarnation)
         ]
 
+    def _is_ours_to_propose(self, name: str, incarnation: _Incarnation) -> bool:
+        overdue = self._find_overdue(name, incarnation)
+        if overdue < timedelta():
+            return False
+        return overdue >= self._find_turn(name)
+
     def _find_overdue(self, name: str, incarnation: _Incarnation) -> timedelta:
         now = self._clock.elapsed()
         since = incarnation.heard_at
