Bill the attempts of a router that is lost before it logged their charges

Cause: an answer can be complete, or still be generated, when its router dies; its charge was then never logged, so a request that ran was not billed. Ruled out: waiting for an intent in the log before each dispatch (an append before the first token, and none in an outage); asking engines for all attempts of a holder (only those that honour fencing list them). Change: each router tells one peer in another failure domain of its open attempts; on eviction that peer asks the engines and logs Recover records, which the fold counts once per attempt. Tests for lost notices, charged attempts and closed routers.

--- a/lavendershift/budgets.py
+++ b/lavendershift/budgets.py
@@ -17,7 +17,9 @@
 from lavendershift.allocators import BudgetAllocator, Demand, HeldReservation
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.ledger import Ledger
+from lavendershift.messages import AttemptNote
 from lavendershift.records import Record, find_ledger_stream
+from lavendershift.replicas import AttemptSender
 from lavendershift.sessions import LedgerSession
 
 SETTLE_WAIT = timedelta(seconds=2)  # for the log to confirm a charge
@@ -31,10 +33,14 @@
 
 
 class Budgets:
-    """Reserves and settles on the ledger stream of each budget."""
+    """Reserves and settles on the ledger stream of each budget.
 
-    def __init__(self, shards: Mapping[str, Shard]) -> None:
+    ``sender`` is told of the attempts that are charged.
+    """
+
+    def __init__(self, shards: Mapping[str, Shard], sender: AttemptSender) -> None:
         self._shards = shards
+        self._sender = sender
 
     def find_shard(self, budget: str) -> Shard:
         """Return the shard that ``budget`` belongs to."""
@@ -78,8 +84,22 @@
     def cancel(self, held: HeldReservation) -> None:
         """Free the reservation of an attempt that certainly did not run."""
         held.participant.book.cancel(held.reservation)
+        self._sender.note_charged(held.reservation.attempt)
         self._note_used(held, 0)
 
+    def note_sent(self, held: HeldReservation, address: str) -> None:
+        """Note that an attempt is about to be sent to the engine at ``address``."""
+        reservation = held.reservation
+        self._sender.note_sent(
+            AttemptNote(
+                held.participant.incarnation,
+                reservation.attempt,
+                reservation.request,
+                reservation.budget,
+                address,
+            )
+        )
+
     async def settle(self, held: HeldReservation, used: int) -> bool:
         """Charge what an attempt used; true once the log has confirmed it.
 
@@ -113,7 +133,7 @@
         """Charge an attempt in doubt on evidence of what it used."""
         used = min(used, held.reservation.tokens)
         charge = held.participant.book.resolve(held.reservation, used)
-        held.participant.writer.submit_record(charge)
+        self._submit(held, charge)
         self._note_used(held, used)
 
     async def append(self, held: HeldReservation, record: Record) -> bool:
@@ -123,12 +143,18 @@
         known to be away.
         """
         writer = held.participant.writer
-        appended = writer.submit_record(record)
+        appended = self._submit(held, record)
         if writer.failing_for:
             return False
         done, _ = await asyncio.wait([appended], timeout=SETTLE_WAIT.total_seconds())
         return bool(done)
 
+    def _submit(self, held: HeldReservation, record: Record) -> asyncio.Future[int]:
+        appended = held.participant.writer.submit_record(record)
+        attempt = held.reservation.attempt
+        appended.add_done_callback(lambda _: self._sender.note_charged(attempt))
+        return appended
+
     def _note_used(self, held: HeldReservation, used: int) -> None:
         budget = held.reservation.budget
         self.find_shard(budget).allocator.note_used(budget, used)
--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -151,6 +151,7 @@
         signals.request_dispatched.send(
             self, context=context, attempt=attempt.id, server=attempt.placed.server
         )
+        self._budgets.note_sent(attempt.held, attempt.placed.address)
         reader = _AnswerForwarder(
             attempt, request, sink, self._placement, self._settings.max_buffered_bytes
         )
--- a/lavendershift/evidence.py
+++ b/lavendershift/evidence.py
@@ -7,31 +7,21 @@
 """
 
 import asyncio
-from datetime import timedelta
-
-import msgspec
 
 from lavendershift.allocators import HeldReservation
 from lavendershift.budgets import Budgets
-from lavendershift.completions import Usage, parse_usage
-from lavendershift.upstreams import UpstreamClient
-
-CALL_TIMEOUT = timedelta(seconds=2)
-FIRST_PAUSE = timedelta(milliseconds=200)
-LONGEST_PAUSE = timedelta(seconds=30)
-MAX_QUESTIONS = 20
-FINAL_STATES = ("done", "cancelled")
+from lavendershift.usages import UsageReader
 
 
 class UsageInquiry:
-    """Asks engines about attempts in doubt until they are settled.
+    """Settles this router's own attempts in doubt as engines answer.
 
-    After ``MAX_QUESTIONS`` without an answer the reservation stays in doubt
-    until an operator releases it.
+    Without an answer the reservation stays in doubt until an operator
+    releases it.
     """
 
-    def __init__(self, client: UpstreamClient, budgets: Budgets) -> None:
-        self._client = client
+    def __init__(self, reader: UsageReader, budgets: Budgets) -> None:
+        self._reader = reader
         self._budgets = budgets
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -48,31 +38,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _settle(self, held: HeldReservation, address: str, attempt: str) -> None:
-        await self.cancel_attempt(address, attempt)
-        pause = FIRST_PAUSE
-        for _ in range(MAX_QUESTIONS):
-            usage = await self._ask(address, attempt)
-            if usage is not None:
-                self._budgets.resolve(held, usage.total)
-                return
-            await asyncio.sleep(pause.total_seconds())
-            pause = min(pause * 2, LONGEST_PAUSE)
-
     async def cancel_attempt(self, address: str, attempt: str) -> None:
         """Ask the engine to stop an attempt; it may already have ended."""
-        url = f"http://{address}/control/cancel/{attempt}"
-        await self._client.fetch("POST", url, CALL_TIMEOUT, b"")
+        await self._reader.cancel_attempt(address, attempt)
 
-    async def _ask(self, address: str, attempt: str) -> Usage | None:
-        url = f"http://{address}/control/requests/{attempt}"
-        response = await self._client.fetch("GET", url, CALL_TIMEOUT)
-        if response.code != 200:
-            return None
-        try:
-            data = msgspec.json.decode(response.body)
-        except msgspec.DecodeError:
-            return None
-        if not isinstance(data, dict) or data.get("state") not in FINAL_STATES:
-            return None
-        return parse_usage(data)
+    async def _settle(self, held: HeldReservation, address: str, attempt: str) -> None:
+        await self._reader.cancel_attempt(address, attempt)
+        usage = await self._reader.wait_usage(address, attempt)
+        if usage is not None and not held.participant.book.closed:
+            self._budgets.resolve(held, usage.total)
--- a/lavendershift/messages.py
+++ b/lavendershift/messages.py
@@ -8,7 +8,8 @@
 
 A relay answers ``AppendRequest`` with ``Appended`` and ``ReadRequest`` with
 ``ReadReply``. Routers answer each other's ``Heartbeat`` with their own and
-``BorrowRequest`` with ``Lent``. Any of them may answer ``Failure``.
+``BorrowRequest`` with ``Lent`` and ``AttemptsNotice`` with ``Noted``. Any of them
+may answer ``Failure``.
 """
 
 from collections.abc import Callable
@@ -130,6 +131,40 @@
     tokens: int
 
 
+class AttemptNote(NamedTuple):
+    """An attempt that was sent to an engine and is not yet charged.
+
+    ``request`` is the scoped key, ``server`` the engine's ``IP:PORT``.
+    """
+
+    incarnation: str
+    attempt: str
+    request: str
+    budget: str
+    server: str
+
+
+@register_message("attempts")
+class AttemptsNotice(NamedTuple):
+    """What an incarnation sent to engines since its last notice.
+
+    With ``whole`` set, ``sent`` are all attempts not yet charged and replace
+    what was told before; ``charged`` are those whose charge the log confirmed.
+    """
+
+    incarnation: str
+    whole: bool
+    sent: list[AttemptNote]
+    charged: list[str]
+
+
+@register_message("noted")
+class Noted(NamedTuple):
+    """A notice was taken in."""
+
+    incarnation: str
+
+
 @register_message("failure")
 class Failure(NamedTuple):
     """A request that could not be served, with a closed reason."""
@@ -147,6 +182,8 @@
     | Heartbeat
     | BorrowRequest
     | Lent
+    | AttemptsNotice
+    | Noted
     | Failure
 )
 
--- a/lavendershift/peers.py
+++ b/lavendershift/peers.py
@@ -1,4 +1,4 @@
-"""Talk between routers: heartbeats and loans of tokens.
+"""Talk between routers: heartbeats, loans of tokens, notices of attempts.
 
 Each router listens on its peer address, sends a heartbeat to every other
 router of the settings tree, and lends unspent tokens to a router that cannot
@@ -15,11 +15,13 @@
 from lavendershift.demands import Demands
 from lavendershift.membership import Membership
 from lavendershift.messages import (
+    AttemptsNotice,
     BorrowRequest,
     Failure,
     Heartbeat,
     Lent,
     Message,
+    Noted,
 )
 from lavendershift.nodes import VmSettings
 from lavendershift.sockets import PeerUnavailableError, ReplySocket, RequestSocket
@@ -41,7 +43,8 @@
     """The other routers, as far as this one talks to them.
 
     ``make_heartbeat`` returns this router's own state, ``lend`` answers a
-    borrower, and ``demands`` takes in what peers tell of their customers.
+    borrower, ``demands`` takes in what peers tell of their customers, and
+    ``take_notice`` their attempts.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         make_heartbeat: Callable[[], Heartbeat],
         lend: Lend,
         demands: Demands,
+        take_notice: Callable[[AttemptsNotice], None],
     ) -> None:
         self._vm = vm
         self._address = address
@@ -65,6 +69,7 @@
         self._make_heartbeat = make_heartbeat
         self._lend = lend
         self._demands = demands
+        self._take_notice = take_notice
         self._sockets: dict[str, RequestSocket] = {}
         self._status: dict[str, PeerStatus] = {}
         self._listener: ReplySocket | None = None
@@ -121,6 +126,17 @@
                 return reply if isinstance(reply, Lent) else None
         return None
 
+    async def notify(self, vm: str, notice: AttemptsNotice) -> bool:
+        """Send a notice to the router on ``vm``; whether it was taken in."""
+        socket = self._sockets.get(vm)
+        if socket is None:
+            return False
+        try:
+            reply = await socket.request(notice, REQUEST_TIMEOUT)
+        except PeerUnavailableError:
+            return False
+        return isinstance(reply, Noted)
+
     def _find_socket(self, incarnation: str) -> RequestSocket | None:
         for vm, status in self._status.items():
             if status.beat.incarnation == incarnation:
@@ -133,6 +149,9 @@
             return self._make_heartbeat()
         if isinstance(message, BorrowRequest):
             return self._lend(message)
+        if isinstance(message, AttemptsNotice):
+            self._take_notice(message)
+            return Noted(message.incarnation)
         return Failure("unexpected", type(message).__name__)
 
     def _note(self, beat: Heartbeat) -> None:
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -35,7 +36,8 @@
 from lavendershift.nodes import ServerSettings
 from lavendershift.peers import Peers
 from lavendershift.placement import Placement
-from lavendershift.records import Evict, Record
+from lavendershift.records import Close, Evict, Record, Recover
+from lavendershift.replicas import FLUSH_STEP, AttemptReplica, AttemptSender
 from lavendershift.reports import EventReporter
 from lavendershift.retries import Retries, RetryBudget
 from lavendershift.routing import ROUTING_POLICIES
@@ -48,6 +50,7 @@
 from lavendershift.settings_sections import RouterSettings
 from lavendershift.streams import LOG_CLIENTS, LogClient
 from lavendershift.upstreams import UpstreamClient
+from lavendershift.usages import UsageReader
 from lavendershift.watchers import LoadWatcher, MembersWatcher, Periodic
 
 QUEUE_STEP = timedelta(milliseconds=50)  # between looks at waiting requests
@@ -113,8 +116,21 @@
             settings.peers.evict_after,
         )
         self.demands = Demands(self._clock)
+        authorities = settings.servers.tls_ca
+        self._client = UpstreamClient(str(authorities) if authorities else "")
+        self._usage_reader = UsageReader(self._client)
+        self._replica = AttemptReplica(
+            settings.vm.name, self._usage_reader, self._submit_recover
+        )
         self.peers = self._make_peers()
-        self.budgets = Budgets({s.stream: self._make_shard(s) for s in sessions})
+        self._sender = AttemptSender(
+            settings.vm.failure_domain,
+            lambda: self.incarnation,
+            self.peers.list_reachable,
+            self.peers.notify,
+        )
+        shards = {session.stream: self._make_shard(session) for session in sessions}
+        self.budgets = Budgets(shards, self._sender)
         self._make_dispatch()
         self.add_part("client", stop=self._close_client)
         self.add_part("callers", self._listen, self._close_listener)
@@ -249,6 +265,7 @@
             self._make_heartbeat,
             self._lend,
             self.demands,
+            self._replica.take_notice,
         )
 
     def _make_shard(self, session: LedgerSession) -> Shard:
@@ -272,8 +289,6 @@
             self._make_attempt,
             settings.limits.max_in_flight,
         )
-        authorities = settings.servers.tls_ca
-        self._client = UpstreamClient(str(authorities) if authorities else "")
         self.pool = ServerPool(self._clock, self._rng, settings.vm.failure_domain)
         policy = ROUTING_POLICIES[settings.servers.routing_policy](self._rng)
         self.placement = Placement(self._clock, self.pool, policy)
@@ -282,7 +297,7 @@
             self._rng,
             RetryBudget(settings.retries.share, settings.retries.burst),
         )
-        self._inquiry = UsageInquiry(self._client, self.budgets)
+        self._inquiry = UsageInquiry(self._usage_reader, self.budgets)
         bounds = DispatchSettings(
             settings.servers.connect_timeout, settings.limits.max_buffered_bytes
         )
@@ -318,6 +333,7 @@
         works = [
             ("members", settings.members.poll, members.poll),
             ("load", settings.servers.load_poll, load.poll),
+            ("attempts", FLUSH_STEP, self._sender.flush),
             ("queues", QUEUE_STEP, self._start_waiting),
             ("policies", TICK, self._run_policies),
             ("membership", MEMBERSHIP_STEP, self._look_after_members),
@@ -374,6 +390,12 @@
     def _lend(self, request: BorrowRequest) -> Lent:
         return self.budgets.find_shard(request.budget).allocator.lend(request)
 
+    def _submit_recover(
+        self, budget: str, make_record: Callable[[str], Recover]
+    ) -> None:
+        session = self.budgets.find_shard(budget).session
+        session.participant.writer.submit(make_record)
+
     def _list_vms(self) -> list[Vm]:
         own = Vm(
             self.settings.vm.name,
@@ -406,7 +428,12 @@
         if session not in self._sessions:
             return
         shard = self.budgets.find_shard_of(session.stream)
-        shard.allocator.note_folded(record, fields["verdict"])
+        verdict = fields["verdict"]
+        shard.allocator.note_folded(record, verdict)
+        if isinstance(record, Evict) and verdict.counted:
+            self._replica.recover(record.incarnation)
+        elif isinstance(record, Close):
+            self._replica.forget(record.incarnation)
 
     def _note_configuration(self, feed: ConfigurationFeed, **fields: Any) -> None:
         if feed is not self.feed:
--- /dev/null
+++ b/lavendershift/tests/test_replicas.py
@@ -0,0 +1,107 @@
+import asyncio
+
+from lavendershift.completions import Usage
+from lavendershift.messages import AttemptNote, AttemptsNotice, Heartbeat
+from lavendershift.records import Recover
+from lavendershift.replicas import AttemptReplica, AttemptSender
+
+NOTE = AttemptNote("r1.1-a", "r1.1-a-1", "desks/a/b/k1", "acme", "127.0.0.1:1")
+OTHER = NOTE._replace(attempt="r1.1-a-2", request="desks/a/b/k2")
+
+
+class Peer:
+    """A peer that takes in notices, unless it is lost."""
+
+    def __init__(self):
+        self.lost = False
+        self.submitted = []
+        self.replica = AttemptReplica("r2", self, self._submit)
+
+    def _submit(self, budget, make_record):
+        self.submitted.append(make_record(f"r2.1-b/{len(self.submitted) + 1}"))
+
+    async def wait_usage(self, address, attempt):
+        await asyncio.sleep(0)
+        return Usage(10, 5) if attempt == NOTE.attempt else None
+
+    async def notify(self, vm, notice):
+        if not self.lost:
+            self.replica.take_notice(notice)
+        return not self.lost
+
+
+def make_sender(peers):
+    beats = {
+        vm: Heartbeat(vm, f"{vm}.1-x", domain, True, 0, 0)
+        for vm, domain in [("r2", "quimper"), ("r3", "rennes")]
+    }
+
+    async def notify(vm, notice):
+        return await peers[vm].notify(vm, notice)
+
+    return AttemptSender("rennes", lambda: "r1.1-a", lambda: beats, notify)
+
+
+async def evict(peer):
+    peer.replica.recover("r1.1-a")
+    for _ in range(5):
+        await asyncio.sleep(0)
+    return peer.submitted
+
+
+def test_an_uncharged_attempt_of_an_evicted_router_is_charged_by_its_peer():
+    async def run():
+        peers = {"r2": Peer(), "r3": Peer()}
+        sender = make_sender(peers)
+        sender.note_sent(NOTE)
+        sender.note_sent(OTHER)
+        await sender.flush()
+        assert await evict(peers["r3"]) == []  # of the router's own domain
+        submitted = await evict(peers["r2"])
+        expected = Recover(
+            "r2.1-b/1", "acme", "r1.1-a", NOTE.request, 15, NOTE.attempt, "r2"
+        )
+        assert submitted == [expected]
+        assert await evict(peers["r2"]) == [expected]
+
+    asyncio.run(run())
+
+
+def test_a_charged_attempt_is_not_charged_again():
+    async def run():
+        peers = {"r2": Peer(), "r3": Peer()}
+        sender = make_sender(peers)
+        sender.note_sent(NOTE)
+        await sender.flush()
+        sender.note_charged(NOTE.attempt)
+        await sender.flush()
+        assert await evict(peers["r2"]) == []
+
+    asyncio.run(run())
+
+
+def test_a_lost_notice_is_followed_by_all_that_is_open():
+    async def run():
+        peers = {"r2": Peer(), "r3": Peer()}
+        sender = make_sender(peers)
+        sender.note_sent(OTHER)
+        await sender.flush()
+        peers["r2"].lost = True
+        sender.note_sent(NOTE)
+        sender.note_charged(OTHER.attempt)
+        await sender.flush()
+        peers["r2"].lost = False
+        await sender.flush()
+        assert [r.attempt for r in await evict(peers["r2"])] == [NOTE.attempt]
+
+    asyncio.run(run())
+
+
+def test_a_router_that_closed_leaves_nothing_to_charge():
+    async def run():
+        peer = Peer()
+        peer.replica.take_notice(AttemptsNotice("r1.1-a", True, [NOTE], []))
+        peer.replica.forget("r1.1-a")
+        assert await evict(peer) == []
+
+    asyncio.run(run())
