Order engines to load the models that the tree gives them

Cause: an engine that started without a model of the tree answered 404, which the caller got as its own fault, and nothing ever loaded the model. Ruled out: one orderer elected for the fleet; a rendezvous hash per engine needs no election, and an order given twice does no harm.

--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -43,6 +43,7 @@
 
 PRIORITY_LEVELS = {"interactive": "0", "batch": "10"}
 CLIENT_ERRORS = range(400, 500)
+MODEL_MISSING_STATUS = 404
 CANCEL_GRACE = timedelta(seconds=5)  # for a cancelled stream to report its usage
 
 
@@ -222,7 +223,7 @@
             self._placement.release(attempt.placed, AttemptResult.COMPLETED)
             reader.finish()
             return None
-        if result.status in CLIENT_ERRORS and result.delivery is Delivery.ANSWERED:
+        if is_callers_fault(result):
             self._placement.release(attempt.placed, AttemptResult.COMPLETED)
             raise RequestError(ErrorKind.INVALID_REQUEST, summarize_error(result.body))
         reason, ran = classify(result)
@@ -370,11 +371,21 @@
     )
 
 
+def is_callers_fault(result: UpstreamResult) -> bool:
+    """Whether an engine refused a request for what the caller asked.
+
+    An engine that misses its model is not the caller's fault.
+    """
+    if result.delivery is not Delivery.ANSWERED:
+        return False
+    return result.status in CLIENT_ERRORS and result.status != MODEL_MISSING_STATUS
+
+
 def classify(result: UpstreamResult) -> tuple[RetryReason, Ran]:
     """Return why an attempt failed and whether it ran."""
     if result.delivery is Delivery.NOT_SENT:
         return RetryReason.CONNECT_FAILED, Ran.NO
-    if result.delivery is Delivery.REFUSED:
+    if result.delivery is Delivery.REFUSED or result.status == MODEL_MISSING_STATUS:
         return RetryReason.REFUSED, Ran.NO
     return RetryReason.FAILED, Ran.UNKNOWN
 
--- a/lavendershift/loads.py
+++ b/lavendershift/loads.py
@@ -20,7 +20,8 @@
 class LoadReport(NamedTuple):
     """What a server said of itself, ``age`` before now.
 
-    ``running`` and ``waiting`` count requests of all routers.
+    ``running`` and ``waiting`` count requests of all routers. ``models`` are
+    those loaded, ``None`` where the server does not tell.
     """
 
     running: int
@@ -28,6 +29,7 @@
     age: timedelta = timedelta()
     kv_used: float = 0.0
     adapters: tuple[str, ...] = ()
+    models: tuple[str, ...] | None = None
 
 
 class LoadEstimate:
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 from typing import Any
 
+import msgspec
 from tornado.httpserver import HTTPServer
 
 from lavendershift import signals
@@ -34,6 +35,7 @@
 from lavendershift.messages import BorrowRequest, Heartbeat, Lent
 from lavendershift.metrics import Metrics
 from lavendershift.nodes import ServerSettings
+from lavendershift.orders import OrderPlanner
 from lavendershift.peers import Peers
 from lavendershift.placement import Placement
 from lavendershift.records import Close, Evict, Record, Recover
@@ -58,6 +60,8 @@
 CLOSE_WAIT = timedelta(seconds=5)  # for the log to take the closing record
 DRAIN_STEP = timedelta(milliseconds=50)
 CHECKPOINT_STEP = timedelta(seconds=1)  # between looks at whose turn it is
+ORDER_STEP = timedelta(seconds=1)  # between looks at the engines' models
+ORDER_CALL_TIMEOUT = timedelta(seconds=2)
 LEAST_SHARE = 0.5  # of an even part of a customer's limits
 DISCOVERY_PAUSE = timedelta(seconds=2)  # between leaving discovery and refusing
 
@@ -289,6 +293,7 @@
             self._make_attempt,
             settings.limits.max_in_flight,
         )
+        self._order_planner = OrderPlanner(self._clock, settings.vm.name)
         self.pool = ServerPool(self._clock, self._rng, settings.vm.failure_domain)
         policy = ROUTING_POLICIES[settings.servers.routing_policy](self._rng)
         self.placement = Placement(self._clock, self.pool, policy)
@@ -337,6 +342,7 @@
             ("queues", QUEUE_STEP, self._start_waiting),
             ("policies", TICK, self._run_policies),
             ("membership", MEMBERSHIP_STEP, self._look_after_members),
+            ("orders", ORDER_STEP, self._send_orders),
             ("checkpoints", CHECKPOINT_STEP, self._look_after_checkpoints),
         ]
         for name, interval, work in works:
@@ -478,6 +484,23 @@
         for eviction in self.membership.propose_evictions():
             self._evict(eviction.incarnation)
 
+    async def _send_orders(self) -> None:
+        """Order engines to load the models that they miss."""
+        vms = [vm.name for vm in self._list_vms() if vm.state is VmState.LIVE]
+        orders = self._order_planner.plan(
+            self.configuration.servers(), self.pool.find_models, vms, self.feed.offset
+        )
+        for order in orders:
+            body = {
+                "order": "load_model",
+                "name": order.model,
+                "fencing_token": order.fencing_token,
+            }
+            url = f"http://{order.address}/control/orders"
+            await self._client.fetch(
+                "POST", url, ORDER_CALL_TIMEOUT, msgspec.json.encode(body)
+            )
+
     async def _look_after_checkpoints(self) -> None:
         """Write checkpoints when it is this router's turn in time."""
         interval = self.settings.ledger.checkpoint_interval
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -83,6 +83,7 @@
         self.limit = ConcurrencyLimit(settings.capacity, initial)
         self.cache = PrefixIndex(clock)
         self.adapters: frozenset[str] = frozenset()
+        self.models: tuple[str, ...] | None = None
         self.membership: str | None = None
 
 
@@ -182,6 +183,12 @@
             return
         known.load.record(report)
         known.adapters = frozenset(report.adapters)
+        known.models = report.models
+
+    def find_models(self, server: str) -> tuple[str, ...] | None:
+        """Return the models a server reported as loaded, ``None`` if unknown."""
+        known = self._servers.get(server)
+        return None if known is None else known.models
 
     def record_cache_events(
         self, server: str, events: Sequence[CacheEvent], last_seq: int
@@ -270,6 +277,7 @@
             server
             for server in self._servers.values()
             if serves(server.settings, model, service)
+            and (server.models is None or not model or model in server.models)
             and self.is_available(server.settings.name)
         ]
         mean_others = self._find_mean_others(serving)
--- a/lavendershift/watchers.py
+++ b/lavendershift/watchers.py
@@ -107,6 +107,7 @@
     waiting: int
     kv_used: float = 0.0
     adapters: list[str] = []
+    models: list[str] | None = None
 
 
 class _EventsAnswer(msgspec.Struct):
@@ -144,7 +145,12 @@
             load = msgspec.json.decode(response.body, type=_LoadAnswer)
             age = timedelta(milliseconds=max(0, self._now_ms() - load.time_ms))
             report = LoadReport(
-                load.running, load.waiting, age, load.kv_used, tuple(load.adapters)
+                load.running,
+                load.waiting,
+                age,
+                load.kv_used,
+                tuple(load.adapters),
+                None if load.models is None else tuple(load.models),
             )
             self._pool.record_load(engine.name, report)
         after = self._last_seqs.get(engine.name, 0)
