Resume an answer stream whose connection to the engine breaks

Cause: a broken connection cut answers off although the engine went on. Ruled out: running the rest anew as a prompt with the part answer (tokens would be consumed twice and the text could differ). Change: the rest is fetched by attempt id from the event after the last whole one, up to three times; an engine that cannot resume leaves the result of the broken connection, so that the reservation stays in doubt and the caller gets an explicit error event.

--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -107,6 +107,8 @@
 class AnswerStream:
     """Splits an engine's answer stream into what the caller is sent and not.
 
+    ``events`` counts the whole events taken in, forwarded or not.
+
     Bytes go in as they arrive; whole events come out. The usage is kept, the
     end mark is held back until the answer is charged, and a usage event that
     the caller did not ask for is dropped::
@@ -123,6 +125,10 @@
         self._wants_usage = wants_usage
         self._rest = b""
 
+    def restart(self) -> None:
+        """Drop the unfinished event of a connection that broke."""
+        self._rest = b""
+
     def feed(self, chunk: bytes) -> bytes:
         """Take a chunk and return the bytes to forward, maybe none."""
         data = self._rest + chunk if self._rest else chunk
@@ -155,11 +161,11 @@
         for event in events[:-2].split(b"\n\n"):
             if self.complete or self.failed:
                 return
+            self.events += 1
             if event.strip() == b"data: [DONE]":
                 self.complete = True
                 return
             if self._inspect(event):
-                self.events += 1
                 yield event + b"\n\n"
 
     def _inspect(self, event: bytes) -> bool:
--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -44,6 +44,7 @@
 PRIORITY_LEVELS = {"interactive": "0", "batch": "10"}
 CLIENT_ERRORS = range(400, 500)
 MODEL_MISSING_STATUS = 404
+MAX_RESUMES = 3  # of one stream whose connection breaks
 CANCEL_GRACE = timedelta(seconds=5)  # for a cancelled stream to report its usage
 
 
@@ -157,13 +158,10 @@
             attempt, request, sink, self._placement, self._settings.max_buffered_bytes
         )
         call = self._make_call(context, request, attempt)
-        work = asyncio.ensure_future(
-            self._client.run_call(
-                call, attempt.transfer, reader.take_status, reader.take_chunk
-            )
-        )
         try:
-            result = await self._await_answer(work, context, attempt, sink)
+            result = await self._exchange(call, context, attempt, reader, sink)
+            if result is not None and reader.can_resume(result):
+                result = await self._resume(result, context, attempt, reader, sink)
         except BaseException:
             self._inquiry.start(attempt.held, attempt.placed.address, attempt.id)
             self._placement.release(attempt.placed, AttemptResult.FAILED)
@@ -174,6 +172,46 @@
         reader.take_result(result)
         return await self._conclude(context, attempt, result, reader, sink)
 
+    async def _resume(
+        self,
+        broken: UpstreamResult,
+        context: RequestContext,
+        attempt: Attempt,
+        reader: "_AnswerForwarder",
+        sink: AnswerSink,
+    ) -> UpstreamResult | None:
+        """Go on with a stream whose connection broke; return the last result.
+
+        An engine that cannot resume leaves the result of the broken one.
+        """
+        for _ in range(MAX_RESUMES):
+            call = self._make_resume_call(context, attempt, reader.prepare_resume())
+            result = await self._exchange(call, context, attempt, reader, sink)
+            if result is None:
+                return None
+            if result.status != 200:
+                return broken
+            if not reader.can_resume(result):
+                return result
+        return broken
+
+    async def _exchange(
+        self,
+        call: UpstreamCall,
+        context: RequestContext,
+        attempt: Attempt,
+        reader: "_AnswerForwarder",
+        sink: AnswerSink,
+    ) -> UpstreamResult | None:
+        """Send a call and forward its answer; ``None`` when given up."""
+        attempt.transfer = Transfer()
+        work = asyncio.ensure_future(
+            self._client.run_call(
+                call, attempt.transfer, reader.take_status, reader.take_chunk
+            )
+        )
+        return await self._await_answer(work, context, attempt, sink)
+
     async def _await_answer(
         self,
         work: "asyncio.Future[UpstreamResult]",
@@ -278,6 +316,20 @@
             context.deadline - self._clock.elapsed() + 2 * CANCEL_GRACE,
         )
 
+    def _make_resume_call(
+        self, context: RequestContext, attempt: Attempt, events: int
+    ) -> UpstreamCall:
+        """Return a call for the rest of a stream whose connection broke."""
+        address = attempt.placed.address
+        return UpstreamCall(
+            "GET",
+            f"http://{address}/control/requests/{attempt.id}/stream?from={events}",
+            {},
+            None,
+            self._settings.connect_timeout,
+            context.deadline - self._clock.elapsed() + 2 * CANCEL_GRACE,
+        )
+
 
 class _AnswerForwarder:
     """Carries one attempt's answer from the engine to the caller."""
@@ -331,6 +383,18 @@
         self._attempt.whole = isinstance(data, dict) and "choices" in data
         self._body = result.body
 
+    def can_resume(self, result: UpstreamResult) -> bool:
+        """Whether the rest of a broken stream may be had from the engine."""
+        if not self._request.stream or self._sink.closed:
+            return False
+        broken = result.delivery is Delivery.UNKNOWN and result.status == 200
+        return broken and not self._stream.complete and not self._stream.failed
+
+    def prepare_resume(self) -> int:
+        """Return the number of the event to go on with."""
+        self._stream.restart()
+        return self._stream.events
+
     def finish(self) -> None:
         """End the caller's answer as complete."""
         if self._attempt.late or self._sink.closed:
