Look at idle budgets less often, and at holders instead of all routers

Cause: every second a router ran the holding policy on each budget it had ever served, and each look described all live routers and copied all heartbeats. Ruled out: a longer tick for all budgets (waiting requests and recalls need the second). Change: budgets without a use for 3 s are looked at every 10 s, and forgotten 20 min after their last use where nothing is held. A view names the live routers that hold tokens of the budget; heartbeats are indexed once in 100 ms.

--- a/lavendershift/allocators.py
+++ b/lavendershift/allocators.py
@@ -38,6 +38,9 @@
 TICK = timedelta(seconds=1)
 WAIT_STEP = timedelta(milliseconds=250)  # between looks at what changed
 LOOK_PAUSE = timedelta(milliseconds=100)  # between looks ahead at one budget
+IDLE_AFTER = timedelta(seconds=3)  # without a use a budget is looked at less often
+IDLE_STEP = timedelta(seconds=10)  # between looks at an idle budget
+FORGET_AFTER = 2 * RATE_WINDOW  # without a use, where nothing is held
 RECALL_PAUSE = timedelta(seconds=1)  # between pleas for the same budget
 EMPTY_PAUSE = timedelta(seconds=10)  # until a peer that lent nothing is asked again
 BORROW_KEEP_S = 60  # of the own rate that a lender keeps
@@ -73,6 +76,7 @@
         self.empty_peers: dict[str, timedelta] = {}
         self.recalled_at: timedelta | None = None
         self.looked_at: timedelta | None = None
+        self.used_at = timedelta()
         self.own_rate = RateEstimator(RATE_WINDOW)
         self.fleet_rate = RateEstimator(RATE_WINDOW)
 
@@ -100,6 +104,8 @@
         self._budgets: dict[str, _BudgetState] = {}
         self._recalls = RecallBoard()
         self._loans: set[asyncio.Task[None]] = set()
+        self._beats: dict[str, Heartbeat] = {}
+        self._beats_at: timedelta | None = None
 
     async def acquire(
         self, demand: Demand, deadline: timedelta
@@ -123,7 +129,8 @@
         """Note that an attempt of this router used ``tokens``."""
         state = self._budgets.get(budget)
         if state is not None:
-            state.own_rate.add(tokens, self._clock.elapsed())
+            state.used_at = self._clock.elapsed()
+            state.own_rate.add(tokens, state.used_at)
         self._session.note_change()
 
     def note_folded(self, record: Record, verdict: Verdict) -> None:
@@ -141,9 +148,19 @@
         return list(self._budgets)
 
     def run_policies(self) -> None:
-        """Look at every budget in use; called about once a ``TICK``."""
-        for budget in list(self._budgets):
-            self._run_policy(budget)
+        """Look at the budgets in use; called about once a ``TICK``.
+
+        Idle ones are looked at every ``IDLE_STEP``, so that what they hold
+        goes back as their rate fades, and are forgotten once they hold
+        nothing.
+        """
+        for budget, state in list(self._budgets.items()):
+            if not self._is_idle(state):
+                self._run_policy(budget)
+            elif self._may_forget(state):
+                del self._budgets[budget]
+            elif self._is_due(state):
+                self._run_policy(budget)
 
     def lend(self, request: BorrowRequest) -> Lent:
         """Answer a borrower with what this router does not need soon."""
@@ -209,7 +226,7 @@
         offset = max(ledger.config_offset, session.config_offset())
         return HoldingView(
             budget=budget,
-            prepaid=ledger.find_budget(budget, offset).prepaid,
+            prepaid=ledger.find_prepaid(budget, offset),
             available=ledger.find_available(budget, offset),
             free=account.free,
             lendable=account.lendable,
@@ -222,7 +239,7 @@
             ),
             own_rate=state.own_rate.estimate(now),
             fleet_rate=state.fleet_rate.estimate(now),
-            live_routers=len(ledger.live_incarnations()),
+            live_routers=ledger.count_live(),
             log_reachable=session.log_reachable,
             hold_ahead=state.demand.hold_ahead,
             hold_share=state.demand.hold_share,
@@ -230,23 +247,50 @@
         )
 
     def _describe_peers(self, state: _BudgetState) -> tuple[Peer, ...]:
+        """Return the live routers that hold tokens of the budget."""
         ledger = self._session.ledger
         own = self._session.participant.incarnation
-        beats = {beat.incarnation: beat for beat in self._list_peers().values()}
+        return tuple(
+            self._describe_peer(state, name, held)
+            for name, held in ledger.list_holders(state.demand.budget)
+            if name != own
+        )
+
+    def _describe_peer(self, state: _BudgetState, name: str, held: int) -> Peer:
+        beat = self._find_beats().get(name)
+        if beat is None:
+            return Peer(name, False, False, held)
+        emptied = state.empty_peers.get(name)
+        lends = emptied is None or self._clock.elapsed() - emptied > EMPTY_PAUSE
+        near = beat.failure_domain == self._session.failure_domain
+        return Peer(name, near, lends, held)
+
+    def _find_beats(self) -> dict[str, Heartbeat]:
+        """Return the reachable peers' heartbeats by incarnation."""
         now = self._clock.elapsed()
-        peers = []
-        for name in ledger.live_incarnations():
-            if name == own:
-                continue
-            beat = beats.get(name)
-            near = (
-                beat is not None and beat.failure_domain == self._session.failure_domain
-            )
-            emptied = state.empty_peers.get(name)
-            lends = emptied is None or now - emptied > EMPTY_PAUSE
-            held = ledger.rights(state.demand.budget, name)
-            peers.append(Peer(name, near, beat is not None and lends, held))
-        return tuple(peers)
+        if self._beats_at is None or now - self._beats_at >= LOOK_PAUSE:
+            peers = self._list_peers().values()
+            self._beats = {beat.incarnation: beat for beat in peers}
+            self._beats_at = now
+        return self._beats
+
+    def _is_idle(self, state: _BudgetState) -> bool:
+        if state.waiting or state.borrowing:
+            return False
+        if self._session.participant.book.asked(state.demand.budget):
+            return False
+        return self._clock.elapsed() - state.used_at > IDLE_AFTER
+
+    def _is_due(self, state: _BudgetState) -> bool:
+        if state.looked_at is None:
+            return True
+        return self._clock.elapsed() - state.looked_at >= IDLE_STEP
+
+    def _may_forget(self, state: _BudgetState) -> bool:
+        if self._clock.elapsed() - state.used_at < FORGET_AFTER:
+            return False
+        account = self._session.participant.book.account(state.demand.budget)
+        return account.free + account.reserved + account.doubtful == 0
 
     def _find_state(self, demand: Demand) -> _BudgetState:
         state = self._budgets.get(demand.budget)
@@ -254,6 +298,7 @@
             state = _BudgetState(demand)
             self._budgets[demand.budget] = state
         state.demand = demand
+        state.used_at = self._clock.elapsed()
         return state
 
     def _run_policy(self, budget: str) -> None:
--- a/lavendershift/incarnations.py
+++ b/lavendershift/incarnations.py
@@ -57,16 +57,19 @@
 
     Those that closed with nothing left in doubt shrink to the time they
     closed in ``finished``, which is kept as long as request keys are.
+    ``joined`` has the live ones, in the order in which they joined.
     """
 
     def __init__(self) -> None:
         self.states: dict[str, IncarnationState] = {}
+        self.joined: dict[str, None] = {}
         self._sequences: dict[str, int] = {}
         self.finished: dict[str, int] = {}
 
     def join(self, incarnation: str, seq: int, state: IncarnationState) -> None:
         """Add an incarnation whose first record has the number ``seq``."""
         self.states[incarnation] = state
+        self.joined[incarnation] = None
         self._sequences[incarnation] = seq
 
     def advance(self, author: str, seq: int) -> bool:
@@ -98,6 +101,7 @@
         membership = state.state
         if membership is Membership.JOINED:
             membership = Membership.EVICTED
+            del self.joined[incarnation]
         self.states[incarnation] = state._replace(state=membership, evict_offset=offset)
         return True
 
@@ -113,6 +117,7 @@
         """Mark ``incarnation`` as closed."""
         state = self.states[incarnation]
         self.states[incarnation] = state._replace(state=Membership.CLOSED)
+        self.joined.pop(incarnation, None)
 
     def find_missing_acks(self, evicted: str) -> list[str]:
         """Return who may still hold an unlogged transfer from ``evicted``."""
@@ -150,4 +155,6 @@
             table.states[name] = state._replace(
                 state=Membership(state.state), acks=tuple(state.acks)
             )
+            if table.states[name].state is Membership.JOINED:
+                table.joined[name] = None
         return table
--- a/lavendershift/ledger.py
+++ b/lavendershift/ledger.py
@@ -140,11 +140,23 @@
 
     def live_incarnations(self) -> list[str]:
         """Return the incarnations that joined and neither closed nor were evicted."""
-        return [
-            name
-            for name, state in self.incarnations.states.items()
-            if state.state is Membership.JOINED
-        ]
+        return list(self.incarnations.joined)
+
+    def count_live(self) -> int:
+        """Return the number of ``live_incarnations``."""
+        return len(self.incarnations.joined)
+
+    def find_prepaid(self, budget: str, config_offset: int) -> int:
+        """Return the prepaid tokens of ``budget`` as of ``config_offset``."""
+        return self._find_prepaid(budget, config_offset)
+
+    def list_holders(self, budget: str) -> list[tuple[str, int]]:
+        """Return the live incarnations that hold ``budget``, and how much."""
+        balance = self.balances.get(budget)
+        if balance is None:
+            return []
+        joined = self.incarnations.joined
+        return [(name, held) for name, held in balance.held.items() if name in joined]
 
     def budgets(self) -> list[str]:
         """Return the budgets that have ever had a grant."""
--- /dev/null
+++ b/lavendershift/tools/capacity_fleet.py
@@ -0,0 +1,365 @@
+"""Capacity probes of what grows with the fleet: VMs, servers, configuration."""
+
+import asyncio
+import hashlib
+import random
+import time
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.clocks import ManualClock, SystemClock
+from lavendershift.configuration import Configuration
+from lavendershift.demands import MAX_TOLD, Demands
+from lavendershift.discovery import find_share, list_routers
+from lavendershift.membership import Member, Membership, Vm, VmState
+from lavendershift.messages import CustomerDemand, Heartbeat, Lent, encode_message
+from lavendershift.nodes import ServerSettings, VmSettings
+from lavendershift.peers import Peers
+from lavendershift.records import Change, Entry, Record, Setting, TopUp, encode_record
+from lavendershift.routing import ROUTING_POLICIES, RouteRequest, choose_server
+from lavendershift.servers import ServerPool
+from lavendershift.tools.capacity_probes import (
+    Role,
+    Slope,
+    register_probe,
+    time_work,
+    weigh,
+)
+
+VMS = 330
+DOMAINS = 15
+SERVERS = 1_000
+MODELS = 9
+CUSTOMERS = 1_400
+BUDGETS = 95_000
+FLEETS = (10, 30, 100, 330)
+ROUNDS = 3
+BASE_PORT = 21_000
+TCP_IP_BYTES = 52  # headers of a segment with timestamps
+NNG_BYTES = 12  # length and request id before each message
+
+
+def name_vm(number: int) -> str:
+    """Return a VM's name."""
+    return f"r{number}"
+
+
+def make_beat(number: int, demands: int) -> Heartbeat:
+    """Return a heartbeat that tells of ``demands`` customers."""
+    told = [
+        CustomerDemand(f"desks/rennes/customer{n:04d}", 1.25) for n in range(demands)
+    ]
+    vm = name_vm(number)
+    incarnation = f"{vm}.1767225600000-4f2a9c"
+    domain = f"rennes-{number % DOMAINS}"
+    return Heartbeat(vm, incarnation, domain, True, 190_000, 8_000_000, told)
+
+
+def size_exchange(demands: int) -> int:
+    """Return the bytes that a node sends and receives for one exchange."""
+    message = len(encode_message(make_beat(1, demands))) + NNG_BYTES
+    return 2 * (message + TCP_IP_BYTES) + 2 * TCP_IP_BYTES
+
+
+def make_membership(vms: int, clock: ManualClock) -> Membership:
+    """Return the membership of a fleet in which all are heard of."""
+    membership = Membership(clock, name_vm(0), make_beat(0, 0).incarnation)
+    members = [
+        Member(
+            name_vm(n), f"10.0.0.{n}:7110", "router", f"rennes-{n % DOMAINS}", "live"
+        )
+        for n in range(vms)
+    ]
+    membership.update_list(members)
+    for number in range(1, vms):
+        membership.record_heartbeat(make_beat(number, 0))
+    return membership
+
+
+def refuse_loan(request: object) -> Lent:
+    """Lend nothing."""
+    return Lent("", "", "", "", 0)
+
+
+def make_peers(number: int, beat: Heartbeat, heartbeat: timedelta) -> Peers:
+    """Return one end of the heartbeats."""
+    clock = SystemClock()
+    return Peers(
+        name_vm(number),
+        f"tcp://127.0.0.1:{BASE_PORT + number}",
+        clock,
+        Membership(clock, name_vm(number), beat.incarnation),
+        heartbeat,
+        timedelta(seconds=5),
+        lambda: beat,
+        refuse_loan,
+        Demands(clock),
+        lambda notice: None,
+    )
+
+
+async def run_heartbeats(vms: int, demands: int) -> float:
+    """Return the µs of one exchange: its sender's and its answerer's part.
+
+    Every node sends as many heartbeats as it answers, so that this is also
+    what a node spends on one peer a round.
+    """
+    interval = timedelta(seconds=max(0.5, vms / 200))
+    sender = make_peers(0, make_beat(0, demands), interval)
+    others = [
+        make_peers(n, make_beat(n, demands), timedelta(hours=1)) for n in range(1, vms)
+    ]
+    settings = {
+        name_vm(n): VmSettings(
+            name_vm(n), "", f"tcp://127.0.0.1:{BASE_PORT + n}", "rennes", "live"
+        )
+        for n in range(vms)
+    }
+    for peer in others:
+        await peer.start()
+    sender.update_vms(settings)
+    await sender.start()
+    try:
+        await asyncio.sleep(2.5 * interval.total_seconds())
+        start = time.process_time()
+        await asyncio.sleep(ROUNDS * interval.total_seconds())
+        spent = time.process_time() - start
+        assert len(sender.list_reachable()) == vms - 1
+    finally:
+        await sender.stop()
+        await asyncio.gather(*(peer.stop() for peer in others))
+    return spent / ROUNDS / (vms - 1) * 1e6
+
+
+def _register_heartbeats(vms: int, demands: int) -> None:
+    told = f" with {demands} customers" if demands else ""
+
+    @register_probe(
+        f"heartbeat exchanged, {vms} VMs{told}", Role.ROUTER, "peer and round"
+    )
+    def measure() -> Slope:
+        us = asyncio.run(run_heartbeats(vms, demands))
+        return Slope(us=us, sent=size_exchange(demands))
+
+
+for _vms in FLEETS:
+    _register_heartbeats(_vms, 0)
+_register_heartbeats(30, MAX_TOLD)
+
+
+def _register_membership(vms: int) -> None:
+    @register_probe(f"membership tick, {vms} VMs", Role.ROUTER, "second")
+    def measure() -> Slope:
+        clock = ManualClock()
+        membership = make_membership(vms, clock)
+
+        def tick() -> None:
+            membership.count_live()
+            assert not membership.propose_evictions()
+
+        return Slope(us=time_work(tick, 1))
+
+
+for _vms in FLEETS:
+    _register_membership(_vms)
+
+
+def make_vms() -> list[Vm]:
+    """Return the fleet as discovery sees it."""
+    return [
+        Vm(name_vm(n), f"{name_vm(n)}.1", f"rennes-{n % DOMAINS}", VmState.LIVE, True)
+        for n in range(VMS)
+    ]
+
+
+@register_probe("discovery answer, 330 VMs", Role.ROUTER, "answer")
+def measure_discovery() -> Slope:
+    """Measure the answer to a caller that asks which router to use."""
+    membership = make_membership(VMS, ManualClock())
+    addresses = {name_vm(n): f"10.0.0.{n}:7110" for n in range(VMS)}
+    rng = random.Random(1)
+
+    def run() -> bytes:
+        vms = membership.list_vms()
+        directory = list_routers("desks/rennes/plume", "rennes-3", vms, addresses, rng)
+        return msgspec.json.encode([router._asdict() for router in directory.routers])
+
+    return Slope(us=time_work(run, 1), sent=len(run()))
+
+
+@register_probe("customer's least share found, 330 VMs", Role.ROUTER, "customer")
+def measure_share() -> Slope:
+    """Measure what the first request of a customer a second costs."""
+    membership = make_membership(VMS, ManualClock())
+    return Slope(
+        us=time_work(
+            lambda: find_share("desks/rennes/plume", "r7", membership.list_vms()), 1
+        )
+    )
+
+
+def make_servers() -> dict[str, ServerSettings]:
+    """Return the engines of the fleet."""
+    return {
+        f"e{n}": ServerSettings(
+            f"e{n}",
+            "engine",
+            f"10.1.{n // 250}.{n % 250}:8000",
+            f"rennes-{n % DOMAINS}",
+            (f"model-{n % MODELS}",),
+            "",
+            32,
+            "live",
+            "ignored",
+        )
+        for n in range(SERVERS)
+    }
+
+
+@register_probe("server chosen of 1,000, 9 models", Role.ROUTER, "attempt")
+def measure_choice() -> Slope:
+    """Measure the choice of a server for one attempt."""
+    rng = random.Random(1)
+    pool = ServerPool(ManualClock(), rng, "rennes-3", VMS)
+    pool.update_settings(make_servers())
+    policy = ROUTING_POLICIES["affinity"](rng)
+    route = RouteRequest(model="model-3", prefix=("a" * 16,), prompt_tokens=300)
+    return Slope(us=time_work(lambda: choose_server(policy, pool, route).unwrap(), 1))
+
+
+class TreeLoad:
+    """A configuration with servers, VMs, customers and budgets."""
+
+    def __init__(self) -> None:
+        self.configuration = Configuration()
+
+    def fold(self, record: Record) -> None:
+        """Fold a record, which has to be accepted."""
+        offset = self.configuration.next_offset
+        verdict = self.configuration.fold(Entry(offset, offset, record))
+        assert verdict.accepted, verdict
+
+    def change(self, settings: list[Setting]) -> None:
+        """Fold a change."""
+        offset = self.configuration.next_offset
+        self.fold(Change(f"change-{offset}", offset, "operator", settings))
+
+    def add_fleet(self) -> None:
+        """Add all VMs and servers."""
+        for n in range(VMS):
+            path = f"vms/{name_vm(n)}"
+            address = f"10.0.{n // 250}.{n % 250}"
+            self.change(
+                [
+                    Setting(path, "address", f"{address}:7110"),
+                    Setting(path, "peer_address", f"tcp://{address}:7120"),
+                    Setting(path, "failure_domain", f"rennes-{n % DOMAINS}"),
+                ]
+            )
+        for name, server in make_servers().items():
+            path = f"servers/{name}"
+            self.change(
+                [
+                    Setting(path, "kind", "engine"),
+                    Setting(path, "address", server.address),
+                    Setting(path, "failure_domain", server.failure_domain),
+                    Setting(path, "models", list(server.models)),
+                    Setting(path, "capacity", server.capacity),
+                ]
+            )
+
+    def add_customers(self, count: int) -> None:
+        """Add customers, each with an API key."""
+        for n in range(count):
+            digest = hashlib.sha256(f"key{n}".encode()).hexdigest()
+            path = f"desks/rennes/customer{n:04d}"
+            self.change([Setting(path, "api_key_hashes", [digest])])
+
+    def add_budgets(self, count: int) -> None:
+        """Add budgets, each topped up and named by an application."""
+        for n in range(count):
+            path = f"desks/rennes/customer{n % CUSTOMERS:04d}/app{n:05d}"
+            self.change([Setting(path, "budget", f"budget-{n:05d}")])
+            self.fold(TopUp(f"top-up-{n}", f"budget-{n:05d}", 10**6, "operator"))
+
+
+def build_tree(customers: int, budgets: int) -> TreeLoad:
+    """Return a tree of this size."""
+    load = TreeLoad()
+    load.add_fleet()
+    load.add_customers(customers)
+    load.add_budgets(budgets)
+    return load
+
+
+def weigh_tree(customers: int, budgets: int, count: int) -> Slope:
+    """Return what each of ``count`` customers or budgets adds."""
+    base = build_tree(0, 0)
+    grown = build_tree(customers, budgets)
+    held = weigh(lambda: build_tree(customers, budgets), 1)
+    held -= weigh(lambda: build_tree(0, 0), 1)
+    states = (grown.configuration.encode_state(), base.configuration.encode_state())
+    return Slope(held=held / count, sent=(len(states[0]) - len(states[1])) / count)
+
+
+@register_probe("customer held in the configuration", Role.ROUTER, "customer")
+def measure_customer() -> Slope:
+    """Measure a customer with one API key."""
+    return weigh_tree(CUSTOMERS, 0, CUSTOMERS)
+
+
+@register_probe("budget held in the configuration", Role.ROUTER, "budget")
+def measure_budget() -> Slope:
+    """Measure a budget with its application's node and one top-up."""
+    return weigh_tree(0, 10_000, 10_000)
+
+
+@register_probe("change folded at the stated size", Role.ROUTER, "change")
+def measure_change() -> Slope:
+    """Measure a change of a customer's setting."""
+    load = build_tree(CUSTOMERS, BUDGETS)
+    numbers = iter(range(10**6))
+    settings = [Setting("desks/rennes/customer0001", "weight", 2.0)]
+    size = len(msgspec.json.encode(encode_record(Change("c", 1, "op", settings))))
+
+    def run() -> None:
+        weight = float(1 + next(numbers) % 90)
+        load.change([Setting("desks/rennes/customer0001", "weight", weight)])
+
+    return Slope(us=time_work(run, 1), sent=size)
+
+
+def apply_views(load: TreeLoad, pool: ServerPool) -> None:
+    """Derive what a router derives after each change."""
+    servers = load.configuration.servers()
+    models = set(load.configuration.models())
+    for server in servers.values():
+        models.update(server.models)
+    sorted(models)
+    pool.update_settings(servers)
+    load.configuration.vms()
+
+
+@register_probe("change of a server applied, 1,000 servers", Role.ROUTER, "change")
+def measure_applied() -> Slope:
+    """Measure a change of a server with the views that a router derives."""
+    load = build_tree(0, 0)
+    pool = ServerPool(ManualClock(), random.Random(1), "rennes-3", VMS)
+    states = iter(["leaving", "live"] * 100)
+
+    def run() -> None:
+        load.change([Setting("servers/e7", "state", next(states))])
+        apply_views(load, pool)
+
+    return Slope(us=time_work(run, 1))
+
+
+@register_probe("configuration checkpoint made, stated size", Role.ROUTER, "checkpoint")
+def measure_tree_checkpoint() -> Slope:
+    """Measure the encoding of the whole tree."""
+    encode: Callable[[], str] = build_tree(
+        CUSTOMERS, BUDGETS
+    ).configuration.encode_state
+    return Slope(us=time_work(encode, 1), sent=len(encode()))
