--- a/lavendershift/budgets.py
+++ b/lavendershift/budgets.py
@@ -149,7 +149,7 @@
         done, _ = await asyncio.wait([appended], timeout=SETTLE_WAIT.total_seconds())
         return bool(done)
 
-    def _submit(self, held: HeldReservation, record: Record) -> asyncio.Future[int]:
+    def _submit(self, held: HeldReservation, record: Record) -> asyncio.Future[None]:
         appended = held.participant.writer.submit_record(record)
         attempt = held.reservation.attempt
         appended.add_done_callback(lambda _: self._sender.note_charged(attempt))
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -240,6 +240,9 @@
         for participant in [self.participant, *self._former]:
             for answer in participant.book.apply(entry.record, verdict):
                 participant.writer.submit_record(answer)
+        author = entry.record.id.rpartition("/")[0]
+        if author in self._writers:
+            self._writers[author].note_folded(entry.record.id)
         self._notify(entry.record, verdict)
         if self._ends_participant(entry.record, verdict):
             self._on_evicted()
--- a/lavendershift/tools/relay.py
+++ b/lavendershift/tools/relay.py
@@ -4,19 +4,19 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, cast
 
 import cappa
 from returns.result import Failure, Success
 
 from lavendershift.applications import SHIPPED_PLUGINS, Application, load_plugins
-from lavendershift.plugins.http_log import HttpLogClient
-from lavendershift.relay import Relay
+from lavendershift.relay import RawLog, Relay
 from lavendershift.settings import load_settings
 from lavendershift.settings_page import render_defaults
 from lavendershift.settings_sections import RelaySettings
 from lavendershift.settings_table import Program
 from lavendershift.sockets import ReplySocket
+from lavendershift.streams import LOG_CLIENTS
 
 HANDLERS = 1024  # reads that wait hold a handler each
 
@@ -32,9 +32,11 @@
         """Add the log client, the relay and its socket."""
         settings = self._settings
         load_plugins([*SHIPPED_PLUGINS, *settings.plugins.modules])
-        log = HttpLogClient(settings.log.url, settings.log.timeout)
+        log = LOG_CLIENTS[settings.log.client](settings.log.url, settings.log.timeout)
         self.add_part("log", stop=log.close)
-        relay = Relay(log, settings.relay.cache_records, settings.relay.batch)
+        relay = Relay(
+            cast(RawLog, log), settings.relay.cache_records, settings.relay.batch
+        )
         self.add_part("relay", stop=relay.stop)
         self.add_part("socket", start=lambda: self._listen(relay), stop=self._close)
 
--- a/lavendershift/writers.py
+++ b/lavendershift/writers.py
@@ -39,10 +39,12 @@
         self._incarnation = incarnation
         self._clock = clock
         self._sequence = 0
-        self._queue: deque[tuple[Record, asyncio.Future[int]]] = deque()
+        self._queue: deque[tuple[Record, asyncio.Future[None]]] = deque()
         self._wakeup = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._failing_since: timedelta | None = None
+        self._folded_sequence = 0
+        self._folded = asyncio.Event()
 
     @property
     def failing_for(self) -> timedelta:
@@ -65,20 +67,30 @@
         self._sequence += 1
         return f"{self._incarnation}/{self._sequence}"
 
-    def submit(self, make_record: Callable[[str], Record]) -> asyncio.Future[int]:
+    def submit(self, make_record: Callable[[str], Record]) -> asyncio.Future[None]:
         """Queue the record made for the next id.
 
-        Returns a future of its offset, which stays pending during an outage.
+        Returns a future that is done once the log has it, and stays pending
+        during an outage.
         """
         return self.submit_record(make_record(self.next_id()))
 
-    def submit_record(self, record: Record) -> asyncio.Future[int]:
+    def submit_record(self, record: Record) -> asyncio.Future[None]:
         """Queue a record whose id was taken from ``next_id`` just before."""
-        appended: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        appended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._queue.append((record, appended))
         self._wakeup.set()
         return appended
 
+    def note_folded(self, record_id: str) -> None:
+        """Note that a record of this incarnation was read back from the log.
+
+        It is confirmed by that, whether or not its append was answered.
+        """
+        sequence = int(record_id.rpartition("/")[2])
+        self._folded_sequence = max(self._folded_sequence, sequence)
+        self._folded.set()
+
     async def flush(self, timeout: timedelta) -> bool:
         """Wait until all queued records are confirmed; false after ``timeout``."""
         pending = [appended for _, appended in self._queue]
@@ -105,21 +117,42 @@
         batch = [
             self._queue[i] for i in range(min(len(self._queue), MAX_BATCH_RECORDS))
         ]
-        records = [record for record, _ in batch]
-        offset = await self._append_until_confirmed(records)
-        for position, (_, appended) in enumerate(batch):
+        await self._append_until_confirmed([record for record, _ in batch])
+        for _, appended in batch:
             self._queue.popleft()
             if not appended.done():
-                appended.set_result(offset + position)
-
-    async def _append_until_confirmed(self, records: list[Record]) -> int:
-        while True:
-            try:
-                offset = await self._log.append_records(self._stream, records)
-            except LogUnavailableError:
-                if self._failing_since is None:
-                    self._failing_since = self._clock.elapsed()
-                await asyncio.sleep(RETRY_PAUSE.total_seconds())
-                continue
-            self._failing_since = None
-            return offset
+                appended.set_result(None)
+
+    async def _append_until_confirmed(self, records: list[Record]) -> None:
+        last = int(records[-1].id.rpartition("/")[2])
+        while not await self._append_once(records, last):
+            if self._failing_since is None:
+                self._failing_since = self._clock.elapsed()
+            await asyncio.sleep(RETRY_PAUSE.total_seconds())
+        self._failing_since = None
+
+    async def _append_once(self, records: list[Record], last: int) -> bool:
+        """Append once; whether the records are known to be in the log."""
+        append = asyncio.ensure_future(self._log.append_records(self._stream, records))
+        read_back = asyncio.ensure_future(self._wait_folded(last))
+        try:
+            await asyncio.wait([append, read_back], return_when=asyncio.FIRST_COMPLETED)
+            if read_back.done():
+                return True
+            await append
+            return True
+        except LogUnavailableError:
+            return self._folded_sequence >= last
+        finally:
+            read_back.cancel()
+            self._abandon(append)
+
+    async def _wait_folded(self, sequence: int) -> None:
+        while self._folded_sequence < sequence:
+            self._folded.clear()
+            await self._folded.wait()
+
+    def _abandon(self, append: asyncio.Future[int]) -> None:
+        """Let an append that no longer matters end, and ignore how."""
+        if not append.done():
+            append.add_done_callback(lambda done: done.cancelled() or done.exception())
