Bound what relays answer and keep in bytes, and leave checkpoints uncached

Cause: replies were bounded by the number of entries only. Reading checkpoints, whose parts are 128 KiB, through a relay made replies longer than a message may be, so that a router with a large checkpoint could never start; and a relay followed and cached every checkpoint ever written.

--- a/lavendershift/relay.py
+++ b/lavendershift/relay.py
@@ -9,9 +9,12 @@
 import asyncio
 import contextlib
 from collections import deque
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Any, Protocol
 
+import msgspec
+
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.messages import (
     Appended,
@@ -22,12 +25,14 @@
     ReadReply,
     ReadRequest,
 )
+from lavendershift.records import CHECKPOINT_STREAM_SUFFIX
 
 RAW_READ_LIMIT = 2000
 TAIL_WAIT = timedelta(seconds=10)
 TAIL_RETRY = timedelta(milliseconds=250)  # pause after the log failed to answer
 MAX_BATCH_RECORDS = 1000
-MAX_REPLY_BYTES = 4 * 1024 * 1024
+MAX_REPLY_BYTES = 4 * 1024 * 1024  # half of the largest message
+MAX_CACHE_BYTES = 32 * 1024 * 1024  # per stream
 
 
 class RawBody(Protocol):
@@ -53,13 +58,17 @@
 
 
 class StreamCache:
-    """The latest entries of one stream, contiguous and bounded in number.
+    """The latest entries of one stream, contiguous and bounded.
 
+    Entries are kept as the MessagePack bytes in which readers get them. At
+    most ``capacity`` of them are kept, and at most ``MAX_CACHE_BYTES``.
     Readers at the end wait on ``changed``, which is replaced at each change.
     """
 
     def __init__(self, capacity: int) -> None:
-        self._entries: deque[tuple[int, int, Any]] = deque(maxlen=capacity)
+        self._entries: deque[bytes] = deque()
+        self._capacity = capacity
+        self.size = 0
         self.next_offset = -1
         self.healthy = True
         self.changed = asyncio.Event()
@@ -71,13 +80,19 @@
 
     def add_entries(self, entries: list[tuple[int, int, Any]]) -> None:
         """Append entries read from the log and wake the waiting readers."""
-        self._entries.extend(entries)
+        for entry in entries:
+            packed = msgspec.msgpack.encode(entry)
+            self._entries.append(packed)
+            self.size += len(packed)
         self.next_offset = entries[-1][0] + 1
+        while self._is_full():
+            self.size -= len(self._entries.popleft())
         self.notify_readers()
 
     def skip_to(self, offset: int) -> None:
         """Forget all entries and go on at ``offset``, the first one retained."""
         self._entries.clear()
+        self.size = 0
         self.next_offset = offset
 
     def notify_readers(self) -> None:
@@ -89,11 +104,28 @@
         """Whether a read from ``offset`` can be answered from the cache."""
         return self.next_offset >= 0 and self.first_offset <= offset
 
-    def read_entries(self, offset: int, limit: int) -> list[tuple[int, int, Any]]:
-        """Return up to ``limit`` cached entries from ``offset`` on."""
+    def read_entries(self, offset: int, limit: int) -> list[msgspec.Raw]:
+        """Return up to ``limit`` cached entries that fit into a reply."""
         start = offset - self.first_offset
         stop = min(start + limit, len(self._entries))
-        return [self._entries[i] for i in range(start, stop)]
+        return fit_reply(self._entries[i] for i in range(start, stop))
+
+    def _is_full(self) -> bool:
+        if len(self._entries) > self._capacity:
+            return True
+        return self.size > MAX_CACHE_BYTES
+
+
+def fit_reply(entries: Iterable[bytes]) -> list[msgspec.Raw]:
+    """Return as many leading entries as fit into a reply, at least one."""
+    fitting: list[msgspec.Raw] = []
+    size = 0
+    for entry in entries:
+        size += len(entry)
+        if fitting and size > MAX_REPLY_BYTES:
+            break
+        fitting.append(msgspec.Raw(entry))
+    return fitting
 
 
 class StreamTail:
@@ -213,6 +245,8 @@
 class Relay:
     """Answers the append and read requests of routers.
 
+    Reads of checkpoints are rare and large, and are passed on uncached.
+
     ``capacity`` is the number of entries cached per stream, ``batch_pause``
     the time that an append waits for others to join it.
     """
@@ -247,6 +281,8 @@
         return await batcher.append(request.records)
 
     async def _read(self, request: ReadRequest) -> Message:
+        if request.stream.endswith(CHECKPOINT_STREAM_SUFFIX):
+            return await self._read_log(request)
         tail = self._find_tail(request.stream)
         cache = tail.cache
         if not cache.has_offset(request.offset):
@@ -277,4 +313,7 @@
             return Expired(error.first_offset)
         except LogUnavailableError as error:
             return Failure("log_unavailable", str(error))
-        return ReadReply(list(body.entries), body.next_offset, body.end_offset)
+        entries = fit_reply(msgspec.msgpack.encode(entry) for entry in body.entries)
+        if len(entries) == len(body.entries):
+            return ReadReply(entries, body.next_offset, body.end_offset)
+        return ReadReply(entries, request.offset + len(entries), body.end_offset)
--- /dev/null
+++ b/lavendershift/tests/test_relay.py
@@ -0,0 +1,84 @@
+import asyncio
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.messages import (
+    MAX_MESSAGE_BYTES,
+    AppendRequest,
+    ReadRequest,
+    decode_message,
+    encode_message,
+)
+from lavendershift.relay import Relay
+from lavendershift.tools.memory_log import MemoryLog
+
+CHECKPOINT = ["checkpoint", "c", "s", 1, 0, 1, "x" * 128 * 1024]
+
+
+def run(scenario, capacity=1000):
+    async def main():
+        log = MemoryLog()
+        relay = Relay(log, capacity, timedelta())
+
+        async def ask(message):
+            data = encode_message(await relay.handle_message(message))
+            assert len(data) <= MAX_MESSAGE_BYTES
+            return decode_message(data)
+
+        try:
+            await scenario(log, relay, ask)
+        finally:
+            await relay.stop()
+
+    asyncio.run(main())
+
+
+async def read_all(ask, stream, count):
+    """Read entries with large limits, waiting until the cache has followed."""
+    entries = []
+    async with asyncio.timeout(20):
+        while len(entries) < count:
+            reply = await ask(ReadRequest(stream, len(entries), 1000, 100))
+            assert reply.next_offset == len(entries) + len(reply.entries)
+            entries += reply.entries
+    return entries
+
+
+def test_replies_fit_into_a_message_whatever_the_records_are():
+    async def scenario(log, relay, ask):
+        for stream in ("ledger-0", "ledger-0-checkpoints"):
+            await log.append_raw(stream, [CHECKPOINT] * 100)
+            for _ in range(2):  # at first from the log, then from the cache
+                entries = await read_all(ask, stream, 100)
+                assert [entry[0] for entry in entries] == list(range(100))
+                assert entries[-1][2] == CHECKPOINT
+                await asyncio.sleep(0.05)
+
+    run(scenario)
+
+
+def test_caches_are_bounded_in_bytes_and_checkpoints_are_not_cached():
+    async def scenario(log, relay, ask):
+        await log.append_raw("ledger-0", [CHECKPOINT] * 400)
+        await log.append_raw("ledger-0-checkpoints", [CHECKPOINT] * 10)
+        await read_all(ask, "ledger-0-checkpoints", 10)
+        await read_all(ask, "ledger-0", 400)
+        await asyncio.sleep(0.05)
+        assert list(relay._tails) == ["ledger-0"]
+        cache = relay._tails["ledger-0"].cache
+        assert cache.next_offset == 400
+        kept = 400 - cache.first_offset
+        assert kept * len(msgspec.msgpack.encode(CHECKPOINT)) <= 32 * 1024 * 1024
+
+    run(scenario)
+
+
+def test_appends_that_wait_together_become_one():
+    async def scenario(log, relay, ask):
+        requests = [AppendRequest("s", [["recall", n]]) for n in range(50)]
+        replies = await asyncio.gather(*map(ask, requests))
+        assert [reply.first_offset for reply in replies] == list(range(50))
+        assert log.appends == 1
+
+    run(scenario)
