Choose checkpoints whose tail is retained, and go on after falling behind

Cause: the last checkpoint written was taken even where its writer had been paused and the records after it had expired: a reader then expired at once, read the same checkpoint again and never came up. A router that fell behind the retention in mid-life adopted a newer ledger but kept its incarnation: if it had been evicted in between it stayed unready for ever, and it never closed what its book held. Parts of two writers of one offset could be mixed, and every router wrote every checkpoint of the configuration. Ruled out: reconciling the book with the restored ledger, which cannot tell unlogged charges from grants never seen; those grants stay in doubt. Change: checkpoints with an expired tail are passed over; a session that skips records rejoins as a new incarnation, and the old one ends its attempts and closes. Checkpoint ids name their writer; one of another version is ignored; configuration checkpoints are written in turns.

--- a/lavendershift/feeds.py
+++ b/lavendershift/feeds.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from datetime import timedelta
 
 from lavendershift import signals
 from lavendershift.checkpoints import join_checkpoint, split_checkpoint
 from lavendershift.clocks import Clock
 from lavendershift.configuration import Configuration
-from lavendershift.errors import LogUnavailableError
+from lavendershift.errors import DecodeError, LogUnavailableError
 from lavendershift.followers import StreamFollower, read_checkpoint
 from lavendershift.records import CONFIG_STREAM, Entry, name_checkpoint_stream
 from lavendershift.streams import LogClient
@@ -25,15 +26,23 @@
 class ConfigurationFeed:
     """Keeps ``configuration`` up to date with the log.
 
-    A checkpoint is written every ``checkpoint_every`` entries, and whenever
+    A checkpoint is written every ``checkpoint_every`` entries by the router
+    for which ``is_writer`` says that this turn is its own, and whenever
     ``start_checkpoint`` is called; a second one would be harmless.
     """
 
-    def __init__(self, log: LogClient, clock: Clock, checkpoint_every: int) -> None:
+    def __init__(
+        self,
+        log: LogClient,
+        clock: Clock,
+        checkpoint_every: int,
+        is_writer: Callable[[int], bool],
+    ) -> None:
         self.configuration = Configuration()
         self._log = log
         self._clock = clock
         self._checkpoint_every = checkpoint_every
+        self._is_writer = is_writer
         self._last_checkpoint = 0
         self._folded = asyncio.Event()
         self._follower: StreamFollower | None = None
@@ -82,7 +91,13 @@
         self._folded.set()
         self._folded = asyncio.Event()
         signals.configuration_changed.send(self, offset=self.offset)
-        if self.offset - self._last_checkpoint >= self._checkpoint_every:
+        self._maybe_checkpoint()
+
+    def _maybe_checkpoint(self) -> None:
+        if self.offset - self._last_checkpoint < self._checkpoint_every:
+            return
+        self._last_checkpoint = self.offset
+        if self._is_writer(self.offset // self._checkpoint_every):
             self.start_checkpoint()
 
     async def _start_following(self) -> None:
@@ -108,7 +123,10 @@
     async def _restore(self) -> int:
         parts = await read_checkpoint(self._log, CONFIG_STREAM)
         if parts and parts[0].next_offset > self.offset:
-            restored = Configuration.restore(join_checkpoint(parts)[0])
+            try:
+                restored = Configuration.restore(join_checkpoint(parts)[0])
+            except DecodeError:  # of another version
+                return self.offset
             self.configuration = restored
             self._last_checkpoint = self.offset
             self._folded.set()
@@ -123,7 +141,8 @@
         for part in self.configuration.encode_slices():
             slices.append(part)
             await asyncio.sleep(0)
-        checkpoint_id = f"{CONFIG_STREAM}@{offset}"
+        written_ms = int(self._clock.now().timestamp() * 1000)
+        checkpoint_id = f"{CONFIG_STREAM}@{offset}:{written_ms}"
         parts = split_checkpoint(
             checkpoint_id, CONFIG_STREAM, offset, ["".join(slices)]
         )
--- a/lavendershift/followers.py
+++ b/lavendershift/followers.py
@@ -11,7 +11,8 @@
 from lavendershift.streams import LogClient
 
 READ_LIMIT = 1000
-READ_WAIT = timedelta(seconds=5)
+CHECKPOINT_READ_LIMIT = 16  # parts; 2 MiB
+READ_WAIT = timedelta(seconds=1)  # a relay that stops is noticed soon after
 RETRY_PAUSE = timedelta(milliseconds=200)  # pause after a failed read
 
 FoldEntry = Callable[[Entry], Awaitable[None]]
@@ -103,26 +104,34 @@
 
 
 async def read_checkpoint(log: LogClient, stream: str) -> list[Checkpoint]:
-    """Return the parts of the latest whole checkpoint of ``stream``.
+    """Return the parts of the best whole checkpoint of ``stream``.
 
-    The list is empty where there is none.
+    That is the last one written whose tail is still retained. One written
+    late, by a router that was paused, may come after a newer one; its tail
+    may have expired. The list is empty where there is none.
     """
+    tail_starts, _ = await find_end(log, stream)
     checkpoints = name_checkpoint_stream(stream)
     first, end = await find_end(log, checkpoints)
     by_id: dict[str, dict[int, Checkpoint]] = {}
     upper = end
     while upper > first:
-        lower = max(first, upper - READ_LIMIT)
+        lower = max(first, upper - CHECKPOINT_READ_LIMIT)
         found = await _read_range(log, checkpoints, lower, upper)
         for checkpoint in reversed(found):
             parts = by_id.setdefault(checkpoint.id, {})
             parts[checkpoint.part] = checkpoint
-            if len(parts) == checkpoint.parts:
+            if len(parts) == checkpoint.parts and is_usable(checkpoint, tail_starts):
                 return [parts[number] for number in sorted(parts)]
         upper = lower
     return []
 
 
+def is_usable(checkpoint: Checkpoint, tail_starts: int) -> bool:
+    """Whether all records after ``checkpoint`` are still retained."""
+    return checkpoint.next_offset >= tail_starts
+
+
 async def _read_range(
     log: LogClient, stream: str, lower: int, upper: int
 ) -> list[Checkpoint]:
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -110,7 +110,10 @@
         self._log = self._make_log_client()
         self.add_part("log", stop=self._log.close)
         self.feed = ConfigurationFeed(
-            self._log, self._clock, settings.ledger.checkpoint_every
+            self._log,
+            self._clock,
+            settings.ledger.checkpoint_every,
+            lambda turn: self._sessions[0].is_checkpoint_writer(turn),
         )
         sessions = self._make_sessions()
         self.membership = Membership(
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -17,7 +17,7 @@
 from lavendershift import signals
 from lavendershift.allowances import AllowanceBook
 from lavendershift.clocks import Clock
-from lavendershift.errors import LogUnavailableError
+from lavendershift.errors import DecodeError, LogUnavailableError
 from lavendershift.followers import StreamFollower, read_checkpoint
 from lavendershift.ledger import Ledger, Verdict
 from lavendershift.records import (
@@ -65,8 +65,8 @@
 
     ``wait_for_config`` returns once the configuration is folded up to an
     offset, ``find_prepaid`` looks a budget's prepaid tokens up in it.
-    ``on_evicted`` is called when the current incarnation is evicted, and has
-    to call ``rejoin`` of all sessions with a new one.
+    ``on_evicted`` is called when the current incarnation is evicted, or may
+    have been, and has to call ``rejoin`` of all sessions with a new one.
     """
 
     def __init__(
@@ -188,7 +188,7 @@
             self.stream,
             self.ledger.next_offset,
             self._fold,
-            self._restore,
+            self._skip_ahead,
             self._clock,
         )
         self.follower.start()
@@ -223,7 +223,20 @@
     async def _restore(self) -> int:
         parts = await read_checkpoint(self._log, self.stream)
         if parts and parts[0].next_offset > self.ledger.next_offset:
-            self._adopt(parts)
+            with contextlib.suppress(DecodeError):  # of another version
+                self._adopt(parts)
+        return self.ledger.next_offset
+
+    async def _skip_ahead(self) -> int:
+        """Restore a checkpoint beyond records that expired before they were read.
+
+        What they said of the current incarnation is lost, so it ends its
+        attempts in flight and closes, which hands back what its book holds.
+        Grants among them that its book never saw stay in doubt.
+        """
+        before = self.ledger.next_offset
+        if await self._restore() > before:
+            self._on_evicted()
         return self.ledger.next_offset
 
     def _adopt(self, parts: list[Checkpoint]) -> None:
@@ -281,7 +294,8 @@
         """Write a checkpoint of the folded state in the background."""
         offset = self.ledger.next_offset
         self._last_checkpoint = offset
-        parts = self.ledger.make_checkpoint(f"{self.stream}@{offset}")
+        checkpoint_id = f"{self.stream}@{offset}:{self.participant.incarnation}"
+        parts = self.ledger.make_checkpoint(checkpoint_id)
         task = asyncio.ensure_future(self._write_checkpoint(parts))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/lavendershift/tests/test_sessions.py
@@ -0,0 +1,116 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from lavendershift.clocks import SystemClock
+from lavendershift.followers import read_checkpoint
+from lavendershift.ledger import Ledger
+from lavendershift.records import Checkpoint, Evict, Join, Recall, decode_entry
+from lavendershift.sessions import LedgerSession, SessionSettings
+from lavendershift.tools.memory_log import MemoryLog
+
+STREAM = "ledger-0"
+CHECKPOINTS = f"{STREAM}-checkpoints"
+PREPAID = 10_000
+SETTINGS = SessionSettings("r0", "rennes", 1, 10**6, timedelta(hours=48))
+
+
+def find_prepaid(budget, offset):
+    return PREPAID
+
+
+async def wait_for_nothing(offset):
+    pass
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def make_session(log):
+    def rejoin():
+        session.rejoin("r0.2-b")
+
+    session = LedgerSession(
+        STREAM,
+        log,
+        SETTINGS,
+        SystemClock(),
+        "r0.1-a",
+        find_prepaid,
+        wait_for_nothing,
+        lambda: 0,
+        rejoin,
+    )
+    return session
+
+
+def fold_stream(log):
+    ledger = Ledger(STREAM, find_prepaid)
+    for raw in log.find_stream(STREAM).entries:
+        ledger.fold(decode_entry(STREAM, *raw))
+    return ledger
+
+
+async def take_grant(session, tokens):
+    book, writer = session.participant.book, session.participant.writer
+    writer.submit_record(book.ask_grant("acme", tokens, 0))
+    await wait_until(lambda: book.account("acme").free == tokens)
+
+
+@pytest.mark.parametrize("evicted", [False, True])
+def test_a_router_that_fell_behind_retention_goes_on_with_what_it_held(evicted):
+    async def scenario():
+        log = MemoryLog()
+        await log.append_records(STREAM, [Join("r1.1-z/1", "r1.1-z", "r1", "d", 0)])
+        session = make_session(log)
+        await session.start()
+        await wait_until(lambda: session.joined)
+        await take_grant(session, 1000)
+        former = session.participant
+        held = former.book.reserve("acme", 500, "acme/k", "a1").unwrap()
+
+        log.available = False
+        await asyncio.sleep(0.3)
+        log.available = True
+        stream = log.find_stream(STREAM)
+        missed = [Recall(f"r1.1-z/{n}", "acme", "r1.1-z", 1) for n in range(2, 9)]
+        if evicted:
+            missed.append(Evict("r1.1-z/9", "r0.1-a", "r1"))
+        stream.first_offset = len(stream.entries) + len(missed)
+        await log.append_records(STREAM, missed)
+        parts = fold_stream(log).make_checkpoint("c")
+        await log.append_records(CHECKPOINTS, parts)
+
+        await wait_until(lambda: session.participant is not former and session.joined)
+        charge = former.book.settle(held, 200)
+        former.writer.submit_record(charge)
+        await wait_until(lambda: former.book.closed)
+        await wait_until(lambda: not session.ledger.rights("acme", "r0.1-a"))
+        view = session.ledger.find_budget("acme")
+        assert (view.spent, view.billed, view.in_doubt) == (200, 200, 0)
+        assert view.available == PREPAID - 200
+        await take_grant(session, 700)
+        await session.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_late_checkpoint_whose_tail_has_expired_is_passed_over():
+    async def scenario():
+        log = MemoryLog()
+        for offset, part in ((900, 0), (900, 1), (300, 0), (300, 1), (950, 0)):
+            record = Checkpoint(f"c{offset}", STREAM, offset, part, 2, "x")
+            await log.append_records(CHECKPOINTS, [record])
+        stream = log.find_stream(STREAM)
+        stream.entries = [(n, n, None) for n in range(1000)]
+        stream.first_offset = 600
+        parts = await read_checkpoint(log, STREAM)
+        assert [(p.next_offset, p.part) for p in parts] == [(900, 0), (900, 1)]
+        stream.first_offset = 960
+        assert await read_checkpoint(log, STREAM) == []
+
+    asyncio.run(scenario())
--- a/lavendershift/tools/memory_log.py
+++ b/lavendershift/tools/memory_log.py
@@ -77,12 +77,13 @@
         """Return entries whose records are in their JSON form."""
         self._check_available()
         found = self.find_stream(stream)
-        if offset < found.first_offset:
-            raise RecordsExpiredError(stream, found.first_offset)
         if offset >= len(found.entries) and wait:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait.total_seconds()):
                     await found.appended.wait()
+            self._check_available()
+        if offset < found.first_offset:
+            raise RecordsExpiredError(stream, found.first_offset)
         entries = found.entries[offset : offset + limit]
         return RawPage(entries, offset + len(entries), len(found.entries))
 
