Take an answer's status before its first chunk, also when both come together

Cause: tornado hands header lines over in a later turn of the loop but chunks at once, so an answer whose header and first events came in one segment had no status yet: a complete stream was answered with 502, outcome unknown, and its usage was never read. Change: header lines are taken from curl itself. Found by the capacity probe of short requests, which got 502.

--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -130,9 +130,8 @@
             decompress_response=False,
             connect_timeout=call.connect_timeout.total_seconds(),
             request_timeout=max(call.timeout.total_seconds(), 0.001),
-            header_callback=answer.add_header_line,
             streaming_callback=answer.add_chunk,
-            prepare_curl_callback=transfer.attach,
+            prepare_curl_callback=lambda curl: _prepare(curl, transfer, answer),
             ca_certs=self._ca_certificates,
         )
         response = await self._http.fetch(request)
@@ -160,6 +159,16 @@
         self._http.close()
 
 
+def _prepare(curl: pycurl.Curl, transfer: Transfer, answer: "_AnswerReader") -> None:
+    """Set a curl handle up for one attempt.
+
+    Header lines are taken from curl itself: tornado hands them over in a later
+    turn of the loop, by when chunks that came with them have been handed over.
+    """
+    transfer.attach(curl)
+    curl.setopt(pycurl.HEADERFUNCTION, answer.add_header_line)
+
+
 class _AnswerReader:
     """Collects status, headers and body of an answer as curl reports them."""
 
@@ -175,8 +184,8 @@
         self._chunks: list[bytes] = []
         self._handed_over: bool | None = None
 
-    def add_header_line(self, line: str) -> None:
-        line = line.rstrip("\r\n")
+    def add_header_line(self, data: bytes) -> None:
+        line = data.decode("latin1").rstrip("\r\n")
         if line.startswith("HTTP/"):
             self._status = int(line.split(" ", 2)[1])
             self._headers = HTTPHeaders()
