--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN = $(VENV)/bin
 PYTHON ?= python3
 
-.PHONY: install test check golden demo up bench capacity clean
+.PHONY: install test check golden demo up bench rolling capacity clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,6 +31,9 @@
 bench: install
 	PATH="$(abspath $(BIN)):$$PATH" bash scripts/bench.sh
 
+rolling: install
+	PATH="$(abspath $(BIN)):$$PATH" bash scripts/rolling.sh
+
 capacity: install
 	$(BIN)/python -m lavendershift.tools.capacity
 
