Derive what follows from the configuration once for a run of entries

Cause: each folded entry of the configuration rebuilt the models, the servers and the peers of a router, so that a replay cost entries times servers. Change: it is done once in the next turn of the loop.

--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -94,6 +94,7 @@
         self.incarnation = make_incarnation(settings.vm.name, clock, rng)
         self._shares: dict[str, float] = {}
         self._models: list[str] = []
+        self._applying = False
         self._checkpoint_turn: int | None = None
         self._gauged: dict[str, set[str]] = {}
 
@@ -445,8 +446,14 @@
             self._replica.forget(record.incarnation)
 
     def _note_configuration(self, feed: ConfigurationFeed, **fields: Any) -> None:
-        if feed is not self.feed:
+        if feed is not self.feed or self._applying:
             return
+        self._applying = True
+        asyncio.get_running_loop().call_soon(self._apply_configuration)
+
+    def _apply_configuration(self) -> None:
+        """Derive what depends on the configuration, once for a run of entries."""
+        self._applying = False
         servers = self.configuration.servers()
         models = set(self.configuration.models())
         for server in servers.values():
