Match the path of a call as its server will read it

Cause: a plain service was sent the unescaped path. An escaped control character broke the request line of the call (answered 502, and counted as the server's failure), and dot segments, which curl takes out, slipped past the list of calls that may not be repeated. Ruled out: unescaping and escaping again, which changes what %2F means. Change: the call is judged by the unescaped path, refused where that is not in its shortest form or holds control characters, and sent escaped as it came. A Content-Type that no header can carry is refused too.

--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
 import msgspec
 from tornado.http1connection import HTTP1Connection
@@ -21,6 +22,8 @@
     from lavendershift.router import RouterApplication
 
 BODILESS_METHODS = ("GET", "HEAD")
+URL_CHARACTERS = "%/?:@!$&'()*+,;=~-._"  # sent to servers as they came
+
 OPENAI_ERROR_TYPES = {
     400: "invalid_request_error",
     401: "authentication_error",
@@ -214,18 +217,25 @@
         method = self.request.method or "GET"
         if self.request.body and method in BODILESS_METHODS:
             raise RequestError(ErrorKind.INVALID_REQUEST, f"{method} with a body")
-        query = f"?{self.request.query}" if self.request.query else ""
+        content_type = self.request.headers.get("Content-Type", "")
+        check_call(f"/{path}", content_type)
         call = ServiceCall(
             service=service,
             method=method,
-            path=f"/{path}{query}",
-            content_type=self.request.headers.get("Content-Type", ""),
+            path=self._find_sent_path(),
+            content_type=content_type,
             body=self.request.body,
             price=settings.price_tokens,
             repeatable=settings.is_repeatable(method, f"/{path}"),
         )
         await self.router.calls.run(context, call, self.sink)
 
+    def _find_sent_path(self) -> str:
+        """Return path and query for the server, escaped as the caller did."""
+        path = "/" + self.request.path.split("/", 3)[3]
+        query = f"?{self.request.query}" if self.request.query else ""
+        return quote(path + query, safe=URL_CHARACTERS)
+
 
 class ModelsHandler(BaseHandler):
     """``GET /v1/models``."""
@@ -315,6 +325,23 @@
         raise RequestError(ErrorKind.FORBIDDEN, f"model {model[:80]}")
 
 
+def check_call(path: str, content_type: str) -> None:
+    """Raise for a call that a server may read otherwise than this router.
+
+    ``path`` is unescaped. A path that a server or the HTTP client would
+    shorten could slip past the list of calls that may not be repeated.
+    """
+    segments = path[1:].split("/")
+    if {".", ".."} & set(segments) or "" in segments[:-1]:
+        raise RequestError(ErrorKind.INVALID_REQUEST, "path: not in its shortest form")
+    if not path.isprintable() or "\\" in path:
+        raise RequestError(ErrorKind.INVALID_REQUEST, "path: unexpected character")
+    if not content_type.isascii() or not content_type.isprintable():
+        raise RequestError(
+            ErrorKind.INVALID_REQUEST, "header Content-Type: unexpected character"
+        )
+
+
 def make_web_application(router: "RouterApplication") -> Application:
     """Return the tornado application that serves ``router``."""
     arguments = {"router": router}
