Close the ledgers only after attempts whose callers have gone

Cause: a stop waited for callers, not for attempts whose callers had left; the book then refused to close with an attempt in flight, and the router ended with a traceback, status 1 and all its tokens in doubt. Ruled out: closing without them, as their usage could not be charged any more. Change: the drain waits for reservations in flight as well. Result: with an engine that answers no control call and a caller gone, the stop ended with status 1 and no close record; now 0 and one.

--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -207,11 +207,17 @@
         await asyncio.sleep(DISCOVERY_PAUSE.total_seconds())
         self._stopping = True
         deadline = self._clock.elapsed() + self.settings.shutdown.drain
-        while self.admission.in_flight and self._clock.elapsed() < deadline:
+        while self._is_busy() and self._clock.elapsed() < deadline:
             await asyncio.sleep(DRAIN_STEP.total_seconds())
-        if not self.admission.in_flight:
+        if not self._is_busy():
             await asyncio.gather(*(s.close(CLOSE_WAIT) for s in self._sessions))
 
+    def _is_busy(self) -> bool:
+        """Whether callers wait, or attempts run whose callers have gone."""
+        if self.admission.in_flight:
+            return True
+        return any(s.participant.book.in_flight() for s in self._sessions)
+
     def _set_up_reports(self) -> None:
         self.metrics = Metrics()
         self.metrics.connect()
