Go round a relay that another request has already left

Cause: every failed request moved on to the next relay, also when it had asked one that was no longer preferred. A read that waited on a stopped relay turned the router back to it. Change: only the failure of the relay in use moves on.

--- a/lavendershift/plugins/relay_log.py
+++ b/lavendershift/plugins/relay_log.py
@@ -58,8 +58,11 @@
             socket.close()
 
     async def _request(self, request: Message, timeout: timedelta) -> Message:
+        used = self._preferred
         try:
-            return await self._sockets[self._preferred].request(request, timeout)
+            return await self._sockets[used].request(request, timeout)
         except PeerUnavailableError as error:
-            self._preferred = (self._preferred + 1) % len(self._sockets)
+            # Others may have turned away from this relay in the meantime.
+            if self._preferred == used:
+                self._preferred = (used + 1) % len(self._sockets)
             raise LogUnavailableError(str(error)) from None
