Keep answering after messages that cannot be passed on

Cause: a record that JSON cannot hold ended the relay's batch of a stream, so that its author and all that had joined it never got a reply; any unexpected error in a handler ended that handler for good. Change: records are encoded one request at a time before they join a batch; handlers answer unexpected errors with a failure; names of streams are checked, and a read holds a handler for a bounded time.

--- a/lavendershift/relay.py
+++ b/lavendershift/relay.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections import deque
 from collections.abc import Iterable
 from datetime import timedelta
@@ -33,6 +34,8 @@
 MAX_BATCH_RECORDS = 1000
 MAX_REPLY_BYTES = 4 * 1024 * 1024  # half of the largest message
 MAX_CACHE_BYTES = 32 * 1024 * 1024  # per stream
+MAX_WAIT_MS = 30_000  # that a read may hold a handler
+STREAM_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,100}")
 
 
 class RawBody(Protocol):
@@ -260,11 +263,13 @@
 
     async def handle_message(self, message: Message) -> Message:
         """Return the reply to ``message``."""
+        if not isinstance(message, AppendRequest | ReadRequest):
+            return Failure("unexpected", type(message).__name__)
+        if STREAM_PATTERN.fullmatch(message.stream) is None:
+            return Failure("unexpected", f"stream {message.stream[:80]!r}")
         if isinstance(message, AppendRequest):
             return await self._append(message)
-        if isinstance(message, ReadRequest):
-            return await self._read(message)
-        return Failure("unexpected", type(message).__name__)
+        return await self._read(message)
 
     async def stop(self) -> None:
         """Stop following all streams."""
@@ -274,11 +279,16 @@
     async def _append(self, request: AppendRequest) -> Message:
         if not request.records:
             return Failure("unexpected", "an append without records")
+        try:
+            records = [msgspec.Raw(msgspec.json.encode(r)) for r in request.records]
+        except (TypeError, ValueError, RecursionError) as error:
+            # It must not spoil the batch that it would have joined.
+            return Failure("undecodable", str(error))
         batcher = self._batchers.get(request.stream)
         if batcher is None:
             batcher = AppendBatcher(request.stream, self._log, self._batch_pause)
             self._batchers[request.stream] = batcher
-        return await batcher.append(request.records)
+        return await batcher.append(records)
 
     async def _read(self, request: ReadRequest) -> Message:
         if request.stream.endswith(CHECKPOINT_STREAM_SUFFIX):
@@ -288,8 +298,9 @@
         if not cache.has_offset(request.offset):
             return await self._read_log(request)
         if request.offset >= cache.next_offset and request.wait_ms:
+            wait_ms = min(request.wait_ms, MAX_WAIT_MS)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(request.wait_ms / 1000):
+                async with asyncio.timeout(wait_ms / 1000):
                     await cache.changed.wait()
         if not cache.has_offset(request.offset):
             return await self._read_log(request)
--- a/lavendershift/sockets.py
+++ b/lavendershift/sockets.py
@@ -93,6 +93,9 @@
             return await self._handler(decode_message(data))
         except DecodeError as error:
             return Failure("undecodable", str(error))
+        except Exception as error:
+            # A handler that ended here would leave its context deaf.
+            return Failure("internal", type(error).__name__)
 
     async def close(self) -> None:
         """Stop listening and wait for the handlers to end."""
