Notice an outage of the log on routers that append nothing

Cause: only failed appends told of an outage, so an idle router kept a call that may not be repeated waiting for its claim (3 s) before refusing it. Change: reads unanswered for four seconds, at one a second, tell as well.

--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -32,6 +32,7 @@
 from lavendershift.writers import StreamWriter
 
 OUTAGE_AFTER = timedelta(seconds=2)  # of failed appends; shorter ones are retries
+SILENT_AFTER = timedelta(seconds=4)  # without an answered read, one a second
 RESTORE_RETRY = timedelta(milliseconds=200)
 CLOSE_POLL = timedelta(milliseconds=100)
 
@@ -111,7 +112,9 @@
 
     @property
     def log_reachable(self) -> bool:
-        """Whether appends get through, as far as is known."""
+        """Whether appends and reads get through, as far as is known."""
+        if self.follower is None or self.follower.silent_for > SILENT_AFTER:
+            return False
         return self.participant.writer.failing_for < OUTAGE_AFTER
 
     async def start(self) -> None:
