--- a/lavendershift/tests/test_allowances.py
+++ b/lavendershift/tests/test_allowances.py
@@ -83,6 +83,16 @@
     assert pair.i.available("b") == 100
 
 
+def test_a_counted_loan_stays_lent_when_its_borrower_closes():
+    pair = Pair()
+    answer = pair.i.lend(pair.j.make_borrow("b", 30))
+    pair.fold(pair.j.accept(answer.lent))
+    pair.fold(pair.j.make_close())
+    assert pair.ledger.find_incarnation("j") is None
+    pair.fold(answer.transfer)
+    assert pair.i.available("b") == pair.ledger.rights("b", "i") == 70
+
+
 def test_an_evicted_lender_is_refused_and_may_not_spend():
     pair = Pair()
     answer = pair.i.lend(pair.j.make_borrow("b", 30))
