Serve within 2 s of a start on 100,000 records, and count the bytes read

Change: the collector rests while a checkpoint is restored, a key's state is built in one step, and a relay follows a stream from where a reader waits. Log clients count the bytes of their answers; /v1/status shows them.

--- a/lavendershift/feeds.py
+++ b/lavendershift/feeds.py
@@ -14,6 +14,7 @@
 from lavendershift import signals
 from lavendershift.checkpoints import join_checkpoint, split_checkpoint
 from lavendershift.clocks import Clock
+from lavendershift.collector import pause_collection
 from lavendershift.configuration import Configuration
 from lavendershift.errors import DecodeError, LogUnavailableError
 from lavendershift.followers import StreamFollower, read_checkpoint
@@ -124,7 +125,8 @@
         parts = await read_checkpoint(self._log, CONFIG_STREAM)
         if parts and parts[0].next_offset > self.offset:
             try:
-                restored = Configuration.restore(join_checkpoint(parts)[0])
+                with pause_collection():
+                    restored = Configuration.restore(join_checkpoint(parts)[0])
             except DecodeError:  # of another version
                 return self.offset
             self.configuration = restored
--- a/lavendershift/plugins/http_log.py
+++ b/lavendershift/plugins/http_log.py
@@ -42,13 +42,14 @@
     """Appends and reads records of the log service at ``url``.
 
     ``timeout`` bounds each call, not counting the time a read was asked to
-    wait.
+    wait. ``received_bytes`` counts the bodies of all answers.
     """
 
     def __init__(self, url: str, timeout: timedelta) -> None:
         self._url = url.rstrip("/")
         self._timeout = timeout
         self._http = HttpClient(MAX_CLIENTS)
+        self.received_bytes = 0
 
     async def append_records(self, stream: str, records: Sequence[Record]) -> int:
         """Append ``records`` and return the offset of the first."""
@@ -101,6 +102,7 @@
             request_timeout=timeout.total_seconds(),
         )
         response = await self._http.fetch(request)
+        self.received_bytes += len(response.body or b"")
         if response.code not in (200, 410):
             raise LogUnavailableError(f"{path}: status {response.code}")
         return response
--- a/lavendershift/plugins/relay_log.py
+++ b/lavendershift/plugins/relay_log.py
@@ -30,6 +30,11 @@
         self._timeout = timeout
         self._preferred = 0
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of all answers so far."""
+        return sum(socket.received_bytes for socket in self._sockets)
+
     async def append_records(self, stream: str, records: Sequence[Record]) -> int:
         """Append ``records`` and return the offset of the first."""
         request = AppendRequest(stream, [encode_record(r) for r in records])
--- a/lavendershift/relay.py
+++ b/lavendershift/relay.py
@@ -72,7 +72,7 @@
         self._entries: deque[bytes] = deque()
         self._capacity = capacity
         self.size = 0
-        self.next_offset = -1
+        self.next_offset = 0
         self.healthy = True
         self.changed = asyncio.Event()
 
@@ -105,7 +105,7 @@
 
     def has_offset(self, offset: int) -> bool:
         """Whether a read from ``offset`` can be answered from the cache."""
-        return self.next_offset >= 0 and self.first_offset <= offset
+        return self.first_offset <= offset
 
     def read_entries(self, offset: int, limit: int) -> list[msgspec.Raw]:
         """Return up to ``limit`` cached entries that fit into a reply."""
@@ -132,13 +132,13 @@
 
 
 class StreamTail:
-    """Follows one stream of the log into a cache."""
+    """Follows one stream of the log into a cache, from ``offset`` on."""
 
-    def __init__(self, stream: str, log: RawLog, capacity: int) -> None:
+    def __init__(self, stream: str, log: RawLog, offset: int, capacity: int) -> None:
         self.cache = StreamCache(capacity)
+        self.cache.skip_to(offset)
         self._stream = stream
         self._log = log
-        self._capacity = capacity
         self._task = asyncio.ensure_future(self._follow())
 
     async def _follow(self) -> None:
@@ -153,23 +153,12 @@
                 self.cache.skip_to(error.first_offset)
 
     async def _advance(self) -> None:
-        if self.cache.next_offset < 0:
-            await self._find_start()
         body = await self._log.read_raw(
             self._stream, self.cache.next_offset, RAW_READ_LIMIT, TAIL_WAIT
         )
         if body.entries:
             self.cache.add_entries(list(body.entries))
 
-    async def _find_start(self) -> None:
-        first = 0
-        try:
-            body = await self._log.read_raw(self._stream, 0, 1, timedelta())
-        except RecordsExpiredError as error:
-            first = error.first_offset
-            body = await self._log.read_raw(self._stream, first, 1, timedelta())
-        self.cache.next_offset = max(first, body.end_offset - self._capacity)
-
     def _set_healthy(self, healthy: bool) -> None:
         if self.cache.healthy != healthy:
             self.cache.healthy = healthy
@@ -248,7 +237,9 @@
 class Relay:
     """Answers the append and read requests of routers.
 
-    Reads of checkpoints are rare and large, and are passed on uncached.
+    A stream is followed and cached from where a reader first waits for more;
+    earlier reads are passed on. So are those of checkpoints, which are rare
+    and large.
 
     ``capacity`` is the number of entries cached per stream, ``batch_pause``
     the time that an append waits for others to join it.
@@ -293,8 +284,9 @@
     async def _read(self, request: ReadRequest) -> Message:
         if request.stream.endswith(CHECKPOINT_STREAM_SUFFIX):
             return await self._read_log(request)
-        tail = self._find_tail(request.stream)
-        cache = tail.cache
+        if request.stream not in self._tails and not request.wait_ms:
+            return await self._read_log(request)
+        cache = self._find_tail(request).cache
         if not cache.has_offset(request.offset):
             return await self._read_log(request)
         if request.offset >= cache.next_offset and request.wait_ms:
@@ -309,10 +301,12 @@
             return Failure("log_unavailable", "the log service does not answer")
         return ReadReply(entries, request.offset + len(entries), cache.next_offset)
 
-    def _find_tail(self, stream: str) -> StreamTail:
-        if stream not in self._tails:
-            self._tails[stream] = StreamTail(stream, self._log, self._capacity)
-        return self._tails[stream]
+    def _find_tail(self, request: ReadRequest) -> StreamTail:
+        tail = self._tails.get(request.stream)
+        if tail is None:
+            tail = StreamTail(request.stream, self._log, request.offset, self._capacity)
+            self._tails[request.stream] = tail
+        return tail
 
     async def _read_log(self, request: ReadRequest) -> Message:
         limit = min(request.limit, RAW_READ_LIMIT)
--- a/lavendershift/requests.py
+++ b/lavendershift/requests.py
@@ -43,6 +43,7 @@
 
 
 DEFAULT_FIELDS = tuple(RequestState(""))
+CHARGES_FIELD = RequestState._fields.index("charges")
 
 
 class RequestTable:
@@ -182,7 +183,10 @@
 
 
 def _load_state(fields: list[Any]) -> RequestState:
+    if len(fields) > CHARGES_FIELD:
+        charges = [AttemptCharge(*charge) for charge in fields[CHARGES_FIELD]]
+        fields[CHARGES_FIELD] = tuple(charges)
     state = RequestState(*fields)
-    outcome = Outcome(*state.outcome) if state.outcome is not None else None
-    charges = tuple(AttemptCharge(*charge) for charge in state.charges)
-    return state._replace(outcome=outcome, charges=charges)
+    if state.outcome is None:
+        return state
+    return state._replace(outcome=Outcome(*state.outcome))
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -189,6 +189,7 @@
             "fault": None if fault is None else fault.value,
             "config_offset": self.feed.offset,
             "ledgers": [self._describe_session(s) for s in self._sessions],
+            "log_received_bytes": self._log.received_bytes,
             "in_flight": self.admission.in_flight,
             "servers": {
                 name: self.pool.is_available(name)
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -17,6 +17,7 @@
 from lavendershift import signals
 from lavendershift.allowances import AllowanceBook
 from lavendershift.clocks import Clock
+from lavendershift.collector import pause_collection
 from lavendershift.errors import DecodeError, LogUnavailableError
 from lavendershift.followers import StreamFollower, read_checkpoint
 from lavendershift.ledger import Ledger, Verdict
@@ -243,7 +244,9 @@
         return self.ledger.next_offset
 
     def _adopt(self, parts: list[Checkpoint]) -> None:
-        ledger = Ledger.restore(parts, self.find_prepaid, self._settings.key_retention)
+        retention = self._settings.key_retention
+        with pause_collection():
+            ledger = Ledger.restore(parts, self.find_prepaid, retention)
         self.ledger.__dict__.update(ledger.__dict__)
         self.restored_bytes = sum(len(part.state) for part in parts)
         self._last_checkpoint = ledger.next_offset
--- a/lavendershift/sockets.py
+++ b/lavendershift/sockets.py
@@ -28,10 +28,14 @@
 
 
 class RequestSocket:
-    """Sends requests to one address; any number may be in flight."""
+    """Sends requests to one address; any number may be in flight.
+
+    ``received_bytes`` counts the bytes of all replies.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.received_bytes = 0
         self._socket = pynng.Req0(resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES)
         self._socket.reconnect_time_min = 50
         self._socket.reconnect_time_max = 1000
@@ -50,6 +54,7 @@
         except (TimeoutError, pynng.NNGException) as error:
             raise PeerUnavailableError(f"{self.address}: {error!r}") from None
         check_cancelled()
+        self.received_bytes += len(data)
         try:
             return decode_message(data)
         except DecodeError as error:
--- a/lavendershift/streams.py
+++ b/lavendershift/streams.py
@@ -29,9 +29,15 @@
     """Access to append-only streams of records.
 
     All calls raise ``LogUnavailableError`` when the log service does not
-    answer within the client's timeout.
+    answer within the client's timeout. ``received_bytes`` counts what all
+    answers so far have held.
     """
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of all answers so far."""
+        ...
+
     async def append_records(self, stream: str, records: Sequence[Record]) -> int:
         """Append ``records`` in order and return the offset of the first.
 
--- a/lavendershift/tools/memory_log.py
+++ b/lavendershift/tools/memory_log.py
@@ -41,6 +41,7 @@
         self.streams: dict[str, MemoryStream] = {}
         self.available = True
         self.appends = 0
+        self.received_bytes = 0  # stays, as nothing is sent
         self.time_ms = 0
 
     def find_stream(self, stream: str) -> MemoryStream:
--- a/lavendershift/tools/relay.py
+++ b/lavendershift/tools/relay.py
@@ -33,6 +33,7 @@
         settings = self._settings
         load_plugins([*SHIPPED_PLUGINS, *settings.plugins.modules])
         log = LOG_CLIENTS[settings.log.client](settings.log.url, settings.log.timeout)
+        self.log = log
         self.add_part("log", stop=log.close)
         relay = Relay(
             cast(RawLog, log), settings.relay.cache_records, settings.relay.batch
