Drop the timer that closing the HTTP client sets

Cause: closing curl handles sets a timer whose callback then fails on the closed client; each stop logged an AttributeError. Change: the client drops it. Unknown paths say that nothing ran.

--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -15,7 +15,7 @@
 from lavendershift.admission import RequestContext
 from lavendershift.calls import ServiceCall
 from lavendershift.completions import parse_completion
-from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.errors import ErrorKind, Ran, RequestError
 from lavendershift.nodes import CallerSettings
 
 if TYPE_CHECKING:
@@ -310,6 +310,7 @@
 
     def prepare(self) -> None:
         """Answer that there is nothing here."""
+        self.set_header("Ran", Ran.NO.value)
         self.send_json(
             describe_error(RequestError(ErrorKind.INVALID_REQUEST, "no such path")), 404
         )
--- a/lavendershift/httpclients.py
+++ b/lavendershift/httpclients.py
@@ -24,6 +24,12 @@
 
         super().fetch_impl(request, report)
 
+    def close(self) -> None:
+        """Close all connections, and drop the timer that closing them sets."""
+        super().close()
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+
 
 class HttpClient:
     """Sends requests; at most ``max_clients`` are in flight at a time."""
