Count only own requests on servers that do not report load

Without reports the load of other routers was taken as one's own times their number, and a last report counted for ever through the mean. Plain services never report, so eight routers would have refused calls to them with one in flight each. The new test fails on the code before.

Ruled out: a longer decay, which keeps the fault and only delays it.

--- a/lavendershift/loads.py
+++ b/lavendershift/loads.py
@@ -3,7 +3,8 @@
 Own requests in flight are known exactly. Those of other routers are what the
 last report counted beyond one's own at its time; as the report ages, the
 estimate decays towards the mean over all servers, which no server stands out
-from.
+from. Servers that never report, as plain services, or no longer do, count one's
+own requests only; the adaptive limit then guards them.
 """
 
 import math
@@ -14,6 +15,7 @@
 from lavendershift.clocks import Clock
 
 REPORT_DECAY = timedelta(seconds=1)
+REPORT_EXPIRY = timedelta(seconds=15)
 HISTORY_LENGTH = 512  # changes of one's own count that are remembered
 
 
@@ -41,7 +43,7 @@
         self._reported_at = timedelta()
         self.in_flight = 0
         self.pending_tokens = 0
-        self.others: float | None = None
+        self._others: float | None = None
 
     def count(self, change: int) -> None:
         """Add ``change`` to one's own requests in flight."""
@@ -51,10 +53,10 @@
     def record(self, report: LoadReport) -> None:
         """Take over a report, unless a newer one is known."""
         time = self._clock.elapsed() - max(report.age, timedelta())
-        if self.others is not None and time < self._reported_at:
+        if self._others is not None and time < self._reported_at:
             return
         total = report.running + report.waiting
-        self.others = max(float(total - self._find_own(time)), 0.0)
+        self._others = max(float(total - self._find_own(time)), 0.0)
         self._reported_at = time
 
     def _find_own(self, time: timedelta) -> int:
@@ -65,10 +67,20 @@
             own = count
         return own
 
+    def find_others(self) -> float | None:
+        """Return what the last report counted beyond one's own requests.
+
+        It is ``None`` without a report within ``REPORT_EXPIRY``.
+        """
+        if self._clock.elapsed() - self._reported_at > REPORT_EXPIRY:
+            return None
+        return self._others
+
     def estimate(self, mean_others: float) -> float:
         """Return own requests plus the estimate of everybody else's."""
-        if self.others is None:
+        others = self.find_others()
+        if others is None:
             return self.in_flight + mean_others
         age = self._clock.elapsed() - self._reported_at
         trust = math.exp(-(age / REPORT_DECAY))
-        return self.in_flight + mean_others + (self.others - mean_others) * trust
+        return self.in_flight + mean_others + (others - mean_others) * trust
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -289,11 +289,9 @@
         ]
 
     def _find_mean_others(self, servers: Sequence[_Server]) -> float:
-        known = [s.load.others for s in servers if s.load.others is not None]
-        if known:
-            return sum(known) / len(known)
-        own = sum(server.load.in_flight for server in servers)
-        return own * (self._routers - 1) / max(len(servers), 1)
+        reported = [server.load.find_others() for server in servers]
+        known = [others for others in reported if others is not None]
+        return sum(known) / len(known) if known else 0.0
 
     def _describe(
         self,
--- a/lavendershift/tests/test_servers.py
+++ b/lavendershift/tests/test_servers.py
@@ -151,7 +151,20 @@
     pool.record_load("e1", LoadReport(0, 0))
     loads = {c.name: c.load for c in pool.list_candidates("plume")}
     assert 5.5 <= loads["e0"] <= 6.0
-    clock.advance(timedelta(minutes=1))
+    clock.advance(timedelta(seconds=12))
     loads = {c.name: c.load for c in pool.list_candidates("plume")}
     assert round(loads["e0"], 3) == 5.0
     assert round(loads["e1"], 3) == 1.0
+
+
+def test_servers_without_reports_are_not_taken_for_busy():
+    clock, pool = make_pool(2, routers=8)
+    for number in range(7):
+        pool.start("e0", f"a{number}", 10)
+    assert all(c.has_room for c in pool.list_candidates("plume"))
+    pool.record_load("e0", LoadReport(50, 9))
+    pool.record_load("e1", LoadReport(50, 9))
+    busy = [c for c in pool.list_candidates("plume") if c.load >= c.capacity]
+    assert len(busy) == 2
+    clock.advance(timedelta(minutes=1))
+    assert {c.load for c in pool.list_candidates("plume")} == {7.0, 0.0}
