Start urgent batch requests, and let interactive ones pass waiting batch

Since batch requests are gathered, one that waits may go elsewhere only when its route says that it is urgent, which the router never set: it would have waited until it expired. An interactive request also queued behind waiting batch requests until the next tick, as any waiting request made it queue, and times in flight of both classes were mixed. Gathering is left to model engines; calls to plain services have no prefill that it would keep apart.

The new test fails on the placement before (the interactive request times out).

--- a/lavendershift/placement.py
+++ b/lavendershift/placement.py
@@ -49,7 +49,7 @@
         Raises ``RequestError`` at once when there will be none in time.
         """
         queue = self._find_queue(route)
-        if not len(queue):
+        if not queue.has_waiting(route.priority):
             placed = self._try_place(route, attempt)
             if placed is not None:
                 return placed
@@ -107,7 +107,9 @@
     def _make_ticket(
         self, context: RequestContext, route: RouteRequest, attempt: str
     ) -> Ticket:
-        service_time = self._pool.estimate_service_time(route.model, route.service)
+        service_time = self._pool.estimate_service_time(
+            route.model, route.service, context.priority
+        )
         if context.priority == "interactive":
             first_token = self._pool.estimate_first_token(
                 route.prompt_tokens, route.model
@@ -127,14 +129,20 @@
         waiting = self._waiting.get(ticket.id)
         if waiting is None:
             return True
-        return isinstance(self._choose(waiting.route), Success)
+        return isinstance(self._choose(self._renew(waiting.route, ticket)), Success)
+
+    def _renew(self, route: RouteRequest, ticket: Ticket) -> RouteRequest:
+        """Return the route as it is by now: a batch request becomes urgent."""
+        queue = self._find_queue(route)
+        return route._replace(is_urgent=queue.is_urgent(ticket))
 
     def _start(self, ticket: Ticket) -> None:
         waiting = self._waiting.pop(ticket.id, None)
         if waiting is None or waiting.placed.done():
             return
         try:
-            placed = self._try_place(waiting.route, waiting.attempt)
+            route = self._renew(waiting.route, ticket)
+            placed = self._try_place(route, waiting.attempt)
         except RequestError as error:
             waiting.placed.set_exception(error)
             return
@@ -163,7 +171,9 @@
         return choose_server(self._policy, self._pool, route)
 
     def _take(self, choice: Choice, route: RouteRequest, attempt: str) -> Placed:
-        self._pool.start(choice.server, attempt, route.prompt_tokens, route.prefix)
+        self._pool.start(
+            choice.server, attempt, route.prompt_tokens, route.prefix, route.priority
+        )
         return Placed(attempt, choice.server, choice.address)
 
     def _find_queue(self, route: RouteRequest) -> RequestQueue:
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -280,7 +280,8 @@
             and self.is_available(server.settings.name)
         ]
         mean_others = self._find_mean_others(serving)
-        gathering = choose_batch_servers([s.settings.name for s in serving])
+        names = [server.settings.name for server in serving]
+        gathering = set(names) if service else choose_batch_servers(names)
         return [
             self._describe(server, prefix, adapter, mean_others)._replace(
                 takes_batch=server.settings.name in gathering
