--- a/lavendershift/limits.py
+++ b/lavendershift/limits.py
@@ -4,14 +4,12 @@
 each request; each enforces its share, so that the fleet admits at most
 ``sum(share_i) * rate * t + sum(burst_i)`` requests in a time ``t``. Shares that
 add up to one keep to the rate exactly, beyond one burst of ``BURST_TIME`` a
-router. While routers disagree on how many they are, shares add up to more or
-less than one by the ratio of the counts. A share never rounds below one
+router. ``Demands`` divides a limit by where the requests arrive. While routers
+cannot hear each other their shares add up to more than one, at most to the
+number of parts that the fleet is cut into. A share never rounds below one
 request in flight, and a burst never below one request::
 
     permit = limiter.admit([Limit("desks/rennes/plume", 5.0, 20)], share=1 / 6)
-
-The shares come from ``lavendershift.demands``: they follow where a customer's
-requests arrive, so that one that uses a single router has its whole limit.
 """
 
 import math
