Speak TLS to servers, bound callers' connections, suspend at a rate of zero

Cause: [limits] max_connections was never enforced; servers could only be spoken to in the clear, whatever [servers] tls_ca said; and a rate of 0, which the tree calls a suspension, admitted without limit. Change: setting [servers] tls; a connection beyond the bound is answered 503, not run, and closed; 0 refuses. A TLS handshake that fails counts as not sent.

--- a/lavendershift/admission.py
+++ b/lavendershift/admission.py
@@ -130,7 +130,7 @@
         configuration = self._get_configuration()
         rate = configuration.resolve(path, "requests_per_s")
         concurrent = configuration.resolve(path, "concurrent_requests")
-        return Limit(path, rate or None, concurrent or None)
+        return Limit(path, rate, concurrent)
 
 
 def parse_key(headers: Mapping[str, str]) -> str:
--- a/lavendershift/calls.py
+++ b/lavendershift/calls.py
@@ -302,7 +302,7 @@
             headers["Idempotency-Key"] = context.request
         request = UpstreamCall(
             call.method,
-            f"http://{placed.address}{call.path}",
+            self._client.make_url(placed.address, call.path),
             headers,
             call.body or None,
             self._connect_timeout,
--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -309,7 +309,7 @@
         }
         return UpstreamCall(
             "POST",
-            f"http://{attempt.placed.address}{path}",
+            self._client.make_url(attempt.placed.address, path),
             headers,
             request.body,
             self._settings.connect_timeout,
@@ -321,9 +321,10 @@
     ) -> UpstreamCall:
         """Return a call for the rest of a stream whose connection broke."""
         address = attempt.placed.address
+        path = f"/control/requests/{attempt.id}/stream?from={events}"
         return UpstreamCall(
             "GET",
-            f"http://{address}/control/requests/{attempt.id}/stream?from={events}",
+            self._client.make_url(address, path),
             {},
             None,
             self._settings.connect_timeout,
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -13,13 +13,13 @@
 from typing import Any
 
 import msgspec
-from tornado.httpserver import HTTPServer
 
 from lavendershift import signals
 from lavendershift.admission import Admission
 from lavendershift.allocators import TICK, BudgetAllocator
 from lavendershift.applications import SHIPPED_PLUGINS, Application, load_plugins
 from lavendershift.budgets import Budgets, Shard
+from lavendershift.callers import CallerServer
 from lavendershift.calls import CallDispatcher
 from lavendershift.clocks import Clock
 from lavendershift.configuration import Configuration
@@ -125,7 +125,9 @@
         )
         self.demands = Demands(self._clock)
         authorities = settings.servers.tls_ca
-        self._client = UpstreamClient(str(authorities) if authorities else "")
+        self._client = UpstreamClient(
+            str(authorities) if authorities else "", settings.servers.tls
+        )
         self._usage_reader = UsageReader(self._client)
         self._replica = AttemptReplica(
             settings.vm.name, self._usage_reader, self._submit_recover
@@ -369,8 +371,9 @@
                 "certfile": str(listen.tls_certificate),
                 "keyfile": str(listen.tls_key),
             }
-        self._server = HTTPServer(
+        self._server = CallerServer(
             make_web_application(self),
+            max_connections=limits.max_connections,
             max_body_size=limits.max_body_bytes,
             max_buffer_size=limits.max_body_bytes + limits.max_header_bytes,
             max_header_size=limits.max_header_bytes,
@@ -513,7 +516,7 @@
                 "name": order.model,
                 "fencing_token": order.fencing_token,
             }
-            url = f"http://{order.address}/control/orders"
+            url = self._client.make_url(order.address, "/control/orders")
             await self._client.fetch(
                 "POST", url, ORDER_CALL_TIMEOUT, msgspec.json.encode(body)
             )
--- a/lavendershift/settings_sections.py
+++ b/lavendershift/settings_sections.py
@@ -90,6 +90,7 @@
 class ServersSection(NamedTuple):
     """Traffic to backend servers."""
 
+    tls: bool
     tls_ca: Path | None
     connect_timeout: timedelta
     load_poll: timedelta
--- a/lavendershift/settings_table.py
+++ b/lavendershift/settings_table.py
@@ -279,6 +279,15 @@
         "Bytes of one answer held for a caller that reads slowly.",
         ROUTER,
     ),
+    SettingRow(
+        "servers",
+        "tls",
+        ValueRule("boolean"),
+        False,
+        "",
+        "Whether backend servers are spoken to over TLS.",
+        ROUTER,
+    ),
     SettingRow(
         "servers",
         "tls_ca",
--- a/lavendershift/tools/capacity_fleet.py
+++ b/lavendershift/tools/capacity_fleet.py
@@ -27,6 +27,7 @@
     time_work,
     weigh,
 )
+from lavendershift.tools.ports import find_ports
 
 VMS = 330
 DOMAINS = 15
@@ -36,7 +37,6 @@
 BUDGETS = 95_000
 FLEETS = (10, 30, 100, 330)
 ROUNDS = 3
-BASE_PORT = 21_000
 TCP_IP_BYTES = 52  # headers of a segment with timestamps
 NNG_BYTES = 12  # length and request id before each message
 
@@ -83,12 +83,12 @@
     return Lent("", "", "", "", 0)
 
 
-def make_peers(number: int, beat: Heartbeat, heartbeat: timedelta) -> Peers:
+def make_peers(number: int, port: int, beat: Heartbeat, heartbeat: timedelta) -> Peers:
     """Return one end of the heartbeats."""
     clock = SystemClock()
     return Peers(
         name_vm(number),
-        f"tcp://127.0.0.1:{BASE_PORT + number}",
+        f"tcp://127.0.0.1:{port}",
         clock,
         Membership(clock, name_vm(number), beat.incarnation),
         heartbeat,
@@ -107,13 +107,15 @@
     what a node spends on one peer a round.
     """
     interval = timedelta(seconds=max(0.5, vms / 200))
-    sender = make_peers(0, make_beat(0, demands), interval)
+    ports = find_ports(vms)
+    sender = make_peers(0, ports[0], make_beat(0, demands), interval)
     others = [
-        make_peers(n, make_beat(n, demands), timedelta(hours=1)) for n in range(1, vms)
+        make_peers(n, ports[n], make_beat(n, demands), timedelta(hours=1))
+        for n in range(1, vms)
     ]
     settings = {
         name_vm(n): VmSettings(
-            name_vm(n), "", f"tcp://127.0.0.1:{BASE_PORT + n}", "rennes", "live"
+            name_vm(n), "", f"tcp://127.0.0.1:{ports[n]}", "rennes", "live"
         )
         for n in range(vms)
     }
--- a/lavendershift/tools/capacity_streams.py
+++ b/lavendershift/tools/capacity_streams.py
@@ -9,10 +9,11 @@
 import hashlib
 import os
 import random
+import ssl
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from lavendershift.clocks import SystemClock
 from lavendershift.records import CONFIG_STREAM, Change, Record, Setting, TopUp
@@ -23,26 +24,29 @@
 from lavendershift.streams import LOG_CLIENTS
 from lavendershift.tools.capacity_probes import Role, Slope, register_probe
 from lavendershift.tools.memory_log import MemoryLog
+from lavendershift.tools.ports import find_ports
+
+Result = TypeVar("Result")
 
 STREAMS = 200
 CHUNKS = 100
 REQUESTS = 200
-PORT = 21_800
-ENGINE_PORT = 21_802
 KEY = "capacity"
-SETTINGS = f"""
+SETTINGS = """
 [vm]
 name = "r0"
 failure_domain = "rennes"
 [listen]
-address = "127.0.0.1:{PORT}"
-peer_address = "tcp://127.0.0.1:{PORT + 1}"
+address = "127.0.0.1:{caller_port}"
+peer_address = "tcp://127.0.0.1:{peer_port}"
+{listen}
 [log]
 client = "memory"
 [members]
-url = "http://127.0.0.1:{ENGINE_PORT}"
+url = "http://127.0.0.1:{engine_port}"
 [logging]
 level = "error"
+{more}
 """
 BODY = b'{"model":"m","prompt":"Loire","max_tokens":1000,"stream":true}'
 REQUEST = (
@@ -98,13 +102,14 @@
 
 
 class Bench(NamedTuple):
-    """A router that serves callers from ``engine``."""
+    """A router that serves callers on ``port`` from ``engine``."""
 
     router: RouterApplication
     engine: Engine
+    port: int
 
 
-async def publish_tree(log: MemoryLog) -> None:
+async def publish_tree(log: MemoryLog, engine_port: int) -> None:
     """Append the tree and the top-up that the router needs."""
     digest = hashlib.sha256(KEY.encode()).hexdigest()
     customer, server = "desks/rennes/plume", "servers/e0"
@@ -114,7 +119,7 @@
         Setting(customer, "requests_per_s", 10_000.0),
         Setting(customer, "concurrent_requests", 10_000),
         Setting(server, "kind", "engine"),
-        Setting(server, "address", f"127.0.0.1:{ENGINE_PORT}"),
+        Setting(server, "address", f"127.0.0.1:{engine_port}"),
         Setting(server, "failure_domain", "rennes"),
         Setting(server, "models", ["m"]),
         Setting(server, "capacity", 10_000),
@@ -126,29 +131,50 @@
     await log.append_records(CONFIG_STREAM, records)
 
 
-async def run_bench(work: Callable[[Bench], Awaitable[Slope]]) -> Slope:
-    """Start router and engine, and measure ``work``."""
+async def run_bench(
+    work: Callable[[Bench], Awaitable[Result]],
+    more: str = "",
+    listen: str = "",
+    engine_tls: ssl.SSLContext | None = None,
+) -> Result:
+    """Start router and engine, and return what ``work`` does.
+
+    ``more`` are further settings of the router, ``listen`` those of its
+    section ``listen``.
+    """
+    caller_port, peer_port, engine_port = find_ports(3)
     log = MemoryLog()
-    await publish_tree(log)
+    await publish_tree(log, engine_port)
     LOG_CLIENTS["memory"] = lambda *arguments: log
-    settings = parse_settings(SETTINGS, Program.ROUTER).unwrap()
+    text = SETTINGS.format(
+        caller_port=caller_port,
+        peer_port=peer_port,
+        engine_port=engine_port,
+        listen=listen,
+        more=more,
+    )
+    settings = parse_settings(text, Program.ROUTER).unwrap()
     assert isinstance(settings, RouterSettings)
     router = RouterApplication(settings, SystemClock(), random.Random(1))
     engine = Engine()
-    server = await asyncio.start_server(engine.serve, "127.0.0.1", ENGINE_PORT)
+    server = await asyncio.start_server(
+        engine.serve, "127.0.0.1", engine_port, ssl=engine_tls
+    )
     await router.start()
     try:
         while router.find_fault() is not None:
             await asyncio.sleep(0.01)
-        return await work(Bench(router, engine))
+        return await work(Bench(router, engine, caller_port))
     finally:
         await router.stop()
         server.close()
 
 
-async def open_stream() -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+async def open_stream(
+    bench: Bench,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Send a completion and return once its first chunk has arrived."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+    reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
     writer.write(REQUEST)
     data = await reader.readuntil(b"\r\n\r\n")
     assert b" 200 " in data.split(b"\r\n", 1)[0], data
@@ -172,9 +198,9 @@
 
 async def weigh_streams(bench: Bench) -> Slope:
     """Return the memory of a stream."""
-    warm = [await open_stream() for _ in range(20)]
+    warm = [await open_stream(bench) for _ in range(20)]
     before = read_resident_bytes()
-    streams = [await open_stream() for _ in range(STREAMS)]
+    streams = [await open_stream(bench) for _ in range(STREAMS)]
     held = (read_resident_bytes() - before) / STREAMS
     for writer in bench.engine.writers:
         bench.engine.finish(writer)
@@ -184,7 +210,7 @@
 
 async def time_chunks(bench: Bench) -> Slope:
     """Return the CPU of a chunk, beyond that of the request."""
-    streams = [await open_stream() for _ in range(20)]
+    streams = [await open_stream(bench) for _ in range(20)]
     start = time.process_time()
     for _ in range(CHUNKS):
         for writer in bench.engine.writers:
@@ -202,7 +228,7 @@
     bench.engine.at_once = True
     start = time.process_time()
     for _ in range(REQUESTS):
-        await read_rest(await open_stream())
+        await read_rest(await open_stream(bench))
     return Slope(us=(time.process_time() - start) / REQUESTS * 1e6)
 
 
--- a/lavendershift/tools/recovery.py
+++ b/lavendershift/tools/recovery.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import random
-import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -37,6 +36,7 @@
 from lavendershift.settings import parse_settings
 from lavendershift.settings_sections import RelaySettings, RouterSettings
 from lavendershift.settings_table import Program
+from lavendershift.tools.ports import find_ports
 from lavendershift.tools.relay import RelayApplication
 from lavendershift.tools.replay import STREAM, find_prepaid, make_records
 from lavendershift_standins.log import LogApp, LogSettings
@@ -82,23 +82,16 @@
 )
 
 
-def find_port() -> int:
-    """Return a port of the loopback that is free now."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        port: int = found.getsockname()[1]
-        return port
-
-
 def make_settings(log_port: int, relay_port: int, records: int) -> tuple[str, str]:
     """Return the settings of the router and of the relay."""
     common = f'[vm]\nname = "r9"\nfailure_domain = "d0"\n[log]\nurl = "http://127.0.0.1:{log_port}"\n'
+    ports = find_ports(2)
     quiet = '[logging]\nlevel = "error"\n'
     relay = f"tcp://127.0.0.1:{relay_port}"
     router = (
         f'{common}relays = ["{relay}"]\n'
-        f'[listen]\naddress = "127.0.0.1:{find_port()}"\n'
-        f'peer_address = "tcp://127.0.0.1:{find_port()}"\n'
+        f'[listen]\naddress = "127.0.0.1:{ports[0]}"\n'
+        f'peer_address = "tcp://127.0.0.1:{ports[1]}"\n'
         f'[members]\nurl = "http://127.0.0.1:{log_port}"\n{quiet}'
     )
     cache = f"[relay]\ncache_records = {max(100, 2 * records)}\n"
@@ -162,7 +155,7 @@
     stand = Stand(records, tail)
     await stand.log.start()
     stand.fill(setup.checkpoint)
-    relay_port = find_port()
+    [relay_port] = find_ports(1)
     texts = make_settings(stand.log.port, relay_port, records)
     router_settings = parse_settings(texts[0], Program.ROUTER).unwrap()
     relay_settings = parse_settings(texts[1], Program.RELAY).unwrap()
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -100,12 +100,21 @@
 
 
 class UpstreamClient:
-    """Sends attempts to backend servers with one shared curl client."""
+    """Sends attempts to backend servers with one shared curl client.
 
-    def __init__(self, ca_certificates: str = "") -> None:
+    With ``tls`` the servers are spoken to over TLS, and their certificates
+    checked against ``ca_certificates``, by default those of the system.
+    """
+
+    def __init__(self, ca_certificates: str = "", tls: bool = False) -> None:
+        self._scheme = "https" if tls else "http"
         self._http = HttpClient(MAX_CLIENTS)
         self._ca_certificates = ca_certificates or None
 
+    def make_url(self, address: str, path: str) -> str:
+        """Return the URL of ``path`` at a backend server."""
+        return f"{self._scheme}://{address}{path}"
+
     async def run_call(
         self,
         call: UpstreamCall,
@@ -217,10 +226,19 @@
 
     def _judge_delivery(self, response: HTTPResponse) -> Delivery:
         if response.code == TRANSFER_FAILED_STATUS:
-            if not response.time_info.get("pretransfer"):
+            if not _was_connected(response):
                 return Delivery.NOT_SENT
             return Delivery.UNKNOWN
         refused = response.code in (409, 429, 503)
         if refused and self._headers.get(NOT_RUN_HEADER, "").lower() == "true":
             return Delivery.REFUSED
         return Delivery.ANSWERED
+
+
+def _was_connected(response: HTTPResponse) -> bool:
+    """Whether a failed transfer came so far that it may have sent anything.
+
+    Over TLS nothing is sent before the handshake has ended.
+    """
+    step = "appconnect" if response.request.url.startswith("https:") else "pretransfer"
+    return bool(response.time_info.get(step))
--- a/lavendershift/usages.py
+++ b/lavendershift/usages.py
@@ -38,7 +38,7 @@
 
     async def read_usage(self, address: str, attempt: str) -> Usage | None:
         """Return the usage of an attempt if it is known to have ended."""
-        url = f"http://{address}/control/requests/{attempt}"
+        url = self._client.make_url(address, f"/control/requests/{attempt}")
         response = await self._client.fetch("GET", url, CALL_TIMEOUT)
         if response.code != 200:
             return None
@@ -52,5 +52,5 @@
 
     async def cancel_attempt(self, address: str, attempt: str) -> None:
         """Ask the engine to stop an attempt; it may already have ended."""
-        url = f"http://{address}/control/cancel/{attempt}"
+        url = self._client.make_url(address, f"/control/cancel/{attempt}")
         await self._client.fetch("POST", url, CALL_TIMEOUT, b"")
--- a/lavendershift/watchers.py
+++ b/lavendershift/watchers.py
@@ -137,7 +137,7 @@
         await asyncio.gather(*(self._poll_engine(engine) for engine in engines))
 
     async def _poll_engine(self, engine: ServerSettings) -> None:
-        base = f"http://{engine.address}/control"
+        base = self._client.make_url(engine.address, "/control")
         response = await self._client.fetch("GET", f"{base}/load", CALL_TIMEOUT)
         if response.code != 200:
             return
