Let hold_share mean one router's share, as the holding policy takes it

The tree's default of 0.5 was meant for all routers together but capped each one: a VM's death could strand an hour of its demand whatever the budget. The default is now 0.005, the target for a dead VM.

--- a/lavendershift/tree.py
+++ b/lavendershift/tree.py
@@ -163,9 +163,9 @@
     _caller(
         "hold_share",
         ValueRule("number", 0, 1),
-        0.5,
+        0.005,
         "",
-        "Largest share of a budget's remainder that all routers hold ahead.",
+        "Largest share of a budget's remainder that one router holds ahead.",
     ),
     _own(
         "api_key_hashes",
