--- a/lavendershift/tools/capacity.py
+++ b/lavendershift/tools/capacity.py
@@ -23,11 +23,11 @@
 BEGIN = "<!-- begin of the measured slopes -->"
 END = "<!-- end of the measured slopes -->"
 PROBE_MODULES = (
+    "lavendershift.tools.capacity_streams",  # first, while memory is not reused
     "lavendershift.tools.capacity_ledger",
     "lavendershift.tools.capacity_fleet",
     "lavendershift.tools.capacity_budgets",
     "lavendershift.tools.capacity_relay",
-    "lavendershift.tools.capacity_streams",
 )
 PLUGINS = (*SHIPPED_PLUGINS, "lavendershift.plugins.routing_affinity")
 
--- a/lavendershift/tools/capacity_ledger.py
+++ b/lavendershift/tools/capacity_ledger.py
@@ -8,6 +8,7 @@
 from lavendershift.allowances import AllowanceBook
 from lavendershift.ledger import Ledger
 from lavendershift.records import (
+    KIND_OF_RECORD,
     Abandon,
     Charge,
     Claim,
@@ -311,7 +312,7 @@
 
 def _register_folds() -> None:
     for record_type, build in CASES.items():
-        name = f"fold of a {record_type.__name__.lower()} record"
+        name = f"fold of {KIND_OF_RECORD[record_type]}"
         register_probe(name, Role.ROUTER, "record")(lambda b=build: measure_fold(b))  # type: ignore[misc]
 
 
--- a/lavendershift/tools/capacity_streams.py
+++ b/lavendershift/tools/capacity_streams.py
@@ -25,6 +25,8 @@
 from lavendershift.tools.capacity_probes import Role, Slope, register_probe
 from lavendershift.tools.memory_log import MemoryLog
 from lavendershift.tools.ports import find_ports
+from lavendershift.upstreams import UpstreamClient
+from lavendershift.watchers import CALL_TIMEOUT
 
 Result = TypeVar("Result")
 
@@ -248,3 +250,21 @@
 def measure_request() -> Slope:
     """Measure whole requests, one after the other."""
     return asyncio.run(run_bench(time_requests))
+
+
+async def time_loads(bench: Bench) -> Slope:
+    """Return the CPU of one control call to a server."""
+    url = f"http://{bench.router.configuration.servers()['e0'].address}/control/load"
+    client = UpstreamClient()
+    start = time.process_time()
+    for _ in range(REQUESTS):
+        await client.fetch("GET", url, CALL_TIMEOUT)
+    spent = time.process_time() - start
+    client.close()
+    return Slope(us=spent / REQUESTS * 1e6)
+
+
+@register_probe("load asked of a server", Role.ROUTER, "call")
+def measure_load() -> Slope:
+    """Measure control calls, of which each server gets two a second."""
+    return asyncio.run(run_bench(time_loads))
