--- a/lavendershift/tests/golden_sessions.py
+++ b/lavendershift/tests/golden_sessions.py
@@ -3,6 +3,7 @@
 import tempfile
 from asyncio import run_coroutine_threadsafe
 from pathlib import Path
+from typing import Any
 
 import openai
 
@@ -16,7 +17,7 @@
 SPLIT = {"ledger": {"holding_policy": "equal_split"}}
 PER_REQUEST = {"ledger": {"holding_policy": "per_request"}}
 
-SESSIONS = {}
+SESSIONS: dict[str, tuple[Any, dict[str, Any]]] = {}
 
 
 def register_session(name, **options):
