--- a/lavendershift/tests/golden_sessions.py
+++ b/lavendershift/tests/golden_sessions.py
@@ -10,7 +10,8 @@
 from lavendershift.configuration import Configuration
 from lavendershift.records import decode_entry
 from lavendershift.tests.callers import Caller, wait_for
-from lavendershift.tests.processes import API_KEY, CUSTOMER, Fleet
+from lavendershift.tests.live_fleet import Fleet
+from lavendershift.tests.live_tree import API_KEY, CUSTOMER
 from lavendershift.tests.transcripts import Transcript
 
 GOLDEN_PATH = Path(__file__).with_name("golden")
--- a/lavendershift/tests/transcripts.py
+++ b/lavendershift/tests/transcripts.py
@@ -7,7 +7,7 @@
 import json
 import re
 
-from lavendershift.tests.processes import LEDGER
+from lavendershift.tests.live_standins import LEDGER
 
 SHOWN_HEADERS = ("Content-Type", "Request-Attempt", "Ran", "Retry-After")
 INCARNATION = re.compile(r"\b(r\d)\.\d{13}-[0-9a-f]{6}")
