Let the log answer in virtual time in the allocator's test

Cause: the test moves a manual clock by minutes while the follower reads in real time, so since reads tell of outages the log counted as away and nothing was handed back. Its demands are unchanged. Change: a follower's answers are noted by a method that the scene calls.

--- a/lavendershift/followers.py
+++ b/lavendershift/followers.py
@@ -51,6 +51,10 @@
         """Time since the log last answered a read."""
         return self._clock.elapsed() - self._confirmed
 
+    def note_answer(self) -> None:
+        """Note that the log has just answered a read."""
+        self._confirmed = self._clock.elapsed()
+
     def start(self) -> None:
         """Start following in the background."""
         self._task = asyncio.ensure_future(self._run())
@@ -76,7 +80,7 @@
         result = await self._log.read_entries(
             self.stream, self.next_offset, READ_LIMIT, wait
         )
-        self._confirmed = self._clock.elapsed()
+        self.note_answer()
         for entry in result.entries:
             await self._fold(entry)
             self.next_offset = entry.offset + 1
