Leave a server alone for a while that refuses everything

A refusal counted for nothing, so a server that refused at once looked idle and drew requests to it. Refusals now lower its limit and count towards ejection as failures do. A refusal for the caller's fault is no refusal of the server and is not concerned. The new test fails on the code before.

Moves what is learned of a group of servers to its own module.

--- a/lavendershift/concurrency.py
+++ b/lavendershift/concurrency.py
@@ -82,11 +82,12 @@
         only when at least half of it is in use.
         """
         if first_token > unloaded * SLOW_RATIO + SLOW_MARGIN:
-            self._decrease(now)
+            self.decrease(now)
         elif in_flight * 2 >= self._limit:
             self._limit = self._clamp(self._limit + INCREASE / self._limit)
 
-    def _decrease(self, now: timedelta) -> None:
+    def decrease(self, now: timedelta) -> None:
+        """Lower the limit, as the server is overloaded or refused a request."""
         last = self._decreased_at
         if last is not None and now - last < DECREASE_INTERVAL:
             return
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -15,7 +15,6 @@
 the moment the pool is told.
 """
 
-import math
 import random
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
@@ -26,16 +25,17 @@
 from lavendershift.candidates import Candidate
 from lavendershift.clocks import Clock
 from lavendershift.concurrency import ConcurrencyLimit, PrefillRate
-from lavendershift.ejection import Ejection, OutlierDetector
-from lavendershift.hashing import rank_by_hash
+from lavendershift.ejection import Ejection
+from lavendershift.groups import (
+    INITIAL_SERVICE_S,
+    ServerGroup,
+    choose_batch_servers,
+    serves,
+)
 from lavendershift.loads import LoadEstimate, LoadReport
 from lavendershift.nodes import ServerSettings
 from lavendershift.prefixes import BLOCK_TOKENS, CacheEvent, PrefixIndex
 
-SERVICE_TIME_WEIGHT = 0.05  # of the newest observation
-BATCH_SERVERS = 0.16  # of the servers that serve the same, rounded up
-INITIAL_SERVICE_S = 2.0  # time in flight before the first observation
-
 
 class AttemptResult(Enum):
     """How an attempt on a server ended, as far as the server is concerned."""
@@ -56,28 +56,12 @@
     awaits_first_token: bool = True
 
 
-class _Group:
-    """Servers that serve the same, which are compared with each other."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.outliers = OutlierDetector(rng)
-        self.prefill = PrefillRate()
-        self._service_s: dict[str, float] = {}
-
-    def find_service_s(self, priority: str) -> float:
-        """Return the mean time in flight of completed requests of a class."""
-        return self._service_s.get(priority, INITIAL_SERVICE_S)
-
-    def observe_service(self, priority: str, seconds: float) -> None:
-        """Note the time that a completed request was in flight."""
-        mean = self.find_service_s(priority)
-        self._service_s[priority] = mean + SERVICE_TIME_WEIGHT * (seconds - mean)
-
-
 class _Server:
     """All that is known of one backend server."""
 
-    def __init__(self, clock: Clock, settings: ServerSettings, group: _Group) -> None:
+    def __init__(
+        self, clock: Clock, settings: ServerSettings, group: ServerGroup
+    ) -> None:
         self.settings = settings
         self.group = group
         self.load = LoadEstimate(clock)
@@ -107,7 +91,7 @@
         self._servers: dict[str, _Server] = {}
         self._attempts: dict[str, _Attempt] = {}
         self._rng = rng
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, ServerGroup] = {}
 
     def estimate_service_time(
         self, model: str = "", service: str = "", priority: str = "interactive"
@@ -143,9 +127,9 @@
                 known.limit.set_capacity(server.capacity)
         self._update_groups()
 
-    def _find_group(self, settings: ServerSettings) -> _Group:
+    def _find_group(self, settings: ServerSettings) -> ServerGroup:
         key = settings.service or ",".join(sorted(settings.models))
-        return self._groups.setdefault(key, _Group(self._rng))
+        return self._groups.setdefault(key, ServerGroup(self._rng))
 
     def _update_groups(self) -> None:
         for group in self._groups.values():
@@ -248,7 +232,9 @@
             known.group.outliers.record_success(ended.server)
             seconds = (now - ended.started).total_seconds()
             known.group.observe_service(ended.priority, seconds)
-        elif result is AttemptResult.FAILED:
+        elif result is not AttemptResult.CANCELLED:
+            if result is AttemptResult.REFUSED:
+                known.limit.decrease(now)
             self._announce(known.group.outliers.record_failure(ended.server, now))
 
     def _announce(self, ejection: Ejection | None) -> None:
@@ -320,19 +306,3 @@
             has_adapter=not adapter or adapter in server.adapters,
             takes_batch=False,
         )
-
-
-def choose_batch_servers(names: Sequence[str]) -> set[str]:
-    """Return the servers that batch requests are gathered on.
-
-    The choice by hash is the same on all routers that see the same servers.
-    """
-    count = math.ceil(len(names) * BATCH_SERVERS)
-    return set(rank_by_hash(names, "batch")[:count])
-
-
-def serves(settings: ServerSettings, model: str, service: str) -> bool:
-    """Tell whether a server serves ``model``, or ``service`` where it is given."""
-    if service:
-        return settings.kind == "service" and settings.service == service
-    return settings.kind == "engine" and model in settings.models
--- a/lavendershift/tests/test_servers.py
+++ b/lavendershift/tests/test_servers.py
@@ -75,6 +75,14 @@
     assert limits[-1] == 8
 
 
+def test_a_server_that_refuses_everything_is_left_alone_for_a_while():
+    _, pool = make_pool()
+    for attempt in range(3):
+        pool.start("e0", f"a{attempt}", 10)
+        pool.finish(f"a{attempt}", AttemptResult.REFUSED)
+    assert "e0" not in list_names(pool)
+
+
 def test_a_failed_probe_doubles_the_ejection():
     clock, pool = make_pool()
     lengths = []
