--- a/lavendershift/commands/release.py
+++ b/lavendershift/commands/release.py
@@ -15,7 +15,7 @@
 from lavendershift.configuration import Configuration
 from lavendershift.errors import LogUnavailableError
 from lavendershift.ledger import Ledger
-from lavendershift.records import Release, find_ledger_stream
+from lavendershift.records import EvictAck, Release, find_ledger_stream
 from lavendershift.streams import LogClient
 
 RETRY_PAUSE = timedelta(milliseconds=200)
@@ -38,6 +38,8 @@
     Tokens of an evicted router stay in doubt, since it may have spent them.
     Release them only when it is certain that it did not and never will: its
     VM is destroyed, and the servers' own records show what they ran for it.
+    Routers that are lost as well can't acknowledge the eviction; name them with
+    --lost if the same is certain of them.
 
     Example: `lavendershift budgets release plume r3.170-ab 5000
     --evidence "VM r3 destroyed, no requests on any engine"`
@@ -47,6 +49,9 @@
     incarnation: Annotated[str, cappa.Arg(help="Incarnation that holds the tokens")]
     tokens: Annotated[int, cappa.Arg(help="Tokens to set free")]
     evidence: Annotated[str, cappa.Arg(long=True, help="Why they are unspent")]
+    lost: Annotated[
+        list[str], cappa.Arg(long=True, help="Evicted incarnation that is lost, too")
+    ] = []
     id: Annotated[
         str | None, cappa.Arg(long=True, help="Id of an earlier try with no outcome")
     ] = None
@@ -93,7 +98,11 @@
         if record.id in ledger.operator_ids:
             reason = "published before; see budgets show"
             return ReleaseResult(record.id, Outcome.UNKNOWN, -1, 0, reason)
-        publisher = _ReleasePublisher(log, ledger, configuration)
+        acks = [
+            EvictAck(f"{record.id}-{name}", record.incarnation, name)
+            for name in self.lost
+        ]
+        publisher = _ReleasePublisher(log, ledger, configuration, acks)
         deadline = clock.elapsed() + timeout
         while True:
             try:
@@ -109,9 +118,14 @@
     """Appends a release and folds the ledger up to the verdict on it."""
 
     def __init__(
-        self, log: LogClient, ledger: Ledger, configuration: Configuration
+        self,
+        log: LogClient,
+        ledger: Ledger,
+        configuration: Configuration,
+        acks: list[EvictAck],
     ) -> None:
         self._log = log
+        self._acks = acks
         self._reader = LogReader(log)
         self._ledger = ledger
         self._configuration = configuration
@@ -120,7 +134,7 @@
         """Append ``record`` unless an earlier try did; return the verdict."""
         result = await self._find(record)
         if result is None:
-            await self._log.append_records(self._ledger.stream, [record])
+            await self._log.append_records(self._ledger.stream, [*self._acks, record])
             result = await self._find(record)
         if result is None:
             raise LogUnavailableError("the log does not show the record yet")
--- a/lavendershift/ledger_rules.py
+++ b/lavendershift/ledger_rules.py
@@ -208,7 +208,13 @@
 
 @register_rule(EvictAck)
 def fold_evict_ack(ledger: "Ledger", record: EvictAck, entry: Entry) -> Verdict:
-    """Note that an incarnation takes no more transfers from an evicted one."""
+    """Note that an incarnation takes no more transfers from an evicted one.
+
+    Of an incarnation that is lost itself an operator may say so.
+    """
+    own = record.id.rpartition("/")[0] == record.incarnation
+    if not own and ledger.incarnations.is_joined(record.incarnation):
+        return Verdict(False, 0, "a live incarnation acknowledges by itself")
     if ledger.incarnations.acknowledge(record.evicted, record.incarnation):
         return Verdict(True)
     return Verdict(False, 0, "not evicted or acknowledged before")
--- a/lavendershift/tests/test_commands.py
+++ b/lavendershift/tests/test_commands.py
@@ -350,6 +350,22 @@
     assert sum(entry.record.id == "x1" for entry in log.streams["ledger-0"]) == 1
 
 
+def test_release_answers_for_routers_that_are_lost_as_well(run, log, tree):
+    run("publish", tree)
+    run("budgets", "top-up", "plume", 100)
+    write_ledger(log)
+    log.write("ledger-0", [Join("r2.1/1", "r2.1", "r2", "d", 1)])
+    log.write("ledger-0", [Evict("e1", "r1.1", "ana")])
+    release = ["budgets", "release", "plume", "r1.1", 30, "--evidence", "destroyed"]
+    code, out, _ = run(*release)
+    assert (code, "not acknowledged by r2.1" in out) == (1, True)
+    code, out, _ = run(*release, "--lost", "r2.1")
+    assert code == 1, "it is not evicted"
+    log.write("ledger-0", [Evict("e2", "r2.1", "ana")])
+    code, out, _ = run(*release, "--lost", "r2.1", "--json")
+    assert (code, json.loads(out)["tokens"]) == (0, 30)
+
+
 def test_checkpoint_stands_in_for_expired_records(run, log, tree):
     run("publish", tree)
     state = json.dumps([log.fold().encode_state()])
--- a/lavendershift/tests/test_ledger.py
+++ b/lavendershift/tests/test_ledger.py
@@ -75,6 +75,7 @@
     log.fold(Evict("op1", "i", "op"))
     release = Release("op2", "b", "i", 80, "", "op")
     assert log.fold(release).reason == "not acknowledged by j, k"
+    assert not log.fold(EvictAck("op9", "i", "j")).counted, "j is live"
     assert log.fold(Transfer("j/1", "b", "i", "j", 10, "l")).counted
     log.fold(EvictAck("j/2", "i", "j"))
     assert not log.fold(Transfer("j/3", "b", "i", "j", 10, "m")).counted
