Share the command line of router and relay; do not blame servers for callers

Cause: both programs loaded settings in the same thirty lines, and the relay wrote no log; an attempt ended by its caller or refused for its content counted as the server's failure or success.

--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -164,7 +164,7 @@
                 result = await self._resume(result, context, attempt, reader, sink)
         except BaseException:
             self._inquiry.start(attempt.held, attempt.placed.address, attempt.id)
-            self._placement.release(attempt.placed, AttemptResult.FAILED)
+            self._placement.release(attempt.placed, AttemptResult.CANCELLED)
             raise
         if result is None:
             attempt.late = True
@@ -262,7 +262,7 @@
             reader.finish()
             return None
         if is_callers_fault(result):
-            self._placement.release(attempt.placed, AttemptResult.COMPLETED)
+            self._placement.release(attempt.placed, AttemptResult.CANCELLED)
             raise RequestError(ErrorKind.INVALID_REQUEST, summarize_error(result.body))
         reason, ran = classify(result)
         refused = reason is RetryReason.REFUSED
--- a/lavendershift/tools/relay.py
+++ b/lavendershift/tools/relay.py
@@ -1,18 +1,17 @@
 """The program ``lavendershift-relay``."""
 
-import asyncio
-import sys
+import logging
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Annotated, cast
+from typing import ClassVar, cast
 
 import cappa
-from returns.result import Failure, Success
 
 from lavendershift.applications import SHIPPED_PLUGINS, Application, load_plugins
+from lavendershift.clocks import SystemClock
+from lavendershift.logs import EventLog, LibraryHandler, make_handler
+from lavendershift.programs import ProgramCommand
 from lavendershift.relay import RawLog, Relay
-from lavendershift.settings import load_settings
-from lavendershift.settings_page import render_defaults
+from lavendershift.reports import EventReporter
 from lavendershift.settings_sections import RelaySettings
 from lavendershift.settings_table import Program
 from lavendershift.sockets import ReplySocket
@@ -32,6 +31,7 @@
         """Add the log client, the relay and its socket."""
         settings = self._settings
         load_plugins([*SHIPPED_PLUGINS, *settings.plugins.modules])
+        self._set_up_reports()
         log = LOG_CLIENTS[settings.log.client](settings.log.url, settings.log.timeout)
         self.log = log
         self.add_part("log", stop=log.close)
@@ -41,6 +41,14 @@
         self.add_part("relay", stop=relay.stop)
         self.add_part("socket", start=lambda: self._listen(relay), stop=self._close)
 
+    def _set_up_reports(self) -> None:
+        vm = self._settings.vm
+        handler = make_handler(self._settings.logging)
+        log = EventLog(handler, vm.name, vm.failure_domain, SystemClock())
+        self._reporter = EventReporter(log)
+        self._reporter.connect()
+        logging.getLogger().addHandler(LibraryHandler(log))
+
     async def _listen(self, relay: Relay) -> None:
         self._socket = ReplySocket(
             self._settings.listen.peer_address, relay.handle_message, HANDLERS
@@ -52,36 +60,14 @@
 
 @cappa.command(name="lavendershift-relay", help="Relay between routers and the log.")
 @dataclass
-class RelayCommand:
-    """Arguments of the program."""
-
-    config: Annotated[Path | None, cappa.Arg(long=True, help="TOML settings file")] = (
-        None
-    )
-    print_defaults: Annotated[
-        bool, cappa.Arg(long=True, help="print a settings file of all defaults")
-    ] = False
-
-    def __call__(self) -> None:
-        """Run the relay until it is told to stop."""
-        if self.print_defaults:
-            print(render_defaults(Program.RELAY), end="")
-            return
-        if self.config is None:
-            print("--config is required", file=sys.stderr)
-            raise cappa.Exit(code=2)
-        match load_settings(self.config, Program.RELAY):
-            case Success(RelaySettings() as settings):
-                asyncio.run(run_relay(settings))
-            case Failure(faults):
-                for fault in faults:
-                    print(fault, file=sys.stderr)
-                raise cappa.Exit(code=2)
-
-
-async def run_relay(settings: RelaySettings) -> None:
-    """Run a relay with ``settings`` on the current loop."""
-    await RelayApplication(settings).run()
+class RelayCommand(ProgramCommand):
+    """Runs a relay."""
+
+    program: ClassVar[Program] = Program.RELAY
+
+    async def run(self, settings: RelaySettings) -> None:
+        """Run a relay until it is told to stop."""
+        await RelayApplication(settings).run()
 
 
 def main() -> None:
