--- a/lavendershift/commands/budgets.py
+++ b/lavendershift/commands/budgets.py
@@ -39,6 +39,7 @@
     held: int
     available: int
     in_doubt: int
+    overdrawn: int
 
 
 class HolderRow(NamedTuple):
@@ -229,6 +230,7 @@
         held,
         view.available,
         view.in_doubt,
+        view.overdrawn,
     )
 
 
--- a/lavendershift/tests/test_commands.py
+++ b/lavendershift/tests/test_commands.py
@@ -321,6 +321,7 @@
             "held": 35,
             "available": 40,
             "in_doubt": 0,
+            "overdrawn": 0,
         }
     ]
     code, out, _ = run("budgets", "show", "plume", "--json")
