--- a/lavendershift/tests/golden_sessions.py
+++ b/lavendershift/tests/golden_sessions.py
@@ -129,6 +129,8 @@
     wait_for(lambda: fleet.status("r1")["config_offset"] == 4, message="the top-up")
     transcript.complete("r1", "Index the bees", "third", max_tokens=64)
     wait_for(lambda: len(fleet.list_records("return")) == 3)
+    transcript.complete("r1", "Index the bees", "fourth", max_tokens=1_000)
+    wait_for(lambda: len(fleet.list_records("return")) == 4)
 
 
 @register_session("non_repeatable_calls")
