Cut the router's work per chunk: no progress callback, no future per write

Cause: curl called back into Python at every socket event to see whether to abort, and each write to a caller made a future and a callback. Change: aborting shuts the transfer's own socket down; what waits for a caller is known from whether its connection still writes.

--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -349,6 +349,7 @@
         self._placement = placement
         self._max_buffered_bytes = max_buffered_bytes
         self._stream = AnswerStream(request.wants_usage)
+        self._begun = False
         self._body = b""
 
     def take_status(self, status: int, headers: HTTPHeaders) -> bool:
@@ -359,7 +360,9 @@
 
     def take_chunk(self, chunk: bytes) -> None:
         """Forward a chunk of a stream, unless the attempt was given up."""
-        self._placement.note_first_token(self._attempt.placed)
+        if not self._begun:
+            self._begun = True
+            self._placement.note_first_token(self._attempt.placed)
         events = self._stream.feed(chunk)
         if events and not self._attempt.late and not self._sink.closed:
             if not self._sink.started:
--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -108,13 +108,23 @@
         self._handler.set_header("Request-Attempt", attempt)
 
     def write(self, data: bytes) -> int:
-        """Send bytes; return how many are not yet taken by the caller."""
-        if data and not self.closed:
+        """Send bytes; return how many are not yet taken by the caller.
+
+        That is an upper bound: bytes count until all have been taken.
+        """
+        if self.closed:
+            return 0
+        connection = self._handler.request.connection
+        assert isinstance(connection, HTTP1Connection)
+        if data and self.started:
+            connection.write(data)
+        elif data:
             self.started = True
-            self._buffered += len(data)
             self._handler.write(data)
-            flushed = self._handler.flush()
-            flushed.add_done_callback(lambda done: self._note_taken(done, len(data)))
+            self._handler.flush()
+        self._buffered += len(data)
+        if not connection.stream.writing():
+            self._buffered = 0
         return self._buffered
 
     def finish(self, data: bytes = b"") -> None:
@@ -134,11 +144,6 @@
         event = msgspec.json.encode(describe_error(error))
         self._handler.finish(b"data: " + event + b"\n\n")
 
-    def _note_taken(self, done: Any, size: int) -> None:
-        self._buffered -= size
-        if not done.cancelled() and isinstance(done.exception(), StreamClosedError):
-            self.closed = True
-
 
 class RequestStageHandler(BaseHandler):
     """A handler whose requests pass through admission."""
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -6,10 +6,12 @@
 connection turns out to be closed, which would run it twice.
 """
 
+import contextlib
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pycurl
 from tornado.httpclient import HTTPRequest, HTTPResponse
@@ -64,19 +66,21 @@
     def __init__(self) -> None:
         self._curl: pycurl.Curl | None = None
         self._paused = False
-        self._aborted = False
+        self._socket: socket.socket | None = None
 
     def attach(self, curl: pycurl.Curl) -> None:
         """Take hold of the transfer's curl handle before it starts."""
         self._curl = curl
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
-        curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(pycurl.XFERINFOFUNCTION, self._check_abort)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
 
     def detach(self) -> None:
         """Let go of the handle; it may serve another transfer from now on."""
         self._curl = None
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
 
     def pause(self) -> None:
         """Stop reading from the backend server."""
@@ -92,11 +96,17 @@
 
     def abort(self) -> None:
         """Make the transfer fail soon."""
-        self._aborted = True
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
         self.resume()
 
-    def _check_abort(self, *progress: float) -> int:
-        return 1 if self._aborted else 0
+    def _open_socket(self, purpose: int, address: Any) -> socket.socket:
+        """Open the transfer's socket; curl works on a duplicate of it."""
+        if self._socket is not None:
+            self._socket.close()
+        self._socket = socket.socket(address.family, address.socktype, address.protocol)
+        return self._socket
 
 
 class UpstreamClient:
