Bound what damaged records and stream names can cause

Cause: a join or grant that cites a configuration offset far beyond the stream stopped the fold of every reader for good; a relay followed any stream it was asked for. Ruled out: giving up after a wait (readers would reach different verdicts). Change: an offset more than a million beyond the last cited one is void, for every reader alike; a relay follows 256 streams and reads others uncached. A forged offset within the bound still stalls the ledger.

--- a/lavendershift/ledger.py
+++ b/lavendershift/ledger.py
@@ -44,6 +44,7 @@
 
 KEY_RETENTION = timedelta(hours=24)
 STATE_VERSION = 2
+MAX_CONFIG_STEP = 1_000_000  # entries between two cited offsets
 
 
 class Ledger:
@@ -74,11 +75,23 @@
         self._find_prepaid = prepaid
 
     def required_config_offset(self, entry: Entry) -> int:
-        """Return how far the configuration must be folded before ``entry``."""
-        if isinstance(entry.record, Grant | Join):
-            return entry.record.config_offset
+        """Return how far the configuration must be folded before ``entry``.
+
+        A record that cites an impossible offset is void and needs nothing.
+        """
+        record = entry.record
+        if isinstance(record, Grant | Join) and not self.cites_too_far(record):
+            return record.config_offset
         return 0
 
+    def cites_too_far(self, record: Grant | Join) -> bool:
+        """Whether ``record`` cites configuration that cannot exist yet.
+
+        Without this bound one damaged record would stop every reader for good,
+        as they would wait for a configuration that never comes.
+        """
+        return record.config_offset > self.config_offset + MAX_CONFIG_STEP
+
     def fold(self, entry: Entry) -> Verdict:
         """Apply the next entry; raises ``ValueError`` for any other offset."""
         if entry.offset != self.next_offset:
@@ -87,6 +100,8 @@
         self.time_ms = max(self.time_ms, entry.time_ms)
         self._expire()
         record = entry.record
+        if isinstance(record, Grant | Join) and self.cites_too_far(record):
+            return Verdict(False, 0, "cites configuration that cannot exist")
         rule = RULES.get(type(record))
         if record is None or rule is None:
             return Verdict(False, 0, entry.fault or "not a ledger record")
--- a/lavendershift/relay.py
+++ b/lavendershift/relay.py
@@ -31,6 +31,7 @@
 RAW_READ_LIMIT = 2000
 TAIL_WAIT = timedelta(seconds=10)
 TAIL_RETRY = timedelta(milliseconds=250)  # pause after the log failed to answer
+MAX_STREAMS = 256  # followed at a time; further ones are read uncached
 MAX_BATCH_RECORDS = 1000
 MAX_REPLY_BYTES = 4 * 1024 * 1024  # half of the largest message
 MAX_CACHE_BYTES = 32 * 1024 * 1024  # per stream
@@ -284,7 +285,7 @@
     async def _read(self, request: ReadRequest) -> Message:
         if request.stream.endswith(CHECKPOINT_STREAM_SUFFIX):
             return await self._read_log(request)
-        if request.stream not in self._tails and not request.wait_ms:
+        if request.stream not in self._tails and not self._may_follow(request):
             return await self._read_log(request)
         cache = self._find_tail(request).cache
         if not cache.has_offset(request.offset):
@@ -301,6 +302,10 @@
             return Failure("log_unavailable", "the log service does not answer")
         return ReadReply(entries, request.offset + len(entries), cache.next_offset)
 
+    def _may_follow(self, request: ReadRequest) -> bool:
+        """Whether to follow a new stream: for readers that wait, and not too many."""
+        return request.wait_ms > 0 and len(self._tails) < MAX_STREAMS
+
     def _find_tail(self, request: ReadRequest) -> StreamTail:
         tail = self._tails.get(request.stream)
         if tail is None:
--- a/lavendershift/tests/test_ledger.py
+++ b/lavendershift/tests/test_ledger.py
@@ -145,6 +145,17 @@
     assert log.ledger.find_request("claimed") is None
 
 
+def test_a_record_that_cites_impossible_configuration_stops_no_reader():
+    log = Log("i")
+    for record in (Grant("i/1", "b", "i", 5, 10**9), Join("x/1", "x", "x", "d", 10**9)):
+        entry = Entry(log.ledger.next_offset, 0, record)
+        assert log.ledger.required_config_offset(entry) == 0
+        assert not log.fold(record).counted
+    grant = Grant("i/2", "b", "i", 5, 7)
+    assert log.ledger.required_config_offset(Entry(0, 0, grant)) == 7
+    assert log.fold(grant).tokens == 5
+
+
 def test_keys_that_routers_made_are_kept_for_an_hour_only():
     log = Log("i", key_retention=timedelta(hours=48))
     log.fold(Grant("i/1", "b", "i", 50, 0))
--- a/lavendershift/tests/test_relay.py
+++ b/lavendershift/tests/test_relay.py
@@ -10,7 +10,7 @@
     decode_message,
     encode_message,
 )
-from lavendershift.relay import Relay
+from lavendershift.relay import MAX_STREAMS, Relay
 from lavendershift.tools.memory_log import MemoryLog
 
 CHECKPOINT = ["checkpoint", "c", "s", 1, 0, 1, "x" * 128 * 1024]
@@ -82,3 +82,16 @@
         assert log.appends == 1
 
     run(scenario)
+
+
+def test_the_streams_followed_are_bounded_and_further_ones_still_read():
+    async def scenario(log, relay, ask):
+        for number in range(MAX_STREAMS + 20):
+            stream = f"s{number}"
+            await log.append_raw(stream, [["evict", "x", "i", "a"]])
+            assert len((await ask(ReadRequest(stream, 0, 10, 5))).entries) <= 1
+        reply = await ask(ReadRequest(stream, 0, 10, 5))
+        assert [entry[0] for entry in reply.entries] == [0]
+        assert len(asyncio.all_tasks()) <= MAX_STREAMS + 10
+
+    run(scenario)
