Give housekeeping, status and the callers' server modules of their own

Cause: router.py had grown to 561 lines and joined the parts as well as doing periodic work; a proposal to evict was queued every second of an outage. Change: housekeeping, statuses; the server opens in callers; router and relay open their log in one place; evictions wait for the log to answer.

--- a/lavendershift/callers.py
+++ b/lavendershift/callers.py
@@ -5,10 +5,12 @@
 import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.web import Application
 
 from lavendershift import signals
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.handlers import describe_error
+from lavendershift.settings_sections import LimitsSection, ListenSection
 
 
 class CallerServer(HTTPServer):
@@ -38,6 +40,30 @@
         super().on_close(server_conn)
 
 
+def open_server(
+    application: Application, listen: ListenSection, limits: LimitsSection
+) -> CallerServer:
+    """Return a server that listens for callers, over TLS where it is set."""
+    options: dict[str, Any] = {}
+    if listen.tls_certificate is not None:
+        options["ssl_options"] = {
+            "certfile": str(listen.tls_certificate),
+            "keyfile": str(listen.tls_key),
+        }
+    server = CallerServer(
+        application,
+        max_connections=limits.max_connections,
+        max_body_size=limits.max_body_bytes,
+        max_buffer_size=limits.max_body_bytes + limits.max_header_bytes,
+        max_header_size=limits.max_header_bytes,
+        idle_connection_timeout=limits.caller_idle.total_seconds(),
+        body_timeout=limits.caller_idle.total_seconds(),
+        **options,
+    )
+    server.listen(listen.address.port, listen.address.host)
+    return server
+
+
 def refuse_connection(stream: IOStream) -> None:
     """Answer a connection, before any request was read, that there is no room."""
     error = RequestError(ErrorKind.OVERLOADED, "connections")
--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -17,6 +17,7 @@
 from lavendershift.completions import parse_completion
 from lavendershift.errors import ErrorKind, Ran, RequestError
 from lavendershift.nodes import CallerSettings
+from lavendershift.statuses import describe_router
 
 if TYPE_CHECKING:
     from lavendershift.router import RouterApplication
@@ -287,7 +288,7 @@
 
     def get(self) -> None:
         """Answer with offsets, readiness and what is in flight."""
-        self.send_json(self.router.describe_status())
+        self.send_json(describe_router(self.router))
 
 
 class HealthHandler(BaseHandler):
--- a/lavendershift/placement.py
+++ b/lavendershift/placement.py
@@ -71,6 +71,10 @@
         )
         return any(c.name not in route.excluded for c in candidates)
 
+    async def look_after_waiting(self) -> None:
+        """Do what ``start_waiting`` does; called from time to time."""
+        self.start_waiting()
+
     def start_waiting(self) -> None:
         """Start waiting attempts that fit, and refuse those too late."""
         for queue in self._queues.values():
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -6,20 +6,17 @@
 """
 
 import asyncio
-import logging
 import random
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
-import msgspec
-
 from lavendershift import signals
 from lavendershift.admission import Admission
 from lavendershift.allocators import TICK, BudgetAllocator
 from lavendershift.applications import SHIPPED_PLUGINS, Application, load_plugins
 from lavendershift.budgets import Budgets, Shard
-from lavendershift.callers import CallerServer
+from lavendershift.callers import open_server
 from lavendershift.calls import CallDispatcher
 from lavendershift.clocks import Clock
 from lavendershift.configuration import Configuration
@@ -30,7 +27,12 @@
 from lavendershift.evidence import UsageInquiry
 from lavendershift.feeds import ConfigurationFeed
 from lavendershift.handlers import make_web_application
-from lavendershift.logs import EventLog, LibraryHandler, make_handler
+from lavendershift.housekeeping import (
+    CheckpointTurns,
+    EvictionProposer,
+    OrderSender,
+    PolicyRunner,
+)
 from lavendershift.membership import Membership, Vm, VmState
 from lavendershift.messages import BorrowRequest, Heartbeat, Lent
 from lavendershift.metrics import Metrics
@@ -40,7 +42,7 @@
 from lavendershift.placement import Placement
 from lavendershift.records import Close, Evict, Record, Recover
 from lavendershift.replicas import FLUSH_STEP, AttemptReplica, AttemptSender
-from lavendershift.reports import EventReporter
+from lavendershift.reports import open_reporter
 from lavendershift.retries import Retries, RetryBudget
 from lavendershift.routing import ROUTING_POLICIES
 from lavendershift.servers import ServerPool
@@ -61,7 +63,6 @@
 DRAIN_STEP = timedelta(milliseconds=50)
 CHECKPOINT_STEP = timedelta(seconds=1)  # between looks at whose turn it is
 ORDER_STEP = timedelta(seconds=1)  # between looks at the engines' models
-ORDER_CALL_TIMEOUT = timedelta(seconds=2)
 LEAST_SHARE = 0.5  # of an even part of a customer's limits
 DISCOVERY_PAUSE = timedelta(seconds=2)  # between leaving discovery and refusing
 
@@ -95,8 +96,6 @@
         self._shares: dict[str, float] = {}
         self._models: list[str] = []
         self._applying = False
-        self._checkpoint_turn: int | None = None
-        self._gauged: dict[str, set[str]] = {}
 
     @property
     def configuration(self) -> Configuration:
@@ -108,13 +107,13 @@
         settings = self.settings
         load_plugins([*ROUTER_PLUGINS, *settings.plugins.modules])
         self._set_up_reports()
-        self._log = self._make_log_client()
-        self.add_part("log", stop=self._log.close)
+        self.log = self._make_log_client()
+        self.add_part("log", stop=self.log.close)
         self.feed = ConfigurationFeed(
-            self._log,
+            self.log,
             self._clock,
             settings.ledger.checkpoint_every,
-            lambda turn: self._sessions[0].is_checkpoint_writer(turn),
+            lambda turn: self.sessions[0].is_checkpoint_writer(turn),
         )
         sessions = self._make_sessions()
         self.membership = Membership(
@@ -161,13 +160,13 @@
             if self.feed.offset:
                 return ErrorKind.CONFIGURATION_STALE
             return ErrorKind.STARTING
-        if not all(session.joined for session in self._sessions):
+        if not all(session.joined for session in self.sessions):
             return ErrorKind.STARTING
         return None
 
     def report_fault(self, error: BaseException) -> None:
         """Log an error that has no kind of its own."""
-        self.event_log.write_error(error)
+        self._reporter.log.write_error(error)
 
     def list_models(self) -> list[str]:
         """Return the names of all models that a server may serve."""
@@ -181,30 +180,6 @@
             customer, failure_domain, self._list_vms(), addresses, self._rng
         )
 
-    def describe_status(self) -> dict[str, Any]:
-        """Return the state that ``GET /v1/status`` shows."""
-        fault = self.find_fault()
-        return {
-            "vm": self.settings.vm.name,
-            "failure_domain": self.settings.vm.failure_domain,
-            "incarnation": self.incarnation,
-            "ready": fault is None,
-            "fault": None if fault is None else fault.value,
-            "config_offset": self.feed.offset,
-            "ledgers": [self._describe_session(s) for s in self._sessions],
-            "log_received_bytes": self._log.received_bytes,
-            "in_flight": self.admission.in_flight,
-            "servers": {
-                name: self.pool.is_available(name)
-                for name in self.configuration.servers()
-            },
-            "peers": {
-                vm: beat.config_offset
-                for vm, beat in self.peers.list_reachable().items()
-            },
-            "counters": self.metrics.snapshot().counters,
-        }
-
     async def drain(self) -> None:
         """Leave discovery, finish requests in flight and close the ledgers."""
         self._leaving = True
@@ -214,23 +189,20 @@
         while self._is_busy() and self._clock.elapsed() < deadline:
             await asyncio.sleep(DRAIN_STEP.total_seconds())
         if not self._is_busy():
-            await asyncio.gather(*(s.close(CLOSE_WAIT) for s in self._sessions))
+            await asyncio.gather(*(s.close(CLOSE_WAIT) for s in self.sessions))
 
     def _is_busy(self) -> bool:
         """Whether callers wait, or attempts run whose callers have gone."""
         if self.admission.in_flight:
             return True
-        return any(s.participant.book.in_flight() for s in self._sessions)
+        return any(s.participant.book.in_flight() for s in self.sessions)
 
     def _set_up_reports(self) -> None:
         self.metrics = Metrics()
         self.metrics.connect()
-        vm = self.settings.vm
-        handler = make_handler(self.settings.logging)
-        self.event_log = EventLog(handler, vm.name, vm.failure_domain, self._clock)
-        self._reporter = EventReporter(self.event_log)
-        self._reporter.connect()
-        logging.getLogger().addHandler(LibraryHandler(self.event_log))
+        self._reporter = open_reporter(
+            self.settings.vm, self.settings.logging, self._clock
+        )
 
     def _make_log_client(self) -> LogClient:
         log = self.settings.log
@@ -247,10 +219,10 @@
             settings.ledger.checkpoint_every,
             settings.ledger.key_retention,
         )
-        self._sessions = [
+        self.sessions = [
             LedgerSession(
                 f"ledger-{shard}",
-                self._log,
+                self.log,
                 session_settings,
                 self._clock,
                 self.incarnation,
@@ -261,14 +233,14 @@
             )
             for shard in range(settings.ledger.shards)
         ]
-        return self._sessions
+        return self.sessions
 
     def _renew_incarnation(self) -> None:
         """Go on as a new incarnation after the current one was evicted."""
         vm = self.settings.vm.name
         self.incarnation = make_incarnation(vm, self._clock, self._rng)
         self.membership.renew_incarnation(self.incarnation)
-        for session in self._sessions:
+        for session in self.sessions:
             session.rejoin(self.incarnation)
 
     def _make_peers(self) -> Peers:
@@ -307,7 +279,6 @@
             self._make_attempt,
             settings.limits.max_in_flight,
         )
-        self._order_planner = OrderPlanner(self._clock, settings.vm.name)
         self.pool = ServerPool(self._clock, self._rng, settings.vm.failure_domain)
         policy = ROUTING_POLICIES[settings.servers.routing_policy](self._rng)
         self.placement = Placement(self._clock, self.pool, policy)
@@ -349,40 +320,42 @@
             self._list_servers,
             lambda: int(self._clock.now().timestamp() * 1000),
         )
+        self._evictions = EvictionProposer(
+            settings.vm.name, self.sessions, self.membership
+        )
+        policies = PolicyRunner(self.budgets, self.feed, self.metrics)
+        orders = OrderSender(
+            OrderPlanner(self._clock, settings.vm.name),
+            self.feed,
+            self.pool,
+            self._client,
+            self._list_vms,
+        )
+        checkpoints = CheckpointTurns(
+            self._clock,
+            settings.ledger.checkpoint_interval,
+            self.feed,
+            self.sessions,
+            lambda: self.find_fault() is None,
+        )
         works = [
             ("members", settings.members.poll, members.poll),
             ("load", settings.servers.load_poll, load.poll),
             ("attempts", FLUSH_STEP, self._sender.flush),
-            ("queues", QUEUE_STEP, self._start_waiting),
-            ("policies", TICK, self._run_policies),
+            ("queues", QUEUE_STEP, self.placement.look_after_waiting),
+            ("policies", TICK, policies.run),
             ("membership", MEMBERSHIP_STEP, self._look_after_members),
-            ("orders", ORDER_STEP, self._send_orders),
-            ("checkpoints", CHECKPOINT_STEP, self._look_after_checkpoints),
+            ("orders", ORDER_STEP, orders.run),
+            ("checkpoints", CHECKPOINT_STEP, checkpoints.run),
         ]
         for name, interval, work in works:
             periodic = Periodic(interval, work, self.report_fault)
             self.add_part(name, periodic.start, periodic.stop)
 
     async def _listen(self) -> None:
-        limits = self.settings.limits
-        listen = self.settings.listen
-        options: dict[str, Any] = {}
-        if listen.tls_certificate is not None:
-            options["ssl_options"] = {
-                "certfile": str(listen.tls_certificate),
-                "keyfile": str(listen.tls_key),
-            }
-        self._server = CallerServer(
-            make_web_application(self),
-            max_connections=limits.max_connections,
-            max_body_size=limits.max_body_bytes,
-            max_buffer_size=limits.max_body_bytes + limits.max_header_bytes,
-            max_header_size=limits.max_header_bytes,
-            idle_connection_timeout=limits.caller_idle.total_seconds(),
-            body_timeout=limits.caller_idle.total_seconds(),
-            **options,
+        self._server = open_server(
+            make_web_application(self), self.settings.listen, self.settings.limits
         )
-        self._server.listen(listen.address.port, listen.address.host)
 
     async def _close_client(self) -> None:
         await self._inquiry.stop()
@@ -397,7 +370,7 @@
         return f"{self.incarnation}-{self._attempts}"
 
     def _make_heartbeat(self) -> Heartbeat:
-        session = self._sessions[0]
+        session = self.sessions[0]
         return Heartbeat(
             self.settings.vm.name,
             self.incarnation,
@@ -446,7 +419,7 @@
     def _note_folded(
         self, session: LedgerSession, record: Record, **fields: Any
     ) -> None:
-        if session not in self._sessions:
+        if session not in self.sessions:
             return
         shard = self.budgets.find_shard_of(session.stream)
         verdict = fields["verdict"]
@@ -474,90 +447,10 @@
         self.pool.update_settings(servers)
         self.peers.update_vms(self.configuration.vms())
 
-    async def _start_waiting(self) -> None:
-        self.placement.start_waiting()
-
-    async def _run_policies(self) -> None:
-        for shard in self.budgets.list_shards():
-            shard.allocator.run_policies()
-            self._update_gauges(shard)
-
-    def _update_gauges(self, shard: Shard) -> None:
-        budgets = set(shard.allocator.budgets())
-        for budget in self._gauged.get(shard.session.stream, set()) - budgets:
-            self.metrics.drop_budget(budget)
-        self._gauged[shard.session.stream] = budgets
-        for budget in budgets:
-            view = shard.session.ledger.find_budget(budget, self.feed.offset)
-            self.metrics.set_budget(budget, view)
-
     async def _look_after_members(self) -> None:
-        """Note the ledger's incarnations and propose evictions."""
+        """Follow the membership: shares, the servers' load, lost incarnations."""
         self._shares.clear()
         self._replica.forget_stale()
         self.pool.update_routers(self.membership.count_live())
         self.metrics.set_gauge("requests.in_flight", self.admission.in_flight)
-        for session in self._sessions:
-            live = session.ledger.live_incarnations()
-            for name in live:
-                state = session.ledger.find_incarnation(name)
-                if state is not None:
-                    self.membership.note_incarnation(name, state.vm)
-        for eviction in self.membership.propose_evictions():
-            self._evict(eviction.incarnation)
-
-    async def _send_orders(self) -> None:
-        """Order engines to load the models that they miss."""
-        vms = [vm.name for vm in self._list_vms() if vm.state is VmState.LIVE]
-        orders = self._order_planner.plan(
-            self.configuration.servers(), self.pool.find_models, vms, self.feed.offset
-        )
-        for order in orders:
-            body = {
-                "order": "load_model",
-                "name": order.model,
-                "fencing_token": order.fencing_token,
-            }
-            url = self._client.make_url(order.address, "/control/orders")
-            await self._client.fetch(
-                "POST", url, ORDER_CALL_TIMEOUT, msgspec.json.encode(body)
-            )
-
-    async def _look_after_checkpoints(self) -> None:
-        """Write checkpoints when it is this router's turn in time."""
-        interval = self.settings.ledger.checkpoint_interval
-        turn = int(self._clock.now().timestamp() // interval.total_seconds())
-        due = self._checkpoint_turn not in (None, turn)
-        self._checkpoint_turn = turn
-        if not due or self.find_fault() is not None:
-            return
-        for session in self._sessions:
-            if session.is_checkpoint_writer(turn):
-                session.start_checkpoint()
-        if self._sessions[0].is_checkpoint_writer(turn):
-            self.feed.start_checkpoint()
-
-    def _evict(self, incarnation: str) -> None:
-        author = self.settings.vm.name
-        for session in self._sessions:
-            if incarnation not in session.ledger.live_incarnations():
-                self.membership.forget_incarnation(incarnation)
-                continue
-            session.participant.writer.submit(
-                lambda record_id: Evict(record_id, incarnation, author)
-            )
-
-    def _describe_session(self, session: LedgerSession) -> dict[str, Any]:
-        follower = session.follower
-        return {
-            "stream": session.stream,
-            "next_offset": session.ledger.next_offset,
-            "end_offset": follower.end_offset if follower else 0,
-            "log_silent_s": round(follower.silent_for.total_seconds(), 1)
-            if follower
-            else None,
-            "log_reachable": session.log_reachable,
-            "unconfirmed_records": session.participant.writer.backlog,
-            "incarnations": session.ledger.live_incarnations(),
-            "restored_bytes": session.restored_bytes,
-        }
+        await self._evictions.run()
--- a/lavendershift/tests/test_callers.py
+++ b/lavendershift/tests/test_callers.py
@@ -90,7 +90,7 @@
             Setting(other, "budget", "others"),
             Setting(other, "models", ["another"]),
         ]
-        await bench.router._log.append_records(
+        await bench.router.log.append_records(
             CONFIG_STREAM,
             [Change("c2", offset, "op", settings), TopUp("t2", "others", 10**6, "op")],
         )
@@ -123,7 +123,7 @@
     async def work(bench):
         offset = bench.router.configuration.next_offset
         setting = Setting("desks/rennes/plume", "requests_per_s", 0.0)
-        await bench.router._log.append_records(
+        await bench.router.log.append_records(
             CONFIG_STREAM, [Change("c2", offset, "op", [setting])]
         )
         while bench.router.configuration.next_offset == offset:
--- a/lavendershift/tools/recovery.py
+++ b/lavendershift/tools/recovery.py
@@ -188,14 +188,13 @@
         await wait_until(lambda: router.find_fault() is None)
         ready_s = time.monotonic() - started
         from_log = relay.log.received_bytes - read_before
-        status = router.describe_status()
         cpu_s = time.process_time() - cpu
         return Way(
             way,
             round(ready_s, 2),
             round(cpu_s, 2),
             from_log,
-            status["log_received_bytes"],
+            router.log.received_bytes,
             round(longest[0], 2),
         )
     finally:
--- a/lavendershift/tools/relay.py
+++ b/lavendershift/tools/relay.py
@@ -1,6 +1,5 @@
 """The program ``lavendershift-relay``."""
 
-import logging
 from dataclasses import dataclass
 from typing import ClassVar, cast
 
@@ -8,10 +7,9 @@
 
 from lavendershift.applications import SHIPPED_PLUGINS, Application, load_plugins
 from lavendershift.clocks import SystemClock
-from lavendershift.logs import EventLog, LibraryHandler, make_handler
 from lavendershift.programs import ProgramCommand
 from lavendershift.relay import RawLog, Relay
-from lavendershift.reports import EventReporter
+from lavendershift.reports import open_reporter
 from lavendershift.settings_sections import RelaySettings
 from lavendershift.settings_table import Program
 from lavendershift.sockets import ReplySocket
@@ -31,7 +29,7 @@
         """Add the log client, the relay and its socket."""
         settings = self._settings
         load_plugins([*SHIPPED_PLUGINS, *settings.plugins.modules])
-        self._set_up_reports()
+        self._reporter = open_reporter(settings.vm, settings.logging, SystemClock())
         log = LOG_CLIENTS[settings.log.client](settings.log.url, settings.log.timeout)
         self.log = log
         self.add_part("log", stop=log.close)
@@ -41,14 +39,6 @@
         self.add_part("relay", stop=relay.stop)
         self.add_part("socket", start=lambda: self._listen(relay), stop=self._close)
 
-    def _set_up_reports(self) -> None:
-        vm = self._settings.vm
-        handler = make_handler(self._settings.logging)
-        log = EventLog(handler, vm.name, vm.failure_domain, SystemClock())
-        self._reporter = EventReporter(log)
-        self._reporter.connect()
-        logging.getLogger().addHandler(LibraryHandler(log))
-
     async def _listen(self, relay: Relay) -> None:
         self._socket = ReplySocket(
             self._settings.listen.peer_address, relay.handle_message, HANDLERS
