Point the commands at the demo's log, and explain scoped keys

Cause: tried as a new user on a clean clone: the default log address was nobody's, and a key without its customer was just not found.

--- a/lavendershift/commands/access.py
+++ b/lavendershift/commands/access.py
@@ -44,10 +44,10 @@
         str,
         cappa.Arg(
             long=True,
-            default=cappa.Env("LAVENDERSHIFT_LOG", default="http://127.0.0.1:7300"),
+            default=cappa.Env("LAVENDERSHIFT_LOG", default="http://127.0.0.1:7100"),
             help="URL of the log service, or LAVENDERSHIFT_LOG",
         ),
-    ] = "http://127.0.0.1:7300"
+    ] = "http://127.0.0.1:7100"
     timeout_s: Annotated[
         float, cappa.Arg(long=True, help="Seconds to wait for one answer of the log")
     ] = 5.0
--- a/lavendershift/commands/requests.py
+++ b/lavendershift/commands/requests.py
@@ -81,6 +81,8 @@
             print_json({"request": self.key, "state": state, "history": rows})
         elif not history and not states:
             print(f"no record of request {self.key!r}", file=sys.stderr)
+            if "/" not in self.key:
+                print("a key is scoped: desks/DESK/CUSTOMER/KEY", file=sys.stderr)
         else:
             print_rows(f"State of {self.key}", states, False)
             print_rows("History", history, False)
--- a/lavendershift/settings_table.py
+++ b/lavendershift/settings_table.py
@@ -122,7 +122,7 @@
         "log",
         "url",
         ValueRule("url"),
-        "http://127.0.0.1:7300",
+        "http://127.0.0.1:7100",
         "",
         "The platform's log service.",
     ),
