--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -10,31 +10,30 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-import msgspec
-from tornado.httputil import HTTPHeaders
-
 from lavendershift import signals
 from lavendershift.admission import RequestContext
-from lavendershift.allocators import HeldReservation
 from lavendershift.budgets import Budgets
 from lavendershift.clocks import Clock
 from lavendershift.completions import (
-    END_OF_STREAM,
-    AnswerStream,
     CompletionRequest,
-    Usage,
-    parse_usage,
 )
 from lavendershift.errors import ErrorKind, Ran, RequestError
 from lavendershift.evidence import UsageInquiry
-from lavendershift.placement import Placed, Placement
+from lavendershift.forwarding import AnswerForwarder, Attempt
+from lavendershift.outcomes import (
+    classify,
+    combine,
+    is_callers_fault,
+    proves_no_run,
+    summarize_error,
+)
+from lavendershift.placement import Placement
 from lavendershift.prefixes import hash_prefix
 from lavendershift.retries import AttemptOutcome, GiveUp, Retries, RetryReason
 from lavendershift.routing import RouteRequest
 from lavendershift.servers import AttemptResult
 from lavendershift.sinks import AnswerSink
 from lavendershift.upstreams import (
-    Delivery,
     Transfer,
     UpstreamCall,
     UpstreamClient,
@@ -42,8 +41,6 @@
 )
 
 PRIORITY_LEVELS = {"interactive": "0", "batch": "10"}
-CLIENT_ERRORS = range(400, 500)
-MODEL_MISSING_STATUS = 404
 MAX_RESUMES = 3  # of one stream whose connection breaks
 CANCEL_GRACE = timedelta(seconds=5)  # for a cancelled stream to report its usage
 
@@ -55,21 +52,6 @@
     max_buffered_bytes: int
 
 
-class Attempt:
-    """One attempt of a completion and what is known of its answer."""
-
-    def __init__(self, number: int, held: HeldReservation, placed: Placed) -> None:
-        self.number = number
-        self.id = placed.attempt
-        self.held = held
-        self.placed = placed
-        self.transfer = Transfer()
-        self.usage: Usage | None = None
-        self.whole = False
-        self.late = False
-        self.settled = False
-
-
 class CompletionDispatcher:
     """Runs completions on the engines."""
 
@@ -90,6 +72,7 @@
         self._retries = retries
         self._client = client
         self._inquiry = inquiry
+        self._abandoned: set[asyncio.Task[None]] = set()
 
     async def run(
         self, context: RequestContext, request: CompletionRequest, sink: AnswerSink
@@ -154,7 +137,7 @@
             self, context=context, attempt=attempt.id, server=attempt.placed.server
         )
         self._budgets.note_sent(attempt.held, attempt.placed.address)
-        reader = _AnswerForwarder(
+        reader = AnswerForwarder(
             attempt, request, sink, self._placement, self._settings.max_buffered_bytes
         )
         call = self._make_call(context, request, attempt)
@@ -177,7 +160,7 @@
         broken: UpstreamResult,
         context: RequestContext,
         attempt: Attempt,
-        reader: "_AnswerForwarder",
+        reader: "AnswerForwarder",
         sink: AnswerSink,
     ) -> UpstreamResult | None:
         """Go on with a stream whose connection broke; return the last result.
@@ -200,7 +183,7 @@
         call: UpstreamCall,
         context: RequestContext,
         attempt: Attempt,
-        reader: "_AnswerForwarder",
+        reader: "AnswerForwarder",
         sink: AnswerSink,
     ) -> UpstreamResult | None:
         """Send a call and forward its answer; ``None`` when given up."""
@@ -231,7 +214,9 @@
             if done:
                 return work.result()
             if left <= timedelta() or sink.closed:
-                asyncio.ensure_future(self._abandon(work, attempt))
+                task = asyncio.ensure_future(self._abandon(work, attempt))
+                self._abandoned.add(task)
+                task.add_done_callback(self._abandoned.discard)
                 return None
 
     async def _abandon(
@@ -252,7 +237,7 @@
         context: RequestContext,
         attempt: Attempt,
         result: UpstreamResult,
-        reader: "_AnswerForwarder",
+        reader: "AnswerForwarder",
         sink: AnswerSink,
     ) -> AttemptOutcome | None:
         """Settle a finished attempt, then end the caller's answer."""
@@ -332,101 +317,6 @@
         )
 
 
-class _AnswerForwarder:
-    """Carries one attempt's answer from the engine to the caller."""
-
-    def __init__(
-        self,
-        attempt: Attempt,
-        request: CompletionRequest,
-        sink: AnswerSink,
-        placement: Placement,
-        max_buffered_bytes: int,
-    ) -> None:
-        self._attempt = attempt
-        self._request = request
-        self._sink = sink
-        self._placement = placement
-        self._max_buffered_bytes = max_buffered_bytes
-        self._stream = AnswerStream(request.wants_usage)
-        self._begun = False
-        self._body = b""
-
-    def take_status(self, status: int, headers: HTTPHeaders) -> bool:
-        """Begin the answer; whether its body is handed over in chunks."""
-        if status != 200 or not self._request.stream:
-            return False
-        return headers.get("Content-Type", "").startswith("text/event-stream")
-
-    def take_chunk(self, chunk: bytes) -> None:
-        """Forward a chunk of a stream, unless the attempt was given up."""
-        if not self._begun:
-            self._begun = True
-            self._placement.note_first_token(self._attempt.placed)
-        events = self._stream.feed(chunk)
-        if events and not self._attempt.late and not self._sink.closed:
-            if not self._sink.started:
-                self._sink.begin(200, "text/event-stream", self._attempt.id)
-            waiting = self._sink.write(events)
-            if waiting > self._max_buffered_bytes:
-                self._hold_back()
-        self._note_stream()
-
-    def take_result(self, result: UpstreamResult) -> None:
-        """Note the end of the transfer, with the body of a plain answer."""
-        self._note_stream()
-        if self._request.stream or result.status != 200:
-            return
-        if result.delivery is not Delivery.ANSWERED:
-            return
-        try:
-            data = msgspec.json.decode(result.body)
-        except msgspec.DecodeError:
-            return
-        self._attempt.usage = parse_usage(data)
-        self._attempt.whole = isinstance(data, dict) and "choices" in data
-        self._body = result.body
-
-    def can_resume(self, result: UpstreamResult) -> bool:
-        """Whether the rest of a broken stream may be had from the engine."""
-        if not self._request.stream or self._sink.closed:
-            return False
-        broken = result.delivery is Delivery.UNKNOWN and result.status == 200
-        return broken and not self._stream.complete and not self._stream.failed
-
-    def prepare_resume(self) -> int:
-        """Return the number of the event to go on with."""
-        self._stream.restart()
-        return self._stream.events
-
-    def finish(self) -> None:
-        """End the caller's answer as complete."""
-        if self._attempt.late or self._sink.closed:
-            return
-        if self._request.stream:
-            if not self._sink.started:
-                self._sink.begin(200, "text/event-stream", self._attempt.id)
-            self._sink.finish(END_OF_STREAM)
-            return
-        self._sink.begin(200, "application/json", self._attempt.id)
-        self._sink.finish(self._body)
-
-    def _note_stream(self) -> None:
-        self._attempt.usage = self._stream.usage
-        self._attempt.whole = self._stream.complete and not self._stream.failed
-
-    def _hold_back(self) -> None:
-        self._attempt.transfer.pause()
-        asyncio.ensure_future(self._resume_when_taken())
-
-    async def _resume_when_taken(self) -> None:
-        while self._sink.write(b"") > self._max_buffered_bytes // 2:
-            if self._sink.closed:
-                break
-            await asyncio.sleep(0.01)
-        self._attempt.transfer.resume()
-
-
 def make_route(context: RequestContext, request: CompletionRequest) -> RouteRequest:
     """Return what routing has to know of a completion."""
     return RouteRequest(
@@ -437,48 +327,3 @@
         priority=context.priority,
         deadline=context.deadline,
     )
-
-
-def is_callers_fault(result: UpstreamResult) -> bool:
-    """Whether an engine refused a request for what the caller asked.
-
-    An engine that misses its model is not the caller's fault.
-    """
-    if result.delivery is not Delivery.ANSWERED:
-        return False
-    return result.status in CLIENT_ERRORS and result.status != MODEL_MISSING_STATUS
-
-
-def classify(result: UpstreamResult) -> tuple[RetryReason, Ran]:
-    """Return why an attempt failed and whether it ran."""
-    if result.delivery is Delivery.NOT_SENT:
-        return RetryReason.CONNECT_FAILED, Ran.NO
-    if result.delivery is Delivery.REFUSED or result.status == MODEL_MISSING_STATUS:
-        return RetryReason.REFUSED, Ran.NO
-    return RetryReason.FAILED, Ran.UNKNOWN
-
-
-def proves_no_run(result: UpstreamResult) -> bool:
-    """Whether an attempt that has no usage certainly consumed nothing."""
-    if result.delivery in (Delivery.NOT_SENT, Delivery.REFUSED):
-        return True
-    return result.delivery is Delivery.ANSWERED and result.status in CLIENT_ERRORS
-
-
-def combine(earlier: Ran, latest: Ran) -> Ran:
-    """Return whether a request ran in any of its attempts."""
-    for ran in (Ran.YES, Ran.UNKNOWN):
-        if ran in (earlier, latest):
-            return ran
-    return Ran.NO
-
-
-def summarize_error(body: bytes) -> str:
-    """Return the message of an engine's error answer, shortened."""
-    try:
-        data = msgspec.json.decode(body)
-    except msgspec.DecodeError:
-        return ""
-    error = data.get("error") if isinstance(data, dict) else None
-    message = error.get("message") if isinstance(error, dict) else error
-    return str(message or "")[:200]
