Say not run of a call only where no earlier submission can have run

Cause: read as a newcomer, a repeated key was told ran: no by a router that was cut off from the log, while another had run it; likewise while it was still running (in_progress) and after its key had expired. Ruled out: proving it by an append (there is none in an outage). Change: in_progress and key_expired say unknown; refusals of the moment of a call that may not be repeated say unknown unless this router won the claim or follows the log within two seconds and knows of none.

--- a/lavendershift/calls.py
+++ b/lavendershift/calls.py
@@ -106,6 +106,22 @@
                 answer = await self._run_claimed(context, call)
         send_answer(sink, answer, context.attempt)
 
+    def may_have_run(self, context: RequestContext, error: RequestError) -> bool:
+        """Whether an earlier submission of a call's key may have run.
+
+        It has not where this router won the claim of the key, or follows the
+        log closely and knows of no claim.
+        """
+        if error.first:
+            return False
+        if not context.caller.budget:
+            return True
+        session = self._budgets.find_shard(context.caller.budget).session
+        state = session.ledger.find_request(context.request)
+        if state is not None and (state.claimant or state.expired):
+            return True
+        return not (session.is_current and session.log_reachable)
+
     async def _run_repeatable(
         self, context: RequestContext, call: ServiceCall, sink: AnswerSink
     ) -> None:
@@ -215,7 +231,8 @@
             placed = await self._placement.place(
                 context, make_route(context, call), attempt
             )
-        except RequestError:
+        except RequestError as error:
+            error.first = True
             self._abandon_claim(context, held)
             raise
         try:
@@ -269,9 +286,10 @@
         if result.delivery in (Delivery.NOT_SENT, Delivery.REFUSED):
             self._abandon_claim(context, held)
             refused = result.delivery is Delivery.REFUSED
-            raise RequestError(
-                ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
-            )
+            kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
+            error = RequestError(kind)
+            error.first = True
+            raise error
         if result.delivery is Delivery.UNKNOWN:
             self._budgets.keep_in_doubt(held)
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
--- a/lavendershift/errors.py
+++ b/lavendershift/errors.py
@@ -96,7 +96,7 @@
     ),
     ErrorKind.KEY_EXPIRED: _refuse(
         410, "key_expired", "The Idempotency-Key is older than the time keys are kept."
-    ),
+    )._replace(ran=Ran.UNKNOWN, consumed=Ran.UNKNOWN),
     ErrorKind.BUDGET_EXHAUSTED: _refuse(
         402, "budget_exhausted", "The prepaid budget cannot cover this request.", 60
     ),
@@ -116,7 +116,7 @@
         503, "no_server", "No backend server is available.", 5
     ),
     ErrorKind.LOG_UNAVAILABLE: _refuse(
-        503, "log_unavailable", "The log service is away; the call was not run.", 10
+        503, "log_unavailable", "The log service is away; this call was not sent.", 10
     ),
     ErrorKind.STARTING: _refuse(503, "starting", "This router is starting.", 1),
     ErrorKind.STOPPING: _refuse(503, "stopping", "This router is shutting down.", 0),
@@ -125,7 +125,7 @@
     ),
     ErrorKind.IN_PROGRESS: _refuse(
         409, "in_progress", "A request with this Idempotency-Key is still running.", 2
-    ),
+    )._replace(ran=Ran.UNKNOWN, consumed=Ran.UNKNOWN),
     ErrorKind.SERVER_REFUSED: _refuse(
         503, "server_refused", "The backend server refused the request.", 2
     ),
@@ -172,11 +172,30 @@
 }
 
 
+CIRCUMSTANTIAL_KINDS = frozenset(
+    {
+        ErrorKind.BUDGET_EXHAUSTED,
+        ErrorKind.BUDGET_PENDING,
+        ErrorKind.RATE_LIMITED,
+        ErrorKind.OVERLOADED,
+        ErrorKind.DEADLINE_UNREACHABLE,
+        ErrorKind.NO_SERVER,
+        ErrorKind.LOG_UNAVAILABLE,
+        ErrorKind.STARTING,
+        ErrorKind.STOPPING,
+        ErrorKind.CONFIGURATION_STALE,
+        ErrorKind.SERVER_REFUSED,
+    }
+)  # refusals of a moment; an earlier submission of the same request may have run
+
+
 class RequestError(Exception):
     """A request that ends with an error kind instead of its whole answer.
 
     ``detail`` adds to the table's message, ``retry_after`` replaces the
-    table's default time to come back.
+    table's default time to come back. ``first`` is set where the log proves
+    that no earlier submission of the same call ran, ``earlier_unknown`` where
+    one may have run, so that "not run" must not be said.
     """
 
     def __init__(
@@ -189,11 +208,15 @@
         self.kind = kind
         self.detail = detail
         self.retry_after = retry_after
+        self.first = False
+        self.earlier_unknown = False
 
     @property
     def answer(self) -> Answer:
         """The table's answer with this error's own time to come back."""
         answer = ANSWERS[self.kind]
+        if self.earlier_unknown and answer.ran is Ran.NO:
+            answer = answer._replace(ran=Ran.UNKNOWN, consumed=Ran.UNKNOWN)
         if self.retry_after is None:
             return answer
         return answer._replace(retry_after=self.retry_after)
--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -15,7 +15,7 @@
 from lavendershift.admission import RequestContext
 from lavendershift.calls import ServiceCall
 from lavendershift.completions import parse_completion
-from lavendershift.errors import ErrorKind, Ran, RequestError
+from lavendershift.errors import CIRCUMSTANTIAL_KINDS, ErrorKind, Ran, RequestError
 from lavendershift.nodes import CallerSettings
 from lavendershift.statuses import describe_router
 
@@ -160,6 +160,10 @@
         """Note that the caller has gone."""
         self.sink.closed = True
 
+    def may_have_run(self, context: RequestContext | None, error: RequestError) -> bool:
+        """Whether a refused request may have run when it was sent before."""
+        return False
+
     async def run_stages(
         self, work: Callable[[RequestContext], Awaitable[None]]
     ) -> None:
@@ -173,6 +177,7 @@
             await work(context)
             signals.request_answered.send(self, context=context)
         except RequestError as error:
+            error.earlier_unknown = self.may_have_run(context, error)
             signals.request_refused.send(self, context=context, error=error)
             self.sink.fail(error)
         except StreamClosedError:
@@ -236,6 +241,27 @@
         )
         await self.router.calls.run(context, call, self.sink)
 
+    def may_have_run(self, context: RequestContext | None, error: RequestError) -> bool:
+        """Whether a call that may not be repeated may have run before.
+
+        The key stands for the call wherever it was sent, so "not run" speaks
+        of all submissions.
+        """
+        if error.kind not in CIRCUMSTANTIAL_KINDS or self._is_first_by_form():
+            return False
+        if context is None:
+            return True
+        return self.router.calls.may_have_run(context, error)
+
+    def _is_first_by_form(self) -> bool:
+        """Whether the call has no key or may be repeated anyway."""
+        if not self.request.headers.get("Idempotency-Key"):
+            return True
+        name, _, path = self.request.path.removeprefix("/services/").partition("/")
+        service = self.router.configuration.services().get(name)
+        method = self.request.method or "GET"
+        return service is not None and service.is_repeatable(method, f"/{path}")
+
     def _find_sent_path(self) -> str:
         """Return path and query for the server, escaped as the caller did."""
         path = "/" + self.request.path.split("/", 3)[3]
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -34,6 +34,7 @@
 
 OUTAGE_AFTER = timedelta(seconds=2)  # of failed appends; shorter ones are retries
 SILENT_AFTER = timedelta(seconds=4)  # without an answered read, one a second
+CURRENT_WITHIN = timedelta(seconds=2)  # of an answered read
 RESTORE_RETRY = timedelta(milliseconds=200)
 CLOSE_POLL = timedelta(milliseconds=100)
 
@@ -118,6 +119,14 @@
             return False
         return self.participant.writer.failing_for < OUTAGE_AFTER
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the end of the stream was read a moment ago."""
+        follower = self.follower
+        if follower is None or not follower.caught_up.is_set():
+            return False
+        return follower.silent_for < CURRENT_WITHIN
+
     async def start(self) -> None:
         """Restore the latest checkpoint, then follow and join, in the background."""
         self._starting = asyncio.ensure_future(self._start_following())
