--- a/lavendershift/feeds.py
+++ b/lavendershift/feeds.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from datetime import timedelta
 
 from lavendershift import signals
 from lavendershift.checkpoints import join_checkpoint, split_checkpoint
@@ -17,12 +16,14 @@
 from lavendershift.collector import pause_collection
 from lavendershift.configuration import Configuration
 from lavendershift.errors import DecodeError, LogUnavailableError
-from lavendershift.followers import StreamFollower, read_checkpoint
+from lavendershift.followers import (
+    StreamFollower,
+    read_checkpoint,
+    repeat_until_answered,
+)
 from lavendershift.records import CONFIG_STREAM, Entry, name_checkpoint_stream
 from lavendershift.streams import LogClient
 
-RESTORE_RETRY = timedelta(milliseconds=200)
-
 
 class ConfigurationFeed:
     """Keeps ``configuration`` up to date with the log.
@@ -102,7 +103,7 @@
             self.start_checkpoint()
 
     async def _start_following(self) -> None:
-        await self._restore_until_answered()
+        await repeat_until_answered(self._restore)
         self._follower = StreamFollower(
             self._log,
             CONFIG_STREAM,
@@ -113,14 +114,6 @@
         )
         self._follower.start()
 
-    async def _restore_until_answered(self) -> None:
-        while True:
-            try:
-                await self._restore()
-                return
-            except LogUnavailableError:
-                await asyncio.sleep(RESTORE_RETRY.total_seconds())
-
     async def _restore(self) -> int:
         parts = await read_checkpoint(self._log, CONFIG_STREAM)
         if parts and parts[0].next_offset > self.offset:
--- a/lavendershift/followers.py
+++ b/lavendershift/followers.py
@@ -96,6 +96,16 @@
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
 
+async def repeat_until_answered(read: Callable[[], Awaitable[int]]) -> None:
+    """Await ``read`` again, after a pause, for as long as the log is away."""
+    while True:
+        try:
+            await read()
+            return
+        except LogUnavailableError:
+            await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+
 async def find_end(log: LogClient, stream: str) -> tuple[int, int]:
     """Return the first retained offset of ``stream`` and its end."""
     try:
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -18,8 +18,12 @@
 from lavendershift.allowances import AllowanceBook
 from lavendershift.clocks import Clock
 from lavendershift.collector import pause_collection
-from lavendershift.errors import DecodeError, LogUnavailableError
-from lavendershift.followers import StreamFollower, read_checkpoint
+from lavendershift.errors import DecodeError
+from lavendershift.followers import (
+    StreamFollower,
+    read_checkpoint,
+    repeat_until_answered,
+)
 from lavendershift.ledger import Ledger, Verdict
 from lavendershift.records import (
     Checkpoint,
@@ -35,7 +39,6 @@
 OUTAGE_AFTER = timedelta(seconds=2)  # of failed appends; shorter ones are retries
 SILENT_AFTER = timedelta(seconds=4)  # without an answered read, one a second
 CURRENT_WITHIN = timedelta(seconds=2)  # of an answered read
-RESTORE_RETRY = timedelta(milliseconds=200)
 CLOSE_POLL = timedelta(milliseconds=100)
 
 
@@ -195,7 +198,7 @@
         self._changed = asyncio.Event()
 
     async def _start_following(self) -> None:
-        await self._restore_until_answered()
+        await repeat_until_answered(self._restore)
         self.follower = StreamFollower(
             self._log,
             self.stream,
@@ -207,14 +210,6 @@
         self.follower.start()
         self._join()
 
-    async def _restore_until_answered(self) -> None:
-        while True:
-            try:
-                await self._restore()
-                return
-            except LogUnavailableError:
-                await asyncio.sleep(RESTORE_RETRY.total_seconds())
-
     def _make_participant(self, incarnation: str) -> Participant:
         writer = StreamWriter(self._log, self.stream, incarnation, self._clock)
         book = AllowanceBook(incarnation, self.ledger, writer.next_id)
