--- /dev/null
+++ b/lavendershift/connections.py
@@ -0,0 +1,315 @@
+"""Kept HTTP/1.1 connections to backend servers and to the platform's services.
+
+Built on tornado's ``HTTP1Connection``, which unlike libcurl never sends a
+request a second time by itself. An ``Exchange`` tells how far a request came,
+so that "not run" is only said where nothing was sent::
+
+    connections = Connections(clock)
+    connection = await connections.connect("10.0.0.7:8080", timeout)
+    exchange = await connection.exchange(request, reader)
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import deque
+from collections.abc import Awaitable
+from datetime import timedelta
+from typing import NamedTuple, Protocol
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from lavendershift.clocks import Clock
+
+DEFAULT_IDLE = timedelta(seconds=4)  # kept without a Keep-Alive header of the server
+IDLE_MARGIN = timedelta(seconds=1)  # before the server's own idle timeout
+MAX_IDLE_CONNECTIONS = 16  # for each address
+MAX_ANSWER_BYTES = 64 * 1024 * 1024  # a longer answer is cut off
+USER_TIMEOUT_MS = 4000  # unacknowledged data after which the kernel gives up
+LAST_INFORMATIONAL = 199  # status
+
+
+class ConnectError(Exception):
+    """No connection was made, so nothing was sent."""
+
+
+class ServerRequest(NamedTuple):
+    """A request as it goes on the wire; ``target`` is path and query."""
+
+    method: str
+    target: str
+    headers: HTTPHeaders
+    body: bytes
+
+
+class AnswerReader(Protocol):
+    """Takes an answer as it arrives."""
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Take the status and the headers."""
+        ...
+
+    def add(self, chunk: bytes) -> Awaitable[None] | None:
+        """Take a part of the body; reading goes on once it was awaited."""
+        ...
+
+
+class Exchange(NamedTuple):
+    """What came of a request that was sent.
+
+    ``is_whole`` is set where the answer came to a clean end, ``has_started``
+    where its head arrived. ``reason`` names what went wrong.
+    """
+
+    is_whole: bool
+    has_started: bool
+    reason: str = ""
+
+
+class ServerStream(IOStream):
+    """A stream that can tell whether unread bytes were received."""
+
+    def has_unread(self) -> bool:
+        """Return whether bytes arrived that belong to no answer, or the end."""
+        if self._read_buffer_size:
+            return True
+        try:
+            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
+class _Delegate(HTTPMessageDelegate):
+    """Hands one answer over to its reader and resolves ``ended``."""
+
+    def __init__(self, reader: AnswerReader, ended: asyncio.Future[bool]) -> None:
+        self._reader = reader
+        self._ended = ended
+        self.status = 0
+        self.headers = HTTPHeaders()
+
+    def headers_received(
+        self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        assert isinstance(start_line, ResponseStartLine)
+        if start_line.code > LAST_INFORMATIONAL:
+            self.status, self.headers = start_line.code, headers
+            self._reader.start(start_line.code, headers)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._reader.add(chunk)
+
+    def finish(self) -> None:
+        if not self._ended.done():
+            self._ended.set_result(True)
+
+    def on_connection_close(self) -> None:
+        if not self._ended.done():
+            self._ended.set_result(False)
+
+
+class Connection:
+    """One connection, used for one request at a time."""
+
+    def __init__(self, stream: ServerStream, address: str) -> None:
+        self.address = address
+        self.is_fresh = True
+        self.idle_since = timedelta()
+        self.max_idle = DEFAULT_IDLE
+        self._stream = stream
+        self._reading: asyncio.Task[bool] | None = None
+        self._may_keep = False
+
+    async def exchange(self, request: ServerRequest, reader: AnswerReader) -> Exchange:
+        """Send ``request`` and read one answer to it."""
+        http = self._make_http()
+        self._may_keep = False
+        http.write_headers(
+            RequestStartLine(request.method, request.target, "HTTP/1.1"),
+            request.headers,
+            request.body or None,
+        )
+        http.finish()
+        return await self._read(http, reader)
+
+    async def read_next(self, reader: AnswerReader) -> Exchange:
+        """Read a further answer, after one that belonged to an older request."""
+        http = self._make_http()
+        http.finish()
+        return await self._read(http, reader)
+
+    def _make_http(self) -> HTTP1Connection:
+        parameters = HTTP1ConnectionParameters(max_body_size=MAX_ANSWER_BYTES)
+        return HTTP1Connection(self._stream, True, parameters)
+
+    async def _read(self, http: HTTP1Connection, reader: AnswerReader) -> Exchange:
+        ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        delegate = _Delegate(reader, ended)
+        self._reading = asyncio.ensure_future(http.read_response(delegate))
+        self._reading.add_done_callback(lambda task: _end_reading(task, ended))
+        is_whole = await ended
+        has_started = delegate.status > 0
+        if is_whole and not _has_length(delegate) and self._stream.error is not None:
+            return Exchange(False, True, "reset before the end")
+        if not is_whole:
+            error = self._stream.error
+            return Exchange(False, has_started, _describe(error))
+        self._note_answer(delegate)
+        return Exchange(True, True)
+
+    def _note_answer(self, delegate: _Delegate) -> None:
+        headers = delegate.headers
+        closes = headers.get("Connection", "").lower() == "close"
+        self._may_keep = _has_length(delegate) and not closes
+        timeout = _parse_keep_alive(headers.get("Keep-Alive", ""))
+        if timeout is not None:
+            self.max_idle = timeout - IDLE_MARGIN
+        self.is_fresh = False
+
+    def is_reusable(self, now: timedelta) -> bool:
+        """Return whether another request may be sent on the connection."""
+        if not self._may_keep or self._stream.closed() or self._stream.writing():
+            return False
+        if now - self.idle_since > self.max_idle:
+            return False
+        return not self._stream.has_unread()
+
+    def close(self) -> None:
+        """Close the connection, which cancels what runs on it."""
+        self._may_keep = False
+        if self._reading is not None:
+            self._reading.cancel()
+        self._stream.close()
+
+
+class Connections:
+    """Opens connections and keeps those that can be used again."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, deque[Connection]] = {}
+        self.opened = 0
+
+    def take(self, address: str) -> Connection | None:
+        """Return an idle connection to ``address``, the one used last."""
+        idle = self._idle.get(address)
+        now = self._clock.elapsed()
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable(now):
+                return connection
+            connection.close()
+        return None
+
+    async def connect(self, address: str, timeout: timedelta) -> Connection:
+        """Open a connection; raises ``ConnectError``."""
+        host, _, port = address.rpartition(":")
+        endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):
+            endpoint.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+        stream = ServerStream(endpoint)
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await stream.connect((host, int(port)))
+        except (TimeoutError, OSError, StreamClosedError, ValueError) as error:
+            stream.close()
+            raise ConnectError(f"{address}: {_describe(error)}") from None
+        except BaseException:
+            stream.close()
+            raise
+        self.opened += 1
+        return Connection(stream, address)
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection for another request, or close it."""
+        connection.idle_since = self._clock.elapsed()
+        idle = self._idle.setdefault(connection.address, deque())
+        if len(idle) >= MAX_IDLE_CONNECTIONS or not connection.is_reusable(
+            connection.idle_since
+        ):
+            connection.close()
+            return
+        idle.append(connection)
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to ``address``."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    def drop_stale(self) -> None:
+        """Close idle connections that may not be used again."""
+        now = self._clock.elapsed()
+        for address, idle in list(self._idle.items()):
+            kept: deque[Connection] = deque()
+            for connection in idle:
+                if connection.is_reusable(now):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.drop(address)
+
+
+def reset_stream(stream: IOStream) -> None:
+    """Close ``stream`` with a reset, so that its answer can't look complete."""
+    with contextlib.suppress(OSError, AttributeError):
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    stream.close()
+
+
+def _end_reading(task: asyncio.Task[bool], ended: asyncio.Future[bool]) -> None:
+    """Resolve ``ended`` for an answer whose reading ended early."""
+    if not task.cancelled():
+        task.exception()  # retrieved, as the stream's error tells the cause
+    if not ended.done():
+        ended.set_result(False)
+
+
+def _has_length(delegate: _Delegate) -> bool:
+    """Tell whether the answer's end is marked other than by closing."""
+    headers = delegate.headers
+    if "Content-Length" in headers or delegate.status in (204, 304):
+        return True
+    return "chunked" in headers.get("Transfer-Encoding", "").lower()
+
+
+def _parse_keep_alive(value: str) -> timedelta | None:
+    """Return the timeout of a ``Keep-Alive`` header."""
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.isdigit():
+            return timedelta(seconds=int(number))
+    return None
+
+
+def _describe(error: BaseException | None) -> str:
+    """Return an error's kind for log lines."""
+    if error is None:
+        return "closed"
+    if isinstance(error, StreamClosedError) and error.real_error is not None:
+        return _describe(error.real_error)
+    return type(error).__name__
--- /dev/null
+++ b/lavendershift/delivery.py
@@ -0,0 +1,498 @@
+"""Getting one plain HTTP request answered by a backend server.
+
+A ``Delivery`` sends a request to one server after another until it has a whole
+answer, or until another attempt is not allowed or can't help. What may be sent
+again follows from the route and from what is proved about the attempts so far:
+a request that may not be repeated goes to another server only if it certainly
+did not run.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+
+from lavendershift.clocks import Clock
+from lavendershift.connections import (
+    ConnectError,
+    Connection,
+    Connections,
+    Exchange,
+    ServerRequest,
+)
+from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.eventstreams import EventSplitter
+from lavendershift.routes import Repeat, Route, Service
+from lavendershift.serverlist import (
+    NO_PROMPT,
+    ListedServer,
+    PromptShape,
+    ServerList,
+)
+
+CONNECT_TIMEOUT = timedelta(milliseconds=300)  # a hundred times the longest path
+MAX_SENDS = 4  # servers that one request is sent to, refusals included
+MAX_UNREACHED = 6  # servers to which no connection could be made
+FIRST_BYTE_PART = 1.5  # of the route's target, after which a repeat is tried
+SHORTEST_FIRST_BYTE = timedelta(milliseconds=250)
+EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
+REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
+ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
+SUCCESSES = range(200, 300)
+SERVER_ERRORS = range(500, 600)
+
+
+class CallerRequest(NamedTuple):
+    """A plain HTTP request; times are on the scale of ``Clock.elapsed``.
+
+    ``headers`` are those passed on. ``prompt`` is set for requests to model
+    engines, ``resumed_after`` is the last event that the caller already has.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    headers: HTTPHeaders
+    body: bytes
+    key: str
+    received: timedelta
+    deadline: timedelta
+    prompt: PromptShape | None = None
+    resumed_after: str = ""
+
+
+class Attempt(NamedTuple):
+    """One sending of a request to one server."""
+
+    server: str
+    customer: str
+    urgency: int
+    deadline: timedelta
+    resume_after: str = ""
+
+
+class AnswerKind(Enum):
+    """What the head of an answer says of the request."""
+
+    OWN = "own"
+    NOT_RUN = "not_run"
+    WRONG_SERVER = "wrong_server"
+    FOREIGN = "foreign"  # belongs to another request
+
+
+class Answers(Protocol):
+    """Where the answer to one request goes."""
+
+    has_started: bool
+
+    def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        ...
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Begin an answer that follows in parts."""
+        ...
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part; returns once it was taken."""
+        ...
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        ...
+
+    def abort(self) -> None:
+        """End the answer as incomplete."""
+        ...
+
+    def refuse(self, error: RequestError) -> None:
+        """Send the answer of an error kind."""
+        ...
+
+
+class ServerWire(Protocol):
+    """How requests and answers look on the way to a backend server."""
+
+    def encode(
+        self, request: CallerRequest, attempt: Attempt, now: timedelta
+    ) -> ServerRequest:
+        """Return ``request`` as ``attempt`` sends it."""
+        ...
+
+    def judge(
+        self, request: CallerRequest, status: int, headers: HTTPHeaders, is_fresh: bool
+    ) -> AnswerKind:
+        """Return whose answer this is and whether the request ran."""
+        ...
+
+    def select_answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
+        """Return the headers that the caller gets."""
+        ...
+
+
+class End(Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    SERVER_ERROR = "server_error"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    WRONG_SERVER = "wrong_server"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+    @property
+    def did_not_run(self) -> bool:
+        """Whether the server certainly did not run the request."""
+        return self in (End.NOT_SENT, End.NOT_RUN, End.WRONG_SERVER)
+
+
+class _ServerAnswer(NamedTuple):
+    """A whole answer that was collected."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+class _Reader:
+    """Takes one attempt's answer: streams are handed on, the rest is collected."""
+
+    def __init__(
+        self, delivery: "Delivery", is_fresh: bool, note_progress: Callable[[], None]
+    ) -> None:
+        self._delivery = delivery
+        self._is_fresh = is_fresh
+        self._note_progress = note_progress
+        self._chunks: list[bytes] = []
+        self.kind = AnswerKind.FOREIGN
+        self.status = 0
+        self.headers = HTTPHeaders()
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        self._chunks = []
+        self.status, self.headers = status, headers
+        self.kind = self._delivery.judge(status, headers, self._is_fresh)
+        self._is_fresh = False
+        if self.kind is AnswerKind.OWN:
+            self._note_progress()
+
+    @property
+    def is_streamed(self) -> bool:
+        return (
+            self.kind is AnswerKind.OWN
+            and self._delivery.route.is_stream
+            and self.status in SUCCESSES
+        )
+
+    def add(self, chunk: bytes) -> Awaitable[None] | None:
+        if not self.is_streamed:
+            self._chunks.append(chunk)
+            return None
+        self._note_progress()
+        return self._delivery.forward(self.status, self.headers, chunk)
+
+    def collect(self) -> _ServerAnswer:
+        return _ServerAnswer(self.status, self.headers, b"".join(self._chunks))
+
+
+class AttemptNote(NamedTuple):
+    """An attempt that ended, for the log."""
+
+    server: str
+    end: End
+    reason: str
+    status: int
+    duration: timedelta
+
+
+class Delivery:
+    """The attempts at one request.
+
+    ``spend_retry`` takes the token of one repeated sending, ``on_attempt`` is
+    told of each attempt that ended.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        request: CallerRequest,
+        route: Route,
+        service: Service,
+        servers: ServerList,
+        connections: Connections,
+        wire: ServerWire,
+        answers: Answers,
+        spend_retry: Callable[[], bool],
+        on_attempt: Callable[[AttemptNote], None],
+        customer: str = "",
+        urgency: int = 5,
+    ) -> None:
+        self.route = route
+        self._clock = clock
+        self._request = request
+        self._service = service
+        self._servers = servers
+        self._connections = connections
+        self._wire = wire
+        self._answers = answers
+        self._spend_retry = spend_retry
+        self._on_attempt = on_attempt
+        self._customer = customer
+        self._urgency = urgency
+        self._limit = min(request.deadline, request.received + route.timeout)
+        self._splitter = EventSplitter()
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._runs = 0
+        self._unreached = 0
+        self._server_error: _ServerAnswer | None = None
+        self._on_first_event: Callable[[], None] = _do_nothing
+        self.first_event_at: timedelta | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have begun to work on the request."""
+        return self._runs > 0
+
+    @property
+    def delivered_tokens(self) -> int:
+        """The most output tokens that the events handed on can hold."""
+        return self._splitter.count * self._service.tokens_per_event
+
+    async def run(self) -> None:
+        """Deliver the whole answer; raises ``RequestError``."""
+        try:
+            timeout = self._limit - ANSWER_RESERVE - self._clock.elapsed()
+            async with asyncio.timeout(max(timeout.total_seconds(), 0)):
+                await self._run_attempts()
+        except TimeoutError:
+            if self._runs:
+                raise RequestError(ErrorKind.DEADLINE_EXCEEDED) from None
+            raise RequestError(ErrorKind.DEADLINE_UNREACHABLE) from None
+
+    async def _run_attempts(self) -> None:
+        while True:
+            server = self._servers.choose(
+                self._service.name, self._request.prompt or NO_PROMPT, self._tried
+            )
+            if server is None:
+                self._give_up(End.NOT_SENT)
+                return
+            end = await self._attempt(server)
+            if end is End.ANSWERED:
+                return
+            if not self._may_go_on(end):
+                self._give_up(end)
+                return
+
+    def _may_go_on(self, end: End) -> bool:
+        """Return whether the request may go to another server after ``end``."""
+        if end is End.NOT_SENT:
+            self._unreached += 1
+            return self._unreached < MAX_UNREACHED
+        if self._sends >= MAX_SENDS or self._runs >= self.route.max_attempts:
+            return False
+        if not end.did_not_run and not self._may_repeat():
+            return False
+        if self._limit - self._clock.elapsed() < REPEAT_RESERVE:
+            return False
+        return self._spend_retry()
+
+    def _may_repeat(self) -> bool:
+        """Return whether a request that may have run can be sent again."""
+        if self.route.repeat is Repeat.ALWAYS:
+            return not self._answers.has_started
+        if self.route.repeat is Repeat.RESUME:
+            return not self._answers.has_started or bool(self._splitter.last_id)
+        return False
+
+    def _give_up(self, end: End) -> None:
+        """Answer with a server's own error, or raise ``RequestError``."""
+        if self._answers.has_started:
+            raise RequestError(ErrorKind.ANSWER_TRUNCATED)
+        if self._server_error is not None:
+            answer = self._server_error
+            headers = self._wire.select_answer_headers(answer.headers)
+            self._answers.send(answer.status, headers, answer.body)
+            return
+        if self._runs == 0:
+            refused = end in (End.NOT_RUN, End.WRONG_SERVER)
+            kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
+            raise RequestError(kind)
+        if self.route.repeat is Repeat.NEVER:
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
+        raise RequestError(ErrorKind.SERVER_FAILED)
+
+    async def _attempt(self, server: ListedServer) -> End:
+        """Send the request to ``server`` once and judge what came of it."""
+        started = self._clock.elapsed()
+        entry = server.entry
+        self._tried.add(entry.id)
+        try:
+            connection = await self._open(server)
+        except ConnectError as error:
+            self._servers.note_unreachable(server)
+            self._note(entry.id, End.NOT_SENT, str(error), 0, started)
+            return End.NOT_SENT
+        self._sends += 1
+        self._runs += 1
+        prompt = self._request.prompt
+        unread = prompt.input_tokens if prompt else 0
+        self._servers.start(server, unread)
+        read = [False]
+
+        def note_first_event() -> None:
+            if not read[0]:
+                read[0] = True
+                self._servers.note_answering(server, unread)
+
+        self._on_first_event = note_first_event
+        keeps = False
+        try:
+            end, reason, reader = await self._exchange(connection, entry.id)
+            keeps = end is not End.SILENT and end is not End.BROKEN
+        finally:
+            note_first_event()
+            self._servers.finish(server)
+            if keeps:
+                self._connections.give_back(connection)
+            else:
+                connection.close()
+        self._note_server(server, end)
+        if end.did_not_run:
+            self._runs -= 1
+        self._note(entry.id, end, reason, reader.status, started)
+        return end
+
+    async def _open(self, server: ListedServer) -> Connection:
+        address = server.entry.address
+        connection = self._connections.take(address)
+        if connection is not None:
+            return connection
+        return await self._connections.connect(address, CONNECT_TIMEOUT)
+
+    async def _exchange(
+        self, connection: Connection, server: str
+    ) -> tuple[End, str, _Reader]:
+        """Exchange request and answer on ``connection``."""
+        now = self._clock.elapsed()
+        attempt = Attempt(
+            server=server,
+            customer=self._customer,
+            urgency=self._urgency,
+            deadline=self._limit,
+            resume_after=self._splitter.last_id,
+        )
+        message = self._wire.encode(self._request, attempt, now)
+        patience = self._find_patience()
+        loop = asyncio.get_running_loop()
+        gap = max(EVENT_GAP, patience or EVENT_GAP).total_seconds()
+        try:
+            async with asyncio.timeout(
+                patience.total_seconds() if patience else None
+            ) as watchdog:
+
+                def note_progress() -> None:
+                    if patience is not None:
+                        watchdog.reschedule(loop.time() + gap)
+
+                reader = _Reader(self, connection.is_fresh, note_progress)
+                exchange = await connection.exchange(message, reader)
+                while exchange.is_whole and reader.kind is AnswerKind.FOREIGN:
+                    exchange = await connection.read_next(reader)
+                end = await self._conclude(exchange, reader)
+        except TimeoutError:
+            if not watchdog.expired():
+                raise
+            return End.SILENT, "no progress", reader
+        return end, exchange.reason, reader
+
+    def _find_patience(self) -> timedelta | None:
+        """Return how long to wait for a sign of the answer, ``None`` to the end.
+
+        Only a request that may be sent elsewhere afterwards is given up early.
+        """
+        if not self._may_repeat() or self._runs >= self.route.max_attempts:
+            return None
+        if self.route.repeat is Repeat.NEVER:
+            return None
+        left = self._limit - self._clock.elapsed()
+        patience = max(self.route.target * FIRST_BYTE_PART, SHORTEST_FIRST_BYTE)
+        return min(patience, left / 2)
+
+    async def _conclude(self, exchange: Exchange, reader: _Reader) -> End:
+        """Judge an exchange, and hand a whole answer to the caller."""
+        if reader.kind is AnswerKind.NOT_RUN:
+            return End.NOT_RUN
+        if reader.kind is AnswerKind.WRONG_SERVER:
+            return End.WRONG_SERVER
+        if not exchange.is_whole or reader.kind is AnswerKind.FOREIGN:
+            self._splitter.drop_partial()
+            return End.BROKEN
+        if reader.is_streamed:
+            await self._finish_stream(reader)
+            return End.ANSWERED
+        answer = reader.collect()
+        if answer.status in SERVER_ERRORS:
+            self._server_error = answer
+            return End.SERVER_ERROR
+        if self._answers.has_started:
+            return End.BROKEN
+        headers = self._wire.select_answer_headers(answer.headers)
+        self._answers.send(answer.status, headers, answer.body)
+        return End.ANSWERED
+
+    async def _finish_stream(self, reader: _Reader) -> None:
+        rest = self._splitter.flush()
+        if not self._answers.has_started:
+            self._start_stream(reader.status, reader.headers)
+        if rest:
+            await self._answers.write(rest)
+        self._answers.finish()
+
+    def judge(self, status: int, headers: HTTPHeaders, is_fresh: bool) -> AnswerKind:
+        """Return whose answer has these headers."""
+        return self._wire.judge(self._request, status, headers, is_fresh)
+
+    async def forward(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
+        """Hand the whole events of ``chunk`` on to the caller."""
+        events = self._splitter.feed(chunk)
+        if not events:
+            return
+        if not self._answers.has_started:
+            self._start_stream(status, headers)
+        self._on_first_event()
+        # A caller that went away cancels the delivery by itself.
+        with contextlib.suppress(StreamClosedError):
+            await self._answers.write(events)
+
+    def _start_stream(self, status: int, headers: HTTPHeaders) -> None:
+        self.first_event_at = self._clock.elapsed()
+        self._answers.start(status, self._wire.select_answer_headers(headers))
+
+    def _note_server(self, server: ListedServer, end: End) -> None:
+        if end is End.ANSWERED:
+            self._servers.note_success(server)
+        elif end in (End.SILENT, End.BROKEN, End.SERVER_ERROR):
+            self._servers.note_failure(server)
+        elif end is End.WRONG_SERVER:
+            self._servers.note_unreachable(server)
+        if end in (End.SILENT, End.BROKEN):
+            self._connections.drop(server.entry.address)
+
+    def _note(
+        self, server: str, end: End, reason: str, status: int, started: timedelta
+    ) -> None:
+        duration = self._clock.elapsed() - started
+        self._on_attempt(AttemptNote(server, end, reason, status, duration))
+
+
+def _do_nothing() -> None:
+    """Stand in for a callback that is not set yet."""
--- a/lavendershift/errors.py
+++ b/lavendershift/errors.py
@@ -32,6 +32,7 @@
     FORBIDDEN = "forbidden"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     KEY_EXPIRED = "key_expired"
@@ -88,6 +89,9 @@
     ErrorKind.FORBIDDEN: _refuse(403, "forbidden", "The customer may not do this."),
     ErrorKind.UNKNOWN_MODEL: _refuse(404, "unknown_model", "No such model."),
     ErrorKind.UNKNOWN_SERVICE: _refuse(404, "unknown_service", "No such service."),
+    ErrorKind.UNKNOWN_ROUTE: _refuse(
+        404, "unknown_route", "No route for this host and path."
+    ),
     ErrorKind.KEY_REQUIRED: _refuse(
         428, "key_required", "A call that may not be repeated needs an Idempotency-Key."
     ),
--- /dev/null
+++ b/lavendershift/gateway.py
@@ -0,0 +1,262 @@
+"""Plain HTTP requests from callers, from their route to their answer.
+
+The gateway finds the route and the customer, sets tokens aside, lets a
+``Delivery`` get the answer, and settles what was used. Every way a request can
+end goes through the table of error kinds.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from lavendershift.clocks import Clock
+from lavendershift.connections import Connections
+from lavendershift.delivery import (
+    Answers,
+    AttemptNote,
+    CallerRequest,
+    Delivery,
+    End,
+    ServerWire,
+)
+from lavendershift.draws import TokenDraws
+from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.logs import Event, EventLog, in_milliseconds
+from lavendershift.retries import RetryBudget
+from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
+from lavendershift.serverlist import PromptShape, ServerList
+
+DEFAULT_URGENCY = 5
+TOKEN_WAIT = timedelta(milliseconds=250)  # for a draw, some ms when the store is well
+SHORT_RETRY = timedelta(milliseconds=300)  # a draw or a returned token takes so long
+AWAY_RETRY = timedelta(seconds=1)  # while the store is away
+RETRY_MARGIN = 0.8  # of the VM's part, as VMs differ in how many they count
+
+
+class RetryBounds(NamedTuple):
+    """The fleet's bounds on repeated sendings to one service."""
+
+    share: float
+    slack: float
+
+
+class Gateway:
+    """Serves plain HTTP requests of callers.
+
+    ``vms`` returns the number of live VMs, which share the retry budget.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        servers: ServerList,
+        connections: Connections,
+        wire: ServerWire,
+        draws: TokenDraws,
+        log: EventLog,
+        retry_bounds: RetryBounds,
+        vms: Callable[[], int],
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._servers = servers
+        self._connections = connections
+        self._wire = wire
+        self._draws = draws
+        self._log = log
+        self._bounds = retry_bounds
+        self._vms = vms
+        self._retries: dict[str, RetryBudget] = {}
+        self.table: RoutingTable | None = None
+
+    def find_limits(self) -> CallerLimits:
+        """Return the bounds on what callers may send."""
+        return self.table.limits if self.table else CallerLimits()
+
+    async def serve(self, request: CallerRequest, answers: Answers) -> None:
+        """Answer one request."""
+        try:
+            await self._serve(request, answers)
+        except RequestError as error:
+            self._refuse(request, answers, error)
+        except asyncio.CancelledError:
+            self._log.write(
+                Event.REQUEST_ABANDONED,
+                request=request.id,
+                duration_ms=self._measure(request),
+            )
+            answers.abort()
+            raise
+        except Exception as error:
+            # The caller must get some end, whatever went wrong on the way.
+            self._log.write_error(error, request=request.id)
+            self._refuse(request, answers, RequestError(ErrorKind.INTERNAL))
+
+    async def _serve(self, request: CallerRequest, answers: Answers) -> None:
+        table = self.table
+        if table is None:
+            raise RequestError(ErrorKind.STARTING)
+        route, customer = admit(table, request)
+        service = self._choose_service(table, route)
+        if customer is None or customer.prepaid is None or request.prompt is None:
+            await self._deliver(request, answers, route, service, customer)
+            return
+        await self._deliver_prepaid(
+            request, answers, route, service, customer, request.prompt
+        )
+
+    async def _deliver_prepaid(
+        self,
+        request: CallerRequest,
+        answers: Answers,
+        route: Route,
+        service: Service,
+        customer: Customer,
+        prompt: PromptShape,
+    ) -> None:
+        """Deliver with tokens set aside, and settle what was used."""
+        tokens = prompt.input_tokens + prompt.max_output_tokens
+        account = self._draws.find_account(customer.name)
+        account.note_demand(tokens, self._clock.elapsed())
+        wait = min(TOKEN_WAIT, request.deadline - self._clock.elapsed())
+        if not await self._draws.wait_for(customer.name, tokens, wait):
+            raise self._describe_shortage(customer, tokens)
+        delivery = self._make_delivery(request, answers, route, service, customer)
+        try:
+            await self._run(delivery, request)
+        finally:
+            used = 0
+            if delivery.may_have_run:
+                used = prompt.input_tokens + delivery.delivered_tokens
+            account.settle(tokens, used)
+
+    def _describe_shortage(self, customer: Customer, tokens: int) -> RequestError:
+        """Return the refusal of a request that its budget can't pay for now."""
+        account = self._draws.find_account(customer.name)
+        left = self._draws.count_left(customer.name)
+        detail = f"need {tokens} free {account.free} left {left}"
+        if not self._draws.is_reached:
+            return RequestError(ErrorKind.BUDGET_PENDING, detail, AWAY_RETRY)
+        return RequestError(ErrorKind.BUDGET_PENDING, detail, SHORT_RETRY)
+
+    async def _deliver(
+        self,
+        request: CallerRequest,
+        answers: Answers,
+        route: Route,
+        service: Service,
+        customer: Customer | None,
+    ) -> None:
+        delivery = self._make_delivery(request, answers, route, service, customer)
+        await self._run(delivery, request)
+
+    async def _run(self, delivery: Delivery, request: CallerRequest) -> None:
+        await delivery.run()
+        first = delivery.first_event_at
+        self._log.write(
+            Event.REQUEST_ANSWERED,
+            request=request.id,
+            duration_ms=self._measure(request),
+            first_ms=in_milliseconds(first - request.received) if first else -1,
+        )
+
+    def _make_delivery(
+        self,
+        request: CallerRequest,
+        answers: Answers,
+        route: Route,
+        service: Service,
+        customer: Customer | None,
+    ) -> Delivery:
+        budget = self._find_retries(service.name)
+        budget.record_success()
+        urgency = route.urgency
+        if customer is not None and customer.urgency is not None:
+            urgency = customer.urgency
+
+        def note(attempt: AttemptNote) -> None:
+            self._note_attempt(request, attempt)
+
+        return Delivery(
+            self._clock,
+            request,
+            route,
+            service,
+            self._servers,
+            self._connections,
+            self._wire,
+            answers,
+            budget.spend,
+            note,
+            customer.name if customer else "",
+            urgency,
+        )
+
+    def _choose_service(self, table: RoutingTable, route: Route) -> Service:
+        shares = route.shares
+        if len(shares) == 1:
+            name = shares[0].service
+        else:
+            weights = [max(share.weight, 0.0) for share in shares]
+            name = self._rng.choices(shares, weights)[0].service
+        service = table.services.get(name)
+        return Service(name) if service is None else service
+
+    def _find_retries(self, service: str) -> RetryBudget:
+        burst = self._bounds.slack * RETRY_MARGIN / max(self._vms(), 1)
+        budget = self._retries.get(service)
+        if budget is None:
+            share = self._bounds.share * RETRY_MARGIN
+            budget = self._retries[service] = RetryBudget(share, burst)
+        budget.set_burst(burst)
+        return budget
+
+    def _note_attempt(self, request: CallerRequest, attempt: AttemptNote) -> None:
+        event = Event.REQUEST_ATTEMPTED
+        if attempt.end is End.ANSWERED:
+            event = Event.REQUEST_PLACED
+        self._log.write(
+            event,
+            request=request.id,
+            server=attempt.server,
+            result=attempt.end.value,
+            reason=attempt.reason,
+            status=attempt.status,
+            duration_ms=in_milliseconds(attempt.duration),
+        )
+
+    def _refuse(
+        self, request: CallerRequest, answers: Answers, error: RequestError
+    ) -> None:
+        answer = error.answer
+        self._log.write(
+            Event.REQUEST_REFUSED,
+            request=request.id,
+            error=error.kind.value,
+            reason=error.detail,
+            status=answer.status,
+            ran=answer.ran.value,
+            duration_ms=self._measure(request),
+        )
+        if answers.has_started:
+            answers.abort()
+        else:
+            answers.refuse(error)
+
+    def _measure(self, request: CallerRequest) -> int:
+        return in_milliseconds(self._clock.elapsed() - request.received)
+
+
+def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
+    """Return a request's route and customer; raises ``RequestError``."""
+    path = request.target.partition("?")[0]
+    route = table.find_route(request.host, path)
+    if route is None:
+        raise RequestError(ErrorKind.UNKNOWN_ROUTE)
+    customer = table.find_customer(request.key) if request.key else None
+    if customer is None and table.needs_keys and not route.is_public:
+        raise RequestError(ErrorKind.UNAUTHENTICATED)
+    return route, customer
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -16,12 +16,14 @@
 from datetime import timedelta
 from enum import Enum
 from pathlib import Path
-from typing import Any, NamedTuple, TypedDict, Unpack
+from typing import TYPE_CHECKING, Any, NamedTuple, TypedDict, Unpack
 
 import logbook
 
 from lavendershift.clocks import Clock
-from lavendershift.settings_sections import LoggingSection
+
+if TYPE_CHECKING:
+    from lavendershift.settings_sections import LoggingSection
 
 MAX_FIELD_LENGTH = 300  # characters
 MAX_FRAMES = 5  # innermost places of a traceback that are logged
@@ -36,6 +38,16 @@
     REQUEST_ANSWERED = "request_answered"
     REQUEST_REFUSED = "request_refused"
     REQUEST_RETRIED = "request_retried"
+    REQUEST_PLACED = "request_placed"
+    REQUEST_ATTEMPTED = "request_attempted"
+    REQUEST_ABANDONED = "request_abandoned"
+    TOKENS_DRAWN = "tokens_drawn"
+    SERVER_CHANGED = "server_changed"
+    VM_CHANGED = "vm_changed"
+    ENTRY_SKIPPED = "entry_skipped"
+    SETTINGS_RELOADED = "settings_reloaded"
+    DEPENDENCY_LOST = "dependency_lost"
+    DEPENDENCY_FOUND = "dependency_found"
     CONFIGURATION_CHANGED = "configuration_changed"
     RECORD_REJECTED = "record_rejected"
     SERVER_EJECTED = "server_ejected"
@@ -59,6 +71,18 @@
     Event.REQUEST_ANSWERED: EventInfo("info", "A request got its whole answer."),
     Event.REQUEST_REFUSED: EventInfo("info", "A request ended with an error kind."),
     Event.REQUEST_RETRIED: EventInfo("info", "An attempt is repeated."),
+    Event.REQUEST_PLACED: EventInfo("info", "The attempt that brought the answer."),
+    Event.REQUEST_ATTEMPTED: EventInfo("info", "An attempt that brought no answer."),
+    Event.REQUEST_ABANDONED: EventInfo("info", "The caller went away."),
+    Event.TOKENS_DRAWN: EventInfo(
+        "info", "Tokens of a customer were drawn, or returned where negative."
+    ),
+    Event.SERVER_CHANGED: EventInfo("info", "A backend server's entry changed."),
+    Event.VM_CHANGED: EventInfo("info", "A VM came, is leaving, or is gone."),
+    Event.ENTRY_SKIPPED: EventInfo("warning", "Data that can't be used was skipped."),
+    Event.SETTINGS_RELOADED: EventInfo("notice", "The settings were read again."),
+    Event.DEPENDENCY_LOST: EventInfo("warning", "A service stopped answering."),
+    Event.DEPENDENCY_FOUND: EventInfo("notice", "A service answers again."),
     Event.CONFIGURATION_CHANGED: EventInfo(
         "info", "The configuration was folded up to an offset."
     ),
@@ -79,13 +103,21 @@
     config_offset: int
     duration_ms: int
     error: str
+    first_ms: int
+    free_tokens: int
+    granted_tokens: int
     incarnation: str
+    name: str
     offset: int
     place: str
+    ran: str
     reason: str
+    result: str
     server: str
+    status: int
     stream: str
     tokens: int
+    version: int
 
 
 FIELD_NAMES = frozenset(EventFields.__annotations__)
@@ -180,7 +212,7 @@
     return json.dumps(record.extra["line"], ensure_ascii=False)
 
 
-def make_handler(section: LoggingSection) -> logbook.Handler:
+def make_handler(section: "LoggingSection") -> logbook.Handler:
     """Return the handler that writes lines as ``section`` says."""
     level = section.level.upper()
     handler: logbook.Handler
--- /dev/null
+++ b/lavendershift/platform/application.py
@@ -0,0 +1,242 @@
+"""The process on a VM of the users' platform."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+import signal
+import sys
+from collections.abc import Coroutine
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from tornado.httputil import HTTPServerRequest
+
+from lavendershift.applications import Application
+from lavendershift.clocks import Clock
+from lavendershift.connections import Connections
+from lavendershift.draws import TokenDraws
+from lavendershift.errors import LogUnavailableError
+from lavendershift.gateway import Gateway, RetryBounds
+from lavendershift.logoutput import StandardOutputHandler
+from lavendershift.logs import Event, EventLog, LibraryHandler, format_line
+from lavendershift.platform import names
+from lavendershift.platform.callers import CallerServer
+from lavendershift.platform.directory import Directory, SmallServer
+from lavendershift.platform.feeds import ConfigurationFeed, ServerFeed
+from lavendershift.platform.grants import StoreGrantLog
+from lavendershift.platform.nodesettings import NodeSettings, load_node_settings
+from lavendershift.platform.presence import PresenceFeed, PresenceWriter
+from lavendershift.platform.serverwire import PlatformServers
+from lavendershift.platform.store import StoreClient
+from lavendershift.routes import RoutingTable
+from lavendershift.serverlist import ServerEntry, ServerList
+from lavendershift.vmlist import VmList, VmRow
+
+LISTEN_AFTER_LEAVING = timedelta(milliseconds=1500)  # callers learn of it meanwhile
+EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
+TIDY_INTERVAL = timedelta(seconds=2)  # between looks for stale idle connections
+
+
+class NodeApplication(Application):
+    """Serves callers on one VM of the platform."""
+
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, rng: random.Random, log: EventLog
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_leaving = False
+        incarnation = f"{settings.name}/{secrets.token_hex(4)}"
+        self._connections = Connections(clock)
+        self._store = StoreClient(settings.store_address, self._connections, clock)
+        row = VmRow(
+            settings.name,
+            "",
+            settings.failure_domain,
+            incarnation,
+            0,
+            False,
+        )
+        self._vms = VmList(clock, row)
+        self._servers = ServerList(clock, rng, settings.failure_domain)
+        self._draws = TokenDraws(
+            clock,
+            StoreGrantLog(self._store),
+            incarnation,
+            self._list_prepaid,
+            self._vms.count,
+            self._note_draw,
+            self._note_grants_reached,
+        )
+        self._gateway = Gateway(
+            clock,
+            rng,
+            self._servers,
+            self._connections,
+            PlatformServers(),
+            self._draws,
+            log,
+            RetryBounds(settings.retry_share, settings.retry_slack),
+            lambda: max(self._vms.count(), 3),
+        )
+        self._callers = CallerServer(clock, self._gateway)
+        self._directory = SmallServer(
+            Directory(self._vms, settings.resolve_ttl).answer
+        )
+        self._ready = SmallServer(self._answer_ready)
+        self._configuration = ConfigurationFeed(
+            clock, self._store, log, self._accept_table
+        )
+        self._server_feed = ServerFeed(
+            clock, self._store, log, self._servers, self._forget_server
+        )
+        self._presence_feed = PresenceFeed(clock, self._store, log, self._vms)
+        self._presence = PresenceWriter(self._store, self._vms)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self._gateway.table is not None
+            and self._server_feed.is_ready
+            and not self._is_leaving
+        )
+
+    def setup(self) -> None:
+        """Add the listeners and the loops."""
+        self.add_part("listeners", self._listen)
+        self.add_part("loops", self._start_loops, self._stop_loops)
+        self.add_part("log", self._log_start, self._log_stop)
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        self._ready.listen(settings.ready_address)
+        if settings.directory_address:
+            self._directory.listen(settings.directory_address)
+        self._callers.listen(settings.callers_address)
+
+    async def _start_loops(self) -> None:
+        loops: tuple[Coroutine[Any, Any, None], ...] = (
+            self._configuration.run(),
+            self._server_feed.run(),
+            self._presence_feed.run(),
+            self._draws.run(),
+            self._announce(),
+            self._tidy(),
+        )
+        self._tasks = [asyncio.ensure_future(self._guard(loop)) for loop in loops]
+
+    async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
+        """Run a loop; one that fails ends the process, to be started again."""
+        try:
+            await loop
+        except Exception as error:
+            self._log.write_error(error)
+            self.request_stop()
+
+    async def _stop_loops(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._connections.close()
+
+    async def _log_start(self) -> None:
+        self._log.write(Event.PROCESS_STARTED)
+
+    async def _log_stop(self) -> None:
+        self._log.write(Event.PROCESS_STOPPED)
+
+    async def _announce(self) -> None:
+        """Become listed once ready, and stay so."""
+        while not self.is_ready:
+            await asyncio.sleep(0.05)
+        self._vms.set_own(
+            self._vms.own._replace(address=self._settings.callers_address)
+        )
+        await self._presence.run()
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_INTERVAL.total_seconds())
+            self._connections.drop_stale()
+
+    async def drain(self) -> None:
+        """Leave the list first, then let running requests end."""
+        deadline = self._clock.elapsed() + self._settings.grace - EXIT_RESERVE
+        self._log.write(Event.PROCESS_STOPPING)
+        self._is_leaving = True
+        self._vms.set_own(self._vms.own._replace(is_leaving=True))
+        self._callers.announce_leaving()
+        self._draws.return_all()
+        with contextlib.suppress(LogUnavailableError):
+            await self._presence.renew()
+        await asyncio.sleep(LISTEN_AFTER_LEAVING.total_seconds())
+        self._callers.stop_listening()
+        left = deadline - self._clock.elapsed()
+        running = await self._callers.wait_idle(left)
+        await asyncio.sleep(0.2)
+        if running:
+            self._log.write(Event.PROCESS_STOPPING, reason=f"{running} requests cut")
+
+    def _answer_ready(self, request: HTTPServerRequest) -> tuple[int, bytes]:
+        return (200 if self.is_ready else 503), b"{}"
+
+    def _list_prepaid(self) -> dict[str, int]:
+        table = self._gateway.table
+        if table is None:
+            return {}
+        return {
+            customer.name: customer.prepaid
+            for customer in table.customers.values()
+            if customer.prepaid is not None
+        }
+
+    def _accept_table(self, table: RoutingTable) -> None:
+        self._gateway.table = table
+
+    def _forget_server(self, entry: ServerEntry) -> None:
+        self._connections.drop(entry.address)
+
+    def _note_draw(self, customer: str, tokens: int, granted: int) -> None:
+        account = self._draws.find_account(customer)
+        self._log.write(
+            Event.TOKENS_DRAWN,
+            customer=customer,
+            tokens=tokens,
+            granted_tokens=granted,
+            free_tokens=account.free,
+        )
+
+    def _note_grants_reached(self, reached: bool, reason: str) -> None:
+        event = Event.DEPENDENCY_FOUND if reached else Event.DEPENDENCY_LOST
+        self._log.write(event, name="grants", reason=reason)
+
+
+def make_log(settings: NodeSettings, clock: Clock) -> EventLog:
+    """Return the log of the process, on standard output."""
+    handler = StandardOutputHandler(sys.stdout.fileno(), "INFO")
+    handler.formatter = format_line
+    return EventLog(handler, settings.name, settings.failure_domain, clock)
+
+
+async def run_node(path: Path, clock: Clock, rng: random.Random) -> None:
+    """Run the process with the settings file at ``path`` until told to stop."""
+    settings = load_node_settings(path)
+    log = make_log(settings, clock)
+    import logging
+
+    logging.getLogger().addHandler(LibraryHandler(log))
+    application = NodeApplication(settings, clock, rng, log)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: log.write(Event.SETTINGS_RELOADED, name=str(path))
+    )
+    await application.run()
+
+
+SETTINGS_VARIABLE = names.SETTINGS_VARIABLE
--- /dev/null
+++ b/lavendershift/platform/directory.py
@@ -0,0 +1,62 @@
+"""The small answers of a VM: where to connect, and whether it is ready."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from lavendershift.vmlist import VmList
+
+RESOLVE_TTL = timedelta(seconds=2)  # how soon callers learn of a VM that left
+MAX_ADDRESSES = 64
+
+
+class SmallServer:
+    """An HTTP server whose answers are made at once."""
+
+    def __init__(self, answer: Callable[[HTTPServerRequest], tuple[int, bytes]]):
+        self._answer = answer
+        self._http = HTTPServer(self._serve, idle_connection_timeout=30)
+
+    def listen(self, address: str) -> None:
+        """Listen on ``address``."""
+        host, _, port = address.rpartition(":")
+        self._http.listen(int(port), address=host, backlog=512)
+
+    def stop(self) -> None:
+        """Take no more connections."""
+        self._http.stop()
+
+    def _serve(self, request: HTTPServerRequest) -> None:
+        status, body = self._answer(request)
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        )
+        connection = request.connection
+        assert connection is not None
+        line = ResponseStartLine("HTTP/1.1", status, "OK" if status == 200 else "Error")
+        connection.write_headers(line, headers, body)
+        connection.finish()
+
+
+class Directory:
+    """Answers callers that ask for addresses."""
+
+    def __init__(self, vms: VmList, longest_ttl: timedelta) -> None:
+        self._vms = vms
+        self._ttl = min(RESOLVE_TTL, longest_ttl)
+
+    def answer(self, request: HTTPServerRequest) -> tuple[int, bytes]:
+        """Return the addresses for a caller, those of its domain first."""
+        url = urlsplit(request.uri or "")
+        if url.path != "/resolve":
+            return 404, b"{}"
+        domain = parse_qs(url.query).get("zone", [""])[0]
+        addresses = self._vms.list_addresses(domain)[:MAX_ADDRESSES]
+        if not addresses:
+            return 503, b"{}"
+        answer = {"addresses": addresses, "ttl_s": self._ttl.total_seconds()}
+        return 200, msgspec.json.encode(answer)
--- /dev/null
+++ b/lavendershift/platform/feeds.py
@@ -0,0 +1,223 @@
+"""Following what the operator and the servers write to the store."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.clocks import Clock
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.logs import Event, EventLog
+from lavendershift.platform import names
+from lavendershift.platform.configuration import decode_configuration, describe_fault
+from lavendershift.platform.servers import decode_entry
+from lavendershift.platform.store import Batch, Record, StoreClient
+from lavendershift.routes import RoutingTable
+from lavendershift.serverlist import RESTART_GRACE, ServerEntry, ServerList
+
+CONFIGURATION_WAIT = timedelta(milliseconds=1200)  # well within the time to be in force
+SERVERS_INTERVAL = timedelta(milliseconds=400)  # a fifth of the time to stop sending
+AWAY_INTERVAL = timedelta(milliseconds=250)  # between tries while the store is away
+OUTAGE_MEMORY = timedelta(seconds=4)  # how long entries may lapse after an outage
+MAX_SKIPPED_LOGGED = 5  # faulty entries of one configuration that are logged
+
+
+class KeyedFeed:
+    """Reads one partition of a keyed topic, the newest records first."""
+
+    def __init__(self, store: StoreClient, topic: str, wait: timedelta) -> None:
+        self.topic = topic
+        self.is_reached = False
+        self._store = store
+        self._wait = wait
+        self._offset: int | None = None
+
+    async def read(self) -> tuple[Batch, bool]:
+        """Return new records, and whether they are all newest records.
+
+        Raises ``LogUnavailableError``.
+        """
+        if self._offset is None:
+            batch = await self._store.read_newest(self.topic, 0)
+            self._offset = batch.next_offset
+            return batch, True
+        try:
+            batch = await self._store.read(self.topic, 0, self._offset, self._wait)
+        except RecordsExpiredError:
+            self._offset = None
+            return await self.read()
+        self._offset = batch.next_offset
+        return batch, False
+
+
+class Feed:
+    """A loop that reads a ``KeyedFeed`` and survives outages of the store."""
+
+    name = ""
+
+    def __init__(self, clock: Clock, feed: KeyedFeed, log: EventLog) -> None:
+        self._clock = clock
+        self._feed = feed
+        self._log = log
+        self._lost_at: timedelta | None = timedelta()
+        self.found_at = timedelta()
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                batch, is_whole = await self._feed.read()
+            except LogUnavailableError as error:
+                self._note_lost(str(error))
+                await asyncio.sleep(AWAY_INTERVAL.total_seconds())
+                continue
+            self._note_found()
+            self.take(batch.records, is_whole)
+            await self.pause()
+
+    def take(self, records: list[Record], is_whole: bool) -> None:
+        """Take over records; ``is_whole`` if keys that are missing don't exist."""
+
+    async def pause(self) -> None:
+        """Wait before the next reading."""
+
+    def _note_lost(self, reason: str) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._clock.elapsed()
+            self._log.write(Event.DEPENDENCY_LOST, name=self.name, reason=reason)
+
+    def _note_found(self) -> None:
+        if self._lost_at is not None:
+            self._lost_at = None
+            self.found_at = self._clock.elapsed()
+            self._log.write(Event.DEPENDENCY_FOUND, name=self.name)
+
+
+class ConfigurationFeed(Feed):
+    """Follows the operator's configuration; versions only rise."""
+
+    name = "configuration"
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: StoreClient,
+        log: EventLog,
+        accept: Callable[[RoutingTable], None],
+    ) -> None:
+        feed = KeyedFeed(store, names.OPERATOR_TOPIC, CONFIGURATION_WAIT)
+        super().__init__(clock, feed, log)
+        self._accept = accept
+        self._version: int | None = None
+
+    def take(self, records: list[Record], is_whole: bool) -> None:
+        """Put the newest configuration among ``records`` in force."""
+        for record in reversed(records):
+            if record.key == names.CONFIGURATION_KEY and record.value:
+                if self._put_in_force(record):
+                    return
+
+    def _put_in_force(self, record: Record) -> bool:
+        try:
+            decoded = decode_configuration(record.value)
+        except msgspec.MsgspecError as error:
+            self._skip("configuration", describe_fault(error))
+            return False
+        for reason in decoded.skipped[:MAX_SKIPPED_LOGGED]:
+            self._skip("configuration", reason)
+        table = decoded.table
+        if self._version is not None and table.version <= self._version:
+            return True
+        self._version = table.version
+        self._accept(table)
+        self._log.write(
+            Event.CONFIGURATION_CHANGED, version=table.version, offset=record.offset
+        )
+        return True
+
+    def _skip(self, name: str, reason: str) -> None:
+        self._log.write(Event.ENTRY_SKIPPED, name=name, reason=reason)
+
+
+class ServerFeed(Feed):
+    """Follows the entries of backend servers.
+
+    An entry that disappears just after an outage of the store may only have
+    lapsed during it. Its server stays in use for ``RESTART_GRACE``.
+    """
+
+    name = "servers"
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: StoreClient,
+        log: EventLog,
+        servers: ServerList,
+        on_gone: Callable[[ServerEntry], None],
+    ) -> None:
+        feed = KeyedFeed(store, names.SERVERS_TOPIC, timedelta())
+        super().__init__(clock, feed, log)
+        self._servers = servers
+        self._on_gone = on_gone
+        self._lapsed: dict[str, timedelta] = {}
+        self.is_ready = False
+
+    async def pause(self) -> None:
+        """Let entries gather, as each server writes one about every second."""
+        await asyncio.sleep(SERVERS_INTERVAL.total_seconds())
+
+    def take(self, records: list[Record], is_whole: bool) -> None:
+        """Take over entries, and forget servers whose entries were removed."""
+        for record in records:
+            server_id = record.key.decode("utf-8", "replace")
+            if record.value:
+                self._update(server_id, record.value)
+            else:
+                self._note_removed(server_id)
+        if is_whole:
+            named = {record.key.decode("utf-8", "replace") for record in records}
+            for entry in self._servers.list_entries():
+                if entry.id not in named:
+                    self._note_removed(entry.id)
+        self._drop_lapsed()
+        self.is_ready = True
+
+    def _update(self, server_id: str, value: bytes) -> None:
+        entry = decode_entry(server_id, value)
+        if entry is None:
+            self._log.write(Event.ENTRY_SKIPPED, name="server", server=server_id)
+            return
+        self._lapsed.pop(server_id, None)
+        is_new = self._servers.find(server_id) is None
+        old = self._servers.update(entry)
+        if is_new or (
+            old is not None
+            and (old.born, old.is_leaving, old.address)
+            != (entry.born, entry.is_leaving, entry.address)
+        ):
+            self._log.write(
+                Event.SERVER_CHANGED,
+                server=server_id,
+                result="leaving" if entry.is_leaving else "listed",
+                version=entry.sequence,
+            )
+
+    def _note_removed(self, server_id: str) -> None:
+        if self._servers.find(server_id) is not None:
+            self._lapsed.setdefault(server_id, self._clock.elapsed())
+
+    def _drop_lapsed(self) -> None:
+        now = self._clock.elapsed()
+        is_after_outage = now - self.found_at < OUTAGE_MEMORY
+        for server_id, since in list(self._lapsed.items()):
+            if is_after_outage and now - since < RESTART_GRACE:
+                continue
+            del self._lapsed[server_id]
+            entry = self._servers.remove(server_id)
+            if entry is not None:
+                self._on_gone(entry)
+                self._log.write(
+                    Event.SERVER_CHANGED, server=server_id, result="gone"
+                )
--- /dev/null
+++ b/lavendershift/platform/nodesettings.py
@@ -0,0 +1,69 @@
+"""The settings file that the platform gives a process."""
+
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, NamedTuple
+
+
+class NodeSettings(NamedTuple):
+    """What a process knows of its VM, its addresses and the bounds in force."""
+
+    name: str
+    role: str
+    ip: str
+    failure_domain: str
+    region: str
+    callers_address: str
+    ready_address: str
+    directory_address: str
+    peer_port: int
+    store_address: str
+    seeds: tuple[str, ...]
+    grace: timedelta
+    drain: timedelta
+    retry_share: float  # retries a request pays for, over the whole fleet
+    retry_slack: float  # further retries of the whole fleet in each window
+    retry_window: timedelta
+    resolve_ttl: timedelta  # the longest time callers keep an answer
+    partitions: int
+
+
+class SettingsError(Exception):
+    """The settings file lacks a field or has one of the wrong type."""
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Return the settings in the file at ``path``; raises ``SettingsError``."""
+    try:
+        return decode_settings(tomllib.loads(path.read_text(encoding="utf-8")))
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+
+
+def decode_settings(data: dict[str, Any]) -> NodeSettings:
+    """Return the settings in ``data``; fields that are not known are ignored."""
+    try:
+        listen, bounds, store = data["listen"], data["bounds"], data["platform"]
+        return NodeSettings(
+            name=str(data["node"]),
+            role=str(data["role"]),
+            ip=str(data["ip"]),
+            failure_domain=str(data["zone"]),
+            region=str(data["region"]),
+            callers_address=listen["front"],
+            ready_address=listen["ready"],
+            directory_address=listen.get("directory", ""),
+            peer_port=int(data["internal_ports"][0]),
+            store_address=store["address"],
+            seeds=tuple(data.get("seeds", ())),
+            grace=timedelta(seconds=bounds["grace_s"]),
+            drain=timedelta(milliseconds=bounds["drain_ms"]),
+            retry_share=float(bounds["retry_budget_ratio"]),
+            retry_slack=float(bounds["retry_budget_slack"]),
+            retry_window=timedelta(seconds=bounds["budget_window_s"]),
+            resolve_ttl=timedelta(seconds=bounds.get("ttl_max_s", 5)),
+            partitions=int(store.get("parts", 1)),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise SettingsError(f"{type(error).__name__}: {error}") from None
--- /dev/null
+++ b/lavendershift/platform/presence.py
@@ -0,0 +1,99 @@
+"""This VM's row in the store, and the rows of the others."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.clocks import Clock
+from lavendershift.logs import Event, EventLog
+from lavendershift.platform import names
+from lavendershift.platform.feeds import Feed, KeyedFeed
+from lavendershift.platform.store import Record, StoreClient
+from lavendershift.vmlist import VmList, VmRow
+
+RENEWAL_INTERVAL = timedelta(milliseconds=1200)
+READ_INTERVAL = timedelta(milliseconds=600)
+
+
+class _Row(msgspec.Struct):
+    address: str
+    domain: str
+    incarnation: str
+    renewal: int
+    leaving: bool = False
+
+
+class PresenceWriter:
+    """Renews this VM's row."""
+
+    def __init__(self, store: StoreClient, vms: VmList) -> None:
+        self._store = store
+        self._vms = vms
+
+    async def run(self) -> None:
+        """Renew the row until cancelled."""
+        while True:
+            await self.renew()
+            await asyncio.sleep(RENEWAL_INTERVAL.total_seconds())
+
+    async def renew(self, is_leaving: bool = False) -> None:
+        """Write the row once; a failed renewal is made up for by the next."""
+        own = self._vms.own
+        row = own._replace(
+            renewal=own.renewal + 1, is_leaving=own.is_leaving or is_leaving
+        )
+        self._vms.set_own(row)
+        value = _Row(
+            row.address,
+            row.failure_domain,
+            row.incarnation,
+            row.renewal,
+            row.is_leaving,
+        )
+        record = (row.name.encode(), msgspec.json.encode(value))
+        await self._store.append(names.VMS_TOPIC, 0, [record])
+
+
+class PresenceFeed(Feed):
+    """Follows the rows of all VMs."""
+
+    name = "vms"
+
+    def __init__(
+        self, clock: Clock, store: StoreClient, log: EventLog, vms: VmList
+    ) -> None:
+        super().__init__(clock, KeyedFeed(store, names.VMS_TOPIC, timedelta()), log)
+        self._vms = vms
+
+    async def pause(self) -> None:
+        """Let rows gather."""
+        await asyncio.sleep(READ_INTERVAL.total_seconds())
+
+    def take(self, records: list[Record], is_whole: bool) -> None:
+        """Take over rows, and drop VMs that no longer renew theirs."""
+        for record in records:
+            self._take_row(record)
+        for name in self._vms.expire():
+            self._log.write(Event.VM_CHANGED, name=name, result="gone")
+
+    def _take_row(self, record: Record) -> None:
+        if not record.value:
+            return
+        try:
+            wire = msgspec.json.decode(record.value, type=_Row)
+            name = record.key.decode()
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self._log.write(Event.ENTRY_SKIPPED, name="vm", reason=str(error))
+            return
+        row = VmRow(
+            name,
+            wire.address,
+            wire.domain,
+            wire.incarnation,
+            wire.renewal,
+            wire.leaving,
+        )
+        if self._vms.update(row):
+            result = "leaving" if row.is_leaving else "serving"
+            self._log.write(Event.VM_CHANGED, name=name, result=result)
--- /dev/null
+++ b/lavendershift/platform/serverwire.py
@@ -0,0 +1,57 @@
+"""The wire towards backend servers: requests encoded, answers judged."""
+
+from datetime import timedelta
+
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.connections import ServerRequest
+from lavendershift.delivery import AnswerKind, Attempt, CallerRequest
+from lavendershift.platform import names
+
+MISDIRECTED = 421
+MAX_URGENCY = 9
+
+
+class PlatformServers:
+    """Encodes requests to servers and reads the heads of their answers."""
+
+    def encode(
+        self, request: CallerRequest, attempt: Attempt, now: timedelta
+    ) -> ServerRequest:
+        """Return ``request`` as ``attempt`` sends it."""
+        headers = request.headers.copy()
+        left = (attempt.deadline - now) // timedelta(milliseconds=1)
+        headers[names.DEADLINE_MS] = str(max(left, 1))
+        headers[names.EXPECTED_SERVER] = attempt.server
+        if attempt.customer:
+            headers[names.CUSTOMER] = attempt.customer
+        if request.prompt is not None:
+            headers[names.URGENCY] = str(min(max(attempt.urgency, 0), MAX_URGENCY))
+        if attempt.resume_after:
+            headers[names.LAST_EVENT_ID] = attempt.resume_after
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(request.body))
+        return ServerRequest(request.method, request.target, headers, request.body)
+
+    def judge(
+        self, request: CallerRequest, status: int, headers: HTTPHeaders, is_fresh: bool
+    ) -> AnswerKind:
+        """Return whose answer this is and whether the request ran."""
+        answered = headers.get(names.REQUEST_ID)
+        if answered is not None and answered != request.id:
+            return AnswerKind.FOREIGN
+        if answered is None and not is_fresh and names.NOT_RUN not in headers:
+            return AnswerKind.FOREIGN
+        if status == MISDIRECTED:
+            return AnswerKind.WRONG_SERVER
+        if names.NOT_RUN in headers:
+            return AnswerKind.NOT_RUN
+        return AnswerKind.OWN
+
+    def select_answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
+        """Return the headers of a server's answer that a caller gets."""
+        selected = HTTPHeaders()
+        for name, value in headers.get_all():
+            if name.lower() not in names.CONNECTION_HEADERS:
+                selected.add(name, value)
+        return selected
--- /dev/null
+++ b/lavendershift/platform/store.py
@@ -0,0 +1,282 @@
+"""The client of the platform's store, a log with conditional appends.
+
+All parts of a process share one ``StoreClient``. Every call has a timeout of
+its own, as a connection may fall silent without a sign::
+
+    store = StoreClient("10.200.1.7:8223", connections, clock)
+    batch = await store.read("keyed.op", 0, offset=12)
+"""
+
+import asyncio
+import base64
+import struct
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.clocks import Clock
+from lavendershift.connections import (
+    ConnectError,
+    Connection,
+    Connections,
+    ServerRequest,
+)
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+
+CONNECT_TIMEOUT = timedelta(milliseconds=600)  # a path that lives answers in ms
+CALL_TIMEOUT = timedelta(milliseconds=1500)  # calls take 4 ms; slow ones 100 times it
+HEAD = struct.Struct(">QQ")  # the partition's end and its first retained offset
+LENGTH = struct.Struct(">I")
+
+
+class StoreUnreachableError(LogUnavailableError):
+    """No connection to the store was made, so nothing was done."""
+
+
+class Record(NamedTuple):
+    """A record of a keyed topic; an empty value drops its key."""
+
+    offset: int
+    key: bytes
+    value: bytes
+
+
+class Batch(NamedTuple):
+    """Records that were read, and the offset after the last of them."""
+
+    records: list[Record]
+    next_offset: int
+    end: int
+
+
+class AppendResult(Enum):
+    """What came of an append under a condition."""
+
+    DONE = "done"
+    MOVED = "moved"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+
+
+class _Answer(NamedTuple):
+    """A whole answer of the store."""
+
+    status: int
+    body: bytes
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    """A page of the newest records; ``truncated`` tells that more follow."""
+
+    items: list[_NewestItem]
+    end: int
+    truncated: bool = False
+
+
+class _Collector:
+    """Collects an answer's status and body."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.chunks: list[bytes] = []
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        self.status = status
+
+    def add(self, chunk: bytes) -> Awaitable[None] | None:
+        self.chunks.append(chunk)
+        return None
+
+
+CallListener = Callable[[str, str], None]
+
+
+class StoreClient:
+    """Calls to the store; ``on_call`` is told the call's name and outcome."""
+
+    def __init__(
+        self,
+        address: str,
+        connections: Connections,
+        clock: Clock,
+        on_call: CallListener = lambda call, outcome: None,
+    ) -> None:
+        self._address = address
+        self._connections = connections
+        self._clock = clock
+        self._on_call = on_call
+
+    async def read(
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait: timedelta = timedelta(),
+    ) -> Batch:
+        """Return the records from ``offset`` on, waiting for one up to ``wait``.
+
+        Raises ``RecordsExpiredError`` where older records were deleted, and
+        ``LogUnavailableError``.
+        """
+        query = {"topic": topic, "part": partition, "from": offset}
+        if wait:
+            query["wait_ms"] = wait // timedelta(milliseconds=1)
+        answer = await self._call("GET", "/log-read", query, timeout=wait)
+        if answer.status == 410:
+            raise RecordsExpiredError(topic, offset)
+        self._check(answer)
+        return decode_batch(answer.body, offset)
+
+    async def read_newest(self, topic: str, partition: int) -> Batch:
+        """Return the newest record of each key.
+
+        ``next_offset`` is an end from before the first page was made: records
+        from there on may be newer than those returned.
+        """
+        records: list[Record] = []
+        first_end: int | None = None
+        after = ""
+        while True:
+            query: dict[str, object] = {"topic": topic, "part": partition}
+            if after:
+                query["after"] = after
+            answer = await self._call("GET", "/log-newest", query)
+            self._check(answer)
+            try:
+                page = msgspec.json.decode(answer.body, type=_Newest)
+                records += [
+                    Record(i.offset, i.key.encode(), base64.b64decode(i.value))
+                    for i in page.items
+                ]
+            except (msgspec.MsgspecError, ValueError) as error:
+                raise LogUnavailableError(f"{topic}: {error}") from None
+            if first_end is None:
+                first_end = page.end
+            if not page.truncated or not page.items:
+                return Batch(records, first_end, page.end)
+            after = page.items[-1].key
+
+    async def append(
+        self,
+        topic: str,
+        partition: int,
+        records: Sequence[tuple[bytes, bytes]],
+        end: int | None = None,
+    ) -> AppendResult:
+        """Append keyed records, with ``end`` only if the partition ends there.
+
+        An append without an answer is ``UNKNOWN``: it may still happen.
+        """
+        query: dict[str, object] = {"topic": topic, "part": partition}
+        if end is not None:
+            query["at"] = end
+        body = b"".join(encode_record(key, value) for key, value in records)
+        try:
+            answer = await self._call("POST", "/log-append", query, body)
+        except StoreUnreachableError:
+            return AppendResult.NOT_DONE
+        except LogUnavailableError:
+            return AppendResult.UNKNOWN
+        if answer.status == 200:
+            return AppendResult.DONE
+        if answer.status == 412:
+            return AppendResult.MOVED
+        return AppendResult.NOT_DONE
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, object],
+        body: bytes = b"",
+        timeout: timedelta = timedelta(),
+    ) -> _Answer:
+        """Make one call; raises ``LogUnavailableError``."""
+        call = path.strip("/")
+        headers = HTTPHeaders({"Host": self._address})
+        if method == "POST":
+            headers["Content-Length"] = str(len(body))
+        request = ServerRequest(method, f"{path}?{urlencode(query)}", headers, body)
+        try:
+            connection = self._connections.take(self._address)
+            if connection is None:
+                connection = await self._connections.connect(
+                    self._address, CONNECT_TIMEOUT
+                )
+        except ConnectError as error:
+            self._on_call(call, "unreachable")
+            raise StoreUnreachableError(str(error)) from None
+        answer = await self._exchange(connection, request, CALL_TIMEOUT + timeout)
+        self._on_call(call, str(answer.status) if answer else "no answer")
+        if answer is None:
+            raise LogUnavailableError(f"{call}: no answer")
+        return answer
+
+    async def _exchange(
+        self, connection: Connection, request: ServerRequest, timeout: timedelta
+    ) -> _Answer | None:
+        collector = _Collector()
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                exchange = await connection.exchange(request, collector)
+        except TimeoutError:
+            connection.close()
+            return None
+        except BaseException:
+            connection.close()
+            raise
+        if not exchange.is_whole:
+            connection.close()
+            return None
+        self._connections.give_back(connection)
+        return _Answer(collector.status, b"".join(collector.chunks))
+
+    def _check(self, answer: _Answer) -> None:
+        if answer.status != 200:
+            raise LogUnavailableError(f"status {answer.status}")
+
+
+def encode_record(key: bytes, value: bytes) -> bytes:
+    """Return a record of a keyed topic as it is appended."""
+    return LENGTH.pack(1 + len(key) + len(value)) + bytes([len(key)]) + key + value
+
+
+def decode_batch(body: bytes, offset: int) -> Batch:
+    """Return the records of a read that began at ``offset``.
+
+    A record without a readable key has an empty one. Raises
+    ``LogUnavailableError`` for a body that is cut off.
+    """
+    if len(body) < HEAD.size:
+        raise LogUnavailableError("a read without its head")
+    end, _ = HEAD.unpack_from(body)
+    records = []
+    position = HEAD.size
+    while position < len(body):
+        if position + LENGTH.size > len(body):
+            raise LogUnavailableError("a read that is cut off")
+        (length,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        data = body[position : position + length]
+        if len(data) < length:
+            raise LogUnavailableError("a read that is cut off")
+        position += length
+        records.append(Record(offset + len(records), *_split_record(data)))
+    return Batch(records, offset + len(records), end)
+
+
+def _split_record(data: bytes) -> tuple[bytes, bytes]:
+    if not data or len(data) < 1 + data[0]:
+        return b"", b""
+    return data[1 : 1 + data[0]], data[1 + data[0] :]
--- /dev/null
+++ b/lavendershift/prepaid.py
@@ -0,0 +1,112 @@
+"""Tokens that a VM may spend without asking anyone.
+
+The prepaid total of a customer is one row in the platform's store: how many of
+its tokens were granted to VMs so far. A VM draws tokens by raising the row and
+returns what it does not need by lowering it. What it drew is its own to spend,
+also while it reaches nobody. ``PrepaidAccount`` keeps the tokens of one
+customer on one VM::
+
+    account = PrepaidAccount("plume")
+    account.credit(5000)
+    if account.reserve(900):
+        account.settle(900, used=420)
+
+``plan_draw`` decides how many tokens to draw or to return.
+"""
+
+import math
+from datetime import timedelta
+from typing import NamedTuple
+
+RATE_WINDOW = timedelta(seconds=4)  # memory of the measured spending rate
+HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
+RATE_MARGIN = 1.3  # spending varies about its mean within HOLD_AHEAD
+FLOOR_PART = 0.16  # of an equal part, held before a rate is known
+CAP_PART = 0.5  # of an equal part of what is left, the most one VM holds
+LOW_WATER = 0.8  # of the target; below it tokens are drawn
+HIGH_WATER = 1.5  # of the target; above it tokens are returned
+
+
+class PrepaidAccount:
+    """One customer's tokens on this VM: free, reserved and spent."""
+
+    def __init__(self, customer: str) -> None:
+        self.customer = customer
+        self.free = 0
+        self.reserved = 0
+        self.spent = 0
+        self.largest = 0.0  # tokens of a large request, decaying
+        self._rate = 0.0  # tokens/s
+        self._rate_at = timedelta()
+
+    def credit(self, tokens: int) -> None:
+        """Add tokens that were drawn, or take away those to be returned."""
+        self.free += tokens
+
+    def reserve(self, tokens: int) -> bool:
+        """Set ``tokens`` aside for a request; false if they are not here."""
+        if tokens > self.free:
+            return False
+        self.free -= tokens
+        self.reserved += tokens
+        return True
+
+    def settle(self, reserved: int, used: int) -> None:
+        """Spend ``used`` tokens of a reservation and free the rest."""
+        used = min(used, reserved)
+        self.reserved -= reserved
+        self.spent += used
+        self.free += reserved - used
+
+    def note_demand(self, tokens: int, now: timedelta) -> None:
+        """Note a request that will probably use ``tokens``."""
+        decay = math.exp(-((now - self._rate_at) / RATE_WINDOW))
+        self._rate = self._rate * decay + tokens / RATE_WINDOW.total_seconds()
+        self.largest = max(self.largest * 0.98, float(tokens))
+        self._rate_at = now
+
+    def find_rate(self, now: timedelta) -> float:
+        """Return the recent demand in tokens/s."""
+        return self._rate * math.exp(-((now - self._rate_at) / RATE_WINDOW))
+
+
+class DrawView(NamedTuple):
+    """What is known of one customer's total when a draw is planned.
+
+    ``granted`` is the row in the store, ``wanted`` what requests wait for
+    beyond the free tokens, ``vms`` the number of live VMs.
+    """
+
+    prepaid: int
+    granted: int
+    free: int
+    reserved: int
+    wanted: int
+    rate: float
+    largest: float
+    vms: int
+
+
+def find_target(view: DrawView) -> int:
+    """Return how many free tokens the VM should hold."""
+    left = max(view.prepaid - view.granted, 0)
+    equal = (left + view.free) / max(view.vms, 1)
+    ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
+    return int(min(max(ahead, equal * FLOOR_PART), equal * CAP_PART))
+
+
+def plan_draw(view: DrawView) -> int:
+    """Return the tokens to draw, or a negative number of tokens to return.
+
+    It never draws more than the row leaves, so that the sum of all grants
+    stays within the prepaid total.
+    """
+    left = max(view.prepaid - view.granted, 0)
+    target = find_target(view)
+    if view.wanted > 0:
+        return min(max(target - view.free, 0) + view.wanted, left)
+    if view.free < target * LOW_WATER:
+        return min(target - view.free, left)
+    if view.free > target * HIGH_WATER:
+        return target - view.free
+    return 0
--- a/lavendershift/retries.py
+++ b/lavendershift/retries.py
@@ -86,6 +86,11 @@
         self._burst = burst
         self._tokens = burst
 
+    def set_burst(self, burst: float) -> None:
+        """Change the most that is saved, as when the fleet's size changes."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def record_success(self) -> None:
         """Add a success's share."""
         self._tokens = min(self._tokens + self._share, self._burst)
--- /dev/null
+++ b/lavendershift/routes.py
@@ -0,0 +1,124 @@
+"""Routes of plain HTTP requests, and the services and customers they name.
+
+A ``RoutingTable`` is one version of the configuration, ready for look-ups. The
+route of a request is the one of its host whose prefix is the longest that
+begins the request's path::
+
+    table = RoutingTable(7, routes, services, customers, limits)
+    table.find_route("books.example", "/index/entries")
+    table.find_customer("api-key")
+"""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+
+class Repeat(Enum):
+    """Whether a request may run more than once."""
+
+    ALWAYS = "always"
+    NEVER = "never"
+    RESUME = "resume"  # a stream that another server may continue
+
+
+class ServiceShare(NamedTuple):
+    """A service that takes ``weight`` parts of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where requests go whose path begins with ``prefix``.
+
+    ``timeout`` bounds how long a caller is kept waiting, ``target`` is the
+    time to the whole answer, or to the first event of a stream, that counts
+    as good service. ``urgency`` is a rank, 0 first. ``max_attempts`` is the
+    number of servers that one request may run on.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[ServiceShare, ...]
+    repeat: Repeat
+    is_stream: bool
+    timeout: timedelta
+    target: timedelta
+    urgency: int = 0
+    max_attempts: int = 1
+    is_public: bool = False
+
+
+class Service(NamedTuple):
+    """A group of backend servers.
+
+    ``tokens_per_event`` is the most output tokens an event of its streams
+    holds, and ``is_engine`` tells model engines from plain services.
+    """
+
+    name: str
+    is_engine: bool = False
+    slots: int = 1
+    max_connections: int = 0
+    tokens_per_event: int = 1
+    cache_tokens: int = 0
+
+
+class Customer(NamedTuple):
+    """A customer; ``prepaid`` is its total of tokens, ``None`` without a budget."""
+
+    name: str
+    keys: frozenset[str]
+    prepaid: int | None = None
+    urgency: int | None = None
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what callers may send, and how long they may idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout: timedelta = timedelta(seconds=3)
+    idle_timeout: timedelta = timedelta(seconds=15)
+
+
+class RoutingTable:
+    """One version of the configuration; versions only rise."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[Service],
+        customers: Iterable[Customer],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.services: Mapping[str, Service] = {s.name: s for s in services}
+        self.customers: Mapping[str, Customer] = {c.name: c for c in customers}
+        self.limits = limits
+        self.needs_keys = bool(self.customers)
+        self._by_key = {k: c for c in self.customers.values() for k in c.keys}
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._hosts.setdefault(route.host, {})[route.prefix] = route
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        prefixes = self._hosts.get(host)
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def find_customer(self, key: str) -> Customer | None:
+        """Return the customer that holds ``key``."""
+        return self._by_key.get(key)
--- /dev/null
+++ b/lavendershift/vmlist.py
@@ -0,0 +1,89 @@
+"""The VMs of the fleet that callers may connect to.
+
+Each VM keeps a row in the store and renews it. A VM is listed while its row is
+renewed and does not say that it is leaving. While this VM reaches the store no
+more, nobody's silence means anything, and the list stays as it was::
+
+    vms = VmList(clock, "edge-1")
+    vms.update(VmRow("edge-2", "10.0.0.2:80", "rennes", "a1", 7, False))
+    vms.list_addresses("rennes")
+"""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from lavendershift.clocks import Clock
+
+EXPIRY = timedelta(milliseconds=4500)  # three renewals and the interval of reading
+
+
+class VmRow(NamedTuple):
+    """What a VM says of itself; ``renewal`` rises with each row it writes."""
+
+    name: str
+    address: str
+    failure_domain: str
+    incarnation: str
+    renewal: int
+    is_leaving: bool
+
+
+class _KnownVm(NamedTuple):
+    row: VmRow
+    renewed_at: timedelta
+
+
+class VmList:
+    """The VMs as this one knows them, itself included."""
+
+    def __init__(self, clock: Clock, own: VmRow) -> None:
+        self._clock = clock
+        self.own = own
+        self._known: dict[str, _KnownVm] = {}
+        self._checked_at = clock.elapsed()
+
+    def set_own(self, row: VmRow) -> None:
+        """Note this VM's own row."""
+        self.own = row
+
+    def update(self, row: VmRow) -> bool:
+        """Note a VM's row; true if it is news that callers should get."""
+        if row.name == self.own.name:
+            return False
+        known = self._known.get(row.name)
+        self._known[row.name] = _KnownVm(row, self._clock.elapsed())
+        if known is None:
+            return True
+        return (known.row.incarnation, known.row.is_leaving) != (
+            row.incarnation,
+            row.is_leaving,
+        )
+
+    def expire(self) -> list[str]:
+        """Drop VMs whose rows are no longer renewed; called after each reading.
+
+        Time in which the store was not read does not count against a VM.
+        """
+        now = self._clock.elapsed()
+        missed = now - self._checked_at - EXPIRY / 3
+        self._checked_at = now
+        if missed > timedelta():
+            self._known = {
+                name: known._replace(renewed_at=known.renewed_at + missed)
+                for name, known in self._known.items()
+            }
+        gone = [n for n, k in self._known.items() if now - k.renewed_at > EXPIRY]
+        for name in gone:
+            del self._known[name]
+        return gone
+
+    def count(self) -> int:
+        """Return the number of VMs, leaving ones included."""
+        return len(self._known) + 1
+
+    def list_addresses(self, failure_domain: str = "") -> list[str]:
+        """Return the callers' addresses, those of ``failure_domain`` first."""
+        rows = [known.row for known in self._known.values()] + [self.own]
+        serving = [row for row in rows if not row.is_leaving and row.address]
+        serving.sort(key=lambda row: (row.failure_domain != failure_domain, row.name))
+        return [row.address for row in serving]
