Hold prepaid tokens by each VM's share of the demand

Change: VMs publish their demand in their rows; a VM holds up to its share of HELD_PART of what is left, by 8 s of demand; a refusal for tokens asks the caller back at once, as another VM may hold some.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -75,8 +75,9 @@
 class TokenDraws:
     """Keeps the accounts of this VM filled.
 
-    ``prepaid`` returns the newest totals, ``vms`` the number of live VMs, and
-    ``on_draw`` is told customer, tokens and the row's age in changes.
+    ``prepaid`` returns the newest totals, ``vms`` the number of live VMs and
+    ``others_rate`` the demand of a customer at the other ones, in tokens/s.
+    ``on_draw`` is told customer, tokens and the new total of grants.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         name: str,
         prepaid: Callable[[], Mapping[str, int]],
         vms: Callable[[], int],
+        others_rate: Callable[[str], float] = lambda customer: 0.0,
         on_draw: DrawListener = lambda customer, tokens, granted: None,
         on_reach: Callable[[bool, str], None] = lambda reached, reason: None,
     ) -> None:
@@ -94,6 +96,7 @@
         self._name = name
         self._prepaid = prepaid
         self._vms = vms
+        self._others_rate = others_rate
         self._on_draw = on_draw
         self._on_reach = on_reach
         self.accounts: dict[str, PrepaidAccount] = {}
@@ -140,6 +143,11 @@
         finally:
             self._wanted[customer] -= tokens
 
+    def measure_demand(self) -> dict[str, float]:
+        """Return the recent demand of each customer here, in tokens/s."""
+        now = self._clock.elapsed()
+        return {name: a.find_rate(now) for name, a in self.accounts.items()}
+
     def count_left(self, customer: str) -> int:
         """Return the tokens of the total that are granted to nobody."""
         return self._prepaid().get(customer, 0) - self.granted.get(customer, 0)
@@ -196,9 +204,9 @@
                 prepaid=prepaid,
                 granted=self.granted.get(customer, 0),
                 free=account.free,
-                reserved=account.reserved,
                 wanted=wanted,
                 rate=account.find_rate(now),
+                fleet_rate=self._others_rate(customer) + account.find_rate(now),
                 largest=account.largest,
                 vms=self._vms(),
             )
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -30,8 +30,8 @@
 
 DEFAULT_URGENCY = 5
 TOKEN_WAIT = timedelta(milliseconds=250)  # for a draw, some ms when the store is well
-SHORT_RETRY = timedelta(milliseconds=300)  # a draw or a returned token takes so long
-AWAY_RETRY = timedelta(seconds=1)  # while the store is away
+SHORT_RETRY = timedelta(milliseconds=200)  # a draw or a return takes so long
+AWAY_RETRY = timedelta(milliseconds=50)  # another VM may hold tokens of the customer
 RETRY_MARGIN = 0.8  # of the VM's part, as VMs differ in how many they count
 
 
@@ -42,6 +42,17 @@
     slack: float
 
 
+class RequestTrace:
+    """What the log tells of a request at its end."""
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.request = request
+        self.customer = ""
+        self.route = ""
+        self.used_tokens = 0
+        self.first_event_at: timedelta | None = None
+
+
 class Gateway:
     """Serves plain HTTP requests of callers.
 
@@ -78,14 +89,19 @@
 
     async def serve(self, request: CallerRequest, answers: Answers) -> None:
         """Answer one request."""
+        trace = RequestTrace(request)
         try:
-            await self._serve(request, answers)
+            await self._serve(trace, answers)
+            self._note_answered(trace)
         except RequestError as error:
-            self._refuse(request, answers, error)
+            self._refuse(trace, answers, error)
         except asyncio.CancelledError:
             self._log.write(
                 Event.REQUEST_ABANDONED,
                 request=request.id,
+                customer=trace.customer,
+                route=trace.route,
+                tokens=trace.used_tokens,
                 duration_ms=self._measure(request),
             )
             answers.abort()
@@ -93,45 +109,45 @@
         except Exception as error:
             # The caller must get some end, whatever went wrong on the way.
             self._log.write_error(error, request=request.id)
-            self._refuse(request, answers, RequestError(ErrorKind.INTERNAL))
+            self._refuse(trace, answers, RequestError(ErrorKind.INTERNAL))
 
-    async def _serve(self, request: CallerRequest, answers: Answers) -> None:
-        table = self.table
+    async def _serve(self, trace: RequestTrace, answers: Answers) -> None:
+        table, request = self.table, trace.request
         if table is None:
             raise RequestError(ErrorKind.STARTING)
         route, customer = admit(table, request)
+        trace.route = route.name
+        trace.customer = customer.name if customer else ""
         service = self._choose_service(table, route)
+        delivery = self._make_delivery(request, answers, route, service, customer)
         if customer is None or customer.prepaid is None or request.prompt is None:
-            await self._deliver(request, answers, route, service, customer)
-            return
-        await self._deliver_prepaid(
-            request, answers, route, service, customer, request.prompt
-        )
+            await delivery.run()
+        else:
+            await self._run_prepaid(trace, delivery, customer, request.prompt)
 
-    async def _deliver_prepaid(
+    async def _run_prepaid(
         self,
-        request: CallerRequest,
-        answers: Answers,
-        route: Route,
-        service: Service,
+        trace: RequestTrace,
+        delivery: Delivery,
         customer: Customer,
         prompt: PromptShape,
     ) -> None:
         """Deliver with tokens set aside, and settle what was used."""
+        request = trace.request
         tokens = prompt.input_tokens + prompt.max_output_tokens
         account = self._draws.find_account(customer.name)
         account.note_demand(tokens, self._clock.elapsed())
         wait = min(TOKEN_WAIT, request.deadline - self._clock.elapsed())
         if not await self._draws.wait_for(customer.name, tokens, wait):
             raise self._describe_shortage(customer, tokens)
-        delivery = self._make_delivery(request, answers, route, service, customer)
         try:
-            await self._run(delivery, request)
+            await delivery.run()
         finally:
-            used = 0
+            trace.first_event_at = delivery.first_event_at
             if delivery.may_have_run:
                 used = prompt.input_tokens + delivery.delivered_tokens
-            account.settle(tokens, used)
+                trace.used_tokens = min(used, tokens)
+            account.settle(tokens, trace.used_tokens)
 
     def _describe_shortage(self, customer: Customer, tokens: int) -> RequestError:
         """Return the refusal of a request that its budget can't pay for now."""
@@ -142,25 +158,17 @@
             return RequestError(ErrorKind.BUDGET_PENDING, detail, AWAY_RETRY)
         return RequestError(ErrorKind.BUDGET_PENDING, detail, SHORT_RETRY)
 
-    async def _deliver(
-        self,
-        request: CallerRequest,
-        answers: Answers,
-        route: Route,
-        service: Service,
-        customer: Customer | None,
-    ) -> None:
-        delivery = self._make_delivery(request, answers, route, service, customer)
-        await self._run(delivery, request)
-
-    async def _run(self, delivery: Delivery, request: CallerRequest) -> None:
-        await delivery.run()
-        first = delivery.first_event_at
+    def _note_answered(self, trace: RequestTrace) -> None:
+        first = trace.first_event_at
+        received = trace.request.received
         self._log.write(
             Event.REQUEST_ANSWERED,
-            request=request.id,
-            duration_ms=self._measure(request),
-            first_ms=in_milliseconds(first - request.received) if first else -1,
+            request=trace.request.id,
+            customer=trace.customer,
+            route=trace.route,
+            tokens=trace.used_tokens,
+            duration_ms=self._measure(trace.request),
+            first_ms=in_milliseconds(first - received) if first else -1,
         )
 
     def _make_delivery(
@@ -229,17 +237,20 @@
         )
 
     def _refuse(
-        self, request: CallerRequest, answers: Answers, error: RequestError
+        self, trace: RequestTrace, answers: Answers, error: RequestError
     ) -> None:
         answer = error.answer
         self._log.write(
             Event.REQUEST_REFUSED,
-            request=request.id,
+            request=trace.request.id,
+            customer=trace.customer,
+            route=trace.route,
+            tokens=trace.used_tokens,
             error=error.kind.value,
             reason=error.detail,
             status=answer.status,
             ran=answer.ran.value,
-            duration_ms=self._measure(request),
+            duration_ms=self._measure(trace.request),
         )
         if answers.has_started:
             answers.abort()
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -113,6 +113,7 @@
     ran: str
     reason: str
     result: str
+    route: str
     server: str
     status: int
     stream: str
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -70,6 +70,7 @@
             incarnation,
             self._list_prepaid,
             self._vms.count,
+            self._vms.sum_demand,
             self._note_draw,
             self._note_grants_reached,
         )
@@ -96,7 +97,9 @@
             clock, self._store, log, self._servers, self._forget_server
         )
         self._presence_feed = PresenceFeed(clock, self._store, log, self._vms)
-        self._presence = PresenceWriter(self._store, self._vms)
+        self._presence = PresenceWriter(
+            self._store, self._vms, self._draws.measure_demand
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -1,6 +1,7 @@
 """This VM's row in the store, and the rows of the others."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
@@ -13,6 +14,7 @@
 from lavendershift.vmlist import VmList, VmRow
 
 RENEWAL_INTERVAL = timedelta(milliseconds=1200)
+SMALLEST_RATE = 1.0  # tokens/s; less is not worth its bytes
 READ_INTERVAL = timedelta(milliseconds=600)
 
 
@@ -22,14 +24,21 @@
     incarnation: str
     renewal: int
     leaving: bool = False
+    demand: dict[str, float] = {}  # tokens/s of each customer
 
 
 class PresenceWriter:
     """Renews this VM's row."""
 
-    def __init__(self, store: StoreClient, vms: VmList) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        vms: VmList,
+        measure_demand: Callable[[], dict[str, float]],
+    ) -> None:
         self._store = store
         self._vms = vms
+        self._measure_demand = measure_demand
 
     async def run(self) -> None:
         """Renew the row until cancelled."""
@@ -50,6 +59,11 @@
             row.incarnation,
             row.renewal,
             row.is_leaving,
+            {
+                name: round(rate, 1)
+                for name, rate in self._measure_demand().items()
+                if rate >= SMALLEST_RATE
+            },
         )
         record = (row.name.encode(), msgspec.json.encode(value))
         await self._store.append(names.VMS_TOPIC, 0, [record])
@@ -93,6 +107,7 @@
             wire.incarnation,
             wire.renewal,
             wire.leaving,
+            wire.demand,
         )
         if self._vms.update(row):
             result = "leaving" if row.is_leaving else "serving"
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -18,11 +18,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-RATE_WINDOW = timedelta(seconds=4)  # memory of the measured spending rate
+RATE_WINDOW = timedelta(seconds=8)  # memory of the measured demand
 HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
-RATE_MARGIN = 1.3  # spending varies about its mean within HOLD_AHEAD
-FLOOR_PART = 0.16  # of an equal part, held before a rate is known
-CAP_PART = 0.5  # of an equal part of what is left, the most one VM holds
+RATE_MARGIN = 1.3  # demand varies about its mean within HOLD_AHEAD
+HELD_PART = 0.3  # of what is left of a total, the most all VMs hold together
+EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
 LOW_WATER = 0.8  # of the target; below it tokens are drawn
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
 
@@ -74,25 +74,37 @@
     """What is known of one customer's total when a draw is planned.
 
     ``granted`` is the row in the store, ``wanted`` what requests wait for
-    beyond the free tokens, ``vms`` the number of live VMs.
+    beyond the free tokens, ``vms`` the number of live VMs. Rates are demand in
+    tokens/s, of this VM and of all of them.
     """
 
     prepaid: int
     granted: int
     free: int
-    reserved: int
     wanted: int
     rate: float
+    fleet_rate: float
     largest: float
     vms: int
 
 
+def find_share(view: DrawView) -> float:
+    """Return the VM's part of what all VMs may hold."""
+    equal = 1 / max(view.vms, 1)
+    if view.fleet_rate <= 0:
+        return equal
+    by_demand = min(view.rate / max(view.fleet_rate, view.rate), 1.0)
+    return EQUAL_PART * equal + (1 - EQUAL_PART) * by_demand
+
+
 def find_target(view: DrawView) -> int:
     """Return how many free tokens the VM should hold."""
-    left = max(view.prepaid - view.granted, 0)
-    equal = (left + view.free) / max(view.vms, 1)
+    share = find_share(view)
+    left = max(view.prepaid - view.granted, 0) + view.free / share
     ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
-    return int(min(max(ahead, equal * FLOOR_PART), equal * CAP_PART))
+    if view.fleet_rate <= 0:
+        ahead = left
+    return int(min(ahead, left * HELD_PART * share))
 
 
 def plan_draw(view: DrawView) -> int:
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -9,6 +9,7 @@
     vms.list_addresses("rennes")
 """
 
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -18,7 +19,10 @@
 
 
 class VmRow(NamedTuple):
-    """What a VM says of itself; ``renewal`` rises with each row it writes."""
+    """What a VM says of itself; ``renewal`` rises with each row it writes.
+
+    ``demand`` is the recent demand of each customer there, in tokens/s.
+    """
 
     name: str
     address: str
@@ -26,6 +30,7 @@
     incarnation: str
     renewal: int
     is_leaving: bool
+    demand: Mapping[str, float] = {}
 
 
 class _KnownVm(NamedTuple):
@@ -81,6 +86,10 @@
         """Return the number of VMs, leaving ones included."""
         return len(self._known) + 1
 
+    def sum_demand(self, customer: str) -> float:
+        """Return a customer's demand at the other VMs, in tokens/s."""
+        return sum(k.row.demand.get(customer, 0.0) for k in self._known.values())
+
     def list_addresses(self, failure_domain: str = "") -> list[str]:
         """Return the callers' addresses, those of ``failure_domain`` first."""
         rows = [known.row for known in self._known.values()] + [self.own]
