Adopt what a killed process provably left unspent

Ruled out: leases at the store (they pause while it is down, joins may arrive late) and wall clocks (they jump); after a loss of power no clock survives, so nothing is adopted then. Change: each process keeps a page in the store: unspent tokens and a promise of burst and rate. A successor on the same boot adopts what the promise leaves, by the clock that counts suspended time.

--- a/lavendershift/clocks.py
+++ b/lavendershift/clocks.py
@@ -23,6 +23,10 @@
         """Return the time since an arbitrary start; it never steps backwards."""
         ...
 
+    def since_boot(self) -> timedelta:
+        """Return the time since the VM's boot, suspended time included."""
+        ...
+
 
 class SystemClock:
     """Clock of the machine the process runs on."""
@@ -35,6 +39,10 @@
         """Return the system's monotonic time."""
         return timedelta(seconds=time.monotonic())
 
+    def since_boot(self) -> timedelta:
+        """Return the time since boot, which counts time spent suspended."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
 
 class ManualClock:
     """Clock that moves only when told to, for tests and simulations."""
@@ -51,6 +59,10 @@
         """Return the sum of all advances."""
         return self._elapsed
 
+    def since_boot(self) -> timedelta:
+        """Return the sum of all advances."""
+        return self._elapsed
+
     def advance(self, step: timedelta) -> None:
         """Move the clock forwards by ``step``."""
         if step < timedelta():
--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -19,6 +19,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.passbook import Passbook
 from lavendershift.prepaid import DrawView, PrepaidAccount, plan_draw
 
 ROUND_INTERVAL = timedelta(seconds=1)  # between rounds without a waiting request
@@ -88,6 +89,7 @@
         prepaid: Callable[[], Mapping[str, int]],
         vms: Callable[[], int],
         others_rate: Callable[[str], float] = lambda customer: 0.0,
+        passbook: Passbook | None = None,
         on_draw: DrawListener = lambda customer, tokens, granted: None,
         on_reach: Callable[[bool, str], None] = lambda reached, reason: None,
     ) -> None:
@@ -97,6 +99,7 @@
         self._prepaid = prepaid
         self._vms = vms
         self._others_rate = others_rate
+        self._passbook = passbook
         self._on_draw = on_draw
         self._on_reach = on_reach
         self.accounts: dict[str, PrepaidAccount] = {}
@@ -124,7 +127,7 @@
         the tokens did not come within ``timeout``.
         """
         account = self.find_account(customer)
-        if account.reserve(tokens):
+        if account.reserve(tokens, self._clock.since_boot()):
             return True
         deadline = self._clock.elapsed() + timeout
         self._wanted[customer] = self._wanted.get(customer, 0) + tokens
@@ -137,7 +140,7 @@
                     return False
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(done.wait(), left)
-                if account.reserve(tokens):
+                if account.reserve(tokens, self._clock.since_boot()):
                     return True
             return False
         finally:
@@ -179,15 +182,21 @@
             self._wake.clear()
 
     async def run_round(self) -> None:
-        """Bring the rows up to date and change them as planned."""
+        """Bring the rows up to date, change them as planned and record that."""
+        if self._passbook is not None:
+            await self._passbook.adopt(self.find_account)
         await self._sync()
         for _ in range(MAX_CONFLICTS):
             deltas = self._plan()
-            if not deltas:
-                return
-            if await self._change(deltas):
-                return
+            if not deltas or await self._change(deltas):
+                break
             await self._sync()
+        await self._record()
+
+    async def _record(self) -> None:
+        """Write what is held to the passbook."""
+        if self._passbook is not None:
+            await self._passbook.record(self.accounts, self._wanted)
 
     def _note_reached(self, reached: bool, reason: str) -> None:
         if reached != self.is_reached:
@@ -209,6 +218,7 @@
                 fleet_rate=self._others_rate(customer) + account.find_rate(now),
                 largest=account.largest,
                 vms=self._vms(),
+                is_measured=account.is_measured(now),
             )
             delta = -account.free if self._hold_nothing else plan_draw(view)
             if delta:
@@ -228,6 +238,13 @@
         for customer, delta in deltas.items():
             if delta < 0:
                 self.find_account(customer).credit(delta)
+        if any(delta < 0 for delta in deltas.values()):
+            # A successor must not adopt what is about to be returned.
+            try:
+                await self._record()
+            except LogUnavailableError:
+                self._undo(deltas)
+                raise
         unresolved = _Unresolved(end, change, deltas)
         self._unresolved.append(unresolved)
         result = await self._log.swap(end, rows)
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -42,6 +42,7 @@
     REQUEST_ATTEMPTED = "request_attempted"
     REQUEST_ABANDONED = "request_abandoned"
     TOKENS_DRAWN = "tokens_drawn"
+    TOKENS_ADOPTED = "tokens_adopted"
     SERVER_CHANGED = "server_changed"
     VM_CHANGED = "vm_changed"
     ENTRY_SKIPPED = "entry_skipped"
@@ -77,6 +78,9 @@
     Event.TOKENS_DRAWN: EventInfo(
         "info", "Tokens of a customer were drawn, or returned where negative."
     ),
+    Event.TOKENS_ADOPTED: EventInfo(
+        "info", "Tokens that the VM's last process can't have spent were taken over."
+    ),
     Event.SERVER_CHANGED: EventInfo("info", "A backend server's entry changed."),
     Event.VM_CHANGED: EventInfo("info", "A VM came, is leaving, or is gone."),
     Event.ENTRY_SKIPPED: EventInfo("warning", "Data that can't be used was skipped."),
--- /dev/null
+++ b/lavendershift/passbook.py
@@ -0,0 +1,186 @@
+"""What a restarted process takes over of its predecessor's prepaid tokens.
+
+A process keeps a page in the platform's store: the tokens it holds unspent,
+and a promise of how fast it will commit them from then on. Its successor on
+the same VM and boot knows, by the clock that counts since boot, how long the
+predecessor can have lived after the page, and adopts what the promise left.
+The clock runs through suspensions and starts anew with the VM, and the id of
+the boot tells a restart of the VM from a restart of the process. After a loss
+of power nothing is adopted, since how long the predecessor ran is unknown.
+"""
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from enum import Enum
+from pathlib import Path
+from typing import NamedTuple, Protocol
+
+from lavendershift.clocks import Clock
+from lavendershift.errors import LogUnavailableError
+from lavendershift.prepaid import PrepaidAccount, SpendingLimit
+
+BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
+BURST_PART = 0.5  # of a large request, which may come at any moment
+BURST_TIME = timedelta(seconds=1)  # of the demand
+RATE_FACTOR = 2.0  # times the demand that is measured
+LONGEST_LIFE = timedelta(seconds=60)  # after a page; beyond it nothing is adopted
+MAX_TRIES = 5  # at one page, against changes by others in the same partition
+
+
+class Entry(NamedTuple):
+    """One customer's unspent tokens, and the promise that goes with them."""
+
+    unspent: int
+    burst: float
+    rate: float  # tokens/s
+
+
+class Page(NamedTuple):
+    """A process's page; ``at`` is the time since ``boot`` when it was made."""
+
+    incarnation: str
+    boot: str
+    at: timedelta
+    entries: Mapping[str, Entry]
+
+
+class PageResult(Enum):
+    """What came of writing a page."""
+
+    DONE = "done"
+    MOVED = "moved"
+    UNKNOWN = "unknown"
+
+
+class PassbookLog(Protocol):
+    """The pages in the store; calls raise ``LogUnavailableError``."""
+
+    async def read(self) -> tuple[Page | None, int]:
+        """Return this VM's newest page and the end of its partition."""
+        ...
+
+    async def write(self, end: int, page: Page) -> tuple[PageResult, int]:
+        """Write a page if the partition ends at ``end``; returns its end."""
+        ...
+
+
+def read_boot_id(path: Path = BOOT_ID_PATH) -> str:
+    """Return the id of the VM's boot, empty where there is none."""
+    try:
+        return path.read_text(encoding="ascii").strip()
+    except OSError:
+        return ""
+
+
+def find_adoptable(page: Page, boot: str, now: timedelta) -> dict[str, int]:
+    """Return the tokens that the dead writer of ``page`` can't have committed."""
+    lived = now - page.at
+    if not boot or page.boot != boot:
+        return {}
+    if not timedelta() <= lived <= LONGEST_LIFE:
+        return {}
+    adoptable = {}
+    for customer, entry in page.entries.items():
+        promised = entry.burst + entry.rate * lived.total_seconds()
+        left = entry.unspent - int(promised) - 1
+        if left > 0:
+            adoptable[customer] = left
+    return adoptable
+
+
+class Passbook:
+    """Writes this process's pages and adopts its predecessor's tokens."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: PassbookLog,
+        incarnation: str,
+        boot: str,
+        on_adopt: Callable[[str, int], None] = lambda customer, tokens: None,
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._incarnation = incarnation
+        self._boot = boot
+        self._on_adopt = on_adopt
+        self._end: int | None = None
+
+    async def adopt(self, find_account: Callable[[str], PrepaidAccount]) -> None:
+        """Take over what the predecessor left; call before anything is held.
+
+        The page that takes the tokens over replaces the predecessor's, so that
+        nobody else can adopt them.
+        """
+        while self._end is None:
+            old, end = await self._log.read()
+            if old is not None and old.incarnation == self._incarnation:
+                # An earlier try without an answer took effect.
+                adopted = {c: e.unspent for c, e in old.entries.items()}
+                self._end = end
+            else:
+                now = self._clock.since_boot()
+                adopted = find_adoptable(old, self._boot, now) if old else {}
+                if not await self._replace(end, adopted):
+                    continue
+            for customer, tokens in adopted.items():
+                find_account(customer).credit(tokens)
+                self._on_adopt(customer, tokens)
+
+    async def _replace(self, end: int, adopted: dict[str, int]) -> bool:
+        entries = {c: Entry(tokens, 0.0, 0.0) for c, tokens in adopted.items()}
+        page = self._make_page(entries)
+        result, new_end = await self._log.write(end, page)
+        if result is PageResult.UNKNOWN:
+            raise LogUnavailableError("no answer to a page")
+        if result is PageResult.MOVED:
+            return False
+        self._end = new_end
+        return True
+
+    async def record(
+        self, accounts: Mapping[str, PrepaidAccount], wanted: Mapping[str, int]
+    ) -> None:
+        """Write a page of ``accounts``; raises ``LogUnavailableError``.
+
+        ``wanted`` tokens wait to be committed at once, so the page counts them
+        as spent already.
+        """
+        assert self._end is not None
+        now = self._clock.elapsed()
+        at = self._clock.since_boot()
+        entries, limits = {}, {}
+        for customer, account in accounts.items():
+            ahead = min(wanted.get(customer, 0), account.free)
+            burst, rate = find_promise(account, now)
+            entries[customer] = Entry(account.free - ahead, burst, rate)
+            limits[customer] = SpendingLimit(at, burst + ahead, rate)
+        page = self._make_page(entries, at)
+        for customer, limit in limits.items():
+            accounts[customer].limits.append(limit)
+        for _ in range(MAX_TRIES):
+            result, end = await self._log.write(self._end, page)
+            if result is PageResult.UNKNOWN:
+                raise LogUnavailableError("no answer to a page")
+            self._end = end
+            if result is PageResult.DONE:
+                for customer, limit in limits.items():
+                    accounts[customer].limits = [limit]
+                return
+        # No write happened, so the limits of this page bind nobody.
+        for customer, limit in limits.items():
+            accounts[customer].limits.remove(limit)
+
+    def _make_page(
+        self, entries: Mapping[str, Entry], at: timedelta | None = None
+    ) -> Page:
+        if at is None:
+            at = self._clock.since_boot()
+        return Page(self._incarnation, self._boot, at, entries)
+
+
+def find_promise(account: PrepaidAccount, now: timedelta) -> tuple[float, float]:
+    """Return the burst and the rate to promise for an account."""
+    rate = account.find_rate(now)
+    burst = account.largest * BURST_PART + rate * BURST_TIME.total_seconds()
+    return burst, rate * RATE_FACTOR
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -21,12 +21,14 @@
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.logoutput import StandardOutputHandler
 from lavendershift.logs import Event, EventLog, LibraryHandler, format_line
+from lavendershift.passbook import Passbook, read_boot_id
 from lavendershift.platform import names
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import Directory, SmallServer
 from lavendershift.platform.feeds import ConfigurationFeed, ServerFeed
 from lavendershift.platform.grants import StoreGrantLog
 from lavendershift.platform.nodesettings import NodeSettings, load_node_settings
+from lavendershift.platform.passbooks import StorePassbookLog
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.serverwire import PlatformServers
 from lavendershift.platform.store import StoreClient
@@ -71,6 +73,13 @@
             self._list_prepaid,
             self._vms.count,
             self._vms.sum_demand,
+            Passbook(
+                clock,
+                StorePassbookLog(self._store, settings.name, settings.partitions),
+                incarnation,
+                read_boot_id(),
+                self._note_adopted,
+            ),
             self._note_draw,
             self._note_grants_reached,
         )
@@ -215,6 +224,9 @@
             free_tokens=account.free,
         )
 
+    def _note_adopted(self, customer: str, tokens: int) -> None:
+        self._log.write(Event.TOKENS_ADOPTED, customer=customer, tokens=tokens)
+
     def _note_grants_reached(self, reached: bool, reason: str) -> None:
         event = Event.DEPENDENCY_FOUND if reached else Event.DEPENDENCY_LOST
         self._log.write(event, name="grants", reason=reason)
--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -48,7 +48,7 @@
             (row.customer.encode(), msgspec.json.encode(_Row(row.granted, row.change)))
             for row in rows
         ]
-        result = await self._store.append(
+        result, _ = await self._store.append(
             names.GRANTS_TOPIC, self._partition, records, end
         )
         if result is AppendResult.NOT_DONE:
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -70,6 +70,10 @@
     body: bytes
 
 
+class _End(msgspec.Struct):
+    end: int
+
+
 class _NewestItem(msgspec.Struct):
     key: str
     value: str
@@ -173,10 +177,11 @@
         partition: int,
         records: Sequence[tuple[bytes, bytes]],
         end: int | None = None,
-    ) -> AppendResult:
+    ) -> tuple[AppendResult, int | None]:
         """Append keyed records, with ``end`` only if the partition ends there.
 
-        An append without an answer is ``UNKNOWN``: it may still happen.
+        An append without an answer is ``UNKNOWN``: it may still happen. The
+        partition's end comes with the result where the store tells it.
         """
         query: dict[str, object] = {"topic": topic, "part": partition}
         if end is not None:
@@ -185,14 +190,14 @@
         try:
             answer = await self._call("POST", "/log-append", query, body)
         except StoreUnreachableError:
-            return AppendResult.NOT_DONE
+            return AppendResult.NOT_DONE, None
         except LogUnavailableError:
-            return AppendResult.UNKNOWN
+            return AppendResult.UNKNOWN, None
         if answer.status == 200:
-            return AppendResult.DONE
+            return AppendResult.DONE, decode_end(answer.body)
         if answer.status == 412:
-            return AppendResult.MOVED
-        return AppendResult.NOT_DONE
+            return AppendResult.MOVED, decode_end(answer.body)
+        return AppendResult.NOT_DONE, None
 
     async def _call(
         self,
@@ -247,6 +252,14 @@
             raise LogUnavailableError(f"status {answer.status}")
 
 
+def decode_end(body: bytes) -> int | None:
+    """Return the partition's end in the answer to an append."""
+    try:
+        return msgspec.json.decode(body, type=_End).end
+    except msgspec.MsgspecError:
+        return None
+
+
 def encode_record(key: bytes, value: bytes) -> bytes:
     """Return a record of a keyed topic as it is appended."""
     return LENGTH.pack(1 + len(key) + len(value)) + bytes([len(key)]) + key + value
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -8,7 +8,7 @@
 
     account = PrepaidAccount("plume")
     account.credit(5000)
-    if account.reserve(900):
+    if account.reserve(900, clock.since_boot()):
         account.settle(900, used=420)
 
 ``plan_draw`` decides how many tokens to draw or to return.
@@ -20,6 +20,7 @@
 
 RATE_WINDOW = timedelta(seconds=8)  # memory of the measured demand
 HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
+LARGEST_DECAY = 0.98  # per request, so that about the largest of 50 counts
 RATE_MARGIN = 1.3  # demand varies about its mean within HOLD_AHEAD
 HELD_PART = 0.3  # of what is left of a total, the most all VMs hold together
 EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
@@ -27,8 +28,30 @@
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
 
 
+class SpendingLimit:
+    """What a VM promised in a passbook page to commit at most after it.
+
+    ``burst`` tokens at once and ``rate`` tokens a second since ``since``, by
+    the time since boot.
+    """
+
+    def __init__(self, since: timedelta, burst: float, rate: float) -> None:
+        self._since = since
+        self._burst = burst
+        self._rate = rate
+        self.committed = 0
+
+    def allows(self, tokens: int, now: timedelta) -> bool:
+        """Return whether ``tokens`` more may be committed."""
+        elapsed = (now - self._since).total_seconds()
+        return self.committed + tokens <= self._burst + self._rate * elapsed
+
+
 class PrepaidAccount:
-    """One customer's tokens on this VM: free, reserved and spent."""
+    """One customer's tokens on this VM: free, reserved and spent.
+
+    ``limits`` are those of all passbook pages that may be the newest one.
+    """
 
     def __init__(self, customer: str) -> None:
         self.customer = customer
@@ -36,6 +59,8 @@
         self.reserved = 0
         self.spent = 0
         self.largest = 0.0  # tokens of a large request, decaying
+        self.limits: list[SpendingLimit] = []
+        self.first_demand: timedelta | None = None
         self._rate = 0.0  # tokens/s
         self._rate_at = timedelta()
 
@@ -43,10 +68,17 @@
         """Add tokens that were drawn, or take away those to be returned."""
         self.free += tokens
 
-    def reserve(self, tokens: int) -> bool:
-        """Set ``tokens`` aside for a request; false if they are not here."""
+    def reserve(self, tokens: int, now: timedelta) -> bool:
+        """Set ``tokens`` aside for a request, by the time since boot.
+
+        Returns false if they are not here, or more than was promised.
+        """
         if tokens > self.free:
             return False
+        if not all(limit.allows(tokens, now) for limit in self.limits):
+            return False
+        for limit in self.limits:
+            limit.committed += tokens
         self.free -= tokens
         self.reserved += tokens
         return True
@@ -54,21 +86,31 @@
     def settle(self, reserved: int, used: int) -> None:
         """Spend ``used`` tokens of a reservation and free the rest."""
         used = min(used, reserved)
+        for limit in self.limits:
+            limit.committed -= reserved - used
         self.reserved -= reserved
         self.spent += used
         self.free += reserved - used
 
     def note_demand(self, tokens: int, now: timedelta) -> None:
         """Note a request that will probably use ``tokens``."""
+        if self.first_demand is None:
+            self.first_demand = now
         decay = math.exp(-((now - self._rate_at) / RATE_WINDOW))
         self._rate = self._rate * decay + tokens / RATE_WINDOW.total_seconds()
-        self.largest = max(self.largest * 0.98, float(tokens))
+        self.largest = max(self.largest * LARGEST_DECAY, float(tokens))
         self._rate_at = now
 
     def find_rate(self, now: timedelta) -> float:
         """Return the recent demand in tokens/s."""
         return self._rate * math.exp(-((now - self._rate_at) / RATE_WINDOW))
 
+    def is_measured(self, now: timedelta) -> bool:
+        """Return whether demand came for long enough to know its rate."""
+        return self.first_demand is not None and (
+            now - self.first_demand >= RATE_WINDOW
+        )
+
 
 class DrawView(NamedTuple):
     """What is known of one customer's total when a draw is planned.
@@ -86,6 +128,7 @@
     fleet_rate: float
     largest: float
     vms: int
+    is_measured: bool = True
 
 
 def find_share(view: DrawView) -> float:
@@ -102,7 +145,7 @@
     share = find_share(view)
     left = max(view.prepaid - view.granted, 0) + view.free / share
     ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
-    if view.fleet_rate <= 0:
+    if not view.is_measured:
         ahead = left
     return int(min(ahead, left * HELD_PART * share))
 
