Draw ahead only once other VMs are known, and serve on after SIGTERM

Change: no draw ahead for 2 s after the start but for waiting requests; a leaving VM takes requests for 3 s, returns its tokens after that; callers ask again after 1 s.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -24,6 +24,7 @@
 
 ROUND_INTERVAL = timedelta(seconds=1)  # between rounds without a waiting request
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
+SETTLE_TIME = timedelta(seconds=2)  # until the other VMs' rows were read
 MAX_CONFLICTS = 6  # lost races in one round before the next one is waited for
 
 
@@ -112,6 +113,7 @@
         self._wake = asyncio.Event()
         self._round_done = asyncio.Event()
         self._hold_nothing = False
+        self._settles_at = clock.elapsed() + SETTLE_TIME
 
     def find_account(self, customer: str) -> PrepaidAccount:
         """Return the account of ``customer``, empty at first."""
@@ -220,11 +222,19 @@
                 vms=self._vms(),
                 is_measured=account.is_measured(now),
             )
-            delta = -account.free if self._hold_nothing else plan_draw(view)
+            delta = self._choose_delta(view, now)
             if delta:
                 deltas[customer] = delta
         return deltas
 
+    def _choose_delta(self, view: DrawView, now: timedelta) -> int:
+        """Return the tokens to draw, or a negative number to return."""
+        if self._hold_nothing:
+            return -view.free
+        if now < self._settles_at and not view.wanted:
+            return 0
+        return plan_draw(view)
+
     async def _change(self, deltas: dict[str, int]) -> bool:
         """Append the planned changes; false if another VM came first."""
         assert self._end is not None
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -36,7 +36,7 @@
 from lavendershift.serverlist import ServerEntry, ServerList
 from lavendershift.vmlist import VmList, VmRow
 
-LISTEN_AFTER_LEAVING = timedelta(milliseconds=1500)  # callers learn of it meanwhile
+LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
 EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
 TIDY_INTERVAL = timedelta(seconds=2)  # between looks for stale idle connections
 
@@ -184,11 +184,11 @@
         self._is_leaving = True
         self._vms.set_own(self._vms.own._replace(is_leaving=True))
         self._callers.announce_leaving()
-        self._draws.return_all()
         with contextlib.suppress(LogUnavailableError):
             await self._presence.renew()
         await asyncio.sleep(LISTEN_AFTER_LEAVING.total_seconds())
         self._callers.stop_listening()
+        self._draws.return_all()
         left = deadline - self._clock.elapsed()
         running = await self._callers.wait_idle(left)
         await asyncio.sleep(0.2)
--- a/lavendershift/platform/directory.py
+++ b/lavendershift/platform/directory.py
@@ -10,7 +10,7 @@
 
 from lavendershift.vmlist import VmList
 
-RESOLVE_TTL = timedelta(seconds=2)  # how soon callers learn of a VM that left
+RESOLVE_TTL = timedelta(seconds=1)  # how soon callers learn of a VM that left
 MAX_ADDRESSES = 64
 
 
