Place prompts by tokens to be read on the whole fleet, with a home server

Change: VMs tell each other loads and prompt parts by datagrams; a prompt goes where the fewest tokens must be read before its first event; a home server by rendezvous hashing of the largest shared part counts as holding it. A VM that is silent is unlisted after 2.2 s instead of 4.5.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -31,6 +31,7 @@
 from lavendershift.serverlist import (
     NO_PROMPT,
     ListedServer,
+    Placed,
     PromptShape,
     ServerList,
 )
@@ -253,7 +254,8 @@
         self._runs = 0
         self._unreached = 0
         self._server_error: _ServerAnswer | None = None
-        self._on_first_event: Callable[[], None] = _do_nothing
+        self._placed: Placed | None = None
+        self._is_read = False
         self.first_event_at: timedelta | None = None
 
     @property
@@ -343,24 +345,15 @@
             return End.NOT_SENT
         self._sends += 1
         self._runs += 1
-        prompt = self._request.prompt
-        unread = prompt.input_tokens if prompt else 0
-        self._servers.start(server, unread)
-        read = [False]
-
-        def note_first_event() -> None:
-            if not read[0]:
-                read[0] = True
-                self._servers.note_answering(server, unread)
-
-        self._on_first_event = note_first_event
+        placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
+        self._placed, self._is_read = placed, False
         keeps = False
         try:
             end, reason, reader = await self._exchange(connection, entry.id)
             keeps = end is not End.SILENT and end is not End.BROKEN
         finally:
-            note_first_event()
-            self._servers.finish(server)
+            self._note_read(placed)
+            self._servers.finish(placed)
             if keeps:
                 self._connections.give_back(connection)
             else:
@@ -445,6 +438,8 @@
             return End.SERVER_ERROR
         if self._answers.has_started:
             return End.BROKEN
+        if self._placed is not None and not self.route.is_stream:
+            self._servers.note_time(self._placed)
         headers = self._wire.select_answer_headers(answer.headers)
         self._answers.send(answer.status, headers, answer.body)
         return End.ANSWERED
@@ -468,7 +463,9 @@
             return
         if not self._answers.has_started:
             self._start_stream(status, headers)
-        self._on_first_event()
+        if self._placed is not None and not self._is_read:
+            self._servers.note_time(self._placed)
+            self._note_read(self._placed)
         # A caller that went away cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
             await self._answers.write(events)
@@ -477,6 +474,11 @@
         self.first_event_at = self._clock.elapsed()
         self._answers.start(status, self._wire.select_answer_headers(headers))
 
+    def _note_read(self, placed: Placed) -> None:
+        if not self._is_read:
+            self._is_read = True
+            self._servers.note_answering(placed)
+
     def _note_server(self, server: ListedServer, end: End) -> None:
         if end is End.ANSWERED:
             self._servers.note_success(server)
@@ -492,7 +494,3 @@
     ) -> None:
         duration = self._clock.elapsed() - started
         self._on_attempt(AttemptNote(server, end, reason, status, duration))
-
-
-def _do_nothing() -> None:
-    """Stand in for a callback that is not set yet."""
--- /dev/null
+++ b/lavendershift/gossip.py
@@ -0,0 +1,170 @@
+"""What VMs tell each other about the backend servers they use.
+
+Each VM sends its own requests in flight and unread prompt tokens on a server
+to all others whenever they change, and everything from time to time. Totals
+are sent, never differences, so that a lost datagram is made up for by the next
+one. Nothing that must hold depends on this: a VM that hears nobody places its
+requests by its own alone::
+
+    gossip = Gossip(clock, "edge-1", servers, list_peers)
+    await gossip.listen("10.1.0.40", 7340)
+    gossip.note_change("i-7f3a91c2", ("5c1e07a2", "91bd3f06"))
+
+Datagrams are used in place of pynng, as a message to a VM that is gone must
+neither wait nor hold up the others.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.clocks import Clock
+from lavendershift.serverlist import ServerList, ServerLoad
+
+SUMMARY_INTERVAL = timedelta(milliseconds=500)  # between datagrams with everything
+DELAY_FOR_PEERS = timedelta(microseconds=50)  # times the square of their number
+SHORTEST_DELAY = timedelta(milliseconds=2)  # lets changes of one turn go together
+MAX_DATAGRAM_BYTES = 1400  # what passes an Ethernet link in one piece
+MAX_PARTS = 40  # prompt parts in one datagram
+
+
+class _Change(msgspec.Struct, array_like=True):
+    """This VM's load on one server, and prompt parts it sent there."""
+
+    server: str
+    in_flight: int
+    unread_tokens: int
+    parts: list[str] = []
+
+
+class _News(msgspec.Struct, array_like=True):
+    """One datagram; ``number`` rises within an incarnation of its sender."""
+
+    vm: str
+    incarnation: str
+    number: int
+    changes: list[_Change]
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends this VM's news to the others and takes in theirs."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        vm: str,
+        incarnation: str,
+        servers: ServerList,
+        list_peers: Callable[[], Sequence[tuple[str, int]]],
+    ) -> None:
+        self._clock = clock
+        self._vm = vm
+        self._incarnation = incarnation
+        self._servers = servers
+        self._list_peers = list_peers
+        self._transport: asyncio.DatagramTransport | None = None
+        self._changed: dict[str, list[str]] = {}
+        self._wake = asyncio.Event()
+        self._number = 0
+        self._newest: dict[str, tuple[str, int]] = {}
+        self._heard_at: dict[str, timedelta] = {}
+        self.undecodable = 0
+
+    async def listen(self, ip: str, port: int) -> None:
+        """Bind the port for datagrams."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport to send on."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a peer's closed port: its row will tell that it is gone."""
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def find_silence(self, vm: str) -> timedelta | None:
+        """Return how long nothing was heard of ``vm``; ``None`` if never."""
+        heard = self._heard_at.get(vm)
+        return None if heard is None else self._clock.elapsed() - heard
+
+    def note_change(self, server: str, parts: Sequence[str] = ()) -> None:
+        """Send this VM's load on ``server`` soon."""
+        self._changed.setdefault(server, []).extend(parts)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send news until cancelled."""
+        summarized = timedelta()
+        while True:
+            try:
+                async with asyncio.timeout(SUMMARY_INTERVAL.total_seconds()):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass  # nothing changed, a summary is due
+            self._wake.clear()
+            peers = self._list_peers()
+            delay = max(DELAY_FOR_PEERS * len(peers) ** 2, SHORTEST_DELAY)
+            await asyncio.sleep(delay.total_seconds())
+            now = self._clock.elapsed()
+            if now - summarized >= SUMMARY_INTERVAL:
+                summarized = now
+                for server in self._servers.list_used():
+                    self._changed.setdefault(server, [])
+            self._send(peers)
+
+    def _send(self, peers: Sequence[tuple[str, int]]) -> None:
+        changes = [
+            self._make_change(server, parts) for server, parts in self._changed.items()
+        ]
+        self._changed.clear()
+        batch: list[_Change] = []
+        size = 0
+        for change in changes:
+            length = 24 + len(change.server) + sum(len(p) + 2 for p in change.parts)
+            if batch and size + length > MAX_DATAGRAM_BYTES:
+                self._send_batch(batch, peers)
+                batch, size = [], 0
+            batch.append(change)
+            size += length
+        self._send_batch(batch, peers)
+
+    def _make_change(self, server: str, parts: Sequence[str]) -> _Change:
+        load = self._servers.measure_own(server)
+        return _Change(
+            server, load.in_flight, load.unread_tokens, list(parts[-MAX_PARTS:])
+        )
+
+    def _send_batch(
+        self, batch: list[_Change], peers: Sequence[tuple[str, int]]
+    ) -> None:
+        if self._transport is None:
+            return
+        self._number += 1
+        news = _News(self._vm, self._incarnation, self._number, batch)
+        data = msgspec.msgpack.encode(news)
+        for peer in peers:
+            self._transport.sendto(data, peer)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in the news of another VM."""
+        try:
+            news = msgspec.msgpack.decode(data, type=_News)
+        except msgspec.MsgspecError:
+            self.undecodable += 1
+            return
+        incarnation, number = self._newest.get(news.vm, ("", 0))
+        if news.incarnation == incarnation and news.number <= number:
+            return
+        self._newest[news.vm] = (news.incarnation, news.number)
+        self._heard_at[news.vm] = self._clock.elapsed()
+        for change in news.changes:
+            load = ServerLoad(change.in_flight, change.unread_tokens)
+            self._servers.note_others(news.vm, change.server, load, change.parts)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -19,6 +19,7 @@
 from lavendershift.draws import TokenDraws
 from lavendershift.errors import LogUnavailableError
 from lavendershift.gateway import Gateway, RetryBounds
+from lavendershift.gossip import Gossip
 from lavendershift.logoutput import StandardOutputHandler
 from lavendershift.logs import Event, EventLog, LibraryHandler, format_line
 from lavendershift.passbook import Passbook, read_boot_id
@@ -63,9 +64,15 @@
             incarnation,
             0,
             False,
+            peer_address=f"{settings.ip}:{settings.peer_port}",
         )
         self._vms = VmList(clock, row)
         self._servers = ServerList(clock, rng, settings.failure_domain)
+        self._gossip = Gossip(
+            clock, settings.name, incarnation, self._servers, self._vms.list_peers
+        )
+        self._servers.on_load = self._gossip.note_change
+        self._vms.hear_directly(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
             StoreGrantLog(self._store),
@@ -131,6 +138,7 @@
         if settings.directory_address:
             self._directory.listen(settings.directory_address)
         self._callers.listen(settings.callers_address)
+        await self._gossip.listen(settings.ip, settings.peer_port)
 
     async def _start_loops(self) -> None:
         loops: tuple[Coroutine[Any, Any, None], ...] = (
@@ -139,6 +147,7 @@
             self._presence_feed.run(),
             self._draws.run(),
             self._announce(),
+            self._gossip.run(),
             self._tidy(),
         )
         self._tasks = [asyncio.ensure_future(self._guard(loop)) for loop in loops]
@@ -155,6 +164,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._gossip.close()
         self._connections.close()
 
     async def _log_start(self) -> None:
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -25,6 +25,7 @@
     renewal: int
     leaving: bool = False
     demand: dict[str, float] = {}  # tokens/s of each customer
+    peer: str = ""  # host and port for datagrams
 
 
 class PresenceWriter:
@@ -64,6 +65,7 @@
                 for name, rate in self._measure_demand().items()
                 if rate >= SMALLEST_RATE
             },
+            row.peer_address,
         )
         record = (row.name.encode(), msgspec.json.encode(value))
         await self._store.append(names.VMS_TOPIC, 0, [record])
@@ -108,6 +110,7 @@
             wire.renewal,
             wire.leaving,
             wire.demand,
+            wire.peer,
         )
         if self._vms.update(row):
             result = "leaving" if row.is_leaving else "serving"
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -7,11 +7,11 @@
 
     servers = ServerList(clock, rng)
     servers.update(entry)
-    server = servers.choose("index", PromptShape((), 0, 0), frozenset())
+    server = servers.choose("index", NO_PROMPT, ())
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -19,10 +19,16 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.ejection import OutlierDetector
+from lavendershift.prefixes import PrefixIndex
 
 UNREACHABLE_PAUSE = timedelta(milliseconds=400)  # after a failed connection attempt
 LONGEST_PAUSE = timedelta(seconds=3)  # with doubling after each further failure
-SPILL_TOKENS = 24_000  # unread prompt tokens at which a prompt goes elsewhere
+IN_FLIGHT_TOKENS = 60  # prompt tokens read in the time a running request costs
+REREAD_WEIGHT = 3.0  # of a shared part that would be read a second time
+READ_RATE = 50_000.0  # prompt tokens/s of an engine, for estimates
+ENGINE_LATENCY = timedelta(milliseconds=40)  # to the first event without any load
+SERVICE_WEIGHT = 0.05  # of the newest answer in a service's mean time
+LOAD_EXPIRY = timedelta(seconds=2)  # of what another VM told, four summaries
 RESTART_GRACE = timedelta(seconds=2)  # for entries to come back after an outage
 
 
@@ -41,16 +47,27 @@
     max_output_tokens: int
 
     @property
-    def subject(self) -> str:
-        """The last part that other requests share as well."""
-        if len(self.parts) > 1:
-            return self.parts[-2].id
-        return self.parts[0].id if self.parts else ""
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have as well, all but the last."""
+        return self.parts[:-1] or self.parts
+
+    @property
+    def home_key(self) -> str:
+        """The largest shared part, which decides the prompt's home server."""
+        parts = self.shared_parts
+        return max(parts, key=lambda part: part.tokens).id if parts else ""
 
 
 NO_PROMPT = PromptShape((), 0, 0)
 
 
+class ServerLoad(NamedTuple):
+    """One VM's requests on a server, and their prompt tokens still to be read."""
+
+    in_flight: int
+    unread_tokens: int
+
+
 class ServerEntry(NamedTuple):
     """What a server says of itself.
 
@@ -68,16 +85,51 @@
     sequence: int = 0
 
 
+class _OthersLoad(NamedTuple):
+    load: ServerLoad
+    told_at: timedelta
+
+
 class ListedServer:
-    """A registered server and this VM's own requests on it."""
+    """A registered server, this VM's requests on it and what others told."""
 
-    def __init__(self, entry: ServerEntry) -> None:
+    def __init__(self, entry: ServerEntry, clock: Clock) -> None:
         self.entry = entry
         self.in_flight = 0
         self.unread_tokens = 0
         self.avoided_until = timedelta()
         self.pause = UNREACHABLE_PAUSE
-        self.needs_fresh_connection = False
+        self.cache = PrefixIndex(clock)
+        self.others: dict[str, _OthersLoad] = {}
+
+    def sum_load(self, now: timedelta) -> ServerLoad:
+        """Return the load of all VMs."""
+        told = [
+            o.load for o in self.others.values() if now - o.told_at <= LOAD_EXPIRY
+        ]
+        return ServerLoad(
+            self.in_flight + sum(load.in_flight for load in told),
+            self.unread_tokens + sum(load.unread_tokens for load in told),
+        )
+
+    def count_unread(self, prompt: PromptShape) -> int:
+        """Return the tokens of ``prompt`` that the server would have to read."""
+        held = self.cache.count_held([part.id for part in prompt.parts])
+        return max(
+            prompt.input_tokens - sum(part.tokens for part in prompt.parts[:held]), 0
+        )
+
+
+class Placed(NamedTuple):
+    """A request that counts on a server until it is finished.
+
+    ``expected`` is the estimated time to its first event.
+    """
+
+    server: ListedServer
+    unread_tokens: int
+    started: timedelta
+    expected: timedelta
 
 
 class ServerList:
@@ -89,6 +141,8 @@
         self._domain = domain
         self._servers: dict[str, ListedServer] = {}
         self._outliers: dict[str, OutlierDetector] = {}
+        self._mean_time: dict[str, timedelta] = {}
+        self.on_load: Callable[[str, Sequence[str]], None] = lambda server, parts: None
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -104,14 +158,14 @@
         """
         known = self._servers.get(entry.id)
         if known is None:
-            self._servers[entry.id] = ListedServer(entry)
+            self._servers[entry.id] = ListedServer(entry, self._clock)
             self._update_outliers(entry.service)
             return None
         old = known.entry
         if (entry.born, entry.sequence) < (old.born, old.sequence):
             return None
         if entry.born != old.born or entry.address != old.address:
-            self._servers[entry.id] = ListedServer(entry)
+            self._servers[entry.id] = ListedServer(entry, self._clock)
         known.entry = entry
         if old.service != entry.service:
             self._update_outliers(old.service)
@@ -135,9 +189,10 @@
     ) -> ListedServer | None:
         """Return the server for a request, or ``None`` if there is none.
 
-        A prompt goes to the server that all VMs prefer for its shared part, so
-        that the part is read once; other requests go where least of this VM's
-        own requests run. Servers that failed lately come last.
+        A prompt goes where the fewest tokens have to be read before its first
+        event, those of requests of all VMs that wait there included. Other
+        requests go where the least of the places are taken. Servers that failed
+        lately come last.
         """
         tried = set(excluded)
         usable = [
@@ -151,26 +206,22 @@
             return None
         sound = [server for server in usable if not self._is_avoided(server)]
         candidates = sound or usable
-        if prompt.subject:
-            return self._choose_by_subject(candidates, prompt)
+        now = self._clock.elapsed()
+        if prompt.parts:
+            home = max(
+                candidates, key=lambda s: rank_server(prompt.home_key, s.entry.id)
+            )
+            return min(
+                candidates,
+                key=lambda s: (measure_cost(s, prompt, s is home, now), s is not home),
+            )
         return min(
             candidates,
-            key=lambda s: (s.in_flight / max(s.entry.slots, 1), self._rng.random()),
-        )
-
-    def _choose_by_subject(
-        self, candidates: Sequence[ListedServer], prompt: PromptShape
-    ) -> ListedServer:
-        ranked = sorted(
-            candidates,
-            key=lambda s: rank_server(prompt.subject, s.entry.id),
-            reverse=True,
+            key=lambda s: (
+                s.sum_load(now).in_flight / max(s.entry.slots, 1),
+                self._rng.random(),
+            ),
         )
-        least = min(s.unread_tokens for s in ranked)
-        for server in ranked:
-            if server.unread_tokens <= least + SPILL_TOKENS:
-                return server
-        return ranked[0]
 
     def _is_avoided(self, server: ListedServer) -> bool:
         now = self._clock.elapsed()
@@ -179,18 +230,71 @@
         outliers = self._outliers.get(server.entry.service)
         return outliers is not None and outliers.is_ejected(server.entry.id, now)
 
-    def start(self, server: ListedServer, unread_tokens: int) -> None:
+    def start(self, server: ListedServer, prompt: PromptShape) -> Placed:
         """Note a request sent to ``server``."""
+        now = self._clock.elapsed()
+        unread = server.count_unread(prompt)
+        expected = self._estimate_time(server, unread, now)
+        parts = [part.id for part in prompt.parts]
         server.in_flight += 1
-        server.unread_tokens += unread_tokens
-
-    def note_answering(self, server: ListedServer, unread_tokens: int) -> None:
+        server.unread_tokens += unread
+        server.cache.note_used(parts)
+        self.on_load(server.entry.id, parts)
+        return Placed(server, unread, now, expected)
+
+    def _estimate_time(
+        self, server: ListedServer, unread: int, now: timedelta
+    ) -> timedelta:
+        if not unread:
+            return self._mean_time.get(server.entry.service, timedelta())
+        ahead = server.sum_load(now).unread_tokens + unread
+        return ENGINE_LATENCY + timedelta(seconds=ahead / READ_RATE)
+
+    def note_answering(self, placed: Placed) -> None:
         """Note the first event of an answer: its prompt was read."""
-        server.unread_tokens -= unread_tokens
+        placed.server.unread_tokens -= placed.unread_tokens
+        self.on_load(placed.server.entry.id, ())
 
-    def finish(self, server: ListedServer) -> None:
-        """Note that a request on ``server`` ended."""
-        server.in_flight -= 1
+    def finish(self, placed: Placed) -> None:
+        """Note that a request ended."""
+        placed.server.in_flight -= 1
+        self.on_load(placed.server.entry.id, ())
+
+    def measure_own(self, server_id: str) -> ServerLoad:
+        """Return this VM's load on a server."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return ServerLoad(0, 0)
+        return ServerLoad(server.in_flight, server.unread_tokens)
+
+    def list_used(self) -> list[str]:
+        """Return the servers that this VM has requests on."""
+        return [name for name, s in self._servers.items() if s.in_flight]
+
+    def note_others(
+        self, vm: str, server_id: str, load: ServerLoad, parts: Sequence[str]
+    ) -> None:
+        """Note another VM's load on a server, and prompt parts it sent there."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return
+        server.others[vm] = _OthersLoad(load, self._clock.elapsed())
+        if parts:
+            server.cache.note_used(parts)
+
+    def note_time(self, placed: Placed) -> None:
+        """Note the time to a first event or an answer; may eject an outlier."""
+        now = self._clock.elapsed()
+        waited = now - placed.started
+        service = placed.server.entry.service
+        if placed.expected:
+            outliers = self._outliers.get(service)
+            ratio = waited / placed.expected
+            if outliers is not None:
+                outliers.record_slowness(placed.server.entry.id, ratio, now)
+        if not placed.unread_tokens:
+            mean = self._mean_time.get(service, waited)
+            self._mean_time[service] = mean + (waited - mean) * SERVICE_WEIGHT
 
     def note_success(self, server: ListedServer) -> None:
         """Note a sound answer."""
@@ -217,6 +321,25 @@
         )
 
 
-def rank_server(subject: str, server: str) -> int:
-    """Return the rank of a server for a subject, the same on all VMs."""
-    return xxhash.xxh3_64_intdigest(f"{subject}/{server}".encode())
+def measure_cost(
+    server: ListedServer, prompt: PromptShape, is_home: bool, now: timedelta
+) -> float:
+    """Return the prompt tokens to be read before the first event is made.
+
+    The home server of a prompt counts as holding its shared parts. All VMs know
+    it without a message, so that a part is read once also by VMs that don't
+    hear each other.
+    """
+    load = server.sum_load(now)
+    unread = server.count_unread(prompt)
+    if is_home:
+        shared = sum(part.tokens for part in prompt.shared_parts)
+        unread = min(unread, max(prompt.input_tokens - shared, 0))
+    own = prompt.input_tokens - sum(part.tokens for part in prompt.shared_parts)
+    reread = max(unread - own, 0) * REREAD_WEIGHT
+    return load.unread_tokens + unread + reread + load.in_flight * IN_FLIGHT_TOKENS
+
+
+def rank_server(key: str, server: str) -> int:
+    """Return the rank of a server for a prompt part, the same on all VMs."""
+    return xxhash.xxh3_64_intdigest(f"{key}/{server}".encode())
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -9,12 +9,13 @@
     vms.list_addresses("rennes")
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 
+PEER_EXPIRY = timedelta(milliseconds=2200)  # four datagrams, and one late row
 EXPIRY = timedelta(milliseconds=4500)  # three renewals and the interval of reading
 
 
@@ -31,6 +32,7 @@
     renewal: int
     is_leaving: bool
     demand: Mapping[str, float] = {}
+    peer_address: str = ""
 
 
 class _KnownVm(NamedTuple):
@@ -43,10 +45,15 @@
 
     def __init__(self, clock: Clock, own: VmRow) -> None:
         self._clock = clock
+        self._find_silence: Callable[[str], timedelta | None] = lambda name: None
         self.own = own
         self._known: dict[str, _KnownVm] = {}
         self._checked_at = clock.elapsed()
 
+    def hear_directly(self, find_silence: Callable[[str], timedelta | None]) -> None:
+        """Use ``find_silence``, which tells how long a VM sent nothing here."""
+        self._find_silence = find_silence
+
     def set_own(self, row: VmRow) -> None:
         """Note this VM's own row."""
         self.own = row
@@ -86,13 +93,41 @@
         """Return the number of VMs, leaving ones included."""
         return len(self._known) + 1
 
+    def list_peers(self) -> list[tuple[str, int]]:
+        """Return host and port of each other VM for datagrams."""
+        peers = []
+        for known in self._known.values():
+            host, _, port = known.row.peer_address.rpartition(":")
+            if host and port.isdigit():
+                peers.append((host, int(port)))
+        return peers
+
     def sum_demand(self, customer: str) -> float:
         """Return a customer's demand at the other VMs, in tokens/s."""
         return sum(k.row.demand.get(customer, 0.0) for k in self._known.values())
 
+    def _find_present(self) -> list[_KnownVm]:
+        """Return the VMs that were heard of lately, by their rows or directly.
+
+        While more than half are silent, this VM is the one that is cut off,
+        and all of them are returned.
+        """
+        now = self._clock.elapsed()
+        known = list(self._known.values())
+        present = [k for k in known if not self._is_silent(k, now)]
+        return known if len(present) * 2 < len(known) else present
+
+    def _is_silent(self, known: _KnownVm, now: timedelta) -> bool:
+        silence = self._find_silence(known.row.name)
+        return (
+            silence is not None
+            and silence > PEER_EXPIRY
+            and now - known.renewed_at > PEER_EXPIRY
+        )
+
     def list_addresses(self, failure_domain: str = "") -> list[str]:
         """Return the callers' addresses, those of ``failure_domain`` first."""
-        rows = [known.row for known in self._known.values()] + [self.own]
+        rows = [known.row for known in self._find_present()] + [self.own]
         serving = [row for row in rows if not row.is_leaving and row.address]
         serving.sort(key=lambda row: (row.failure_domain != failure_domain, row.name))
         return [row.address for row in serving]
