Serve metrics of the gateway and report each request in one module

Cause: an engineer on call had log lines only, without the version, the wait for tokens or the expected time that decided a request. Change: requestreports writes the lines and counts; instruments holds the closed tables of counters, gauges and histograms; they are served on port 9464.

--- a/lavendershift/clocks.py
+++ b/lavendershift/clocks.py
@@ -23,6 +23,10 @@
         """Return the time since an arbitrary start; it never steps backwards."""
         ...
 
+
+class BootClock(Clock, Protocol):
+    """A clock that also counts the time in which the VM was suspended."""
+
     def since_boot(self) -> timedelta:
         """Return the time since the VM's boot, suspended time included."""
         ...
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -211,13 +211,14 @@
     reason: str
     status: int
     duration: timedelta
+    expected: timedelta
 
 
 class Delivery:
     """The attempts at one request.
 
-    ``spend_retry`` takes the token of one repeated sending, ``on_attempt`` is
-    told of each attempt that ended.
+    ``spend_retry`` takes the token of one repeated sending after an attempt
+    that ended, ``on_attempt`` is told of each of them.
     """
 
     def __init__(
@@ -230,7 +231,7 @@
         connections: Connections,
         wire: ServerWire,
         answers: Answers,
-        spend_retry: Callable[[], bool],
+        spend_retry: Callable[[End], bool],
         on_attempt: Callable[[AttemptNote], None],
         customer: str = "",
         urgency: int = 5,
@@ -257,6 +258,8 @@
         self._placed: Placed | None = None
         self._is_read = False
         self.first_event_at: timedelta | None = None
+        self.longest_gap: timedelta | None = None
+        self._event_at: timedelta | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -305,7 +308,7 @@
             return False
         if self._limit - self._clock.elapsed() < REPEAT_RESERVE:
             return False
-        return self._spend_retry()
+        return self._spend_retry(end)
 
     def _may_repeat(self) -> bool:
         """Return whether a request that may have run can be sent again."""
@@ -466,6 +469,7 @@
         if self._placed is not None and not self._is_read:
             self._servers.note_time(self._placed)
             self._note_read(self._placed)
+        self._note_gap()
         # A caller that went away cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
             await self._answers.write(events)
@@ -474,6 +478,14 @@
         self.first_event_at = self._clock.elapsed()
         self._answers.start(status, self._wire.select_answer_headers(headers))
 
+    def _note_gap(self) -> None:
+        """Note the pause since the last events."""
+        now = self._clock.elapsed()
+        if self._event_at is not None:
+            gap = now - self._event_at
+            self.longest_gap = max(self.longest_gap or gap, gap)
+        self._event_at = now
+
     def _note_read(self, placed: Placed) -> None:
         if not self._is_read:
             self._is_read = True
@@ -493,4 +505,6 @@
         self, server: str, end: End, reason: str, status: int, started: timedelta
     ) -> None:
         duration = self._clock.elapsed() - started
-        self._on_attempt(AttemptNote(server, end, reason, status, duration))
+        expected = self._placed.expected if self._placed else timedelta()
+        note = AttemptNote(server, end, reason, status, duration, expected)
+        self._on_attempt(note)
--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -17,7 +17,7 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-from lavendershift.clocks import Clock
+from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.passbook import Passbook
 from lavendershift.prepaid import DrawView, PrepaidAccount, plan_draw
@@ -84,7 +84,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: BootClock,
         log: GrantLog,
         name: str,
         prepaid: Callable[[], Mapping[str, int]],
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -23,7 +23,7 @@
 )
 from lavendershift.draws import TokenDraws
 from lavendershift.errors import ErrorKind, RequestError
-from lavendershift.logs import Event, EventLog, in_milliseconds
+from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
 from lavendershift.serverlist import PromptShape, ServerList
@@ -42,17 +42,6 @@
     slack: float
 
 
-class RequestTrace:
-    """What the log tells of a request at its end."""
-
-    def __init__(self, request: CallerRequest) -> None:
-        self.request = request
-        self.customer = ""
-        self.route = ""
-        self.used_tokens = 0
-        self.first_event_at: timedelta | None = None
-
-
 class Gateway:
     """Serves plain HTTP requests of callers.
 
@@ -67,7 +56,7 @@
         connections: Connections,
         wire: ServerWire,
         draws: TokenDraws,
-        log: EventLog,
+        reports: RequestReports,
         retry_bounds: RetryBounds,
         vms: Callable[[], int],
     ) -> None:
@@ -77,7 +66,7 @@
         self._connections = connections
         self._wire = wire
         self._draws = draws
-        self._log = log
+        self._reports = reports
         self._bounds = retry_bounds
         self._vms = vms
         self._retries: dict[str, RetryBudget] = {}
@@ -90,25 +79,19 @@
     async def serve(self, request: CallerRequest, answers: Answers) -> None:
         """Answer one request."""
         trace = RequestTrace(request)
+        self._reports.note_received()
         try:
             await self._serve(trace, answers)
-            self._note_answered(trace)
+            self._reports.note_answered(trace)
         except RequestError as error:
             self._refuse(trace, answers, error)
         except asyncio.CancelledError:
-            self._log.write(
-                Event.REQUEST_ABANDONED,
-                request=request.id,
-                customer=trace.customer,
-                route=trace.route,
-                tokens=trace.used_tokens,
-                duration_ms=self._measure(request),
-            )
+            self._reports.note_abandoned(trace)
             answers.abort()
             raise
         except Exception as error:
             # The caller must get some end, whatever went wrong on the way.
-            self._log.write_error(error, request=request.id)
+            self._reports.note_error(trace, error)
             self._refuse(trace, answers, RequestError(ErrorKind.INTERNAL))
 
     async def _serve(self, trace: RequestTrace, answers: Answers) -> None:
@@ -117,6 +100,7 @@
             raise RequestError(ErrorKind.STARTING)
         route, customer = admit(table, request)
         trace.route = route.name
+        trace.version = table.version
         trace.customer = customer.name if customer else ""
         service = self._choose_service(table, route)
         delivery = self._make_delivery(request, answers, route, service, customer)
@@ -137,13 +121,17 @@
         tokens = prompt.input_tokens + prompt.max_output_tokens
         account = self._draws.find_account(customer.name)
         account.note_demand(tokens, self._clock.elapsed())
-        wait = min(TOKEN_WAIT, request.deadline - self._clock.elapsed())
-        if not await self._draws.wait_for(customer.name, tokens, wait):
+        started = self._clock.elapsed()
+        wait = min(TOKEN_WAIT, request.deadline - started)
+        is_paid = await self._draws.wait_for(customer.name, tokens, wait)
+        trace.waited = self._clock.elapsed() - started
+        if not is_paid:
             raise self._describe_shortage(customer, tokens)
         try:
             await delivery.run()
         finally:
             trace.first_event_at = delivery.first_event_at
+            trace.longest_gap = delivery.longest_gap
             if delivery.may_have_run:
                 used = prompt.input_tokens + delivery.delivered_tokens
                 trace.used_tokens = min(used, tokens)
@@ -158,19 +146,6 @@
             return RequestError(ErrorKind.BUDGET_PENDING, detail, AWAY_RETRY)
         return RequestError(ErrorKind.BUDGET_PENDING, detail, SHORT_RETRY)
 
-    def _note_answered(self, trace: RequestTrace) -> None:
-        first = trace.first_event_at
-        received = trace.request.received
-        self._log.write(
-            Event.REQUEST_ANSWERED,
-            request=trace.request.id,
-            customer=trace.customer,
-            route=trace.route,
-            tokens=trace.used_tokens,
-            duration_ms=self._measure(trace.request),
-            first_ms=in_milliseconds(first - received) if first else -1,
-        )
-
     def _make_delivery(
         self,
         request: CallerRequest,
@@ -185,8 +160,14 @@
         if customer is not None and customer.urgency is not None:
             urgency = customer.urgency
 
+        def spend(end: End) -> bool:
+            if not budget.spend():
+                return False
+            self._reports.note_retry(end)
+            return True
+
         def note(attempt: AttemptNote) -> None:
-            self._note_attempt(request, attempt)
+            self._reports.note_attempt(request, attempt)
 
         return Delivery(
             self._clock,
@@ -197,7 +178,7 @@
             self._connections,
             self._wire,
             answers,
-            budget.spend,
+            spend,
             note,
             customer.name if customer else "",
             urgency,
@@ -222,44 +203,15 @@
         budget.set_burst(burst)
         return budget
 
-    def _note_attempt(self, request: CallerRequest, attempt: AttemptNote) -> None:
-        event = Event.REQUEST_ATTEMPTED
-        if attempt.end is End.ANSWERED:
-            event = Event.REQUEST_PLACED
-        self._log.write(
-            event,
-            request=request.id,
-            server=attempt.server,
-            result=attempt.end.value,
-            reason=attempt.reason,
-            status=attempt.status,
-            duration_ms=in_milliseconds(attempt.duration),
-        )
-
     def _refuse(
         self, trace: RequestTrace, answers: Answers, error: RequestError
     ) -> None:
-        answer = error.answer
-        self._log.write(
-            Event.REQUEST_REFUSED,
-            request=trace.request.id,
-            customer=trace.customer,
-            route=trace.route,
-            tokens=trace.used_tokens,
-            error=error.kind.value,
-            reason=error.detail,
-            status=answer.status,
-            ran=answer.ran.value,
-            duration_ms=self._measure(trace.request),
-        )
+        self._reports.note_refused(trace, error)
         if answers.has_started:
             answers.abort()
         else:
             answers.refuse(error)
 
-    def _measure(self, request: CallerRequest) -> int:
-        return in_milliseconds(self._clock.elapsed() - request.received)
-
 
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer; raises ``RequestError``."""
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -31,7 +31,7 @@
 
 
 class _Change(msgspec.Struct, array_like=True):
-    """This VM's load on one server, and prompt parts it sent there."""
+    """The sender's load on one server, and prompt parts it sent there."""
 
     server: str
     in_flight: int
--- /dev/null
+++ b/lavendershift/instruments.py
@@ -0,0 +1,115 @@
+"""Counters, gauges and latency histograms of a gateway process.
+
+The names form a closed vocabulary, the tables below, and are served in the
+Prometheus text format. Label values are closed as well: error kinds, ways an
+attempt ends, names of calls, customers of the configuration::
+
+    instruments = Instruments()
+    instruments.count("refusals", "overloaded")
+    instruments.observe("first_event", timedelta(milliseconds=80))
+    instruments.render()
+"""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+PREFIX = "lavendershift"
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
+
+
+class Instrument(NamedTuple):
+    """What a metric tells, and the names of its labels."""
+
+    description: str
+    labels: tuple[str, ...] = ()
+
+
+COUNTERS: dict[str, Instrument] = {
+    "requests": Instrument("Requests received."),
+    "answers": Instrument("Requests that got their whole answer."),
+    "refusals": Instrument("Requests ended with an error kind.", ("kind",)),
+    "abandoned": Instrument("Requests whose caller went away."),
+    "attempts": Instrument("Attempts at servers, by how they ended.", ("end",)),
+    "retries": Instrument("Further attempts, by how the one before ended.", ("end",)),
+    "store_calls": Instrument("Calls to the store.", ("call", "outcome")),
+    "tokens_drawn": Instrument("Tokens drawn from a total.", ("customer",)),
+    "tokens_returned": Instrument("Tokens given back to a total.", ("customer",)),
+    "tokens_adopted": Instrument("Tokens of the VM's last process.", ("customer",)),
+    "tokens_spent": Instrument("Tokens that requests used.", ("customer",)),
+    "connections": Instrument("Connections opened to servers and the store."),
+    "skipped_entries": Instrument("Entries that could not be read.", ("kind",)),
+}
+
+GAUGES: dict[str, Instrument] = {
+    "tokens_free": Instrument("Tokens held and unreserved.", ("customer",)),
+    "tokens_reserved": Instrument("Tokens set aside for requests.", ("customer",)),
+    "tokens_left": Instrument("Tokens of a total granted to no VM.", ("customer",)),
+    "configuration_version": Instrument("Version of the configuration in force."),
+    "servers": Instrument("Backend servers known."),
+    "vms": Instrument("VMs known, this one included."),
+    "belief_age": Instrument("Seconds since a feed was last read.", ("feed",)),
+}
+
+HISTOGRAMS: dict[str, Instrument] = {
+    "duration": Instrument("Seconds from a request to the end of its answer."),
+    "first_event": Instrument("Seconds from a request to its first event."),
+    "event_gap": Instrument("Longest pause in seconds between events of a stream."),
+    "token_wait": Instrument("Seconds that a request waited for tokens."),
+    "store_call": Instrument("Seconds of a call to the store.", ("call",)),
+}
+
+
+class Instruments:
+    """All metrics of a process."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._counters = {
+            name: Counter(
+                name, i.description, i.labels, PREFIX, registry=self._registry
+            )
+            for name, i in COUNTERS.items()
+        }
+        self._gauges = {
+            name: Gauge(name, i.description, i.labels, PREFIX, registry=self._registry)
+            for name, i in GAUGES.items()
+        }
+        self._histograms = {
+            name: Histogram(
+                f"{name}_seconds",
+                i.description,
+                i.labels,
+                PREFIX,
+                registry=self._registry,
+                buckets=BUCKETS_S,
+            )
+            for name, i in HISTOGRAMS.items()
+        }
+
+    def count(self, name: str, *labels: str, amount: float = 1) -> None:
+        """Raise a counter; raises ``KeyError`` for a name that is not listed."""
+        counter = self._counters[name]
+        (counter.labels(*labels) if labels else counter).inc(amount)
+
+    def set_gauge(self, name: str, value: float, *labels: str) -> None:
+        """Set a gauge; raises ``KeyError`` for a name that is not listed."""
+        gauge = self._gauges[name]
+        (gauge.labels(*labels) if labels else gauge).set(value)
+
+    def observe(self, name: str, length: timedelta, *labels: str) -> None:
+        """Add a time to a histogram."""
+        histogram = self._histograms[name]
+        seconds = length.total_seconds()
+        (histogram.labels(*labels) if labels else histogram).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -107,6 +107,7 @@
     config_offset: int
     duration_ms: int
     error: str
+    expected_ms: int
     first_ms: int
     free_tokens: int
     granted_tokens: int
@@ -123,6 +124,7 @@
     stream: str
     tokens: int
     version: int
+    waited_ms: int
 
 
 FIELD_NAMES = frozenset(EventFields.__annotations__)
--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import NamedTuple, Protocol
 
-from lavendershift.clocks import Clock
+from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError
 from lavendershift.prepaid import PrepaidAccount, SpendingLimit
 
@@ -93,7 +93,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: BootClock,
         log: PassbookLog,
         incarnation: str,
         boot: str,
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -14,12 +14,13 @@
 from tornado.httputil import HTTPServerRequest
 
 from lavendershift.applications import Application
-from lavendershift.clocks import Clock
+from lavendershift.clocks import BootClock
 from lavendershift.connections import Connections
 from lavendershift.draws import TokenDraws
 from lavendershift.errors import LogUnavailableError
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
+from lavendershift.instruments import Instruments
 from lavendershift.logoutput import StandardOutputHandler
 from lavendershift.logs import Event, EventLog, LibraryHandler, format_line
 from lavendershift.passbook import Passbook, read_boot_id
@@ -33,12 +34,15 @@
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.serverwire import PlatformServers
 from lavendershift.platform.store import StoreClient
+from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerEntry, ServerList
 from lavendershift.vmlist import VmList, VmRow
 
 LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
 EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
+METRICS_PORT = 9464  # the usual one of this text format
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 TIDY_INTERVAL = timedelta(seconds=2)  # between looks for stale idle connections
 
 
@@ -46,17 +50,24 @@
     """Serves callers on one VM of the platform."""
 
     def __init__(
-        self, settings: NodeSettings, clock: Clock, rng: random.Random, log: EventLog
+        self,
+        settings: NodeSettings,
+        clock: BootClock,
+        rng: random.Random,
+        log: EventLog,
     ) -> None:
         super().__init__()
         self._settings = settings
         self._clock = clock
         self._log = log
+        self._instruments = Instruments()
         self._tasks: list[asyncio.Task[None]] = []
         self._is_leaving = False
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._connections = Connections(clock)
-        self._store = StoreClient(settings.store_address, self._connections, clock)
+        self._store = StoreClient(
+            settings.store_address, self._connections, clock, self._note_call
+        )
         row = VmRow(
             settings.name,
             "",
@@ -97,15 +108,14 @@
             self._connections,
             PlatformServers(),
             self._draws,
-            log,
+            RequestReports(clock, log, self._instruments),
             RetryBounds(settings.retry_share, settings.retry_slack),
             lambda: max(self._vms.count(), 3),
         )
         self._callers = CallerServer(clock, self._gateway)
-        self._directory = SmallServer(
-            Directory(self._vms, settings.resolve_ttl).answer
-        )
+        self._directory = SmallServer(Directory(self._vms, settings.resolve_ttl).answer)
         self._ready = SmallServer(self._answer_ready)
+        self._metrics = SmallServer(self._answer_metrics, METRICS_TYPE)
         self._configuration = ConfigurationFeed(
             clock, self._store, log, self._accept_table
         )
@@ -138,6 +148,7 @@
         if settings.directory_address:
             self._directory.listen(settings.directory_address)
         self._callers.listen(settings.callers_address)
+        self._metrics.listen(f"{settings.ip}:{METRICS_PORT}")
         await self._gossip.listen(settings.ip, settings.peer_port)
 
     async def _start_loops(self) -> None:
@@ -208,6 +219,31 @@
     def _answer_ready(self, request: HTTPServerRequest) -> tuple[int, bytes]:
         return (200 if self.is_ready else 503), b"{}"
 
+    def _answer_metrics(self, request: HTTPServerRequest) -> tuple[int, bytes]:
+        self._update_gauges()
+        return 200, self._instruments.render()
+
+    def _update_gauges(self) -> None:
+        instruments = self._instruments
+        for name, account in self._draws.accounts.items():
+            instruments.set_gauge("tokens_free", account.free, name)
+            instruments.set_gauge("tokens_reserved", account.reserved, name)
+            instruments.set_gauge("tokens_left", self._draws.count_left(name), name)
+        table = self._gateway.table
+        version = table.version if table else 0
+        instruments.set_gauge("configuration_version", version)
+        instruments.set_gauge("servers", len(self._servers))
+        instruments.set_gauge("vms", self._vms.count())
+        now = self._clock.elapsed()
+        for feed in (self._configuration, self._server_feed, self._presence_feed):
+            if feed.read_at is not None:
+                age = (now - feed.read_at).total_seconds()
+                instruments.set_gauge("belief_age", age, feed.name)
+
+    def _note_call(self, call: str, outcome: str, duration: timedelta) -> None:
+        self._instruments.count("store_calls", call, outcome)
+        self._instruments.observe("store_call", max(duration, timedelta()), call)
+
     def _list_prepaid(self) -> dict[str, int]:
         table = self._gateway.table
         if table is None:
@@ -226,6 +262,8 @@
 
     def _note_draw(self, customer: str, tokens: int, granted: int) -> None:
         account = self._draws.find_account(customer)
+        name = "tokens_drawn" if tokens > 0 else "tokens_returned"
+        self._instruments.count(name, customer, amount=abs(tokens))
         self._log.write(
             Event.TOKENS_DRAWN,
             customer=customer,
@@ -235,6 +273,7 @@
         )
 
     def _note_adopted(self, customer: str, tokens: int) -> None:
+        self._instruments.count("tokens_adopted", customer, amount=tokens)
         self._log.write(Event.TOKENS_ADOPTED, customer=customer, tokens=tokens)
 
     def _note_grants_reached(self, reached: bool, reason: str) -> None:
@@ -242,14 +281,14 @@
         self._log.write(event, name="grants", reason=reason)
 
 
-def make_log(settings: NodeSettings, clock: Clock) -> EventLog:
+def make_log(settings: NodeSettings, clock: BootClock) -> EventLog:
     """Return the log of the process, on standard output."""
     handler = StandardOutputHandler(sys.stdout.fileno(), "INFO")
     handler.formatter = format_line
     return EventLog(handler, settings.name, settings.failure_domain, clock)
 
 
-async def run_node(path: Path, clock: Clock, rng: random.Random) -> None:
+async def run_node(path: Path, clock: BootClock, rng: random.Random) -> None:
     """Run the process with the settings file at ``path`` until told to stop."""
     settings = load_node_settings(path)
     log = make_log(settings, clock)
--- a/lavendershift/platform/directory.py
+++ b/lavendershift/platform/directory.py
@@ -17,8 +17,13 @@
 class SmallServer:
     """An HTTP server whose answers are made at once."""
 
-    def __init__(self, answer: Callable[[HTTPServerRequest], tuple[int, bytes]]):
+    def __init__(
+        self,
+        answer: Callable[[HTTPServerRequest], tuple[int, bytes]],
+        content_type: str = "application/json",
+    ) -> None:
         self._answer = answer
+        self._content_type = content_type
         self._http = HTTPServer(self._serve, idle_connection_timeout=30)
 
     def listen(self, address: str) -> None:
@@ -33,7 +38,7 @@
     def _serve(self, request: HTTPServerRequest) -> None:
         status, body = self._answer(request)
         headers = HTTPHeaders(
-            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+            {"Content-Type": self._content_type, "Content-Length": str(len(body))}
         )
         connection = request.connection
         assert connection is not None
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -62,6 +62,7 @@
         self._log = log
         self._lost_at: timedelta | None = timedelta()
         self.found_at = timedelta()
+        self.read_at: timedelta | None = None
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -73,6 +74,7 @@
                 await asyncio.sleep(AWAY_INTERVAL.total_seconds())
                 continue
             self._note_found()
+            self.read_at = self._clock.elapsed()
             self.take(batch.records, is_whole)
             await self.pause()
 
@@ -114,9 +116,9 @@
     def take(self, records: list[Record], is_whole: bool) -> None:
         """Put the newest configuration among ``records`` in force."""
         for record in reversed(records):
-            if record.key == names.CONFIGURATION_KEY and record.value:
-                if self._put_in_force(record):
-                    return
+            is_configuration = record.key == names.CONFIGURATION_KEY
+            if is_configuration and record.value and self._put_in_force(record):
+                return
 
     def _put_in_force(self, record: Record) -> bool:
         try:
@@ -218,6 +220,4 @@
             entry = self._servers.remove(server_id)
             if entry is not None:
                 self._on_gone(entry)
-                self._log.write(
-                    Event.SERVER_CHANGED, server=server_id, result="gone"
-                )
+                self._log.write(Event.SERVER_CHANGED, server=server_id, result="gone")
--- a/lavendershift/platform/passbooks.py
+++ b/lavendershift/platform/passbooks.py
@@ -54,7 +54,7 @@
                 page.incarnation,
                 page.boot,
                 page.at // timedelta(microseconds=1),
-                {c: tuple(entry) for c, entry in page.entries.items()},
+                {c: (e.unspent, e.burst, e.rate) for c, e in page.entries.items()},
             )
         )
         result, new_end = await self._store.append(
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -1,4 +1,4 @@
-"""This VM's row in the store, and the rows of the others."""
+"""The rows of the VMs in the store, this one's and the others'."""
 
 import asyncio
 from collections.abc import Callable
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -103,18 +103,18 @@
         return None
 
 
-CallListener = Callable[[str, str], None]
+CallListener = Callable[[str, str, timedelta], None]
 
 
 class StoreClient:
-    """Calls to the store; ``on_call`` is told the call's name and outcome."""
+    """Calls to the store; ``on_call`` is told name, outcome and duration."""
 
     def __init__(
         self,
         address: str,
         connections: Connections,
         clock: Clock,
-        on_call: CallListener = lambda call, outcome: None,
+        on_call: CallListener = lambda call, outcome, duration: None,
     ) -> None:
         self._address = address
         self._connections = connections
@@ -213,6 +213,7 @@
         if method == "POST":
             headers["Content-Length"] = str(len(body))
         request = ServerRequest(method, f"{path}?{urlencode(query)}", headers, body)
+        started = self._clock.elapsed()
         try:
             connection = self._connections.take(self._address)
             if connection is None:
@@ -220,10 +221,11 @@
                     self._address, CONNECT_TIMEOUT
                 )
         except ConnectError as error:
-            self._on_call(call, "unreachable")
+            self._on_call(call, "unreachable", self._clock.elapsed() - started)
             raise StoreUnreachableError(str(error)) from None
         answer = await self._exchange(connection, request, CALL_TIMEOUT + timeout)
-        self._on_call(call, str(answer.status) if answer else "no answer")
+        outcome = str(answer.status) if answer else "no answer"
+        self._on_call(call, outcome, self._clock.elapsed() - started - timeout)
         if answer is None:
             raise LogUnavailableError(f"{call}: no answer")
         return answer
@@ -274,7 +276,7 @@
     if len(body) < HEAD.size:
         raise LogUnavailableError("a read without its head")
     end, _ = HEAD.unpack_from(body)
-    records = []
+    records: list[Record] = []
     position = HEAD.size
     while position < len(body):
         if position + LENGTH.size > len(body):
--- /dev/null
+++ b/lavendershift/requestreports.py
@@ -0,0 +1,135 @@
+"""What the log and the metrics tell of each request.
+
+One line for each attempt at a server and one at the request's end, with what
+decided it. No line holds a prompt, a body or a key.
+"""
+
+from datetime import timedelta
+
+from lavendershift.clocks import Clock
+from lavendershift.delivery import AttemptNote, CallerRequest, End
+from lavendershift.errors import RequestError
+from lavendershift.instruments import Instruments
+from lavendershift.logs import Event, EventLog, in_milliseconds
+
+
+class RequestTrace:
+    """What is known of a request at its end.
+
+    ``version`` is that of the configuration it was admitted under, ``waited``
+    the time it waited for tokens.
+    """
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.request = request
+        self.customer = ""
+        self.route = ""
+        self.version = 0
+        self.used_tokens = 0
+        self.waited = timedelta()
+        self.first_event_at: timedelta | None = None
+        self.longest_gap: timedelta | None = None
+
+
+class RequestReports:
+    """Writes the lines and raises the counters of requests."""
+
+    def __init__(self, clock: Clock, log: EventLog, instruments: Instruments) -> None:
+        self._clock = clock
+        self._log = log
+        self._instruments = instruments
+
+    def note_received(self) -> None:
+        """Note that a request arrived."""
+        self._instruments.count("requests")
+
+    def note_answered(self, trace: RequestTrace) -> None:
+        """Note a request that got its whole answer."""
+        first = trace.first_event_at
+        received = trace.request.received
+        duration = self._clock.elapsed() - received
+        self._instruments.count("answers")
+        self._instruments.observe("duration", duration)
+        if first is not None:
+            self._instruments.observe("first_event", first - received)
+        if trace.longest_gap is not None:
+            self._instruments.observe("event_gap", trace.longest_gap)
+        self._note_tokens(trace)
+        self._log.write(
+            Event.REQUEST_ANSWERED,
+            request=trace.request.id,
+            customer=trace.customer,
+            route=trace.route,
+            version=trace.version,
+            tokens=trace.used_tokens,
+            waited_ms=in_milliseconds(trace.waited),
+            first_ms=-1 if first is None else in_milliseconds(first - received),
+            duration_ms=in_milliseconds(duration),
+        )
+
+    def note_refused(self, trace: RequestTrace, error: RequestError) -> None:
+        """Note a request that ended with an error kind."""
+        answer = error.answer
+        self._instruments.count("refusals", error.kind.value)
+        self._note_tokens(trace)
+        self._log.write(
+            Event.REQUEST_REFUSED,
+            request=trace.request.id,
+            customer=trace.customer,
+            route=trace.route,
+            version=trace.version,
+            tokens=trace.used_tokens,
+            waited_ms=in_milliseconds(trace.waited),
+            error=error.kind.value,
+            reason=error.detail,
+            ran=answer.ran.value,
+            duration_ms=self._measure(trace),
+        )
+
+    def note_abandoned(self, trace: RequestTrace) -> None:
+        """Note a request whose caller went away, or that a stop cut."""
+        self._instruments.count("abandoned")
+        self._note_tokens(trace)
+        self._log.write(
+            Event.REQUEST_ABANDONED,
+            request=trace.request.id,
+            customer=trace.customer,
+            route=trace.route,
+            tokens=trace.used_tokens,
+            duration_ms=self._measure(trace),
+        )
+
+    def note_attempt(self, request: CallerRequest, attempt: AttemptNote) -> None:
+        """Note an attempt at a server that ended."""
+        self._instruments.count("attempts", attempt.end.value)
+        event = Event.REQUEST_ATTEMPTED
+        if attempt.end is End.ANSWERED:
+            event = Event.REQUEST_PLACED
+        self._log.write(
+            event,
+            request=request.id,
+            server=attempt.server,
+            result=attempt.end.value,
+            reason=attempt.reason,
+            status=attempt.status,
+            expected_ms=in_milliseconds(attempt.expected),
+            duration_ms=in_milliseconds(attempt.duration),
+        )
+
+    def note_retry(self, end: End) -> None:
+        """Note that a request goes to another server after ``end``."""
+        self._instruments.count("retries", end.value)
+
+    def note_error(self, trace: RequestTrace, error: BaseException) -> None:
+        """Note an error without a kind of its own."""
+        self._log.write_error(error, request=trace.request.id)
+
+    def _note_tokens(self, trace: RequestTrace) -> None:
+        if trace.used_tokens:
+            amount = trace.used_tokens
+            self._instruments.count("tokens_spent", trace.customer, amount=amount)
+        if trace.waited:
+            self._instruments.observe("token_wait", trace.waited)
+
+    def _measure(self, trace: RequestTrace) -> int:
+        return in_milliseconds(self._clock.elapsed() - trace.request.received)
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -104,9 +104,7 @@
 
     def sum_load(self, now: timedelta) -> ServerLoad:
         """Return the load of all VMs."""
-        told = [
-            o.load for o in self.others.values() if now - o.told_at <= LOAD_EXPIRY
-        ]
+        told = [o.load for o in self.others.values() if now - o.told_at <= LOAD_EXPIRY]
         return ServerLoad(
             self.in_flight + sum(load.in_flight for load in told),
             self.unread_tokens + sum(load.unread_tokens for load in told),
