--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -132,7 +132,7 @@
         if account.reserve(tokens, self._clock.since_boot()):
             return True
         deadline = self._clock.elapsed() + timeout
-        self._wanted[customer] = self._wanted.get(customer, 0) + tokens
+        self.note_wanted(customer, tokens)
         try:
             while self.is_reached and self._has_left(customer, tokens):
                 done = self._round_done
@@ -146,13 +146,21 @@
                     return True
             return False
         finally:
-            self._wanted[customer] -= tokens
+            self.note_wanted(customer, -tokens)
+
+    def note_wanted(self, customer: str, tokens: int) -> None:
+        """Note that requests wait for ``tokens`` more, or fewer if negative."""
+        self._wanted[customer] = self._wanted.get(customer, 0) + tokens
 
     def measure_demand(self) -> dict[str, float]:
         """Return the recent demand of each customer here, in tokens/s."""
         now = self._clock.elapsed()
         return {name: a.find_rate(now) for name, a in self.accounts.items()}
 
+    def count_wanted(self, customer: str) -> int:
+        """Return the tokens that requests wait for."""
+        return self._wanted.get(customer, 0)
+
     def count_left(self, customer: str) -> int:
         """Return the tokens of the total that are granted to nobody."""
         return self._prepaid().get(customer, 0) - self.granted.get(customer, 0)
@@ -166,6 +174,10 @@
         self._hold_nothing = True
         self._wake.set()
 
+    def hold_again(self) -> None:
+        """Draw ahead again after ``return_all``."""
+        self._hold_nothing = False
+
     async def run(self) -> None:
         """Draw and return tokens until cancelled."""
         while True:
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -9,7 +9,7 @@
 """
 
 SEPARATORS = (b"\n\n", b"\r\n\r\n")
-MAX_PARTIAL_BYTES = 1_048_576  # of one event; more is handed on unsplit
+MAX_PARTIAL_BYTES = 1_048_576  # of one event; more of it is handed on in parts
 
 
 class EventSplitter:
--- /dev/null
+++ b/lavendershift/tests/prepaid_world.py
@@ -0,0 +1,328 @@
+"""VMs that draw prepaid tokens over a store with faults, and what was consumed.
+
+The real accounts, draws and passbooks run in virtual time. ``consumed`` counts
+what backend servers were asked to do, apart from all of them.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+
+from lavendershift.draws import GrantRow, SwapResult, TokenDraws
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.passbook import PageResult, Passbook
+from lavendershift.platform.grants import decode_row
+from lavendershift.platform.passbooks import decode_page
+from lavendershift.platform.store import Record
+from lavendershift_standins.platformstore import Expired, Moved, StoreState
+
+CUSTOMERS = ("plume", "encre")
+GRANTS, PAGES = "grants", "pages"
+
+
+class WorldClock:
+    """The world's time as a VM sees it since its boot."""
+
+    def __init__(self, world):
+        self._world = world
+        self.booted = world.now - timedelta(seconds=world.rng.choice([0, 1, 30]))
+
+    def now(self):
+        return datetime(2026, 1, 1, tzinfo=UTC) + self._world.now
+
+    def elapsed(self):
+        return self._world.now
+
+    def since_boot(self):
+        return self._world.now - self.booted
+
+
+class Link:
+    """One incarnation's way to the store: it may be cut, and lose answers."""
+
+    def __init__(self, world, vm):
+        self._world = world
+        self._vm = vm
+
+    def _check(self):
+        if self._vm.is_cut or self._world.is_away:
+            raise LogUnavailableError("away")
+
+    def _append(self, topic, records, end):
+        """Return whether the append was done, refused, or is in doubt."""
+        world = self._world
+        if self._vm.is_cut or world.is_away:
+            return "moved"
+        kind = world.rng.random()
+        if kind < world.late_share:
+            world.late.append((topic, records, end))
+            return "unknown"
+        try:
+            world.state.append(topic, 0, records, end)
+        except Moved:
+            return "moved"
+        return "unknown" if kind < world.late_share + world.lost_share else "done"
+
+
+class FaultyGrants(Link):
+    async def read_newest(self):
+        self._check()
+        state = self._world.state
+        rows = [
+            decode_row(Record(at, key, value))
+            for key, value, at in state.newest(GRANTS, 0)
+        ]
+        return rows, state.end(GRANTS, 0)
+
+    async def read_rows(self, offset):
+        self._check()
+        await asyncio.sleep(0)
+        try:
+            records = self._world.state.read(GRANTS, 0, offset)
+        except Expired:
+            raise RecordsExpiredError(GRANTS, offset) from None
+        return [decode_row(Record(0, key, value)) for key, value in records]
+
+    async def swap(self, end, rows):
+        records = [encode_row(row) for row in rows]
+        await asyncio.sleep(0)
+        return SwapResult(self._append(GRANTS, records, end))
+
+
+class FaultyPages(Link):
+    async def read(self):
+        self._check()
+        state = self._world.state
+        own = [v for k, v, _ in state.newest(PAGES, 0) if k == self._vm.key]
+        return (decode_page(own[0]) if own else None), state.end(PAGES, 0)
+
+    async def write(self, end, page):
+        await asyncio.sleep(0)
+        records = [(self._vm.key, encode_page(page))]
+        result = PageResult(self._append(PAGES, records, end))
+        return result, self._world.state.end(PAGES, 0)
+
+
+def encode_row(row: GrantRow):
+    value = {"granted": row.granted, "change": row.change}
+    return row.customer.encode(), msgspec.json.encode(value)
+
+
+def encode_page(page):
+    return msgspec.json.encode(
+        {
+            "incarnation": page.incarnation,
+            "boot": page.boot,
+            "at_us": page.at // timedelta(microseconds=1),
+            "entries": {c: tuple(e) for c, e in page.entries.items()},
+        }
+    )
+
+
+class Vm:
+    """A VM, its process and the requests that run on it."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.key = name.encode()
+        self.name = name
+        self.is_cut = False
+        self.boots = 0
+        self.starts = 0
+        self.clock = WorldClock(world)
+        self.running = []
+        self.start()
+
+    def start(self):
+        self.starts += 1
+        name = f"{self.name}/{self.starts}"
+        passbook = Passbook(
+            self.clock, FaultyPages(self.world, self), name, f"boot-{self.boots}"
+        )
+        self.draws = TokenDraws(
+            self.clock,
+            FaultyGrants(self.world, self),
+            name,
+            lambda: self.world.prepaid,
+            lambda: len(self.world.vms),
+            passbook=passbook,
+        )
+
+    def die(self, with_power):
+        """End the process; what its requests may use counts as consumed."""
+        for customer, tokens, counted in self.running:
+            self.world.consumed[customer] += tokens - counted
+        self.running.clear()
+        if with_power:
+            self.boots += 1
+            self.clock = WorldClock(self.world)
+        self.start()
+
+    async def run_round(self):
+        try:
+            await self.draws.run_round()
+        except LogUnavailableError:
+            return
+
+    def begin(self, customer, tokens):
+        account = self.draws.find_account(customer)
+        account.note_demand(tokens, self.world.now)
+        if account.reserve(tokens, self.clock.since_boot()):
+            self.running.append((customer, tokens, 0))
+            return True
+        return False
+
+    def finish(self, rng, used=None):
+        if not self.running:
+            return
+        customer, tokens, _ = self.running.pop(rng.randrange(len(self.running)))
+        used = rng.randint(0, tokens) if used is None else min(used, tokens)
+        self.world.consumed[customer] += used
+        self.draws.find_account(customer).settle(tokens, used)
+
+
+class PrepaidWorld:
+    """Some VMs, the store, and random steps."""
+
+    def __init__(self, seed, vms=4):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.now = timedelta(seconds=1)
+        self.state = StoreState()
+        self.late = []
+        self.late_share = self.lost_share = (0.05, 0.15, 0.3)[seed // 3 % 3]
+        self.is_away = False
+        self.prepaid = {customer: 60_000 for customer in CUSTOMERS}
+        self.consumed = Counter()
+        self.served = 0
+        self.vms = []
+        for number in range(vms):
+            self.vms.append(Vm(self, f"vm-{number}"))
+
+    def run(self, steps):
+        asyncio.run(self._run(steps))
+
+    async def _run(self, steps):
+        actions = [self.step_round] * 30 + [self.step_request] * 60
+        actions += [self.step_finish] * 40 + [self.step_time] * 30
+        actions += [self.step_late] * 6 + [self.step_kill] * 4
+        actions += [self.step_cut] * 2 + [self.step_heal] * 4 + [self.step_away]
+        actions += [self.step_raise, self.step_expire, self.step_return]
+        actions += [self.step_rounds] * 10 + [self.step_spree] * 4
+        actions += [self.step_idle] * 3 + [self.step_power] * (self.seed % 3 == 0)
+        for _ in range(steps):
+            vm = self.rng.choice(self.vms)
+            result = self.rng.choice(actions)(vm)
+            if result is not None:
+                await result
+            self.check()
+        await self.exhaust()
+
+    async def exhaust(self):
+        """Spend all there is, so that a token that exists twice shows."""
+        self.late_share = self.lost_share = 0.0
+        self.step_heal(self.vms[0])
+        self.now += timedelta(seconds=5)
+        for _ in range(3):
+            for vm in self.vms:
+                for customer in CUSTOMERS:
+                    await self.exhaust_account(vm, customer)
+
+    async def exhaust_account(self, vm, customer):
+        tokens = 8000
+        while tokens >= 1:
+            vm.draws.note_wanted(customer, tokens)
+            await vm.run_round()
+            if not vm.begin(customer, tokens):
+                tokens //= 4
+            vm.finish(self.rng, used=10**9)
+            vm.draws.note_wanted(customer, -vm.draws.count_wanted(customer))
+            self.check()
+
+    def check(self):
+        for customer, prepaid in self.prepaid.items():
+            running = sum(
+                tokens
+                for vm in self.vms
+                for c, tokens, _ in vm.running
+                if c == customer
+            )
+            assert self.consumed[customer] + running <= prepaid, customer
+
+    def step_round(self, vm):
+        return vm.run_round()
+
+    async def step_rounds(self, vm):
+        """Let all VMs change the rows at once."""
+        await asyncio.gather(*(each.run_round() for each in self.vms))
+
+    async def step_spree(self, vm):
+        """Spend far above the measured demand after a page, and be killed."""
+        self.now += timedelta(seconds=self.rng.choice([0, 8, 30]))
+        await vm.run_round()
+        if self.rng.random() < 0.3:
+            await self.step_return(vm)
+        for _ in range(self.rng.randint(0, 30)):
+            self.step_request(vm)
+            if self.rng.random() < 0.2:
+                await vm.run_round()
+            if self.rng.random() < 0.5:
+                vm.finish(self.rng, used=10**9)
+        self.now += timedelta(milliseconds=self.rng.choice([1, 500, 2000]))
+        vm.die(with_power=self.seed % 3 == 0 and self.rng.random() < 0.3)
+        await vm.run_round()
+
+    def step_request(self, vm):
+        customer, tokens = self.rng.choice(CUSTOMERS), self.rng.randint(1, 1200)
+        if vm.begin(customer, tokens):
+            self.served += 1
+        else:
+            vm.draws.note_wanted(customer, tokens - vm.draws.count_wanted(customer))
+
+    def step_finish(self, vm):
+        vm.finish(self.rng)
+
+    def step_time(self, vm):
+        self.now += timedelta(milliseconds=self.rng.choice([1, 10, 100, 700]))
+
+    def step_late(self, vm):
+        if self.late:
+            topic, records, end = self.late.pop(self.rng.randrange(len(self.late)))
+            if self.state.end(topic, 0) == end:
+                self.state.append(topic, 0, records)
+
+    def step_kill(self, vm):
+        vm.die(with_power=False)
+
+    def step_power(self, vm):
+        for each in self.vms if self.rng.random() < 0.3 else [vm]:
+            each.die(with_power=True)
+
+    def step_cut(self, vm):
+        vm.is_cut = True
+
+    def step_heal(self, vm):
+        self.is_away = False
+        for each in self.vms:
+            each.is_cut = False
+
+    def step_away(self, vm):
+        self.is_away = True
+
+    def step_raise(self, vm):
+        customer = self.rng.choice(CUSTOMERS)
+        self.prepaid = self.prepaid | {customer: self.prepaid[customer] + 5000}
+
+    def step_idle(self, vm):
+        self.now += timedelta(seconds=8)
+
+    def step_expire(self, vm):
+        self.state.expire(GRANTS, 0)
+
+    async def step_return(self, vm):
+        vm.draws.return_all()
+        await vm.run_round()
+        vm.draws.hold_again()
--- /dev/null
+++ b/lavendershift/tests/test_passbook.py
@@ -0,0 +1,179 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from lavendershift.clocks import ManualClock
+from lavendershift.errors import LogUnavailableError
+from lavendershift.passbook import (
+    Entry,
+    Page,
+    PageResult,
+    Passbook,
+    find_adoptable,
+    read_boot_id,
+)
+from lavendershift.prepaid import PrepaidAccount
+
+AT = timedelta(seconds=100)
+
+
+class MemoryPages:
+    """One VM's page; ``results`` are those of the next writes."""
+
+    def __init__(self, page=None):
+        self.page = page
+        self.end = 0
+        self.results = []
+        self.writes = 0
+
+    async def read(self):
+        return self.page, self.end
+
+    async def write(self, end, page):
+        self.writes += 1
+        result = self.results.pop(0) if self.results else PageResult.DONE
+        if result is PageResult.DONE:
+            self.page, self.end = page, end + 1
+        return result, self.end
+
+
+def make_page(boot="boot-1", at=AT, unspent=10_000, burst=500.0, rate=100.0):
+    return Page("old", boot, at, {"plume": Entry(unspent, burst, rate)})
+
+
+def make_passbook(pages, clock, name="new", boot="boot-1"):
+    return Passbook(clock, pages, name, boot)
+
+
+def make_account(free):
+    account = PrepaidAccount("plume")
+    account.credit(free)
+    return account
+
+
+def make_clock(since_boot):
+    clock = ManualClock()
+    clock.advance(since_boot)
+    return clock
+
+
+def test_what_the_promise_left_is_adoptable():
+    adoptable = find_adoptable(make_page(), "boot-1", AT + timedelta(seconds=3))
+    assert adoptable == {"plume": 10_000 - 500 - 300 - 1}
+
+
+def test_nothing_is_adopted_from_another_boot():
+    later = AT + timedelta(seconds=1)
+    assert find_adoptable(make_page(), "boot-2", later) == {}
+    assert find_adoptable(make_page(boot=""), "", later) == {}
+
+
+@pytest.mark.parametrize("lived", [timedelta(seconds=-1), timedelta(seconds=61)])
+def test_nothing_is_adopted_after_an_impossible_time(lived):
+    assert find_adoptable(make_page(), "boot-1", AT + lived) == {}
+
+
+def test_the_adopting_page_is_written_before_the_tokens_count():
+    pages = MemoryPages(make_page())
+    account = make_account(0)
+    passbook = make_passbook(pages, make_clock(AT + timedelta(seconds=1)))
+    pages.results = [PageResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        asyncio.run(passbook.adopt(lambda name: account))
+    assert account.free == 0
+    asyncio.run(passbook.adopt(lambda name: account))
+    assert account.free == 10_000 - 500 - 100 - 1
+    assert pages.page.incarnation == "new"
+    assert pages.page.entries["plume"].unspent == account.free
+
+
+def test_a_second_successor_finds_the_first_ones_page():
+    pages = MemoryPages(make_page())
+    clock = make_clock(AT + timedelta(seconds=1))
+    first, second = make_account(0), make_account(0)
+    asyncio.run(make_passbook(pages, clock, "b").adopt(lambda name: first))
+    asyncio.run(make_passbook(pages, clock, "c").adopt(lambda name: second))
+    # The first wrote a page without a promise and spent nothing since.
+    assert second.free <= first.free
+
+
+def test_an_adoption_without_an_answer_is_recognized():
+    pages = MemoryPages(make_page())
+    account = make_account(0)
+    passbook = make_passbook(pages, make_clock(AT))
+    taken = {"plume": Entry(4000, 0.0, 0.0)}
+    pages.page = Page("new", "boot-1", AT, taken)
+    asyncio.run(passbook.adopt(lambda name: account))
+    assert account.free == 4000
+
+
+def start_recording(pages, clock, account, wanted=0):
+    passbook = make_passbook(pages, clock)
+    accounts = {"plume": account}
+    asyncio.run(passbook.adopt(accounts.get))
+    asyncio.run(passbook.record(accounts, {"plume": wanted}))
+    return passbook, accounts
+
+
+def test_commitments_keep_to_the_promise():
+    clock, account = make_clock(AT), make_account(10_000)
+    account.note_demand(1000, clock.elapsed())
+    start_recording(MemoryPages(), clock, account)
+    committed = 0
+    while account.reserve(100, clock.since_boot()):
+        committed += 100
+    assert 0 < committed < 10_000
+    clock.advance(timedelta(seconds=5))
+    assert account.reserve(100, clock.since_boot())
+
+
+def test_waiting_requests_are_paid_ahead_by_the_page():
+    clock, account, pages = make_clock(AT), make_account(10_000), MemoryPages()
+    start_recording(pages, clock, account, wanted=6000)
+    assert pages.page.entries["plume"].unspent == 4000
+    assert account.reserve(6000, clock.since_boot())
+    assert not account.reserve(4000, clock.since_boot())
+
+
+def test_a_page_in_doubt_binds_like_the_one_before():
+    clock, account, pages = make_clock(AT), make_account(10_000), MemoryPages()
+    passbook, accounts = start_recording(pages, clock, account, wanted=6000)
+    pages.results = [PageResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        asyncio.run(passbook.record(accounts, {}))
+    assert len(account.limits) == 2
+    assert not account.reserve(6000, clock.since_boot())
+
+
+def test_an_acknowledged_page_replaces_those_in_doubt():
+    clock, account, pages = make_clock(AT), make_account(10_000), MemoryPages()
+    passbook, accounts = start_recording(pages, clock, account)
+    pages.results = [PageResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        asyncio.run(passbook.record(accounts, {}))
+    asyncio.run(passbook.record(accounts, {"plume": 6000}))
+    assert len(account.limits) == 1
+    assert account.reserve(6000, clock.since_boot())
+
+
+def test_a_page_that_was_never_written_binds_nobody():
+    clock, account, pages = make_clock(AT), make_account(10_000), MemoryPages()
+    passbook, accounts = start_recording(pages, clock, account, wanted=6000)
+    pages.results = [PageResult.MOVED] * 5
+    asyncio.run(passbook.record(accounts, {}))
+    assert len(account.limits) == 1
+    assert account.reserve(6000, clock.since_boot())
+
+
+def test_unused_tokens_of_a_reservation_may_be_committed_again():
+    clock, account, pages = make_clock(AT), make_account(10_000), MemoryPages()
+    start_recording(pages, clock, account, wanted=6000)
+    assert account.reserve(6000, clock.since_boot())
+    account.settle(6000, used=1000)
+    assert account.reserve(5000, clock.since_boot())
+    assert not account.reserve(100, clock.since_boot())
+
+
+def test_a_vm_without_a_boot_id_has_an_empty_one(tmp_path):
+    assert read_boot_id(tmp_path / "missing") == ""
--- /dev/null
+++ b/lavendershift/tests/test_prepaid.py
@@ -0,0 +1,87 @@
+from datetime import timedelta
+
+from lavendershift.clocks import ManualClock
+from lavendershift.prepaid import (
+    HELD_PART,
+    DrawView,
+    PrepaidAccount,
+    find_share,
+    find_target,
+    plan_draw,
+)
+
+VIEW = DrawView(
+    prepaid=1_000_000,
+    granted=0,
+    free=0,
+    wanted=0,
+    rate=1000.0,
+    fleet_rate=8000.0,
+    largest=9000.0,
+    vms=8,
+)
+
+
+def test_a_draw_never_exceeds_what_is_left():
+    view = VIEW._replace(granted=999_000, wanted=5000)
+    assert plan_draw(view) == 1000
+    assert plan_draw(view._replace(granted=1_000_000)) == 0
+    assert plan_draw(view._replace(granted=1_200_000)) == 0
+
+
+def test_all_vms_together_hold_a_bounded_part():
+    held = granted = 0
+    for _ in range(8):
+        view = VIEW._replace(granted=granted, rate=10_000.0, fleet_rate=80_000.0)
+        drawn = plan_draw(view)
+        granted += drawn
+        held += drawn
+    assert held <= VIEW.prepaid * HELD_PART
+
+
+def test_holds_follow_the_demand():
+    busy = VIEW._replace(rate=4000.0)
+    idle = VIEW._replace(rate=100.0)
+    assert find_share(busy) > 3 * find_share(idle)
+    assert find_target(busy) > 2 * find_target(idle)
+
+
+def test_before_demand_is_measured_an_equal_part_is_held():
+    view = VIEW._replace(rate=0.0, fleet_rate=0.0, largest=0.0, is_measured=False)
+    assert find_target(view) == int(1_000_000 * HELD_PART / 8)
+
+
+def test_what_is_not_needed_is_returned():
+    assert plan_draw(VIEW._replace(free=500_000, rate=10.0, granted=500_000)) < 0
+
+
+def test_small_differences_cause_no_calls():
+    target = find_target(VIEW)
+    assert plan_draw(VIEW._replace(free=int(target * 1.1))) == 0
+
+
+def test_a_raise_is_drawn_on():
+    view = VIEW._replace(granted=1_000_000, wanted=5000)
+    assert plan_draw(view) == 0
+    assert plan_draw(view._replace(prepaid=1_100_000)) >= 5000
+
+
+def test_rates_forget():
+    clock = ManualClock()
+    account = PrepaidAccount("plume")
+    for _ in range(40):
+        account.note_demand(1000, clock.elapsed())
+        clock.advance(timedelta(milliseconds=500))
+    assert 1500 < account.find_rate(clock.elapsed()) < 2500
+    assert account.is_measured(clock.elapsed())
+    clock.advance(timedelta(minutes=2))
+    assert account.find_rate(clock.elapsed()) < 1
+
+
+def test_settling_frees_what_was_not_used():
+    account = PrepaidAccount("plume")
+    account.credit(1000)
+    assert account.reserve(800, timedelta())
+    assert not account.reserve(300, timedelta())
+    account.settle(800, used=200)
+    assert (account.free, account.reserved, account.spent) == (800, 0, 200)
--- /dev/null
+++ b/lavendershift/tests/test_prepaid_schedules.py
@@ -0,0 +1,19 @@
+import pytest
+
+from lavendershift.tests.prepaid_world import PrepaidWorld
+
+SEEDS = 400
+STEPS = 500
+
+
+@pytest.mark.parametrize("block", range(8))
+def test_no_schedule_of_faults_overspends(block):
+    served = 0
+    for seed in range(block * SEEDS // 8, (block + 1) * SEEDS // 8):
+        world = PrepaidWorld(seed)
+        try:
+            world.run(STEPS)
+        except AssertionError as error:
+            raise AssertionError(f"seed {seed}: {error}") from error
+        served += world.served
+    assert served > SEEDS // 8 * 20
--- /dev/null
+++ b/lavendershift/tests/test_serverlist.py
@@ -0,0 +1,177 @@
+"""Placement replayed on the load patterns that it answers."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from lavendershift.clocks import ManualClock
+from lavendershift.serverlist import (
+    NO_PROMPT,
+    PromptPart,
+    PromptShape,
+    ServerEntry,
+    ServerList,
+    ServerLoad,
+)
+
+
+def make_entry(number, service="index", **changes):
+    entry = ServerEntry(
+        id=f"i-{number}",
+        service=service,
+        address=f"10.0.0.{number}:80",
+        failure_domain="rennes",
+        slots=64,
+        is_leaving=False,
+        born=1000 + number,
+        sequence=1,
+    )
+    return entry._replace(**changes)
+
+
+def make_servers(count=6, seed=1, clock=None):
+    servers = ServerList(clock or ManualClock(), random.Random(seed))
+    for number in range(count):
+        servers.update(make_entry(number))
+    return servers
+
+
+def make_prompt(subject, own=1000, shared=5000, request="r"):
+    parts = (PromptPart(subject, shared), PromptPart(request, own))
+    return PromptShape(parts, shared + own, 400)
+
+
+def test_a_leaving_server_gets_nothing_new():
+    servers = make_servers(2)
+    servers.update(make_entry(0, is_leaving=True, sequence=2))
+    assert {servers.choose("index", NO_PROMPT, ()).entry.id for _ in range(9)} == {
+        "i-1"
+    }
+
+
+def test_an_older_entry_changes_nothing():
+    servers = make_servers(1)
+    servers.update(make_entry(0, is_leaving=True, sequence=7))
+    servers.update(make_entry(0, is_leaving=False, sequence=6))
+    assert servers.choose("index", NO_PROMPT, ()) is None
+
+
+def test_a_server_reborn_under_its_id_starts_anew():
+    servers = make_servers(1)
+    prompt = make_prompt("book")
+    servers.start(servers.find("i-0"), prompt)
+    servers.update(make_entry(0, is_leaving=True, sequence=9))
+    servers.update(make_entry(0, born=5000, sequence=0))
+    reborn = servers.choose("index", prompt, ())
+    assert reborn.in_flight == 0
+    assert reborn.count_unread(prompt) == 6000
+
+
+def test_tried_servers_and_other_services_are_left_out():
+    servers = make_servers(2)
+    servers.update(make_entry(5, service="ledger"))
+    assert servers.choose("index", NO_PROMPT, ["i-0", "i-1"]) is None
+    assert servers.choose("ledger", NO_PROMPT, ()).entry.id == "i-5"
+
+
+def test_vms_that_hear_nobody_send_a_subject_to_the_same_server():
+    homes = {
+        make_servers(seed=seed).choose("index", make_prompt("book-7"), ()).entry.id
+        for seed in range(8)
+    }
+    assert len(homes) == 1
+
+
+def test_subjects_spread_over_the_servers():
+    servers = make_servers()
+    homes = Counter(
+        servers.choose("index", make_prompt(f"book-{n}"), ()).entry.id
+        for n in range(300)
+    )
+    assert len(homes) == 6
+    assert max(homes.values()) < 2 * 300 / 6
+
+
+def test_a_burst_about_one_subject_spills():
+    servers = make_servers()
+    prompts = [make_prompt("hot", own=3000, request=f"r{n}") for n in range(30)]
+    used = Counter()
+    for prompt in prompts:
+        server = servers.choose("index", prompt, ())
+        servers.start(server, prompt)
+        used[server.entry.id] += 1
+    assert len(used) > 1
+    assert max(used.values()) < 30
+
+
+def test_short_prompts_avoid_a_server_that_reads_a_long_one():
+    servers = make_servers()
+    short = make_prompt("small", own=300, shared=200)
+    home = servers.choose("index", short, ())
+    servers.note_others("vm-2", home.entry.id, ServerLoad(1, 54_000), ["long"])
+    assert servers.choose("index", short, ()) is not home
+
+
+def test_what_others_told_expires():
+    clock = ManualClock()
+    servers = make_servers(clock=clock)
+    short = make_prompt("small", own=300, shared=200)
+    home = servers.choose("index", short, ())
+    servers.note_others("vm-2", home.entry.id, ServerLoad(1, 54_000), [])
+    clock.advance(timedelta(seconds=3))
+    assert servers.choose("index", short, ()) is home
+
+
+def test_parts_that_others_sent_count_as_held():
+    servers = make_servers()
+    prompt = make_prompt("book")
+    home = servers.choose("index", prompt, ())
+    other = next(e.id for e in servers.list_entries() if e.id != home.entry.id)
+    servers.note_others("vm-2", other, ServerLoad(0, 0), ["book"])
+    assert servers.find(other).count_unread(prompt) == 1000
+
+
+def test_plain_requests_go_where_least_run():
+    servers = make_servers(3)
+    for _ in range(30):
+        servers.start(servers.choose("index", NO_PROMPT, ()), NO_PROMPT)
+    loads = [servers.find(f"i-{n}").in_flight for n in range(3)]
+    assert loads == [10, 10, 10]
+
+
+def test_an_unreachable_server_is_left_alone_and_comes_back():
+    clock = ManualClock()
+    servers = make_servers(2, clock=clock)
+    servers.note_unreachable(servers.find("i-0"))
+    assert servers.choose("index", NO_PROMPT, ()).entry.id == "i-1"
+    clock.advance(timedelta(seconds=1))
+    chosen = {servers.choose("index", NO_PROMPT, ()).entry.id for _ in range(40)}
+    assert chosen == {"i-0", "i-1"}
+
+
+def test_all_servers_unreachable_are_tried_all_the_same():
+    servers = make_servers(2)
+    for number in range(2):
+        servers.note_unreachable(servers.find(f"i-{number}"))
+    assert servers.choose("index", NO_PROMPT, ()) is not None
+
+
+def test_a_server_that_fails_in_a_row_is_ejected():
+    servers = make_servers(6)
+    for _ in range(3):
+        servers.note_failure(servers.find("i-0"))
+    chosen = {servers.choose("index", NO_PROMPT, ()).entry.id for _ in range(60)}
+    assert "i-0" not in chosen
+
+
+def test_loads_balance_at_the_end():
+    servers = make_servers()
+    placed = [
+        servers.start(servers.choose("index", prompt, ()), prompt)
+        for prompt in (make_prompt(f"b{n}") for n in range(20))
+    ]
+    for each in placed:
+        servers.note_answering(each)
+        servers.finish(each)
+    for number in range(6):
+        assert servers.measure_own(f"i-{number}") == ServerLoad(0, 0)
--- /dev/null
+++ b/lavendershift_standins/platformserver.py
@@ -0,0 +1,227 @@
+"""A stand-in for a backend server of the platform: scripted answers.
+
+Each request is answered by the next behaviour of the script, a coroutine that
+writes what it likes to the connection. Without one it gets a whole answer::
+
+    server = PlatformServer("i-1")
+    server.script.append(answer_not_run)
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+REQUEST_ID = "x-lavendershift-attempt-id"
+
+
+class Received(NamedTuple):
+    """A request as the server got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.headers.get(REQUEST_ID, "")
+
+
+Behaviour = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+class PlatformServer:
+    """Listens on the loopback and answers by its script."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.script: list[Behaviour] = []
+        self.default: Behaviour = answer_whole
+        self.received: list[Received] = []
+        self.closed = 0
+        self.connections = 0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return f"127.0.0.1:{self.port}"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while True:
+                received = await read_request(reader)
+                self.received.append(received)
+                behaviour = self.script.pop(0) if self.script else self.default
+                answering = asyncio.ensure_future(behaviour(received, writer))
+                gone = asyncio.ensure_future(watch_close(reader))
+                await asyncio.wait(
+                    {answering, gone}, return_when=asyncio.FIRST_COMPLETED
+                )
+                gone.cancel()
+                if not answering.done():
+                    answering.cancel()
+                    self.closed += 1
+                    return
+                await answering
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        finally:
+            with contextlib.suppress(ConnectionError):
+                writer.close()
+
+
+async def watch_close(reader: asyncio.StreamReader) -> None:
+    """Return when the other side closed the connection."""
+    while not reader.at_eof() and reader.exception() is None:
+        await asyncio.sleep(0.005)
+
+
+async def read_request(reader: asyncio.StreamReader) -> Received:
+    """Read one request with a body of a given length."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    lines = head.split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Received(method, target, headers, body)
+
+
+def make_head(received: Received, status: int, headers: dict[str, str]) -> bytes:
+    """Return the head of an answer that echoes the request's id."""
+    lines = [f"HTTP/1.1 {status} -", f"X-Lavendershift-Attempt-Id: {received.id}"]
+    lines.append(f"X-Lavendershift-Response-Signature: sign-{received.id}")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def answer_whole(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Answer with a body that names the request."""
+    body = f"done {received.id}".encode()
+    head = make_head(received, 200, {"Content-Length": str(len(body))})
+    writer.write(head + body)
+
+
+async def answer_not_run(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Refuse a request without running it."""
+    headers = {"Content-Length": "0", "X-Lavendershift-Not-Executed": "1"}
+    writer.write(make_head(received, 503, headers))
+
+
+async def answer_error(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Fail after running."""
+    writer.write(make_head(received, 500, {"Content-Length": "5"}) + b"error")
+
+
+async def answer_misdirected(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Say that another server was expected here."""
+    writer.write(make_head(received, 421, {"Content-Length": "0"}))
+
+
+async def answer_foreign_first(
+    received: Received, writer: asyncio.StreamWriter
+) -> None:
+    """Send a late second answer to another request first."""
+    other = received._replace(headers={REQUEST_ID: "other"})
+    await answer_whole(other, writer)
+    await answer_whole(received, writer)
+
+
+async def answer_with_extra(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Send bytes after a whole answer."""
+    await answer_whole(received, writer)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz")
+
+
+async def keep_silent(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Say nothing."""
+    await asyncio.sleep(60)
+
+
+async def reset(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Reset the connection."""
+    endpoint: socket.socket = writer.get_extra_info("socket")
+    endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+    raise ConnectionError
+
+
+async def send_bytes_only(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Send what is no answer."""
+    writer.write(b"\x00\x01 not http\r\n\r\n")
+    raise ConnectionError
+
+
+def answer_unframed(is_clean: bool) -> Behaviour:
+    """Answer without a length, ended by closing or by a reset."""
+
+    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(make_head(received, 200, {}) + b"all of it")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if not is_clean:
+            await reset(received, writer)
+        raise ConnectionError
+
+    return behave
+
+
+def make_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece-{number}\n\n".encode()
+
+
+def stream(
+    count: int, pause_s: float = 0.0, cut_after: int | None = None, partial: bool = True
+) -> Behaviour:
+    """Answer with events, from the one after ``Last-Event-Id`` on.
+
+    With ``cut_after`` the connection is reset after so many of them, in the
+    middle of the next where ``partial`` is set.
+    """
+
+    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
+        first = int(received.headers.get("last-event-id", "0")) + 1
+        headers = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(make_head(received, 200, headers))
+        for number in range(first, count + 1):
+            if cut_after is not None and number - first >= cut_after:
+                if partial:
+                    write_chunk(writer, make_event(number)[:7])
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                await reset(received, writer)
+            write_chunk(writer, make_event(number))
+            await writer.drain()
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        writer.write(b"0\r\n\r\n")
+
+    return behave
+
+
+def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write one chunk of a chunked body."""
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
--- /dev/null
+++ b/lavendershift_standins/platformstore.py
@@ -0,0 +1,180 @@
+"""A stand-in for the platform's store: keyed logs with conditional appends.
+
+``StoreState`` is the logs alone, for tests in virtual time; ``StoreServer``
+serves it over HTTP, with faults: ``away`` refuses all calls, ``silent`` leaves
+them without an answer, ``lose_answers`` is the share of appends that happen
+and are not answered.
+"""
+
+import asyncio
+import base64
+import json
+import random
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+LENGTH = struct.Struct(">I")
+HEAD = struct.Struct(">QQ")
+POLL_S = 0.01  # between looks for a record that a reader waits for
+
+
+class Moved(Exception):
+    """The partition does not end where the append expects it."""
+
+
+class Expired(Exception):
+    """The records asked for were deleted."""
+
+
+class StoreState:
+    """Partitions of records, each a key and a value."""
+
+    def __init__(self) -> None:
+        self.logs: dict[tuple[str, int], list[tuple[bytes, bytes]]] = {}
+        self.first: dict[tuple[str, int], int] = {}
+
+    def append(
+        self,
+        topic: str,
+        part: int,
+        records: list[tuple[bytes, bytes]],
+        at: int | None = None,
+    ) -> int:
+        """Append records, all or none; returns the partition's end."""
+        log = self.logs.setdefault((topic, part), [])
+        if at is not None and at != len(log):
+            raise Moved
+        log.extend(records)
+        return len(log)
+
+    def end(self, topic: str, part: int) -> int:
+        """Return the partition's end."""
+        return len(self.logs.get((topic, part), []))
+
+    def read(self, topic: str, part: int, offset: int) -> list[tuple[bytes, bytes]]:
+        """Return the records from ``offset`` on."""
+        if offset < self.first.get((topic, part), 0):
+            raise Expired
+        return self.logs.get((topic, part), [])[offset:]
+
+    def newest(self, topic: str, part: int) -> list[tuple[bytes, bytes, int]]:
+        """Return the newest record of each key, with its offset."""
+        found: dict[bytes, tuple[bytes, int]] = {}
+        for offset, (key, value) in enumerate(self.logs.get((topic, part), [])):
+            found[key] = (value, offset)
+        return [(key, value, at) for key, (value, at) in found.items() if value]
+
+    def expire(self, topic: str, part: int) -> None:
+        """Delete all records but the newest of each key."""
+        self.first[topic, part] = self.end(topic, part)
+
+
+class StoreServer:
+    """Serves a ``StoreState`` over HTTP."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.state = StoreState()
+        self.away = False
+        self.silent = False
+        self.lose_answers = 0.0
+        self.calls: dict[str, int] = {}
+        self._rng = rng
+        self._http = HTTPServer(self._serve)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, port: int) -> None:
+        """Listen on a port of the loopback."""
+        self._http.listen(port, address="127.0.0.1")
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._http.stop()
+
+    def _serve(self, request: HTTPServerRequest) -> None:
+        task = asyncio.ensure_future(self._answer(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, request: HTTPServerRequest) -> None:
+        url = urlsplit(request.uri or "")
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        self.calls[url.path] = self.calls.get(url.path, 0) + 1
+        if self.silent:
+            return
+        if self.away:
+            self._send(request, 503, b"")
+        elif url.path == "/log-append":
+            self._append(request, query)
+        elif url.path == "/log-read":
+            await self._read(request, query)
+        elif url.path == "/log-newest":
+            self._newest(request, query)
+        else:
+            self._send(request, 404, b"")
+
+    def _append(self, request: HTTPServerRequest, query: dict[str, str]) -> None:
+        topic, part = query["topic"], int(query["part"])
+        at = int(query["at"]) if "at" in query else None
+        try:
+            end = self.state.append(topic, part, split_records(request.body), at)
+        except Moved:
+            end = self.state.end(topic, part)
+            self._send(request, 412, json.dumps({"end": end}).encode())
+            return
+        if self._rng.random() < self.lose_answers:
+            return
+        self._send(request, 200, json.dumps({"offset": 0, "end": end}).encode())
+
+    async def _read(self, request: HTTPServerRequest, query: dict[str, str]) -> None:
+        topic, part, offset = query["topic"], int(query["part"]), int(query["from"])
+        waits = float(query.get("wait_ms", 0)) / 1000
+        try:
+            records = self.state.read(topic, part, offset)
+            while not records and waits > 0 and not self.away:
+                await asyncio.sleep(POLL_S)
+                waits -= POLL_S
+                records = self.state.read(topic, part, offset)
+        except Expired:
+            self._send(request, 410, b'{"first":0}')
+            return
+        body = HEAD.pack(self.state.end(topic, part), 0)
+        for key, value in records:
+            data = bytes([len(key)]) + key + value
+            body += LENGTH.pack(len(data)) + data
+        self._send(request, 200, body)
+
+    def _newest(self, request: HTTPServerRequest, query: dict[str, str]) -> None:
+        topic, part = query["topic"], int(query["part"])
+        items = [
+            {
+                "key": key.decode(),
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, value, offset in self.state.newest(topic, part)
+        ]
+        end = self.state.end(topic, part)
+        body = {"items": items, "truncated": False, "end": end}
+        self._send(request, 200, json.dumps(body).encode())
+
+    def _send(self, request: HTTPServerRequest, status: int, body: bytes) -> None:
+        connection = request.connection
+        assert connection is not None
+        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, "-"), headers, body
+        )
+        connection.finish()
+
+
+def split_records(body: bytes) -> list[tuple[bytes, bytes]]:
+    """Return the keyed records of an append."""
+    records = []
+    while body:
+        (length,) = LENGTH.unpack_from(body)
+        data, body = body[4 : 4 + length], body[4 + length :]
+        records.append((data[1 : 1 + data[0]], data[1 + data[0] :]))
+    return records
