Test the adapter against stand-ins of the wire, and what that found

Found by the new tests, each red before its change: - A request in a cut was refused though its tokens were held: the page's promise was below one request for customers with little or no demand. It now allows a large request at once and all that is held within the time it is held for. - A process said ready before it had read the rows of granted tokens, so the first requests after a cold start were refused. It is ready after that. - A request that all servers refused was reported as 'no server'.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -283,12 +283,13 @@
             raise RequestError(ErrorKind.DEADLINE_UNREACHABLE) from None
 
     async def _run_attempts(self) -> None:
+        end = End.NOT_SENT
         while True:
             server = self._servers.choose(
                 self._service.name, self._request.prompt or NO_PROMPT, self._tried
             )
             if server is None:
-                self._give_up(End.NOT_SENT)
+                self._give_up(end)
                 return
             end = await self._attempt(server)
             if end is End.ANSWERED:
--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -152,6 +152,11 @@
         """Note that requests wait for ``tokens`` more, or fewer if negative."""
         self._wanted[customer] = self._wanted.get(customer, 0) + tokens
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether the rows were read, and the last process's tokens adopted."""
+        return self._end is not None
+
     def measure_demand(self) -> dict[str, float]:
         """Return the recent demand of each customer here, in tokens/s."""
         now = self._clock.elapsed()
--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -17,11 +17,11 @@
 
 from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError
-from lavendershift.prepaid import PrepaidAccount, SpendingLimit
+from lavendershift.prepaid import HOLD_AHEAD, PrepaidAccount, SpendingLimit
 
 BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
-BURST_PART = 0.5  # of a large request, which may come at any moment
 BURST_TIME = timedelta(seconds=1)  # of the demand
+HELD_BURST = 0.15  # of the free tokens, which may be committed at once
 RATE_FACTOR = 2.0  # times the demand that is measured
 LONGEST_LIFE = timedelta(seconds=60)  # after a page; beyond it nothing is adopted
 MAX_TRIES = 5  # at one page, against changes by others in the same partition
@@ -180,7 +180,14 @@
 
 
 def find_promise(account: PrepaidAccount, now: timedelta) -> tuple[float, float]:
-    """Return the burst and the rate to promise for an account."""
+    """Return the burst and the rate to promise for an account.
+
+    Large requests may come at any moment, and a customer that was never seen
+    here may come first in a cut: all that is held can be spent within the time
+    it is held for.
+    """
     rate = account.find_rate(now)
-    burst = account.largest * BURST_PART + rate * BURST_TIME.total_seconds()
-    return burst, rate * RATE_FACTOR
+    burst = max(account.largest, account.free * HELD_BURST)
+    burst += rate * BURST_TIME.total_seconds()
+    whole = account.free / HOLD_AHEAD.total_seconds()
+    return burst, max(rate * RATE_FACTOR, whole)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -133,6 +133,7 @@
         return (
             self._gateway.table is not None
             and self._server_feed.is_ready
+            and self._draws.is_synced
             and not self._is_leaving
         )
 
--- /dev/null
+++ b/lavendershift/platform/tests/conftest.py
@@ -0,0 +1,218 @@
+import asyncio
+import json
+import random
+from datetime import timedelta
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.clocks import SystemClock
+from lavendershift.connections import Connections
+from lavendershift.delivery import CallerRequest, Delivery
+from lavendershift.platform.configuration import decode_configuration
+from lavendershift.platform.serverwire import PlatformServers
+from lavendershift.routes import Repeat, Route, Service, ServiceShare
+from lavendershift.serverlist import ServerEntry, ServerList
+from lavendershift_standins.platformserver import PlatformServer
+
+SECOND = timedelta(seconds=1)
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self):
+        self.has_started = False
+        self.is_done = False
+        self.was_aborted = False
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.body = b""
+        self.error = None
+
+    def send(self, status, headers, body):
+        self.has_started = self.is_done = True
+        self.status, self.headers, self.body = status, headers, body
+
+    def start(self, status, headers):
+        self.has_started = True
+        self.status, self.headers = status, headers
+
+    async def write(self, chunk):
+        self.body += chunk
+
+    def finish(self):
+        self.is_done = True
+
+    def abort(self):
+        self.was_aborted = True
+
+    def refuse(self, error):
+        self.error = error
+
+
+class Scene:
+    """Scripted servers, and deliveries to them."""
+
+    def __init__(self):
+        self.clock = SystemClock()
+        self.servers = ServerList(self.clock, random.Random(1))
+        self.connections = Connections(self.clock)
+        self.backends = []
+        self.notes = []
+        self.retries = 10
+
+    async def add_server(self, *script):
+        server = PlatformServer(f"i-{len(self.backends)}")
+        server.script.extend(script)
+        await server.start()
+        self.backends.append(server)
+        self.list_server(server)
+        return server
+
+    def list_server(self, server, address=None):
+        self.servers.update(
+            ServerEntry(server.name, "index", address or server.address, "", 8, False)
+        )
+
+    def make_request(self, number=1, deadline=2 * SECOND):
+        now = self.clock.elapsed()
+        request_id = f"r{number}"
+        headers = HTTPHeaders({"X-Lavendershift-Attempt-Id": request_id})
+        return CallerRequest(
+            id=request_id,
+            method="POST",
+            target="/a/b?c=d",
+            host="books.example",
+            headers=headers,
+            body=b"question",
+            key="",
+            received=now,
+            deadline=now + deadline,
+        )
+
+    def make_delivery(
+        self,
+        answer,
+        request=None,
+        repeat=Repeat.NEVER,
+        attempts=2,
+        is_stream=False,
+        timeout=2 * SECOND,
+    ):
+        route = Route(
+            "r",
+            "books.example",
+            "/a/",
+            (ServiceShare("index", 1.0),),
+            repeat,
+            is_stream,
+            timeout,
+            timedelta(milliseconds=200),
+            max_attempts=attempts,
+        )
+
+        def spend(end):
+            self.retries -= 1
+            return self.retries >= 0
+
+        return Delivery(
+            self.clock,
+            request or self.make_request(),
+            route,
+            Service("index", tokens_per_event=5),
+            self.servers,
+            self.connections,
+            PlatformServers(),
+            answer,
+            spend,
+            self.notes.append,
+        )
+
+    async def deliver(self, **options):
+        answer = Answer()
+        delivery = self.make_delivery(answer, **options)
+        await delivery.run()
+        return answer
+
+    @property
+    def ends(self):
+        return [note.end for note in self.notes]
+
+    @property
+    def runs(self):
+        return sum(len(backend.received) for backend in self.backends)
+
+    async def close(self):
+        self.connections.close()
+        for backend in self.backends:
+            await backend.stop()
+
+
+@pytest.fixture
+def play():
+    """Return a function that runs a coroutine function with a scene."""
+
+    def run(work):
+        async def whole():
+            scene = Scene()
+            try:
+                async with asyncio.timeout(20):
+                    return await work(scene)
+            finally:
+                await scene.close()
+
+        return asyncio.run(whole())
+
+    return run
+
+
+def make_configuration(**changes):
+    """Return an encoded configuration with one route of each kind."""
+    config = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "index",
+                "host": "books.example",
+                "path_prefix": "/index/",
+                "kind": "streaming",
+                "timeout_ms": 5000,
+                "target_latency_ms": 400,
+                "priority": 1,
+                "service": "pool",
+                "max_attempts": 2,
+                "resumable": True,
+            },
+            {
+                "name": "record",
+                "host": "books.example",
+                "path_prefix": "/record/",
+                "kind": "unsafe",
+                "timeout_ms": 2000,
+                "target_latency_ms": 300,
+                "service": "ledger",
+            },
+            {
+                "name": "read",
+                "host": "books.example",
+                "path_prefix": "/read/",
+                "kind": "safe",
+                "timeout_ms": 2000,
+                "target_latency_ms": 300,
+                "service": "ledger",
+                "max_attempts": 2,
+            },
+        ],
+        "services": [
+            {"name": "pool", "engine": {"slots": 8, "stride": 5}},
+            {"name": "ledger"},
+        ],
+        "tenants": [{"name": "plume", "api_keys": ["key-1"], "prepaid": 100_000}],
+    } | changes
+    return json.dumps(config).encode()
+
+
+@pytest.fixture
+def table():
+    return decode_configuration(make_configuration()).table
--- /dev/null
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -0,0 +1,238 @@
+"""Real node processes on loopback addresses, with stand-ins around them."""
+
+import http.client
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+import lavendershift
+from lavendershift.platform import names
+from lavendershift.platform.tests.conftest import make_configuration
+from lavendershift.tests.processes import LoopThread, find_port
+from lavendershift_standins.platformserver import PlatformServer, stream
+from lavendershift_standins.platformstore import StoreServer
+
+ROOT = Path(lavendershift.__file__).parents[1]
+PATIENCE_S = 15.0
+SETTINGS = """
+node = "{name}"
+role = "gateway"
+ip = "{ip}"
+zone = "rennes"
+region = "bretagne"
+internal_ports = [{peer}, {peer}]
+[listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{directory}"
+[bounds]
+grace_s = 8
+drain_ms = 2000
+retry_budget_ratio = 0.2
+retry_budget_slack = 56
+budget_window_s = 10
+ttl_max_s = 5
+[platform]
+address = "127.0.0.1:{store}"
+parts = 4
+"""
+
+
+class Reply:
+    """An answer; ``is_whole`` unless it was cut."""
+
+    def __init__(self, status, headers, body, is_whole=True):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.is_whole = is_whole
+
+
+class Node:
+    """One process; its addresses stay over restarts."""
+
+    def __init__(self, number, store_port, folder):
+        self.ip = find_ip(number)
+        self.name = f"edge-{number}"
+        ports = [find_port() for _ in range(4)]
+        self.peer, self.callers, self.ready, self.directory = ports
+        self.settings = folder / f"{self.name}.toml"
+        self.settings.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                peer=self.peer,
+                callers=self.callers,
+                ready=self.ready,
+                directory=self.directory,
+                store=store_port,
+            )
+        )
+        self.log_path = folder / f"{self.name}.log"
+        self.process = None
+
+    def start(self):
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lavendershift.tools.node"],
+                cwd=ROOT,
+                env=os.environ | {names.SETTINGS_VARIABLE: str(self.settings)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.wait_ready()
+
+    def signal(self, number):
+        os.kill(self.process.pid, number)
+
+    def wait_end(self):
+        return self.process.wait(timeout=PATIENCE_S)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.wait_end()
+
+    def wait_ready(self):
+        wait_for(lambda: self.get(self.ready, "/readyz").status == 200, "readiness")
+
+    def get(self, port, path):
+        try:
+            return send(self.ip, port, "GET", path, {})
+        except OSError:
+            return Reply(0, {}, b"", False)
+
+    def list_lines(self):
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def find_lines(self, event, **fields):
+        return [
+            line
+            for line in self.list_lines()
+            if line.get("event") == event
+            and all(line.get(key) == value for key, value in fields.items())
+        ]
+
+    def ask(self, request_id, path="/index/a", tokens=(100, 40), **headers):
+        fields = {
+            "Host": "books.example",
+            "X-Lavendershift-Attempt-Id": request_id,
+            "X-Lavendershift-Deadline-Ms": "4000",
+            "Authorization": "Bearer key-1",
+        }
+        if tokens:
+            fields["X-Lavendershift-Token-Usage"] = f"{tokens[0]},{tokens[1]}"
+            fields["X-Lavendershift-Prompt-Prefix"] = f"ab:50,{request_id}:50"
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return send(self.ip, self.callers, "POST", path, fields, b"question")
+
+
+class Platform:
+    """The store, some servers and some nodes."""
+
+    def __init__(self, folder, nodes=1, servers=2):
+        self.thread = LoopThread()
+        self.store = StoreServer(random.Random(1))
+        self.store_port = find_port()
+        self.thread.call(self.store.listen, self.store_port)
+        self.servers = {"pool": [], "ledger": []}
+        for service, listed in self.servers.items():
+            for number in range(servers):
+                server = PlatformServer(f"i-{service}-{number}")
+                if service == "pool":
+                    server.default = stream(8)
+                self.thread.run(server.start())
+                listed.append(server)
+        self.sequence = 0
+        self.nodes = [Node(n, self.store_port, folder) for n in range(nodes)]
+        self.configure()
+        self.beat()
+
+    def configure(self, **changes):
+        record = (names.CONFIGURATION_KEY, make_configuration(**changes))
+        self.append(names.OPERATOR_TOPIC, [record])
+
+    def beat(self, **states):
+        """Write an entry of each server, ``states`` by name."""
+        self.sequence += 1
+        records = []
+        for service, servers in self.servers.items():
+            for server in servers:
+                entry = {
+                    "service": service,
+                    "address": server.address,
+                    "zone": "rennes",
+                    "slots": 8,
+                    "state": states.get(server.name.replace("-", "_"), "ready"),
+                    "sequence": self.sequence,
+                    "born": 1,
+                }
+                records.append((server.name.encode(), msgspec.json.encode(entry)))
+        self.append(names.SERVERS_TOPIC, records)
+
+    def append(self, topic, records):
+        self.thread.call(self.store.state.append, topic, 0, records)
+
+    def start(self):
+        for node in self.nodes:
+            node.start()
+
+    def stop(self):
+        for node in self.nodes:
+            if node.process is not None and node.process.poll() is None:
+                node.kill()
+        for servers in self.servers.values():
+            for server in servers:
+                self.thread.run(server.stop())
+        self.thread.call(self.store.stop)
+        self.thread.close()
+
+    def count_runs(self, request_id):
+        return sum(
+            received.id == request_id
+            for servers in self.servers.values()
+            for server in servers
+            for received in server.received
+        )
+
+    def find_granted(self):
+        rows = self.store.state.newest(names.GRANTS_TOPIC, 0)
+        return {key.decode(): msgspec.json.decode(v)["granted"] for key, v, _ in rows}
+
+
+def find_ip(number):
+    """Return a loopback address that no other test process uses.
+
+    Nodes serve metrics on a fixed port, so each needs an address of its own.
+    """
+    own = os.getpid()
+    return f"127.{own >> 8 & 127 | 64}.{own & 255}.{number + 10}"
+
+
+def send(ip, port, method, path, headers, body=None):
+    """Send one request on a connection of its own."""
+    connection = http.client.HTTPConnection(ip, port, timeout=PATIENCE_S)
+    try:
+        connection.request(method, path, body=body, headers=headers)
+        answer = connection.getresponse()
+        try:
+            return Reply(answer.status, answer.headers, answer.read())
+        except http.client.IncompleteRead as error:
+            return Reply(answer.status, answer.headers, error.partial, False)
+    finally:
+        connection.close()
+
+
+def wait_for(check, what):
+    """Wait until ``check`` holds."""
+    deadline = time.monotonic() + PATIENCE_S
+    while not check():
+        assert time.monotonic() < deadline, f"timed out waiting for {what}"
+        time.sleep(0.05)
--- /dev/null
+++ b/lavendershift/platform/tests/test_configuration.py
@@ -0,0 +1,67 @@
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from lavendershift.platform.configuration import decode_configuration
+from lavendershift.platform.tests.conftest import make_configuration
+from lavendershift.routes import Repeat
+
+
+def test_routes_say_what_may_be_repeated(table):
+    find = table.find_route
+    assert find("books.example", "/index/x").repeat is Repeat.RESUME
+    assert find("books.example", "/record/x").repeat is Repeat.NEVER
+    assert find("books.example", "/read/x").repeat is Repeat.ALWAYS
+    assert find("books.example", "/index/x").timeout == timedelta(seconds=5)
+
+
+def test_customers_services_and_totals(table):
+    assert table.find_customer("key-1").prepaid == 100_000
+    assert table.services["pool"].is_engine
+    assert table.services["pool"].tokens_per_event == 5
+    assert not table.services["ledger"].is_engine
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        {"name": "x"},
+        {"name": 7, "host": "h", "path_prefix": "/", "kind": "safe", "timeout_ms": 1},
+        {
+            "name": "x",
+            "host": "h",
+            "path_prefix": "/",
+            "kind": "safe",
+            "timeout_ms": "a",
+        },
+        "text",
+        None,
+        [],
+        {"name": "x", "host": "h", "path_prefix": "/", "kind": [], "timeout_ms": 1e300},
+    ],
+)
+def test_a_malformed_route_spoils_nothing_else(entry):
+    good = msgspec.json.decode(make_configuration())["routes"]
+    decoded = decode_configuration(make_configuration(routes=[entry, *good]))
+    assert len(decoded.skipped) == 1
+    assert decoded.table.find_route("books.example", "/read/x") is not None
+
+
+def test_malformed_customers_services_and_limits_are_skipped():
+    decoded = decode_configuration(
+        make_configuration(tenants=[{}, 5], services=[{}], limits="none")
+    )
+    assert len(decoded.skipped) == 4
+    assert decoded.table.limits.body_bytes > 0
+
+
+def test_unknown_fields_are_ignored():
+    decoded = decode_configuration(make_configuration(coming="soon"))
+    assert decoded.skipped == []
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version":"7"}', b"\xff\xfe"])
+def test_what_is_no_configuration_is_refused(value):
+    with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError)):
+        decode_configuration(value)
--- /dev/null
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -0,0 +1,225 @@
+"""Node processes under failure, seen from callers, servers and the store."""
+
+import json
+import signal
+import socket
+import threading
+import time
+
+import pytest
+
+from lavendershift.platform.tests.live_nodes import Platform, wait_for
+from lavendershift_standins.platformserver import make_event, stream
+
+EVENTS = b"".join(make_event(number) for number in range(1, 9))
+
+
+@pytest.fixture
+def platform(tmp_path):
+    platform = Platform(tmp_path)
+    platform.start()
+    yield platform
+    platform.stop()
+
+
+def exchange_raw(node, data):
+    """Send bytes as they are; returns what came until the close."""
+    with socket.create_connection((node.ip, node.callers), timeout=5) as endpoint:
+        endpoint.sendall(data)
+        received = b""
+        while chunk := endpoint.recv(65536):
+            received += chunk
+        return received
+
+
+def test_a_calm_day(platform):
+    (node,) = platform.nodes
+    reply = node.ask("r1")
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert reply.headers["X-Lavendershift-Response-Signature"] == "sign-r1"
+    record = node.ask("r2", path="/record/x", tokens=None)
+    assert record.body == b"done r2"
+    received = platform.servers["ledger"][0].received + (
+        platform.servers["ledger"][1].received
+    )
+    assert received[0].headers["x-lavendershift-tenant"] == "plume"
+    assert "authorization" not in received[0].headers
+    (line,) = node.find_lines("request_answered", request="r1")
+    assert line["tokens"] == 100 + 40
+    assert line["version"] == 7
+
+
+def test_refusals_say_why(platform):
+    (node,) = platform.nodes
+    assert node.ask("r1", path="/nowhere/").status == 404
+    assert node.ask("r2", Authorization="Bearer other").status == 401
+    too_much = node.ask("r3", tokens=(200_000, 10))
+    assert too_much.status == 429
+    assert float(too_much.headers["Retry-After"]) > 0
+    assert [platform.count_runs(f"r{n}") for n in (1, 2, 3)] == [0, 0, 0]
+
+
+def test_the_directory_and_the_metrics(platform):
+    (node,) = platform.nodes
+    path = "/resolve?name=books.example&region=bretagne&zone=rennes"
+    wait_for(lambda: node.get(node.directory, path).status == 200, "the listing")
+    answer = json.loads(node.get(node.directory, path).body)
+    assert answer["addresses"] == [f"{node.ip}:{node.callers}"]
+    assert 0 < answer["ttl_s"] <= 5
+    node.ask("r1")
+    text = node.get(9464, "/metrics").body.decode()
+    assert "lavendershift_answers_total 1.0" in text
+    assert 'lavendershift_tokens_free{customer="plume"}' in text
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 3\r\nContent-Length: 4\r\n",
+        b"Transfer-Encoding: identity, chunked\r\n",
+        b"X-Lavendershift-Attempt-Id: other\r\nContent-Length: 3\r\n",
+    ],
+)
+def test_a_request_that_can_be_read_in_two_ways_is_refused_and_closed(platform, head):
+    (node,) = platform.nodes
+    reply = exchange_raw(
+        node,
+        b"POST /record/x HTTP/1.1\r\nHost: books.example\r\n"
+        b"X-Lavendershift-Attempt-Id: r1\r\nAuthorization: Bearer key-1\r\n"
+        + head
+        + b"\r\nabcPOST /record/y HTTP/1.1\r\nHost: books.example\r\n"
+        b"X-Lavendershift-Attempt-Id: r2\r\nContent-Length: 0\r\n\r\n",
+    )
+    assert reply.startswith(b"HTTP/1.1 400")
+    assert platform.count_runs("r1") == platform.count_runs("r2") == 0
+
+
+def test_a_body_over_the_limit_is_refused(platform):
+    (node,) = platform.nodes
+    reply = exchange_raw(
+        node,
+        b"POST /record/x HTTP/1.1\r\nHost: books.example\r\n"
+        b"X-Lavendershift-Attempt-Id: r1\r\nContent-Length: 4300000\r\n\r\nabc",
+    )
+    assert reply.startswith(b"HTTP/1.1 413")
+
+
+def test_a_configuration_is_in_force_within_two_seconds_and_only_forward(platform):
+    (node,) = platform.nodes
+    platform.configure(version=9, tenants=[{"name": "encre", "api_keys": ["key-2"]}])
+    started = time.monotonic()
+    wait_for(lambda: node.ask("r1").status == 401, "the new version")
+    assert time.monotonic() - started < 2
+    platform.configure(version=8)
+    time.sleep(1.0)
+    assert node.ask("r2").status == 401
+
+
+def test_a_draining_server_gets_nothing_new_after_two_seconds(platform):
+    (node,) = platform.nodes
+    platform.beat(i_ledger_0="draining")
+    time.sleep(2.0)
+    before = len(platform.servers["ledger"][0].received)
+    for number in range(20):
+        assert node.ask(f"r{number}", path="/record/x", tokens=None).status == 200
+    assert len(platform.servers["ledger"][0].received) == before
+
+
+def test_tokens_held_pay_while_the_store_is_away(platform):
+    (node,) = platform.nodes
+    node.ask("r1")
+    wait_for(lambda: platform.find_granted().get("plume", 0) > 10_000, "a hold")
+    platform.store.away = True
+    time.sleep(1.0)
+    for number in range(10):
+        assert node.ask(f"away-{number}").status == 200
+    started = time.monotonic()
+    assert node.ask("too-large", tokens=(90_000, 10)).status == 429
+    assert time.monotonic() - started < 0.2
+    platform.store.away = False
+
+
+def test_a_killed_process_loses_little_and_nothing_is_spent_twice(platform):
+    (node,) = platform.nodes
+    node.ask("r1")
+    wait_for(lambda: platform.find_granted().get("plume", 0) > 10_000, "a hold")
+    time.sleep(1.5)
+    node.kill()
+    node.start()
+    wait_for(lambda: node.find_lines("tokens_adopted"), "an adoption")
+    (line,) = node.find_lines("tokens_adopted")
+    assert 0 < line["tokens"] < platform.find_granted()["plume"]
+    used = 0
+    for number in range(400):
+        reply = node.ask(f"after-{number}", tokens=(900, 40))
+        used += 940 if reply.status == 200 else 0
+    assert 40_000 < used <= 100_000 - 140
+
+
+def test_a_stop_ends_what_runs_and_returns_tokens(platform):
+    (node,) = platform.nodes
+    for server in platform.servers["pool"]:
+        server.default = stream(8, pause_s=0.25)
+    replies = []
+    caller = threading.Thread(target=lambda: replies.append(node.ask("r1")))
+    caller.start()
+    wait_for(lambda: platform.count_runs("r1") == 1, "the request")
+    node.signal(signal.SIGTERM)
+    caller.join()
+    assert (replies[0].status, replies[0].body) == (200, EVENTS)
+    assert node.wait_end() == 0
+    assert platform.find_granted()["plume"] == 140
+    assert node.find_lines("process_stopped")
+
+
+def test_a_caller_that_leaves_stops_the_server_within_half_a_second(platform):
+    (node,) = platform.nodes
+    for server in platform.servers["pool"]:
+        server.default = stream(50, pause_s=0.2)
+    with socket.create_connection((node.ip, node.callers)) as endpoint:
+        endpoint.sendall(
+            b"POST /index/x HTTP/1.1\r\nHost: books.example\r\n"
+            b"X-Lavendershift-Attempt-Id: r1\r\nAuthorization: Bearer key-1\r\n"
+            b"X-Lavendershift-Token-Usage: 100,400\r\nContent-Length: 0\r\n\r\n"
+        )
+        wait_for(lambda: platform.count_runs("r1") == 1, "the request")
+        time.sleep(0.3)
+    time.sleep(0.5)
+    assert sum(server.closed for server in platform.servers["pool"]) == 1
+    assert node.find_lines("request_abandoned", request="r1")
+
+
+def test_a_node_without_the_store_is_not_ready(tmp_path):
+    platform = Platform(tmp_path)
+    (node,) = platform.nodes
+    platform.store.away = True
+    try:
+        starting = threading.Thread(target=node.start)
+        starting.start()
+        wait_for(lambda: node.get(node.ready, "/readyz").status == 503, "an answer")
+        assert node.ask("r1").status == 503
+        platform.store.away = False
+        starting.join()
+        assert node.ask("r2").status == 200
+    finally:
+        platform.stop()
+
+
+def test_vms_find_each_other_and_list_who_is_there(tmp_path):
+    platform = Platform(tmp_path, nodes=2)
+    platform.start()
+    try:
+        first, second = platform.nodes
+        path = "/resolve?name=books.example&zone=rennes"
+
+        def count():
+            body = json.loads(first.get(first.directory, path).body)
+            return len(body.get("addresses", ()))
+
+        wait_for(lambda: count() == 2, "the other VM")
+        second.signal(signal.SIGTERM)
+        wait_for(lambda: count() == 1, "the other VM to leave")
+        assert second.wait_end() == 0
+    finally:
+        platform.stop()
--- a/lavendershift_standins/platformstore.py
+++ b/lavendershift_standins/platformstore.py
@@ -21,11 +21,11 @@
 POLL_S = 0.01  # between looks for a record that a reader waits for
 
 
-class Moved(Exception):
+class MovedError(Exception):
     """The partition does not end where the append expects it."""
 
 
-class Expired(Exception):
+class ExpiredError(Exception):
     """The records asked for were deleted."""
 
 
@@ -46,7 +46,7 @@
         """Append records, all or none; returns the partition's end."""
         log = self.logs.setdefault((topic, part), [])
         if at is not None and at != len(log):
-            raise Moved
+            raise MovedError
         log.extend(records)
         return len(log)
 
@@ -57,7 +57,7 @@
     def read(self, topic: str, part: int, offset: int) -> list[tuple[bytes, bytes]]:
         """Return the records from ``offset`` on."""
         if offset < self.first.get((topic, part), 0):
-            raise Expired
+            raise ExpiredError
         return self.logs.get((topic, part), [])[offset:]
 
     def newest(self, topic: str, part: int) -> list[tuple[bytes, bytes, int]]:
@@ -120,7 +120,7 @@
         at = int(query["at"]) if "at" in query else None
         try:
             end = self.state.append(topic, part, split_records(request.body), at)
-        except Moved:
+        except MovedError:
             end = self.state.end(topic, part)
             self._send(request, 412, json.dumps({"end": end}).encode())
             return
@@ -137,7 +137,7 @@
                 await asyncio.sleep(POLL_S)
                 waits -= POLL_S
                 records = self.state.read(topic, part, offset)
-        except Expired:
+        except ExpiredError:
             self._send(request, 410, b'{"first":0}')
             return
         body = HEAD.pack(self.state.end(topic, part), 0)
