--- /dev/null
+++ b/lavendershift/commands/explain.py
@@ -0,0 +1,90 @@
+"""The way of one request, read from the collected logs of the VMs.
+
+    lavendershift explain 9c41d07be2a35f68 logs/*.jsonl
+
+prints a line for each thing that was decided about the request, in order of
+time, and before them the last thing that its VM said about each dependency.
+"""
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+
+NOT_FOUND = 1  # exit code
+CONTEXT_EVENTS = frozenset(
+    {"dependency_lost", "dependency_found", "configuration_changed", "process_started"}
+)
+COMMON_FIELDS = frozenset(
+    {"time", "level", "event", "vm", "failure_domain", "request", "customer"}
+)
+
+
+@cappa.command(name="explain", help="Show what happened to one request.")
+@dataclass
+class Explain:
+    """Prints a request's time line from log files."""
+
+    request: Annotated[str, cappa.Arg(help="id of the request")]
+    logs: Annotated[list[Path], cappa.Arg(help="log files, one JSON line an event")]
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="print JSON lines")] = False
+
+    def __call__(self) -> None:
+        """Print the time line."""
+        lines = list(read_lines(self.logs))
+        found = explain(self.request, lines)
+        if not found:
+            print(f"no line names the request {self.request}")
+            raise cappa.Exit(code=NOT_FOUND)
+        for line in found:
+            print(json.dumps(line) if self.as_json else format_event(line))
+
+
+def read_lines(paths: Iterable[Path]) -> Iterator[dict[str, Any]]:
+    """Return the events in log files; what is no event is left out."""
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            for text in file:
+                start = text.find("{")
+                if start < 0:
+                    continue
+                try:
+                    line = json.loads(text[start:])
+                except ValueError:
+                    continue
+                if isinstance(line, dict) and "event" in line and "time" in line:
+                    yield line
+
+
+def explain(request: str, lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the lines of a request, and what its VMs last said before them."""
+    lines = sorted(lines, key=lambda line: line["time"])
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        return []
+    first = own[0]["time"]
+    vms = {line["vm"] for line in own}
+    context: dict[tuple[str, str], dict[str, Any]] = {}
+    for line in lines:
+        if line["time"] > first:
+            break
+        if line["event"] in CONTEXT_EVENTS and line["vm"] in vms:
+            kind = line.get("name") or line["event"]
+            context[line["vm"], kind] = line
+    before = sorted(context.values(), key=lambda line: line["time"])
+    return before + own
+
+
+def format_event(line: dict[str, Any]) -> str:
+    """Return an event as one line of text."""
+    fields = [
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in COMMON_FIELDS and value != ""
+    ]
+    customer = [f"customer={line['customer']}"] if line.get("customer") else []
+    text = [line["time"], line["vm"], line["event"], *customer, *fields]
+    return " ".join(str(part) for part in text)
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -147,6 +147,7 @@
     WRONG_SERVER = "wrong_server"
     BROKEN = "broken"
     SILENT = "silent"
+    GIVEN_UP = "given_up"  # by the caller, or as the time ran out
 
     @property
     def did_not_run(self) -> bool:
@@ -355,6 +356,9 @@
         try:
             end, reason, reader = await self._exchange(connection, entry.id)
             keeps = end is not End.SILENT and end is not End.BROKEN
+        except asyncio.CancelledError:
+            self._note(entry.id, End.GIVEN_UP, "", 0, started)
+            raise
         finally:
             self._note_read(placed)
             self._servers.finish(placed)
--- a/lavendershift/logoutput.py
+++ b/lavendershift/logoutput.py
@@ -31,7 +31,7 @@
         """Write a record's line, or keep it until the reader goes on."""
         line = self.format(record).encode() + b"\n"
         self.flush()
-        if self._left_out and self._waiting_bytes < MAX_WAITING_BYTES:
+        if self._left_out and self._waiting_bytes < MAX_WAITING_BYTES // 2:
             report = f'{{"event":"{REPORT_EVENT}","count":{self._left_out}}}\n'
             self._left_out = 0
             self._add(report.encode())
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -218,6 +218,7 @@
         task.cancel()
         await asyncio.sleep(0.1)
         assert server.closed == 1
+        assert scene.ends == [End.GIVEN_UP]
 
     play(work)
 
--- a/lavendershift/tools/cli.py
+++ b/lavendershift/tools/cli.py
@@ -14,6 +14,7 @@
 from lavendershift import __version__
 from lavendershift.commands.budgets import Budgets
 from lavendershift.commands.check import Check
+from lavendershift.commands.explain import Explain
 from lavendershift.commands.logtail import Log
 from lavendershift.commands.publish import Drain, Publish
 from lavendershift.commands.requests import Requests
@@ -31,7 +32,15 @@
     """
 
     command: cappa.Subcommands[
-        Check | Tree | Publish | Budgets | Requests | StatusCommand | Drain | Log
+        Check
+        | Tree
+        | Publish
+        | Budgets
+        | Requests
+        | StatusCommand
+        | Drain
+        | Log
+        | Explain
     ]
 
 
