Hold less where little is left for the demand

Change: the part of what is left that all VMs hold follows how long it lasts at the fleet's demand: 0.3 at 30 s, at least 0.12, at most 0.5.

--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -22,7 +22,10 @@
 HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
 LARGEST_DECAY = 0.98  # per request, so that about the largest of 50 counts
 RATE_MARGIN = 1.3  # demand varies about its mean within HOLD_AHEAD
-HELD_PART = 0.3  # of what is left of a total, the most all VMs hold together
+HELD_PART = 0.3  # of what is left of a total, held by all VMs together
+ABUNDANT_TIME = timedelta(seconds=30)  # for which tokens at HELD_PART last
+LEAST_HELD_PART = 0.12  # where little is left for the demand
+MOST_HELD_PART = 0.5
 EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
 LOW_WATER = 0.8  # of the target; below it tokens are drawn
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
@@ -147,7 +150,20 @@
     ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
     if not view.is_measured:
         ahead = left
-    return int(min(ahead, left * HELD_PART * share))
+    return int(min(ahead, left * find_held_part(view, left) * share))
+
+
+def find_held_part(view: DrawView, left: float) -> float:
+    """Return the part of what is left that all VMs may hold.
+
+    Held tokens are lost with the power, which matters most where little is
+    left for the demand.
+    """
+    if view.fleet_rate <= 0:
+        return HELD_PART
+    lasts = left / view.fleet_rate
+    part = HELD_PART * lasts / ABUNDANT_TIME.total_seconds()
+    return min(max(part, LEAST_HELD_PART), MOST_HELD_PART)
 
 
 def plan_draw(view: DrawView) -> int:
--- a/lavendershift/tests/test_prepaid.py
+++ b/lavendershift/tests/test_prepaid.py
@@ -85,3 +85,11 @@
     assert not account.reserve(300, timedelta())
     account.settle(800, used=200)
     assert (account.free, account.reserved, account.spent) == (800, 0, 200)
+
+
+def test_less_is_held_where_little_is_left_for_the_demand():
+    rich = VIEW._replace(rate=50_000.0, fleet_rate=100_000.0)
+    lasts_60_s = find_target(rich._replace(prepaid=6_000_000)) / 6_000_000
+    lasts_30_s = find_target(rich._replace(prepaid=3_000_000)) / 3_000_000
+    lasts_5_s = find_target(rich._replace(prepaid=500_000)) / 500_000
+    assert lasts_60_s > lasts_30_s > lasts_5_s > 0
