Split the types of deliveries off, and treat unknown store answers as in doubt

Other statuses are in doubt now. New tests of draws catch the broken order of page and return, which nothing caught before.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -11,19 +11,26 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from lavendershift.attempts import (
+    AnswerKind,
+    Answers,
+    Attempt,
+    AttemptNote,
+    CallerRequest,
+    End,
+    ServerWire,
+)
 from lavendershift.clocks import Clock
 from lavendershift.connections import (
     ConnectError,
     Connection,
     Connections,
     Exchange,
-    ServerRequest,
 )
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventSplitter
@@ -32,7 +39,6 @@
     NO_PROMPT,
     ListedServer,
     Placed,
-    PromptShape,
     ServerList,
 )
 
@@ -48,113 +54,6 @@
 SERVER_ERRORS = range(500, 600)
 
 
-class CallerRequest(NamedTuple):
-    """A plain HTTP request; times are on the scale of ``Clock.elapsed``.
-
-    ``headers`` are those passed on. ``prompt`` is set for requests to model
-    engines, ``resumed_after`` is the last event that the caller already has.
-    """
-
-    id: str
-    method: str
-    target: str
-    host: str
-    headers: HTTPHeaders
-    body: bytes
-    key: str
-    received: timedelta
-    deadline: timedelta
-    prompt: PromptShape | None = None
-    resumed_after: str = ""
-
-
-class Attempt(NamedTuple):
-    """One sending of a request to one server."""
-
-    server: str
-    customer: str
-    urgency: int
-    deadline: timedelta
-    resume_after: str = ""
-
-
-class AnswerKind(Enum):
-    """What the head of an answer says of the request."""
-
-    OWN = "own"
-    NOT_RUN = "not_run"
-    WRONG_SERVER = "wrong_server"
-    FOREIGN = "foreign"  # belongs to another request
-
-
-class Answers(Protocol):
-    """Where the answer to one request goes."""
-
-    has_started: bool
-
-    def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
-        """Send a whole answer."""
-        ...
-
-    def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Begin an answer that follows in parts."""
-        ...
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a part; returns once it was taken."""
-        ...
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        ...
-
-    def abort(self) -> None:
-        """End the answer as incomplete."""
-        ...
-
-    def refuse(self, error: RequestError) -> None:
-        """Send the answer of an error kind."""
-        ...
-
-
-class ServerWire(Protocol):
-    """How requests and answers look on the way to a backend server."""
-
-    def encode(
-        self, request: CallerRequest, attempt: Attempt, now: timedelta
-    ) -> ServerRequest:
-        """Return ``request`` as ``attempt`` sends it."""
-        ...
-
-    def judge(
-        self, request: CallerRequest, status: int, headers: HTTPHeaders, is_fresh: bool
-    ) -> AnswerKind:
-        """Return whose answer this is and whether the request ran."""
-        ...
-
-    def select_answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
-        """Return the headers that the caller gets."""
-        ...
-
-
-class End(Enum):
-    """How an attempt ended."""
-
-    ANSWERED = "answered"
-    SERVER_ERROR = "server_error"
-    NOT_SENT = "not_sent"
-    NOT_RUN = "not_run"
-    WRONG_SERVER = "wrong_server"
-    BROKEN = "broken"
-    SILENT = "silent"
-    GIVEN_UP = "given_up"  # by the caller, or as the time ran out
-
-    @property
-    def did_not_run(self) -> bool:
-        """Whether the server certainly did not run the request."""
-        return self in (End.NOT_SENT, End.NOT_RUN, End.WRONG_SERVER)
-
-
 class _ServerAnswer(NamedTuple):
     """A whole answer that was collected."""
 
@@ -204,17 +103,6 @@
         return _ServerAnswer(self.status, self.headers, b"".join(self._chunks))
 
 
-class AttemptNote(NamedTuple):
-    """An attempt that ended, for the log."""
-
-    server: str
-    end: End
-    reason: str
-    status: int
-    duration: timedelta
-    expected: timedelta
-
-
 class Delivery:
     """The attempts at one request.
 
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -11,16 +11,16 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from lavendershift.clocks import Clock
-from lavendershift.connections import Connections
-from lavendershift.delivery import (
+from lavendershift.attempts import (
     Answers,
     AttemptNote,
     CallerRequest,
-    Delivery,
     End,
     ServerWire,
 )
+from lavendershift.clocks import Clock
+from lavendershift.connections import Connections
+from lavendershift.delivery import Delivery
 from lavendershift.draws import TokenDraws
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.requestreports import RequestReports, RequestTrace
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -23,9 +23,9 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import Clock
 from lavendershift.connections import reset_stream
-from lavendershift.delivery import CallerRequest
 from lavendershift.errors import Answer, ErrorKind, Ran, RequestError
 from lavendershift.gateway import Gateway
 from lavendershift.platform import names
@@ -106,8 +106,8 @@
     ) -> None:
         if self._closes():
             headers["Connection"] = "close"
-            self._connection._disconnect_on_finish = True
-        elif headers.get("Connection") == "close":
+        if headers.get("Connection") == "close":
+            # tornado has no public way to close after an answer was flushed.
             self._connection._disconnect_on_finish = True
         reason = responses.get(status, "Unknown")
         line = ResponseStartLine("HTTP/1.1", status, reason)
--- a/lavendershift/platform/serverwire.py
+++ b/lavendershift/platform/serverwire.py
@@ -4,8 +4,8 @@
 
 from tornado.httputil import HTTPHeaders
 
+from lavendershift.attempts import AnswerKind, Attempt, CallerRequest
 from lavendershift.connections import ServerRequest
-from lavendershift.delivery import AnswerKind, Attempt, CallerRequest
 from lavendershift.platform import names
 
 MISDIRECTED = 421
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -30,6 +30,7 @@
 
 CONNECT_TIMEOUT = timedelta(milliseconds=600)  # a path that lives answers in ms
 CALL_TIMEOUT = timedelta(milliseconds=1500)  # calls take 4 ms; slow ones 100 times it
+REFUSALS = frozenset({400, 403, 404, 409, 413, 429, 503, 507})  # nothing was done
 HEAD = struct.Struct(">QQ")  # the partition's end and its first retained offset
 LENGTH = struct.Struct(">I")
 
@@ -197,7 +198,9 @@
             return AppendResult.DONE, decode_end(answer.body)
         if answer.status == 412:
             return AppendResult.MOVED, decode_end(answer.body)
-        return AppendResult.NOT_DONE, None
+        if answer.status in REFUSALS:
+            return AppendResult.NOT_DONE, None
+        return AppendResult.UNKNOWN, None
 
     async def _call(
         self,
--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -6,9 +6,10 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import SystemClock
 from lavendershift.connections import Connections
-from lavendershift.delivery import CallerRequest, Delivery
+from lavendershift.delivery import Delivery
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.serverwire import PlatformServers
 from lavendershift.routes import Repeat, Route, Service, ServiceShare
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lavendershift.delivery import End
+from lavendershift.attempts import End
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -5,12 +5,13 @@
 """
 
 from datetime import timedelta
+from typing import Unpack
 
+from lavendershift.attempts import AttemptNote, CallerRequest, End
 from lavendershift.clocks import Clock
-from lavendershift.delivery import AttemptNote, CallerRequest, End
 from lavendershift.errors import RequestError
 from lavendershift.instruments import Instruments
-from lavendershift.logs import Event, EventLog, in_milliseconds
+from lavendershift.logs import Event, EventFields, EventLog, in_milliseconds
 
 
 class RequestTrace:
@@ -55,49 +56,27 @@
         if trace.longest_gap is not None:
             self._instruments.observe("event_gap", trace.longest_gap)
         self._note_tokens(trace)
-        self._log.write(
-            Event.REQUEST_ANSWERED,
-            request=trace.request.id,
-            customer=trace.customer,
-            route=trace.route,
-            version=trace.version,
-            tokens=trace.used_tokens,
-            waited_ms=in_milliseconds(trace.waited),
-            first_ms=-1 if first is None else in_milliseconds(first - received),
-            duration_ms=in_milliseconds(duration),
-        )
+        first_ms = -1 if first is None else in_milliseconds(first - received)
+        self._write(Event.REQUEST_ANSWERED, trace, first_ms=first_ms)
 
     def note_refused(self, trace: RequestTrace, error: RequestError) -> None:
         """Note a request that ended with an error kind."""
         answer = error.answer
         self._instruments.count("refusals", error.kind.value)
         self._note_tokens(trace)
-        self._log.write(
+        self._write(
             Event.REQUEST_REFUSED,
-            request=trace.request.id,
-            customer=trace.customer,
-            route=trace.route,
-            version=trace.version,
-            tokens=trace.used_tokens,
-            waited_ms=in_milliseconds(trace.waited),
+            trace,
             error=error.kind.value,
             reason=error.detail,
             ran=answer.ran.value,
-            duration_ms=self._measure(trace),
         )
 
     def note_abandoned(self, trace: RequestTrace) -> None:
         """Note a request whose caller went away, or that a stop cut."""
         self._instruments.count("abandoned")
         self._note_tokens(trace)
-        self._log.write(
-            Event.REQUEST_ABANDONED,
-            request=trace.request.id,
-            customer=trace.customer,
-            route=trace.route,
-            tokens=trace.used_tokens,
-            duration_ms=self._measure(trace),
-        )
+        self._write(Event.REQUEST_ABANDONED, trace)
 
     def note_attempt(self, request: CallerRequest, attempt: AttemptNote) -> None:
         """Note an attempt at a server that ended."""
@@ -131,5 +110,16 @@
         if trace.waited:
             self._instruments.observe("token_wait", trace.waited)
 
-    def _measure(self, trace: RequestTrace) -> int:
-        return in_milliseconds(self._clock.elapsed() - trace.request.received)
+    def _write(
+        self, event: Event, trace: RequestTrace, **fields: Unpack[EventFields]
+    ) -> None:
+        """Write the line of a request's end."""
+        duration = self._clock.elapsed() - trace.request.received
+        fields["route"] = trace.route
+        fields["version"] = trace.version
+        fields["tokens"] = trace.used_tokens
+        fields["waited_ms"] = in_milliseconds(trace.waited)
+        fields["duration_ms"] = in_milliseconds(duration)
+        self._log.write(
+            event, request=trace.request.id, customer=trace.customer, **fields
+        )
--- /dev/null
+++ b/lavendershift/tests/test_draws.py
@@ -0,0 +1,162 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from lavendershift.clocks import ManualClock
+from lavendershift.draws import SETTLE_TIME, GrantRow, SwapResult, TokenDraws
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+
+TOTAL = {"plume": 100_000}
+
+
+class MemoryRows:
+    """The rows of one partition; ``results`` are those of the next changes."""
+
+    def __init__(self):
+        self.rows = []
+        self.first = 0
+        self.results = []
+        self.is_away = False
+
+    async def read_newest(self):
+        self._check()
+        newest = {row.customer: row for row in self.rows}
+        return list(newest.values()), len(self.rows)
+
+    async def read_rows(self, offset):
+        self._check()
+        if offset < self.first:
+            raise RecordsExpiredError("rows", offset)
+        return self.rows[offset:]
+
+    async def swap(self, end, rows):
+        self._check()
+        result = self.results.pop(0) if self.results else SwapResult.DONE
+        if result is SwapResult.DONE:
+            if end != len(self.rows):
+                return SwapResult.MOVED
+            self.rows += rows
+        return result
+
+    def _check(self):
+        if self.is_away:
+            raise LogUnavailableError("away")
+
+
+class StubbornPassbook:
+    """Writes no page while ``is_away``."""
+
+    def __init__(self):
+        self.is_away = False
+        self.pages = []
+
+    async def adopt(self, find_account):
+        return
+
+    async def record(self, accounts, wanted):
+        if self.is_away:
+            raise LogUnavailableError("away")
+        self.pages.append({name: a.free for name, a in accounts.items()})
+
+
+def make_draws(rows, clock=None, passbook=None, name="vm/1"):
+    clock = clock or ManualClock()
+    draws = TokenDraws(clock, rows, name, lambda: TOTAL, lambda: 2, passbook=passbook)
+    if isinstance(clock, ManualClock):
+        clock.advance(SETTLE_TIME)
+    return draws
+
+
+def run_round(draws):
+    asyncio.run(draws.run_round())
+
+
+def test_tokens_count_once_the_change_was_acknowledged():
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    run_round(draws)
+    assert draws.find_account("plume").free == rows.rows[-1].granted > 0
+
+
+def test_a_lost_race_is_run_again_from_the_newest_row():
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    rows.rows.append(GrantRow("plume", 90_000, "other/1"))
+    run_round(draws)
+    account = draws.find_account("plume")
+    assert rows.rows[-1].granted == 90_000 + account.free <= 100_000
+
+
+def test_an_unanswered_change_is_credited_if_it_is_in_the_log():
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    rows.results = [SwapResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    assert draws.find_account("plume").free == 0
+    rows.rows.append(GrantRow("plume", 7000, "vm/1/1"))
+    rows.is_away = False
+    asyncio.run(draws._sync())
+    assert draws.find_account("plume").free > 0
+
+
+def test_an_unanswered_change_that_another_replaced_is_not_credited():
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    rows.results = [SwapResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    rows.rows.append(GrantRow("plume", 100_000, "other/1"))
+    run_round(draws)
+    assert draws.find_account("plume").free == 0
+
+
+def test_rows_that_expired_unread_cost_what_was_in_doubt():
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    rows.results = [SwapResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    rows.rows += [GrantRow("plume", 20_000, "vm/1/1"), GrantRow("x", 1, "other/1")]
+    rows.first = 2
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    run_round(draws)
+    assert draws.find_account("plume").free + 20_000 <= rows.rows[-1].granted
+
+
+def test_nothing_is_returned_before_a_page_without_it():
+    rows, passbook = MemoryRows(), StubbornPassbook()
+    draws = make_draws(rows, passbook=passbook)
+    run_round(draws)
+    held, count = draws.find_account("plume").free, len(rows.rows)
+    draws.return_all()
+    passbook.is_away = True
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    assert len(rows.rows) == count
+    assert draws.find_account("plume").free == held
+    passbook.is_away = False
+    run_round(draws)
+    assert rows.rows[-1].granted == 0
+    assert passbook.pages[-2]["plume"] == 0
+
+
+def test_a_request_is_refused_at_once_while_the_store_is_known_to_be_away():
+    async def work():
+        rows = MemoryRows()
+        draws = make_draws(rows)
+        draws.is_reached = False
+        return await draws.wait_for("plume", 50, timedelta(seconds=30))
+
+    assert asyncio.run(asyncio.wait_for(work(), 2)) is False
+
+
+def test_a_request_beyond_the_total_is_refused_at_once():
+    async def work():
+        draws = make_draws(MemoryRows())
+        draws.is_reached = True
+        return await draws.wait_for("plume", 100_001, timedelta(seconds=30))
+
+    assert asyncio.run(asyncio.wait_for(work(), 2)) is False
