Read the settings again on SIGHUP

Cause: the node only logged the signal. It takes over the bounds that can change; settings that can't be read leave those in force. Addresses stay.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -76,6 +76,10 @@
         """Return the bounds on what callers may send."""
         return self.table.limits if self.table else CallerLimits()
 
+    def set_retry_bounds(self, bounds: RetryBounds) -> None:
+        """Change the fleet's bounds on repeated sendings."""
+        self._bounds = bounds
+
     async def serve(self, request: CallerRequest, answers: Answers) -> None:
         """Answer one request."""
         trace = RequestTrace(request)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 import secrets
 import signal
@@ -24,12 +25,15 @@
 from lavendershift.logoutput import StandardOutputHandler
 from lavendershift.logs import Event, EventLog, LibraryHandler, format_line
 from lavendershift.passbook import Passbook, read_boot_id
-from lavendershift.platform import names
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import Directory, SmallServer
 from lavendershift.platform.feeds import ConfigurationFeed, ServerFeed
 from lavendershift.platform.grants import StoreGrantLog
-from lavendershift.platform.nodesettings import NodeSettings, load_node_settings
+from lavendershift.platform.nodesettings import (
+    NodeSettings,
+    SettingsError,
+    load_node_settings,
+)
 from lavendershift.platform.passbooks import StorePassbookLog
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.serverwire import PlatformServers
@@ -217,6 +221,22 @@
         if running:
             self._log.write(Event.PROCESS_STOPPING, reason=f"{running} requests cut")
 
+    def reload(self, path: Path) -> None:
+        """Read the settings again; addresses stay as they are.
+
+        Settings that can't be read leave those in force.
+        """
+        try:
+            settings = load_node_settings(path)
+        except SettingsError as error:
+            self._log.write(Event.ENTRY_SKIPPED, name="settings", reason=str(error))
+            return
+        self._settings = settings
+        self._gateway.set_retry_bounds(
+            RetryBounds(settings.retry_share, settings.retry_slack)
+        )
+        self._log.write(Event.SETTINGS_RELOADED)
+
     def _answer_ready(self, request: HTTPServerRequest) -> tuple[int, bytes]:
         return (200 if self.is_ready else 503), b"{}"
 
@@ -293,15 +313,8 @@
     """Run the process with the settings file at ``path`` until told to stop."""
     settings = load_node_settings(path)
     log = make_log(settings, clock)
-    import logging
-
     logging.getLogger().addHandler(LibraryHandler(log))
     application = NodeApplication(settings, clock, rng, log)
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: log.write(Event.SETTINGS_RELOADED, name=str(path))
-    )
+    loop.add_signal_handler(signal.SIGHUP, application.reload, path)
     await application.run()
-
-
-SETTINGS_VARIABLE = names.SETTINGS_VARIABLE
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from lavendershift.platform.names import SETTINGS_VARIABLE as SETTINGS_VARIABLE
+
 
 class NodeSettings(NamedTuple):
     """What a process knows of its VM, its addresses and the bounds in force."""
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -206,6 +206,16 @@
         platform.stop()
 
 
+def test_settings_are_read_again_and_faulty_ones_change_nothing(platform):
+    (node,) = platform.nodes
+    node.signal(signal.SIGHUP)
+    wait_for(lambda: node.find_lines("settings_reloaded"), "the reload")
+    node.settings.write_text("node = 7\n")
+    node.signal(signal.SIGHUP)
+    wait_for(lambda: node.find_lines("entry_skipped", name="settings"), "the fault")
+    assert node.ask("r1").status == 200
+
+
 def test_vms_find_each_other_and_list_who_is_there(tmp_path):
     platform = Platform(tmp_path, nodes=2)
     platform.start()
--- a/lavendershift/tools/node.py
+++ b/lavendershift/tools/node.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 from lavendershift.clocks import SystemClock
-from lavendershift.platform.application import SETTINGS_VARIABLE, run_node
-from lavendershift.platform.nodesettings import SettingsError
+from lavendershift.platform.application import run_node
+from lavendershift.platform.nodesettings import SETTINGS_VARIABLE, SettingsError
 
 INVALID_SETTINGS = 2  # exit code
 
