Take the callers' limits from the configuration in force

Cause: idle connections were closed after the default of 15 s and headers bounded by its 16 kB, whatever the configuration said, since the server listens before the first configuration is known. Found by reading; a test with another idle time was red before. Limits now apply to open connections too.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -45,6 +45,7 @@
 
 LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
 EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
+LEAST_VMS = 3  # that share the retries, before the others are known
 METRICS_PORT = 9464  # the usual one of this text format
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 TIDY_INTERVAL = timedelta(seconds=2)  # between looks for stale idle connections
@@ -114,7 +115,7 @@
             self._draws,
             RequestReports(clock, log, self._instruments),
             RetryBounds(settings.retry_share, settings.retry_slack),
-            lambda: max(self._vms.count(), 3),
+            lambda: max(self._vms.count(), LEAST_VMS),
         )
         self._callers = CallerServer(clock, self._gateway)
         self._directory = SmallServer(Directory(self._vms, settings.resolve_ttl).answer)
@@ -277,6 +278,7 @@
 
     def _accept_table(self, table: RoutingTable) -> None:
         self._gateway.table = table
+        self._callers.update_limits(table.limits)
 
     def _forget_server(self, entry: ServerEntry) -> None:
         self._connections.drop(entry.address)
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -29,6 +29,7 @@
 from lavendershift.errors import Answer, ErrorKind, Ran, RequestError
 from lavendershift.gateway import Gateway
 from lavendershift.platform import names
+from lavendershift.routes import CallerLimits
 from lavendershift.serverlist import PromptPart, PromptShape
 
 SINGLE_HEADERS = (
@@ -197,17 +198,24 @@
 
     def listen(self, address: str) -> None:
         """Listen on ``address``."""
-        limits = self._gateway.find_limits()
-        self._http = _CallerHttpServer(
-            self,
-            idle_connection_timeout=limits.idle_timeout.total_seconds(),
-            max_header_size=max(limits.header_bytes, 16_384),
-            max_body_size=limits.body_bytes + BODY_MARGIN,
-            chunk_size=CHUNK_BYTES,
-        )
+        self._http = _CallerHttpServer(self, chunk_size=CHUNK_BYTES)
+        self.update_limits(self._gateway.find_limits())
         host, _, port = address.rpartition(":")
         self._http.listen(int(port), address=host, backlog=1024)
 
+    def update_limits(self, limits: CallerLimits) -> None:
+        """Put limits in force, also for connections that are open.
+
+        Callers reuse connections for most of the idle time, so that closing
+        them sooner would cut requests.
+        """
+        if self._http is None:
+            return
+        parameters = self._http.conn_params
+        parameters.header_timeout = limits.idle_timeout.total_seconds()
+        parameters.max_header_size = limits.header_bytes
+        parameters.max_body_size = limits.body_bytes + BODY_MARGIN
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -206,6 +206,22 @@
         platform.stop()
 
 
+def test_idle_connections_stay_open_as_long_as_the_configuration_says(platform):
+    (node,) = platform.nodes
+    platform.configure(version=9, limits={"idle_timeout_ms": 1000})
+    wait_for(lambda: node.find_lines("configuration_changed", version=9), "limits")
+    request = (
+        b"POST /record/x HTTP/1.1\r\nHost: books.example\r\nContent-Length: 0\r\n"
+        b"X-Lavendershift-Attempt-Id: r1\r\nAuthorization: Bearer key-1\r\n\r\n"
+    )
+    with socket.create_connection((node.ip, node.callers), timeout=5) as endpoint:
+        for _ in range(3):
+            endpoint.sendall(request)
+            assert endpoint.recv(65536).startswith(b"HTTP/1.1 200")
+            time.sleep(0.8)
+        assert endpoint.recv(65536) == b""
+
+
 def test_settings_are_read_again_and_faulty_ones_change_nothing(platform):
     (node,) = platform.nodes
     node.signal(signal.SIGHUP)
