--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -80,6 +80,8 @@
     ``prepaid`` returns the newest totals, ``vms`` the number of live VMs and
     ``others_rate`` the demand of a customer at the other ones, in tokens/s.
     ``on_draw`` is told customer, tokens and the new total of grants.
+    ``was_reached`` is set once a whole round went well: from then on requests
+    that wait for tokens can get them.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         self.accounts: dict[str, PrepaidAccount] = {}
         self.granted: dict[str, int] = {}
         self.is_reached = False
+        self.was_reached = False
         self._end: int | None = None
         self._changes = 0
         self._wanted: dict[str, int] = {}
@@ -152,11 +155,6 @@
         """Note that requests wait for ``tokens`` more, or fewer if negative."""
         self._wanted[customer] = self._wanted.get(customer, 0) + tokens
 
-    @property
-    def is_synced(self) -> bool:
-        """Whether the rows were read, and the last process's tokens adopted."""
-        return self._end is not None
-
     def measure_demand(self) -> dict[str, float]:
         """Return the recent demand of each customer here, in tokens/s."""
         now = self._clock.elapsed()
@@ -194,6 +192,7 @@
                 interval = AWAY_INTERVAL
             else:
                 self._note_reached(True, "")
+                self.was_reached = True
             done, self._round_done = self._round_done, asyncio.Event()
             done.set()
             with contextlib.suppress(TimeoutError):
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -138,7 +138,7 @@
         return (
             self._gateway.table is not None
             and self._server_feed.is_ready
-            and self._draws.is_synced
+            and self._draws.was_reached
             and not self._is_leaving
         )
 
--- a/lavendershift/tests/test_draws.py
+++ b/lavendershift/tests/test_draws.py
@@ -160,3 +160,20 @@
         return await draws.wait_for("plume", 100_001, timedelta(seconds=30))
 
     assert asyncio.run(asyncio.wait_for(work(), 2)) is False
+
+
+def test_tokens_can_be_had_only_after_a_whole_round():
+    async def work():
+        rows = MemoryRows()
+        draws = make_draws(rows)
+        rows.results = [SwapResult.UNKNOWN]
+        running = asyncio.ensure_future(draws.run())
+        await asyncio.sleep(0.05)
+        # The rows were read, but the first draw has no answer.
+        before = draws.was_reached, await draws.wait_for("plume", 50, timedelta())
+        await asyncio.sleep(0.6)
+        after = draws.was_reached, draws.find_account("plume").free > 0
+        running.cancel()
+        return before, after
+
+    assert asyncio.run(work()) == ((False, False), (True, True))
