Read the rows of a checkpoint in one pass

Ruled out: the collector, which is paused while the checkpoint is adopted. Change: msgspec converts the rows; a row of another form is a DecodeError, so a router replays instead of ending.

--- a/lavendershift/ledger.py
+++ b/lavendershift/ledger.py
@@ -18,6 +18,8 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+import msgspec
+
 from lavendershift.balances import Balance, BudgetView
 from lavendershift.checkpoints import join_checkpoint, split_checkpoint
 from lavendershift.errors import DecodeError
@@ -215,7 +217,10 @@
         ledger = cls(parts[0].stream, prepaid, state[1], key_retention)
         ledger.next_offset, ledger.config_offset, ledger.time_ms = state[2:5]
         ledger.incarnations = IncarnationTable.load(state[5])
-        ledger.requests = RequestTable.load(state[6], key_retention)
+        try:
+            ledger.requests = RequestTable.load(state[6], key_retention)
+        except msgspec.ValidationError as error:
+            raise DecodeError(f"checkpoint {parts[0].id}", str(error)) from None
         ledger.balances = {name: Balance.load(data) for name, data in state[7].items()}
         ledger.loans = {(loan[0], loan[1]): loan[2] for loan in state[8]}
         ledger.operator_ids = dict.fromkeys(state[9])
--- a/lavendershift/requests.py
+++ b/lavendershift/requests.py
@@ -10,6 +10,8 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+import msgspec
+
 from lavendershift.records import Charge, Claim, Outcome, Recover
 
 GENERATED_MARK = "~"  # callers' keys cannot contain it
@@ -44,8 +46,22 @@
     expired: bool = False
 
 
+class _Row(NamedTuple):
+    """A request of a dumped table: its key, then the fields of its state."""
+
+    request: str
+    budget: str
+    touched_ms: int = 0
+    billed: int | None = None
+    charges: tuple[AttemptCharge, ...] = ()
+    claimant: str = ""
+    fingerprint: str = ""
+    claim_offset: int = -1
+    outcome: Outcome | None = None
+    expired: bool = False
+
+
 DEFAULT_FIELDS = tuple(RequestState(""))
-CHARGES_FIELD = RequestState._fields.index("charges")
 
 
 class RequestTable:
@@ -150,11 +166,14 @@
 
     @classmethod
     def load(cls, data: list[Any], key_retention: timedelta) -> "RequestTable":
-        """Return the table that ``dump`` gave."""
+        """Return the table that ``dump`` gave.
+
+        Raises ``msgspec.ValidationError`` for another form.
+        """
         table = cls(key_retention)
         for kept, rows in zip(table._tables(), data, strict=True):
-            for request, *fields in rows:
-                kept[request] = _load_state(fields)
+            for row in msgspec.convert(rows, list[_Row]):
+                kept[row[0]] = RequestState._make(row[1:])
         return table
 
     def _tables(self) -> "tuple[OrderedDict[str, RequestState], ...]":
@@ -206,13 +225,3 @@
     if state.charges:
         return "key reused for different content"
     return ""
-
-
-def _load_state(fields: list[Any]) -> RequestState:
-    if len(fields) > CHARGES_FIELD:
-        charges = [AttemptCharge(*charge) for charge in fields[CHARGES_FIELD]]
-        fields[CHARGES_FIELD] = tuple(charges)
-    state = RequestState(*fields)
-    if state.outcome is None:
-        return state
-    return state._replace(outcome=Outcome(*state.outcome))
--- a/lavendershift/tests/test_ledger.py
+++ b/lavendershift/tests/test_ledger.py
@@ -195,6 +195,15 @@
         Ledger.restore(parts[1:], lambda budget, offset: 100)
 
 
+def test_a_checkpoint_with_rows_of_another_form_is_refused():
+    log = Log("i")
+    log.fold(Charge("i/1", "b", "i", "key", 0, "a"))
+    [part] = log.ledger.make_checkpoint("c")
+    damaged = part._replace(state=part.state.replace('"i/1"', "7").replace('"a"', "7"))
+    with pytest.raises(DecodeError):
+        Ledger.restore([damaged], lambda budget, offset: 100)
+
+
 def test_budgets_of_other_streams_are_foreign():
     streams = {"ledger-0": 0, "ledger-1": 0}
     for stream in streams:
