Spread the rows of granted tokens over the partitions

Ruled out: the store's rates (1,500 and 6,000 calls/s were not reached). Change: a row lies in the partition of its customer's hash; each partition has rounds of its own for requests that wait, so that a call without an answer holds up nobody else; full rounds are rarer in large fleets and read rows only when they are old. Tokens drawn after a page of the passbook extend its promise (they are in no page), so that they can be spent before the next one. A leaving VM draws for requests that wait. Found on the way: adopted tokens could be spent before a page said so, in the time of one call after a start; a second kill then would have had them adopted twice. They are bound now until the page is written; a test fails without it.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -1,84 +1,53 @@
-"""Drawing prepaid tokens from the row that all VMs share, and returning them.
-
-The rows of all customers lie in one ordered log, and a change is appended
-under the condition that the log still ends where this VM has read it. At most
-one VM can therefore change the rows at a time, and each change is made from
-the newest rows. Tokens are spent only after the change that granted them was
-acknowledged or read back; tokens to be returned are taken out of use before
-the change is sent. A change without an answer may still happen later, so its
-outcome is read from the log: at its offset lies either it or another change,
-after which it can no longer happen.
+"""Keeping the accounts of a VM filled from the rows that all VMs share.
+
+The customers' rows are spread over the partitions of a log by a hash of the
+customer's name, so that VMs that draw for different customers seldom get in
+each other's way. A full round goes through all partitions and moves what is
+held towards its target; in between, requests that wait for tokens set off
+rounds of their customers' partitions alone.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from datetime import timedelta
-from enum import Enum
-from typing import NamedTuple, Protocol
+
+import xxhash
 
 from lavendershift.clocks import BootClock
-from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.errors import LogUnavailableError
+from lavendershift.grantrows import GrantLog, GrantRows
 from lavendershift.passbook import Passbook
 from lavendershift.prepaid import DrawView, PrepaidAccount, plan_draw
 
-ROUND_INTERVAL = timedelta(seconds=1)  # between rounds without a waiting request
+ROUND_INTERVAL = timedelta(seconds=1)  # between full rounds of a small fleet
+ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
+ROWS_AGE = timedelta(seconds=3)  # of rows that full rounds plan from
+WANTED_ROWS_AGE = timedelta(milliseconds=100)  # of rows that refuse a request
+SETTLING_PAUSE = timedelta(milliseconds=2)  # between tries for a waiting request
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
 SETTLE_TIME = timedelta(seconds=2)  # until the other VMs' rows were read
 MAX_CONFLICTS = 6  # lost races in one round before the next one is waited for
 
+DrawListener = Callable[[str, int, int], None]
 
-class GrantRow(NamedTuple):
-    """One change of one customer's row, as it lies in the log.
-
-    ``granted`` is the new total, ``change`` names the change that made it.
-    """
-
-    customer: str
-    granted: int
-    change: str
-
-
-class SwapResult(Enum):
-    """What came of a conditional append."""
-
-    DONE = "done"
-    MOVED = "moved"
-    UNKNOWN = "unknown"
-
-
-class GrantLog(Protocol):
-    """The ordered rows; calls raise ``LogUnavailableError``."""
-
-    async def read_newest(self) -> tuple[list[GrantRow], int]:
-        """Return the newest row of each customer and an end before them."""
-        ...
-
-    async def read_rows(self, offset: int) -> list[GrantRow]:
-        """Return the rows from ``offset`` on to the log's end."""
-        ...
-
-    async def swap(self, end: int, rows: list[GrantRow]) -> SwapResult:
-        """Append ``rows``, all or none, if the log ends at ``end``."""
-        ...
-
-
-class _Unresolved(NamedTuple):
-    """A change that was sent at ``offset`` and not answered."""
 
-    offset: int
-    change: str
-    deltas: dict[str, int]
+def find_round_interval(vms: int) -> timedelta:
+    """Return the time between full rounds in a fleet of ``vms``."""
+    return max(ROUND_INTERVAL, vms * ROUND_INTERVAL_PER_VM)
 
 
-DrawListener = Callable[[str, int, int], None]
+def find_partition(customer: str, partitions: int) -> int:
+    """Return the partition of a customer's row, the same on all VMs."""
+    return xxhash.xxh3_64_intdigest(customer.encode()) % partitions
 
 
 class TokenDraws:
     """Keeps the accounts of this VM filled.
 
-    ``prepaid`` returns the newest totals, ``vms`` the number of live VMs and
-    ``others_rate`` the demand of a customer at the other ones, in tokens/s.
+    ``logs`` are the partitions of the rows. ``prepaid`` returns the newest
+    totals, ``vms`` the number of live VMs and ``others_rate`` the demand of a
+    customer at the other ones, in tokens/s.
     ``on_draw`` is told customer, tokens and the new total of grants.
     ``was_reached`` is set once a whole round went well: from then on requests
     that wait for tokens can get them.
@@ -87,7 +56,7 @@
     def __init__(
         self,
         clock: BootClock,
-        log: GrantLog,
+        logs: Sequence[GrantLog],
         name: str,
         prepaid: Callable[[], Mapping[str, int]],
         vms: Callable[[], int],
@@ -97,24 +66,23 @@
         on_reach: Callable[[bool, str], None] = lambda reached, reason: None,
     ) -> None:
         self._clock = clock
-        self._log = log
-        self._name = name
         self._prepaid = prepaid
         self._vms = vms
         self._others_rate = others_rate
         self._passbook = passbook
-        self._on_draw = on_draw
         self._on_reach = on_reach
         self.accounts: dict[str, PrepaidAccount] = {}
-        self.granted: dict[str, int] = {}
+        self._rows = [
+            GrantRows(clock, log, name, self.find_account, on_draw) for log in logs
+        ]
         self.is_reached = False
         self.was_reached = False
-        self._end: int | None = None
-        self._changes = 0
         self._wanted: dict[str, int] = {}
-        self._unresolved: list[_Unresolved] = []
+        self._settling: dict[int, asyncio.Task[None]] = {}
+        self._locks = [asyncio.Lock() for _ in logs]
+        self._recording = asyncio.Lock()
+        self._answered_at = timedelta()
         self._wake = asyncio.Event()
-        self._round_done = asyncio.Event()
         self._hold_nothing = False
         self._settles_at = clock.elapsed() + SETTLE_TIME
 
@@ -137,16 +105,17 @@
         deadline = self._clock.elapsed() + timeout
         self.note_wanted(customer, tokens)
         try:
-            while self.is_reached and self._has_left(customer, tokens):
-                done = self._round_done
-                self._wake.set()
+            while self.is_reached and self._may_have_left(customer, tokens):
                 left = (deadline - self._clock.elapsed()).total_seconds()
                 if left <= 0:
                     return False
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(done.wait(), left)
+                settling = self._start_settling(customer)
+                await asyncio.wait({settling}, timeout=left)
+                if settling.done():
+                    settling.result()
                 if account.reserve(tokens, self._clock.since_boot()):
                     return True
+                await asyncio.sleep(SETTLING_PAUSE.total_seconds())
             return False
         finally:
             self.note_wanted(customer, -tokens)
@@ -166,11 +135,22 @@
 
     def count_left(self, customer: str) -> int:
         """Return the tokens of the total that are granted to nobody."""
-        return self._prepaid().get(customer, 0) - self.granted.get(customer, 0)
+        granted = self._find_rows(customer).granted.get(customer, 0)
+        return self._prepaid().get(customer, 0) - granted
 
-    def _has_left(self, customer: str, tokens: int) -> bool:
-        account = self.find_account(customer)
-        return self.count_left(customer) + account.free >= tokens
+    def _find_partition(self, customer: str) -> int:
+        return find_partition(customer, len(self._rows))
+
+    def _find_rows(self, customer: str) -> GrantRows:
+        return self._rows[self._find_partition(customer)]
+
+    def _may_have_left(self, customer: str, tokens: int) -> bool:
+        """Whether ``tokens`` are left, by rows that are recent enough to tell."""
+        if tokens > self._prepaid().get(customer, 0):
+            return False
+        if self.count_left(customer) + self.find_account(customer).free >= tokens:
+            return True
+        return self._find_rows(customer).is_older_than(WANTED_ROWS_AGE)
 
     def return_all(self) -> None:
         """Return free tokens from the next round on, as the VM is leaving."""
@@ -184,54 +164,141 @@
     async def run(self) -> None:
         """Draw and return tokens until cancelled."""
         while True:
-            interval = ROUND_INTERVAL
+            interval = find_round_interval(self._vms())
             try:
                 await self.run_round()
-            except LogUnavailableError as error:
-                self._note_reached(False, str(error))
+            except LogUnavailableError:
                 interval = AWAY_INTERVAL
-            else:
-                self._note_reached(True, "")
-                self.was_reached = True
-            done, self._round_done = self._round_done, asyncio.Event()
-            done.set()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), interval.total_seconds())
             self._wake.clear()
 
     async def run_round(self) -> None:
-        """Bring the rows up to date, change them as planned and record that."""
-        if self._passbook is not None:
-            await self._passbook.adopt(self.find_account)
-        await self._sync()
+        """Move all accounts towards their targets and record what is held.
+
+        Raises ``LogUnavailableError`` if no partition could be reached.
+        """
+        with self._watch_reach():
+            if self._passbook is not None:
+                await self._passbook.adopt(self.find_account)
+        partitions = sorted({self._find_partition(c) for c in self._prepaid()})
+        if partitions and not self.is_reached:
+            await self._settle(partitions.pop(0))
+        results = await asyncio.gather(
+            *(self._settle(number) for number in partitions), return_exceptions=True
+        )
+        failures = [r for r in results if isinstance(r, BaseException)]
+        if failures and len(failures) == len(results):
+            raise failures[0]
+        with self._watch_reach():
+            await self._record()
+        self.was_reached = self.was_reached or not failures
+
+    def _start_settling(self, customer: str) -> "asyncio.Task[None]":
+        """Return the running task that draws for ``customer``, or a new one."""
+        number = self._find_partition(customer)
+        task = self._settling.get(number)
+        if task is None or task.done():
+            task = asyncio.ensure_future(self._settle_urgently(number))
+            self._settling[number] = task
+        return task
+
+    async def _settle_urgently(self, number: int) -> None:
+        """Draw for the requests that wait for tokens of a partition."""
+        with contextlib.suppress(LogUnavailableError):  # noted by the watch
+            await self._settle(number)
+            if self._is_bound_by_page(number):
+                with self._watch_reach():
+                    await self._record()
+
+    def _is_bound_by_page(self, number: int) -> bool:
+        """Whether a request waits though its tokens are here.
+
+        The promise of the newest page keeps them from being spent.
+        """
+        return any(
+            wanted > 0
+            and self._find_partition(customer) == number
+            and not self._count_missing(customer)
+            for customer, wanted in self._wanted.items()
+        )
+
+    def _count_missing(self, customer: str) -> int:
+        """Return the tokens that requests wait for and that are not here."""
+        wanted = self._wanted.get(customer, 0)
+        return max(wanted - self.find_account(customer).free, 0)
+
+    async def _settle(self, number: int) -> None:
+        """Change the rows of a partition as planned."""
+        async with self._locks[number]:
+            with self._watch_reach():
+                await self._settle_rows(self._rows[number])
+
+    async def _settle_rows(self, rows: GrantRows) -> None:
+        if not self.is_reached or rows.is_older_than(ROWS_AGE):
+            await rows.sync()
         for _ in range(MAX_CONFLICTS):
-            deltas = self._plan()
-            if not deltas or await self._change(deltas):
+            deltas = self._plan(rows)
+            if self._lacks(rows, deltas) and rows.is_older_than(WANTED_ROWS_AGE):
+                await rows.sync()
+                deltas = self._plan(rows)
+            if not deltas or await rows.change(deltas, self._record):
                 break
-            await self._sync()
-        await self._record()
+            await rows.sync()
+
+    @contextlib.contextmanager
+    def _watch_reach(self) -> Iterator[None]:
+        """Note whether the store answered.
+
+        A call without an answer says nothing while others are answered.
+        """
+        started = self._clock.elapsed()
+        try:
+            yield
+        except LogUnavailableError as error:
+            if self._answered_at <= started:
+                self._note_reached(False, str(error))
+            raise
+        newest = max((r.read_at for r in self._rows if r.read_at), default=timedelta())
+        if newest >= started:
+            self._answered_at = self._clock.elapsed()
+            self._note_reached(True, "")
+
+    def _lacks(self, rows: GrantRows, deltas: Mapping[str, int]) -> bool:
+        """Whether ``deltas`` leave a request without tokens."""
+        return any(
+            self._count_missing(customer) > deltas.get(customer, 0)
+            for customer in self._wanted
+            if self._find_rows(customer) is rows
+        )
 
     async def _record(self) -> None:
         """Write what is held to the passbook."""
         if self._passbook is not None:
-            await self._passbook.record(self.accounts, self._wanted)
+            async with self._recording:
+                await self._passbook.record(self.accounts, self._wanted)
 
     def _note_reached(self, reached: bool, reason: str) -> None:
         if reached != self.is_reached:
             self.is_reached = reached
             self._on_reach(reached, reason)
 
-    def _plan(self) -> dict[str, int]:
+    def _plan(self, rows: GrantRows) -> dict[str, int]:
+        """Return the tokens to draw for the customers of a partition.
+
+        Negative numbers are tokens to return.
+        """
         deltas = {}
         now = self._clock.elapsed()
         for customer, prepaid in self._prepaid().items():
+            if self._find_rows(customer) is not rows:
+                continue
             account = self.find_account(customer)
-            wanted = max(self._wanted.get(customer, 0) - account.free, 0)
             view = DrawView(
                 prepaid=prepaid,
-                granted=self.granted.get(customer, 0),
+                granted=rows.granted.get(customer, 0),
                 free=account.free,
-                wanted=wanted,
+                wanted=self._count_missing(customer),
                 rate=account.find_rate(now),
                 fleet_rate=self._others_rate(customer) + account.find_rate(now),
                 largest=account.largest,
@@ -246,90 +313,8 @@
     def _choose_delta(self, view: DrawView, now: timedelta) -> int:
         """Return the tokens to draw, or a negative number to return."""
         if self._hold_nothing:
-            return -view.free
+            left = max(view.prepaid - view.granted, 0)
+            return min(view.wanted, left) if view.wanted else -view.free
         if now < self._settles_at and not view.wanted:
             return 0
         return plan_draw(view)
-
-    async def _change(self, deltas: dict[str, int]) -> bool:
-        """Append the planned changes; false if another VM came first."""
-        assert self._end is not None
-        end = self._end
-        self._changes += 1
-        change = f"{self._name}/{self._changes}"
-        rows = [
-            GrantRow(customer, self.granted.get(customer, 0) + delta, change)
-            for customer, delta in deltas.items()
-        ]
-        for customer, delta in deltas.items():
-            if delta < 0:
-                self.find_account(customer).credit(delta)
-        if any(delta < 0 for delta in deltas.values()):
-            # A successor must not adopt what is about to be returned.
-            try:
-                await self._record()
-            except LogUnavailableError:
-                self._undo(deltas)
-                raise
-        unresolved = _Unresolved(end, change, deltas)
-        self._unresolved.append(unresolved)
-        result = await self._log.swap(end, rows)
-        if result is SwapResult.UNKNOWN:
-            raise LogUnavailableError("no answer to a draw")
-        self._unresolved.remove(unresolved)
-        if result is SwapResult.MOVED:
-            self._undo(deltas)
-            return False
-        for offset, row in enumerate(rows, end):
-            self._fold(offset, row)
-        self._end = end + len(rows)
-        self._credit(deltas)
-        return True
-
-    def _undo(self, deltas: dict[str, int]) -> None:
-        """Take back returns that did not happen."""
-        for customer, delta in deltas.items():
-            if delta < 0:
-                self.find_account(customer).credit(-delta)
-
-    def _credit(self, deltas: dict[str, int]) -> None:
-        """Credit draws that happened; returns were taken out before."""
-        for customer, delta in deltas.items():
-            if delta > 0:
-                self.find_account(customer).credit(delta)
-            self._on_draw(customer, delta, self.granted.get(customer, 0))
-
-    async def _sync(self) -> None:
-        """Read the rows up to the log's end."""
-        if self._end is None:
-            rows, end = await self._log.read_newest()
-            for row in rows:
-                self.granted[row.customer] = row.granted
-            self._end = end
-        try:
-            rows = await self._log.read_rows(self._end)
-        except RecordsExpiredError:
-            self._forget()
-            raise LogUnavailableError("rows expired before they were read") from None
-        for offset, row in enumerate(rows, self._end):
-            self._fold(offset, row)
-        self._end += len(rows)
-
-    def _fold(self, offset: int, row: GrantRow) -> None:
-        """Take over a row, which also decides the changes sent at its offset."""
-        self.granted[row.customer] = row.granted
-        for unresolved in [u for u in self._unresolved if u.offset == offset]:
-            self._unresolved.remove(unresolved)
-            if row.change == unresolved.change:
-                self._credit(unresolved.deltas)
-            else:
-                self._undo(unresolved.deltas)
-
-    def _forget(self) -> None:
-        """Start from the newest rows again.
-
-        What became of changes that lie in the gap cannot be told; their
-        tokens count as granted and as not received.
-        """
-        self._end = None
-        self._unresolved.clear()
--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -124,7 +124,10 @@
                 if not await self._replace(end, adopted):
                     continue
             for customer, tokens in adopted.items():
-                find_account(customer).credit(tokens)
+                account = find_account(customer)
+                account.credit(tokens)
+                # The page promised that nothing of it is spent before the next one.
+                account.limits = [SpendingLimit(self._clock.since_boot(), 0.0, 0.0)]
                 self._on_adopt(customer, tokens)
 
     async def _replace(self, end: int, adopted: dict[str, int]) -> bool:
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -91,7 +91,10 @@
         self._vms.hear_directly(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
-            StoreGrantLog(self._store),
+            [
+                StoreGrantLog(self._store, partition)
+                for partition in range(settings.partitions)
+            ],
             incarnation,
             self._list_prepaid,
             self._vms.count,
--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from lavendershift.draws import GrantRow, SwapResult
 from lavendershift.errors import LogUnavailableError
+from lavendershift.grantrows import GrantRow, SwapResult
 from lavendershift.platform import names
 from lavendershift.platform.store import AppendResult, Record, StoreClient
 
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -44,6 +44,10 @@
         self._rate = rate
         self.committed = 0
 
+    def extend(self, tokens: int) -> None:
+        """Allow ``tokens`` more, which were drawn after the page was made."""
+        self._burst += tokens
+
     def allows(self, tokens: int, now: timedelta) -> bool:
         """Return whether ``tokens`` more may be committed."""
         elapsed = (now - self._since).total_seconds()
@@ -68,8 +72,14 @@
         self._rate_at = timedelta()
 
     def credit(self, tokens: int) -> None:
-        """Add tokens that were drawn, or take away those to be returned."""
+        """Add tokens that a page may count already, or take away some."""
+        self.free += tokens
+
+    def credit_drawn(self, tokens: int) -> None:
+        """Add tokens that were drawn just now, which no page counts."""
         self.free += tokens
+        for limit in self.limits:
+            limit.extend(tokens)
 
     def reserve(self, tokens: int, now: timedelta) -> bool:
         """Set ``tokens`` aside for a request, by the time since boot.
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -11,15 +11,17 @@
 
 import msgspec
 
-from lavendershift.draws import GrantRow, SwapResult, TokenDraws
+from lavendershift.draws import TokenDraws
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.grantrows import GrantRow, SwapResult
 from lavendershift.passbook import PageResult, Passbook
 from lavendershift.platform.grants import decode_row
 from lavendershift.platform.passbooks import decode_page
 from lavendershift.platform.store import Record
 from lavendershift_standins.platformstore import ExpiredError, MovedError, StoreState
 
-CUSTOMERS = ("plume", "encre")
+CUSTOMERS = ("plume", "encre", "sable")
+PARTITIONS = 2  # plume and encre share one
 GRANTS, PAGES = "grants", "pages"
 
 
@@ -51,37 +53,41 @@
         if self._vm.is_cut or self._world.is_away:
             raise LogUnavailableError("away")
 
-    def _append(self, topic, records, end):
+    def _append(self, topic, part, records, end):
         """Return whether the append was done, refused, or is in doubt."""
         world = self._world
         if self._vm.is_cut or world.is_away:
             return "moved"
         kind = world.rng.random()
         if kind < world.late_share:
-            world.late.append((topic, records, end))
+            world.late.append((topic, part, records, end))
             return "unknown"
         try:
-            world.state.append(topic, 0, records, end)
+            world.state.append(topic, part, records, end)
         except MovedError:
             return "moved"
         return "unknown" if kind < world.late_share + world.lost_share else "done"
 
 
 class FaultyGrants(Link):
+    def __init__(self, world, vm, part):
+        super().__init__(world, vm)
+        self._part = part
+
     async def read_newest(self):
         self._check()
         state = self._world.state
         rows = [
             decode_row(Record(at, key, value))
-            for key, value, at in state.newest(GRANTS, 0)
+            for key, value, at in state.newest(GRANTS, self._part)
         ]
-        return rows, state.end(GRANTS, 0)
+        return rows, state.end(GRANTS, self._part)
 
     async def read_rows(self, offset):
         self._check()
         await asyncio.sleep(0)
         try:
-            records = self._world.state.read(GRANTS, 0, offset)
+            records = self._world.state.read(GRANTS, self._part, offset)
         except ExpiredError:
             raise RecordsExpiredError(GRANTS, offset) from None
         return [decode_row(Record(0, key, value)) for key, value in records]
@@ -89,7 +95,7 @@
     async def swap(self, end, rows):
         records = [encode_row(row) for row in rows]
         await asyncio.sleep(0)
-        return SwapResult(self._append(GRANTS, records, end))
+        return SwapResult(self._append(GRANTS, self._part, records, end))
 
 
 class FaultyPages(Link):
@@ -102,7 +108,7 @@
     async def write(self, end, page):
         await asyncio.sleep(0)
         records = [(self._vm.key, encode_page(page))]
-        result = PageResult(self._append(PAGES, records, end))
+        result = PageResult(self._append(PAGES, 0, records, end))
         return result, self._world.state.end(PAGES, 0)
 
 
@@ -144,7 +150,7 @@
         )
         self.draws = TokenDraws(
             self.clock,
-            FaultyGrants(self.world, self),
+            [FaultyGrants(self.world, self, part) for part in range(PARTITIONS)],
             name,
             lambda: self.world.prepaid,
             lambda: len(self.world.vms),
@@ -290,9 +296,10 @@
 
     def step_late(self, vm):
         if self.late:
-            topic, records, end = self.late.pop(self.rng.randrange(len(self.late)))
-            if self.state.end(topic, 0) == end:
-                self.state.append(topic, 0, records)
+            late = self.late.pop(self.rng.randrange(len(self.late)))
+            topic, part, records, end = late
+            if self.state.end(topic, part) == end:
+                self.state.append(topic, part, records)
 
     def step_kill(self, vm):
         vm.die(with_power=False)
@@ -320,7 +327,7 @@
         self.now += timedelta(seconds=8)
 
     def step_expire(self, vm):
-        self.state.expire(GRANTS, 0)
+        self.state.expire(GRANTS, self.rng.randrange(PARTITIONS))
 
     async def step_return(self, vm):
         vm.draws.return_all()
--- a/lavendershift/tests/test_draws.py
+++ b/lavendershift/tests/test_draws.py
@@ -3,9 +3,16 @@
 
 import pytest
 
-from lavendershift.clocks import ManualClock
-from lavendershift.draws import SETTLE_TIME, GrantRow, SwapResult, TokenDraws
+from lavendershift.clocks import ManualClock, SystemClock
+from lavendershift.draws import (
+    ROUND_INTERVAL,
+    SETTLE_TIME,
+    TokenDraws,
+    find_partition,
+    find_round_interval,
+)
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.grantrows import GrantRow, SwapResult
 
 TOTAL = {"plume": 100_000}
 
@@ -18,6 +25,7 @@
         self.first = 0
         self.results = []
         self.is_away = False
+        self.delay_s = 0.0
 
     async def read_newest(self):
         self._check()
@@ -31,6 +39,7 @@
         return self.rows[offset:]
 
     async def swap(self, end, rows):
+        await asyncio.sleep(self.delay_s)
         self._check()
         result = self.results.pop(0) if self.results else SwapResult.DONE
         if result is SwapResult.DONE:
@@ -62,7 +71,7 @@
 
 def make_draws(rows, clock=None, passbook=None, name="vm/1"):
     clock = clock or ManualClock()
-    draws = TokenDraws(clock, rows, name, lambda: TOTAL, lambda: 2, passbook=passbook)
+    draws = TokenDraws(clock, [rows], name, lambda: TOTAL, lambda: 2, passbook=passbook)
     if isinstance(clock, ManualClock):
         clock.advance(SETTLE_TIME)
     return draws
@@ -97,7 +106,7 @@
     assert draws.find_account("plume").free == 0
     rows.rows.append(GrantRow("plume", 7000, "vm/1/1"))
     rows.is_away = False
-    asyncio.run(draws._sync())
+    asyncio.run(draws.run_round())
     assert draws.find_account("plume").free > 0
 
 
@@ -177,3 +186,54 @@
         return before, after
 
     assert asyncio.run(work()) == ((False, False), (True, True))
+
+
+def test_a_partition_without_answers_holds_up_no_other_one():
+    """Answers get lost on some calls while the store serves the others."""
+
+    async def work():
+        rows = [MemoryRows(), MemoryRows()]
+        totals = {"plume": 100_000, "sable": 100_000}  # one in each partition
+        assert [find_partition(name, 2) for name in totals] == [0, 1]
+        draws = TokenDraws(SystemClock(), rows, "vm/1", lambda: totals, lambda: 2)
+        await draws.run_round()
+        rows[0].is_away, rows[0].delay_s = True, 0.2
+        lost, found = await asyncio.gather(
+            draws.wait_for("plume", 90_000, timedelta(milliseconds=50)),
+            draws.wait_for("sable", 90_000, timedelta(seconds=5)),
+        )
+        await asyncio.sleep(0.3)
+        return lost, found, draws.is_reached
+
+    assert asyncio.run(work()) == (False, True, True)
+
+
+def test_a_store_that_answers_nothing_is_away():
+    async def work():
+        rows = [MemoryRows(), MemoryRows()]
+        totals = {"plume": 100_000, "sable": 100_000}
+        draws = TokenDraws(SystemClock(), rows, "vm/1", lambda: totals, lambda: 2)
+        await draws.run_round()
+        reached = draws.is_reached
+        rows[0].is_away = rows[1].is_away = True
+        await draws.wait_for("plume", 90_000, timedelta(milliseconds=50))
+        return reached, draws.is_reached
+
+    assert asyncio.run(work()) == (True, False)
+
+
+def test_a_vm_that_leaves_still_draws_for_requests_that_wait():
+    async def work():
+        draws = make_draws(MemoryRows())
+        await draws.run_round()
+        draws.return_all()
+        await draws.run_round()
+        held = draws.find_account("plume").free
+        return held, await draws.wait_for("plume", 500, timedelta(seconds=5))
+
+    assert asyncio.run(work()) == (0, True)
+
+
+def test_rounds_are_rarer_in_large_fleets():
+    assert find_round_interval(8) == ROUND_INTERVAL
+    assert find_round_interval(66) > 3 * ROUND_INTERVAL
--- a/lavendershift/tests/test_passbook.py
+++ b/lavendershift/tests/test_passbook.py
@@ -185,3 +185,31 @@
 
 def test_a_vm_without_a_boot_id_has_an_empty_one(tmp_path):
     assert read_boot_id(tmp_path / "missing") == ""
+
+
+def test_nothing_adopted_is_spent_before_a_page_says_so():
+    """A process killed between adoption and its first page leaves it whole."""
+    pages = MemoryPages(make_page())
+    clock = make_clock(AT + timedelta(seconds=1))
+    account = make_account(0)
+    passbook = make_passbook(pages, clock)
+    asyncio.run(passbook.adopt(lambda customer: account))
+    assert account.free > 0
+    clock.advance(timedelta(seconds=5))
+    assert not account.reserve(1, clock.since_boot())
+    asyncio.run(passbook.record({"plume": account}, {}))
+    assert account.reserve(1, clock.since_boot())
+
+
+def test_tokens_drawn_after_a_page_can_be_spent_at_once():
+    pages = MemoryPages()
+    clock = make_clock(AT)
+    account = make_account(1000)
+    passbook = make_passbook(pages, clock)
+    asyncio.run(passbook.adopt(lambda customer: account))
+    asyncio.run(passbook.record({"plume": account}, {}))
+    promised = pages.page.entries["plume"]
+    account.credit_drawn(50_000)
+    assert account.reserve(50_000, clock.since_boot())
+    # What the page counts is held to its promise as before.
+    assert not account.reserve(int(promised.burst) + 1, clock.since_boot())
