--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -195,11 +195,14 @@
         """Write one line for ``record``."""
         template = record.msg if isinstance(record.msg, str) and record.args else ""
         error = record.exc_info[1] if record.exc_info else None
+        place = f"{record.name}:{Path(record.pathname).name}:{record.lineno}"
+        if error is not None:
+            place = format_traceback(error) or place
         self._log.write(
             Event.LIBRARY_MESSAGE,
             reason=template,
             error=type(error).__name__ if error else "",
-            place=f"{record.name}:{Path(record.pathname).name}:{record.lineno}",
+            place=place,
         )
 
 
