Lend tokens between VMs

On 66 VMs many VMs changed the same rows, and draws collided. Waits of 250 ms for a draw made refusals late. Change: a VM that lacks tokens asks another one, by datagram, which takes them out of use before it answers; a lost answer loses tokens, never doubles them. Lent tokens are bound by the lender's page like spent ones. From 24 VMs on one VM a customer, by rendezvous hashing, draws for all others. A request waits for tokens an eighth of its route's target, so that a refused caller can still be served in time elsewhere.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -5,11 +5,15 @@
 each other's way. A full round goes through all partitions and moves what is
 held towards its target; in between, requests that wait for tokens set off
 rounds of their customers' partitions alone.
+
+In a large fleet one VM draws for all others, its customers' lender, and they
+borrow from it. Everywhere loans help out while the store does not answer or
+when the rest of a total lies with other VMs.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from datetime import timedelta
 
 import xxhash
@@ -27,9 +31,20 @@
 SETTLING_PAUSE = timedelta(milliseconds=2)  # between tries for a waiting request
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
 SETTLE_TIME = timedelta(seconds=2)  # until the other VMs' rows were read
+LENDING_FLEET = 24  # VMs from which on their draws often collide
+LENDING_TIME = timedelta(milliseconds=500)  # of the fleet's demand, kept for loans
+LENDING_PART = 0.1  # of what is left, kept for loans at most
+LENT_DRAW_TIMEOUT = timedelta(milliseconds=100)  # for a draw that a loan needs
+KEPT_TIME = timedelta(seconds=2)  # of the own demand, not lent without the store
 MAX_CONFLICTS = 6  # lost races in one round before the next one is waited for
 
 DrawListener = Callable[[str, int, int], None]
+Borrow = Callable[[str, int, int], Awaitable[int]]
+
+
+async def borrow_nothing(customer: str, least: int, most: int) -> int:
+    """Return 0, for a fleet without loans."""
+    return 0
 
 
 def find_round_interval(vms: int) -> timedelta:
@@ -84,6 +99,8 @@
         self._answered_at = timedelta()
         self._wake = asyncio.Event()
         self._hold_nothing = False
+        self._borrow: Borrow = borrow_nothing
+        self._is_lender: Callable[[str], bool] = lambda customer: True
         self._settles_at = clock.elapsed() + SETTLE_TIME
 
     def find_account(self, customer: str) -> PrepaidAccount:
@@ -93,16 +110,54 @@
             account = self.accounts[customer] = PrepaidAccount(customer)
         return account
 
+    def use_loans(self, borrow: Borrow, is_lender: Callable[[str], bool]) -> None:
+        """Borrow with ``borrow``; ``is_lender`` tells whose lender this VM is."""
+        self._borrow = borrow
+        self._is_lender = is_lender
+
     async def wait_for(self, customer: str, tokens: int, timeout: timedelta) -> bool:
-        """Reserve ``tokens``, drawing them if need be.
+        """Reserve ``tokens``, borrowing or drawing them if need be.
 
-        Returns false at once where the store is known to be away, or when
-        the tokens did not come within ``timeout``.
+        Returns false when the tokens did not come within ``timeout``, sooner
+        where neither the store nor a lender is in reach.
         """
         account = self.find_account(customer)
         if account.reserve(tokens, self._clock.since_boot()):
             return True
         deadline = self._clock.elapsed() + timeout
+        borrows_first = not self._draws_itself(customer)
+        if borrows_first and await self._borrow_for(customer, tokens, deadline):
+            return True
+        if await self._draw_for(customer, tokens, deadline):
+            return True
+        return not borrows_first and await self._borrow_for(customer, tokens, deadline)
+
+    def _draws_itself(self, customer: str) -> bool:
+        return self._vms() < LENDING_FLEET or self._is_lender(customer)
+
+    async def _borrow_for(
+        self, customer: str, tokens: int, deadline: timedelta
+    ) -> bool:
+        """Reserve ``tokens`` after borrowing what is missing."""
+        account = self.find_account(customer)
+        missing = tokens - account.free
+        left = (deadline - self._clock.elapsed()).total_seconds()
+        if left <= 0 or tokens > self._prepaid().get(customer, 0):
+            return False
+        if missing > 0:
+            now = self._clock.elapsed()
+            view = self._make_view(customer, now)._replace(wanted=missing)
+            most = max(plan_draw(view), missing)
+            try:
+                async with asyncio.timeout(left):
+                    await self._borrow(customer, missing, most)
+            except TimeoutError:
+                return False
+        return account.reserve(tokens, self._clock.since_boot())
+
+    async def _draw_for(self, customer: str, tokens: int, deadline: timedelta) -> bool:
+        """Reserve ``tokens`` after drawing what is missing."""
+        account = self.find_account(customer)
         self.note_wanted(customer, tokens)
         try:
             while self.is_reached and self._may_have_left(customer, tokens):
@@ -120,6 +175,31 @@
         finally:
             self.note_wanted(customer, -tokens)
 
+    async def lend(self, customer: str, least: int, most: int) -> int:
+        """Take tokens out of use for another VM; returns how many.
+
+        While the store is away, what this VM will soon need itself is kept.
+        """
+        account = self.find_account(customer)
+        kept = 0
+        if not self.is_reached:
+            rate = account.find_rate(self._clock.elapsed())
+            kept = int(rate * KEPT_TIME.total_seconds())
+        for tokens in (most, least):
+            if account.free - tokens >= kept and account.lend(
+                tokens, self._clock.since_boot()
+            ):
+                return tokens
+        deadline = self._clock.elapsed() + LENT_DRAW_TIMEOUT
+        if not await self._draw_for(customer, least, deadline):
+            return 0
+        account.settle(least, used=least)
+        return least
+
+    def add_loan(self, customer: str, tokens: int) -> None:
+        """Add tokens that another VM has taken out of use."""
+        self.find_account(customer).credit_drawn(tokens)
+
     def note_wanted(self, customer: str, tokens: int) -> None:
         """Note that requests wait for ``tokens`` more, or fewer if negative."""
         self._wanted[customer] = self._wanted.get(customer, 0) + tokens
@@ -238,10 +318,10 @@
         if not self.is_reached or rows.is_older_than(ROWS_AGE):
             await rows.sync()
         for _ in range(MAX_CONFLICTS):
-            deltas = self._plan(rows)
+            deltas = await self._borrow_planned(self._plan(rows))
             if self._lacks(rows, deltas) and rows.is_older_than(WANTED_ROWS_AGE):
                 await rows.sync()
-                deltas = self._plan(rows)
+                deltas = await self._borrow_planned(self._plan(rows))
             if not deltas or await rows.change(deltas, self._record):
                 break
             await rows.sync()
@@ -264,6 +344,21 @@
             self._answered_at = self._clock.elapsed()
             self._note_reached(True, "")
 
+    async def _borrow_planned(self, deltas: dict[str, int]) -> dict[str, int]:
+        """Borrow what lenders draw for this VM; returns what is left to change."""
+        borrowed = {
+            customer: delta
+            for customer, delta in deltas.items()
+            if delta > 0 and not self._draws_itself(customer)
+        }
+        if not borrowed:
+            return deltas
+        results = await asyncio.gather(
+            *(self._borrow(c, max(d // 2, 1), d) for c, d in borrowed.items())
+        )
+        found = {c for c, tokens in zip(borrowed, results, strict=True) if tokens}
+        return {c: d for c, d in deltas.items() if c not in found}
+
     def _lacks(self, rows: GrantRows, deltas: Mapping[str, int]) -> bool:
         """Whether ``deltas`` leave a request without tokens."""
         return any(
@@ -290,26 +385,39 @@
         """
         deltas = {}
         now = self._clock.elapsed()
-        for customer, prepaid in self._prepaid().items():
+        for customer in self._prepaid():
             if self._find_rows(customer) is not rows:
                 continue
-            account = self.find_account(customer)
-            view = DrawView(
-                prepaid=prepaid,
-                granted=rows.granted.get(customer, 0),
-                free=account.free,
-                wanted=self._count_missing(customer),
-                rate=account.find_rate(now),
-                fleet_rate=self._others_rate(customer) + account.find_rate(now),
-                largest=account.largest,
-                vms=self._vms(),
-                is_measured=account.is_measured(now),
-            )
+            view = self._make_view(customer, now)
             delta = self._choose_delta(view, now)
             if delta:
                 deltas[customer] = delta
         return deltas
 
+    def _make_view(self, customer: str, now: timedelta) -> DrawView:
+        account = self.find_account(customer)
+        rate = account.find_rate(now)
+        fleet_rate = self._others_rate(customer) + rate
+        vms = self._vms()
+        prepaid = self._prepaid().get(customer, 0)
+        granted = self._find_rows(customer).granted.get(customer, 0)
+        reserve = 0
+        if vms >= LENDING_FLEET and self._is_lender(customer):
+            ahead = int(fleet_rate * LENDING_TIME.total_seconds())
+            reserve = min(ahead, int(max(prepaid - granted, 0) * LENDING_PART))
+        return DrawView(
+            prepaid=prepaid,
+            granted=granted,
+            free=account.free,
+            wanted=self._count_missing(customer),
+            rate=rate,
+            fleet_rate=fleet_rate,
+            largest=account.largest,
+            vms=vms,
+            is_measured=account.is_measured(now),
+            reserve=reserve,
+        )
+
     def _choose_delta(self, view: DrawView, now: timedelta) -> int:
         """Return the tokens to draw, or a negative number to return."""
         if self._hold_nothing:
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -29,7 +29,8 @@
 from lavendershift.serverlist import PromptShape, ServerList
 
 DEFAULT_URGENCY = 5
-TOKEN_WAIT = timedelta(milliseconds=250)  # for a draw, some ms when the store is well
+TOKEN_WAIT_SHARE = 8  # of a route's target, so that another VM can still keep it
+LONGEST_TOKEN_WAIT = timedelta(milliseconds=250)  # for a draw, where there is no target
 SHORT_RETRY = timedelta(milliseconds=200)  # a draw or a return takes so long
 AWAY_RETRY = timedelta(milliseconds=50)  # another VM may hold tokens of the customer
 RETRY_MARGIN = 0.8  # of the VM's part, as VMs differ in how many they count
@@ -111,12 +112,13 @@
         if customer is None or customer.prepaid is None or request.prompt is None:
             await delivery.run()
         else:
-            await self._run_prepaid(trace, delivery, customer, request.prompt)
+            await self._run_prepaid(trace, delivery, route, customer, request.prompt)
 
     async def _run_prepaid(
         self,
         trace: RequestTrace,
         delivery: Delivery,
+        route: Route,
         customer: Customer,
         prompt: PromptShape,
     ) -> None:
@@ -126,7 +128,7 @@
         account = self._draws.find_account(customer.name)
         account.note_demand(tokens, self._clock.elapsed())
         started = self._clock.elapsed()
-        wait = min(TOKEN_WAIT, request.deadline - started)
+        wait = min(find_token_wait(route), request.deadline - started)
         is_paid = await self._draws.wait_for(customer.name, tokens, wait)
         trace.waited = self._clock.elapsed() - started
         if not is_paid:
@@ -217,6 +219,13 @@
             answers.refuse(error)
 
 
+def find_token_wait(route: Route) -> timedelta:
+    """Return how long a request may wait for tokens to be drawn."""
+    if not route.target:
+        return LONGEST_TOKEN_WAIT
+    return min(route.target / TOKEN_WAIT_SHARE, LONGEST_TOKEN_WAIT)
+
+
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer; raises ``RequestError``."""
     path = request.target.partition("?")[0]
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -6,22 +6,18 @@
 one. Nothing that must hold depends on this: a VM that hears nobody places its
 requests by its own alone::
 
-    gossip = Gossip(clock, "edge-1", servers, list_peers)
-    await gossip.listen("10.1.0.40", 7340)
+    gossip = Gossip(clock, "edge-1", incarnation, servers, list_peers, datagrams)
     gossip.note_change("i-7f3a91c2", ("5c1e07a2", "91bd3f06"))
-
-Datagrams are used in place of pynng, as a message to a VM that is gone must
-neither wait nor hold up the others.
 """
 
 import asyncio
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import cast
 
 import msgspec
 
 from lavendershift.clocks import Clock
+from lavendershift.datagrams import Datagrams, Peer, register_message
 from lavendershift.serverlist import ServerList, ServerLoad
 
 SUMMARY_INTERVAL = timedelta(milliseconds=500)  # between datagrams with everything
@@ -40,7 +36,8 @@
     parts: list[str] = []
 
 
-class _News(msgspec.Struct, array_like=True):
+@register_message
+class News(msgspec.Struct, array_like=True, tag="news"):
     """One datagram; ``number`` rises within an incarnation of its sender."""
 
     vm: str
@@ -49,7 +46,7 @@
     changes: list[_Change]
 
 
-class Gossip(asyncio.DatagramProtocol):
+class Gossip:
     """Sends this VM's news to the others and takes in theirs."""
 
     def __init__(
@@ -58,38 +55,21 @@
         vm: str,
         incarnation: str,
         servers: ServerList,
-        list_peers: Callable[[], Sequence[tuple[str, int]]],
+        list_peers: Callable[[], Sequence[Peer]],
+        datagrams: Datagrams,
     ) -> None:
         self._clock = clock
         self._vm = vm
         self._incarnation = incarnation
         self._servers = servers
         self._list_peers = list_peers
-        self._transport: asyncio.DatagramTransport | None = None
+        self._datagrams = datagrams
         self._changed: dict[str, list[str]] = {}
         self._wake = asyncio.Event()
         self._number = 0
         self._newest: dict[str, tuple[str, int]] = {}
         self._heard_at: dict[str, timedelta] = {}
-        self.undecodable = 0
-
-    async def listen(self, ip: str, port: int) -> None:
-        """Bind the port for datagrams."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport to send on."""
-        # The selector loop's transport has the methods, not the class.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a peer's closed port: its row will tell that it is gone."""
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self._transport is not None:
-            self._transport.close()
+        datagrams.handle(News, self._take_news)
 
     def find_silence(self, vm: str) -> timedelta | None:
         """Return how long nothing was heard of ``vm``; ``None`` if never."""
@@ -121,7 +101,7 @@
                     self._changed.setdefault(server, [])
             self._send(peers)
 
-    def _send(self, peers: Sequence[tuple[str, int]]) -> None:
+    def _send(self, peers: Sequence[Peer]) -> None:
         changes = [
             self._make_change(server, parts) for server, parts in self._changed.items()
         ]
@@ -143,24 +123,13 @@
             server, load.in_flight, load.unread_tokens, list(parts[-MAX_PARTS:])
         )
 
-    def _send_batch(
-        self, batch: list[_Change], peers: Sequence[tuple[str, int]]
-    ) -> None:
-        if self._transport is None:
-            return
+    def _send_batch(self, batch: list[_Change], peers: Sequence[Peer]) -> None:
         self._number += 1
-        news = _News(self._vm, self._incarnation, self._number, batch)
-        data = msgspec.msgpack.encode(news)
-        for peer in peers:
-            self._transport.sendto(data, peer)
+        news = News(self._vm, self._incarnation, self._number, batch)
+        self._datagrams.send(news, peers)
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+    def _take_news(self, news: News, sender: Peer) -> None:
         """Take in the news of another VM."""
-        try:
-            news = msgspec.msgpack.decode(data, type=_News)
-        except msgspec.MsgspecError:
-            self.undecodable += 1
-            return
         incarnation, number = self._newest.get(news.vm, ("", 0))
         if news.incarnation == incarnation and news.number <= number:
             return
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -43,6 +43,7 @@
     REQUEST_ABANDONED = "request_abandoned"
     TOKENS_DRAWN = "tokens_drawn"
     TOKENS_ADOPTED = "tokens_adopted"
+    TOKENS_LENT = "tokens_lent"
     SERVER_CHANGED = "server_changed"
     VM_CHANGED = "vm_changed"
     ENTRY_SKIPPED = "entry_skipped"
@@ -81,6 +82,9 @@
     Event.TOKENS_ADOPTED: EventInfo(
         "info", "Tokens that the VM's last process can't have spent were taken over."
     ),
+    Event.TOKENS_LENT: EventInfo(
+        "info", "Tokens came from another VM, or went to one where negative."
+    ),
     Event.SERVER_CHANGED: EventInfo("info", "A backend server's entry changed."),
     Event.VM_CHANGED: EventInfo("info", "A VM came, is leaving, or is gone."),
     Event.ENTRY_SKIPPED: EventInfo("warning", "Data that can't be used was skipped."),
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -17,6 +17,7 @@
 from lavendershift.applications import Application
 from lavendershift.clocks import BootClock
 from lavendershift.connections import Connections
+from lavendershift.datagrams import Datagrams, Peer
 from lavendershift.draws import TokenDraws
 from lavendershift.errors import LogUnavailableError
 from lavendershift.gateway import Gateway, RetryBounds
@@ -41,7 +42,8 @@
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerEntry, ServerList
-from lavendershift.vmlist import VmList, VmRow
+from lavendershift.tokenloans import TokenLoans
+from lavendershift.vmlist import VmList, VmRow, split_address
 
 LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
 EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
@@ -84,8 +86,14 @@
         )
         self._vms = VmList(clock, row)
         self._servers = ServerList(clock, rng, settings.failure_domain)
+        self._datagrams = Datagrams()
         self._gossip = Gossip(
-            clock, settings.name, incarnation, self._servers, self._vms.list_peers
+            clock,
+            settings.name,
+            incarnation,
+            self._servers,
+            self._vms.list_peers,
+            self._datagrams,
         )
         self._servers.on_load = self._gossip.note_change
         self._vms.hear_directly(self._gossip.find_silence)
@@ -109,6 +117,14 @@
             self._note_draw,
             self._note_grants_reached,
         )
+        loans = TokenLoans(
+            incarnation,
+            self._draws,
+            self._datagrams,
+            self._find_lenders,
+            self._note_loan,
+        )
+        self._draws.use_loans(loans.borrow, self._is_lender)
         self._gateway = Gateway(
             clock,
             rng,
@@ -158,7 +174,7 @@
             self._directory.listen(settings.directory_address)
         self._callers.listen(settings.callers_address)
         self._metrics.listen(f"{settings.ip}:{METRICS_PORT}")
-        await self._gossip.listen(settings.ip, settings.peer_port)
+        await self._datagrams.listen(settings.ip, settings.peer_port)
 
     async def _start_loops(self) -> None:
         loops: tuple[Coroutine[Any, Any, None], ...] = (
@@ -184,7 +200,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._gossip.close()
+        self._datagrams.close()
         self._connections.close()
 
     async def _log_start(self) -> None:
@@ -298,6 +314,24 @@
             free_tokens=account.free,
         )
 
+    def _find_lenders(self, customer: str) -> list[Peer]:
+        """Return the other VMs to borrow from, the best first."""
+        rows = self._vms.rank_lenders(customer)
+        addresses = [r.peer_address for r in rows if r.name != self._vms.own.name]
+        return [peer for peer in map(split_address, addresses) if peer is not None]
+
+    def _is_lender(self, customer: str) -> bool:
+        """Whether this VM draws the customer's tokens for the others."""
+        return self._vms.rank_lenders(customer)[0].name == self._vms.own.name
+
+    def _note_loan(self, customer: str, tokens: int) -> None:
+        name = "tokens_borrowed" if tokens > 0 else "tokens_lent"
+        self._instruments.count(name, customer, amount=abs(tokens))
+        free = self._draws.find_account(customer).free
+        self._log.write(
+            Event.TOKENS_LENT, customer=customer, tokens=tokens, free_tokens=free
+        )
+
     def _note_adopted(self, customer: str, tokens: int) -> None:
         self._instruments.count("tokens_adopted", customer, amount=tokens)
         self._log.write(Event.TOKENS_ADOPTED, customer=customer, tokens=tokens)
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -96,6 +96,13 @@
         self.reserved += tokens
         return True
 
+    def lend(self, tokens: int, now: timedelta) -> bool:
+        """Take ``tokens`` out of use for another VM, like tokens spent."""
+        if not self.reserve(tokens, now):
+            return False
+        self.settle(tokens, used=tokens)
+        return True
+
     def settle(self, reserved: int, used: int) -> None:
         """Spend ``used`` tokens of a reservation and free the rest."""
         used = min(used, reserved)
@@ -130,7 +137,8 @@
 
     ``granted`` is the row in the store, ``wanted`` what requests wait for
     beyond the free tokens, ``vms`` the number of live VMs. Rates are demand in
-    tokens/s, of this VM and of all of them.
+    tokens/s, of this VM and of all of them. ``reserve`` is held beyond the own
+    demand, to lend.
     """
 
     prepaid: int
@@ -142,6 +150,7 @@
     largest: float
     vms: int
     is_measured: bool = True
+    reserve: int = 0
 
 
 def find_share(view: DrawView) -> float:
@@ -160,7 +169,8 @@
     ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
     if not view.is_measured:
         ahead = left
-    return int(min(ahead, left * find_held_part(view, left) * share))
+    held = min(ahead, left * find_held_part(view, left) * share)
+    return int(held) + view.reserve
 
 
 def find_held_part(view: DrawView, left: float) -> float:
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -18,6 +18,7 @@
 from lavendershift.platform.grants import decode_row
 from lavendershift.platform.passbooks import decode_page
 from lavendershift.platform.store import Record
+from lavendershift.tokenloans import TokenLoans
 from lavendershift_standins.platformstore import ExpiredError, MovedError, StoreState
 
 CUSTOMERS = ("plume", "encre", "sable")
@@ -112,6 +113,31 @@
         return result, self._world.state.end(PAGES, 0)
 
 
+class FaultyDatagrams:
+    """Datagrams of one process that get lost, doubled and late."""
+
+    def __init__(self, world, vm):
+        self._world = world
+        self._vm = vm
+        self.handlers = {}
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, message, peers):
+        world = self._world
+        for peer in peers:
+            datagram = (message, self._vm.name, peer)
+            if world.rng.random() < world.lost_share:
+                continue
+            if world.rng.random() < world.late_share:
+                world.late_datagrams.append(datagram)
+            if world.rng.random() < world.late_share:
+                world.late_datagrams.append(datagram)
+            else:
+                asyncio.get_running_loop().call_soon(world.deliver, *datagram)
+
+
 def encode_row(row: GrantRow):
     value = {"granted": row.granted, "change": row.change}
     return row.customer.encode(), msgspec.json.encode(value)
@@ -156,6 +182,19 @@
             lambda: len(self.world.vms),
             passbook=passbook,
         )
+        self.datagrams = FaultyDatagrams(self.world, self)
+        self.loans = TokenLoans(
+            name,
+            self.draws,
+            self.datagrams,
+            self.find_lenders,
+            answer_timeout=timedelta(milliseconds=1),
+        )
+        self.draws.use_loans(self.loans.borrow, lambda customer: True)
+
+    def find_lenders(self, customer):
+        names = [vm.name for vm in self.world.vms if vm is not self]
+        return self.world.rng.sample(names, 2)
 
     def die(self, with_power):
         """End the process; what its requests may use counts as consumed."""
@@ -199,6 +238,8 @@
         self.now = timedelta(seconds=1)
         self.state = StoreState()
         self.late = []
+        self.late_datagrams = []
+        self.borrowed = 0
         self.late_share = self.lost_share = (0.05, 0.15, 0.3)[seed // 3 % 3]
         self.is_away = False
         self.prepaid = {customer: 60_000 for customer in CUSTOMERS}
@@ -218,6 +259,7 @@
         actions += [self.step_cut] * 2 + [self.step_heal] * 4 + [self.step_away]
         actions += [self.step_raise, self.step_expire, self.step_return]
         actions += [self.step_rounds] * 10 + [self.step_spree] * 4
+        actions += [self.step_borrow] * 8 + [self.step_datagram] * 8
         actions += [self.step_idle] * 3 + [self.step_power] * (self.seed % 3 == 0)
         for _ in range(steps):
             vm = self.rng.choice(self.vms)
@@ -230,6 +272,8 @@
     async def exhaust(self):
         """Spend all there is, so that a token that exists twice shows."""
         self.late_share = self.lost_share = 0.0
+        while self.late_datagrams:
+            self.deliver(*self.late_datagrams.pop())
         self.step_heal(self.vms[0])
         self.now += timedelta(seconds=5)
         for _ in range(3):
@@ -258,6 +302,21 @@
             )
             assert self.consumed[customer] + running <= prepaid, customer
 
+    def deliver(self, message, sender, receiver):
+        """Hand a datagram to the process that has the receiver's address now."""
+        vm = next(vm for vm in self.vms if vm.name == receiver)
+        if not vm.is_cut:
+            vm.datagrams.handlers[type(message)](message, sender)
+
+    async def step_borrow(self, vm):
+        customer, least = self.rng.choice(CUSTOMERS), self.rng.randint(1, 3000)
+        self.borrowed += await vm.loans.borrow(customer, least, least * 2)
+
+    def step_datagram(self, vm):
+        if self.late_datagrams:
+            place = self.rng.randrange(len(self.late_datagrams))
+            self.deliver(*self.late_datagrams.pop(place))
+
     def step_round(self, vm):
         return vm.run_round()
 
--- a/lavendershift/tests/test_gossip.py
+++ b/lavendershift/tests/test_gossip.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from lavendershift.clocks import SystemClock
+from lavendershift.datagrams import Datagrams
 from lavendershift.gossip import Gossip
 from lavendershift.serverlist import PromptPart, PromptShape, ServerEntry, ServerList
 from lavendershift.tools.ports import find_ports
@@ -18,22 +19,24 @@
         self.servers = ServerList(SystemClock(), random.Random(1), "rennes")
         self.servers.update(ENTRY)
         self.port = port
+        self.datagrams = Datagrams()
         self.gossip = Gossip(
             SystemClock(),
             name,
             f"{name}/1",
             self.servers,
             lambda: [("127.0.0.1", peer_port)],
+            self.datagrams,
         )
         self.servers.on_load = self.gossip.note_change
 
     async def start(self):
-        await self.gossip.listen("127.0.0.1", self.port)
+        await self.datagrams.listen("127.0.0.1", self.port)
         self.task = asyncio.ensure_future(self.gossip.run())
 
     def stop(self):
         self.task.cancel()
-        self.gossip.close()
+        self.datagrams.close()
 
 
 async def wait_until(condition):
--- a/lavendershift/tests/test_prepaid_schedules.py
+++ b/lavendershift/tests/test_prepaid_schedules.py
@@ -8,7 +8,7 @@
 
 @pytest.mark.parametrize("block", range(8))
 def test_no_schedule_of_faults_overspends(block):
-    served = 0
+    served = borrowed = 0
     for seed in range(block * SEEDS // 8, (block + 1) * SEEDS // 8):
         world = PrepaidWorld(seed)
         try:
@@ -16,4 +16,6 @@
         except AssertionError as error:
             raise AssertionError(f"seed {seed}: {error}") from error
         served += world.served
+        borrowed += world.borrowed
     assert served > SEEDS // 8 * 20
+    assert borrowed > SEEDS // 8 * 1000
--- /dev/null
+++ b/lavendershift/tests/test_tokenloans.py
@@ -0,0 +1,136 @@
+import asyncio
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.clocks import SystemClock
+from lavendershift.datagrams import Datagrams
+from lavendershift.draws import LENDING_FLEET, TokenDraws
+from lavendershift.tests.test_draws import MemoryRows
+from lavendershift.tokenloans import Loan, LoanRequest, TokenLoans
+from lavendershift.tools.ports import find_ports
+
+TOTAL = {"plume": 100_000}
+
+
+class Node:
+    """A VM that draws from shared rows and lends to another one."""
+
+    def __init__(self, name, rows, ports, is_lender=True, vms=2):
+        self.port = ports[0]
+        self.datagrams = Datagrams()
+        self.draws = TokenDraws(SystemClock(), [rows], name, lambda: TOTAL, lambda: vms)
+        self.events = []
+        self.loans = TokenLoans(
+            name,
+            self.draws,
+            self.datagrams,
+            lambda customer: [("127.0.0.1", ports[1])],
+            lambda customer, tokens: self.events.append(tokens),
+        )
+        self.draws.use_loans(self.loans.borrow, lambda customer: is_lender)
+        self.account = self.draws.find_account("plume")
+
+
+def run_nodes(work, **options):
+    async def run():
+        rows, ports = MemoryRows(), find_ports(2)
+        lender = Node("vm-1/1", rows, ports, **options)
+        borrower = Node("vm-2/1", rows, ports[::-1], is_lender=False, **options)
+        for node in (lender, borrower):
+            await node.datagrams.listen("127.0.0.1", node.port)
+            await node.draws.run_round()
+        try:
+            return await work(lender, borrower, rows)
+        finally:
+            lender.datagrams.close()
+            borrower.datagrams.close()
+
+    return asyncio.run(run())
+
+
+def test_a_vm_without_the_store_borrows_what_a_request_needs():
+    """The store turns some VMs away while it serves the others."""
+
+    async def work(lender, borrower, rows):
+        lender.account.credit(5000)
+        borrower.draws.is_reached = False
+        paid = await borrower.draws.wait_for("plume", 800, timedelta(seconds=5))
+        return paid, lender.account.free, lender.events, borrower.events
+
+    paid, left, lent, borrowed = run_nodes(work)
+    assert paid
+    assert left == 5000 - borrowed[0]
+    assert lent == [-borrowed[0]]
+
+
+def test_the_lender_draws_what_it_lacks():
+    async def work(lender, borrower, rows):
+        borrower.draws.is_reached = False
+        paid = await borrower.draws.wait_for("plume", 800, timedelta(seconds=5))
+        return paid, rows.rows[-1].granted
+
+    paid, granted = run_nodes(work)
+    assert paid
+    assert granted >= 800
+
+
+def test_a_lender_without_the_store_keeps_what_it_will_need_itself():
+    async def work(lender, borrower, rows):
+        lender.draws.is_reached = borrower.draws.is_reached = False
+        lender.account.credit(1000)
+        for _ in range(8):
+            lender.account.note_demand(1000, SystemClock().elapsed())
+        paid = await borrower.draws.wait_for("plume", 900, timedelta(seconds=5))
+        return paid, lender.account.free
+
+    assert run_nodes(work) == (False, 1000)
+
+
+def test_in_a_large_fleet_only_the_lender_changes_the_rows():
+    async def work(lender, borrower, rows):
+        paid = await borrower.draws.wait_for("plume", 800, timedelta(seconds=5))
+        return paid, {row.change.rpartition("/")[0] for row in rows.rows}
+
+    assert run_nodes(work, vms=LENDING_FLEET) == (True, {"vm-1/1"})
+
+
+def test_a_silent_lender_is_gone_without():
+    async def work(lender, borrower, rows):
+        lender.datagrams.close()
+        return await borrower.draws.wait_for("plume", 800, timedelta(seconds=5))
+
+    assert run_nodes(work, vms=LENDING_FLEET)
+
+
+def test_a_loan_is_added_once_and_a_repeated_request_gets_the_same():
+    async def work(lender, borrower, rows):
+        lender.account.credit(5000)
+        sent = []
+        lender.datagrams.send = lambda message, peers: sent.append(message)
+        request = LoanRequest("vm-2/1", 1, "plume", 300, 300)
+        for _ in range(3):
+            lender.datagrams.datagram_received(
+                msgspec.msgpack.encode(request), ("127.0.0.1", 1)
+            )
+            await asyncio.sleep(0.01)
+        return lender.account.free, sent
+
+    left, sent = run_nodes(work)
+    assert left == 4700
+    assert sent == [Loan("vm-2/1", 1, "plume", 300)] * 3
+
+
+def test_loans_of_another_incarnation_and_second_answers_add_nothing():
+    async def work(lender, borrower, rows):
+        task = asyncio.ensure_future(borrower.loans.borrow("plume", 10, 10))
+        await asyncio.sleep(0)
+        take = borrower.loans._take_loan
+        take(Loan("vm-2/0", 1, "plume", 10), ("127.0.0.1", 1))
+        take(Loan("vm-2/1", 9, "plume", 10), ("127.0.0.1", 1))
+        take(Loan("vm-2/1", 1, "plume", 10), ("127.0.0.1", 1))
+        take(Loan("vm-2/1", 1, "plume", 10), ("127.0.0.1", 1))
+        await task
+        return borrower.account.free
+
+    assert run_nodes(work) == 10
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -14,8 +14,10 @@
 from typing import NamedTuple
 
 from lavendershift.clocks import Clock
+from lavendershift.hashing import rank_by_hash
 
 PEER_EXPIRY = timedelta(milliseconds=2200)  # four datagrams, and one late row
+LENDER_SILENCE = timedelta(milliseconds=1300)  # two datagrams, and a late one
 EXPIRY = timedelta(milliseconds=4500)  # three renewals and the interval of reading
 
 
@@ -35,6 +37,12 @@
     peer_address: str = ""
 
 
+def split_address(address: str) -> tuple[str, int] | None:
+    """Return host and port, ``None`` for what is no address."""
+    host, _, port = address.rpartition(":")
+    return (host, int(port)) if host and port.isdigit() else None
+
+
 class _KnownVm(NamedTuple):
     row: VmRow
     renewed_at: timedelta
@@ -95,12 +103,28 @@
 
     def list_peers(self) -> list[tuple[str, int]]:
         """Return host and port of each other VM for datagrams."""
-        peers = []
-        for known in self._known.values():
-            host, _, port = known.row.peer_address.rpartition(":")
-            if host and port.isdigit():
-                peers.append((host, int(port)))
-        return peers
+        addresses = [known.row.peer_address for known in self._known.values()]
+        return [peer for peer in map(split_address, addresses) if peer is not None]
+
+    def rank_lenders(self, customer: str) -> list[VmRow]:
+        """Return the VMs to borrow a customer's tokens from, the best first.
+
+        Others count if they were heard directly within ``LENDER_SILENCE``, as
+        requests wait for a loan.
+        """
+        rows = [
+            known.row
+            for known in self._known.values()
+            if not known.row.is_leaving
+            and known.row.peer_address
+            and self._is_heard(known.row.name)
+        ]
+        by_name = {row.name: row for row in [*rows, self.own]}
+        return [by_name[name] for name in rank_by_hash(list(by_name), customer)]
+
+    def _is_heard(self, name: str) -> bool:
+        silence = self._find_silence(name)
+        return silence is not None and silence <= LENDER_SILENCE
 
     def sum_demand(self, customer: str) -> float:
         """Return a customer's demand at the other VMs, in tokens/s."""
