Hold whole requests, return rarely, don't repeat refused draws

Ruled out: feeds and presence, 5 calls/s a VM. Change: tokens are returned only beyond one large request more than the target; an append that the store refuses ends the round. Where a VM's share is less than one large request, some VMs hold a whole one and the others what small requests need, by a hash of customer and VM; together they hold as much as before.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -28,7 +28,7 @@
 ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
 ROWS_AGE = timedelta(seconds=3)  # of rows that full rounds plan from
 WANTED_ROWS_AGE = timedelta(milliseconds=100)  # of rows that refuse a request
-SETTLING_PAUSE = timedelta(milliseconds=2)  # between tries for a waiting request
+SETTLING_PAUSE = timedelta(milliseconds=10)  # between tries for a waiting request
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
 SETTLE_TIME = timedelta(seconds=2)  # until the other VMs' rows were read
 LENDING_FLEET = 24  # VMs from which on their draws often collide
@@ -38,6 +38,12 @@
 KEPT_TIME = timedelta(seconds=2)  # of the own demand, not lent without the store
 MAX_CONFLICTS = 6  # lost races in one round before the next one is waited for
 
+
+def find_position(customer: str, vm: str) -> float:
+    """Return the place of a VM, from 0 to 1, in an order by customer."""
+    return xxhash.xxh3_64_intdigest(f"{customer}/{vm}".encode()) / 2**64
+
+
 DrawListener = Callable[[str, int, int], None]
 Borrow = Callable[[str, int, int], Awaitable[int]]
 
@@ -81,6 +87,7 @@
         on_reach: Callable[[bool, str], None] = lambda reached, reason: None,
     ) -> None:
         self._clock = clock
+        self._name = name.partition("/")[0]
         self._prepaid = prepaid
         self._vms = vms
         self._others_rate = others_rate
@@ -416,6 +423,7 @@
             vms=vms,
             is_measured=account.is_measured(now),
             reserve=reserve,
+            position=find_position(customer, self._name),
         )
 
     def _choose_delta(self, view: DrawView, now: timedelta) -> int:
--- a/lavendershift/grantrows.py
+++ b/lavendershift/grantrows.py
@@ -39,6 +39,7 @@
 
     DONE = "done"
     MOVED = "moved"
+    REFUSED = "refused"  # for a reason that a repeat at once would meet again
     UNKNOWN = "unknown"
 
 
@@ -124,6 +125,7 @@
     ) -> bool:
         """Append changes; false if another VM came first.
 
+        Raises ``LogUnavailableError``, also where the store refuses the call.
         ``record`` writes what is held to the passbook. It is awaited before
         tokens are returned, as a successor must not adopt them afterwards.
         """
@@ -150,8 +152,10 @@
         if result is SwapResult.UNKNOWN:
             raise LogUnavailableError("no answer to a draw")
         self._unresolved.remove(unresolved)
-        if result is SwapResult.MOVED:
+        if result is not SwapResult.DONE:
             self._undo(deltas)
+            if result is SwapResult.REFUSED:
+                raise LogUnavailableError("a draw was refused")
             return False
         for offset, row in enumerate(rows, end):
             self._fold(offset, row)
--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -10,6 +10,7 @@
 RESULTS = {
     AppendResult.DONE: SwapResult.DONE,
     AppendResult.MOVED: SwapResult.MOVED,
+    AppendResult.NOT_DONE: SwapResult.REFUSED,
     AppendResult.UNKNOWN: SwapResult.UNKNOWN,
 }
 
@@ -51,9 +52,6 @@
         result, _ = await self._store.append(
             names.GRANTS_TOPIC, self._partition, records, end
         )
-        if result is AppendResult.NOT_DONE:
-            # Nothing was appended, which is what a lost race comes to as well.
-            return SwapResult.MOVED
         return RESULTS[result]
 
 
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -27,6 +27,7 @@
 LEAST_HELD_PART = 0.12  # where little is left for the demand
 MOST_HELD_PART = 0.5
 EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
+SMALL_PART = 0.3  # of a target below one large request, held by all VMs
 LOW_WATER = 0.8  # of the target; below it tokens are drawn
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
 
@@ -138,7 +139,8 @@
     ``granted`` is the row in the store, ``wanted`` what requests wait for
     beyond the free tokens, ``vms`` the number of live VMs. Rates are demand in
     tokens/s, of this VM and of all of them. ``reserve`` is held beyond the own
-    demand, to lend.
+    demand, to lend. ``position`` is the VM's place between 0 and 1 in an order
+    of all VMs that differs by customer.
     """
 
     prepaid: int
@@ -151,6 +153,7 @@
     vms: int
     is_measured: bool = True
     reserve: int = 0
+    position: float = 0.0
 
 
 def find_share(view: DrawView) -> float:
@@ -164,13 +167,32 @@
 
 def find_target(view: DrawView) -> int:
     """Return how many free tokens the VM should hold."""
+    return int(round_target(find_even_target(view), view)) + view.reserve
+
+
+def find_even_target(view: DrawView) -> float:
+    """Return the VM's share of what all VMs should hold."""
     share = find_share(view)
     left = max(view.prepaid - view.granted, 0) + view.free / share
     ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
     if not view.is_measured:
         ahead = left
-    held = min(ahead, left * find_held_part(view, left) * share)
-    return int(held) + view.reserve
+    return min(ahead, left * find_held_part(view, left) * share)
+
+
+def round_target(target: float, view: DrawView) -> float:
+    """Return ``target``, or a whole large request or little where it is less.
+
+    In a large fleet the share of each VM would be less than one request, so
+    that a cut VM could serve none. Some VMs hold a whole one instead, and the
+    others what small requests need; a refused caller may find one of them. All
+    VMs together hold as much as before.
+    """
+    if target >= view.largest:
+        return target
+    small = target * SMALL_PART
+    holders = (target - small) / (view.largest - small)
+    return view.largest if view.position < holders else small
 
 
 def find_held_part(view: DrawView, left: float) -> float:
@@ -198,6 +220,6 @@
         return min(max(target - view.free, 0) + view.wanted, left)
     if view.free < target * LOW_WATER:
         return min(target - view.free, left)
-    if view.free > target * HIGH_WATER:
+    if view.free > max(target * HIGH_WATER, target + view.largest):
         return target - view.free
     return 0
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -46,6 +46,8 @@
 class Link:
     """One incarnation's way to the store: it may be cut, and lose answers."""
 
+    _refused = "moved"  # what a call is told that was not made
+
     def __init__(self, world, vm):
         self._world = world
         self._vm = vm
@@ -58,7 +60,7 @@
         """Return whether the append was done, refused, or is in doubt."""
         world = self._world
         if self._vm.is_cut or world.is_away:
-            return "moved"
+            return self._refused
         kind = world.rng.random()
         if kind < world.late_share:
             world.late.append((topic, part, records, end))
@@ -71,6 +73,8 @@
 
 
 class FaultyGrants(Link):
+    _refused = "refused"
+
     def __init__(self, world, vm, part):
         super().__init__(world, vm)
         self._part = part
--- a/lavendershift/tests/test_draws.py
+++ b/lavendershift/tests/test_draws.py
@@ -237,3 +237,27 @@
 def test_rounds_are_rarer_in_large_fleets():
     assert find_round_interval(8) == ROUND_INTERVAL
     assert find_round_interval(66) > 3 * ROUND_INTERVAL
+
+
+def test_a_refused_draw_is_not_repeated_at_once():
+    """A store beyond its rate refuses calls, and more of them would not help."""
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    rows.results = [SwapResult.REFUSED, SwapResult.DONE]
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    assert rows.results == [SwapResult.DONE]
+    run_round(draws)
+    assert draws.find_account("plume").free == rows.rows[-1].granted > 0
+
+
+def test_a_refused_return_leaves_the_tokens_in_use():
+    rows = MemoryRows()
+    draws = make_draws(rows)
+    run_round(draws)
+    held = draws.find_account("plume").free
+    draws.return_all()
+    rows.results = [SwapResult.REFUSED]
+    with pytest.raises(LogUnavailableError):
+        run_round(draws)
+    assert draws.find_account("plume").free == held
--- a/lavendershift/tests/test_prepaid.py
+++ b/lavendershift/tests/test_prepaid.py
@@ -5,6 +5,7 @@
     HELD_PART,
     DrawView,
     PrepaidAccount,
+    find_even_target,
     find_share,
     find_target,
     plan_draw,
@@ -93,3 +94,21 @@
     lasts_30_s = find_target(rich._replace(prepaid=3_000_000)) / 3_000_000
     lasts_5_s = find_target(rich._replace(prepaid=500_000)) / 500_000
     assert lasts_60_s > lasts_30_s > lasts_5_s > 0
+
+
+def test_in_a_large_fleet_some_vms_hold_a_whole_request():
+    """A cut VM with less than one request's tokens would serve none."""
+    view = VIEW._replace(rate=100.0, fleet_rate=6600.0, vms=66, largest=12_000.0)
+    fleet = [view._replace(position=(vm + 0.5) / 66) for vm in range(66)]
+    targets = [find_target(each) for each in fleet]
+    even = find_even_target(view)
+    assert even < 12_000
+    assert sum(target >= 12_000 for target in targets) >= 6
+    assert min(targets) > 0
+    assert abs(sum(targets) - 66 * even) < 0.05 * 66 * even
+
+
+def test_one_request_more_than_the_target_causes_no_calls():
+    target = find_target(VIEW._replace(rate=100.0))
+    view = VIEW._replace(rate=100.0, granted=500_000)
+    assert plan_draw(view._replace(free=int(target + VIEW.largest))) == 0
