Promise less in the first seconds after a page

Cause: a page of the passbook promised 15 % of what is held at once and all of it within 11 s, so that a cut VM could serve. Change: the promise allows one large request and 1.5 times the measured demand; what is held opens 2.5 s after the page, over 5 s, since a process that could not renew its page by then is probably cut off. Above the promise a page is written first. Only the time until the successor began counts, not the time until it reached the store.

--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -17,18 +17,23 @@
 
 from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError
-from lavendershift.prepaid import HOLD_AHEAD, PrepaidAccount, SpendingLimit
+from lavendershift.prepaid import PrepaidAccount, Promise, SpendingLimit
 
 BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
 BURST_TIME = timedelta(seconds=1)  # of the demand
-HELD_BURST = 0.15  # of the free tokens, which may be committed at once
-RATE_FACTOR = 2.0  # times the demand that is measured
+UNSEEN_BURST = 0.15  # of the free tokens of a customer without requests so far
+RATE_FACTOR = 1.5  # times the demand that is measured
+OPENS_AFTER = timedelta(milliseconds=2500)  # a page each second, and a slow call
 LONGEST_LIFE = timedelta(seconds=60)  # after a page; beyond it nothing is adopted
 MAX_TRIES = 5  # at one page, against changes by others in the same partition
 
 
 class Entry(NamedTuple):
-    """One customer's unspent tokens, and the promise that goes with them."""
+    """One customer's unspent tokens, and the promise that goes with them.
+
+    The rest of the promise is in the page: all unspent tokens are held, and
+    the page says when they open.
+    """
 
     unspent: int
     burst: float
@@ -36,12 +41,16 @@
 
 
 class Page(NamedTuple):
-    """A process's page; ``at`` is the time since ``boot`` when it was made."""
+    """A process's page; ``at`` is the time since ``boot`` when it was made.
+
+    The unspent tokens open ``opens`` after it.
+    """
 
     incarnation: str
     boot: str
     at: timedelta
     entries: Mapping[str, Entry]
+    opens: timedelta = timedelta()
 
 
 class PageResult(Enum):
@@ -81,8 +90,8 @@
         return {}
     adoptable = {}
     for customer, entry in page.entries.items():
-        promised = entry.burst + entry.rate * lived.total_seconds()
-        left = entry.unspent - int(promised) - 1
+        promise = Promise(entry.burst, entry.rate, entry.unspent, page.opens)
+        left = entry.unspent - int(promise.sum_until(lived)) - 1
         if left > 0:
             adoptable[customer] = left
     return adoptable
@@ -104,6 +113,7 @@
         self._incarnation = incarnation
         self._boot = boot
         self._on_adopt = on_adopt
+        self._started_at = clock.since_boot()
         self._end: int | None = None
 
     async def adopt(self, find_account: Callable[[str], PrepaidAccount]) -> None:
@@ -119,15 +129,17 @@
                 adopted = {c: e.unspent for c, e in old.entries.items()}
                 self._end = end
             else:
-                now = self._clock.since_boot()
-                adopted = find_adoptable(old, self._boot, now) if old else {}
+                # The predecessor ended before this process began.
+                began = self._started_at
+                adopted = find_adoptable(old, self._boot, began) if old else {}
                 if not await self._replace(end, adopted):
                     continue
             for customer, tokens in adopted.items():
                 account = find_account(customer)
                 account.credit(tokens)
                 # The page promised that nothing of it is spent before the next one.
-                account.limits = [SpendingLimit(self._clock.since_boot(), 0.0, 0.0)]
+                nothing = Promise(0.0, 0.0)
+                account.limits = [SpendingLimit(self._clock.since_boot(), nothing)]
                 self._on_adopt(customer, tokens)
 
     async def _replace(self, end: int, adopted: dict[str, int]) -> bool:
@@ -155,9 +167,11 @@
         entries, limits = {}, {}
         for customer, account in accounts.items():
             ahead = min(wanted.get(customer, 0), account.free)
+            unspent = account.free - ahead
             burst, rate = find_promise(account, now)
-            entries[customer] = Entry(account.free - ahead, burst, rate)
-            limits[customer] = SpendingLimit(at, burst + ahead, rate)
+            entries[customer] = Entry(unspent, burst, rate)
+            promise = Promise(burst + ahead, rate, unspent, OPENS_AFTER)
+            limits[customer] = SpendingLimit(at, promise)
         page = self._make_page(entries, at)
         for customer, limit in limits.items():
             accounts[customer].limits.append(limit)
@@ -179,18 +193,16 @@
     ) -> Page:
         if at is None:
             at = self._clock.since_boot()
-        return Page(self._incarnation, self._boot, at, entries)
+        return Page(self._incarnation, self._boot, at, entries, OPENS_AFTER)
 
 
 def find_promise(account: PrepaidAccount, now: timedelta) -> tuple[float, float]:
     """Return the burst and the rate to promise for an account.
 
-    Large requests may come at any moment, and a customer that was never seen
-    here may come first in a cut: all that is held can be spent within the time
-    it is held for.
+    A large request may come at any moment. Where more comes than the promise
+    allows, a new page is written before it is served.
     """
     rate = account.find_rate(now)
-    burst = max(account.largest, account.free * HELD_BURST)
+    burst = account.largest or account.free * UNSEEN_BURST
     burst += rate * BURST_TIME.total_seconds()
-    whole = account.free / HOLD_AHEAD.total_seconds()
-    return burst, max(rate * RATE_FACTOR, whole)
+    return burst, rate * RATE_FACTOR
--- a/lavendershift/platform/passbooks.py
+++ b/lavendershift/platform/passbooks.py
@@ -23,6 +23,7 @@
     boot: str
     at_us: int  # since boot
     entries: dict[str, tuple[int, float, float]]  # unspent, burst, tokens/s
+    opens_us: int = 0  # after the page
 
 
 class StorePassbookLog:
@@ -55,6 +56,7 @@
                 page.boot,
                 page.at // timedelta(microseconds=1),
                 {c: (e.unspent, e.burst, e.rate) for c, e in page.entries.items()},
+                page.opens // timedelta(microseconds=1),
             )
         )
         result, new_end = await self._store.append(
@@ -71,4 +73,5 @@
         raise LogUnavailableError(f"passbook: {error}") from None
     entries = {customer: Entry(*entry) for customer, entry in wire.entries.items()}
     at = timedelta(microseconds=wire.at_us)
-    return Page(wire.incarnation, wire.boot, at, entries)
+    opens = timedelta(microseconds=wire.opens_us)
+    return Page(wire.incarnation, wire.boot, at, entries, opens)
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -22,6 +22,7 @@
 HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
 LARGEST_DECAY = 0.98  # per request, so that about the largest of 50 counts
 RATE_MARGIN = 1.3  # demand varies about its mean within HOLD_AHEAD
+OPENING_TIME = timedelta(seconds=5)  # in which all that is held may be committed
 HELD_PART = 0.3  # of what is left of a total, held by all VMs together
 ABUNDANT_TIME = timedelta(seconds=30)  # for which tokens at HELD_PART last
 LEAST_HELD_PART = 0.12  # where little is left for the demand
@@ -32,27 +33,47 @@
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
 
 
+class Promise(NamedTuple):
+    """What a process commits at most after a page of its passbook.
+
+    ``burst`` tokens at once and ``rate`` tokens a second. The page is renewed
+    while the store is reached, so a process that still runs ``opens`` after it
+    is probably cut off: from then on the ``held`` tokens may be committed as
+    well, growing over ``OPENING_TIME``.
+    """
+
+    burst: float
+    rate: float
+    held: float = 0.0
+    opens: timedelta = timedelta()
+
+    def sum_until(self, elapsed: timedelta) -> float:
+        """Return the tokens committed at most until ``elapsed`` after the page."""
+        opened = min(max((elapsed - self.opens) / OPENING_TIME, 0.0), 1.0)
+        steady = self.burst + self.rate * elapsed.total_seconds()
+        return steady + self.held * opened
+
+
 class SpendingLimit:
-    """What a VM promised in a passbook page to commit at most after it.
+    """Holds a process to the promise of a page made at ``since``.
 
-    ``burst`` tokens at once and ``rate`` tokens a second since ``since``, by
-    the time since boot.
+    ``since`` is a time since boot.
     """
 
-    def __init__(self, since: timedelta, burst: float, rate: float) -> None:
+    def __init__(self, since: timedelta, promise: Promise) -> None:
         self._since = since
-        self._burst = burst
-        self._rate = rate
+        self._promise = promise
+        self._drawn = 0
         self.committed = 0
 
     def extend(self, tokens: int) -> None:
         """Allow ``tokens`` more, which were drawn after the page was made."""
-        self._burst += tokens
+        self._drawn += tokens
 
     def allows(self, tokens: int, now: timedelta) -> bool:
         """Return whether ``tokens`` more may be committed."""
-        elapsed = (now - self._since).total_seconds()
-        return self.committed + tokens <= self._burst + self._rate * elapsed
+        promised = self._promise.sum_until(now - self._since)
+        return self.committed + tokens <= promised + self._drawn
 
 
 class PrepaidAccount:
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -154,6 +154,7 @@
             "boot": page.boot,
             "at_us": page.at // timedelta(microseconds=1),
             "entries": {c: tuple(e) for c, e in page.entries.items()},
+            "opens_us": page.opens // timedelta(microseconds=1),
         }
     )
 
--- a/lavendershift/tests/test_passbook.py
+++ b/lavendershift/tests/test_passbook.py
@@ -38,8 +38,8 @@
         return result, self.end
 
 
-def make_page(boot="boot-1", at=AT, unspent=10_000, burst=500.0, rate=100.0):
-    return Page("old", boot, at, {"plume": Entry(unspent, burst, rate)})
+def make_page(boot="boot-1", at=AT, unspent=10_000, opens=timedelta(seconds=4)):
+    return Page("old", boot, at, {"plume": Entry(unspent, 500.0, 100.0)}, opens)
 
 
 def make_passbook(pages, clock, name="new", boot="boot-1"):
@@ -63,6 +63,29 @@
     assert adoptable == {"plume": 10_000 - 500 - 300 - 1}
 
 
+def test_a_process_without_a_new_page_may_have_spent_more_and_more():
+    """One that was cut off from the store serves with all that it holds."""
+    page = make_page(opens=timedelta(seconds=2))
+    left = [
+        find_adoptable(page, "boot-1", AT + timedelta(seconds=s)).get("plume", 0)
+        for s in (1, 2, 3, 5, 7)
+    ]
+    assert left[0] == 10_000 - 500 - 100 - 1
+    assert left == sorted(left, reverse=True)
+    assert left[-1] == 0
+
+
+def test_only_the_time_until_the_new_process_began_counts():
+    """The store may be away for long after the start."""
+    pages = MemoryPages(make_page())
+    account = make_account(0)
+    clock = make_clock(AT + timedelta(seconds=1))
+    passbook = make_passbook(pages, clock)
+    clock.advance(timedelta(seconds=8))
+    asyncio.run(passbook.adopt(lambda name: account))
+    assert account.free == 10_000 - 500 - 100 - 1
+
+
 def test_nothing_is_adopted_from_another_boot():
     later = AT + timedelta(seconds=1)
     assert find_adoptable(make_page(), "boot-2", later) == {}
