--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -21,7 +21,7 @@
 
 BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
 BURST_TIME = timedelta(seconds=1)  # of the demand
-UNSEEN_BURST = 0.15  # of the free tokens of a customer without requests so far
+HELD_BURST = 0.15  # of the free tokens, which may be committed at once
 RATE_FACTOR = 1.5  # times the demand that is measured
 OPENS_AFTER = timedelta(milliseconds=2500)  # a page each second, and a slow call
 LONGEST_LIFE = timedelta(seconds=60)  # after a page; beyond it nothing is adopted
@@ -203,6 +203,6 @@
     allows, a new page is written before it is served.
     """
     rate = account.find_rate(now)
-    burst = account.largest or account.free * UNSEEN_BURST
+    burst = max(account.largest, account.free * HELD_BURST)
     burst += rate * BURST_TIME.total_seconds()
     return burst, rate * RATE_FACTOR
--- a/lavendershift/platform/tests/live_nodes.py
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -41,8 +41,9 @@
 ttl_max_s = 5
 [platform]
 address = "127.0.0.1:{store}"
-parts = 4
+parts = {partitions}
 """
+PARTITIONS = 4
 
 
 class Reply:
@@ -73,6 +74,7 @@
                 ready=self.ready,
                 directory=self.directory,
                 store=store_port,
+                partitions=PARTITIONS,
             )
         )
         self.log_path = folder / f"{self.name}.log"
@@ -203,8 +205,11 @@
         )
 
     def find_granted(self):
-        rows = self.store.state.newest(names.GRANTS_TOPIC, 0)
-        return {key.decode(): msgspec.json.decode(v)["granted"] for key, v, _ in rows}
+        return {
+            key.decode(): msgspec.json.decode(value)["granted"]
+            for part in range(PARTITIONS)
+            for key, value, _ in self.store.state.newest(names.GRANTS_TOPIC, part)
+        }
 
 
 def find_ip(number):
