Add a fault soak of real processes

Three nodes behind faulty links (held one way or both, delayed, refused, silent for good), signals, kills, a store that is away, silent or loses answers, expired records, spoilt servers and configurations in series play a calm part and one with overlapping faults; callers and servers are judged.

--- a/lavendershift/platform/tests/live_nodes.py
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -81,6 +81,10 @@
         self.process = None
 
     def start(self):
+        self.launch()
+        self.wait_ready()
+
+    def launch(self):
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "lavendershift.tools.node"],
@@ -89,17 +93,26 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        self.wait_ready()
 
     def signal(self, number):
         os.kill(self.process.pid, number)
 
+    def ignores_reloads(self):
+        """Whether the process handles or ignores SIGHUP by now."""
+        masks = {"SigIgn": 0, "SigCgt": 0}
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            name, _, value = line.partition(":")
+            if name in masks:
+                masks[name] = int(value, 16)
+        return bool((masks["SigIgn"] | masks["SigCgt"]) >> (signal.SIGHUP - 1) & 1)
+
     def wait_end(self):
         return self.process.wait(timeout=PATIENCE_S)
 
     def kill(self):
-        self.signal(signal.SIGKILL)
-        self.wait_end()
+        if self.process.poll() is None:
+            self.signal(signal.SIGKILL)
+            self.wait_end()
 
     def wait_ready(self):
         wait_for(lambda: self.get(self.ready, "/readyz").status == 200, "readiness")
--- /dev/null
+++ b/lavendershift/platform/tests/soak/__main__.py
@@ -0,0 +1,57 @@
+"""Play seeds and print what they found."""
+
+import argparse
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from lavendershift.platform.tests.soak.judge import judge
+from lavendershift.platform.tests.soak.world import SoakWorld
+
+
+def play_seed(seed, nodes=3, calm_s=6.0, chaos_s=10.0, folder=None):
+    """Play one seed; returns its violations and the number of requests."""
+    with tempfile.TemporaryDirectory() as temporary:
+        world = SoakWorld(Path(folder or temporary), seed, nodes)
+        try:
+            starts = world.play(calm_s, chaos_s)
+            found = list(judge(world, starts))
+        finally:
+            world.stop()
+        return found, sum(len(caller.seen) for caller in world.callers)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-10", help="FIRST-LAST")
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--folder", type=Path, help="keeps the logs of each seed")
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    seeds = range(int(first), int(last or first) + 1)
+    failed = 0
+    with ProcessPoolExecutor(options.jobs) as pool:
+        results = []
+        for seed in seeds:
+            folder = options.folder and options.folder / str(seed)
+            if folder:
+                folder.mkdir(parents=True, exist_ok=True)
+            results.append(pool.submit(play_seed, seed, options.nodes, folder=folder))
+        for seed, result in zip(seeds, results, strict=True):
+            try:
+                found, requests = result.result()
+            except Exception as error:
+                found, requests = [f"the soak itself failed: {error!r}"], 0
+            failed += bool(found)
+            print(f"seed {seed}: {requests} requests, {len(found)} violations")
+            for violation in found[:10]:
+                print(f"  {violation}")
+            sys.stdout.flush()
+    print(f"{failed} of {len(seeds)} seeds with a violation")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lavendershift/platform/tests/soak/faults.py
@@ -0,0 +1,186 @@
+"""Faults, registered by decorator; each returns how to undo it, or nothing."""
+
+import signal
+import time
+from typing import NamedTuple
+
+from lavendershift.platform import names
+from lavendershift.platform.tests.soak.links import TO_CALLER, TO_TARGET
+from lavendershift_standins import platformserver
+
+INTERPRETER_START_S = 0.5  # in which a program can't have set its handlers
+FAULTS = {}
+PLANNED = {}
+
+
+class FaultKind(NamedTuple):
+    """A fault's weight, the longest time it lasts in seconds, and its function."""
+
+    weight: float
+    longest_s: float
+    inject: object
+
+
+def register_fault(weight, longest_s, registry=FAULTS):
+    """Add a function of world and random generator to a registry."""
+
+    def register(function):
+        registry[function.__name__] = FaultKind(weight, longest_s, function)
+        return function
+
+    return register
+
+
+@register_fault(2, 5.0)
+def pause_node(world, rng):
+    node = world.find_running(rng)
+    if node is None:
+        return None
+    node.signal(signal.SIGSTOP)
+    return lambda: world.signal_if_running(node, signal.SIGCONT)
+
+
+@register_fault(3, 1.5)
+def kill_node(world, rng):
+    node = world.find_running(rng)
+    if node is None:
+        return None
+    world.kill(node)
+    return lambda: world.launch(node)
+
+
+@register_fault(0.5, 1.0)
+def kill_all(world, rng):
+    nodes = [node for node in world.nodes if node.is_running]
+    for node in nodes:
+        world.kill(node)
+    return lambda: [world.launch(node) for node in nodes]
+
+
+@register_fault(1.5, 12.0, FAULTS)
+def replace_node(world, rng):
+    return stop_node(world, rng)
+
+
+@register_fault(2, 12.0, PLANNED)
+def stop_node(world, rng):
+    node = world.find_running(rng)
+    if node is None or len(world.list_running()) < 2:
+        return None
+    world.terminate(node)
+    return lambda: world.launch(node)
+
+
+@register_fault(2, 0.0, PLANNED)
+def reload_node(world, rng):
+    node = world.find_running(rng)
+    if node is not None and time.monotonic() - node.launched_at > INTERPRETER_START_S:
+        world.signal_if_running(node, signal.SIGHUP)
+
+
+@register_fault(1, 0.0)
+def reload_node_twice(world, rng):
+    reload_node(world, rng)
+    reload_node(world, rng)
+
+
+@register_fault(2, 0.0, PLANNED)
+def change_configuration(world, rng):
+    world.change(rng)
+
+
+@register_fault(1.5, 0.0)
+def change_configuration_thrice(world, rng):
+    for _ in range(3):
+        world.change(rng)
+
+
+@register_fault(1, 4.0, PLANNED)
+def drain_server(world, rng):
+    server = rng.choice(world.servers["ledger"])
+    world.drain(server)
+    return lambda: world.undrain(server)
+
+
+@register_fault(4, 4.0)
+def cut_store_link(world, rng):
+    link = rng.choice(world.store_links)
+    way = rng.choice(["hold", "to target", "to caller", "delay", "refuse", "forget"])
+    if way == "hold":
+        world.call(link.hold, TO_TARGET, TO_CALLER)
+    elif way in (TO_TARGET, TO_CALLER):
+        world.call(link.hold, way)
+    elif way == "delay":
+        link.delay_s = rng.uniform(0.05, 0.6)
+    elif way == "forget":
+        world.call(link.forget)
+    else:
+        link.is_refusing = True
+        world.call(link.reset)
+    return lambda: world.call(link.heal)
+
+
+@register_fault(1, 4.0)
+def cut_all_from_the_store(world, rng):
+    for link in world.store_links:
+        world.call(link.hold, TO_TARGET, TO_CALLER)
+    return lambda: [world.call(link.heal) for link in world.store_links]
+
+
+@register_fault(3, 3.0)
+def cut_server_link(world, rng):
+    link = rng.choice(list(world.server_links.values()))
+    way = rng.choice(["hold", "delay", "reset", "refuse", "forget"])
+    if way == "hold":
+        world.call(link.hold, rng.choice([TO_TARGET, TO_CALLER]))
+    elif way == "delay":
+        link.delay_s = rng.uniform(0.01, 0.3)
+    elif way == "refuse":
+        link.is_refusing = True
+    elif way == "forget":
+        world.call(link.forget)
+    else:
+        world.call(link.reset)
+    return lambda: world.call(link.heal)
+
+
+@register_fault(1.5, 3.0)
+def take_store_away(world, rng):
+    field = rng.choice(["away", "silent"])
+    setattr(world.store, field, True)
+    return lambda: setattr(world.store, field, False)
+
+
+@register_fault(2, 4.0)
+def lose_answers_of_the_store(world, rng):
+    world.store.lose_answers = rng.uniform(0.1, 0.5)
+    return lambda: setattr(world.store, "lose_answers", 0.0)
+
+
+@register_fault(1, 0.0)
+def expire_records(world, rng):
+    topic = rng.choice([names.GRANTS_TOPIC, names.OPERATOR_TOPIC, names.SERVERS_TOPIC])
+    for part in range(4):
+        world.call(world.store.state.expire, topic, part)
+
+
+@register_fault(5, 0.0)
+def spoil_answers(world, rng):
+    service = rng.choice(["pool", "ledger"])
+    server = rng.choice(world.servers[service])
+    plain = [
+        platformserver.answer_not_run,
+        platformserver.answer_error,
+        platformserver.answer_misdirected,
+        platformserver.answer_foreign_first,
+        platformserver.reset,
+        platformserver.send_bytes_only,
+        platformserver.keep_silent,
+    ]
+    if service == "pool":
+        plain += [platformserver.stream(8, 0.01, cut_after=n) for n in (0, 3, 7)]
+    else:
+        plain += [platformserver.answer_with_extra]
+        plain += [platformserver.answer_unframed(False)]
+    for _ in range(rng.randint(1, 4)):
+        server.script.append(rng.choice(plain))
--- /dev/null
+++ b/lavendershift/platform/tests/soak/judge.py
@@ -0,0 +1,131 @@
+"""What must hold, judged from what callers, servers and logs saw."""
+
+import json
+from collections import Counter, defaultdict
+
+from lavendershift.logs import Event
+from lavendershift.platform.tests.soak.callers import OUTPUT_TOKENS
+from lavendershift_standins.platformserver import make_event
+
+PROMISES = (408, 421, 429, 503)  # not run, and never will be
+EVENTS = [make_event(number) for number in range(1, 9)]
+OWNERS = {"key-1": "plume", "key-2": "encre", "key-3": "sable"}
+TOKENS_PER_EVENT = 5
+DRAIN_S = 2.0
+CROSSING_S = 0.2  # within which a request may cross the close of its connection
+
+
+def judge(world, starts):
+    """Return the violations of a seed that was played."""
+    seen = [each for caller in world.callers for each in caller.seen]
+    received = [
+        each
+        for servers in world.servers.values()
+        for server in servers
+        for each in server.received
+    ]
+    runs = Counter(
+        request
+        for servers in world.servers.values()
+        for server in servers
+        for request in server.runs
+    )
+    found = list(world.violations)
+    found += judge_answers(seen)
+    found += judge_runs(seen, runs)
+    found += judge_headers(seen, received)
+    found += judge_spending(world, seen, runs)
+    found += judge_calm_part(world, seen, runs, starts)
+    found += judge_logs(world)
+    if len(seen) < 100 or not any(each.status == 200 for each in seen):
+        found.append(f"only {len(seen)} requests")
+    return found
+
+
+def judge_answers(seen):
+    whole = b"".join(EVENTS)
+    for each in seen:
+        if each.status != 200:
+            continue
+        if each.headers.get("X-Lavendershift-Attempt-Id") != each.id:
+            yield f"{each.id} got the answer of another request"
+        if not each.headers.get("X-Lavendershift-Response-Signature"):
+            yield f"{each.id} got a success that no server made"
+        # Spoilt servers of either kind answer with a plain body, or one that
+        # is reset before its end.
+        plain, cut = f"done {each.id}".encode(), b"all of it"
+        bodies = [plain, whole] if each.kind == "index" else [plain]
+        if each.is_whole and each.body not in bodies:
+            yield f"{each.id} got {each.body[-60:]!r} as whole"
+        if not any(body.startswith(each.body) for body in [*bodies, cut]):
+            yield f"{each.id} got {each.body[-60:]!r}"
+
+
+def judge_runs(seen, runs):
+    for each in seen:
+        if each.kind != "record":
+            continue
+        if runs[each.id] > 1:
+            yield f"{each.id} ran {runs[each.id]} times"
+        if runs[each.id] and each.status in PROMISES:
+            yield f"{each.id} ran and was answered {each.status}"
+
+
+def judge_headers(seen, received):
+    owners = {each.id: OWNERS[each.key] for each in seen}
+    for each in received:
+        owner = owners.get(each.id)
+        if "authorization" in each.headers:
+            yield f"{each.id} was sent with its key"
+        if owner and each.headers.get("x-lavendershift-tenant") != owner:
+            yield f"{each.id} was sent for another customer"
+
+
+def judge_spending(world, seen, runs):
+    spent = defaultdict(int)
+    for each in seen:
+        if each.kind == "index" and runs[each.id]:
+            events = each.body.count(b"\n\n") if each.status == 200 else 0
+            output = min(events * TOKENS_PER_EVENT, OUTPUT_TOKENS)
+            spent[OWNERS[each.key]] += each.input_tokens + output
+    for customer, tokens in spent.items():
+        if tokens > world.prepaid[customer]:
+            yield f"{customer} spent {tokens} of {world.prepaid[customer]}"
+
+
+def judge_calm_part(world, seen, runs, starts):
+    """Planned work cuts nothing, and a draining server gets nothing new."""
+    began, ended = starts[0], starts[1]
+    for each in seen:
+        if not began < each.sent_at < ended - 0.5 or each.has_left:
+            continue
+        if each.status not in (200, 401, 429) or not each.is_whole:
+            crossed = each.is_reused and not runs[each.id]
+            if each.ended_at - each.sent_at <= CROSSING_S and crossed:
+                continue
+            if not runs[each.id] and not each.status and not each.is_reused:
+                continue  # no connection was made
+            yield f"{each.id} at {each.node} ended with {each.status} in calm"
+
+
+def judge_logs(world):
+    known = {event.value for event in Event}
+    for node in world.nodes:
+        versions = defaultdict(int)
+        starts = 0
+        for number, text in enumerate(node.log_path.read_text().splitlines()):
+            try:
+                line = json.loads(text)
+            except ValueError:
+                if number and not text.startswith("{"):
+                    yield f"{node.name} logged {text[:80]!r}"
+                continue  # the last line of a killed process may be cut
+            starts += line["event"] == "process_started"
+            if line["event"] not in known:
+                yield f"{node.name} logged an unknown event {line['event']}"
+            if line["event"] in ("internal_error", "library_message"):
+                yield f"{node.name} logged {text[:200]}"
+            if line["event"] == "configuration_changed":
+                if line["version"] < versions[starts]:
+                    yield f"{node.name} went back to version {line['version']}"
+                versions[starts] = line["version"]
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -3,6 +3,8 @@
 import json
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
@@ -232,6 +234,30 @@
     assert node.ask("r1").status == 200
 
 
+def test_a_reload_while_it_starts_does_not_end_a_process(tmp_path):
+    """Found by the soak: seed 77, a reload just after a start."""
+    platform = Platform(tmp_path)
+    (node,) = platform.nodes
+    try:
+        node.launch()
+        wait_for(node.ignores_reloads, "the program's first step")
+        for _ in range(20):
+            node.signal(signal.SIGHUP)
+            time.sleep(0.02)
+        node.wait_ready()
+        assert node.process.poll() is None
+    finally:
+        platform.stop()
+
+
+def test_nothing_large_is_imported_before_reloads_are_ignored():
+    check = (
+        "import sys, lavendershift.tools.node as node;"
+        "sys.exit('lavendershift.platform.application' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", check], check=False).returncode == 0
+
+
 def test_vms_find_each_other_and_list_who_is_there(tmp_path):
     platform = Platform(tmp_path, nodes=2)
     platform.start()
--- /dev/null
+++ b/lavendershift/platform/tests/test_soak.py
@@ -0,0 +1,16 @@
+"""A short soak, and the seeds that ever failed with a line on the cause."""
+
+import pytest
+
+from lavendershift.platform.tests.soak.__main__ import play_seed
+
+REGRESSIONS = {
+    77: "a reload before the program had its handlers ended the process",
+}
+
+
+@pytest.mark.parametrize("seed", [1, *REGRESSIONS])
+def test_a_short_soak_breaks_no_promise(seed):
+    found, requests = play_seed(seed, calm_s=2.5, chaos_s=4.0)
+    assert found == []
+    assert requests > 100
--- a/lavendershift/tools/node.py
+++ b/lavendershift/tools/node.py
@@ -3,18 +3,22 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 from pathlib import Path
 
-from lavendershift.clocks import SystemClock
-from lavendershift.platform.application import run_node
-from lavendershift.platform.nodesettings import SETTINGS_VARIABLE, SettingsError
-
 INVALID_SETTINGS = 2  # exit code
 
 
 def main() -> None:
     """Run with the settings file that the platform names."""
+    # A request to reload must not end a process that is about to read its
+    # settings, so it is ignored before the imports, which take most of a start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from lavendershift.clocks import SystemClock
+    from lavendershift.platform.application import run_node
+    from lavendershift.platform.nodesettings import SETTINGS_VARIABLE, SettingsError
+
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         print(f"{SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -42,6 +42,7 @@
         self.script: list[Behaviour] = []
         self.default: Behaviour = answer_whole
         self.received: list[Received] = []
+        self.runs: list[str] = []  # ids of requests that weren't rejected
         self.closed = 0
         self.connections = 0
         self.port = 0
@@ -71,6 +72,8 @@
                 received = await read_request(reader)
                 self.received.append(received)
                 behaviour = self.script.pop(0) if self.script else self.default
+                if behaviour not in (answer_not_run, answer_misdirected):
+                    self.runs.append(received.id)
                 answering = asyncio.ensure_future(behaviour(received, writer))
                 gone = asyncio.ensure_future(watch_close(reader))
                 await asyncio.wait(
--- a/lavendershift_standins/platformstore.py
+++ b/lavendershift_standins/platformstore.py
@@ -90,8 +90,10 @@
         self._http.listen(port, address="127.0.0.1")
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and leave calls without an answer."""
         self._http.stop()
+        for task in self._tasks:
+            task.cancel()
 
     def _serve(self, request: HTTPServerRequest) -> None:
         task = asyncio.ensure_future(self._answer(request))
