Cut no request at the end of a stop, and spread the rounds of draws

Two causes, in one commit as both touch the application. 1. Change: the wait lasts until no request runs or is read, and what is idle is closed in the same turn. Change: rounds are spread, large fleets settle one partition after the other, a refused append ends its own round only, rows may be two rounds old, and the servers' feed reads five times in the time to stop sending.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from datetime import timedelta
 
@@ -20,13 +21,14 @@
 
 from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError
-from lavendershift.grantrows import GrantLog, GrantRows
+from lavendershift.grantrows import DrawRefusedError, GrantLog, GrantRows
 from lavendershift.passbook import Passbook
 from lavendershift.prepaid import DrawView, PrepaidAccount, plan_draw
 
 ROUND_INTERVAL = timedelta(seconds=1)  # between full rounds of a small fleet
 ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
-ROWS_AGE = timedelta(seconds=3)  # of rows that full rounds plan from
+SMALL_SPREAD, LARGE_SPREAD = 0.1, 0.5  # of the interval, either way
+ROWS_AGE = timedelta(seconds=3)  # of rows that full rounds plan from, or two rounds
 WANTED_ROWS_AGE = timedelta(milliseconds=100)  # of rows that refuse a request
 SETTLING_PAUSE = timedelta(milliseconds=10)  # between tries for a waiting request
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
@@ -88,6 +90,7 @@
     ) -> None:
         self._clock = clock
         self._name = name.partition("/")[0]
+        self._rng = random.Random(name)
         self._prepaid = prepaid
         self._vms = vms
         self._others_rate = others_rate
@@ -100,7 +103,7 @@
         self.is_reached = False
         self.was_reached = False
         self._wanted: dict[str, int] = {}
-        self._settling: dict[int, asyncio.Task[None]] = {}
+        self._settling: dict[int, asyncio.Task[bool]] = {}
         self._locks = [asyncio.Lock() for _ in logs]
         self._recording = asyncio.Lock()
         self._answered_at = timedelta()
@@ -173,10 +176,10 @@
                     return False
                 settling = self._start_settling(customer)
                 await asyncio.wait({settling}, timeout=left)
-                if settling.done():
-                    settling.result()
                 if account.reserve(tokens, self._clock.since_boot()):
                     return True
+                if settling.done() and not settling.result():
+                    return False
                 await asyncio.sleep(SETTLING_PAUSE.total_seconds())
             return False
         finally:
@@ -251,7 +254,7 @@
     async def run(self) -> None:
         """Draw and return tokens until cancelled."""
         while True:
-            interval = find_round_interval(self._vms())
+            interval = self._choose_interval()
             try:
                 await self.run_round()
             except LogUnavailableError:
@@ -260,6 +263,15 @@
                 await asyncio.wait_for(self._wake.wait(), interval.total_seconds())
             self._wake.clear()
 
+    def _choose_interval(self) -> timedelta:
+        """Return the time to the next round, spread so that VMs don't meet.
+
+        All VMs of a fleet start at the same time.
+        """
+        vms = self._vms()
+        spread = LARGE_SPREAD if vms >= LENDING_FLEET else SMALL_SPREAD
+        return find_round_interval(vms) * self._rng.uniform(1 - spread, 1 + spread)
+
     async def run_round(self) -> None:
         """Move all accounts towards their targets and record what is held.
 
@@ -271,17 +283,34 @@
         partitions = sorted({self._find_partition(c) for c in self._prepaid()})
         if partitions and not self.is_reached:
             await self._settle(partitions.pop(0))
-        results = await asyncio.gather(
-            *(self._settle(number) for number in partitions), return_exceptions=True
-        )
-        failures = [r for r in results if isinstance(r, BaseException)]
-        if failures and len(failures) == len(results):
+        failures = await self._settle_all(partitions)
+        if failures and len(failures) == len(partitions):
             raise failures[0]
         with self._watch_reach():
             await self._record()
         self.was_reached = self.was_reached or not failures
 
-    def _start_settling(self, customer: str) -> "asyncio.Task[None]":
+    async def _settle_all(self, partitions: Sequence[int]) -> list[LogUnavailableError]:
+        """Settle partitions; returns the failures.
+
+        In a large fleet one is settled after the other, as the store's rate
+        bounds the calls of all VMs together.
+        """
+        at_once = 1 if self._vms() >= LENDING_FLEET else len(partitions)
+        failures: list[LogUnavailableError] = []
+        for start in range(0, len(partitions), max(at_once, 1)):
+            results = await asyncio.gather(
+                *(self._settle(n) for n in partitions[start : start + at_once]),
+                return_exceptions=True,
+            )
+            for result in results:
+                if isinstance(result, LogUnavailableError):
+                    failures.append(result)
+                elif isinstance(result, BaseException):
+                    raise result
+        return failures
+
+    def _start_settling(self, customer: str) -> "asyncio.Task[bool]":
         """Return the running task that draws for ``customer``, or a new one."""
         number = self._find_partition(customer)
         task = self._settling.get(number)
@@ -290,13 +319,19 @@
             self._settling[number] = task
         return task
 
-    async def _settle_urgently(self, number: int) -> None:
-        """Draw for the requests that wait for tokens of a partition."""
-        with contextlib.suppress(LogUnavailableError):  # noted by the watch
+    async def _settle_urgently(self, number: int) -> bool:
+        """Draw for the requests that wait for tokens of a partition.
+
+        Returns false if the store did not do what it was asked.
+        """
+        try:
             await self._settle(number)
             if self._is_bound_by_page(number):
                 with self._watch_reach():
                     await self._record()
+        except LogUnavailableError:  # noted by the watch
+            return False
+        return True
 
     def _is_bound_by_page(self, number: int) -> bool:
         """Whether a request waits though its tokens are here.
@@ -322,7 +357,8 @@
                 await self._settle_rows(self._rows[number])
 
     async def _settle_rows(self, rows: GrantRows) -> None:
-        if not self.is_reached or rows.is_older_than(ROWS_AGE):
+        age = max(ROWS_AGE, 2 * find_round_interval(self._vms()))
+        if not self.is_reached or rows.is_older_than(age):
             await rows.sync()
         for _ in range(MAX_CONFLICTS):
             deltas = await self._borrow_planned(self._plan(rows))
@@ -342,6 +378,8 @@
         started = self._clock.elapsed()
         try:
             yield
+        except DrawRefusedError:
+            raise
         except LogUnavailableError as error:
             if self._answered_at <= started:
                 self._note_reached(False, str(error))
--- a/lavendershift/grantrows.py
+++ b/lavendershift/grantrows.py
@@ -23,6 +23,10 @@
 from lavendershift.prepaid import PrepaidAccount
 
 
+class DrawRefusedError(LogUnavailableError):
+    """The store refused a change, as it does beyond its rate."""
+
+
 class GrantRow(NamedTuple):
     """One change of one customer's row, as it lies in the log.
 
@@ -125,7 +129,8 @@
     ) -> bool:
         """Append changes; false if another VM came first.
 
-        Raises ``LogUnavailableError``, also where the store refuses the call.
+        Raises ``LogUnavailableError``, ``DrawRefusedError`` where the store
+        refuses the call.
         ``record`` writes what is held to the passbook. It is awaited before
         tokens are returned, as a successor must not adopt them afterwards.
         """
@@ -155,7 +160,7 @@
         if result is not SwapResult.DONE:
             self._undo(deltas)
             if result is SwapResult.REFUSED:
-                raise LogUnavailableError("a draw was refused")
+                raise DrawRefusedError("a draw was refused")
             return False
         for offset, row in enumerate(rows, end):
             self._fold(offset, row)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -47,6 +47,7 @@
 
 LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
 EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
+LAST_WRITES = timedelta(milliseconds=200)  # for answers in the sockets' buffers
 LEAST_VMS = 3  # that share the retries, before the others are known
 METRICS_PORT = 9464  # the usual one of this text format
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -144,7 +145,12 @@
             clock, self._store, log, self._accept_table
         )
         self._server_feed = ServerFeed(
-            clock, self._store, log, self._servers, self._forget_server
+            clock,
+            self._store,
+            log,
+            self._servers,
+            self._forget_server,
+            settings.drain,
         )
         self._presence_feed = PresenceFeed(clock, self._store, log, self._vms)
         self._presence = PresenceWriter(
@@ -236,8 +242,8 @@
         self._callers.stop_listening()
         self._draws.return_all()
         left = deadline - self._clock.elapsed()
-        running = await self._callers.wait_idle(left)
-        await asyncio.sleep(0.2)
+        running = await self._callers.end_connections(left)
+        await asyncio.sleep(LAST_WRITES.total_seconds())
         if running:
             self._log.write(Event.PROCESS_STOPPING, reason=f"{running} requests cut")
 
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
+from weakref import WeakSet
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -46,6 +48,7 @@
 LONGEST_DEADLINE = timedelta(hours=1)  # a longer one is cut to it
 CHUNK_BYTES = 65_536  # read from a caller at a time
 NOT_RUN_STATUSES = frozenset({400, 401, 402, 404, 413, 429, 503})
+READING_POLL_S = 0.02  # between looks for requests whose bodies come in
 BODY_MARGIN = 1_048_576  # bytes above the limit that still get a proper answer
 
 
@@ -144,9 +147,7 @@
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, RequestStartLine)
         self._start_line, self._headers = start_line, headers
-        stream = getattr(self._connection, "stream", None)
-        if stream is not None:
-            stream.set_nodelay(True)
+        self._server.note_reading(self)
         length = headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self._server.find_body_limit():
             self._refuse(ErrorKind.TOO_LARGE)
@@ -160,7 +161,13 @@
             self._chunks.append(chunk)
         return None
 
+    @property
+    def stream(self) -> IOStream | None:
+        """The connection's stream, while it has one."""
+        return getattr(self._connection, "stream", None)
+
     def finish(self) -> None:
+        self._server.note_read(self)
         if self._is_refused or self._start_line is None:
             return
         answers = self._server.make_answers(self._connection)
@@ -174,10 +181,11 @@
         except RequestError as error:
             answers.refuse(error)
             return
-        self._task = asyncio.ensure_future(self._server.serve(request, answers))
+        self._task = self._server.start_serving(request, answers, self.stream)
         self._connection.set_close_callback(self._task.cancel)
 
     def on_connection_close(self) -> None:
+        self._server.note_read(self)
         self._chunks.clear()
 
     def _refuse(self, kind: ErrorKind) -> None:
@@ -192,13 +200,16 @@
     def __init__(self, clock: Clock, gateway: Gateway) -> None:
         self.clock = clock
         self._gateway = gateway
-        self._http: HTTPServer | None = None
+        self._http: _CallerHttpServer | None = None
         self._is_leaving = False
-        self._active: set[asyncio.Task[None]] = set()
+        self._active: dict[asyncio.Task[None], IOStream | None] = {}
+        self._reading: set[_Message] = set()
+        self._streams: WeakSet[IOStream] = WeakSet()
 
     def listen(self, address: str) -> None:
         """Listen on ``address``."""
         self._http = _CallerHttpServer(self, chunk_size=CHUNK_BYTES)
+        self._http.on_stream = self.note_stream
         self.update_limits(self._gateway.find_limits())
         host, _, port = address.rpartition(":")
         self._http.listen(int(port), address=host, backlog=1024)
@@ -233,17 +244,33 @@
         """Return the largest body that is taken, in bytes."""
         return self._gateway.find_limits().body_bytes
 
-    async def serve(self, request: CallerRequest, answers: CallerAnswers) -> None:
-        """Run one request to its end."""
-        task = asyncio.current_task()
-        assert task is not None
-        self._active.add(task)
-        try:
+    def note_stream(self, stream: IOStream) -> None:
+        """Note a caller's new connection."""
+        self._streams.add(stream)
+
+    def note_reading(self, message: _Message) -> None:
+        """Note that the head of a request was read."""
+        self._reading.add(message)
+
+    def note_read(self, message: _Message) -> None:
+        """Note that a request was read to its end, or won't be."""
+        self._reading.discard(message)
+
+    def start_serving(
+        self,
+        request: CallerRequest,
+        answers: CallerAnswers,
+        stream: IOStream | None = None,
+    ) -> asyncio.Task[None]:
+        """Run one request to its end, in a task of its own."""
+        task = asyncio.ensure_future(self._serve(request, answers))
+        self._active[task] = stream
+        task.add_done_callback(lambda task: self._active.pop(task, None))
+        return task
+
+    async def _serve(self, request: CallerRequest, answers: CallerAnswers) -> None:
+        with contextlib.suppress(StreamClosedError):  # the caller went away
             await self._gateway.serve(request, answers)
-        except StreamClosedError:
-            return
-        finally:
-            self._active.discard(task)
 
     def announce_leaving(self) -> None:
         """Have each further answer end its connection."""
@@ -254,18 +281,38 @@
         if self._http is not None:
             self._http.stop()
 
-    async def wait_idle(self, timeout: timedelta) -> int:
-        """Wait until no request runs; returns how many still do."""
-        if self._active:
-            await asyncio.wait(self._active, timeout=timeout.total_seconds())
+    async def end_connections(self, timeout: timedelta) -> int:
+        """Wait until no request runs, and close what is idle then.
+
+        Kept connections bring requests until they are closed, so the last look
+        and the closing happen in one turn. Returns how many requests still run.
+        """
+        deadline = self.clock.elapsed() + timeout
+        while self._active or self._reading:
+            left = (deadline - self.clock.elapsed()).total_seconds()
+            if left <= 0:
+                break
+            await asyncio.wait(
+                {*self._active, asyncio.ensure_future(asyncio.sleep(READING_POLL_S))},
+                timeout=left,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        busy = {*self._active.values(), *(m.stream for m in self._reading)}
+        for stream in list(self._streams):
+            # One that still writes is closed by its answer.
+            if stream not in busy and not stream.writing():
+                stream.close()
         return len(self._active)
 
 
 class _CallerHttpServer(HTTPServer):
     """Hands requests to a connection delegate, without buffering answers."""
 
+    on_stream: Callable[[IOStream], None]
+
     def handle_stream(self, stream: IOStream, address: Any) -> None:  # type: ignore[override]
         stream.set_nodelay(True)
+        self.on_stream(stream)
         super().handle_stream(stream, address)
 
 
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -17,7 +17,7 @@
 from lavendershift.serverlist import RESTART_GRACE, ServerEntry, ServerList
 
 CONFIGURATION_WAIT = timedelta(milliseconds=1200)  # well within the time to be in force
-SERVERS_INTERVAL = timedelta(milliseconds=400)  # a fifth of the time to stop sending
+DRAIN_PARTS = 5  # readings in the time in which a leaving server may get requests
 AWAY_INTERVAL = timedelta(milliseconds=250)  # between tries while the store is away
 OUTAGE_MEMORY = timedelta(seconds=4)  # how long entries may lapse after an outage
 MAX_SKIPPED_LOGGED = 5  # faulty entries of one configuration that are logged
@@ -158,17 +158,19 @@
         log: EventLog,
         servers: ServerList,
         on_gone: Callable[[ServerEntry], None],
+        drain: timedelta,
     ) -> None:
         feed = KeyedFeed(store, names.SERVERS_TOPIC, timedelta())
         super().__init__(clock, feed, log)
         self._servers = servers
         self._on_gone = on_gone
+        self._interval = drain / DRAIN_PARTS
         self._lapsed: dict[str, timedelta] = {}
         self.is_ready = False
 
     async def pause(self) -> None:
         """Let entries gather, as each server writes one about every second."""
-        await asyncio.sleep(SERVERS_INTERVAL.total_seconds())
+        await asyncio.sleep(self._interval.total_seconds())
 
     def take(self, records: list[Record], is_whole: bool) -> None:
         """Take over entries, and forget servers whose entries were removed."""
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -1,5 +1,6 @@
 """Node processes under failure, seen from callers, servers and the store."""
 
+import contextlib
 import json
 import signal
 import socket
@@ -175,6 +176,44 @@
     assert node.find_lines("process_stopped")
 
 
+def test_a_stop_cuts_no_request_of_a_kept_connection(platform):
+    """A hunted day: a request came in while the process was about to end."""
+    (node,) = platform.nodes
+    for server in platform.servers["pool"]:
+        server.default = stream(6, pause_s=0.04)
+    head = (
+        "POST /index/x HTTP/1.1\r\nHost: books.example\r\nContent-Length: 0\r\n"
+        "Authorization: Bearer key-1\r\nX-Lavendershift-Attempt-Id: {id}\r\n\r\n"
+    )
+    kept = [
+        socket.create_connection((node.ip, node.callers), timeout=5) for _ in range(60)
+    ]
+    answers = {}
+
+    def call(number):
+        with contextlib.suppress(OSError):
+            kept[number].sendall(head.format(id=f"k{number}").encode())
+            received = b""
+            while chunk := kept[number].recv(65536):
+                received += chunk
+            answers[number] = received
+
+    node.signal(signal.SIGTERM)
+    callers = []
+    time.sleep(2.2)
+    for number in range(60):
+        callers.append(threading.Thread(target=call, args=(number,)))
+        callers[-1].start()
+        time.sleep(0.05)
+    for caller in callers:
+        caller.join()
+    assert node.wait_end() == 0
+    whole = [n for n, answer in answers.items() if answer.endswith(b"0\r\n\r\n")]
+    cut = [n for n in range(60) if n not in whole and platform.count_runs(f"k{n}")]
+    assert len(whole) >= 10
+    assert cut == []
+
+
 def test_a_caller_that_leaves_stops_the_server_within_half_a_second(platform):
     (node,) = platform.nodes
     for server in platform.servers["pool"]:
