Decide waits and returns of short requests in one place

Cause: how long a request waits for tokens and when a refused caller comes back were constants in the gateway; a caller of a used-up total came back after 200 ms, before running requests settle or other VMs return tokens. Change: lavendershift/shortages.py decides both without input and output, each with the load it answers: a cut VM (elsewhere at once), draws that meet, a total that is drawn (when streams have settled, spread over callers). test_shortages replays these loads; with 200 ms the drawn total leaves most callers unserved. Kept for the callers: they come back when there may be tokens.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from datetime import timedelta
 from typing import NamedTuple
 
 from lavendershift.attempts import (
@@ -27,12 +26,9 @@
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
 from lavendershift.serverlist import PromptShape, ServerList
+from lavendershift.shortages import Shortage, choose_return, find_wait
 
 DEFAULT_URGENCY = 5
-TOKEN_WAIT_SHARE = 8  # of a route's target, so that another VM can still keep it
-LONGEST_TOKEN_WAIT = timedelta(milliseconds=250)  # for a draw, where there is no target
-SHORT_RETRY = timedelta(milliseconds=200)  # a draw or a return takes so long
-AWAY_RETRY = timedelta(milliseconds=50)  # another VM may hold tokens of the customer
 RETRY_MARGIN = 0.8  # of the VM's part, as VMs differ in how many they count
 
 
@@ -128,7 +124,7 @@
         account = self._draws.find_account(customer.name)
         account.note_demand(tokens, self._clock.elapsed())
         started = self._clock.elapsed()
-        wait = min(find_token_wait(route), request.deadline - started)
+        wait = min(find_wait(route.target), request.deadline - started)
         is_paid = await self._draws.wait_for(customer.name, tokens, wait)
         trace.waited = self._clock.elapsed() - started
         if not is_paid:
@@ -145,12 +141,15 @@
 
     def _describe_shortage(self, customer: Customer, tokens: int) -> RequestError:
         """Return the refusal of a request that its budget can't pay for now."""
-        account = self._draws.find_account(customer.name)
-        left = self._draws.count_left(customer.name)
-        detail = f"need {tokens} free {account.free} left {left}"
-        if not self._draws.is_reached:
-            return RequestError(ErrorKind.BUDGET_PENDING, detail, AWAY_RETRY)
-        return RequestError(ErrorKind.BUDGET_PENDING, detail, SHORT_RETRY)
+        shortage = Shortage(
+            tokens,
+            self._draws.find_account(customer.name).free,
+            self._draws.count_left(customer.name),
+            self._draws.is_reached,
+        )
+        detail = f"need {tokens} free {shortage.free} left {shortage.left}"
+        after = choose_return(shortage, self._rng)
+        return RequestError(ErrorKind.BUDGET_PENDING, detail, after)
 
     def _make_delivery(
         self,
@@ -219,13 +218,6 @@
             answers.refuse(error)
 
 
-def find_token_wait(route: Route) -> timedelta:
-    """Return how long a request may wait for tokens to be drawn."""
-    if not route.target:
-        return LONGEST_TOKEN_WAIT
-    return min(route.target / TOKEN_WAIT_SHARE, LONGEST_TOKEN_WAIT)
-
-
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer; raises ``RequestError``."""
     path = request.target.partition("?")[0]
