Give each test run ports of its own

Cause: tools/ports chose ports that the kernel hands to any connection next, so two runs on a machine could take each other's. The tests had a second function with a range by process id below the kernel's. Change: one function with that range, used by both.

--- a/lavendershift/tests/processes.py
+++ b/lavendershift/tests/processes.py
@@ -2,32 +2,18 @@
 
 import asyncio
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
 import threading
 from pathlib import Path
 
-FIRST_PORT, PORTS = 20_000, 12_000  # below the range that the kernel uses
-
-_next_port = os.getpid() * 131
+from lavendershift.tools.ports import find_ports
 
 
 def find_port():
     """Return a free port that no other test process is likely to choose."""
-    global _next_port
-    while True:
-        port = FIRST_PORT + _next_port % PORTS
-        _next_port += 1
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+    return find_ports(1)[0]
 
 
 class LoopThread:
