Leave the signals when an application has stopped

Cause: test_each_refusal_and_retry_raises_its_own_counter failed when test_recovery had run before it in the same worker: the reporter of a stopped router stayed connected, as gc.freeze keeps a cold start's objects, and met a signal without a context. Reproduced with the two files in that order. Change: the reporter leaves the signals once it has written the stop; a test checks it, and fails without the change.

--- a/lavendershift/reports.py
+++ b/lavendershift/reports.py
@@ -5,8 +5,11 @@
 """
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
+from blinker import Signal
+
 from lavendershift import signals
 from lavendershift.admission import RequestContext
 from lavendershift.clocks import Clock
@@ -34,16 +37,27 @@
         self.log = log
 
     def connect(self) -> None:
-        """Hook the signals for as long as this object lives."""
-        signals.started.connect(self._note_started)
-        signals.stopping.connect(self._note_stopping)
-        signals.stopped.connect(self._note_stopped)
-        signals.request_answered.connect(self._note_answered)
-        signals.request_refused.connect(self._note_refused)
-        signals.request_retried.connect(self._note_retried)
-        signals.configuration_changed.connect(self._note_configuration)
-        signals.record_folded.connect(self._note_folded)
-        signals.server_ejected.connect(self._note_ejected)
+        """Hook the signals until the process's application has stopped."""
+        for signal, receiver in self._list_hooks():
+            signal.connect(receiver)
+
+    def disconnect(self) -> None:
+        """Leave the signals."""
+        for signal, receiver in self._list_hooks():
+            signal.disconnect(receiver)
+
+    def _list_hooks(self) -> list[tuple[Signal, Callable[..., None]]]:
+        return [
+            (signals.started, self._note_started),
+            (signals.stopping, self._note_stopping),
+            (signals.stopped, self._note_stopped),
+            (signals.request_answered, self._note_answered),
+            (signals.request_refused, self._note_refused),
+            (signals.request_retried, self._note_retried),
+            (signals.configuration_changed, self._note_configuration),
+            (signals.record_folded, self._note_folded),
+            (signals.server_ejected, self._note_ejected),
+        ]
 
     def _note_started(self, sender: Any, **_: Any) -> None:
         self.log.write(Event.PROCESS_STARTED)
@@ -53,6 +67,7 @@
 
     def _note_stopped(self, sender: Any, **_: Any) -> None:
         self.log.write(Event.PROCESS_STOPPED)
+        self.disconnect()
 
     def _note_answered(self, sender: Any, context: RequestContext, **_: Any) -> None:
         self.log.write(
--- a/lavendershift/tests/test_logs.py
+++ b/lavendershift/tests/test_logs.py
@@ -158,3 +158,13 @@
     application = SimpleNamespace(metrics=Metrics(), settings=settings)
     statsd_metrics.start_sender(application)
     statsd_metrics.stop_sender(application)
+
+
+def test_a_stopped_application_reports_no_more(tmp_path, lines):
+    """A cold start in the same process left its reporter behind."""
+    handler = make_handler(LoggingSection(tmp_path / "log", "info"))
+    reporter = EventReporter(EventLog(handler, "r1", "rennes", ManualClock()))
+    reporter.connect()
+    signals.stopped.send(None)
+    signals.started.send(None)
+    assert [line["event"] for line in lines()] == ["process_stopped"]
