Count requests beyond a server's places when placing prompts

Change: a request beyond the places waits until one is free, which counts as the tokens read in that time. The replay puts 24 streams on 4 servers of 6 places; before, they went to fewer servers. On the sites of 64 places nothing changes.

--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -24,6 +24,7 @@
 UNREACHABLE_PAUSE = timedelta(milliseconds=400)  # after a failed connection attempt
 LONGEST_PAUSE = timedelta(seconds=3)  # with doubling after each further failure
 IN_FLIGHT_TOKENS = 60  # prompt tokens read in the time a running request costs
+STREAM_TIME = timedelta(seconds=2)  # of a usual stream, after which a place is free
 REREAD_WEIGHT = 3.0  # of a shared part that would be read a second time
 READ_RATE = 50_000.0  # prompt tokens/s of an engine, for estimates
 ENGINE_LATENCY = timedelta(milliseconds=40)  # to the first event without any load
@@ -335,7 +336,11 @@
         unread = min(unread, max(prompt.input_tokens - shared, 0))
     own = prompt.input_tokens - sum(part.tokens for part in prompt.shared_parts)
     reread = max(unread - own, 0) * REREAD_WEIGHT
-    return load.unread_tokens + unread + reread + load.in_flight * IN_FLIGHT_TOKENS
+    slots = max(server.entry.slots, 1)
+    waiting = max(load.in_flight + 1 - slots, 0)
+    queued = waiting * STREAM_TIME.total_seconds() / slots * READ_RATE
+    running = load.in_flight * IN_FLIGHT_TOKENS
+    return load.unread_tokens + unread + reread + queued + running
 
 
 def rank_server(key: str, server: str) -> int:
--- a/lavendershift/tests/test_serverlist.py
+++ b/lavendershift/tests/test_serverlist.py
@@ -175,3 +175,19 @@
         servers.finish(each)
     for number in range(6):
         assert servers.measure_own(f"i-{number}") == ServerLoad(0, 0)
+
+
+def test_a_server_whose_places_are_taken_is_left_for_another():
+    """Streams on servers of few places: prompts are read, places run out."""
+    servers = ServerList(ManualClock(), random.Random(1))
+    for number in range(4):
+        servers.update(make_entry(number, slots=6))
+    used = Counter()
+    for number in range(24):
+        prompt = make_prompt("hot", own=500, shared=2000, request=f"r{number}")
+        server = servers.choose("index", prompt, ())
+        servers.note_answering(servers.start(server, prompt))
+        used[server.entry.id] += 1
+    # All places of the fleet are taken before most requests wait for one.
+    assert max(used.values()) <= 6 + 2
+    assert len(used) == 4
