Catch three broken rules of loans and pages

Eleven rules of loans, pages and partitions were broken on a scratch copy, one at a time. Not caught: a return that did not happen extends the promise of a page that still counts its tokens; lent tokens are not bound by the page; a loan of another incarnation is taken.

--- a/lavendershift/tests/test_passbook.py
+++ b/lavendershift/tests/test_passbook.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lavendershift.clocks import ManualClock
+from lavendershift.draws import SETTLE_TIME, TokenDraws
 from lavendershift.errors import LogUnavailableError
 from lavendershift.passbook import (
     Entry,
@@ -14,6 +15,7 @@
     read_boot_id,
 )
 from lavendershift.prepaid import PrepaidAccount
+from lavendershift.tests.test_draws import MemoryRows
 
 AT = timedelta(seconds=100)
 
@@ -236,3 +238,34 @@
     assert account.reserve(50_000, clock.since_boot())
     # What the page counts is held to its promise as before.
     assert not account.reserve(int(promised.burst) + 1, clock.since_boot())
+
+
+def test_tokens_are_lent_within_the_promise_of_the_page():
+    clock, account = make_clock(AT), make_account(10_000)
+    start_recording(MemoryPages(), clock, account)
+    assert not account.lend(9000, clock.since_boot())
+    assert account.lend(1000, clock.since_boot())
+    assert account.free == 9000
+
+
+def test_a_return_that_did_not_happen_leaves_the_promise_as_it_was():
+    """The older page still counts the tokens that were to be returned."""
+    clock, rows, pages = make_clock(AT), MemoryRows(), MemoryPages()
+    draws = TokenDraws(
+        clock,
+        [rows],
+        "new",
+        lambda: {"plume": 100_000},
+        lambda: 2,
+        passbook=make_passbook(pages, clock),
+    )
+    clock.advance(SETTLE_TIME)
+    asyncio.run(draws.run_round())
+    account = draws.find_account("plume")
+    held = account.free
+    draws.return_all()
+    pages.results = [PageResult.UNKNOWN]
+    with pytest.raises(LogUnavailableError):
+        asyncio.run(draws.run_round())
+    assert account.free == held > 0
+    assert not account.reserve(held, clock.since_boot())
--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -127,7 +127,7 @@
         task = asyncio.ensure_future(borrower.loans.borrow("plume", 10, 10))
         await asyncio.sleep(0)
         take = borrower.loans._take_loan
-        take(Loan("vm-2/0", 1, "plume", 10), ("127.0.0.1", 1))
+        take(Loan("vm-2/0", 1, "plume", 77), ("127.0.0.1", 1))
         take(Loan("vm-2/1", 9, "plume", 10), ("127.0.0.1", 1))
         take(Loan("vm-2/1", 1, "plume", 10), ("127.0.0.1", 1))
         take(Loan("vm-2/1", 1, "plume", 10), ("127.0.0.1", 1))
