--- a/lavendershift/tools/ports.py
+++ b/lavendershift/tools/ports.py
@@ -4,7 +4,7 @@
 import socket
 
 FIRST_PORT, PORTS = 20_000, 12_000  # below the range that the kernel chooses from
-PORTS_PER_PROCESS = 131  # apart, so that test processes begin at different ports
+PORTS_PER_PROCESS = 977  # more than the ports of a long-lived test process
 
 _next_port = os.getpid() * PORTS_PER_PROCESS
 
