--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -289,7 +289,8 @@
             ) as watchdog:
 
                 def note_progress() -> None:
-                    if patience is not None:
+                    # After a pause of the process data and timeout come at once.
+                    if patience is not None and not watchdog.expired():
                         watchdog.reschedule(loop.time() + gap)
 
                 reader = _Reader(self, connection.is_fresh, note_progress)
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -214,6 +214,30 @@
     assert cut == []
 
 
+def test_a_paused_process_goes_on_with_its_streams(platform):
+    """The soak, seeds 8 and 10: data and the timeout are due in one turn."""
+    (node,) = platform.nodes
+    for server in platform.servers["pool"]:
+        server.default = stream(30, pause_s=0.05)
+    replies = []
+    callers = [
+        threading.Thread(target=lambda n=n: replies.append(node.ask(f"r{n}")))
+        for n in range(8)
+    ]
+    for caller in callers:
+        caller.start()
+    wait_for(lambda: all(platform.count_runs(f"r{n}") for n in range(8)), "runs")
+    time.sleep(0.2)
+    node.signal(signal.SIGSTOP)
+    time.sleep(1.1)
+    node.signal(signal.SIGCONT)
+    for caller in callers:
+        caller.join()
+    whole = b"".join(make_event(number) for number in range(1, 31))
+    assert [reply.body == whole for reply in replies] == [True] * 8
+    assert node.find_lines("library_message") == []
+
+
 def test_a_caller_that_leaves_stops_the_server_within_half_a_second(platform):
     (node,) = platform.nodes
     for server in platform.servers["pool"]:
--- a/lavendershift/platform/tests/test_soak.py
+++ b/lavendershift/platform/tests/test_soak.py
@@ -5,6 +5,7 @@
 from lavendershift.platform.tests.soak.__main__ import play_seed
 
 REGRESSIONS = {
+    8: "after a pause, data that came with a stream's timeout raised an error",
     77: "a reload before the program had its handlers ended the process",
 }
 
