Tell what each attempt read of a stream

The log of a resumed stream named neither the event that an attempt was asked to go on after, nor the events that it brought, nor the bytes read after its last whole event, nor the kind of its answer, so that the hypotheses of docs/incidents/joined-streams.md could not be told apart. Lines of attempts on streaming routes carry them now (resumed_after, events, partial_bytes, media_type), and two counters count resumes and attempts that ended inside an event, by how they ended. No decision changes. Tests: test_requestreports, test_attempts_tell_what_they_read_of_a_stream.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -122,8 +122,21 @@
         return self in (End.NOT_SENT, End.NOT_RUN, End.WRONG_SERVER)
 
 
+class StreamNote(NamedTuple):
+    """What an attempt read of a stream.
+
+    ``resumed_after`` is the event that it was asked to go on after, ``events``
+    how many whole events it brought, ``partial_bytes`` what came after them.
+    """
+
+    resumed_after: str = ""
+    events: int = 0
+    partial_bytes: int = 0
+    media_type: str = ""
+
+
 class AttemptNote(NamedTuple):
-    """An attempt that ended, for the log."""
+    """An attempt that ended, for the log; ``stream`` is set on streaming routes."""
 
     server: str
     end: End
@@ -131,3 +144,4 @@
     status: int
     duration: timedelta
     expected: timedelta
+    stream: StreamNote | None = None
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -24,6 +24,7 @@
     CallerRequest,
     End,
     ServerWire,
+    StreamNote,
 )
 from lavendershift.clocks import Clock
 from lavendershift.connections import (
@@ -65,12 +66,13 @@
 class _Reader:
     """Takes one attempt's answer: streams are handed on, the rest is collected."""
 
-    def __init__(
-        self, delivery: "Delivery", is_fresh: bool, note_progress: Callable[[], None]
-    ) -> None:
+    def __init__(self, delivery: "Delivery", is_fresh: bool) -> None:
         self._delivery = delivery
         self._is_fresh = is_fresh
-        self._note_progress = note_progress
+        self.note_progress: Callable[[], None] = lambda: None
+        self.resumed_after = delivery.last_event
+        self.earlier_events = delivery.events
+        self.partial_bytes = 0
         self._chunks: list[bytes] = []
         self.kind = AnswerKind.FOREIGN
         self.status = 0
@@ -82,7 +84,7 @@
         self.kind = self._delivery.judge(status, headers, self._is_fresh)
         self._is_fresh = False
         if self.kind is AnswerKind.OWN:
-            self._note_progress()
+            self.note_progress()
 
     @property
     def is_streamed(self) -> bool:
@@ -96,7 +98,7 @@
         if not self.is_streamed:
             self._chunks.append(chunk)
             return None
-        self._note_progress()
+        self.note_progress()
         return self._delivery.forward(self.status, self.headers, chunk)
 
     def collect(self) -> _ServerAnswer:
@@ -155,6 +157,16 @@
         """Whether a server may have begun to work on the request."""
         return self._runs > 0
 
+    @property
+    def last_event(self) -> str:
+        """The id of the last event that was handed on."""
+        return self._splitter.last_id
+
+    @property
+    def events(self) -> int:
+        """How many events were handed on."""
+        return self._splitter.count
+
     @property
     def delivered_tokens(self) -> int:
         """The most output tokens that the events handed on can hold."""
@@ -234,18 +246,19 @@
             connection = await self._open(server)
         except ConnectError as error:
             self._servers.note_unreachable(server)
-            self._note(entry.id, End.NOT_SENT, str(error), 0, started)
+            self._note(entry.id, End.NOT_SENT, str(error), None, started)
             return End.NOT_SENT
         self._sends += 1
         self._runs += 1
         placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._placed, self._is_read = placed, False
         keeps = False
+        reader = _Reader(self, connection.is_fresh)
         try:
-            end, reason, reader = await self._exchange(connection, entry.id)
+            end, reason = await self._exchange(connection, entry.id, reader)
             keeps = end is not End.SILENT and end is not End.BROKEN
         except asyncio.CancelledError:
-            self._note(entry.id, End.GIVEN_UP, "", 0, started)
+            self._note(entry.id, End.GIVEN_UP, "", reader, started)
             raise
         finally:
             self._note_read(placed)
@@ -257,7 +270,7 @@
         self._note_server(server, end)
         if end.did_not_run:
             self._runs -= 1
-        self._note(entry.id, end, reason, reader.status, started)
+        self._note(entry.id, end, reason, reader, started)
         return end
 
     async def _open(self, server: ListedServer) -> Connection:
@@ -268,8 +281,8 @@
         return await self._connections.connect(address, CONNECT_TIMEOUT)
 
     async def _exchange(
-        self, connection: Connection, server: str
-    ) -> tuple[End, str, _Reader]:
+        self, connection: Connection, server: str, reader: _Reader
+    ) -> tuple[End, str]:
         """Exchange request and answer on ``connection``."""
         now = self._clock.elapsed()
         attempt = Attempt(
@@ -293,7 +306,7 @@
                     if patience is not None and not watchdog.expired():
                         watchdog.reschedule(loop.time() + gap)
 
-                reader = _Reader(self, connection.is_fresh, note_progress)
+                reader.note_progress = note_progress
                 exchange = await connection.exchange(message, reader)
                 while exchange.is_whole and reader.kind is AnswerKind.FOREIGN:
                     exchange = await connection.read_next(reader)
@@ -301,8 +314,9 @@
         except TimeoutError:
             if not watchdog.expired():
                 raise
-            return End.SILENT, "no progress", reader
-        return end, exchange.reason, reader
+            reader.partial_bytes = self._splitter.partial_bytes
+            return End.SILENT, "no progress"
+        return end, exchange.reason
 
     def _find_patience(self) -> timedelta | None:
         """Return how long to wait for a sign of the answer, ``None`` to the end.
@@ -319,6 +333,7 @@
 
     async def _conclude(self, exchange: Exchange, reader: _Reader) -> End:
         """Judge an exchange, and hand a whole answer to the caller."""
+        reader.partial_bytes = self._splitter.partial_bytes
         if reader.kind is AnswerKind.NOT_RUN:
             return End.NOT_RUN
         if reader.kind is AnswerKind.WRONG_SERVER:
@@ -396,9 +411,26 @@
             self._connections.drop(server.entry.address)
 
     def _note(
-        self, server: str, end: End, reason: str, status: int, started: timedelta
+        self,
+        server: str,
+        end: End,
+        reason: str,
+        reader: _Reader | None,
+        started: timedelta,
     ) -> None:
         duration = self._clock.elapsed() - started
         expected = self._placed.expected if self._placed else timedelta()
-        note = AttemptNote(server, end, reason, status, duration, expected)
+        status = reader.status if reader else 0
+        stream = self._describe_stream(reader) if reader else None
+        note = AttemptNote(server, end, reason, status, duration, expected, stream)
         self._on_attempt(note)
+
+    def _describe_stream(self, reader: _Reader) -> StreamNote | None:
+        if not self.route.is_stream:
+            return None
+        return StreamNote(
+            reader.resumed_after,
+            self.events - reader.earlier_events,
+            reader.partial_bytes,
+            reader.headers.get("Content-Type", ""),
+        )
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -20,6 +20,11 @@
         self.count = 0
         self._partial = b""
 
+    @property
+    def partial_bytes(self) -> int:
+        """How many bytes of an unfinished event were read."""
+        return len(self._partial)
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events that ``chunk`` completes."""
         data = self._partial + chunk
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -38,6 +38,13 @@
     "refusals": Instrument("Requests ended with an error kind.", ("kind",)),
     "abandoned": Instrument("Requests whose caller went away."),
     "attempts": Instrument("Attempts at servers, by how they ended.", ("end",)),
+    "resumes": Instrument(
+        "Attempts at the rest of a stream, by how they ended.", ("end",)
+    ),
+    "partial_events": Instrument(
+        "Attempts with bytes after their last whole event, by how they ended.",
+        ("end",),
+    ),
     "retries": Instrument("Further attempts, by how the one before ended.", ("end",)),
     "store_calls": Instrument("Calls to the store.", ("call", "outcome")),
     "tokens_drawn": Instrument("Tokens drawn from a total.", ("customer",)),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -111,17 +111,21 @@
     config_offset: int
     duration_ms: int
     error: str
+    events: int
     expected_ms: int
     first_ms: int
     free_tokens: int
     granted_tokens: int
     incarnation: str
+    media_type: str
     name: str
     offset: int
+    partial_bytes: int
     place: str
     ran: str
     reason: str
     result: str
+    resumed_after: str
     route: str
     server: str
     status: int
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lavendershift.attempts import End
+from lavendershift.attempts import End, StreamNote
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
@@ -290,3 +290,19 @@
         assert scene.ends == [End.SILENT, End.ANSWERED]
 
     play(work)
+
+
+def test_attempts_tell_what_they_read_of_a_stream(play):
+    async def work(scene):
+        await scene.add_server(stream(8, cut_after=3))
+        answer = Answer()
+        delivery = scene.make_delivery(answer, repeat=Repeat.RESUME, is_stream=True)
+        task = asyncio.ensure_future(delivery.run())
+        await asyncio.sleep(0.02)
+        await scene.add_server(stream(8))
+        await task
+        broken, placed = scene.notes
+        assert broken.stream == StreamNote("", 3, 7, "text/event-stream")
+        assert placed.stream == StreamNote("3", 5, 0, "text/event-stream")
+
+    play(work)
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import Unpack
 
-from lavendershift.attempts import AttemptNote, CallerRequest, End
+from lavendershift.attempts import AttemptNote, CallerRequest, End, StreamNote
 from lavendershift.clocks import Clock
 from lavendershift.errors import RequestError
 from lavendershift.instruments import Instruments
@@ -84,9 +84,7 @@
         event = Event.REQUEST_ATTEMPTED
         if attempt.end is End.ANSWERED:
             event = Event.REQUEST_PLACED
-        self._log.write(
-            event,
-            request=request.id,
+        fields = EventFields(
             server=attempt.server,
             result=attempt.end.value,
             reason=attempt.reason,
@@ -94,6 +92,19 @@
             expected_ms=in_milliseconds(attempt.expected),
             duration_ms=in_milliseconds(attempt.duration),
         )
+        if attempt.stream is not None:
+            self._note_stream(attempt.end, attempt.stream)
+            fields["resumed_after"] = attempt.stream.resumed_after
+            fields["events"] = attempt.stream.events
+            fields["partial_bytes"] = attempt.stream.partial_bytes
+            fields["media_type"] = attempt.stream.media_type
+        self._log.write(event, request=request.id, **fields)
+
+    def _note_stream(self, end: End, stream: StreamNote) -> None:
+        if stream.resumed_after:
+            self._instruments.count("resumes", end.value)
+        if stream.partial_bytes:
+            self._instruments.count("partial_events", end.value)
 
     def note_retry(self, end: End) -> None:
         """Note that a request goes to another server after ``end``."""
--- /dev/null
+++ b/lavendershift/tests/test_requestreports.py
@@ -0,0 +1,54 @@
+import json
+from datetime import timedelta
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.attempts import AttemptNote, CallerRequest, End, StreamNote
+from lavendershift.clocks import ManualClock
+from lavendershift.instruments import Instruments
+from lavendershift.logs import EventLog, make_handler
+from lavendershift.requestreports import RequestReports
+from lavendershift.settings_sections import LoggingSection
+
+REQUEST = CallerRequest(
+    "r1", "POST", "/", "", HTTPHeaders(), b"", "", timedelta(), timedelta(seconds=1)
+)
+
+
+@pytest.fixture
+def note_attempt(tmp_path):
+    """Return a function that gives an attempt's line and the metrics after it."""
+    path = tmp_path / "log"
+
+    def note(end, stream):
+        handler = make_handler(LoggingSection(path, "info"))
+        log = EventLog(handler, "edge-1", "rennes", ManualClock())
+        instruments = Instruments()
+        reports = RequestReports(ManualClock(), log, instruments)
+        reports.note_attempt(
+            REQUEST,
+            AttemptNote("i-1", end, "", 200, timedelta(), timedelta(), stream),
+        )
+        line = json.loads(path.read_text().splitlines()[-1])
+        return line, instruments.render().decode()
+
+    return note
+
+
+def test_an_attempt_at_a_stream_tells_what_was_read_of_it(note_attempt):
+    stream = StreamNote("12", 3, 7, "text/event-stream")
+    line, metrics = note_attempt(End.SILENT, stream)
+    assert line["event"] == "request_attempted"
+    assert (line["resumed_after"], line["events"]) == ("12", 3)
+    assert line["partial_bytes"] == 7
+    assert line["media_type"] == "text/event-stream"
+    assert 'lavendershift_resumes_total{end="silent"} 1.0' in metrics
+    assert 'lavendershift_partial_events_total{end="silent"} 1.0' in metrics
+
+
+def test_other_attempts_have_no_fields_of_streams(note_attempt):
+    line, metrics = note_attempt(End.ANSWERED, None)
+    assert line["event"] == "request_placed"
+    assert "partial_bytes" not in line
+    assert "lavendershift_partial_events_total{" not in metrics
