Reproduce the joined streams

How an attempt at a stream can end, against what was read of it before, over scripted servers.

Command: pytest lavendershift/platform/tests/test_serveranswers.py

--- /dev/null
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -0,0 +1,276 @@
+"""How an attempt at a stream ends, against what was read of it before.
+
+The caller gets whole events only, in order, and an answer that ends as complete
+only if it has all of them.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from lavendershift.attempts import End
+from lavendershift.errors import RequestError
+from lavendershift.platform.tests.conftest import SECOND, Answer
+from lavendershift.routes import Repeat
+from lavendershift_standins.platformserver import (
+    answer_error,
+    answer_not_run,
+    answer_whole,
+    keep_silent,
+    make_event,
+    make_head,
+    reset,
+    stream,
+    write_chunk,
+)
+
+COUNT = 8
+EVENTS = [make_event(number) for number in range(1, COUNT + 1)]
+WHOLE = b"".join(EVENTS)
+PREFIXES = [b"".join(EVENTS[:number]) for number in range(COUNT + 1)]
+EVENT_STREAM = "text/event-stream"
+READ_S = 0.03  # in which an answer's bytes are read, as a reset drops unread ones
+
+
+def send(body, end, status=200, media_type=EVENT_STREAM, is_framed=True):
+    """Answer with ``body``, ended by the behaviour ``end``."""
+
+    async def behave(received, writer):
+        headers = {"Content-Type": media_type}
+        if is_framed:
+            headers["Transfer-Encoding"] = "chunked"
+        writer.write(make_head(received, status, headers))
+        if body and is_framed:
+            write_chunk(writer, body)
+        elif body:
+            writer.write(body)
+        await writer.drain()
+        await asyncio.sleep(READ_S)
+        await end(received, writer)
+
+    return behave
+
+
+async def end_cleanly(received, writer):
+    writer.write(b"0\r\n\r\n")
+
+
+async def close(received, writer):
+    raise ConnectionError
+
+
+async def send_bad_chunk(received, writer):
+    writer.write(b"zz\r\nbad\r\n")
+
+
+async def resume(received, writer):
+    await stream(COUNT)(received, writer)
+
+
+ENDS = {
+    "silent": (keep_silent, End.SILENT),
+    "reset": (reset, End.BROKEN),
+    "closed": (close, End.BROKEN),
+    "bad chunk": (send_bad_chunk, End.BROKEN),
+}
+LENGTHS = {
+    "nothing": 0,
+    "whole events": len(PREFIXES[3]),
+    "one byte more": len(PREFIXES[3]) + 1,
+    "the id": len(PREFIXES[3]) + len(b"id: 4"),
+    "the id line": len(PREFIXES[3]) + len(b"id: 4\n"),
+    "half the data": len(PREFIXES[3]) + len(b"id: 4\ndata: pi"),
+    "all but the end": len(PREFIXES[4]) - 1,
+}
+OTHERS = {
+    "plain": send(b"done", end_cleanly, media_type="text/plain"),
+    "json": send(b'{"done": 1}', end_cleanly, media_type="application/json"),
+    "no media type": answer_whole,
+    "partial content": send(b"".join(EVENTS[3:]), end_cleanly, status=206),
+    "from the start": send(WHOLE, end_cleanly),
+    "from the last event": send(b"".join(EVENTS[2:]), end_cleanly),
+    "one event left out": send(b"".join(EVENTS[4:]), end_cleanly),
+    "no ids": send(b"data: piece-4\n\n", end_cleanly),
+    "other ids": send(b"id: x4\ndata: piece-4\n\n", end_cleanly),
+}
+
+
+async def deliver_in_turn(scene, behaviours, **options):
+    """Deliver a request that meets ``behaviours`` in turn, wherever it goes."""
+    turns = iter(behaviours)
+
+    async def take_turn(received, writer):
+        await next(turns)(received, writer)
+
+    for _ in behaviours:
+        server = await scene.add_server()
+        server.default = take_turn
+    answer = Answer()
+    options = {"repeat": Repeat.RESUME, "attempts": len(behaviours)} | options
+    delivery = scene.make_delivery(
+        answer,
+        request=scene.make_request(deadline=9 * SECOND),
+        is_stream=True,
+        timeout=9 * SECOND,
+        **options,
+    )
+    with contextlib.suppress(RequestError):
+        await delivery.run()
+    assert answer.body in PREFIXES, "the caller got more than whole events in order"
+    assert not answer.is_done or answer.body == WHOLE, "looks complete and is not"
+    return answer
+
+
+@pytest.mark.parametrize("length", LENGTHS)
+@pytest.mark.parametrize("end", ENDS)
+def test_bytes_of_an_ended_attempt_are_not_joined_to_the_next(play, end, length):
+    """Joined events in resumed streams (docs/incidents/joined-streams.md)."""
+
+    async def work(scene):
+        behave, expected = ENDS[end]
+        first = send(WHOLE[: LENGTHS[length]], behave)
+        answer = await deliver_in_turn(scene, [first, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [expected, End.ANSWERED]
+        resumed_after = [note.stream.resumed_after for note in scene.notes]
+        read = max(n for n in range(COUNT) if len(PREFIXES[n]) <= LENGTHS[length])
+        assert resumed_after == ["", str(read) if read else ""]
+
+    play(work)
+
+
+def test_bytes_of_two_silent_servers_are_not_joined(play):
+    async def work(scene):
+        cuts = [len(PREFIXES[3]) + 8, len(EVENTS[0]) + 11]
+        first = send(WHOLE[: cuts[0]], keep_silent)
+        second = send(b"".join(EVENTS[3:])[: cuts[1]], keep_silent)
+        answer = await deliver_in_turn(scene, [first, second, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.SILENT, End.SILENT, End.ANSWERED]
+
+    play(work)
+
+
+@pytest.mark.parametrize("is_framed", [True, False])
+@pytest.mark.parametrize("length", list(LENGTHS)[2:])
+def test_an_answer_that_ends_inside_an_event_is_not_complete(play, length, is_framed):
+    end = end_cleanly if is_framed else close
+
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS[length]], end, is_framed=is_framed)
+        answer = await deliver_in_turn(scene, [first, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends[-1] is End.ANSWERED and len(scene.ends) == 2
+
+    play(work)
+
+
+@pytest.mark.parametrize("length", list(LENGTHS)[2:])
+def test_an_answer_that_ends_inside_an_event_is_cut_where_it_may_not_be_resumed(
+    play, length
+):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS[length]], end_cleanly)
+        answer = await deliver_in_turn(scene, [first, resume], repeat=Repeat.NEVER)
+        assert answer.body == PREFIXES[3] and not answer.is_done
+        assert scene.runs == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("other", OTHERS)
+def test_an_answer_that_does_not_follow_is_not_joined(play, other):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, OTHERS[other]])
+        assert answer.body == PREFIXES[3] and not answer.is_done
+
+    play(work)
+
+
+@pytest.mark.parametrize("other", OTHERS)
+def test_a_stream_goes_on_after_an_answer_that_does_not_follow(play, other):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, OTHERS[other], resume])
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
+
+
+@pytest.mark.parametrize("failure", [answer_error, answer_not_run])
+def test_a_stream_goes_on_after_a_failure_of_its_second_server(play, failure):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, failure, resume])
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
+
+
+@pytest.mark.parametrize("other", ["plain", "json", "no media type"])
+def test_another_kind_of_answer_comes_unchanged_before_any_event(play, other):
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = OTHERS[other]
+        answer = await scene.deliver(repeat=Repeat.RESUME, is_stream=True)
+        assert answer.is_done and answer.body in (b"done", b'{"done": 1}', b"done r1")
+
+    play(work)
+
+
+def test_events_without_ids_are_not_resumed(play):
+    async def work(scene):
+        first = send(b"data: a\n\ndata: b\n\n", reset)
+        server = await scene.add_server()
+        server.default = first
+        second = await scene.add_server()
+        second.default = first
+        answer = Answer()
+        delivery = scene.make_delivery(answer, repeat=Repeat.RESUME, is_stream=True)
+        with pytest.raises(RequestError):
+            await delivery.run()
+        assert answer.body == b"data: a\n\ndata: b\n\n" and not answer.is_done
+        assert scene.runs == 1
+
+    play(work)
+
+
+def test_an_event_without_an_id_ends_what_can_be_resumed(play):
+    """It would come twice: the next server goes on after the last id."""
+    body = WHOLE[: len(PREFIXES[3])] + b"data: more\n\n"
+
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = send(body, reset)
+        answer = Answer()
+        delivery = scene.make_delivery(answer, repeat=Repeat.RESUME, is_stream=True)
+        with pytest.raises(RequestError):
+            await delivery.run()
+        assert answer.body == body
+        assert scene.runs == 1
+
+    play(work)
+
+
+def test_ids_with_steps_are_resumed(play):
+    """Ids rise, but need not count the events."""
+    events = [b"id: %d\ndata: x\n\n" % number for number in (5, 10, 12, 20)]
+
+    async def work(scene):
+        turns = iter(
+            [send(b"".join(events[:2]), reset), send(b"".join(events[2:]), end_cleanly)]
+        )
+
+        async def take_turn(received, writer):
+            await next(turns)(received, writer)
+
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = take_turn
+        answer = await scene.deliver(repeat=Repeat.RESUME, is_stream=True)
+        assert answer.body == b"".join(events) and answer.is_done
+
+    play(work)
