Give each attempt at a stream a reader of its own

Cause: one splitter for all attempts of a request kept the bytes after the last whole event. They were dropped where an attempt ended as broken, but not where it was given up as silent, one of the ways an attempt can end among which the drop had to be remembered. Ruled out for these: data read after the end of an attempt, as its reading is cancelled and its connection closed in the turn in which the next one begins.

Change: the bytes belong to the attempt's own reader (serveranswers.AnswerReader) and end with it, whatever its end; what outlives an attempt is a position, the number of events and the id of the last one. It is known there whether a stream can be continued at all: not after an event without an id, which would come twice, and not inside an event that was too long to be kept. An event of several data lines counts once, as the bound on its tokens is one for an event.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -9,9 +9,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
@@ -24,7 +23,6 @@
     CallerRequest,
     End,
     ServerWire,
-    StreamNote,
 )
 from lavendershift.clocks import Clock
 from lavendershift.connections import (
@@ -34,8 +32,9 @@
     Exchange,
 )
 from lavendershift.errors import ErrorKind, RequestError
-from lavendershift.eventstreams import EventSplitter
+from lavendershift.eventstreams import EventPosition
 from lavendershift.routes import Repeat, Route, Service
+from lavendershift.serveranswers import AnswerReader, ServerAnswer
 from lavendershift.serverlist import (
     NO_PROMPT,
     ListedServer,
@@ -51,60 +50,9 @@
 EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
 REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
 ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
-SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 
 
-class _ServerAnswer(NamedTuple):
-    """A whole answer that was collected."""
-
-    status: int
-    headers: HTTPHeaders
-    body: bytes
-
-
-class _Reader:
-    """Takes one attempt's answer: streams are handed on, the rest is collected."""
-
-    def __init__(self, delivery: "Delivery", is_fresh: bool) -> None:
-        self._delivery = delivery
-        self._is_fresh = is_fresh
-        self.note_progress: Callable[[], None] = lambda: None
-        self.resumed_after = delivery.last_event
-        self.earlier_events = delivery.events
-        self.partial_bytes = 0
-        self._chunks: list[bytes] = []
-        self.kind = AnswerKind.FOREIGN
-        self.status = 0
-        self.headers = HTTPHeaders()
-
-    def start(self, status: int, headers: HTTPHeaders) -> None:
-        self._chunks = []
-        self.status, self.headers = status, headers
-        self.kind = self._delivery.judge(status, headers, self._is_fresh)
-        self._is_fresh = False
-        if self.kind is AnswerKind.OWN:
-            self.note_progress()
-
-    @property
-    def is_streamed(self) -> bool:
-        return (
-            self.kind is AnswerKind.OWN
-            and self._delivery.route.is_stream
-            and self.status in SUCCESSES
-        )
-
-    def add(self, chunk: bytes) -> Awaitable[None] | None:
-        if not self.is_streamed:
-            self._chunks.append(chunk)
-            return None
-        self.note_progress()
-        return self._delivery.forward(self.status, self.headers, chunk)
-
-    def collect(self) -> _ServerAnswer:
-        return _ServerAnswer(self.status, self.headers, b"".join(self._chunks))
-
-
 class Delivery:
     """The attempts at one request.
 
@@ -128,6 +76,7 @@
         urgency: int = 5,
     ) -> None:
         self.route = route
+        self.position = EventPosition()
         self._clock = clock
         self._request = request
         self._service = service
@@ -140,12 +89,11 @@
         self._customer = customer
         self._urgency = urgency
         self._limit = min(request.deadline, request.received + route.timeout)
-        self._splitter = EventSplitter()
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
         self._unreached = 0
-        self._server_error: _ServerAnswer | None = None
+        self._server_error: ServerAnswer | None = None
         self._placed: Placed | None = None
         self._is_read = False
         self.first_event_at: timedelta | None = None
@@ -157,20 +105,10 @@
         """Whether a server may have begun to work on the request."""
         return self._runs > 0
 
-    @property
-    def last_event(self) -> str:
-        """The id of the last event that was handed on."""
-        return self._splitter.last_id
-
-    @property
-    def events(self) -> int:
-        """How many events were handed on."""
-        return self._splitter.count
-
     @property
     def delivered_tokens(self) -> int:
         """The most output tokens that the events handed on can hold."""
-        return self._splitter.count * self._service.tokens_per_event
+        return self.position.events * self._service.tokens_per_event
 
     async def run(self) -> None:
         """Deliver the whole answer; raises ``RequestError``."""
@@ -217,7 +155,7 @@
         if self.route.repeat is Repeat.ALWAYS:
             return not self._answers.has_started
         if self.route.repeat is Repeat.RESUME:
-            return not self._answers.has_started or bool(self._splitter.last_id)
+            return not self._answers.has_started or self.position.can_continue
         return False
 
     def _give_up(self, end: End) -> None:
@@ -253,7 +191,7 @@
         placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._placed, self._is_read = placed, False
         keeps = False
-        reader = _Reader(self, connection.is_fresh)
+        reader = AnswerReader(self, self.route.is_stream, connection.is_fresh)
         try:
             end, reason = await self._exchange(connection, entry.id, reader)
             keeps = end is not End.SILENT and end is not End.BROKEN
@@ -281,7 +219,7 @@
         return await self._connections.connect(address, CONNECT_TIMEOUT)
 
     async def _exchange(
-        self, connection: Connection, server: str, reader: _Reader
+        self, connection: Connection, server: str, reader: AnswerReader
     ) -> tuple[End, str]:
         """Exchange request and answer on ``connection``."""
         now = self._clock.elapsed()
@@ -290,7 +228,7 @@
             customer=self._customer,
             urgency=self._urgency,
             deadline=self._limit,
-            resume_after=self._splitter.last_id,
+            resume_after=self.position.last_id,
         )
         message = self._wire.encode(self._request, attempt, now)
         patience = self._find_patience()
@@ -314,7 +252,6 @@
         except TimeoutError:
             if not watchdog.expired():
                 raise
-            reader.partial_bytes = self._splitter.partial_bytes
             return End.SILENT, "no progress"
         return end, exchange.reason
 
@@ -331,15 +268,13 @@
         patience = max(self.route.target * FIRST_BYTE_PART, SHORTEST_FIRST_BYTE)
         return min(patience, left / 2)
 
-    async def _conclude(self, exchange: Exchange, reader: _Reader) -> End:
+    async def _conclude(self, exchange: Exchange, reader: AnswerReader) -> End:
         """Judge an exchange, and hand a whole answer to the caller."""
-        reader.partial_bytes = self._splitter.partial_bytes
         if reader.kind is AnswerKind.NOT_RUN:
             return End.NOT_RUN
         if reader.kind is AnswerKind.WRONG_SERVER:
             return End.WRONG_SERVER
         if not exchange.is_whole or reader.kind is AnswerKind.FOREIGN:
-            self._splitter.drop_partial()
             return End.BROKEN
         if reader.is_streamed:
             await self._finish_stream(reader)
@@ -356,10 +291,10 @@
         self._answers.send(answer.status, headers, answer.body)
         return End.ANSWERED
 
-    async def _finish_stream(self, reader: _Reader) -> None:
-        rest = self._splitter.flush()
+    async def _finish_stream(self, reader: AnswerReader) -> None:
+        rest = reader.events.take_rest()
         if not self._answers.has_started:
-            self._start_stream(reader.status, reader.headers)
+            self._start_stream(reader)
         if rest:
             await self._answers.write(rest)
         self._answers.finish()
@@ -368,13 +303,11 @@
         """Return whose answer has these headers."""
         return self._wire.judge(self._request, status, headers, is_fresh)
 
-    async def forward(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
-        """Hand the whole events of ``chunk`` on to the caller."""
-        events = self._splitter.feed(chunk)
-        if not events:
-            return
+    async def forward(self, reader: AnswerReader, events: bytes) -> None:
+        """Hand whole events on to the caller."""
+        self.position = reader.events.position
         if not self._answers.has_started:
-            self._start_stream(status, headers)
+            self._start_stream(reader)
         if self._placed is not None and not self._is_read:
             self._servers.note_time(self._placed)
             self._note_read(self._placed)
@@ -383,9 +316,10 @@
         with contextlib.suppress(StreamClosedError):
             await self._answers.write(events)
 
-    def _start_stream(self, status: int, headers: HTTPHeaders) -> None:
+    def _start_stream(self, reader: AnswerReader) -> None:
         self.first_event_at = self._clock.elapsed()
-        self._answers.start(status, self._wire.select_answer_headers(headers))
+        headers = self._wire.select_answer_headers(reader.headers)
+        self._answers.start(reader.status, headers)
 
     def _note_gap(self) -> None:
         """Note the pause since the last events."""
@@ -415,22 +349,12 @@
         server: str,
         end: End,
         reason: str,
-        reader: _Reader | None,
+        reader: AnswerReader | None,
         started: timedelta,
     ) -> None:
         duration = self._clock.elapsed() - started
         expected = self._placed.expected if self._placed else timedelta()
         status = reader.status if reader else 0
-        stream = self._describe_stream(reader) if reader else None
+        stream = reader.describe() if reader else None
         note = AttemptNote(server, end, reason, status, duration, expected, stream)
         self._on_attempt(note)
-
-    def _describe_stream(self, reader: _Reader) -> StreamNote | None:
-        if not self.route.is_stream:
-            return None
-        return StreamNote(
-            reader.resumed_after,
-            self.events - reader.earlier_events,
-            reader.partial_bytes,
-            reader.headers.get("Content-Type", ""),
-        )
--- /dev/null
+++ b/lavendershift/serveranswers.py
@@ -0,0 +1,102 @@
+"""Reading what one server answers to one attempt.
+
+Each attempt has a reader of its own, so that nothing that was read of one answer
+can get into the next. Streams are handed on by whole events, other answers are
+collected.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.attempts import AnswerKind, StreamNote
+from lavendershift.eventstreams import EventPosition, EventReader
+
+SUCCESSES = range(200, 300)
+EVENT_STREAM = "text/event-stream"  # the media type of the HTML standard
+
+
+class ServerAnswer(NamedTuple):
+    """A whole answer that was collected."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+class EventTaker(Protocol):
+    """Whom an answer's events are handed to."""
+
+    @property
+    def position(self) -> EventPosition:
+        """How far the stream was handed on by the answers before."""
+        ...
+
+    def judge(self, status: int, headers: HTTPHeaders, is_fresh: bool) -> AnswerKind:
+        """Return whose answer has these headers."""
+        ...
+
+    async def forward(self, reader: "AnswerReader", events: bytes) -> None:
+        """Hand whole events on to the caller."""
+        ...
+
+
+class AnswerReader:
+    """Takes one attempt's answer.
+
+    ``is_fresh`` tells whether its connection was used for no other request,
+    ``note_progress`` is called whenever a part of the answer arrived.
+    """
+
+    def __init__(self, taker: EventTaker, is_stream: bool, is_fresh: bool) -> None:
+        self.note_progress: Callable[[], None] = lambda: None
+        self.kind = AnswerKind.FOREIGN
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.events = EventReader(taker.position)
+        self._taker = taker
+        self._is_stream = is_stream
+        self._is_fresh = is_fresh
+        self._before = taker.position
+        self._chunks: list[bytes] = []
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Take the head of an answer; one to another request may come first."""
+        self._chunks = []
+        self.status, self.headers = status, headers
+        self.kind = self._taker.judge(status, headers, self._is_fresh)
+        self._is_fresh = False
+        if self.kind is AnswerKind.OWN:
+            self.note_progress()
+
+    @property
+    def is_streamed(self) -> bool:
+        """Whether the answer is handed on as it arrives."""
+        return (
+            self.kind is AnswerKind.OWN and self._is_stream and self.status in SUCCESSES
+        )
+
+    def add(self, chunk: bytes) -> Awaitable[None] | None:
+        """Take a part of the body."""
+        if not self.is_streamed:
+            self._chunks.append(chunk)
+            return None
+        self.note_progress()
+        events = self.events.feed(chunk)
+        return self._taker.forward(self, events) if events else None
+
+    def collect(self) -> ServerAnswer:
+        """Return the whole answer."""
+        return ServerAnswer(self.status, self.headers, b"".join(self._chunks))
+
+    def describe(self) -> StreamNote | None:
+        """Return what was read of a stream, for the log."""
+        if not self._is_stream:
+            return None
+        return StreamNote(
+            self._before.last_id,
+            self.events.position.events - self._before.events,
+            self.events.partial_bytes,
+            self.headers.get("Content-Type", ""),
+        )
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -1,39 +1,70 @@
 import pytest
 
-from lavendershift.eventstreams import EventSplitter
+from lavendershift.eventstreams import EventPosition, EventReader
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 16, 17, 1000])
-def test_events_stay_whole_whatever_the_chunks(size):
-    splitter = EventSplitter()
+def test_events_stay_whole_whatever_the_chunks(size, line_end):
+    stream = STREAM.replace(b"\n", line_end)
+    reader = EventReader()
     whole = []
-    for start in range(0, len(STREAM), size):
-        events = splitter.feed(STREAM[start : start + size])
-        assert events == b"" or events.endswith(b"\n\n")
+    for start in range(0, len(stream), size):
+        events = reader.feed(stream[start : start + size])
+        assert events == b"" or events.endswith(line_end)
         whole.append(events)
-    assert b"".join(whole) == STREAM
-    assert splitter.count == 5
-    assert splitter.last_id == "5"
+    assert b"".join(whole) + reader.take_rest() == stream
+    assert reader.position == EventPosition(5, "5")
 
 
 def test_a_partial_event_is_not_counted():
-    splitter = EventSplitter()
-    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
-    assert splitter.last_id == "1"
-    splitter.drop_partial()
-    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
-    assert splitter.count == 2
+    reader = EventReader()
+    assert reader.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert reader.position == EventPosition(1, "1")
+    assert reader.partial_bytes == len(b"id: 2\nda")
+
+
+def test_a_reader_goes_on_where_the_one_before_ended():
+    before = EventReader()
+    before.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    reader = EventReader(before.position)
+    assert reader.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert reader.position == EventPosition(2, "2")
 
 
 def test_events_with_other_line_ends():
-    splitter = EventSplitter()
-    assert splitter.feed(b"id: 4\r\ndata: x\r\n\r\nid") == b"id: 4\r\ndata: x\r\n\r\n"
-    assert splitter.last_id == "4"
-    assert splitter.flush() == b"id"
+    reader = EventReader()
+    assert reader.feed(b"id: 4\r\ndata: x\r\n\r\nid") == b"id: 4\r\ndata: x\r\n\r\n"
+    assert reader.position.last_id == "4"
+    assert reader.take_rest() == b"id"
+
+
+def test_an_event_of_several_lines_counts_once():
+    reader = EventReader()
+    reader.feed(b"id: 1\ndata: a\ndata: b\n\n: a comment\n\nretry: 5\n\n")
+    assert reader.position == EventPosition(1, "1")
+
+
+def test_an_event_without_an_id_can_not_be_continued():
+    reader = EventReader()
+    reader.feed(b": only a comment\n\n")
+    assert reader.position.can_continue
+    reader.feed(b"id: 1\ndata: a\n\ndata: b\n\n")
+    assert not reader.position.can_continue
 
 
 def test_an_endless_event_is_handed_on():
-    splitter = EventSplitter()
-    assert len(splitter.feed(b"x" * 2_000_000)) == 2_000_000
+    reader = EventReader()
+    assert len(reader.feed(b"x" * 2_000_000)) == 2_000_000
+
+
+def test_an_endless_event_can_not_be_continued_before_its_end():
+    reader = EventReader()
+    reader.feed(b"id: 1\ndata: a\n\n")
+    reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+    assert reader.position == EventPosition(2, is_cut=True)
+    assert not reader.position.can_continue
+    assert reader.feed(b"xx\n\nid: 3\ndata: c\n\n") == b"xx\n\nid: 3\ndata: c\n\n"
+    assert reader.position == EventPosition(3, "3")
