Take only what provably follows as the rest of a stream

Cause: any success that came after an attempt at a stream was taken as its rest, whatever its status, kind and events. Evidence: 9 kinds of answers after three events, each joined (plain, JSON, no media type, 206, from the start, from the last event, one event left out, no ids, ids that are no numbers). Ruled out: the server's id for the request (echoed in all of them) as a proof.

Change: once events were handed on, the next answer is read on only if it has the first one's status and is an event stream, and its first event only if its id follows: by one where the ids count the events, otherwise a higher one. Where ids are no numbers nothing can be proved, so that such a stream is not resumed. Any other answer ends its attempt at once (other_kind, out_of_place), which counts as the server's failure, and the request may go on elsewhere. An answer that is no event stream reaches the caller unchanged where nothing was handed on before.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -34,7 +34,7 @@
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition
 from lavendershift.routes import Repeat, Route, Service
-from lavendershift.serveranswers import AnswerReader, ServerAnswer
+from lavendershift.serveranswers import SERVER_ERRORS, AnswerReader, ServerAnswer
 from lavendershift.serverlist import (
     NO_PROMPT,
     ListedServer,
@@ -50,7 +50,10 @@
 EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
 REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
 ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
-SERVER_ERRORS = range(500, 600)
+
+
+# After these the rest of an answer may still come on the connection.
+UNFINISHED = frozenset({End.SILENT, End.BROKEN, End.OTHER_KIND, End.OUT_OF_PLACE})
 
 
 class Delivery:
@@ -77,6 +80,7 @@
     ) -> None:
         self.route = route
         self.position = EventPosition()
+        self.first_status = 0
         self._clock = clock
         self._request = request
         self._service = service
@@ -191,10 +195,12 @@
         placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._placed, self._is_read = placed, False
         keeps = False
-        reader = AnswerReader(self, self.route.is_stream, connection.is_fresh)
+        reader = AnswerReader(
+            self, self.route.is_stream, connection.is_fresh, connection.close
+        )
         try:
             end, reason = await self._exchange(connection, entry.id, reader)
-            keeps = end is not End.SILENT and end is not End.BROKEN
+            keeps = end not in UNFINISHED
         except asyncio.CancelledError:
             self._note(entry.id, End.GIVEN_UP, "", reader, started)
             raise
@@ -253,7 +259,7 @@
             if not watchdog.expired():
                 raise
             return End.SILENT, "no progress"
-        return end, exchange.reason
+        return end, reader.reason or exchange.reason
 
     def _find_patience(self) -> timedelta | None:
         """Return how long to wait for a sign of the answer, ``None`` to the end.
@@ -274,6 +280,8 @@
             return End.NOT_RUN
         if reader.kind is AnswerKind.WRONG_SERVER:
             return End.WRONG_SERVER
+        if reader.refused is not None:
+            return reader.refused
         if not exchange.is_whole or reader.kind is AnswerKind.FOREIGN:
             return End.BROKEN
         if reader.is_streamed:
@@ -283,8 +291,6 @@
         if answer.status in SERVER_ERRORS:
             self._server_error = answer
             return End.SERVER_ERROR
-        if self._answers.has_started:
-            return End.BROKEN
         if self._placed is not None and not self.route.is_stream:
             self._servers.note_time(self._placed)
         headers = self._wire.select_answer_headers(answer.headers)
@@ -319,6 +325,7 @@
     def _start_stream(self, reader: AnswerReader) -> None:
         self.first_event_at = self._clock.elapsed()
         headers = self._wire.select_answer_headers(reader.headers)
+        self.first_status = reader.status
         self._answers.start(reader.status, headers)
 
     def _note_gap(self) -> None:
@@ -337,7 +344,7 @@
     def _note_server(self, server: ListedServer, end: End) -> None:
         if end is End.ANSWERED:
             self._servers.note_success(server)
-        elif end in (End.SILENT, End.BROKEN, End.SERVER_ERROR):
+        elif end in UNFINISHED or end is End.SERVER_ERROR:
             self._servers.note_failure(server)
         elif end is End.WRONG_SERVER:
             self._servers.note_unreachable(server)
--- a/lavendershift/serveranswers.py
+++ b/lavendershift/serveranswers.py
@@ -2,7 +2,8 @@
 
 Each attempt has a reader of its own, so that nothing that was read of one answer
 can get into the next. Streams are handed on by whole events, other answers are
-collected.
+collected. An answer to a request for the rest of a stream is handed on only if it
+is proved to be that rest.
 """
 
 from collections.abc import Awaitable, Callable
@@ -10,10 +11,11 @@
 
 from tornado.httputil import HTTPHeaders
 
-from lavendershift.attempts import AnswerKind, StreamNote
-from lavendershift.eventstreams import EventPosition, EventReader
+from lavendershift.attempts import AnswerKind, End, StreamNote
+from lavendershift.eventstreams import EventOrderError, EventPosition, EventReader
 
 SUCCESSES = range(200, 300)
+SERVER_ERRORS = range(500, 600)
 EVENT_STREAM = "text/event-stream"  # the media type of the HTML standard
 
 
@@ -28,6 +30,11 @@
 class EventTaker(Protocol):
     """Whom an answer's events are handed to."""
 
+    @property
+    def first_status(self) -> int:
+        """The status that the caller already got, 0 where it got none."""
+        ...
+
     @property
     def position(self) -> EventPosition:
         """How far the stream was handed on by the answers before."""
@@ -46,10 +53,19 @@
     """Takes one attempt's answer.
 
     ``is_fresh`` tells whether its connection was used for no other request,
-    ``note_progress`` is called whenever a part of the answer arrived.
+    ``note_progress`` is called whenever a part of the answer arrived. ``refused`` is
+    set once the answer can't be the rest of the stream; ``stop`` then ends it.
     """
 
-    def __init__(self, taker: EventTaker, is_stream: bool, is_fresh: bool) -> None:
+    def __init__(
+        self,
+        taker: EventTaker,
+        is_stream: bool,
+        is_fresh: bool,
+        stop: Callable[[], None],
+    ) -> None:
+        self.refused: End | None = None
+        self.reason = ""
         self.note_progress: Callable[[], None] = lambda: None
         self.kind = AnswerKind.FOREIGN
         self.status = 0
@@ -58,6 +74,7 @@
         self._taker = taker
         self._is_stream = is_stream
         self._is_fresh = is_fresh
+        self._stop = stop
         self._before = taker.position
         self._chunks: list[bytes] = []
 
@@ -67,25 +84,48 @@
         self.status, self.headers = status, headers
         self.kind = self._taker.judge(status, headers, self._is_fresh)
         self._is_fresh = False
-        if self.kind is AnswerKind.OWN:
-            self.note_progress()
+        if self.kind is not AnswerKind.OWN:
+            return
+        self.note_progress()
+        first = self._taker.first_status
+        is_rest = self.is_streamed and status == first
+        if first and not is_rest and status not in SERVER_ERRORS:
+            self._refuse(End.OTHER_KIND, f"{status} {self.media_type}")
 
     @property
     def is_streamed(self) -> bool:
         """Whether the answer is handed on as it arrives."""
         return (
-            self.kind is AnswerKind.OWN and self._is_stream and self.status in SUCCESSES
+            self.kind is AnswerKind.OWN
+            and self._is_stream
+            and self.status in SUCCESSES
+            and is_event_stream(self.media_type)
         )
 
+    @property
+    def media_type(self) -> str:
+        """What the answer says that its body is."""
+        return self.headers.get("Content-Type", "")
+
     def add(self, chunk: bytes) -> Awaitable[None] | None:
         """Take a part of the body."""
+        if self.refused is not None:
+            return None
         if not self.is_streamed:
             self._chunks.append(chunk)
             return None
         self.note_progress()
-        events = self.events.feed(chunk)
+        try:
+            events = self.events.feed(chunk)
+        except EventOrderError as error:
+            self._refuse(End.OUT_OF_PLACE, str(error))
+            return None
         return self._taker.forward(self, events) if events else None
 
+    def _refuse(self, end: End, reason: str) -> None:
+        self.refused, self.reason = end, reason
+        self._stop()
+
     def collect(self) -> ServerAnswer:
         """Return the whole answer."""
         return ServerAnswer(self.status, self.headers, b"".join(self._chunks))
@@ -98,5 +138,10 @@
             self._before.last_id,
             self.events.position.events - self._before.events,
             self.events.partial_bytes,
-            self.headers.get("Content-Type", ""),
+            self.media_type,
         )
+
+
+def is_event_stream(media_type: str) -> bool:
+    """Whether a body is events, whatever the parameters of its media type."""
+    return media_type.partition(";")[0].strip().lower() == EVENT_STREAM
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -1,6 +1,6 @@
 import pytest
 
-from lavendershift.eventstreams import EventPosition, EventReader
+from lavendershift.eventstreams import EventOrderError, EventPosition, EventReader
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -16,13 +16,13 @@
         assert events == b"" or events.endswith(line_end)
         whole.append(events)
     assert b"".join(whole) + reader.take_rest() == stream
-    assert reader.position == EventPosition(5, "5")
+    assert reader.position == EventPosition(5, "5", is_counted=True)
 
 
 def test_a_partial_event_is_not_counted():
     reader = EventReader()
     assert reader.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
-    assert reader.position == EventPosition(1, "1")
+    assert reader.position == EventPosition(1, "1", is_counted=True)
     assert reader.partial_bytes == len(b"id: 2\nda")
 
 
@@ -31,7 +31,7 @@
     before.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     reader = EventReader(before.position)
     assert reader.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
-    assert reader.position == EventPosition(2, "2")
+    assert reader.position == EventPosition(2, "2", is_counted=True)
 
 
 def test_events_with_other_line_ends():
@@ -44,7 +44,7 @@
 def test_an_event_of_several_lines_counts_once():
     reader = EventReader()
     reader.feed(b"id: 1\ndata: a\ndata: b\n\n: a comment\n\nretry: 5\n\n")
-    assert reader.position == EventPosition(1, "1")
+    assert reader.position == EventPosition(1, "1", is_counted=True)
 
 
 def test_an_event_without_an_id_can_not_be_continued():
@@ -68,3 +68,42 @@
     assert not reader.position.can_continue
     assert reader.feed(b"xx\n\nid: 3\ndata: c\n\n") == b"xx\n\nid: 3\ndata: c\n\n"
     assert reader.position == EventPosition(3, "3")
+
+
+def read_events(*ids):
+    reader = EventReader()
+    for event_id in ids:
+        reader.feed(b"id: %s\ndata: x\n\n" % event_id.encode())
+    return reader.position
+
+
+@pytest.mark.parametrize(
+    ("ids", "following", "others"),
+    [
+        (["1", "2", "3"], ["4"], ["3", "1", "5", "", "x4", "4x", "-4", "\u0664"]),
+        (["0"], ["1"], ["0", "2"]),
+        (["1"], ["2"], ["1", "3"]),
+        (["41", "42"], ["43"], ["42", "44"]),
+        (["41"], ["42", "50"], ["41", "40", ""]),
+        (["5", "10", "12"], ["13", "20"], ["12", "5", ""]),
+        (["1", "2", "9"], ["10", "12"], ["9", "2"]),
+    ],
+)
+def test_a_reader_takes_only_what_follows(ids, following, others):
+    position = read_events(*ids)
+    for event_id in following:
+        event = b"id: %s\ndata: y\n\n" % event_id.encode()
+        assert EventReader(position).feed(b": hello\n\n" + event).endswith(event)
+    for event_id in others:
+        with pytest.raises(EventOrderError):
+            EventReader(position).feed(b"id: %s\ndata: y\n\n" % event_id.encode())
+
+
+@pytest.mark.parametrize("last", ["x", "", "7b"])
+def test_ids_that_are_no_numbers_can_not_be_continued(last):
+    assert not read_events("1", last).can_continue
+
+
+def test_an_endless_event_is_not_taken_as_the_next():
+    with pytest.raises(EventOrderError):
+        EventReader(read_events("1")).feed(b"id: 2\ndata: " + b"x" * 2_000_000)
