Don't let a stream end as complete inside an event

Cause: what was left after the last whole event was handed on whenever the answer's framing ended cleanly. Ruled out as the cause of the reported cases: they are all of the one kind that may be resumed, while this shows on every stream.

Change: an answer that ends after a field of an unfinished event is unfinished (inside_event), and the stream goes on elsewhere or is cut. Blank lines and comments after the last event are no event and are handed on as they came.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -114,6 +114,7 @@
     WRONG_SERVER = "wrong_server"
     BROKEN = "broken"
     SILENT = "silent"
+    INSIDE_EVENT = "inside_event"  # a clean end in the middle of an event
     OTHER_KIND = "other_kind"  # a plain answer in place of the rest of a stream
     OUT_OF_PLACE = "out_of_place"  # events that don't follow those handed on
     GIVEN_UP = "given_up"  # by the caller, or as the time ran out
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -52,8 +52,10 @@
 ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
 
 
-# After these the rest of an answer may still come on the connection.
-UNFINISHED = frozenset({End.SILENT, End.BROKEN, End.OTHER_KIND, End.OUT_OF_PLACE})
+# After these the connection is not used again, as more of the answer may come.
+UNFINISHED = frozenset(
+    {End.SILENT, End.BROKEN, End.INSIDE_EVENT, End.OTHER_KIND, End.OUT_OF_PLACE}
+)
 
 
 class Delivery:
@@ -285,6 +287,8 @@
         if not exchange.is_whole or reader.kind is AnswerKind.FOREIGN:
             return End.BROKEN
         if reader.is_streamed:
+            if reader.events.is_inside_event:
+                return End.INSIDE_EVENT
             await self._finish_stream(reader)
             return End.ANSWERED
         answer = reader.collect()
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -80,6 +80,14 @@
         """How many bytes of an unfinished event were read."""
         return len(self._partial)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an answer that ends here leaves an event unfinished."""
+        if self.position.is_cut:
+            return True
+        lines = self._partial.splitlines()
+        return any(line and not line.startswith(b":") for line in lines)
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events that ``chunk`` completes.
 
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -107,3 +107,28 @@
 def test_an_endless_event_is_not_taken_as_the_next():
     with pytest.raises(EventOrderError):
         EventReader(read_events("1")).feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+
+
+@pytest.mark.parametrize(
+    ("rest", "is_inside"),
+    [
+        (b"", False),
+        (b"\n", False),
+        (b"\r\n: bye\n", False),
+        (b": bye", False),
+        (b"i", True),
+        (b"id: 2\n", True),
+        (b"data: x\n", True),
+        (b": bye\ndata: x\n", True),
+    ],
+)
+def test_a_stream_may_end_with_comments_but_not_inside_an_event(rest, is_inside):
+    reader = EventReader()
+    reader.feed(b"id: 1\ndata: a\n\n" + rest)
+    assert reader.is_inside_event is is_inside
+
+
+def test_an_endless_event_is_unfinished_also_where_it_was_handed_on():
+    reader = EventReader()
+    reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+    assert reader.is_inside_event
