Hold a stream that its caller resumes to the caller's last event

A caller that goes on after a broken connection with Last-Event-Id could get events that it had, as whatever a server sent first was taken as the beginning.

Cause: of the same class as the joined streams: an answer taken as a continuation without a proof, only that the earlier part was handed on by another process. Ruled out: routes that may not be resumed; there the header passes and the server's answer comes as it is.

Change: on routes that may be resumed the position of a delivery begins at the caller's last event, so that the first answer is held to the same proof as a later one. An id that is no number proves nothing and is only passed on.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -32,7 +32,7 @@
     Exchange,
 )
 from lavendershift.errors import ErrorKind, RequestError
-from lavendershift.eventstreams import EventPosition
+from lavendershift.eventstreams import EventPosition, find_position
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serveranswers import SERVER_ERRORS, AnswerReader, ServerAnswer
 from lavendershift.serverlist import (
@@ -82,6 +82,8 @@
     ) -> None:
         self.route = route
         self.position = EventPosition()
+        if route.repeat is Repeat.RESUME:
+            self.position = find_position(request.resumed_after)
         self.first_status = 0
         self._clock = clock
         self._request = request
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -25,8 +25,9 @@
 class EventPosition(NamedTuple):
     """How far a stream was handed on.
 
-    ``events`` counts the events with data. ``last_id`` is the id of the last of
-    them, empty where it had none. ``is_counted`` is set while the ids count the
+    ``events`` counts the events with data that the answer has. ``last_id`` is the
+    id of the last of them, or of the event that the caller asked to go on after; it
+    is empty where there is none. ``is_counted`` is set while the ids count the
     events, and ``is_cut`` where only a part of an event was handed on.
     """
 
@@ -46,8 +47,8 @@
         """Return the position after an event with ``event_id``."""
         step = _find_step(self.last_id, event_id)
         # A first event numbered 0 or 1 begins a count, later ones go on with it.
-        begins = self.events == 0 and event_id in ("0", "1")
-        goes_on = step == 1 and (self.is_counted or self.events == 1)
+        begins = not self.last_id and event_id in ("0", "1")
+        goes_on = step == 1 and (self.is_counted or self.events <= 1)
         return EventPosition(self.events + 1, event_id, begins or goes_on)
 
     def is_followed_by(self, event_id: str) -> bool:
@@ -55,7 +56,7 @@
 
         Ids rise. Where they count the events none may be left out.
         """
-        if self.events == 0:
+        if self.events == 0 and not self.last_id:
             return True
         step = _find_step(self.last_id, event_id)
         if step is None:
@@ -63,6 +64,14 @@
         return step == 1 if self.is_counted else step > 0
 
 
+def find_position(event_id: str) -> EventPosition:
+    """Return where a caller stands that has the events up to ``event_id``.
+
+    What follows an id that is no number can't be told.
+    """
+    return EventPosition(last_id=event_id if _read_number(event_id) is not None else "")
+
+
 class EventReader:
     """Collects an answer's bytes until an event is whole.
 
@@ -72,7 +81,7 @@
 
     def __init__(self, position: EventPosition | None = None) -> None:
         self.position = position or EventPosition()
-        self._must_follow = self.position.events > 0
+        self._must_follow = self.position != EventPosition()
         self._partial = b""
 
     @property
--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -96,8 +96,11 @@
 }
 
 
-async def deliver_in_turn(scene, behaviours, **options):
-    """Deliver a request that meets ``behaviours`` in turn, wherever it goes."""
+async def deliver_in_turn(scene, behaviours, resumed_after=0, **options):
+    """Deliver a request that meets ``behaviours`` in turn, wherever it goes.
+
+    Its caller has the events up to ``resumed_after``.
+    """
     turns = iter(behaviours)
 
     async def take_turn(received, writer):
@@ -108,17 +111,22 @@
         server.default = take_turn
     answer = Answer()
     options = {"repeat": Repeat.RESUME, "attempts": len(behaviours)} | options
+    request = scene.make_request(deadline=9 * SECOND)
+    if resumed_after:
+        request.headers["Last-Event-Id"] = str(resumed_after)
+        request = request._replace(resumed_after=str(resumed_after))
     delivery = scene.make_delivery(
         answer,
-        request=scene.make_request(deadline=9 * SECOND),
+        request=request,
         is_stream=True,
         timeout=9 * SECOND,
         **options,
     )
     with contextlib.suppress(RequestError):
         await delivery.run()
-    assert answer.body in PREFIXES, "the caller got more than whole events in order"
-    assert not answer.is_done or answer.body == WHOLE, "looks complete and is not"
+    body = PREFIXES[resumed_after] + answer.body
+    assert body in PREFIXES, "the caller got more than whole events in order"
+    assert not answer.is_done or body == WHOLE, "looks complete and is not"
     return answer
 
 
@@ -199,6 +207,41 @@
     play(work)
 
 
+@pytest.mark.parametrize("other", ["from the start", "from the last event", "no ids"])
+def test_what_does_not_follow_the_callers_last_event_is_not_handed_on(play, other):
+    async def work(scene):
+        behaviours = [OTHERS[other], resume]
+        answer = await deliver_in_turn(scene, behaviours, resumed_after=3)
+        assert answer.body == b"".join(EVENTS[3:]) and answer.is_done
+        assert scene.ends == [End.OUT_OF_PLACE, End.ANSWERED]
+
+    play(work)
+
+
+def test_a_caller_resumes_and_the_server_breaks_off(play):
+    async def work(scene):
+        first = send(b"".join(EVENTS[3:6]) + b"id", reset)
+        answer = await deliver_in_turn(scene, [first, resume], resumed_after=3)
+        assert answer.body == b"".join(EVENTS[3:]) and answer.is_done
+        resumed_after = [note.stream.resumed_after for note in scene.notes]
+        assert resumed_after == ["3", "6"]
+
+    play(work)
+
+
+def test_what_follows_an_id_that_is_no_number_comes_unchanged(play):
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = send(WHOLE, end_cleanly)
+        request = scene.make_request()._replace(resumed_after="page-3")
+        answer = await scene.deliver(
+            request=request, repeat=Repeat.RESUME, is_stream=True
+        )
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
+
+
 @pytest.mark.parametrize("failure", [answer_error, answer_not_run])
 def test_a_stream_goes_on_after_a_failure_of_its_second_server(play, failure):
     async def work(scene):
