Forward nothing of a completion's stream that failed

Callers saw, after an event of more than 1 MiB or an error event of the engine, what came next as if it were whole events: of the long event its last part. The answer ended with an error, so it was never taken as complete.

Cause: the stream was marked as failed, and its whole events after that were still forwarded if they needed no parsing.

Ruled out: events that need parsing; they were dropped already.

Change: a stream that failed gives nothing more. That is all that can be fed to it, whatever the chunks are.

--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -131,6 +131,8 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Take a chunk and return the bytes to forward, maybe none."""
+        if self.failed:
+            return b""
         data = self._rest + chunk if self._rest else chunk
         end = data.rfind(b"\n\n")
         if end < 0:
--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from lavendershift.completions import MAX_EVENT_BYTES, AnswerStream
 from lavendershift.upstreams import Delivery, Transfer, UpstreamCall, UpstreamClient
 
 SECOND = timedelta(seconds=1)
@@ -38,3 +39,17 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        [b"data: " + b"x" * MAX_EVENT_BYTES, b"rest of it\n\n"],
+        [b'data: {"error":{"message":"out of memory"}}\n\n', b"data: 1\n\n"],
+    ],
+    ids=["too long an event", "an error"],
+)
+def test_nothing_is_forwarded_of_a_stream_that_failed(chunks):
+    stream = AnswerStream(wants_usage=False)
+    assert [stream.feed(chunk) for chunk in chunks] == [b"", b""]
+    assert stream.failed
