Join a resumed completion only where its place is proven

Callers saw events twice, or missed some, in an answer that ended with [DONE]: where an engine took the attempt up at another event than asked for, and, with engines that number only the events of texts, the usage event twice when the connection broke between it and [DONE].

Cause: the router asked for the event after the last one and took what came as its continuation without a proof.

Evidence: a table of what was read before the break x how the resumed answer begins, through a whole router on loopback. Twelve of its cases failed before: from the start, an event early and an event late after whole events, a part of an event, all texts and the usage (there not late), and the usage event twice.

Ruled out, by cases that passed before: a resumed answer of another media type or status, one that is missing, a clean end inside an event or without [DONE], a half event kept over the break, an attempt given up that still delivers.

Change: up to four events before the break are asked for again. They must say the same as those that were forwarded, the time of their making apart, and are dropped; otherwise the stream has failed and ends as truncated.

What is left: an engine that begins elsewhere where the four events happen to be the same is not noticed, nor one that begins late where nothing was read before (the stream has no number of its own in the format).

--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -6,6 +6,7 @@
 carry usage or an error are parsed.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple, TypeGuard
 
@@ -18,6 +19,7 @@
 DEFAULT_MAX_OUTPUT_TOKENS = 1024
 MAX_CHOICES = 16
 MAX_EVENT_BYTES = 1024 * 1024
+RESUME_OVERLAP = 4  # events asked for again, whose texts prove a stream's place
 
 USAGE_MARK = b'"usage"'
 ERROR_MARK = b'"error"'
@@ -104,6 +106,11 @@
     return Usage(prompt, completion)
 
 
+def is_same_event(event: bytes, other: bytes) -> bool:
+    """Whether two events say the same; the time of their making may differ."""
+    return event == other or _read_content(event) == _read_content(other)
+
+
 class AnswerStream:
     """Splits an engine's answer stream into what the caller is sent and not.
 
@@ -115,6 +122,10 @@
 
         stream = AnswerStream(wants_usage=False)
         caller.write(stream.feed(chunk))
+
+    After ``restart`` the events before the break come once more and are not
+    forwarded again. The stream has failed if they differ, as it then goes on
+    at another place.
     """
 
     def __init__(self, wants_usage: bool) -> None:
@@ -124,10 +135,14 @@
         self.events = 0
         self._wants_usage = wants_usage
         self._rest = b""
+        self._recent: deque[bytes] = deque(maxlen=RESUME_OVERLAP)
+        self._repeated: deque[bytes] = deque()
 
-    def restart(self) -> None:
-        """Drop the unfinished event of a connection that broke."""
+    def restart(self) -> int:
+        """Begin again after a break; return the number of the event to ask for."""
         self._rest = b""
+        self._repeated = self._recent.copy()
+        return self.events - len(self._recent)
 
     def feed(self, chunk: bytes) -> bytes:
         """Take a chunk and return the bytes to forward, maybe none."""
@@ -140,11 +155,24 @@
             return b""
         events = data[: end + 2]
         self._keep(data[end + 2 :])
+        if self._repeated:
+            events = self._drop_repeated(events)
         if self._is_plain(events):
             self.events += events.count(b"\n\n")
+            if events:
+                self._recent.extend(events[:-2].rsplit(b"\n\n", RESUME_OVERLAP))
             return events
         return b"".join(self._filter(events))
 
+    def _drop_repeated(self, events: bytes) -> bytes:
+        """Return the events after those that were forwarded before the break."""
+        while self._repeated and events:
+            event, _, events = events.partition(b"\n\n")
+            if not is_same_event(event, self._repeated.popleft()):
+                self.failed = True
+                return b""
+        return events
+
     def _keep(self, rest: bytes) -> None:
         if len(rest) > MAX_EVENT_BYTES:
             self.failed = True
@@ -164,6 +192,7 @@
             if self.complete or self.failed:
                 return
             self.events += 1
+            self._recent.append(event)
             if event.strip() == b"data: [DONE]":
                 self.complete = True
                 return
@@ -189,6 +218,17 @@
         return self._wants_usage or bool(data.get("choices"))
 
 
+def _read_content(event: bytes) -> Any:
+    """Return what an event says, and ``event`` itself if that is unknown."""
+    try:
+        data = msgspec.json.decode(event.removeprefix(b"data:"))
+    except msgspec.DecodeError:
+        return event
+    if not isinstance(data, dict):
+        return event
+    return {key: value for key, value in data.items() if key != "created"}
+
+
 def _is_count(value: Any) -> TypeGuard[int]:
     return isinstance(value, int) and not isinstance(value, bool) and value >= 0
 
--- a/lavendershift/forwarding.py
+++ b/lavendershift/forwarding.py
@@ -99,9 +99,8 @@
         return broken and not self._stream.complete and not self._stream.failed
 
     def prepare_resume(self) -> int:
-        """Return the number of the event to go on with."""
-        self._stream.restart()
-        return self._stream.events
+        """Return the number of the event to ask for."""
+        return self._stream.restart()
 
     def finish(self) -> None:
         """End the caller's answer as complete."""
--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -1,9 +1,19 @@
 import asyncio
+import json
+import re
 from datetime import timedelta
 
 import pytest
 
 from lavendershift.completions import MAX_EVENT_BYTES, AnswerStream
+from lavendershift.tools.capacity_streams import (
+    BODY,
+    MISSING,
+    REQUEST,
+    Engine,
+    find_length,
+    run_bench,
+)
 from lavendershift.upstreams import Delivery, Transfer, UpstreamCall, UpstreamClient
 
 SECOND = timedelta(seconds=1)
@@ -53,3 +63,234 @@
     stream = AnswerStream(wants_usage=False)
     assert [stream.feed(chunk) for chunk in chunks] == [b"", b""]
     assert stream.failed
+
+
+USAGE = {"prompt_tokens": 2, "completion_tokens": 9, "total_tokens": 11}
+USAGE_BODY = BODY[:-1] + b',"stream_options":{"include_usage":true}}'
+USAGE_REQUEST = REQUEST.replace(
+    b"%d\r\n\r\n%s" % (len(BODY), BODY),
+    b"%d\r\n\r\n%s" % (len(USAGE_BODY), USAGE_BODY),
+)
+
+
+def make_events(created):
+    """Return the events of an answer of six tokens, with usage and end mark."""
+    choices = [[{"index": 0, "text": f"{n} "}] for n in range(6)]
+    data = [{"created": created, "choices": c} for c in choices]
+    data.append({"created": created, "choices": [], "usage": USAGE})
+    lines = [*map(json.dumps, data), "[DONE]"]
+    return [f"data: {line}\n\n".encode() for line in lines]
+
+
+FIRST, AGAIN = make_events(1), make_events(2)
+
+
+class End:
+    """How an answer ends: ``whole`` by HTTP, broken off, or left silent."""
+
+    WHOLE, BROKEN, SILENT = range(3)
+
+
+def answer(data, end, status=200, kind="text/event-stream"):
+    """Return an answer's bytes and how it ends."""
+    head = f"HTTP/1.1 {status} S\r\nContent-Type: {kind}\r\nConnection: close\r\n"
+    chunk = b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+    tail = b"0\r\n\r\n" if end is End.WHOLE else b""
+    body = b"Transfer-Encoding: chunked\r\n\r\n" + chunk + tail
+    return head.encode() + body, end
+
+
+class ScriptedEngine(Engine):
+    """Gives one answer to a completion and others to attempts to resume it.
+
+    ``resume`` returns an answer for the event that is asked for.
+    """
+
+    def __init__(self, first, *resume):
+        super().__init__()
+        self.first, self.resume = first, list(resume)
+        self.asked = []
+        self.silent = []
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        resumed = re.match(rb"GET /control/requests/[^/]+/stream\?from=(\d+) ", head)
+        if resumed and self.resume:
+            self.asked.append(int(resumed[1]))
+            data, end = self.resume.pop(0)(int(resumed[1]))
+        elif head.startswith(b"POST /v1/completions"):
+            await reader.readexactly(find_length(head))
+            data, end = self.first
+        else:
+            data, end = MISSING, End.WHOLE
+        writer.write(data)
+        if end is End.SILENT:
+            self.silent.append(writer)
+        else:
+            writer.close()
+
+
+def run(work, engine):
+    async def bounded():
+        async with asyncio.timeout(20):
+            return await run_bench(work, engine=engine)
+
+    return asyncio.run(bounded())
+
+
+def complete(engine, request=REQUEST):
+    """Send a completion; return the status, the body, and whether it ended."""
+
+    async def work(bench):
+        reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
+        writer.write(request.replace(b"Host: r0", b"Host: r0\r\nConnection: close"))
+        data = await reader.read()
+        writer.close()
+        return data
+
+    head, _, body = run(work, engine).partition(b"\r\n\r\n")
+    if b"chunked" not in head:
+        return int(head.split()[1]), body, True
+    parts = []
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        parts.append(body[: int(size, 16)])
+        body = body[int(size, 16) + 2 :]
+    return int(head.split()[1]), b"".join(parts), parts[-1:] == [b""]
+
+
+def read_texts(body):
+    """Return the texts of an answer, and the code of the error that ends it."""
+    assert body.endswith(b"\n\n")
+    texts, error = [], ""
+    for event in body[:-2].split(b"\n\n"):
+        if event == b"data: [DONE]":
+            texts.append("[DONE]")
+            continue
+        data = json.loads(event.removeprefix(b"data: "))
+        error = data.get("error", {}).get("code", "")
+        texts += [choice["text"] for choice in data.get("choices", [])]
+        texts += ["usage"] if data.get("usage") else []
+    return texts, error
+
+
+TEXTS = [f"{n} " for n in range(6)]
+READ = {
+    "nothing": b"",
+    "part of the first event": FIRST[0][:20],
+    "whole events": b"".join(FIRST[:5]),
+    "part of an event": b"".join(FIRST[:5]) + FIRST[5][:20],
+    "all texts": b"".join(FIRST[:6]),
+    "usage": b"".join(FIRST[:7]),
+}
+RESUMED = {
+    "missing": (lambda n: (MISSING, End.WHOLE), False),
+    "at its place": (lambda n: answer(b"".join(AGAIN[n:]), End.WHOLE), True),
+    "at its place, only texts numbered": (
+        lambda n: answer(b"".join(AGAIN[min(n, 6) :]), End.WHOLE),
+        True,
+    ),
+    "of another kind": (
+        lambda n: answer(b"".join(AGAIN[n:]), End.WHOLE, kind="application/json"),
+        False,
+    ),
+    "of another status": (
+        lambda n: answer(b"".join(AGAIN[n:]), End.WHOLE, status=206),
+        False,
+    ),
+    "from the start": (lambda n: answer(b"".join(AGAIN), End.WHOLE), False),
+    "an event late": (lambda n: answer(b"".join(AGAIN[n + 1 :]), End.WHOLE), False),
+    "an event early": (
+        lambda n: answer(b"".join(AGAIN[max(n - 1, 0) :]), End.WHOLE),
+        False,
+    ),
+    "without an end mark": (lambda n: answer(b"".join(AGAIN[n:7]), End.WHOLE), False),
+    "ending in an event": (
+        lambda n: answer(b"".join(AGAIN[n:6]) + AGAIN[6][:9], End.WHOLE),
+        False,
+    ),
+}
+
+
+STARTED = [read for read in READ if b"\n\n" in READ[read]]
+FROM_START = ("from the start", "an event early")  # in place where nothing was read
+
+
+@pytest.mark.parametrize("resumed", RESUMED)
+@pytest.mark.parametrize("read", STARTED)
+def test_a_resumed_stream_goes_on_in_place_or_ends_with_an_error(read, resumed):
+    resume, is_in_place = RESUMED[resumed]
+    engine = ScriptedEngine(answer(READ[read], End.BROKEN), resume)
+    status, body, ended = complete(engine, USAGE_REQUEST)
+    texts, error = read_texts(body)
+    expected = [*TEXTS, "usage", "[DONE]"]
+    assert (status, ended) == (200, True)
+    assert texts == expected[: len(texts)]
+    assert (texts == expected) is is_in_place
+    assert error == ("" if is_in_place else "answer_truncated")
+
+
+@pytest.mark.parametrize("resumed", [r for r in RESUMED if r != "an event late"])
+@pytest.mark.parametrize("read", [read for read in READ if read not in STARTED])
+def test_a_stream_resumed_before_its_first_event_has_nothing_before_it(read, resumed):
+    resume, is_in_place = RESUMED[resumed]
+    engine = ScriptedEngine(answer(READ[read], End.BROKEN), resume)
+    status, body, ended = complete(engine, USAGE_REQUEST)
+    assert ended
+    if status != 200:
+        assert not is_in_place
+        assert json.loads(body)["error"]["code"] == "server_failed"
+        return
+    texts, error = read_texts(body)
+    expected = [*TEXTS, "usage", "[DONE]"]
+    assert texts == expected[: len(texts)]
+    assert (texts == expected) is (is_in_place or resumed in FROM_START)
+    assert error == ("" if texts == expected else "answer_truncated")
+
+
+@pytest.mark.parametrize("read", READ)
+def test_a_stream_that_ends_without_its_mark_is_not_complete(read):
+    engine = ScriptedEngine(answer(READ[read], End.WHOLE))
+    status, body, ended = complete(engine, USAGE_REQUEST)
+    assert ended
+    if read not in STARTED:
+        assert status != 200
+        return
+    texts, error = read_texts(body)
+    assert "[DONE]" not in texts
+    assert error == "answer_truncated"
+
+
+def test_a_stream_given_up_delivers_nothing_late():
+    read = b"".join(FIRST[:2]) + FIRST[2][:20]
+    rest = FIRST[2][20:] + b"".join(FIRST[3:])
+    engine = ScriptedEngine(answer(read, End.SILENT))
+
+    async def work(bench):
+        reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
+        writer.write(
+            REQUEST.replace(b"Host: r0", b"Host: r0\r\nDeadline-Ms: 700")
+            + b"GET /healthz HTTP/1.1\r\nHost: r0\r\n\r\n"
+        )
+        body = await reader.readuntil(b"0\r\n\r\n")
+        for late in engine.silent:
+            late.write(b"%x\r\n%s\r\n" % (len(rest), rest))
+        return body, await reader.readuntil(b'{"status":"ok"}')
+
+    body, after = run(work, engine)
+    assert body.count(b'"text"') == 2
+    assert b"deadline_exceeded" in body
+    assert FIRST[2][:20] not in body.replace(b"".join(FIRST[:2]), b"")
+    assert after.startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_a_stream_resumed_elsewhere_forwards_nothing_in_chunks_of_any_size(step):
+    for place in (0, 1, 3):
+        stream = AnswerStream(wants_usage=True)
+        assert stream.feed(b"".join(FIRST[:6])) == b"".join(FIRST[:6])
+        assert stream.restart() == 2
+        rest = b"".join(AGAIN[place:])
+        chunks = [rest[i : i + step] for i in range(0, len(rest), step)]
+        assert not any(map(stream.feed, chunks))
+        assert stream.failed
--- a/lavendershift/tools/capacity_streams.py
+++ b/lavendershift/tools/capacity_streams.py
@@ -138,11 +138,12 @@
     more: str = "",
     listen: str = "",
     engine_tls: ssl.SSLContext | None = None,
+    engine: Engine | None = None,
 ) -> Result:
     """Start router and engine, and return what ``work`` does.
 
     ``more`` are further settings of the router, ``listen`` those of its
-    section ``listen``.
+    section ``listen``. ``engine`` replaces the usual one.
     """
     caller_port, peer_port, engine_port = find_ports(3)
     log = MemoryLog()
@@ -158,7 +159,7 @@
     settings = parse_settings(text, Program.ROUTER).unwrap()
     assert isinstance(settings, RouterSettings)
     router = RouterApplication(settings, SystemClock(), random.Random(1))
-    engine = Engine()
+    engine = engine or Engine()
     server = await asyncio.start_server(
         engine.serve, "127.0.0.1", engine_port, ssl=engine_tls
     )
