Go on reading a checkpoint where entries expire meanwhile

Callers saw nothing served: a router that starts, or one that fell behind retention, never followed the stream and never became ready, with no line on it, if the log let the first entry expire between the two reads that find a stream's first entry, or before a checkpoint's parts were read. That is a race of milliseconds, met the more often the more is appended.

Cause: only the first of these reads took an answer that records have expired; later ones raised it through the task that starts the follower.

Evidence: a log that lets the first entry expire after each of 1 to 4 reads, of the stream or of its checkpoints. That the task ends without a line was read in the code (repeat_until_answered and StreamFollower._recover take LogUnavailableError only), not run.

Ruled out: parts of two checkpoints put together; parts are collected by the checkpoint's id, and joined only where id, stream and offset are the same and none is missing.

Change: a read answered as expired goes on at the first offset that the answer names, which lies further on each time.

--- a/lavendershift/followers.py
+++ b/lavendershift/followers.py
@@ -108,13 +108,13 @@
 
 async def find_end(log: LogClient, stream: str) -> tuple[int, int]:
     """Return the first retained offset of ``stream`` and its end."""
-    try:
-        result = await log.read_entries(stream, 0, 1, timedelta())
-        return 0, result.end_offset
-    except RecordsExpiredError as error:
-        first = error.first_offset
-    result = await log.read_entries(stream, first, 1, timedelta())
-    return first, result.end_offset
+    first = 0
+    while True:
+        try:
+            result = await log.read_entries(stream, first, 1, timedelta())
+            return first, result.end_offset
+        except RecordsExpiredError as error:  # maybe since the last read
+            first = error.first_offset
 
 
 async def read_checkpoint(log: LogClient, stream: str) -> list[Checkpoint]:
@@ -152,7 +152,11 @@
     checkpoints: list[Checkpoint] = []
     offset = lower
     while offset < upper:
-        result = await log.read_entries(stream, offset, upper - offset, timedelta())
+        try:
+            result = await log.read_entries(stream, offset, upper - offset, timedelta())
+        except RecordsExpiredError as error:
+            offset = error.first_offset
+            continue
         if not result.entries:
             break
         records = [entry.record for entry in result.entries]
--- a/lavendershift/tests/test_sessions.py
+++ b/lavendershift/tests/test_sessions.py
@@ -114,3 +114,37 @@
         assert await read_checkpoint(log, STREAM) == []
 
     asyncio.run(scenario())
+
+
+class ExpiringLog(MemoryLog):
+    """Has the first entry of ``stream`` expire after each read of it, for a while."""
+
+    def __init__(self, stream, times):
+        super().__init__()
+        self.expiring, self.times = stream, times
+
+    async def read_raw(self, stream, offset, limit, wait):
+        try:
+            return await super().read_raw(stream, offset, limit, wait)
+        finally:
+            if stream == self.expiring and self.times:
+                self.times -= 1
+                self.find_stream(stream).first_offset += 1
+
+
+@pytest.mark.parametrize("expiring", [STREAM, CHECKPOINTS])
+@pytest.mark.parametrize("times", [1, 2, 3, 4])
+def test_a_checkpoint_is_found_though_entries_expire_between_reads(expiring, times):
+    async def scenario():
+        log = ExpiringLog(expiring, times)
+        for offset in range(900, 920):
+            record = Checkpoint(f"c{offset}", STREAM, offset, 0, 1, "x")
+            await log.append_records(CHECKPOINTS, [record])
+        last = [Checkpoint("c950", STREAM, 950, part, 2, "x") for part in (0, 1)]
+        await log.append_records(CHECKPOINTS, last)
+        log.find_stream(STREAM).entries = [(n, n, None) for n in range(1000)]
+        log.find_stream(STREAM).first_offset = 600
+        log.find_stream(CHECKPOINTS).first_offset = 16
+        assert await read_checkpoint(log, STREAM) == last
+
+    asyncio.run(scenario())
