Take the usage of a stream as final only at its end

A budget was charged less than an engine consumed: where an engine tells its usage so far in each event (a caller can ask for that in stream_options, which are passed on) and the stream broke, the attempt was settled by the last usage read, while the engine went on.

Cause: any event's usage was kept as the attempt's.

The charge itself was not run; _settle takes a usage that is known as final (dispatch), and only asks the engine where there is none.

Ruled out: the usage event at the end, which has no choices. It stays final also where the connection breaks before [DONE].

Change: the usage of an event with choices counts once [DONE] was read; until then the attempt is one of unknown usage, and the engine is asked.

--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -116,7 +116,8 @@
 
     ``events`` counts the whole events taken in, forwarded or not.
 
-    Bytes go in as they arrive; whole events come out. The usage is kept, the
+    Bytes go in as they arrive; whole events come out. The usage is kept; that
+    of an event with choices is one so far, and only the end makes it final. The
     end mark is held back until the answer is charged, and a usage event that
     the caller did not ask for is dropped::
 
@@ -134,6 +135,7 @@
         self.failed = False
         self.events = 0
         self._wants_usage = wants_usage
+        self._usage_so_far: Usage | None = None
         self._rest = b""
         self._recent: deque[bytes] = deque(maxlen=RESUME_OVERLAP)
         self._repeated: deque[bytes] = deque()
@@ -195,6 +197,7 @@
             self._recent.append(event)
             if event.strip() == b"data: [DONE]":
                 self.complete = True
+                self.usage = self.usage or self._usage_so_far
                 return
             if self._inspect(event):
                 yield event + b"\n\n"
@@ -214,8 +217,11 @@
         usage = parse_usage(data)
         if usage is None:
             return True
+        if data.get("choices"):
+            self._usage_so_far = usage
+            return True
         self.usage = usage
-        return self._wants_usage or bool(data.get("choices"))
+        return self._wants_usage
 
 
 def _read_content(event: bytes) -> Any:
--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from lavendershift.completions import MAX_EVENT_BYTES, AnswerStream
+from lavendershift.completions import (
+    END_OF_STREAM,
+    MAX_EVENT_BYTES,
+    AnswerStream,
+    Usage,
+)
 from lavendershift.tools.capacity_streams import (
     BODY,
     MISSING,
@@ -294,3 +299,15 @@
         chunks = [rest[i : i + step] for i in range(0, len(rest), step)]
         assert not any(map(stream.feed, chunks))
         assert stream.failed
+
+
+def test_usage_told_in_the_middle_of_a_stream_is_not_what_it_consumed():
+    middle = (
+        b'data: {"choices":[{"index":0,"text":"a"}],'
+        b'"usage":{"prompt_tokens":2,"completion_tokens":1}}\n\n'
+    )
+    stream = AnswerStream(wants_usage=True)
+    assert stream.feed(middle) == middle
+    assert stream.usage is None
+    stream.feed(END_OF_STREAM)
+    assert (stream.complete, stream.usage) == (True, Usage(2, 1))
