Take an answer cut off in its headers as unknown

Callers of plain services saw an empty answer with the status of the real one, where a server closed the connection before its headers had ended. Of a call that may not be repeated it was recorded as the answer under its key; one that may was not tried on another server. Both follow from the code (calls); the test stops at the result of the attempt.

Cause: curl ends such a transfer without an error, and the attempt counted as answered.

Evidence: of eight ways to cut an answer short the three in its headers failed before, as ANSWERED with status 200. Ruled out, by the cases that passed: an answer cut before its length, in a chunk, before its last chunk, after an interim answer, and by a reset. For none of them did the log's client return a page.

Change: an attempt is answered only once the empty line after its headers was read. An answer whose end is marked by closing alone stays whole on a clean close, as HTTP has it.

--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -1,6 +1,8 @@
 import asyncio
 import json
 import re
+import socket
+import struct
 from datetime import timedelta
 
 import pytest
@@ -11,6 +13,8 @@
     AnswerStream,
     Usage,
 )
+from lavendershift.errors import LogUnavailableError
+from lavendershift.plugins.http_log import HttpLogClient
 from lavendershift.tools.capacity_streams import (
     BODY,
     MISSING,
@@ -311,3 +315,52 @@
     assert stream.usage is None
     stream.feed(END_OF_STREAM)
     assert (stream.complete, stream.usage) == (True, Usage(2, 1))
+
+
+PAGE = b'{"entries":[],"next_offset":0,"end_offset":0}'
+STATUS = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
+CUT_SHORT = {
+    "before its length": STATUS + b"Content-Length: 99\r\n\r\n" + PAGE,
+    "before its last chunk": CHUNKED + b"%x\r\n%s\r\n" % (len(PAGE), PAGE),
+    "in a chunk": CHUNKED + b"63\r\n" + PAGE,
+    "after its status": STATUS,
+    "after a header": STATUS + b"Content-Length: 2\r\n",
+    "in a header": STATUS + b"Content-Len",
+    "after an interim answer": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "by a reset": STATUS + b"\r\n" + PAGE,
+}
+
+
+@pytest.mark.parametrize("cut", CUT_SHORT)
+def test_an_answer_cut_short_is_neither_an_answer_nor_a_page_of_the_log(cut):
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CUT_SHORT[cut])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if cut == "by a reset":
+                reset_stream(writer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client, log = UpstreamClient(), HttpLogClient(url, 5 * SECOND)
+        call = UpstreamCall("GET", url, {}, None, SECOND, 5 * SECOND)
+        result = await client.run_call(call, Transfer())
+        assert result.delivery is Delivery.UNKNOWN
+        with pytest.raises(LogUnavailableError):
+            await log.read_entries("ledger-0", 0, 10, timedelta())
+        client.close()
+        await log.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def reset_stream(writer):
+    """Set a connection up to be reset when it is closed."""
+    linger = struct.pack("ii", 1, 0)
+    endpoint = writer.get_extra_info("socket")
+    endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -200,6 +200,7 @@
         self._on_chunk = on_chunk
         self._status = 0
         self._headers = HTTPHeaders()
+        self._head_ended = False
         self._chunks: list[bytes] = []
         self._handed_over: bool | None = None
 
@@ -208,8 +209,11 @@
         if line.startswith("HTTP/"):
             self._status = int(line.split(" ", 2)[1])
             self._headers = HTTPHeaders()
+            self._head_ended = False
         elif line:
             self._headers.parse_line(line)
+        else:
+            self._head_ended = True
 
     def add_chunk(self, chunk: bytes) -> None:
         if self._handed_over is None:
@@ -239,6 +243,8 @@
             if not _was_connected(response):
                 return Delivery.NOT_SENT
             return Delivery.UNKNOWN
+        if not self._head_ended:  # which curl takes for an empty answer
+            return Delivery.UNKNOWN
         refused = response.code in (409, 429, 503)
         if refused and self._headers.get(NOT_RUN_HEADER, "").lower() == "true":
             return Delivery.REFUSED
