Show that a relay passes on the end of a log that has gone silent

A known-red test, without a change. A router that reads through a relay takes the stream's end as read a moment ago while the log has not answered the relay for longer than that (CURRENT_WITHIN): the answer of an earlier read is taken as one of now. Callers may be told that a key's call did not run though another router claimed it meanwhile; that last step was read in the code (may_have_run), not run.

Ruled out: a log that fails or closes; the relay then answers that it is unavailable. A mend needs shorter reads of the log, or the age of the end in the reply; both are decisions on capacity or on the protocol.

--- a/lavendershift/tests/test_relay.py
+++ b/lavendershift/tests/test_relay.py
@@ -6,11 +6,13 @@
 from lavendershift.messages import (
     MAX_MESSAGE_BYTES,
     AppendRequest,
+    Failure,
     ReadRequest,
     decode_message,
     encode_message,
 )
 from lavendershift.relay import MAX_STREAMS, Relay
+from lavendershift.sessions import CURRENT_WITHIN
 from lavendershift.tools.memory_log import MemoryLog
 
 CHECKPOINT = ["checkpoint", "c", "s", 1, 0, 1, "x" * 128 * 1024]
@@ -95,3 +97,31 @@
         assert len(asyncio.all_tasks()) <= MAX_STREAMS + 10
 
     run(scenario)
+
+
+class SilentLog(MemoryLog):
+    """Answers no read while ``silent``, also of those that wait already."""
+
+    silent = False
+
+    async def read_raw(self, stream, offset, limit, wait):
+        page = await super().read_raw(stream, offset, limit, wait)
+        if self.silent:
+            await asyncio.Event().wait()
+        return page
+
+
+def test_a_relay_that_the_log_does_not_answer_does_not_pass_on_an_old_end():
+    async def main():
+        log = SilentLog()
+        relay = Relay(log, 1000, timedelta())
+        await log.append_raw("ledger-0", [["recall", 1]])
+        await read_all(relay.handle_message, "ledger-0", 1)
+        log.silent = True
+        await log.append_raw("ledger-0", [["recall", 2]])
+        await asyncio.sleep(CURRENT_WITHIN.total_seconds())
+        reply = await relay.handle_message(ReadRequest("ledger-0", 1, 1000, 100))
+        await relay.stop()
+        assert isinstance(reply, Failure)
+
+    asyncio.run(main())
