Run no request that is read from a closed connection

What callers saw: a request that followed another on the same connection ran although its answer could reach nobody, in six cases: behind an aborted answer, behind an answer that closes (400, 413 with a length or in chunks, a request with Connection: close), and behind a request whose caller left. Its tokens were billed, and a caller takes a connection closed before the answer for one on which nothing was read, so that it may send a request again that ran.

Cause: tornado's loop reads the next request from the stream's buffer also after the stream was closed, and the adapter served whatever was read whole.

Ruled out: joined answers. Pipelined requests are answered whole and in order, a request that is cut inside its body (with a length or in chunks) is not served, and chunks that come after the 413 are no request; these tests passed before and are kept, as nothing covered them.

Why the fix works: a request is served only if its connection is open at the moment it was read whole; each way to end an answer that closes does so before the next request is read.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -170,6 +170,10 @@
         self._server.note_read(self)
         if self._is_refused or self._start_line is None:
             return
+        if self.stream is None or self.stream.closed():
+            # Bytes of a closed connection are read from the buffer, but their
+            # answer would reach nobody.
+            return
         answers = self._server.make_answers(self._connection)
         try:
             request = decode_request(
--- a/lavendershift/platform/tests/test_callers.py
+++ b/lavendershift/platform/tests/test_callers.py
@@ -1,16 +1,27 @@
+import asyncio
+import contextlib
+
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from lavendershift.clocks import ManualClock
+from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.errors import ANSWERS, ErrorKind, Ran, RequestError
 from lavendershift.platform.callers import (
+    CallerServer,
     choose_status,
     decode_request,
     select_headers,
 )
+from lavendershift.routes import CallerLimits
+from lavendershift.tests.processes import find_port
 
 START = RequestStartLine("POST", "/index/2f?x=1", "HTTP/1.1")
 PROMISING = {408, 421, 429, 503}
+BODY_LIMIT = 1000
+CHUNKED = (
+    b"POST /whole HTTP/1.1\r\nHost: books.example\r\n"
+    b"X-Lavendershift-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 
 def make_headers(**extra):
@@ -115,3 +126,173 @@
     answer = ANSWERS[kind]
     if answer.ran is not Ran.NO:
         assert choose_status(answer) not in PROMISING
+
+
+class ScriptedGateway:
+    """Answers by the request's path and notes what was served."""
+
+    def __init__(self):
+        self.served = []
+        self.ended = []
+        self.bodies = []
+
+    def find_limits(self):
+        return CallerLimits(body_bytes=BODY_LIMIT)
+
+    async def serve(self, request, answers):
+        self.served.append(request.id)
+        self.bodies.append(request.body)
+        try:
+            if request.target == "/abort":
+                answers.start(200, HTTPHeaders())
+                await answers.write(b"half of " + request.id.encode())
+                await asyncio.sleep(0.05)
+                answers.abort()
+            elif request.target == "/slow":
+                answers.start(200, HTTPHeaders())
+                for _ in range(20):
+                    await answers.write(b"part of " + request.id.encode())
+                    await asyncio.sleep(0.05)
+                answers.finish()
+            elif request.target == "/stream":
+                answers.start(200, HTTPHeaders())
+                await answers.write(b"all of " + request.id.encode())
+                answers.finish()
+            else:
+                await asyncio.sleep(0.02)
+                answers.send(200, HTTPHeaders(), b"done " + request.id.encode())
+        except asyncio.CancelledError:
+            answers.abort()
+            raise
+        finally:
+            self.ended.append(request.id)
+
+
+@contextlib.asynccontextmanager
+async def listen():
+    """Serve callers by a scripted gateway; yields it and a way to connect."""
+    gateway = ScriptedGateway()
+    server = CallerServer(SystemClock(), gateway)
+    host, port = "127.0.0.1", find_port()
+    server.listen(f"{host}:{port}")
+    try:
+        yield gateway, lambda: asyncio.open_connection(host, port)
+    finally:
+        server.stop_listening()
+
+
+@pytest.fixture
+def converse():
+    """Return a function that sends bytes in steps and returns what came back."""
+
+    def run(*steps):
+        async def whole():
+            async with listen() as (gateway, connect):
+                reader, writer = await connect()
+                received = b""
+                for step in steps:
+                    writer.write(step)
+                    await asyncio.sleep(0.1)
+                with contextlib.suppress(TimeoutError, ConnectionError):
+                    async with asyncio.timeout(0.4):
+                        while chunk := await reader.read(65536):
+                            received += chunk
+                writer.close()
+                return received, gateway
+
+        return asyncio.run(whole())
+
+    return run
+
+
+def make_request(name, path="/whole", body=b"", version="1.1", method="POST", **extra):
+    lines = [
+        f"{method} {path} HTTP/{version}",
+        "Host: books.example",
+        f"X-Lavendershift-Attempt-Id: {name}",
+        f"Content-Length: {len(body)}",
+    ]
+    lines += [f"{key.replace('_', '-')}: {value}" for key, value in extra.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def test_pipelined_requests_are_answered_whole_and_in_order(converse):
+    received, gateway = converse(
+        make_request("r1", body=b"one")
+        + make_request("r2", "/stream", b"two")
+        + make_request("r3", body=b"three")
+    )
+    assert gateway.bodies == [b"one", b"two", b"three"]
+    places = [received.index(text) for text in (b"done r1", b"all of r2", b"done r3")]
+    assert places == sorted(places)
+    assert received.count(b"HTTP/1.1 200") == 3
+
+
+def test_a_request_behind_an_aborted_answer_is_not_run(converse):
+    received, gateway = converse(make_request("r1", "/abort") + make_request("r2"))
+    assert gateway.served == ["r1"]
+    assert b"r2" not in received
+
+
+def test_a_request_behind_a_refused_one_that_closes_is_not_run(converse):
+    refused = make_request("r1", X_Lavendershift_Attempt_Id="other")
+    received, gateway = converse(refused + make_request("r2"))
+    assert received.startswith(b"HTTP/1.1 400")
+    assert received.count(b"HTTP/1.1") == 1
+    assert gateway.served == []
+
+
+def test_a_request_behind_one_that_asks_to_close_is_not_run(converse):
+    received, gateway = converse(
+        make_request("r1", Connection="close") + make_request("r2")
+    )
+    assert received.count(b"HTTP/1.1 200") == 1
+    assert gateway.served == ["r1"]
+
+
+def test_the_rest_of_a_refused_body_is_no_request(converse):
+    inner = make_request("r2")
+    body = inner * (BODY_LIMIT // len(inner) + 1)
+    received, gateway = converse(make_request("r1", body=body) + make_request("r3"))
+    assert received.startswith(b"HTTP/1.1 413")
+    assert received.count(b"HTTP/1.1") == 1
+    assert gateway.served == []
+
+
+@pytest.mark.parametrize("cut", [0, 500, None])
+def test_the_rest_of_a_refused_chunked_body_is_no_request(converse, cut):
+    data = CHUNKED + b"7d0\r\n" + b"x" * 2000 + b"\r\n0\r\n\r\n" + make_request("r2")
+    steps = [data] if cut is None else [data[: 1400 + cut], data[1400 + cut :]]
+    received, gateway = converse(*steps)
+    assert received.startswith(b"HTTP/1.1 413")
+    assert received.count(b"HTTP/1.1") == 1
+    assert gateway.served == []
+
+
+def test_a_request_that_is_cut_inside_its_body_is_not_run():
+    async def work():
+        async with listen() as (gateway, connect):
+            parts = make_request("r1", body=b"half of it")[:-3], CHUNKED + b"4\r\nhalf"
+            for part in parts:
+                _, writer = await connect()
+                writer.write(part)
+                await asyncio.sleep(0.05)
+                writer.close()
+            await asyncio.sleep(0.1)
+            return gateway
+
+    assert asyncio.run(work()).served == []
+
+
+def test_a_request_behind_one_whose_caller_left_is_not_run():
+    async def work():
+        async with listen() as (gateway, connect):
+            _, writer = await connect()
+            writer.write(make_request("r1", "/slow") + make_request("r2"))
+            await asyncio.sleep(0.12)
+            writer.transport.abort()
+            await asyncio.sleep(0.3)
+            return gateway
+
+    gateway = asyncio.run(work())
+    assert gateway.served == gateway.ended == ["r1"]
