Close the connections of HTTP/1.0 callers after an answer

What callers saw: a caller of HTTP/1.0 that asks to keep its connection got a stream without a length on a connection that stayed open, so that the next answer, head included, followed as a part of the stream's body.

Cause: the adapter leaves the framing to tornado, which has no chunks for HTTP/1.0 and keeps the connection where the request's headers ask for it.

Evidence: the test failed before with both answers in one body.

Why the fix works: the request counts as one that closes, and the close is the only end that such a stream has. An aborted stream still ends in a reset.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -148,6 +148,11 @@
         assert isinstance(start_line, RequestStartLine)
         self._start_line, self._headers = start_line, headers
         self._server.note_reading(self)
+        if start_line.version == "HTTP/1.0":
+            # Only the connection's end marks the end of a stream. tornado keeps
+            # the connection if these headers ask for it.
+            headers["Connection"] = "close"
+            self._connection._disconnect_on_finish = True
         length = headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self._server.find_body_limit():
             self._refuse(ErrorKind.TOO_LARGE)
--- a/lavendershift/platform/tests/test_callers.py
+++ b/lavendershift/platform/tests/test_callers.py
@@ -296,3 +296,12 @@
 
     gateway = asyncio.run(work())
     assert gateway.served == gateway.ended == ["r1"]
+
+
+def test_a_stream_to_an_http_1_0_caller_is_not_followed_by_another_answer(converse):
+    first, second = (
+        make_request(name, "/stream", version="1.0", Connection="keep-alive")
+        for name in ("r1", "r2")
+    )
+    received, _ = converse(first, second)
+    assert received.endswith(b"\r\n\r\nall of r1")
