Answer refused HEAD requests

What callers saw: a HEAD request that is refused got no answer at all, and its connection was closed, which promises nothing.

Cause: a refusal has a body, which tornado takes for a fault in the answer to a HEAD request; it closes the connection and raises before anything is written.

Evidence: the test failed before with nothing received.

Why the fix works: the answer to a HEAD request is written without a body and keeps the length that the body would have.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -53,11 +53,14 @@
 
 
 class CallerAnswers:
-    """Writes one answer to a caller."""
+    """Writes one answer to a caller, without a body to a HEAD request."""
 
-    def __init__(self, connection: HTTPConnection, closes: Callable[[], bool]) -> None:
+    def __init__(
+        self, connection: HTTPConnection, closes: Callable[[], bool], method: str
+    ) -> None:
         self._connection: Any = connection
         self._closes = closes
+        self._has_body = method != "HEAD"
         self.has_started = False
         self.is_done = False
 
@@ -67,7 +70,7 @@
             return
         self.is_done = self.has_started = True
         headers["Content-Length"] = str(len(body))
-        self._write_head(status, headers, body)
+        self._write_head(status, headers, body if self._has_body else None)
         self._connection.finish()
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
@@ -179,7 +182,8 @@
             # Bytes of a closed connection are read from the buffer, but their
             # answer would reach nobody.
             return
-        answers = self._server.make_answers(self._connection)
+        method = self._start_line.method
+        answers = self._server.make_answers(self._connection, method)
         try:
             request = decode_request(
                 self._start_line,
@@ -198,9 +202,11 @@
         self._chunks.clear()
 
     def _refuse(self, kind: ErrorKind) -> None:
-        if not self._is_refused:
+        if not self._is_refused and self._start_line is not None:
             self._is_refused = True
-            self._server.make_answers(self._connection).refuse(RequestError(kind))
+            method = self._start_line.method
+            answers = self._server.make_answers(self._connection, method)
+            answers.refuse(RequestError(kind))
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -245,9 +251,9 @@
     def on_close(self, server_conn: object) -> None:
         """Do nothing: requests learn of a close by their own callbacks."""
 
-    def make_answers(self, connection: HTTPConnection) -> CallerAnswers:
-        """Return the writer of one answer."""
-        return CallerAnswers(connection, lambda: self._is_leaving)
+    def make_answers(self, connection: HTTPConnection, method: str) -> CallerAnswers:
+        """Return the writer of the answer to a request of ``method``."""
+        return CallerAnswers(connection, lambda: self._is_leaving, method)
 
     def find_body_limit(self) -> int:
         """Return the largest body that is taken, in bytes."""
--- a/lavendershift/platform/tests/test_callers.py
+++ b/lavendershift/platform/tests/test_callers.py
@@ -305,3 +305,10 @@
     )
     received, _ = converse(first, second)
     assert received.endswith(b"\r\n\r\nall of r1")
+
+
+def test_a_refusal_of_a_head_request_arrives_without_a_body(converse):
+    refused = make_request("r1", method="HEAD", X_Lavendershift_Deadline_Ms="soon")
+    received, _ = converse(refused)
+    assert received.startswith(b"HTTP/1.1 400")
+    assert received.endswith(b"\r\n\r\n")
