Take no part of the newest records for all of them

What callers would see: a page of newest records that says that more follow and holds none ended the listing as complete. The feeds then take servers that are not in it for removed and the passbook takes a missing page for no page.

Cause: the client had no way to ask for the next page then, and returned what it had instead of an error.

Evidence: the test failed before.

Ruled out, by tests that passed before and are kept, as nothing covered them: pages in order are joined whole; a later page that is refused, partial (206), cut off or shorter than its length ends the call with an error; bytes after an answer, and the late answer of a call that was given up by timeout or cancellation, reach no other call on a kept connection; a 1xx answer is not taken for the answer; an append whose answer is cut off is in doubt.

Why the fix works: the listing is returned only where its last page says that nothing follows.

--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -168,8 +168,10 @@
                 raise LogUnavailableError(f"{topic}: {error}") from None
             if first_end is None:
                 first_end = page.end
-            if not page.truncated or not page.items:
+            if not page.truncated:
                 return Batch(records, first_end, page.end)
+            if not page.items:
+                raise LogUnavailableError(f"{topic}: more promised, nothing sent")
             after = page.items[-1].key
 
     async def append(
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import random
 
 import pytest
@@ -14,6 +15,7 @@
     encode_record,
 )
 from lavendershift.tests.processes import find_port
+from lavendershift_standins.platformserver import PlatformServer
 from lavendershift_standins.platformstore import HEAD, StoreServer
 
 TOPIC = "keyed.test"
@@ -140,3 +142,153 @@
 def test_a_record_without_a_readable_key_has_an_empty_one():
     body = HEAD.pack(1, 0) + b"\x00\x00\x00\x02\x09a"
     assert decode_batch(body, 0).records[0].key == b""
+
+
+@pytest.fixture
+def play_answers(monkeypatch):
+    """Return a function that runs work with a store that answers by a script."""
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT", store_module.CALL_TIMEOUT / 5)
+
+    def run(work, *script):
+        async def whole():
+            server = PlatformServer("store")
+            server.script.extend(script)
+            await server.start()
+            clock = SystemClock()
+            connections = Connections(clock)
+            client = StoreClient(server.address, connections, clock)
+            try:
+                async with asyncio.timeout(5):
+                    await work(client, server)
+            finally:
+                connections.close()
+                await server.stop()
+
+        asyncio.run(whole())
+
+    return run
+
+
+def make_answer(body, status=200, length=None):
+    length = len(body) if length is None else length
+    return f"HTTP/1.1 {status} -\r\nContent-Length: {length}\r\n\r\n".encode() + body
+
+
+def make_read(*values, offset=0):
+    end = offset + len(values)
+    records = b"".join(encode_record(b"key", value) for value in values)
+    return make_answer(HEAD.pack(end, 0) + records)
+
+
+def make_page(*keys, truncated=False, end=9):
+    items = [{"key": key, "value": "MQ==", "offset": 1} for key in keys]
+    page = {"items": items, "truncated": truncated, "end": end}
+    return make_answer(json.dumps(page).encode())
+
+
+def send(*parts, pause_s=0.0, closes=False):
+    """Answer a call with ``parts``, waiting before each but the first."""
+
+    async def behave(received, writer):
+        for number, part in enumerate(parts):
+            await asyncio.sleep(pause_s if number else 0)
+            writer.write(part)
+        if closes:
+            raise ConnectionError
+
+    return behave
+
+
+def test_pages_of_newest_records_are_joined_in_order(play_answers):
+    async def work(client, server):
+        batch = await client.read_newest(TOPIC, 0)
+        assert [r.key for r in batch.records] == [b"a", b"b", b"c"]
+        assert (batch.next_offset, batch.end) == (9, 11)
+        assert [r.target.partition("after=")[2] for r in server.received] == ["", "b"]
+
+    pages = make_page("a", "b", truncated=True), make_page("c", end=11)
+    play_answers(work, *map(send, pages))
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        make_answer(b"", 503),
+        make_answer(b"", 206),
+        make_answer(b'{"items":[],"end":9', 200),
+        make_answer(b'{"items":[],"end":9}', 200, length=40),
+    ],
+)
+def test_newest_records_without_one_page_are_not_believed(play_answers, page):
+    async def work(client, server):
+        with pytest.raises(LogUnavailableError):
+            await client.read_newest(TOPIC, 0)
+
+    first = send(make_page("a", truncated=True))
+    play_answers(work, first, send(page, closes=True))
+
+
+def test_bytes_after_an_answer_reach_no_other_call(play_answers):
+    async def work(client, server):
+        for expected in (b"1", b"2", b"3"):
+            (record,) = (await client.read(TOPIC, 0, 0)).records
+            assert record.value == expected
+            await asyncio.sleep(0.05)
+        assert server.connections == 3
+
+    play_answers(
+        work,
+        send(make_read(b"1") + make_read(b"old")),
+        send(make_read(b"2"), make_read(b"old"), pause_s=0.02),
+        send(make_read(b"3")),
+    )
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_the_late_answer_of_a_call_given_up_reaches_no_other_call(
+    play_answers, is_cancelled
+):
+    async def work(client, server):
+        call = asyncio.ensure_future(client.read(TOPIC, 0, 0))
+        await asyncio.sleep(0.1)
+        if is_cancelled:
+            call.cancel()
+        await asyncio.wait({call})
+        assert call.cancelled() if is_cancelled else call.exception()
+        await asyncio.sleep(0.2)
+        (record,) = (await client.read(TOPIC, 0, 0)).records
+        assert record.value == b"2"
+
+    late = make_read(b"old")
+    script = send(late[:-1], late[-1:], pause_s=0.45), send(make_read(b"2"))
+    play_answers(work, *script)
+
+
+def test_an_informational_answer_is_not_the_answer(play_answers):
+    async def work(client, server):
+        for expected in (b"1", b"2"):
+            (record,) = (await client.read(TOPIC, 0, 0)).records
+            assert record.value == expected
+        assert server.connections == 1
+
+    first = b"HTTP/1.1 103 -\r\nX-Other: 1\r\n\r\n" + make_read(b"1")
+    play_answers(work, send(first), send(make_read(b"2")))
+
+
+@pytest.mark.parametrize("cut", [5, 17, -1])
+def test_an_append_whose_answer_is_cut_off_is_in_doubt(play_answers, cut):
+    async def work(client, server):
+        result, end = await client.append(TOPIC, 0, [(b"a", b"1")], end=4)
+        assert (result, end) == (AppendResult.UNKNOWN, None)
+
+    answer = make_answer(b'{"offset":4,"end":5}')
+    play_answers(work, send(answer[:cut], closes=True))
+
+
+def test_a_page_that_promises_more_and_holds_nothing_is_no_last_page(play_answers):
+    async def work(client, server):
+        with pytest.raises(LogUnavailableError):
+            await client.read_newest(TOPIC, 0)
+
+    pages = make_page("a", truncated=True), make_page(truncated=True)
+    play_answers(work, *map(send, pages))
