End a listing whose pages begin again

What callers would see: a store that answers a further page with an earlier one, each saying that more follow, kept the call going without an end. Its records grew in memory and the feed behind it stood still without a line in the log, as each call by itself is answered in time.

Cause: nothing compared the place that a page came to with those before it.

Evidence: the test failed before by its timeout.

Ruled out: a key that comes again in a later page.

Why the fix works: each page must end at a new key, so there are at most as many as there are keys.

--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -152,6 +152,7 @@
         records: list[Record] = []
         first_end: int | None = None
         after = ""
+        passed: set[str] = set()
         while True:
             query: dict[str, object] = {"topic": topic, "part": partition}
             if after:
@@ -172,7 +173,10 @@
                 return Batch(records, first_end, page.end)
             if not page.items:
                 raise LogUnavailableError(f"{topic}: more promised, nothing sent")
+            passed.add(after)
             after = page.items[-1].key
+            if after in passed:
+                raise LogUnavailableError(f"{topic}: pages that begin again")
 
     async def append(
         self,
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -292,3 +292,12 @@
 
     pages = make_page("a", truncated=True), make_page(truncated=True)
     play_answers(work, *map(send, pages))
+
+
+def test_pages_that_begin_again_are_not_joined(play_answers):
+    async def work(client, server):
+        server.default = send(make_page("a", "b", truncated=True))
+        with pytest.raises(LogUnavailableError):
+            await client.read_newest(TOPIC, 0)
+
+    play_answers(work)
