Count an append as done only where its records lie

What could happen: a 200 that belongs to an earlier append, read at the place of a later one on a kept connection, told that the later one was done. A draw of tokens would then be credited without its row in the log.

Cause: a conditional append was believed by its status alone, although the answer names the offset of its first record, which must be the place that the condition named.

An answer that can't be read is now in doubt as well, and is settled by reading the log.

Not covered: a 412 of an earlier call. It names only the partition's end, which proves nothing.

--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -73,6 +73,7 @@
 
 class _End(msgspec.Struct):
     end: int
+    offset: int | None = None  # of the first record that was appended
 
 
 class _NewestItem(msgspec.Struct):
@@ -187,8 +188,9 @@
     ) -> tuple[AppendResult, int | None]:
         """Append keyed records, with ``end`` only if the partition ends there.
 
-        An append without an answer is ``UNKNOWN``: it may still happen. The
-        partition's end comes with the result where the store tells it.
+        An append without an answer is ``UNKNOWN``: it may still happen. So is
+        one whose answer names another place than ``end``. The partition's end
+        comes with the result where the store tells it.
         """
         query: dict[str, object] = {"topic": topic, "part": partition}
         if end is not None:
@@ -200,10 +202,13 @@
             return AppendResult.NOT_DONE, None
         except LogUnavailableError:
             return AppendResult.UNKNOWN, None
+        told = decode_end(answer.body)
         if answer.status == 200:
-            return AppendResult.DONE, decode_end(answer.body)
+            if end is not None and (told is None or told.offset != end):
+                return AppendResult.UNKNOWN, None
+            return AppendResult.DONE, told.end if told else None
         if answer.status == 412:
-            return AppendResult.MOVED, decode_end(answer.body)
+            return AppendResult.MOVED, told.end if told else None
         if answer.status in REFUSALS:
             return AppendResult.NOT_DONE, None
         return AppendResult.UNKNOWN, None
@@ -263,10 +268,10 @@
             raise LogUnavailableError(f"status {answer.status}")
 
 
-def decode_end(body: bytes) -> int | None:
-    """Return the partition's end in the answer to an append."""
+def decode_end(body: bytes) -> _End | None:
+    """Return the place and the partition's end in the answer to an append."""
     try:
-        return msgspec.json.decode(body, type=_End).end
+        return msgspec.json.decode(body, type=_End)
     except msgspec.MsgspecError:
         return None
 
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -301,3 +301,11 @@
             await client.read_newest(TOPIC, 0)
 
     play_answers(work)
+
+
+def test_an_append_is_done_only_where_its_records_lie(play_answers):
+    async def work(client, server):
+        result, _ = await client.append(TOPIC, 0, [(b"a", b"1")], end=4)
+        assert result is AppendResult.UNKNOWN
+
+    play_answers(work, send(make_answer(b'{"offset":3,"end":4}')))
--- a/lavendershift_standins/platformstore.py
+++ b/lavendershift_standins/platformstore.py
@@ -120,6 +120,7 @@
     def _append(self, request: HTTPServerRequest, query: dict[str, str]) -> None:
         topic, part = query["topic"], int(query["part"])
         at = int(query["at"]) if "at" in query else None
+        offset = self.state.end(topic, part)
         try:
             end = self.state.append(topic, part, split_records(request.body), at)
         except MovedError:
@@ -128,7 +129,7 @@
             return
         if self._rng.random() < self.lose_answers:
             return
-        self._send(request, 200, json.dumps({"offset": 0, "end": end}).encode())
+        self._send(request, 200, json.dumps({"offset": offset, "end": end}).encode())
 
     async def _read(self, request: HTTPServerRequest, query: dict[str, str]) -> None:
         topic, part, offset = query["topic"], int(query["part"]), int(query["from"])
