Take rows that were read in part for no whole reading

What could happen: a reading of the rows of granted tokens whose answer ends after its head, which names an end further on, counted as a reading to the log's end. The rows then counted as the newest, and requests could be refused for tokens that a raise or a return had made free. Overspend was ruled out before: a draw is appended only if the log ends where it was read.

Cause: the loop ended at an answer without records, whatever end it named. An answer without a length that ends by closing is whole for the client.

Evidence: the test failed before.

Ruled out: the passbook's reading ends likewise, but what it adopts is written under the condition that the partition ends where it was read, so a page that it missed makes it read again. A feed that gets part of the records goes on from there.

Why the fix works: rows are returned only where the log's end, as the store names it, was reached; the next round reads again.

--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -33,15 +33,20 @@
         return [decode_row(record) for record in batch.records], batch.next_offset
 
     async def read_rows(self, offset: int) -> list[GrantRow]:
-        """Return the rows from ``offset`` on to the log's end."""
+        """Return the rows from ``offset`` on to the log's end.
+
+        Raises ``LogUnavailableError`` where the store does not send them all.
+        """
         rows: list[GrantRow] = []
         while True:
             batch = await self._store.read(
                 names.GRANTS_TOPIC, self._partition, offset + len(rows)
             )
             rows += [decode_row(record) for record in batch.records]
-            if not batch.records or batch.next_offset >= batch.end:
+            if batch.next_offset >= batch.end:
                 return rows
+            if not batch.records:
+                raise LogUnavailableError("a read that ends before its rows")
 
     async def swap(self, end: int, rows: list[GrantRow]) -> SwapResult:
         """Append ``rows``, all or none, if the partition ends at ``end``."""
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -8,6 +8,7 @@
 from lavendershift.connections import Connections
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.platform import store as store_module
+from lavendershift.platform.grants import StoreGrantLog
 from lavendershift.platform.store import (
     AppendResult,
     StoreClient,
@@ -309,3 +310,13 @@
         assert result is AppendResult.UNKNOWN
 
     play_answers(work, send(make_answer(b'{"offset":3,"end":4}')))
+
+
+def test_rows_of_a_read_that_ends_early_are_not_all_rows(play_answers):
+    async def work(client, server):
+        log = StoreGrantLog(client)
+        with pytest.raises(LogUnavailableError):
+            await log.read_rows(3)
+
+    cut = b"HTTP/1.1 200 -\r\n\r\n" + HEAD.pack(5, 0)
+    play_answers(work, send(cut, closes=True))
