List no VM again by a late row from before it left

What callers would see: the address of a VM that has left, in the directory's answers for up to 4.5 s.

Cause: a renewal without an answer may be carried out by the store seconds later, after the row that says that the VM is leaving. Rows were taken in the order of the log, although their renewal number tells which is newer; the number was written and read and compared by nobody.

Evidence: the test failed before, with the leaving row just read, a second old and already forgotten.

Ruled out: a new incarnation of the VM. It counts from the start and is listed at once, which the test checks; loads and prompt parts that VMs tell each other were compared by their numbers before.

Why the fix works: the newest number of a VM's incarnation is kept beyond its row, and an older row changes nothing. A VM that starts after the late row still reads it as the newest one and lists the VM until it expires.

--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -1,5 +1,7 @@
 from datetime import timedelta
 
+import pytest
+
 from lavendershift.clocks import ManualClock
 from lavendershift.vmlist import EXPIRY, VmList, VmRow
 
@@ -81,3 +83,16 @@
     vms = make_list(ManualClock(), "a")
     vms.update(make_row("b")._replace(peer_address="10.0.0.2:7340"))
     assert vms.list_peers() == [("10.0.0.2", 7340)]
+
+
+@pytest.mark.parametrize("seconds", [0, 1, 10])
+def test_a_late_row_from_before_a_vm_left_does_not_list_it_again(seconds):
+    clock = ManualClock()
+    vms = make_list(clock, "a")
+    vms.update(make_row("a", renewal=3, is_leaving=True))
+    for _ in range(seconds):
+        renew(vms, clock, [])
+    assert not vms.update(make_row("a", renewal=2))
+    assert vms.list_addresses() == ["own:80"]
+    assert vms.update(make_row("a", renewal=1)._replace(incarnation="b"))
+    assert vms.list_addresses() == ["a:80", "own:80"]
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -56,6 +56,7 @@
         self._find_silence: Callable[[str], timedelta | None] = lambda name: None
         self.own = own
         self._known: dict[str, _KnownVm] = {}
+        self._newest: dict[str, tuple[str, int]] = {}  # incarnation and renewal
         self._checked_at = clock.elapsed()
 
     def hear_directly(self, find_silence: Callable[[str], timedelta | None]) -> None:
@@ -67,9 +68,17 @@
         self.own = row
 
     def update(self, row: VmRow) -> bool:
-        """Note a VM's row; true if it is news that callers should get."""
+        """Note a VM's row; true if it is news that callers should get.
+
+        A row older than the newest of its incarnation is ignored, as the store
+        may carry out an append without an answer late.
+        """
         if row.name == self.own.name:
             return False
+        incarnation, renewal = self._newest.get(row.name, ("", 0))
+        if row.incarnation == incarnation and row.renewal < renewal:
+            return False
+        self._newest[row.name] = (row.incarnation, row.renewal)
         known = self._known.get(row.name)
         self._known[row.name] = _KnownVm(row, self._clock.elapsed())
         if known is None:
