Keep no connection that an answer announces to close

What could happen: a request that may not be repeated is sent on a connection that its server is closing, and its caller gets 502 as the outcome is unknown.

Cause: an answer closed the connection only where Connection held "close" alone, and an answer of HTTP/1.0, which closes by itself, was not told apart.

Ruled out, by tests that passed before and are kept, as nothing covered them: an exchange given up by a timeout hands nothing more to its reader, also where the reader was busy; a connection is not kept where its exchange was given up, where the answer came before the whole request was written, or where bytes are left behind an answer of 204 or 304 or one without a length. The first of these tests was made stricter in the store's module: the call that is given up uses a kept connection.

Why the fix works: all options of the header are read, and the version.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -98,6 +98,7 @@
         self._ended = ended
         self.status = 0
         self.headers = HTTPHeaders()
+        self.closes = False
 
     def headers_received(
         self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
@@ -105,6 +106,7 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code > LAST_INFORMATIONAL:
             self.status, self.headers = start_line.code, headers
+            self.closes = start_line.version == "HTTP/1.0" or _asks_to_close(headers)
             self._reader.start(start_line.code, headers)
         return None
 
@@ -171,8 +173,7 @@
 
     def _note_answer(self, delegate: _Delegate) -> None:
         headers = delegate.headers
-        closes = headers.get("Connection", "").lower() == "close"
-        self._may_keep = _has_length(delegate) and not closes
+        self._may_keep = _has_length(delegate) and not delegate.closes
         timeout = _parse_keep_alive(headers.get("Keep-Alive", ""))
         if timeout is not None:
             self.max_idle = timeout - IDLE_MARGIN
@@ -297,6 +298,12 @@
     return "chunked" in headers.get("Transfer-Encoding", "").lower()
 
 
+def _asks_to_close(headers: HTTPHeaders) -> bool:
+    """Tell whether ``close`` is among the options of the connection."""
+    options = headers.get("Connection", "").lower().split(",")
+    return "close" in [option.strip() for option in options]
+
+
 def _parse_keep_alive(value: str) -> timedelta | None:
     """Return the timeout of a ``Keep-Alive`` header."""
     for part in value.split(","):
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -250,6 +250,7 @@
     play_answers, is_cancelled
 ):
     async def work(client, server):
+        await client.read(TOPIC, 0, 0)
         call = asyncio.ensure_future(client.read(TOPIC, 0, 0))
         await asyncio.sleep(0.1)
         if is_cancelled:
@@ -261,8 +262,8 @@
         assert record.value == b"2"
 
     late = make_read(b"old")
-    script = send(late[:-1], late[-1:], pause_s=0.45), send(make_read(b"2"))
-    play_answers(work, *script)
+    slow = send(late[:-1], late[-1:], pause_s=0.45)
+    play_answers(work, send(make_read(b"1")), slow, send(make_read(b"2")))
 
 
 def test_an_informational_answer_is_not_the_answer(play_answers):
--- /dev/null
+++ b/lavendershift/tests/test_connections.py
@@ -0,0 +1,143 @@
+import asyncio
+from datetime import timedelta
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.clocks import SystemClock
+from lavendershift.connections import Connections, ServerRequest
+from lavendershift_standins.platformserver import PlatformServer
+
+SECOND = timedelta(seconds=1)
+HEAD = b"HTTP/1.1 200 -\r\nContent-Length: 12\r\n\r\n"
+
+
+class Reader:
+    """Notes what it is handed; each part takes ``pause_s``."""
+
+    def __init__(self, pause_s=0.0):
+        self.pause_s = pause_s
+        self.parts = []
+
+    def start(self, status, headers):
+        self.parts.append(status)
+
+    async def add(self, chunk):
+        self.parts.append(chunk)
+        await asyncio.sleep(self.pause_s)
+
+
+def make_request(method="POST", body=b""):
+    headers = HTTPHeaders({"Host": "a", "Content-Length": str(len(body))})
+    return ServerRequest(method, "/", headers, body)
+
+
+@pytest.fixture
+def play():
+    """Return a function that runs work with a server that answers by a script."""
+
+    def run(work, *script):
+        async def whole():
+            server = PlatformServer("i-1")
+            server.script.extend(script)
+            await server.start()
+            connections = Connections(SystemClock())
+            try:
+                async with asyncio.timeout(5):
+                    await work(connections, server)
+            finally:
+                connections.close()
+                await server.stop()
+
+        asyncio.run(whole())
+
+    return run
+
+
+def send(*parts, pause_s=0.05):
+    async def behave(received, writer):
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(pause_s)
+
+    return behave
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.3])
+def test_an_exchange_given_up_hands_nothing_more_to_its_reader(play, pause_s):
+    async def work(connections, server):
+        connection = await connections.connect(server.address, SECOND)
+        reader = Reader(pause_s)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.12):
+                await connection.exchange(make_request(), reader)
+        connection.close()
+        before = list(reader.parts)
+        assert before[0] == 200
+        await asyncio.sleep(0.4)
+        assert reader.parts == before
+
+    play(work, send(HEAD, b"one ", b"two ", b"four"))
+
+
+def test_a_connection_given_up_is_not_kept(play):
+    async def work(connections, server):
+        connection = await connections.connect(server.address, SECOND)
+        await connection.exchange(make_request(), Reader())
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await connection.exchange(make_request(), Reader())
+        connections.give_back(connection)
+        assert connections.take(server.address) is None
+
+    play(work, send(HEAD + b"one two four"), send(HEAD))
+
+
+def test_a_connection_is_not_kept_while_its_request_is_being_written():
+    async def work():
+        async def answer_early(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"one two four")
+            await asyncio.sleep(5)
+
+        server = await asyncio.start_server(answer_early, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connections = Connections(SystemClock())
+        connection = await connections.connect(f"127.0.0.1:{port}", SECOND)
+        request = make_request(body=b"x" * 30_000_000)
+        exchange = await connection.exchange(request, Reader())
+        connections.give_back(connection)
+        assert exchange.is_whole
+        assert connections.take(f"127.0.0.1:{port}") is None
+        server.close()
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 -\r\n\r\none",
+        b"HTTP/1.1 200 -\r\nConnection: close\r\nContent-Length: 3\r\n\r\none",
+        b"HTTP/1.1 200 -\r\nConnection: foo, Close\r\nContent-Length: 3\r\n\r\none",
+        b"HTTP/1.0 200 -\r\nContent-Length: 3\r\n\r\none",
+        b"HTTP/1.1 304 -\r\nContent-Length: 3\r\n\r\none",
+        b"HTTP/1.1 204 -\r\n\r\none",
+    ],
+)
+def test_a_connection_that_is_to_be_closed_or_holds_a_rest_is_not_kept(play, answer):
+    async def work(connections, server):
+        async def behave(received, writer):
+            writer.write(answer)
+            await asyncio.sleep(0.05)
+            if b"Length" not in answer:
+                raise ConnectionError
+
+        server.script.append(behave)
+        connection = await connections.connect(server.address, SECOND)
+        exchange = await connection.exchange(make_request(), Reader())
+        assert exchange.is_whole
+        connections.give_back(connection)
+        assert connections.take(server.address) is None
+
+    play(work)
