Judge a server that was started again by itself

What could happen: a server that comes back under its id after a crash gets no requests while the ejection of its predecessor lasts, which is up to a minute after some crashes in a row, and requests that end late on the predecessor eject the new one. Fewer servers are left for the load meanwhile.

Cause: failures, successes and slowness are kept by the server's id, while load, cache and pauses are kept by its incarnation. What was seen of one incarnation outlived it.

Evidence: the three tests failed before.

Ruled out: load, unread tokens and cached parts, which start anew (test_a_server_reborn_under_its_id_starts_anew); a server whose entry was removed in between, whose record is dropped with it.

Why the fix works: the record starts anew where a server's start or address changes, and a result counts only if it is of the server that is listed now.

--- a/lavendershift/ejection.py
+++ b/lavendershift/ejection.py
@@ -75,6 +75,10 @@
         for name in names - self._servers.keys():
             self._servers[name] = _Health()
 
+    def forget(self, server: str) -> None:
+        """Start the record of ``server`` anew, as it was started again."""
+        self._servers[server] = _Health()
+
     def is_ejected(self, server: str, now: timedelta) -> bool:
         """Tell whether ``server`` gets no requests at ``now``."""
         until = self._servers[server].ejected_until
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -165,6 +165,7 @@
             return None
         if entry.born != old.born or entry.address != old.address:
             self._servers[entry.id] = ListedServer(entry, self._clock)
+            self._outliers[old.service].forget(entry.id)
         known.entry = entry
         if old.service != entry.service:
             self._update_outliers(old.service)
@@ -287,7 +288,7 @@
         waited = now - placed.started
         service = placed.server.entry.service
         if placed.expected:
-            outliers = self._outliers.get(service)
+            outliers = self._find_outliers(placed.server)
             ratio = waited / placed.expected
             if outliers is not None:
                 outliers.record_slowness(placed.server.entry.id, ratio, now)
@@ -298,13 +299,13 @@
     def note_success(self, server: ListedServer) -> None:
         """Note a sound answer."""
         server.pause = UNREACHABLE_PAUSE
-        outliers = self._outliers.get(server.entry.service)
+        outliers = self._find_outliers(server)
         if outliers is not None:
             outliers.record_success(server.entry.id)
 
     def note_failure(self, server: ListedServer) -> None:
         """Note a failed answer; after some in a row the server is left alone."""
-        outliers = self._outliers.get(server.entry.service)
+        outliers = self._find_outliers(server)
         if outliers is not None:
             outliers.record_failure(server.entry.id, self._clock.elapsed())
 
@@ -313,6 +314,12 @@
         server.avoided_until = self._clock.elapsed() + server.pause
         server.pause = min(server.pause * 2, LONGEST_PAUSE)
 
+    def _find_outliers(self, server: ListedServer) -> OutlierDetector | None:
+        """Return the record that counts for ``server``, none for a predecessor."""
+        if self._servers.get(server.entry.id) is not server:
+            return None
+        return self._outliers.get(server.entry.service)
+
     def _update_outliers(self, service: str) -> None:
         outliers = self._outliers.setdefault(service, OutlierDetector(self._rng))
         outliers.update_servers(
--- a/lavendershift/tests/test_serverlist.py
+++ b/lavendershift/tests/test_serverlist.py
@@ -191,3 +191,40 @@
     # All places of the fleet are taken before most requests wait for one.
     assert max(used.values()) <= 6 + 2
     assert len(used) == 4
+
+
+def fail(servers, server, times=3):
+    for _ in range(times):
+        servers.note_failure(server)
+
+
+def is_chosen(servers, name):
+    return any(
+        servers.choose("index", NO_PROMPT, ()).entry.id == name for _ in range(60)
+    )
+
+
+def test_a_server_reborn_under_its_id_is_not_left_alone_for_its_predecessor():
+    servers = make_servers(3)
+    fail(servers, servers.find("i-0"))
+    assert not is_chosen(servers, "i-0")
+    servers.update(make_entry(0, born=2000))
+    assert is_chosen(servers, "i-0")
+
+
+def test_failures_of_requests_to_its_predecessor_do_not_count_against_a_server():
+    servers = make_servers(3)
+    predecessor = servers.find("i-0")
+    servers.update(make_entry(0, born=2000))
+    fail(servers, predecessor)
+    assert is_chosen(servers, "i-0")
+
+
+def test_successes_of_its_predecessor_do_not_count_for_a_server():
+    servers = make_servers(3)
+    predecessor = servers.find("i-0")
+    servers.update(make_entry(0, born=2000))
+    for _ in range(3):
+        servers.note_success(predecessor)
+        fail(servers, servers.find("i-0"), times=1)
+    assert not is_chosen(servers, "i-0")
