Read no record after a page that tells a newer one

What could happen: a server that is listed is dropped, its idle connections are closed, and it is listed again by the next reading.

A later page may be newer than the end from which the reading goes on, which then hands out older records of the same keys, among them a removal that an entry had followed. Entries carry a number and are compared by it; removals carry none.

Evidence: the test failed before: the older record was handed out.

Ruled out: the rows of grants and the passbook's pages, which read to the end of the log before they use what they read, and append under a condition; the configuration, whose version only rises; rows of VMs, compared by their renewal.

Why the fix works: the offset that a page told for a key is kept until the reading has passed it, and older records of that key are left out.

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -32,6 +32,7 @@
         self._store = store
         self._wait = wait
         self._offset: int | None = None
+        self._ahead: dict[bytes, int] = {}
 
     async def read(self) -> tuple[Batch, bool]:
         """Return new records, and whether they are all newest records.
@@ -41,6 +42,12 @@
         if self._offset is None:
             batch = await self._store.read_newest(self.topic, 0)
             self._offset = batch.next_offset
+            # Pages may be newer than the offset that the reading goes on from.
+            self._ahead = {
+                record.key: record.offset
+                for record in batch.records
+                if record.offset >= batch.next_offset
+            }
             return batch, True
         try:
             batch = await self._store.read(self.topic, 0, self._offset, self._wait)
@@ -48,7 +55,16 @@
             self._offset = None
             return await self.read()
         self._offset = batch.next_offset
-        return batch, False
+        return self._drop_older(batch), False
+
+    def _drop_older(self, batch: Batch) -> Batch:
+        """Return ``batch`` without records older than a page told."""
+        if not self._ahead:
+            return batch
+        records = [r for r in batch.records if r.offset > self._ahead.get(r.key, -1)]
+        if batch.next_offset > max(self._ahead.values()):
+            self._ahead = {}
+        return batch._replace(records=records)
 
 
 class Feed:
