Count no slow reading by the caller as the server's silence

A stream whose caller took a part of it for longer than 0.9 s was resumed at another server though its own was sound: a second run, a retry of the fleet's budget and a failure on the server's record. The answer was whole.

Cause: the server is not read from while the caller's connection is full, and the watchdog for its silence ran on. Ruled out: joined or lost events; the whole events were in the caller's buffer.

Change: the watchdog stands still while a part waits for the caller and begins again when it was taken.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -249,12 +249,14 @@
                 patience.total_seconds() if patience else None
             ) as watchdog:
 
-                def note_progress() -> None:
+                def wait_until(when: float | None) -> None:
                     # After a pause of the process data and timeout come at once.
                     if patience is not None and not watchdog.expired():
-                        watchdog.reschedule(loop.time() + gap)
+                        watchdog.reschedule(when)
 
-                reader.note_progress = note_progress
+                reader.note_progress = lambda: wait_until(loop.time() + gap)
+                # A caller that reads slowly is no silence of the server.
+                reader.note_holding = lambda: wait_until(None)
                 exchange = await connection.exchange(message, reader)
                 while exchange.is_whole and reader.kind is AnswerKind.FOREIGN:
                     exchange = await connection.read_next(reader)
--- a/lavendershift/serveranswers.py
+++ b/lavendershift/serveranswers.py
@@ -53,8 +53,9 @@
     """Takes one attempt's answer.
 
     ``is_fresh`` tells whether its connection was used for no other request,
-    ``note_progress`` is called whenever a part of the answer arrived. ``refused`` is
-    set once the answer can't be the rest of the stream; ``stop`` then ends it.
+    ``note_progress`` is called whenever a part of the answer arrived, ``note_holding``
+    when the caller has to take a part before the next is read. ``refused`` is set
+    once the answer can't be the rest of the stream; ``stop`` then ends it.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.refused: End | None = None
         self.reason = ""
         self.note_progress: Callable[[], None] = lambda: None
+        self.note_holding: Callable[[], None] = lambda: None
         self.kind = AnswerKind.FOREIGN
         self.status = 0
         self.headers = HTTPHeaders()
@@ -120,7 +122,12 @@
         except EventOrderError as error:
             self._refuse(End.OUT_OF_PLACE, str(error))
             return None
-        return self._taker.forward(self, events) if events else None
+        return self._hand_on(events) if events else None
+
+    async def _hand_on(self, events: bytes) -> None:
+        self.note_holding()
+        await self._taker.forward(self, events)
+        self.note_progress()
 
     def _refuse(self, end: End, reason: str) -> None:
         self.refused, self.reason = end, reason
