Let the scripted servers break streams off inside an event

The scripted servers could only reset a stream, 7 bytes into an event at most, and always went on where they were asked to, so no test or soak could play the other ways of ending. Change: a stream may be cut at any byte and then be reset, stay silent, end with its last chunk or, without a length, by closing; its resumption may be answered by a plain body, with another status or media type, or from the first event on.

--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -177,6 +177,27 @@
     raise ConnectionError
 
 
+async def close(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Close the connection cleanly."""
+    raise ConnectionError
+
+
+async def end_chunks(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Send the last chunk."""
+    writer.write(b"0\r\n\r\n")
+
+
+def answer_as(status: int, media_type: str) -> Behaviour:
+    """Answer with a whole body that holds no events."""
+
+    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
+        body = f'{{"done": "{received.id}"}}'.encode()
+        headers = {"Content-Type": media_type, "Content-Length": str(len(body))}
+        writer.write(make_head(received, status, headers) + body)
+
+    return behave
+
+
 def answer_unframed(is_clean: bool) -> Behaviour:
     """Answer without a length, ended by closing or by a reset."""
 
@@ -197,34 +218,58 @@
 
 
 def stream(
-    count: int, pause_s: float = 0.0, cut_after: int | None = None, partial: bool = True
+    count: int,
+    pause_s: float = 0.0,
+    cut_after: int | None = None,
+    partial: int = 7,
+    cut: Behaviour = reset,
+    is_chunked: bool = True,
+    resumed: Behaviour | None = None,
 ) -> Behaviour:
     """Answer with events, from the one after ``Last-Event-Id`` on.
 
-    With ``cut_after`` the connection is reset after so many of them, in the
-    middle of the next where ``partial`` is set.
+    With ``cut_after`` so many of them are followed by ``partial`` bytes of the
+    next and by ``cut``, which may never end. ``resumed`` answers in place of
+    the stream where there is a ``Last-Event-Id``.
     """
 
     async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
         first = int(received.headers.get("last-event-id", "0")) + 1
-        headers = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        if resumed is not None and first > 1:
+            await resumed(received, writer)
+            return
+        headers = {"Content-Type": "text/event-stream"}
+        if is_chunked:
+            headers["Transfer-Encoding"] = "chunked"
         writer.write(make_head(received, 200, headers))
         for number in range(first, count + 1):
             if cut_after is not None and number - first >= cut_after:
-                if partial:
-                    write_chunk(writer, make_event(number)[:7])
+                write_part(writer, make_event(number)[:partial], is_chunked)
                 await writer.drain()
                 await asyncio.sleep(0.05)
-                await reset(received, writer)
-            write_chunk(writer, make_event(number))
+                await cut(received, writer)
+                return
+            write_part(writer, make_event(number), is_chunked)
             await writer.drain()
             if pause_s:
                 await asyncio.sleep(pause_s)
-        writer.write(b"0\r\n\r\n")
+        await (end_chunks if is_chunked else close)(received, writer)
+
+    return behave
+
+
+def begin_again(behaviour: Behaviour) -> Behaviour:
+    """Answer as if there were no ``Last-Event-Id``."""
+
+    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
+        headers = {k: v for k, v in received.headers.items() if k != "last-event-id"}
+        await behaviour(received._replace(headers=headers), writer)
 
     return behave
 
 
-def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Write one chunk of a chunked body."""
-    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+def write_part(writer: asyncio.StreamWriter, data: bytes, is_chunked: bool) -> None:
+    """Write a part of a body, where it is chunked as one chunk."""
+    if is_chunked and data:
+        data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+    writer.write(data)
