Let the soak's links and servers fail inside an event

Cause of the miss: links passed on whatever was read as one piece, and their faults began between reads, so that an event was never torn on its way; of the spoilt servers only the reset came inside an event, and a resumption was wrong only where another spoilt answer happened to meet it. Change: links pass on pieces of a few bytes, and hold, forget or reset after a random number of them, for servers and for the store; spoilt servers break off or end in the middle of an event, and others then resume wrongly. The order of the random choices changes, so that seeds of before play other faults.

--- a/lavendershift/platform/tests/soak/faults.py
+++ b/lavendershift/platform/tests/soak/faults.py
@@ -107,9 +107,12 @@
 @register_fault(4, 4.0)
 def cut_store_link(world, rng):
     link = rng.choice(world.store_links)
-    way = rng.choice(["hold", "to target", "to caller", "delay", "refuse", "forget"])
+    ways = ["hold", "to target", "to caller", "delay", "refuse", "forget", "break"]
+    way = rng.choice(ways)
     if way == "hold":
         world.call(link.hold, TO_TARGET, TO_CALLER)
+    elif way == "break":
+        break_between_bytes(world, link, rng)
     elif way in (TO_TARGET, TO_CALLER):
         world.call(link.hold, way)
     elif way == "delay":
@@ -122,6 +125,14 @@
     return lambda: world.call(link.heal)
 
 
+def break_between_bytes(world, link, rng):
+    """Let ``link`` pass pieces on, and fail after some of them."""
+    link.piece_bytes = rng.choice([3, 10, 100])
+    ways = [(link.hold, TO_CALLER), (link.forget,), (link.reset,)]
+    count = rng.randint(1, 3000)  # from a part of a head to tens of answers
+    world.call(link.break_within, count, *rng.choice(ways))
+
+
 @register_fault(1, 4.0)
 def cut_all_from_the_store(world, rng):
     for link in world.store_links:
@@ -146,6 +157,14 @@
     return lambda: world.call(link.heal)
 
 
+@register_fault(4, 3.0)
+def break_server_link(world, rng):
+    service = rng.choice(["pool", "pool", "ledger"])  # streams come from the pool
+    link = world.server_links[rng.choice(world.servers[service]).name]
+    break_between_bytes(world, link, rng)
+    return lambda: world.call(link.heal)
+
+
 @register_fault(1.5, 3.0)
 def take_store_away(world, rng):
     field = rng.choice(["away", "silent"])
@@ -181,8 +200,49 @@
     ]
     if service == "pool":
         plain += [platformserver.stream(8, 0.01, cut_after=n) for n in (0, 3, 7)]
+        plain += [make_broken_stream(rng) for _ in range(8)]
     else:
         plain += [platformserver.answer_with_extra]
         plain += [platformserver.answer_unframed(False)]
     for _ in range(rng.randint(1, 4)):
         server.script.append(rng.choice(plain))
+
+
+def make_broken_stream(rng):
+    """Return a stream that ends, or goes silent, in the middle of an event."""
+    after = rng.randint(0, 7)
+    partial = rng.randint(1, len(platformserver.make_event(after + 1)) - 1)
+    ways = {
+        platformserver.keep_silent: True,
+        platformserver.reset: True,
+        platformserver.end_chunks: True,
+        platformserver.close: False,
+    }
+    cut = rng.choice(list(ways))
+    return platformserver.stream(8, 0.01, after, partial, cut, ways[cut])
+
+
+@register_fault(3, 3.0)
+def resume_wrongly(world, rng):
+    """Let one server break streams off and the others go on with them wrongly."""
+    servers = world.servers["pool"]
+    whole = platformserver.stream(8, 0.01)
+    resumed = rng.choice(
+        [
+            platformserver.answer_whole,
+            platformserver.answer_as(200, "application/json"),
+            platformserver.answer_as(200, "text/plain"),
+            platformserver.answer_as(206, "text/event-stream"),
+            platformserver.begin_again(whole),
+        ]
+    )
+    for server in servers:
+        server.default = platformserver.stream(8, 0.01, resumed=resumed)
+    breaking = rng.choice(servers)
+    breaking.script += [make_broken_stream(rng) for _ in range(rng.randint(2, 6))]
+
+    def undo():
+        for server in servers:
+            server.default = whole
+
+    return undo
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -64,7 +64,7 @@
 
     def _start_link(self, port):
         async def start():
-            link = FaultyLink(port)
+            link = FaultyLink(port, random.Random(f"{self.seed}/link"))
             await link.start()
             return link
 
