Judge the events of streams one by one in the soak

Cause of the miss: a caller of the soak read an answer as one piece and kept nothing of one that was reset, so that what came before was not judged, and an incomplete body had only to be the beginning of some body, in any kind of answer. Change: callers keep what came as it comes. An answer of events holds whole events in order, all of them where it ended as complete; a node hands on nothing else, so bytes of a partial event are never right, also last in an incomplete answer. A plain body comes whole and under no event stream's type. All bodies allowed now were allowed before. A violation says how many events were in order and what came then.

--- a/lavendershift/platform/tests/soak/callers.py
+++ b/lavendershift/platform/tests/soak/callers.py
@@ -117,10 +117,10 @@
                 raise ConnectionError
             answer = connection.getresponse()
             status, fields = answer.status, dict(answer.headers)
-            body = answer.read()
-            is_whole = True
-        except http.client.IncompleteRead as error:
-            body = error.partial
+            while part := answer.read1():
+                body += part
+            answer.read()  # lets the connection be used again
+            is_whole = not answer.length  # what a body of given length lacks
         except (OSError, http.client.HTTPException):
             pass  # what the request's record shows as an answer that ended early
         if is_whole and fields.get("Connection", "").lower() != "close":
--- a/lavendershift/platform/tests/soak/judge.py
+++ b/lavendershift/platform/tests/soak/judge.py
@@ -9,6 +9,7 @@
 
 PROMISES = (408, 421, 429, 503)  # not run, and never will be
 EVENTS = [make_event(number) for number in range(1, 9)]
+STREAMS = [b"".join(EVENTS[:count]) for count in range(1, len(EVENTS) + 1)]
 OWNERS = {"key-1": "plume", "key-2": "encre", "key-3": "sable"}
 TOKENS_PER_EVENT = 5
 DRAIN_S = 2.0
@@ -43,7 +44,6 @@
 
 
 def judge_answers(seen):
-    whole = b"".join(EVENTS)
     for each in seen:
         if each.status != 200:
             continue
@@ -51,14 +51,24 @@
             yield f"{each.id} got the answer of another request"
         if not each.headers.get("X-Lavendershift-Response-Signature"):
             yield f"{each.id} got a success that no server made"
-        # Spoilt servers of either kind answer with a plain body, or one that
-        # is reset before its end.
-        plain, cut = f"done {each.id}".encode(), b"all of it"
-        bodies = [plain, whole] if each.kind == "index" else [plain]
-        if each.is_whole and each.body not in bodies:
-            yield f"{each.id} got {each.body[-60:]!r} as whole"
-        if not any(body.startswith(each.body) for body in [*bodies, cut]):
-            yield f"{each.id} got {each.body[-60:]!r}"
+        # Spoilt servers of either kind answer with a plain body. Of events a
+        # node hands on whole ones only, of other bodies nothing but the whole.
+        bodies = [f"done {each.id}".encode()]
+        if each.headers.get("Content-Type", "").startswith("text/event-stream"):
+            bodies = STREAMS
+            if each.kind != "index":
+                yield f"{each.id} got a stream"
+        if each.is_whole and each.body != bodies[-1]:
+            yield f"{each.id} got as whole {describe_body(each.body)}"
+        elif each.body not in [b"", *bodies]:
+            yield f"{each.id} got {describe_body(each.body)}"
+
+
+def describe_body(body):
+    """Return where a body stops to be events in order."""
+    count = sum(body.startswith(part) for part in STREAMS)
+    rest = body[len(STREAMS[count - 1]) :] if count else body
+    return f"{count} events in order, then {rest[:60]!r}"
 
 
 def judge_runs(seen, runs):
