Let the jobs of a soak choose ports of their own

Seen: 'Address already in use' in place of a seed, 2 of 9 and 2 of 12 plays in two runs of three jobs. Cause: the ports are counted from the id of the process that loaded the module; three forked jobs were given the same first ports, as a run of find_ports in three workers showed (fork: 21506 three times; spawn: 21230, 31276, 20253). Change: jobs are started afresh, and what they run is in a module that they can load.

--- a/lavendershift/platform/tests/soak/__main__.py
+++ b/lavendershift/platform/tests/soak/__main__.py
@@ -1,25 +1,12 @@
 """Play seeds and print what they found."""
 
 import argparse
+import multiprocessing
 import sys
-import tempfile
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from lavendershift.platform.tests.soak.judge import judge
-from lavendershift.platform.tests.soak.world import SoakWorld
-
-
-def play_seed(seed, nodes=3, calm_s=6.0, chaos_s=10.0, folder=None):
-    """Play one seed; returns its violations and the number of requests."""
-    with tempfile.TemporaryDirectory() as temporary:
-        world = SoakWorld(Path(folder or temporary), seed, nodes)
-        try:
-            starts = world.play(calm_s, chaos_s)
-            found = list(judge(world, starts))
-        finally:
-            world.stop()
-        return found, sum(len(caller.seen) for caller in world.callers)
+from lavendershift.platform.tests.soak.play import play_seed
 
 
 def main():
@@ -32,7 +19,9 @@
     first, _, last = options.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     failed = 0
-    with ProcessPoolExecutor(options.jobs) as pool:
+    # Forked jobs would choose the same ports as one another.
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(options.jobs, mp_context=context) as pool:
         results = []
         for seed in seeds:
             folder = options.folder and options.folder / str(seed)
--- a/lavendershift/platform/tests/test_soak.py
+++ b/lavendershift/platform/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lavendershift.platform.tests.soak.__main__ import play_seed
+from lavendershift.platform.tests.soak.play import play_seed
 
 REGRESSIONS = {
     8: "after a pause, data that came with a stream's timeout raised an error",
