--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -9,9 +9,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
@@ -33,8 +32,9 @@
     Exchange,
 )
 from lavendershift.errors import ErrorKind, RequestError
-from lavendershift.eventstreams import EventSplitter
+from lavendershift.eventstreams import EventPosition
 from lavendershift.routes import Repeat, Route, Service
+from lavendershift.serveranswers import SERVER_ERRORS, AnswerReader, ServerAnswer
 from lavendershift.serverlist import (
     NO_PROMPT,
     ListedServer,
@@ -50,57 +50,12 @@
 EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
 REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
 ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
-SUCCESSES = range(200, 300)
-SERVER_ERRORS = range(500, 600)
 
 
-class _ServerAnswer(NamedTuple):
-    """A whole answer that was collected."""
-
-    status: int
-    headers: HTTPHeaders
-    body: bytes
-
-
-class _Reader:
-    """Takes one attempt's answer: streams are handed on, the rest is collected."""
-
-    def __init__(
-        self, delivery: "Delivery", is_fresh: bool, note_progress: Callable[[], None]
-    ) -> None:
-        self._delivery = delivery
-        self._is_fresh = is_fresh
-        self._note_progress = note_progress
-        self._chunks: list[bytes] = []
-        self.kind = AnswerKind.FOREIGN
-        self.status = 0
-        self.headers = HTTPHeaders()
-
-    def start(self, status: int, headers: HTTPHeaders) -> None:
-        self._chunks = []
-        self.status, self.headers = status, headers
-        self.kind = self._delivery.judge(status, headers, self._is_fresh)
-        self._is_fresh = False
-        if self.kind is AnswerKind.OWN:
-            self._note_progress()
-
-    @property
-    def is_streamed(self) -> bool:
-        return (
-            self.kind is AnswerKind.OWN
-            and self._delivery.route.is_stream
-            and self.status in SUCCESSES
-        )
-
-    def add(self, chunk: bytes) -> Awaitable[None] | None:
-        if not self.is_streamed:
-            self._chunks.append(chunk)
-            return None
-        self._note_progress()
-        return self._delivery.forward(self.status, self.headers, chunk)
-
-    def collect(self) -> _ServerAnswer:
-        return _ServerAnswer(self.status, self.headers, b"".join(self._chunks))
+# After these the connection is not used again, as more of the answer may come.
+UNFINISHED = frozenset(
+    {End.SILENT, End.BROKEN, End.INSIDE_EVENT, End.OTHER_KIND, End.OUT_OF_PLACE}
+)
 
 
 class Delivery:
@@ -126,6 +81,8 @@
         urgency: int = 5,
     ) -> None:
         self.route = route
+        self.position = EventPosition()
+        self.first_status = 0
         self._clock = clock
         self._request = request
         self._service = service
@@ -138,12 +95,11 @@
         self._customer = customer
         self._urgency = urgency
         self._limit = min(request.deadline, request.received + route.timeout)
-        self._splitter = EventSplitter()
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
         self._unreached = 0
-        self._server_error: _ServerAnswer | None = None
+        self._server_error: ServerAnswer | None = None
         self._placed: Placed | None = None
         self._is_read = False
         self.first_event_at: timedelta | None = None
@@ -158,7 +114,7 @@
     @property
     def delivered_tokens(self) -> int:
         """The most output tokens that the events handed on can hold."""
-        return self._splitter.count * self._service.tokens_per_event
+        return self.position.events * self._service.tokens_per_event
 
     async def run(self) -> None:
         """Deliver the whole answer; raises ``RequestError``."""
@@ -205,7 +161,7 @@
         if self.route.repeat is Repeat.ALWAYS:
             return not self._answers.has_started
         if self.route.repeat is Repeat.RESUME:
-            return not self._answers.has_started or bool(self._splitter.last_id)
+            return not self._answers.has_started or self.position.can_continue
         return False
 
     def _give_up(self, end: End) -> None:
@@ -234,18 +190,21 @@
             connection = await self._open(server)
         except ConnectError as error:
             self._servers.note_unreachable(server)
-            self._note(entry.id, End.NOT_SENT, str(error), 0, started)
+            self._note(entry.id, End.NOT_SENT, str(error), None, started)
             return End.NOT_SENT
         self._sends += 1
         self._runs += 1
         placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._placed, self._is_read = placed, False
         keeps = False
+        reader = AnswerReader(
+            self, self.route.is_stream, connection.is_fresh, connection.close
+        )
         try:
-            end, reason, reader = await self._exchange(connection, entry.id)
-            keeps = end is not End.SILENT and end is not End.BROKEN
+            end, reason = await self._exchange(connection, entry.id, reader)
+            keeps = end not in UNFINISHED
         except asyncio.CancelledError:
-            self._note(entry.id, End.GIVEN_UP, "", 0, started)
+            self._note(entry.id, End.GIVEN_UP, "", reader, started)
             raise
         finally:
             self._note_read(placed)
@@ -257,7 +216,7 @@
         self._note_server(server, end)
         if end.did_not_run:
             self._runs -= 1
-        self._note(entry.id, end, reason, reader.status, started)
+        self._note(entry.id, end, reason, reader, started)
         return end
 
     async def _open(self, server: ListedServer) -> Connection:
@@ -268,8 +227,8 @@
         return await self._connections.connect(address, CONNECT_TIMEOUT)
 
     async def _exchange(
-        self, connection: Connection, server: str
-    ) -> tuple[End, str, _Reader]:
+        self, connection: Connection, server: str, reader: AnswerReader
+    ) -> tuple[End, str]:
         """Exchange request and answer on ``connection``."""
         now = self._clock.elapsed()
         attempt = Attempt(
@@ -277,7 +236,7 @@
             customer=self._customer,
             urgency=self._urgency,
             deadline=self._limit,
-            resume_after=self._splitter.last_id,
+            resume_after=self.position.last_id,
         )
         message = self._wire.encode(self._request, attempt, now)
         patience = self._find_patience()
@@ -293,7 +252,7 @@
                     if patience is not None and not watchdog.expired():
                         watchdog.reschedule(loop.time() + gap)
 
-                reader = _Reader(self, connection.is_fresh, note_progress)
+                reader.note_progress = note_progress
                 exchange = await connection.exchange(message, reader)
                 while exchange.is_whole and reader.kind is AnswerKind.FOREIGN:
                     exchange = await connection.read_next(reader)
@@ -301,8 +260,8 @@
         except TimeoutError:
             if not watchdog.expired():
                 raise
-            return End.SILENT, "no progress", reader
-        return end, exchange.reason, reader
+            return End.SILENT, "no progress"
+        return end, reader.reason or exchange.reason
 
     def _find_patience(self) -> timedelta | None:
         """Return how long to wait for a sign of the answer, ``None`` to the end.
@@ -317,34 +276,35 @@
         patience = max(self.route.target * FIRST_BYTE_PART, SHORTEST_FIRST_BYTE)
         return min(patience, left / 2)
 
-    async def _conclude(self, exchange: Exchange, reader: _Reader) -> End:
+    async def _conclude(self, exchange: Exchange, reader: AnswerReader) -> End:
         """Judge an exchange, and hand a whole answer to the caller."""
         if reader.kind is AnswerKind.NOT_RUN:
             return End.NOT_RUN
         if reader.kind is AnswerKind.WRONG_SERVER:
             return End.WRONG_SERVER
+        if reader.refused is not None:
+            return reader.refused
         if not exchange.is_whole or reader.kind is AnswerKind.FOREIGN:
-            self._splitter.drop_partial()
             return End.BROKEN
         if reader.is_streamed:
+            if reader.events.is_inside_event:
+                return End.INSIDE_EVENT
             await self._finish_stream(reader)
             return End.ANSWERED
         answer = reader.collect()
         if answer.status in SERVER_ERRORS:
             self._server_error = answer
             return End.SERVER_ERROR
-        if self._answers.has_started:
-            return End.BROKEN
         if self._placed is not None and not self.route.is_stream:
             self._servers.note_time(self._placed)
         headers = self._wire.select_answer_headers(answer.headers)
         self._answers.send(answer.status, headers, answer.body)
         return End.ANSWERED
 
-    async def _finish_stream(self, reader: _Reader) -> None:
-        rest = self._splitter.flush()
+    async def _finish_stream(self, reader: AnswerReader) -> None:
+        rest = reader.events.take_rest()
         if not self._answers.has_started:
-            self._start_stream(reader.status, reader.headers)
+            self._start_stream(reader)
         if rest:
             await self._answers.write(rest)
         self._answers.finish()
@@ -353,13 +313,11 @@
         """Return whose answer has these headers."""
         return self._wire.judge(self._request, status, headers, is_fresh)
 
-    async def forward(self, status: int, headers: HTTPHeaders, chunk: bytes) -> None:
-        """Hand the whole events of ``chunk`` on to the caller."""
-        events = self._splitter.feed(chunk)
-        if not events:
-            return
+    async def forward(self, reader: AnswerReader, events: bytes) -> None:
+        """Hand whole events on to the caller."""
+        self.position = reader.events.position
         if not self._answers.has_started:
-            self._start_stream(status, headers)
+            self._start_stream(reader)
         if self._placed is not None and not self._is_read:
             self._servers.note_time(self._placed)
             self._note_read(self._placed)
@@ -368,9 +326,11 @@
         with contextlib.suppress(StreamClosedError):
             await self._answers.write(events)
 
-    def _start_stream(self, status: int, headers: HTTPHeaders) -> None:
+    def _start_stream(self, reader: AnswerReader) -> None:
         self.first_event_at = self._clock.elapsed()
-        self._answers.start(status, self._wire.select_answer_headers(headers))
+        headers = self._wire.select_answer_headers(reader.headers)
+        self.first_status = reader.status
+        self._answers.start(reader.status, headers)
 
     def _note_gap(self) -> None:
         """Note the pause since the last events."""
@@ -388,7 +348,7 @@
     def _note_server(self, server: ListedServer, end: End) -> None:
         if end is End.ANSWERED:
             self._servers.note_success(server)
-        elif end in (End.SILENT, End.BROKEN, End.SERVER_ERROR):
+        elif end in UNFINISHED or end is End.SERVER_ERROR:
             self._servers.note_failure(server)
         elif end is End.WRONG_SERVER:
             self._servers.note_unreachable(server)
@@ -396,9 +356,16 @@
             self._connections.drop(server.entry.address)
 
     def _note(
-        self, server: str, end: End, reason: str, status: int, started: timedelta
+        self,
+        server: str,
+        end: End,
+        reason: str,
+        reader: AnswerReader | None,
+        started: timedelta,
     ) -> None:
         duration = self._clock.elapsed() - started
         expected = self._placed.expected if self._placed else timedelta()
-        note = AttemptNote(server, end, reason, status, duration, expected)
+        status = reader.status if reader else 0
+        stream = reader.describe() if reader else None
+        note = AttemptNote(server, end, reason, status, duration, expected, stream)
         self._on_attempt(note)
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -1,39 +1,134 @@
 import pytest
 
-from lavendershift.eventstreams import EventSplitter
+from lavendershift.eventstreams import EventOrderError, EventPosition, EventReader
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 16, 17, 1000])
-def test_events_stay_whole_whatever_the_chunks(size):
-    splitter = EventSplitter()
+def test_events_stay_whole_whatever_the_chunks(size, line_end):
+    stream = STREAM.replace(b"\n", line_end)
+    reader = EventReader()
     whole = []
-    for start in range(0, len(STREAM), size):
-        events = splitter.feed(STREAM[start : start + size])
-        assert events == b"" or events.endswith(b"\n\n")
+    for start in range(0, len(stream), size):
+        events = reader.feed(stream[start : start + size])
+        assert events == b"" or events.endswith(line_end)
         whole.append(events)
-    assert b"".join(whole) == STREAM
-    assert splitter.count == 5
-    assert splitter.last_id == "5"
+    assert b"".join(whole) + reader.take_rest() == stream
+    assert reader.position == EventPosition(5, "5", is_counted=True)
 
 
 def test_a_partial_event_is_not_counted():
-    splitter = EventSplitter()
-    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
-    assert splitter.last_id == "1"
-    splitter.drop_partial()
-    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
-    assert splitter.count == 2
+    reader = EventReader()
+    assert reader.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert reader.position == EventPosition(1, "1", is_counted=True)
+    assert reader.partial_bytes == len(b"id: 2\nda")
+
+
+def test_a_reader_goes_on_where_the_one_before_ended():
+    before = EventReader()
+    before.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    reader = EventReader(before.position)
+    assert reader.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert reader.position == EventPosition(2, "2", is_counted=True)
 
 
 def test_events_with_other_line_ends():
-    splitter = EventSplitter()
-    assert splitter.feed(b"id: 4\r\ndata: x\r\n\r\nid") == b"id: 4\r\ndata: x\r\n\r\n"
-    assert splitter.last_id == "4"
-    assert splitter.flush() == b"id"
+    reader = EventReader()
+    assert reader.feed(b"id: 4\r\ndata: x\r\n\r\nid") == b"id: 4\r\ndata: x\r\n\r\n"
+    assert reader.position.last_id == "4"
+    assert reader.take_rest() == b"id"
+
+
+def test_an_event_of_several_lines_counts_once():
+    reader = EventReader()
+    reader.feed(b"id: 1\ndata: a\ndata: b\n\n: a comment\n\nretry: 5\n\n")
+    assert reader.position == EventPosition(1, "1", is_counted=True)
+
+
+def test_an_event_without_an_id_can_not_be_continued():
+    reader = EventReader()
+    reader.feed(b": only a comment\n\n")
+    assert reader.position.can_continue
+    reader.feed(b"id: 1\ndata: a\n\ndata: b\n\n")
+    assert not reader.position.can_continue
 
 
 def test_an_endless_event_is_handed_on():
-    splitter = EventSplitter()
-    assert len(splitter.feed(b"x" * 2_000_000)) == 2_000_000
+    reader = EventReader()
+    assert len(reader.feed(b"x" * 2_000_000)) == 2_000_000
+
+
+def test_an_endless_event_can_not_be_continued_before_its_end():
+    reader = EventReader()
+    reader.feed(b"id: 1\ndata: a\n\n")
+    reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+    assert reader.position == EventPosition(2, is_cut=True)
+    assert not reader.position.can_continue
+    assert reader.feed(b"xx\n\nid: 3\ndata: c\n\n") == b"xx\n\nid: 3\ndata: c\n\n"
+    assert reader.position == EventPosition(3, "3")
+
+
+def read_events(*ids):
+    reader = EventReader()
+    for event_id in ids:
+        reader.feed(b"id: %s\ndata: x\n\n" % event_id.encode())
+    return reader.position
+
+
+@pytest.mark.parametrize(
+    ("ids", "following", "others"),
+    [
+        (["1", "2", "3"], ["4"], ["3", "1", "5", "", "x4", "4x", "-4", "\u0664"]),
+        (["0"], ["1"], ["0", "2"]),
+        (["1"], ["2"], ["1", "3"]),
+        (["41", "42"], ["43"], ["42", "44"]),
+        (["41"], ["42", "50"], ["41", "40", ""]),
+        (["5", "10", "12"], ["13", "20"], ["12", "5", ""]),
+        (["1", "2", "9"], ["10", "12"], ["9", "2"]),
+    ],
+)
+def test_a_reader_takes_only_what_follows(ids, following, others):
+    position = read_events(*ids)
+    for event_id in following:
+        event = b"id: %s\ndata: y\n\n" % event_id.encode()
+        assert EventReader(position).feed(b": hello\n\n" + event).endswith(event)
+    for event_id in others:
+        with pytest.raises(EventOrderError):
+            EventReader(position).feed(b"id: %s\ndata: y\n\n" % event_id.encode())
+
+
+@pytest.mark.parametrize("last", ["x", "", "7b"])
+def test_ids_that_are_no_numbers_can_not_be_continued(last):
+    assert not read_events("1", last).can_continue
+
+
+def test_an_endless_event_is_not_taken_as_the_next():
+    with pytest.raises(EventOrderError):
+        EventReader(read_events("1")).feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+
+
+@pytest.mark.parametrize(
+    ("rest", "is_inside"),
+    [
+        (b"", False),
+        (b"\n", False),
+        (b"\r\n: bye\n", False),
+        (b": bye", False),
+        (b"i", True),
+        (b"id: 2\n", True),
+        (b"data: x\n", True),
+        (b": bye\ndata: x\n", True),
+    ],
+)
+def test_a_stream_may_end_with_comments_but_not_inside_an_event(rest, is_inside):
+    reader = EventReader()
+    reader.feed(b"id: 1\ndata: a\n\n" + rest)
+    assert reader.is_inside_event is is_inside
+
+
+def test_an_endless_event_is_unfinished_also_where_it_was_handed_on():
+    reader = EventReader()
+    reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+    assert reader.is_inside_event
