--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -269,7 +269,13 @@
 
 
 def write_part(writer: asyncio.StreamWriter, data: bytes, is_chunked: bool) -> None:
-    """Write a part of a body, where it is chunked as one chunk."""
-    if is_chunked and data:
-        data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
-    writer.write(data)
+    """Write a part of a body."""
+    if not is_chunked:
+        writer.write(data)
+    elif data:
+        write_chunk(writer, data)
+
+
+def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write one chunk of a chunked body."""
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
