Take a long row of digits for no event number

A server's id of an event, or a caller's Last-Event-Id, of more than 4,300 digits raised an error where numbers are read: the attempt, or the request, ended as an internal error.

Cause: int() refuses so many digits. Evidence: two tests with 5,000 digits failed on the commit before. Change: an id of more than 20 digits is no number, which is as many as 64 bits need. pytest lavendershift/tests/test_eventstreams.py

--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 EVENT_END = re.compile(rb"(?:\r?\n){2}")  # lines that end in CR alone are not cut
+MAX_ID_DIGITS = 20  # those of the largest number of 64 bits
 MAX_PARTIAL_BYTES = 1_048_576  # of one event; more of it is handed on in parts
 
 
@@ -147,7 +148,9 @@
 
 
 def _read_number(event_id: str) -> int | None:
-    return int(event_id) if event_id.isascii() and event_id.isdecimal() else None
+    if len(event_id) > MAX_ID_DIGITS or not event_id.isascii():
+        return None
+    return int(event_id) if event_id.isdecimal() else None
 
 
 def _find_step(before: str, after: str) -> int | None:
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -1,6 +1,11 @@
 import pytest
 
-from lavendershift.eventstreams import EventOrderError, EventPosition, EventReader
+from lavendershift.eventstreams import (
+    EventOrderError,
+    EventPosition,
+    EventReader,
+    find_position,
+)
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -73,7 +78,7 @@
 def read_events(*ids):
     reader = EventReader()
     for event_id in ids:
-        reader.feed(b"id: %s\ndata: x\n\n" % event_id.encode())
+        reader.feed(b"id: %s\ndata: x\n\n" % event_id.encode("latin1"))
     return reader.position
 
 
@@ -99,7 +104,7 @@
             EventReader(position).feed(b"id: %s\ndata: y\n\n" % event_id.encode())
 
 
-@pytest.mark.parametrize("last", ["x", "", "7b"])
+@pytest.mark.parametrize("last", ["x", "", "7b", "\u00b2", "9" * 5000])
 def test_ids_that_are_no_numbers_can_not_be_continued(last):
     assert not read_events("1", last).can_continue
 
@@ -132,3 +137,8 @@
     reader = EventReader()
     reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
     assert reader.is_inside_event
+
+
+@pytest.mark.parametrize("event_id", ["", "x", "9" * 5000])
+def test_nothing_is_known_after_a_callers_id_that_is_no_number(event_id):
+    assert find_position(event_id) == EventPosition()
