Let the golden run end before its engine answers again

Seen: test_golden[broken_streams] once, beside load, with the charge and the state of the second attempt other than recorded. Cause: the session ended the engine's faults as soon as the caller had its error. The router sends the cancel of the broken attempt at the same moment. A cancel that arrives after the faults ended, but before the last of the four tokens, ends the run early. At 2 ms a token that is a race of 4 ms. Ruled out: the router. It charges what the engine reports in each case. Change: the session waits until the engine reports its runs as done before the faults end. The recorded text is unchanged, and a run that does not end by itself now fails the session where it happens. No hold in the stand-in is needed, as the faults keep every cancel away until then.

--- a/lavendershift/tests/golden_sessions.py
+++ b/lavendershift/tests/golden_sessions.py
@@ -58,6 +58,13 @@
         )
 
 
+def wait_runs_done(fleet, engine):
+    wait_for(
+        lambda: all(run["state"] == "done" for run in fleet.list_executions()[engine]),
+        message=f"the runs of {engine} to end",
+    )
+
+
 def wait_log_reachable(fleet, router, reachable):
     wait_for(
         lambda: fleet.status(router)["ledgers"][0]["log_reachable"] is reachable,
@@ -180,6 +187,8 @@
     fleet.add_fault("engine-1", "truncate", length=2, when={"times": 1})
     fleet.add_fault("engine-1", "close", when={"path": "/control/"})
     transcript.complete("r1", "Index the hives", "broken", stream=True)
+    # A cancel that gets through before the last token would change the charge.
+    wait_runs_done(fleet, "engine-1")
     transcript.note("the engine answers again and tells what was used")
     fleet.end_faults("engine-1")
     wait_for(lambda: len(fleet.list_records("charge")) == 2, message="the charge")
