Give the routers of a test a process group of their own

Seen: test_frozen_router_wakes_after_its_eviction failed twice in one moment, in two runs started from one shell, after 45 s each. Only the tail of their output was kept; 45 s is the 40 s wait for the eviction. Cause: routers were in the process group of the test run. When the shell that began the group ends, the group is orphaned, and the kernel sends SIGHUP and SIGCONT to a group that has stopped processes. The frozen router went on, sent heartbeats and was rightly not evicted. Evidence: a driver on a scratch copy starts the test and ends as soon as a router is stopped, or some time later. Before: after 0.3, 2.6, 3.2 and 3.8 s "timed out waiting for an eviction", after 47 to 48 s; after 4.4 s 429 in place of 402; after 5.0 s it passed. With a new session in place of a group, orphaned from the start, it passed 3 of 3. Ruled out: the product. It followed the heartbeats that it had; in 110 freezes in a row of one fleet, open streams among them, the router joined again within 0.43 s. Ports, load (some 150 runs passed with loads of 6 to 19 on eight cores) and pauses of the machine (a watch of the clocks saw none in later runs). Change: each router and relay of a test is in a group of its own, whose parent is in the session, so it isn't orphaned; nothing in the run's own group is stopped. After: 30 of 30 runs passed whose shell ended 0.2 to 4.5 s after the freeze, three at a time with a load of 11 to 15; all of test_failures passed once. Also: a failed test of a fleet prints whether its processes run, are stopped or have ended, their pending signals and the end of their output. Not shown: that this was the cause of the listed failure, whose message was "a new join". A trial with SIGTERM sent to the frozen router failed with neither message. No check was changed.

--- a/lavendershift/tests/live_fleet.py
+++ b/lavendershift/tests/live_fleet.py
@@ -17,6 +17,8 @@
 from lavendershift.tests.live_tree import API_KEY, DOMAINS, find_domain
 from lavendershift.tests.processes import Process, find_port, format_toml
 
+SHOWN_LINES = 20  # of a process's output, with a failed test
+
 
 class Fleet(StandIns):
     """Stand-ins, links and routers ``r1``, ``r2``, ... of a test."""
@@ -127,6 +129,14 @@
     def read_output(self, name):
         return (self.path / f"{name}.err").read_text()
 
+    def describe_processes(self):
+        """Return how each process fares, and the end of what it wrote."""
+        lines = []
+        for name, process in self.processes.items():
+            lines.append(f"{name}: {process.describe()}")
+            lines += self.read_output(name).splitlines()[-SHOWN_LINES:]
+        return "\n".join(lines)
+
     def set_link(self, name, state):
         self.thread.run(self.links[name].set_state(state))
 
--- a/lavendershift/tests/processes.py
+++ b/lavendershift/tests/processes.py
@@ -45,8 +45,13 @@
     def __init__(self, program, config, output):
         path = Path(sys.executable).with_name(program)
         self._output = open(output, "ab")  # noqa: SIM115
+        # In a group of its own: the kernel wakes what is stopped in a group
+        # whose shell ends.
         self.popen = subprocess.Popen(
-            [path, "--config", config], stdout=self._output, stderr=self._output
+            [path, "--config", config],
+            stdout=self._output,
+            stderr=self._output,
+            process_group=0,
         )
 
     def send(self, number):
@@ -57,6 +62,14 @@
     def alive(self):
         return self.popen.poll() is None
 
+    def describe(self):
+        """Return the state that the kernel gives, or how the process ended."""
+        if not self.alive:
+            return f"ended with {self.popen.returncode}"
+        status = Path(f"/proc/{self.popen.pid}/status").read_text()
+        wanted = ("State:", "SigPnd:", "ShdPnd:")
+        return " ".join(x for x in status.splitlines() if x.startswith(wanted))
+
     def wait(self, timeout=30):
         return self.popen.wait(timeout)
 
--- a/lavendershift/tests/test_failures.py
+++ b/lavendershift/tests/test_failures.py
@@ -27,6 +27,7 @@
 
     yield make
     for fleet in fleets:
+        print(fleet.describe_processes())  # shown where a test failed
         fleet.stop()
 
 
