Give no orders where no router is live

A router that was told to stop while the only other one was frozen logged an internal error (seen once, in a trial with SIGTERM to a frozen router).

Cause: the first of the live routers was looked up in an empty list, as a router that leaves is not live itself. Ruled out: harm to callers; the planning loop goes on in its next turn. Change: without a live router nobody orders. pytest lavendershift/tests/test_orders.py

--- a/lavendershift/orders.py
+++ b/lavendershift/orders.py
@@ -81,7 +81,7 @@
             loaded = find_models(name)
             if server.kind != "engine" or server.state != "live" or loaded is None:
                 continue
-            if rank_by_hash(vms, name)[0] != self._vm:
+            if rank_by_hash(vms, name)[:1] != [self._vm]:
                 continue
             absent = [model for model in server.models if model not in loaded]
             missing += [_OpenOrder(name, model) for model in absent]
--- a/lavendershift/tests/test_orders.py
+++ b/lavendershift/tests/test_orders.py
@@ -49,3 +49,10 @@
     assert planner.plan(leaving, lambda name: (), ["r1"], 1) == []
     silent = {"e1": make_engine("e1", "index")}
     assert planner.plan(silent, lambda name: None, ["r1"], 1) == []
+
+
+def test_a_router_that_leaves_as_the_last_gives_no_orders():
+    planner = OrderPlanner(ManualClock(), "r1")
+    assert (
+        planner.plan({"e1": make_engine("e1", "index")}, lambda name: (), [], 1) == []
+    )
