Start the nodes of tests in groups of their own

Cause: as with the routers of tests, a node that a test or the soak had paused was woken by the kernel when a shell of its process group ended.

--- a/lavendershift/platform/tests/live_nodes.py
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -85,6 +85,8 @@
         self.wait_ready()
 
     def launch(self):
+        # In a group of its own: the kernel wakes what is stopped in a group
+        # whose shell ends.
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "lavendershift.tools.node"],
@@ -92,6 +94,7 @@
                 env=os.environ | {names.SETTINGS_VARIABLE: str(self.settings)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                process_group=0,
             )
 
     def signal(self, number):
