Show that blocks without data pass as the rest of a stream

Callers would get a server's text behind the events of another server, in an answer that ends as complete though five of eight events are missing. An id without data would also change where a caller goes on itself.

Cause: EventReader looks at the order only of events with data. Any other block that ends in an empty line is handed on, also from an answer that has proved nothing.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -317,3 +317,13 @@
         assert answer.body == b"".join(events) and answer.is_done
 
     play(work)
+
+
+@pytest.mark.parametrize("body", [b"overloaded\n\n", b'{"error": 1}\n\n', b"id: 1\n\n"])
+def test_blocks_without_data_are_not_taken_as_the_rest(play, body):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, send(body, end_cleanly)])
+        assert answer.body == PREFIXES[3] and not answer.is_done
+
+    play(work)
