Show that a stream begins behind another server's text

Callers would get what one server sent, and behind it the whole stream of another, in an answer that ends as complete.

Cause: a block without data is handed on and doesn't move the position, so that can_continue holds as if nothing was handed on, and the next server is asked from the start. That is right after comments only.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -327,3 +327,22 @@
         assert answer.body == PREFIXES[3] and not answer.is_done
 
     play(work)
+
+
+def test_a_stream_does_not_begin_behind_what_is_no_event(play):
+    async def work(scene):
+        turns = iter([send(b"overloaded\n\n", reset), resume])
+
+        async def take_turn(received, writer):
+            await next(turns)(received, writer)
+
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = take_turn
+        answer = Answer()
+        delivery = scene.make_delivery(answer, repeat=Repeat.RESUME, is_stream=True)
+        with contextlib.suppress(RequestError):
+            await delivery.run()
+        assert answer.body in (b"", b"overloaded\n\n", WHOLE)
+
+    play(work)
