Show that ids of more than 4300 digits break a stream

Callers would get a refusal: a server's event with such an id ends the attempt as broken, and a caller's Last-Event-Id of that length raises ValueError when the delivery is made, which is answered as an internal error.

Cause: int() takes 4300 digits at most. Before the ids were compared nothing read them as numbers.

--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -1,6 +1,11 @@
 import pytest
 
-from lavendershift.eventstreams import EventOrderError, EventPosition, EventReader
+from lavendershift.eventstreams import (
+    EventOrderError,
+    EventPosition,
+    EventReader,
+    find_position,
+)
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -132,3 +137,11 @@
     reader = EventReader()
     reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
     assert reader.is_inside_event
+
+
+@pytest.mark.parametrize("digits", [4300, 5000])
+def test_ids_of_any_length_are_read(digits):
+    event_id = "9" * digits
+    event = b"id: %s\ndata: x\n\n" % event_id.encode()
+    assert EventReader().feed(event) == event
+    assert find_position(event_id).can_continue
