Show that a stream with CR line ends is taken as cut

Callers would get no answer, or a broken one, where they got the whole stream at its end before. The servers would be counted as failing.

Cause: events are not cut at CR alone, which the HTML standard allows, so that the whole stream counts as one unfinished event at its clean end.

--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -145,3 +145,11 @@
     event = b"id: %s\ndata: x\n\n" % event_id.encode()
     assert EventReader().feed(event) == event
     assert find_position(event_id).can_continue
+
+
+def test_a_stream_with_lines_that_end_in_cr_is_not_inside_an_event():
+    stream = STREAM.replace(b"\n", b"\r")
+    reader = EventReader()
+    events = reader.feed(stream)
+    assert not reader.is_inside_event
+    assert events + reader.take_rest() == stream
