Show that a caller's last event counts against servers

A caller that sends a Last-Event-Id which the servers don't know, where they begin at the first event, would have each of them counted as failing, max_attempts of them with each request, and spend the retries that the fleet shares. After three requests in a row a sound server is left alone.

Cause: an answer that doesn't follow the caller's own event ends as out of place like one that doesn't follow what was handed on. Only the latter speaks against the server.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -359,3 +359,14 @@
         assert scene.runs == 2
 
     play(work)
+
+
+def test_a_callers_unknown_last_event_is_no_failure_of_the_servers(play):
+    async def work(scene):
+        failed = []
+        scene.servers.note_failure = failed.append
+        from_the_start = OTHERS["from the start"]
+        await deliver_in_turn(scene, [from_the_start] * 2, resumed_after=COUNT)
+        assert not failed
+
+    play(work)
