Show that a plain answer on a resumable route is taken as silent

Callers would wait for a second server, and the first would be counted as failing and its work be lost, though it sent a part of its answer every 100 ms.

Cause: only parts of events count as progress. Since an answer is streamed by its media type, a success of another kind on a resumable route is collected, and given up 0.9 s after its head.

Routes that may be repeated have always done so.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -370,3 +370,25 @@
         assert not failed
 
     play(work)
+
+
+def test_a_plain_answer_that_comes_slowly_is_not_silent(play):
+    async def trickle(received, writer):
+        headers = {"Content-Type": "text/plain", "Transfer-Encoding": "chunked"}
+        writer.write(make_head(received, 200, headers))
+        for _ in range(14):
+            write_chunk(writer, b"part")
+            await asyncio.sleep(0.1)
+        writer.write(b"0\r\n\r\n")
+
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = trickle
+        request = scene.make_request(deadline=9 * SECOND)
+        options = {"repeat": Repeat.RESUME, "is_stream": True, "timeout": 9 * SECOND}
+        answer = await scene.deliver(request=request, **options)
+        assert answer.body == b"part" * 14
+        assert scene.ends == [End.ANSWERED]
+
+    play(work)
