Show that a slow caller makes its server look silent

A sound server would be left in the middle of a stream and counted as failing, and a retry of the fleet be spent, when a caller takes longer than 0.9 s for a part.

Cause: the time without progress runs on while the delivery waits for the caller, in which nothing is read from the server.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -392,3 +392,31 @@
         assert scene.ends == [End.ANSWERED]
 
     play(work)
+
+
+class SlowAnswer(Answer):
+    """A caller that takes each part late."""
+
+    async def write(self, chunk):
+        await super().write(chunk)
+        await asyncio.sleep(1.2)
+
+
+def test_a_server_is_not_silent_while_its_caller_is_slow(play):
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = resume
+        answer = SlowAnswer()
+        delivery = scene.make_delivery(
+            answer,
+            request=scene.make_request(deadline=9 * SECOND),
+            repeat=Repeat.RESUME,
+            is_stream=True,
+            timeout=9 * SECOND,
+        )
+        await delivery.run()
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.ANSWERED]
+
+    play(work)
