Show that an attempt's expected time outlives it

The line of an attempt that reached no server would bear the expected_ms of the server before.

Cause: the place that an attempt took is kept on the delivery, and the note of the next reads it where it took none.

--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -9,6 +9,7 @@
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
+from lavendershift.serverlist import PromptPart, PromptShape
 from lavendershift_standins.platformserver import (
     answer_error,
     answer_foreign_first,
@@ -306,3 +307,24 @@
         assert placed.stream == StreamNote("3", 5, 0, "text/event-stream")
 
     play(work)
+
+
+def test_an_attempt_that_was_not_sent_tells_no_expected_time(play):
+    async def work(scene):
+        servers = [await scene.add_server() for _ in range(2)]
+
+        async def fail(received, writer):
+            for server in servers:
+                await server.stop()
+            await reset(received, writer)
+
+        for server in servers:
+            server.default = fail
+        prompt = PromptShape((PromptPart("a1", 5000),), 5000, 10)
+        request = scene.make_request()._replace(prompt=prompt)
+        with pytest.raises(RequestError):
+            await scene.deliver(request=request, repeat=Repeat.ALWAYS)
+        assert scene.ends == [End.BROKEN, End.NOT_SENT]
+        assert scene.notes[0].expected and not scene.notes[1].expected
+
+    play(work)
