Test that the end of an endless event is no event of its own

Callers would be billed the event twice, and a stream that ends with it would be cut. No test failed without the lines in EventReader that see to it; this one does.

--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -75,6 +75,14 @@
     assert reader.position == EventPosition(3, "3")
 
 
+def test_the_end_of_an_endless_event_is_not_counted_again():
+    reader = EventReader()
+    reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+    reader.feed(b"x\ndata: y\n\n")
+    assert reader.position == EventPosition(1)
+    assert not reader.is_inside_event
+
+
 def read_events(*ids):
     reader = EventReader()
     for event_id in ids:
