Test events of another media type in place of the rest

The plain bodies of the table end inside an event too, so that they are refused also where the media type isn't compared. Events under another type are not.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -87,6 +87,9 @@
     "plain": send(b"done", end_cleanly, media_type="text/plain"),
     "json": send(b'{"done": 1}', end_cleanly, media_type="application/json"),
     "no media type": answer_whole,
+    "events of another type": send(
+        b"".join(EVENTS[3:]), end_cleanly, media_type="text/plain"
+    ),
     "partial content": send(b"".join(EVENTS[3:]), end_cleanly, status=206),
     "from the start": send(WHOLE, end_cleanly),
     "from the last event": send(b"".join(EVENTS[2:]), end_cleanly),
