Test half a chunk head, and another request's stream before the rest

Neither reaches the caller: the bytes of an answer to another request are dropped with it, and a server that stops within a chunk's head is silent.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -14,6 +14,7 @@
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
 from lavendershift_standins.platformserver import (
+    REQUEST_ID,
     answer_error,
     answer_not_run,
     answer_whole,
@@ -68,8 +69,20 @@
     await stream(COUNT)(received, writer)
 
 
+async def send_half_a_chunk_head(received, writer):
+    writer.write(b"1")
+    await keep_silent(received, writer)
+
+
+async def resume_after_another_answer(received, writer):
+    other = received._replace(headers={REQUEST_ID: "other"})
+    await send(WHOLE[: LENGTHS["half the data"]], end_cleanly)(other, writer)
+    await resume(received, writer)
+
+
 ENDS = {
     "silent": (keep_silent, End.SILENT),
+    "half a chunk head": (send_half_a_chunk_head, End.SILENT),
     "reset": (reset, End.BROKEN),
     "closed": (close, End.BROKEN),
     "bad chunk": (send_bad_chunk, End.BROKEN),
@@ -245,6 +258,16 @@
     play(work)
 
 
+def test_a_stream_goes_on_after_a_cut_answer_to_another_request(play):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, resume_after_another_answer])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.BROKEN, End.ANSWERED]
+
+    play(work)
+
+
 @pytest.mark.parametrize("failure", [answer_error, answer_not_run])
 def test_a_stream_goes_on_after_a_failure_of_its_second_server(play, failure):
     async def work(scene):
