Test what an answer that is not taken means for its server

No test failed when such ends were taken off the set that closes the connection and counts as a failure of the server; one case for each of them does.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -446,3 +446,29 @@
         assert scene.ends == [End.ANSWERED]
 
     play(work)
+
+
+FIRST = send(WHOLE[: LENGTHS["half the data"]], reset)
+REFUSED = {
+    "inside an event": ([send(WHOLE[:70], end_cleanly)], End.INSIDE_EVENT),
+    "other kind": ([FIRST, OTHERS["plain"]], End.OTHER_KIND),
+    "out of place": ([FIRST, OTHERS["from the start"]], End.OUT_OF_PLACE),
+}
+
+
+@pytest.mark.parametrize("refused", REFUSED)
+def test_a_server_whose_answer_is_not_taken_fails_and_its_connection_ends(
+    play, refused
+):
+    behaviours, end = REFUSED[refused]
+
+    async def work(scene):
+        failed = []
+        scene.servers.note_failure = failed.append
+        await deliver_in_turn(scene, [*behaviours, resume])
+        assert scene.ends[-2:] == [end, End.ANSWERED]
+        assert len(failed) == len(behaviours)
+        addresses = [server.entry.address for server in failed]
+        assert not any(scene.connections.take(address) for address in addresses)
+
+    play(work)
