--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -472,3 +472,19 @@
         assert not any(scene.connections.take(address) for address in addresses)
 
     play(work)
+
+
+@pytest.mark.parametrize(
+    ("other", "end"),
+    [
+        (send(WHOLE, keep_silent), End.OUT_OF_PLACE),
+        (send(b"done", keep_silent, media_type="text/plain"), End.OTHER_KIND),
+    ],
+)
+def test_an_answer_that_is_not_taken_is_left_at_once(play, other, end):
+    async def work(scene):
+        answer = await deliver_in_turn(scene, [FIRST, other, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.BROKEN, end, End.ANSWERED]
+
+    play(work)
