--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -488,3 +488,14 @@
         assert scene.ends == [End.BROKEN, end, End.ANSWERED]
 
     play(work)
+
+
+def test_a_stream_that_may_not_be_resumed_comes_as_it_is(play):
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = send(WHOLE, end_cleanly)
+        request = scene.make_request()._replace(resumed_after="3")
+        answer = await scene.deliver(request=request, is_stream=True)
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
