--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -499,3 +499,19 @@
         assert answer.body == WHOLE and answer.is_done
 
     play(work)
+
+
+def test_the_events_that_the_caller_had_before_are_not_billed(play):
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = resume
+        request = scene.make_request()
+        request.headers["Last-Event-Id"] = "3"
+        request = request._replace(resumed_after="3")
+        delivery = scene.make_delivery(
+            Answer(), request=request, repeat=Repeat.RESUME, is_stream=True
+        )
+        await delivery.run()
+        assert delivery.delivered_tokens == (COUNT - 3) * 5
+
+    play(work)
