Test that a slow caller gets each event once

An attempt may be given up while its caller is still taking a part. What was handed on must count as such, and what is left of the answer must not follow.

--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -515,3 +515,23 @@
         assert delivery.delivered_tokens == (COUNT - 3) * 5
 
     play(work)
+
+
+def test_a_slow_caller_gets_each_event_once(play):
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = resume
+        answer = SlowAnswer()
+        delivery = scene.make_delivery(
+            answer,
+            request=scene.make_request(deadline=9 * SECOND),
+            repeat=Repeat.RESUME,
+            is_stream=True,
+            timeout=9 * SECOND,
+        )
+        with contextlib.suppress(RequestError):
+            await delivery.run()
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
