--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -535,3 +535,20 @@
         assert answer.body == WHOLE and answer.is_done
 
     play(work)
+
+
+def test_nothing_is_taken_of_the_rest_of_an_answer_out_of_place(play):
+    async def from_the_start(received, writer):
+        headers = {"Content-Type": EVENT_STREAM, "Transfer-Encoding": "chunked"}
+        writer.write(make_head(received, 200, headers))
+        for event in EVENTS:
+            write_chunk(writer, event)
+        await keep_silent(received, writer)
+
+    async def work(scene):
+        answer = await deliver_in_turn(scene, [FIRST, from_the_start, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.BROKEN, End.OUT_OF_PLACE, End.ANSWERED]
+        assert [note.stream.events for note in scene.notes] == [3, 0, COUNT - 3]
+
+    play(work)
