--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -552,3 +552,15 @@
         assert [note.stream.events for note in scene.notes] == [3, 0, COUNT - 3]
 
     play(work)
+
+
+@pytest.mark.parametrize(
+    "media_type", [f"{EVENT_STREAM}; charset=utf-8", "Text/Event-Stream"]
+)
+def test_events_are_known_by_their_media_type_however_it_is_written(play, media_type):
+    async def work(scene):
+        rest = send(b"".join(EVENTS[3:]), end_cleanly, media_type=media_type)
+        answer = await deliver_in_turn(scene, [FIRST, rest])
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
