--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -274,6 +274,7 @@
         first = send(WHOLE[: LENGTHS["half the data"]], reset)
         answer = await deliver_in_turn(scene, [first, failure, resume])
         assert answer.body == WHOLE and answer.is_done
+        assert scene.ends[1] in (End.SERVER_ERROR, End.NOT_RUN)
 
     play(work)
 
