--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -161,3 +161,14 @@
     events = reader.feed(stream)
     assert not reader.is_inside_event
     assert events + reader.take_rest() == stream
+
+
+def test_a_count_goes_on_from_the_callers_last_event():
+    position = find_position("3").advance("4")
+    assert position.is_followed_by("5")
+    assert not position.is_followed_by("6")
+
+
+def test_only_the_first_event_of_an_answer_must_follow():
+    events = b"id: 2\ndata: b\n\ndata: c\n\n"
+    assert EventReader(read_events("1")).feed(events) == events
