--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -14,6 +14,7 @@
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
 from lavendershift_standins.platformserver import (
+    REQUEST_ID,
     answer_error,
     answer_not_run,
     answer_whole,
@@ -68,8 +69,20 @@
     await stream(COUNT)(received, writer)
 
 
+async def send_half_a_chunk_head(received, writer):
+    writer.write(b"1")
+    await keep_silent(received, writer)
+
+
+async def resume_after_another_answer(received, writer):
+    other = received._replace(headers={REQUEST_ID: "other"})
+    await send(WHOLE[: LENGTHS["half the data"]], end_cleanly)(other, writer)
+    await resume(received, writer)
+
+
 ENDS = {
     "silent": (keep_silent, End.SILENT),
+    "half a chunk head": (send_half_a_chunk_head, End.SILENT),
     "reset": (reset, End.BROKEN),
     "closed": (close, End.BROKEN),
     "bad chunk": (send_bad_chunk, End.BROKEN),
@@ -87,6 +100,9 @@
     "plain": send(b"done", end_cleanly, media_type="text/plain"),
     "json": send(b'{"done": 1}', end_cleanly, media_type="application/json"),
     "no media type": answer_whole,
+    "events of another type": send(
+        b"".join(EVENTS[3:]), end_cleanly, media_type="text/plain"
+    ),
     "partial content": send(b"".join(EVENTS[3:]), end_cleanly, status=206),
     "from the start": send(WHOLE, end_cleanly),
     "from the last event": send(b"".join(EVENTS[2:]), end_cleanly),
@@ -242,12 +258,23 @@
     play(work)
 
 
+def test_a_stream_goes_on_after_a_cut_answer_to_another_request(play):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, resume_after_another_answer])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.BROKEN, End.ANSWERED]
+
+    play(work)
+
+
 @pytest.mark.parametrize("failure", [answer_error, answer_not_run])
 def test_a_stream_goes_on_after_a_failure_of_its_second_server(play, failure):
     async def work(scene):
         first = send(WHOLE[: LENGTHS["half the data"]], reset)
         answer = await deliver_in_turn(scene, [first, failure, resume])
         assert answer.body == WHOLE and answer.is_done
+        assert scene.ends[1] in (End.SERVER_ERROR, End.NOT_RUN)
 
     play(work)
 
@@ -317,3 +344,224 @@
         assert answer.body == b"".join(events) and answer.is_done
 
     play(work)
+
+
+@pytest.mark.parametrize("body", [b"overloaded\n\n", b'{"error": 1}\n\n', b"id: 1\n\n"])
+def test_blocks_without_data_are_not_taken_as_the_rest(play, body):
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        answer = await deliver_in_turn(scene, [first, send(body, end_cleanly)])
+        assert answer.body == PREFIXES[3] and not answer.is_done
+
+    play(work)
+
+
+def test_a_stream_does_not_begin_behind_what_is_no_event(play):
+    async def work(scene):
+        turns = iter([send(b"overloaded\n\n", reset), resume])
+
+        async def take_turn(received, writer):
+            await next(turns)(received, writer)
+
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = take_turn
+        answer = Answer()
+        delivery = scene.make_delivery(answer, repeat=Repeat.RESUME, is_stream=True)
+        with contextlib.suppress(RequestError):
+            await delivery.run()
+        assert answer.body in (b"", b"overloaded\n\n", WHOLE)
+
+    play(work)
+
+
+@pytest.mark.parametrize("is_framed", [True, False])
+def test_a_stream_is_not_complete_without_the_event_that_had_begun(play, is_framed):
+    end = end_cleanly if is_framed else close
+
+    async def work(scene):
+        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        nothing = send(b"", end, is_framed=is_framed)
+        await deliver_in_turn(scene, [first, nothing])
+        assert scene.runs == 2
+
+    play(work)
+
+
+def test_a_callers_unknown_last_event_is_no_failure_of_the_servers(play):
+    async def work(scene):
+        failed = []
+        scene.servers.note_failure = failed.append
+        from_the_start = OTHERS["from the start"]
+        await deliver_in_turn(scene, [from_the_start] * 2, resumed_after=COUNT)
+        assert not failed
+
+    play(work)
+
+
+def test_a_plain_answer_that_comes_slowly_is_not_silent(play):
+    async def trickle(received, writer):
+        headers = {"Content-Type": "text/plain", "Transfer-Encoding": "chunked"}
+        writer.write(make_head(received, 200, headers))
+        for _ in range(14):
+            write_chunk(writer, b"part")
+            await asyncio.sleep(0.1)
+        writer.write(b"0\r\n\r\n")
+
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = trickle
+        request = scene.make_request(deadline=9 * SECOND)
+        options = {"repeat": Repeat.RESUME, "is_stream": True, "timeout": 9 * SECOND}
+        answer = await scene.deliver(request=request, **options)
+        assert answer.body == b"part" * 14
+        assert scene.ends == [End.ANSWERED]
+
+    play(work)
+
+
+class SlowAnswer(Answer):
+    """A caller that takes each part late."""
+
+    async def write(self, chunk):
+        await super().write(chunk)
+        await asyncio.sleep(1.2)
+
+
+def test_a_server_is_not_silent_while_its_caller_is_slow(play):
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = resume
+        answer = SlowAnswer()
+        delivery = scene.make_delivery(
+            answer,
+            request=scene.make_request(deadline=9 * SECOND),
+            repeat=Repeat.RESUME,
+            is_stream=True,
+            timeout=9 * SECOND,
+        )
+        await delivery.run()
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.ANSWERED]
+
+    play(work)
+
+
+FIRST = send(WHOLE[: LENGTHS["half the data"]], reset)
+REFUSED = {
+    "inside an event": ([send(WHOLE[:70], end_cleanly)], End.INSIDE_EVENT),
+    "other kind": ([FIRST, OTHERS["plain"]], End.OTHER_KIND),
+    "out of place": ([FIRST, OTHERS["from the start"]], End.OUT_OF_PLACE),
+}
+
+
+@pytest.mark.parametrize("refused", REFUSED)
+def test_a_server_whose_answer_is_not_taken_fails_and_its_connection_ends(
+    play, refused
+):
+    behaviours, end = REFUSED[refused]
+
+    async def work(scene):
+        failed = []
+        scene.servers.note_failure = failed.append
+        await deliver_in_turn(scene, [*behaviours, resume])
+        assert scene.ends[-2:] == [end, End.ANSWERED]
+        assert len(failed) == len(behaviours)
+        addresses = [server.entry.address for server in failed]
+        assert not any(scene.connections.take(address) for address in addresses)
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    ("other", "end"),
+    [
+        (send(WHOLE, keep_silent), End.OUT_OF_PLACE),
+        (send(b"done", keep_silent, media_type="text/plain"), End.OTHER_KIND),
+    ],
+)
+def test_an_answer_that_is_not_taken_is_left_at_once(play, other, end):
+    async def work(scene):
+        answer = await deliver_in_turn(scene, [FIRST, other, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.BROKEN, end, End.ANSWERED]
+
+    play(work)
+
+
+def test_a_stream_that_may_not_be_resumed_comes_as_it_is(play):
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = send(WHOLE, end_cleanly)
+        request = scene.make_request()._replace(resumed_after="3")
+        answer = await scene.deliver(request=request, is_stream=True)
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
+
+
+def test_the_events_that_the_caller_had_before_are_not_billed(play):
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = resume
+        request = scene.make_request()
+        request.headers["Last-Event-Id"] = "3"
+        request = request._replace(resumed_after="3")
+        delivery = scene.make_delivery(
+            Answer(), request=request, repeat=Repeat.RESUME, is_stream=True
+        )
+        await delivery.run()
+        assert delivery.delivered_tokens == (COUNT - 3) * 5
+
+    play(work)
+
+
+def test_a_slow_caller_gets_each_event_once(play):
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = resume
+        answer = SlowAnswer()
+        delivery = scene.make_delivery(
+            answer,
+            request=scene.make_request(deadline=9 * SECOND),
+            repeat=Repeat.RESUME,
+            is_stream=True,
+            timeout=9 * SECOND,
+        )
+        with contextlib.suppress(RequestError):
+            await delivery.run()
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
+
+
+def test_nothing_is_taken_of_the_rest_of_an_answer_out_of_place(play):
+    async def from_the_start(received, writer):
+        headers = {"Content-Type": EVENT_STREAM, "Transfer-Encoding": "chunked"}
+        writer.write(make_head(received, 200, headers))
+        for event in EVENTS:
+            write_chunk(writer, event)
+        await keep_silent(received, writer)
+
+    async def work(scene):
+        answer = await deliver_in_turn(scene, [FIRST, from_the_start, resume])
+        assert answer.body == WHOLE and answer.is_done
+        assert scene.ends == [End.BROKEN, End.OUT_OF_PLACE, End.ANSWERED]
+        assert [note.stream.events for note in scene.notes] == [3, 0, COUNT - 3]
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    "media_type", [f"{EVENT_STREAM}; charset=utf-8", "Text/Event-Stream"]
+)
+def test_events_are_known_by_their_media_type_however_it_is_written(play, media_type):
+    async def work(scene):
+        rest = send(b"".join(EVENTS[3:]), end_cleanly, media_type=media_type)
+        answer = await deliver_in_turn(scene, [FIRST, rest])
+        assert answer.body == WHOLE and answer.is_done
+
+    play(work)
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -75,6 +75,14 @@
     assert reader.position == EventPosition(3, "3")
 
 
+def test_the_end_of_an_endless_event_is_not_counted_again():
+    reader = EventReader()
+    reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+    reader.feed(b"x\ndata: y\n\n")
+    assert reader.position == EventPosition(1)
+    assert not reader.is_inside_event
+
+
 def read_events(*ids):
     reader = EventReader()
     for event_id in ids:
@@ -142,3 +150,30 @@
 @pytest.mark.parametrize("event_id", ["", "x", "9" * 5000])
 def test_nothing_is_known_after_a_callers_id_that_is_no_number(event_id):
     assert find_position(event_id) == EventPosition()
+
+
+@pytest.mark.parametrize("digits", [4300, 5000])
+def test_ids_of_any_length_are_read(digits):
+    event_id = "9" * digits
+    event = b"id: %s\ndata: x\n\n" % event_id.encode()
+    assert EventReader().feed(event) == event
+    assert find_position(event_id).can_continue
+
+
+def test_a_stream_with_lines_that_end_in_cr_is_not_inside_an_event():
+    stream = STREAM.replace(b"\n", b"\r")
+    reader = EventReader()
+    events = reader.feed(stream)
+    assert not reader.is_inside_event
+    assert events + reader.take_rest() == stream
+
+
+def test_a_count_goes_on_from_the_callers_last_event():
+    position = find_position("3").advance("4")
+    assert position.is_followed_by("5")
+    assert not position.is_followed_by("6")
+
+
+def test_only_the_first_event_of_an_answer_must_follow():
+    events = b"id: 2\ndata: b\n\ndata: c\n\n"
+    assert EventReader(read_events("1")).feed(events) == events
