Prove the rest of a stream by its first block, and its end by what had begun

Found by the review of the joined streams. A continuation of blocks without data (an error's text, an id alone) was handed on behind events and ended as complete; a stream began behind a block that is no event, after its server broke off; and after half of an event a continuation without any event ended as complete.

Cause: the order was checked at the first event with data only, a position without events counted as untouched, and that an event had begun was forgotten with its bytes.

Change: whatever says more than a comment, an event's name or a retry time must follow, or leaves a position that nothing can be proved to follow; a block with an id takes its place among the ids, also without data. A position tells that one more event had begun, and an answer is unfinished until it came. Without half an event an empty continuation still can't be told from the end of the stream. The reader of an attempt is named AttemptReader, as connections has an AnswerReader. pytest lavendershift/platform/tests/test_serveranswers.py lavendershift/tests/test_eventstreams.py

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -32,9 +32,9 @@
     Exchange,
 )
 from lavendershift.errors import ErrorKind, RequestError
-from lavendershift.eventstreams import EventPosition, find_position
+from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.routes import Repeat, Route, Service
-from lavendershift.serveranswers import SERVER_ERRORS, AnswerReader, ServerAnswer
+from lavendershift.serveranswers import SERVER_ERRORS, AttemptReader, ServerAnswer
 from lavendershift.serverlist import (
     NO_PROMPT,
     ListedServer,
@@ -50,9 +50,7 @@
 EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
 REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
 ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
-
-
-# After these the connection is not used again, as more of the answer may come.
+# No whole answer was taken: the connection is not used again.
 UNFINISHED = frozenset(
     {End.SILENT, End.BROKEN, End.INSIDE_EVENT, End.OTHER_KIND, End.OUT_OF_PLACE}
 )
@@ -83,7 +81,7 @@
         self.route = route
         self.position = EventPosition()
         if route.repeat is Repeat.RESUME:
-            self.position = find_position(request.resumed_after)
+            self.position = read_position(request.resumed_after)
         self.first_status = 0
         self._clock = clock
         self._request = request
@@ -199,7 +197,7 @@
         placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._placed, self._is_read = placed, False
         keeps = False
-        reader = AnswerReader(
+        reader = AttemptReader(
             self, self.route.is_stream, connection.is_fresh, connection.close
         )
         try:
@@ -209,6 +207,8 @@
             self._note(entry.id, End.GIVEN_UP, "", reader, started)
             raise
         finally:
+            if reader.is_streamed and reader.refused is None:
+                self.position = reader.events.end()
             self._note_read(placed)
             self._servers.finish(placed)
             if keeps:
@@ -229,7 +229,7 @@
         return await self._connections.connect(address, CONNECT_TIMEOUT)
 
     async def _exchange(
-        self, connection: Connection, server: str, reader: AnswerReader
+        self, connection: Connection, server: str, reader: AttemptReader
     ) -> tuple[End, str]:
         """Exchange request and answer on ``connection``."""
         now = self._clock.elapsed()
@@ -280,7 +280,7 @@
         patience = max(self.route.target * FIRST_BYTE_PART, SHORTEST_FIRST_BYTE)
         return min(patience, left / 2)
 
-    async def _conclude(self, exchange: Exchange, reader: AnswerReader) -> End:
+    async def _conclude(self, exchange: Exchange, reader: AttemptReader) -> End:
         """Judge an exchange, and hand a whole answer to the caller."""
         if reader.kind is AnswerKind.NOT_RUN:
             return End.NOT_RUN
@@ -291,10 +291,7 @@
         if not exchange.is_whole or reader.kind is AnswerKind.FOREIGN:
             return End.BROKEN
         if reader.is_streamed:
-            if reader.events.is_inside_event:
-                return End.INSIDE_EVENT
-            await self._finish_stream(reader)
-            return End.ANSWERED
+            return await self._finish_stream(reader)
         answer = reader.collect()
         if answer.status in SERVER_ERRORS:
             self._server_error = answer
@@ -305,19 +302,23 @@
         self._answers.send(answer.status, headers, answer.body)
         return End.ANSWERED
 
-    async def _finish_stream(self, reader: AnswerReader) -> None:
-        rest = reader.events.take_rest()
+    async def _finish_stream(self, reader: AttemptReader) -> End:
+        rest = reader.take_rest()
+        if rest is None:
+            return reader.refused or End.BROKEN
+        self.position = reader.events.position
         if not self._answers.has_started:
             self._start_stream(reader)
         if rest:
             await self._answers.write(rest)
         self._answers.finish()
+        return End.ANSWERED
 
     def judge(self, status: int, headers: HTTPHeaders, is_fresh: bool) -> AnswerKind:
         """Return whose answer has these headers."""
         return self._wire.judge(self._request, status, headers, is_fresh)
 
-    async def forward(self, reader: AnswerReader, events: bytes) -> None:
+    async def forward(self, reader: AttemptReader, events: bytes) -> None:
         """Hand whole events on to the caller."""
         self.position = reader.events.position
         if not self._answers.has_started:
@@ -330,7 +331,7 @@
         with contextlib.suppress(StreamClosedError):
             await self._answers.write(events)
 
-    def _start_stream(self, reader: AnswerReader) -> None:
+    def _start_stream(self, reader: AttemptReader) -> None:
         self.first_event_at = self._clock.elapsed()
         headers = self._wire.select_answer_headers(reader.headers)
         self.first_status = reader.status
@@ -364,7 +365,7 @@
         server: str,
         end: End,
         reason: str,
-        reader: AnswerReader | None,
+        reader: AttemptReader | None,
         started: timedelta,
     ) -> None:
         duration = self._clock.elapsed() - started
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -8,13 +8,15 @@
     whole = events.feed(chunk)
     position = events.position
 
-Source: the section on server-sent events of the HTML standard.
+Source: the section on server-sent events of the HTML standard. Beyond it an id is
+taken to stand for its own event only, so that one without an id has none.
 """
 
 import re
 from typing import NamedTuple
 
 EVENT_END = re.compile(rb"(?:\r?\n){2}")  # lines that end in CR alone are not cut
+IDLE_FIELDS = frozenset({b"", b"event", b"retry"})  # lines without id or data
 MAX_ID_DIGITS = 20  # those of the largest number of 64 bits
 MAX_PARTIAL_BYTES = 1_048_576  # of one event; more of it is handed on in parts
 
@@ -27,37 +29,42 @@
     """How far a stream was handed on.
 
     ``events`` counts the events with data that the answer has. ``last_id`` is the
-    id of the last of them, or of the event that the caller asked to go on after; it
-    is empty where there is none. ``is_counted`` is set while the ids count the
-    events, and ``is_cut`` where only a part of an event was handed on.
+    last id, or that of the event that the caller asked to go on after; it is empty
+    where there is none, or where something without an id followed it.
+    ``is_counted`` is set while the ids count the events, ``has_begun`` where one
+    more event had begun, ``is_cut`` where a part of an event was handed on, and
+    ``is_unclear`` where anything was that no event can be proved to follow.
     """
 
     events: int = 0
     last_id: str = ""
     is_counted: bool = False
+    has_begun: bool = False
     is_cut: bool = False
+    is_unclear: bool = False
 
     @property
     def can_continue(self) -> bool:
         """Whether another answer can be proved to go on from here."""
-        if self.is_cut:
-            return False
-        return self.events == 0 or _read_number(self.last_id) is not None
+        return not self.is_unclear
 
-    def advance(self, event_id: str) -> "EventPosition":
-        """Return the position after an event with ``event_id``."""
+    def advance(self, event_id: str, has_data: bool = True) -> "EventPosition":
+        """Return the position after a block with ``event_id``, mostly an event."""
+        events = self.events + has_data
+        if _read_number(event_id) is None:
+            return EventPosition(events, is_unclear=True)
         step = _find_step(self.last_id, event_id)
         # A first event numbered 0 or 1 begins a count, later ones go on with it.
         begins = not self.last_id and event_id in ("0", "1")
         goes_on = step == 1 and (self.is_counted or self.events <= 1)
-        return EventPosition(self.events + 1, event_id, begins or goes_on)
+        return EventPosition(events, event_id, begins or goes_on)
 
     def is_followed_by(self, event_id: str) -> bool:
         """Whether an event with ``event_id`` is the next one, or may be.
 
         Ids rise. Where they count the events none may be left out.
         """
-        if self.events == 0 and not self.last_id:
+        if not self.last_id and not self.is_unclear:
             return True
         step = _find_step(self.last_id, event_id)
         if step is None:
@@ -65,7 +72,7 @@
         return step == 1 if self.is_counted else step > 0
 
 
-def find_position(event_id: str) -> EventPosition:
+def read_position(event_id: str) -> EventPosition:
     """Return where a caller stands that has the events up to ``event_id``.
 
     What follows an id that is no number can't be told.
@@ -76,13 +83,15 @@
 class EventReader:
     """Collects an answer's bytes until an event is whole.
 
-    ``position`` is that of the last event returned by ``feed``. A reader that
-    begins at a later one than the first takes only what follows it.
+    ``position`` is that of the last event returned by ``feed``. The reader of the
+    rest of a stream, for which ``is_rest`` is set, takes only what follows it.
     """
 
-    def __init__(self, position: EventPosition | None = None) -> None:
+    def __init__(
+        self, position: EventPosition | None = None, is_rest: bool = False
+    ) -> None:
         self.position = position or EventPosition()
-        self._must_follow = self.position != EventPosition()
+        self._must_follow = is_rest
         self._partial = b""
 
     @property
@@ -93,7 +102,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether an answer that ends here leaves an event unfinished."""
-        if self.position.is_cut:
+        if self.position.is_cut or self.position.has_begun:
             return True
         lines = self._partial.splitlines()
         return any(line and not line.startswith(b":") for line in lines)
@@ -116,35 +125,45 @@
         return data[:start]
 
     def take_rest(self) -> bytes:
-        """Return what came after the last whole event."""
+        """Return what came after the last whole event, at the answer's end.
+
+        Raises ``EventOrderError`` where it is an event that does not follow.
+        """
         rest, self._partial = self._partial, b""
         return rest
 
+    def end(self) -> EventPosition:
+        """Return the position from which another answer has to go on."""
+        if not self.is_inside_event:
+            return self.position
+        return self.position._replace(has_begun=True)
+
     def _cut(self) -> bytes:
         """Return the part of an event that is too long to be kept."""
         if self._must_follow:
             raise EventOrderError("the first event is too long")
         events = self.position.events + (not self.position.is_cut)
-        self.position = EventPosition(events, is_cut=True)
-        return self.take_rest()
+        self.position = EventPosition(events, is_cut=True, is_unclear=True)
+        rest, self._partial = self._partial, b""
+        return rest
 
-    def _note(self, event: bytes) -> None:
+    def _note(self, block: bytes) -> None:
         if self.position.is_cut:
-            self.position = EventPosition(self.position.events)
+            self.position = EventPosition(self.position.events, is_unclear=True)
             return
-        event_id, has_data = "", False
-        for line in event.splitlines():
+        event_id, has_data, is_idle = "", False, True
+        for line in block.splitlines():
             name, _, value = line.partition(b":")
             if name == b"id":
                 event_id = value.strip().decode("latin1")
-            elif name == b"data":
-                has_data = True
-        if not has_data:
+            has_data = has_data or name == b"data"
+            is_idle = is_idle and name in IDLE_FIELDS
+        if is_idle:
             return
         if self._must_follow and not self.position.is_followed_by(event_id):
             raise EventOrderError(f"{event_id!r} after {self.position.last_id!r}")
         self._must_follow = False
-        self.position = self.position.advance(event_id)
+        self.position = self.position.advance(event_id, has_data)
 
 
 def _read_number(event_id: str) -> int | None:
--- a/lavendershift/serveranswers.py
+++ b/lavendershift/serveranswers.py
@@ -44,12 +44,12 @@
         """Return whose answer has these headers."""
         ...
 
-    async def forward(self, reader: "AnswerReader", events: bytes) -> None:
+    async def forward(self, reader: "AttemptReader", events: bytes) -> None:
         """Hand whole events on to the caller."""
         ...
 
 
-class AnswerReader:
+class AttemptReader:
     """Takes one attempt's answer.
 
     ``is_fresh`` tells whether its connection was used for no other request,
@@ -72,7 +72,8 @@
         self.kind = AnswerKind.FOREIGN
         self.status = 0
         self.headers = HTTPHeaders()
-        self.events = EventReader(taker.position)
+        is_rest = taker.first_status > 0 or bool(taker.position.last_id)
+        self.events = EventReader(taker.position, is_rest)
         self._taker = taker
         self._is_stream = is_stream
         self._is_fresh = is_fresh
@@ -89,10 +90,13 @@
         if self.kind is not AnswerKind.OWN:
             return
         self.note_progress()
-        first = self._taker.first_status
-        is_rest = self.is_streamed and status == first
-        if first and not is_rest and status not in SERVER_ERRORS:
-            self._refuse(End.OTHER_KIND, f"{status} {self.media_type}")
+        if self._taker.first_status and status not in SERVER_ERRORS:
+            self._check_kind()
+
+    def _check_kind(self) -> None:
+        """Refuse an answer that can't be the rest of the stream."""
+        if not self.is_streamed or self.status != self._taker.first_status:
+            self._refuse(End.OTHER_KIND, f"{self.status} {self.media_type}")
 
     @property
     def is_streamed(self) -> bool:
@@ -133,6 +137,17 @@
         self.refused, self.reason = end, reason
         self._stop()
 
+    def take_rest(self) -> bytes | None:
+        """Return what came after the last event, ``None`` where one is unfinished."""
+        if self.events.is_inside_event:
+            self.refused = End.INSIDE_EVENT
+            return None
+        try:
+            return self.events.take_rest()
+        except EventOrderError as error:
+            self._refuse(End.OUT_OF_PLACE, str(error))
+            return None
+
     def collect(self) -> ServerAnswer:
         """Return the whole answer."""
         return ServerAnswer(self.status, self.headers, b"".join(self._chunks))
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -4,13 +4,13 @@
     EventOrderError,
     EventPosition,
     EventReader,
-    find_position,
+    read_position,
 )
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
 
-@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 16, 17, 1000])
 def test_events_stay_whole_whatever_the_chunks(size, line_end):
     stream = STREAM.replace(b"\n", line_end)
@@ -34,7 +34,7 @@
 def test_a_reader_goes_on_where_the_one_before_ended():
     before = EventReader()
     before.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-    reader = EventReader(before.position)
+    reader = EventReader(before.position, is_rest=True)
     assert reader.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
     assert reader.position == EventPosition(2, "2", is_counted=True)
 
@@ -69,7 +69,7 @@
     reader = EventReader()
     reader.feed(b"id: 1\ndata: a\n\n")
     reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
-    assert reader.position == EventPosition(2, is_cut=True)
+    assert reader.position == EventPosition(2, is_cut=True, is_unclear=True)
     assert not reader.position.can_continue
     assert reader.feed(b"xx\n\nid: 3\ndata: c\n\n") == b"xx\n\nid: 3\ndata: c\n\n"
     assert reader.position == EventPosition(3, "3")
@@ -79,7 +79,7 @@
     reader = EventReader()
     reader.feed(b"id: 2\ndata: " + b"x" * 2_000_000)
     reader.feed(b"x\ndata: y\n\n")
-    assert reader.position == EventPosition(1)
+    assert reader.position == EventPosition(1, is_unclear=True)
     assert not reader.is_inside_event
 
 
@@ -106,10 +106,16 @@
     position = read_events(*ids)
     for event_id in following:
         event = b"id: %s\ndata: y\n\n" % event_id.encode()
-        assert EventReader(position).feed(b": hello\n\n" + event).endswith(event)
+        assert (
+            EventReader(position, is_rest=True)
+            .feed(b": hello\n\n" + event)
+            .endswith(event)
+        )
     for event_id in others:
         with pytest.raises(EventOrderError):
-            EventReader(position).feed(b"id: %s\ndata: y\n\n" % event_id.encode())
+            EventReader(position, is_rest=True).feed(
+                b"id: %s\ndata: y\n\n" % event_id.encode()
+            )
 
 
 @pytest.mark.parametrize("last", ["x", "", "7b", "\u00b2", "9" * 5000])
@@ -119,7 +125,9 @@
 
 def test_an_endless_event_is_not_taken_as_the_next():
     with pytest.raises(EventOrderError):
-        EventReader(read_events("1")).feed(b"id: 2\ndata: " + b"x" * 2_000_000)
+        EventReader(read_events("1"), is_rest=True).feed(
+            b"id: 2\ndata: " + b"x" * 2_000_000
+        )
 
 
 @pytest.mark.parametrize(
@@ -149,7 +157,7 @@
 
 @pytest.mark.parametrize("event_id", ["", "x", "9" * 5000])
 def test_nothing_is_known_after_a_callers_id_that_is_no_number(event_id):
-    assert find_position(event_id) == EventPosition()
+    assert read_position(event_id) == EventPosition()
 
 
 @pytest.mark.parametrize("digits", [4300, 5000])
@@ -157,7 +165,7 @@
     event_id = "9" * digits
     event = b"id: %s\ndata: x\n\n" % event_id.encode()
     assert EventReader().feed(event) == event
-    assert find_position(event_id).can_continue
+    assert read_position(event_id).can_continue
 
 
 def test_a_stream_with_lines_that_end_in_cr_is_not_inside_an_event():
@@ -169,11 +177,33 @@
 
 
 def test_a_count_goes_on_from_the_callers_last_event():
-    position = find_position("3").advance("4")
+    position = read_position("3").advance("4")
     assert position.is_followed_by("5")
     assert not position.is_followed_by("6")
 
 
 def test_only_the_first_event_of_an_answer_must_follow():
     events = b"id: 2\ndata: b\n\ndata: c\n\n"
-    assert EventReader(read_events("1")).feed(events) == events
+    assert EventReader(read_events("1"), is_rest=True).feed(events) == events
+
+
+@pytest.mark.parametrize("block", [b": hello\n\n", b"event: ping\n\n", b"retry: 5\n\n"])
+def test_blocks_that_say_nothing_may_come_before_the_rest(block):
+    reader = EventReader(read_events("1", "2"), is_rest=True)
+    assert reader.feed(block + b"id: 3\ndata: x\n\n").endswith(b"id: 3\ndata: x\n\n")
+    assert reader.position == EventPosition(3, "3", is_counted=True)
+
+
+def test_an_id_without_data_takes_its_place_among_the_ids():
+    reader = EventReader(read_events("1", "2"), is_rest=True)
+    reader.feed(b"id: 3\n\nid: 4\ndata: x\n\n")
+    assert reader.position == EventPosition(3, "4", is_counted=True)
+
+
+def test_a_begun_event_must_come_before_the_end():
+    first = EventReader()
+    first.feed(b"id: 1\ndata: a\n\nid")
+    rest = EventReader(first.end(), is_rest=True)
+    assert rest.is_inside_event
+    rest.feed(b"id: 2\ndata: b\n\n")
+    assert not rest.is_inside_event
