Cut streams whose lines end in CR

Cause: only LF and CRLF were taken for the end of a line. Change: CR is too, once the next byte shows that it is not the first half of a CRLF; the last event, behind which nothing comes, is taken at the answer's end. pytest lavendershift/tests/test_eventstreams.py

--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -15,7 +15,9 @@
 import re
 from typing import NamedTuple
 
-EVENT_END = re.compile(rb"(?:\r?\n){2}")  # lines that end in CR alone are not cut
+# A CR at the end of what was read may be the first half of a CRLF.
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n|\Z)){2}")
+LAST_EVENT_END = b"\r\r"  # of a stream whose lines end in CR
 IDLE_FIELDS = frozenset({b"", b"event", b"retry"})  # lines without id or data
 MAX_ID_DIGITS = 20  # those of the largest number of 64 bits
 MAX_PARTIAL_BYTES = 1_048_576  # of one event; more of it is handed on in parts
@@ -104,6 +106,8 @@
         """Whether an answer that ends here leaves an event unfinished."""
         if self.position.is_cut or self.position.has_begun:
             return True
+        if self._partial.endswith(LAST_EVENT_END):
+            return False
         lines = self._partial.splitlines()
         return any(line and not line.startswith(b":") for line in lines)
 
@@ -130,6 +134,8 @@
         Raises ``EventOrderError`` where it is an event that does not follow.
         """
         rest, self._partial = self._partial, b""
+        if rest.endswith(LAST_EVENT_END):
+            self._note(rest)
         return rest
 
     def end(self) -> EventPosition:
