Take the parts of a plain answer for signs of life

A plain answer on a route that may be resumed was given up 0.9 s after its head while its body came in parts, and the request ran again elsewhere.

Cause: only parts of event streams moved the watchdog on. Evidence: test_a_plain_answer_that_comes_slowly_is_not_silent failed before. Change: each part of the request's own answer counts.

--- a/lavendershift/serveranswers.py
+++ b/lavendershift/serveranswers.py
@@ -117,10 +117,11 @@
         """Take a part of the body."""
         if self.refused is not None:
             return None
+        if self.kind is AnswerKind.OWN:
+            self.note_progress()
         if not self.is_streamed:
             self._chunks.append(chunk)
             return None
-        self.note_progress()
         try:
             events = self.events.feed(chunk)
         except EventOrderError as error:
