Blame no server for a caller's unknown last event

A caller that asked to go on after an event that never was made each server it met count as failing; six such requests had one ejected (trial of the review).

Cause: an answer out of place counts as its server's failure. Evidence: test_a_callers_unknown_last_event_is_no_failure_of_the_servers failed before. Change: only where the last event was handed on by this very answer is it known to be one of the stream; before that nobody is blamed. The answer is still not handed on, and attempts and retries are bounded as before.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -353,6 +353,8 @@
     def _note_server(self, server: ListedServer, end: End) -> None:
         if end is End.ANSWERED:
             self._servers.note_success(server)
+        elif end is End.OUT_OF_PLACE and not self._answers.has_started:
+            pass  # the caller may have asked to go on after an event that never was
         elif end in UNFINISHED or end is End.SERVER_ERROR:
             self._servers.note_failure(server)
         elif end is End.WRONG_SERVER:
