Tell no expected time of an attempt that was not sent

The line of an attempt without a connection bore the expected time of the attempt before it, as what is placed is kept by the delivery. Found by the review; test_an_attempt_that_was_not_sent_tells_no_expected_time failed before. Change: it is cleared when an attempt begins.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -185,6 +185,7 @@
         """Send the request to ``server`` once and judge what came of it."""
         started = self._clock.elapsed()
         entry = server.entry
+        self._placed = None
         self._tried.add(entry.id)
         try:
             connection = await self._open(server)
