Have a relay say how old its knowledge of the log is

Callers of a call that may not be repeated could be told "not run" of a key that another router had claimed and run, for 10 s and more, while the log did not answer the relay of the router they asked.

Cause: a relay waited up to TAIL_WAIT (10 s) and the log's timeout for an answer and meanwhile gave its router the end that it knew. The router took each reply as an answer of the log of that moment (note_answer), so it stayed current and the log counted as reachable. Three more ways to the same end were found: an answer was dated by its arrival, not by the question; a session was current while it had not folded all that an answer told of; and a relay gave the end of its cache as the end of the stream while it lagged behind.

Change: a relay notes when it asked the log and says so in each answer, counted from the arrival of the read. The router adds that to the time at which it sent the read. Only elapsed times of one process are subtracted, and time on the way makes an answer older, never younger. A relay refuses a read that finds nothing new once its knowledge is STALE_AFTER (2 s) old, gives the end that the log told, and knows no end before the log's first answer. A session is current where all is folded that any answer told of and the latest one was asked for less than CURRENT_WITHIN ago. TAIL_WAIT is 0.5 s, and READ_WAIT 0.5 instead of 1 s: 0.5 + 2 * 0.5 s and the ways stay below the 2 s on a calm log.

Relays and routers of different builds do not understand each other's reads.

--- a/lavendershift/followers.py
+++ b/lavendershift/followers.py
@@ -12,7 +12,7 @@
 
 READ_LIMIT = 1000
 CHECKPOINT_READ_LIMIT = 16  # parts; 2 MiB
-READ_WAIT = timedelta(seconds=1)  # a relay that stops is noticed soon after
+READ_WAIT = timedelta(milliseconds=500)  # a quarter of sessions.CURRENT_WITHIN
 RETRY_PAUSE = timedelta(milliseconds=200)  # pause after a failed read
 
 FoldEntry = Callable[[Entry], Awaitable[None]]
@@ -22,8 +22,10 @@
     """Reads ``stream`` from ``offset`` on and hands each entry to ``fold``.
 
     ``caught_up`` is set once the end of the stream as known at the time was
-    reached. When entries expire before they were read, ``on_expired`` has to
-    bring the fold forward from a checkpoint and return its next offset.
+    reached. ``silent_for`` counts from when the log was asked for its latest
+    answer, which a relay may have passed on later. When entries expire before
+    they were read, ``on_expired`` has to bring the fold forward from a
+    checkpoint and return its next offset.
     """
 
     def __init__(
@@ -43,17 +45,27 @@
         self._fold = fold
         self._on_expired = on_expired
         self._clock = clock
-        self._confirmed = clock.elapsed()
+        self._started = clock.elapsed()
+        self._confirmed: timedelta | None = None
+        self._idle = False
         self._task: asyncio.Task[None] | None = None
 
     @property
     def silent_for(self) -> timedelta:
-        """Time since the log last answered a read."""
-        return self._clock.elapsed() - self._confirmed
+        """Age of the log's latest answer, or time since the start before one."""
+        since = self._started if self._confirmed is None else self._confirmed
+        return self._clock.elapsed() - since
 
-    def note_answer(self) -> None:
-        """Note that the log has just answered a read."""
-        self._confirmed = self._clock.elapsed()
+    @property
+    def at_end(self) -> bool:
+        """Whether all entries are folded that an answer has told of."""
+        return self.caught_up.is_set() and self.next_offset >= self.end_offset
+
+    def note_answer(self, age: timedelta = timedelta()) -> None:
+        """Note an answer of the log that was asked for ``age`` ago."""
+        confirmed = self._clock.elapsed() - max(age, timedelta())
+        if self._confirmed is None or confirmed > self._confirmed:
+            self._confirmed = confirmed
 
     def start(self) -> None:
         """Start following in the background."""
@@ -76,15 +88,19 @@
                 await self._recover()
 
     async def _advance(self) -> None:
-        wait = READ_WAIT if self.caught_up.is_set() else timedelta()
+        wait = READ_WAIT if self.caught_up.is_set() or self._idle else timedelta()
+        asked = self._clock.elapsed()
         result = await self._log.read_entries(
             self.stream, self.next_offset, READ_LIMIT, wait
         )
-        self.note_answer()
+        self._idle = not result.entries
+        # Another relay may know less than the one asked before.
+        self.end_offset = max(self.end_offset, result.end_offset)
+        self.note_answer(self._clock.elapsed() - asked - result.confirmed_after)
         for entry in result.entries:
             await self._fold(entry)
             self.next_offset = entry.offset + 1
-        self.end_offset = max(result.end_offset, self.next_offset)
+        self.end_offset = max(self.end_offset, self.next_offset)
         if self.next_offset >= result.end_offset:
             self.caught_up.set()
 
--- a/lavendershift/messages.py
+++ b/lavendershift/messages.py
@@ -67,11 +67,16 @@
 
 @register_message("entries")
 class ReadReply(NamedTuple):
-    """Entries as ``[offset, time_ms, record in its JSON form]``."""
+    """Entries as ``[offset, time_ms, record in its JSON form]``.
+
+    ``confirmed_ms`` says when the log was asked for what is told here, in
+    milliseconds after the request came; it is negative for a time before.
+    """
 
     entries: list[Any]
     next_offset: int
     end_offset: int
+    confirmed_ms: int
 
 
 @register_message("expired")
--- a/lavendershift/plugins/relay_log.py
+++ b/lavendershift/plugins/relay_log.py
@@ -55,7 +55,12 @@
         if not isinstance(reply, ReadReply):
             raise LogUnavailableError(f"read of {stream}: {reply}")
         entries = [decode_entry(stream, *raw) for raw in reply.entries]
-        return ReadResult(entries, reply.next_offset, reply.end_offset)
+        return ReadResult(
+            entries,
+            reply.next_offset,
+            reply.end_offset,
+            timedelta(milliseconds=reply.confirmed_ms),
+        )
 
     async def close(self) -> None:
         """Close the sockets to all relays."""
--- a/lavendershift/relay.py
+++ b/lavendershift/relay.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from lavendershift.clocks import Clock, SystemClock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.messages import (
     Appended,
@@ -29,7 +30,8 @@
 from lavendershift.records import CHECKPOINT_STREAM_SUFFIX
 
 RAW_READ_LIMIT = 2000
-TAIL_WAIT = timedelta(seconds=10)
+TAIL_WAIT = timedelta(milliseconds=500)  # a quarter of sessions.CURRENT_WITHIN
+STALE_AFTER = timedelta(seconds=2)  # sessions.CURRENT_WITHIN, past which no use
 TAIL_RETRY = timedelta(milliseconds=250)  # pause after the log failed to answer
 MAX_STREAMS = 256  # followed at a time; further ones are read uncached
 MAX_BATCH_RECORDS = 1000
@@ -67,6 +69,8 @@
     Entries are kept as the MessagePack bytes in which readers get them. At
     most ``capacity`` of them are kept, and at most ``MAX_CACHE_BYTES``.
     Readers at the end wait on ``changed``, which is replaced at each change.
+    ``confirmed`` is when the log was asked for its latest answer, ``None``
+    before there is one, and ``end_offset`` the end that it told.
     """
 
     def __init__(self, capacity: int) -> None:
@@ -74,6 +78,8 @@
         self._capacity = capacity
         self.size = 0
         self.next_offset = 0
+        self.end_offset = 0
+        self.confirmed: timedelta | None = None
         self.healthy = True
         self.changed = asyncio.Event()
 
@@ -98,6 +104,12 @@
         self._entries.clear()
         self.size = 0
         self.next_offset = offset
+        self.confirmed = None
+
+    def note_answer(self, end_offset: int, asked: timedelta) -> None:
+        """Note an answer of the log to a read that was ``asked`` then."""
+        self.end_offset = end_offset
+        self.confirmed = asked
 
     def notify_readers(self) -> None:
         """Wake all readers that wait for a change."""
@@ -135,11 +147,14 @@
 class StreamTail:
     """Follows one stream of the log into a cache, from ``offset`` on."""
 
-    def __init__(self, stream: str, log: RawLog, offset: int, capacity: int) -> None:
+    def __init__(
+        self, stream: str, log: RawLog, offset: int, capacity: int, clock: Clock
+    ) -> None:
         self.cache = StreamCache(capacity)
         self.cache.skip_to(offset)
         self._stream = stream
         self._log = log
+        self._clock = clock
         self._task = asyncio.ensure_future(self._follow())
 
     async def _follow(self) -> None:
@@ -154,9 +169,14 @@
                 self.cache.skip_to(error.first_offset)
 
     async def _advance(self) -> None:
+        # Readers wait already for the first answer.
+        wait = timedelta() if self.cache.confirmed is None else TAIL_WAIT
+        asked = self._clock.elapsed()
         body = await self._log.read_raw(
-            self._stream, self.cache.next_offset, RAW_READ_LIMIT, TAIL_WAIT
+            self._stream, self.cache.next_offset, RAW_READ_LIMIT, wait
         )
+        # What came after the question may be missing from the answer.
+        self.cache.note_answer(body.end_offset, asked)
         if body.entries:
             self.cache.add_entries(list(body.entries))
 
@@ -243,11 +263,19 @@
     and large.
 
     ``capacity`` is the number of entries cached per stream, ``batch_pause``
-    the time that an append waits for others to join it.
+    the time that an append waits for others to join it. An end of a stream that
+    is older than ``STALE_AFTER`` is not given.
     """
 
-    def __init__(self, log: RawLog, capacity: int, batch_pause: timedelta) -> None:
+    def __init__(
+        self,
+        log: RawLog,
+        capacity: int,
+        batch_pause: timedelta,
+        clock: Clock | None = None,
+    ) -> None:
         self._log = log
+        self._clock = clock or SystemClock()
         self._capacity = capacity
         self._batch_pause = batch_pause
         self._tails: dict[str, StreamTail] = {}
@@ -283,6 +311,7 @@
         return await batcher.append(records)
 
     async def _read(self, request: ReadRequest) -> Message:
+        came = self._clock.elapsed()
         if request.stream.endswith(CHECKPOINT_STREAM_SUFFIX):
             return await self._read_log(request)
         if request.stream not in self._tails and not self._may_follow(request):
@@ -298,9 +327,21 @@
         if not cache.has_offset(request.offset):
             return await self._read_log(request)
         entries = cache.read_entries(request.offset, request.limit)
-        if not entries and not cache.healthy:
+        confirmed = cache.confirmed
+        if confirmed is None or (not entries and not self._is_fresh(cache)):
             return Failure("log_unavailable", "the log service does not answer")
-        return ReadReply(entries, request.offset + len(entries), cache.next_offset)
+        return ReadReply(
+            entries,
+            request.offset + len(entries),
+            max(cache.end_offset, cache.next_offset),
+            (confirmed - came) // timedelta(milliseconds=1),
+        )
+
+    def _is_fresh(self, cache: StreamCache) -> bool:
+        """Whether the log has answered lately for the end of a stream."""
+        if not cache.healthy or cache.confirmed is None:
+            return False
+        return self._clock.elapsed() - cache.confirmed < STALE_AFTER
 
     def _may_follow(self, request: ReadRequest) -> bool:
         """Whether to follow a new stream: for readers that wait, and not too many."""
@@ -309,7 +350,13 @@
     def _find_tail(self, request: ReadRequest) -> StreamTail:
         tail = self._tails.get(request.stream)
         if tail is None:
-            tail = StreamTail(request.stream, self._log, request.offset, self._capacity)
+            tail = StreamTail(
+                request.stream,
+                self._log,
+                request.offset,
+                self._capacity,
+                self._clock,
+            )
             self._tails[request.stream] = tail
         return tail
 
@@ -324,6 +371,6 @@
         except LogUnavailableError as error:
             return Failure("log_unavailable", str(error))
         entries = fit_reply(msgspec.msgpack.encode(entry) for entry in body.entries)
-        if len(entries) == len(body.entries):
-            return ReadReply(entries, body.next_offset, body.end_offset)
-        return ReadReply(entries, request.offset + len(entries), body.end_offset)
+        next_offset = request.offset + len(entries)
+        # The log was asked after the request came.
+        return ReadReply(entries, next_offset, body.end_offset, 0)
--- a/lavendershift/sessions.py
+++ b/lavendershift/sessions.py
@@ -37,8 +37,8 @@
 from lavendershift.writers import StreamWriter
 
 OUTAGE_AFTER = timedelta(seconds=2)  # of failed appends; shorter ones are retries
-SILENT_AFTER = timedelta(seconds=4)  # without an answered read, one a second
-CURRENT_WITHIN = timedelta(seconds=2)  # of an answered read
+SILENT_AFTER = timedelta(seconds=4)  # without an answer of the log, two a second
+CURRENT_WITHIN = timedelta(seconds=2)  # since the log was asked for its answer
 CLOSE_POLL = timedelta(milliseconds=100)
 
 
@@ -124,9 +124,9 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the end of the stream was read a moment ago."""
+        """Whether all is folded that the log had a moment ago."""
         follower = self.follower
-        if follower is None or not follower.caught_up.is_set():
+        if follower is None or not follower.at_end:
             return False
         return follower.silent_for < CURRENT_WITHIN
 
--- a/lavendershift/streams.py
+++ b/lavendershift/streams.py
@@ -17,12 +17,14 @@
 
     ``next_offset`` is one past the last entry, or the offset asked for where
     there was none. ``end_offset`` is one past the last entry of the stream
-    that was known when the answer was made.
+    that was known when the answer was made. ``confirmed_after`` is when the log
+    was asked for it, counted from the call; it is negative for a time before.
     """
 
     entries: list[Entry]
     next_offset: int
     end_offset: int
+    confirmed_after: timedelta = timedelta()
 
 
 class LogClient(Protocol):
--- a/lavendershift/tools/capacity_relay.py
+++ b/lavendershift/tools/capacity_relay.py
@@ -27,6 +27,7 @@
 ENTRIES = 5_000
 ROUTERS = 22  # of one failure domain
 READ_LIMIT = 1_000
+WAITING_READS = 500  # of one relay at a time; half of its handlers
 
 
 def make_entries() -> list[tuple[int, int, Any]]:
@@ -105,6 +106,28 @@
     return Slope(us=us[0], sent=sizes[0] / ENTRIES)
 
 
+@register_probe("read that waits at the end", Role.RELAY, "read")
+def measure_wait() -> Slope:
+    """Measure reads that find nothing new, without sockets."""
+    request = encode_message(ReadRequest("ledger-0", ENTRIES, READ_LIMIT, 50))
+    sizes: list[int] = []
+
+    async def run() -> None:
+        log = MemoryLog()
+        await log.append_raw("ledger-0", [entry[2] for entry in make_entries()])
+        relay = Relay(log, ENTRIES, timedelta())
+
+        async def serve() -> int:
+            reply = await relay.handle_message(decode_message(request))
+            return len(encode_message(reply))
+
+        sizes.extend(await asyncio.gather(*(serve() for _ in range(WAITING_READS))))
+        await relay.stop()
+
+    us = time_work(lambda: asyncio.run(run()), WAITING_READS)
+    return Slope(us=us, sent=len(request) + sizes[-1])
+
+
 def drive(coroutine: Any) -> None:
     """Run a coroutine that never has to wait."""
     try:
