Return no tokens that are in use

Fault: a round plans returns, then waits for a lender or the store while requests come in, and gives back tokens that are in use by then, so the same tokens can be spent twice. Change: the returns of a round are bounded by what is free at the time of the change. The world of the schedules lets requests come in during rounds, plays half of the worlds as large fleets, and checks that what is free, running and consumed fits into the row after each step.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -218,10 +218,6 @@
         now = self._clock.elapsed()
         return {name: a.find_rate(now) for name, a in self.accounts.items()}
 
-    def count_wanted(self, customer: str) -> int:
-        """Return the tokens that requests wait for."""
-        return self._wanted.get(customer, 0)
-
     def count_left(self, customer: str) -> int:
         """Return the tokens of the total that are granted to nobody."""
         granted = self._find_rows(customer).granted.get(customer, 0)
--- a/lavendershift/grantrows.py
+++ b/lavendershift/grantrows.py
@@ -135,6 +135,9 @@
         tokens are returned, as a successor must not adopt them afterwards.
         """
         assert self._end is not None
+        deltas = self._bound_returns(deltas)
+        if not deltas:
+            return True
         end, started = self._end, self._clock.elapsed()
         self._changes += 1
         change = f"{self._name}/{self._changes}"
@@ -169,6 +172,17 @@
         self._credit(deltas)
         return True
 
+    def _bound_returns(self, deltas: dict[str, int]) -> dict[str, int]:
+        """Return ``deltas`` without returns of what is in use by now.
+
+        Requests come in between the plan and the change.
+        """
+        bounded = {
+            customer: max(delta, -self._find_account(customer).free)
+            for customer, delta in deltas.items()
+        }
+        return {customer: delta for customer, delta in bounded.items() if delta}
+
     def _undo(self, deltas: dict[str, int]) -> None:
         """Take back returns that did not happen."""
         for customer, delta in deltas.items():
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -11,13 +11,14 @@
 
 import msgspec
 
-from lavendershift.draws import TokenDraws
+from lavendershift.draws import TokenDraws, find_partition
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.grantrows import GrantRow, SwapResult
 from lavendershift.passbook import PageResult, Passbook
 from lavendershift.platform.grants import decode_row
 from lavendershift.platform.passbooks import decode_page
 from lavendershift.platform.store import Record
+from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.tokenloans import TokenLoans
 from lavendershift_standins.platformstore import ExpiredError, MovedError, StoreState
 
@@ -175,6 +176,7 @@
 
     def start(self):
         self.starts += 1
+        self.waiting = Counter()
         name = f"{self.name}/{self.starts}"
         passbook = Passbook(
             self.clock, FaultyPages(self.world, self), name, f"boot-{self.boots}"
@@ -184,7 +186,7 @@
             [FaultyGrants(self.world, self, part) for part in range(PARTITIONS)],
             name,
             lambda: self.world.prepaid,
-            lambda: len(self.world.vms),
+            lambda: self.world.fleet,
             passbook=passbook,
         )
         self.datagrams = FaultyDatagrams(self.world, self)
@@ -195,7 +197,10 @@
             self.find_lenders,
             answer_timeout=timedelta(milliseconds=1),
         )
-        self.draws.use_loans(self.loans.borrow, lambda customer: True)
+        lenders = {c: f"vm-{n}" for n, c in enumerate(CUSTOMERS)}
+        self.draws.use_loans(
+            self.loans.borrow, lambda customer: lenders[customer] == self.name
+        )
 
     def find_lenders(self, customer):
         names = [vm.name for vm in self.world.vms if vm is not self]
@@ -206,11 +211,18 @@
         for customer, tokens, counted in self.running:
             self.world.consumed[customer] += tokens - counted
         self.running.clear()
+        for task in [*self.loans._tasks, *self.draws._settling.values()]:
+            task.cancel()  # a dead process goes on with nothing
         if with_power:
             self.boots += 1
             self.clock = WorldClock(self.world)
         self.start()
 
+    def wait_for(self, customer, tokens):
+        """Let requests wait for ``tokens``, in place of those before."""
+        self.draws.note_wanted(customer, tokens - self.waiting[customer])
+        self.waiting[customer] = tokens
+
     async def run_round(self):
         try:
             await self.draws.run_round()
@@ -250,6 +262,8 @@
         self.prepaid = {customer: 60_000 for customer in CUSTOMERS}
         self.consumed = Counter()
         self.served = 0
+        # Half of the worlds believe themselves large, so that lenders draw.
+        self.fleet = LARGE_FLEET if seed % 2 else vms
         self.vms = []
         for number in range(vms):
             self.vms.append(Vm(self, f"vm-{number}"))
@@ -265,6 +279,7 @@
         actions += [self.step_raise, self.step_expire, self.step_return]
         actions += [self.step_rounds] * 10 + [self.step_spree] * 4
         actions += [self.step_borrow] * 8 + [self.step_datagram] * 8
+        actions += [self.step_busy_round] * 10
         actions += [self.step_idle] * 3 + [self.step_power] * (self.seed % 3 == 0)
         for _ in range(steps):
             vm = self.rng.choice(self.vms)
@@ -289,12 +304,12 @@
     async def exhaust_account(self, vm, customer):
         tokens = 8000
         while tokens >= 1:
-            vm.draws.note_wanted(customer, tokens)
+            vm.wait_for(customer, tokens)
             await vm.run_round()
             if not vm.begin(customer, tokens):
                 tokens //= 4
             vm.finish(self.rng, used=10**9)
-            vm.draws.note_wanted(customer, -vm.draws.count_wanted(customer))
+            vm.wait_for(customer, 0)
             self.check()
 
     def check(self):
@@ -306,6 +321,11 @@
                 if c == customer
             )
             assert self.consumed[customer] + running <= prepaid, customer
+            # Losses hide tokens that exist twice from the total, not from here.
+            free = [vm.draws.find_account(customer).free for vm in self.vms]
+            assert min(free) >= 0, customer
+            held = self.consumed[customer] + running + sum(free)
+            assert held <= self.find_granted(customer), customer
 
     def deliver(self, message, sender, receiver):
         """Hand a datagram to the process that has the receiver's address now."""
@@ -325,6 +345,20 @@
     def step_round(self, vm):
         return vm.run_round()
 
+    async def step_busy_round(self, vm):
+        """Let requests come in while a round waits for its answers."""
+
+        async def spend():
+            for _ in range(self.rng.randint(1, 12)):
+                await asyncio.sleep(self.rng.choice([0, 0, 0.0005]))
+                self.step_request(vm)
+
+        self.now += timedelta(seconds=self.rng.choice([0, 0, 4, 9]))
+        if self.rng.random() < 0.3:
+            vm.draws.return_all()
+        await asyncio.gather(vm.run_round(), spend())
+        vm.draws.hold_again()
+
     async def step_rounds(self, vm):
         """Let all VMs change the rows at once."""
         await asyncio.gather(*(each.run_round() for each in self.vms))
@@ -345,12 +379,20 @@
         vm.die(with_power=self.seed % 3 == 0 and self.rng.random() < 0.3)
         await vm.run_round()
 
+    def find_granted(self, customer):
+        """Return the newest row of a customer."""
+        part = find_partition(customer, PARTITIONS)
+        for key, value, _ in self.state.newest(GRANTS, part):
+            if key == customer.encode():
+                return msgspec.json.decode(value)["granted"]
+        return 0
+
     def step_request(self, vm):
         customer, tokens = self.rng.choice(CUSTOMERS), self.rng.randint(1, 1200)
         if vm.begin(customer, tokens):
             self.served += 1
         else:
-            vm.draws.note_wanted(customer, tokens - vm.draws.count_wanted(customer))
+            vm.wait_for(customer, tokens)
 
     def step_finish(self, vm):
         vm.finish(self.rng)
--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -6,6 +6,7 @@
 from lavendershift.clocks import SystemClock
 from lavendershift.datagrams import Datagrams
 from lavendershift.draws import TokenDraws
+from lavendershift.grantrows import GrantRow
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.tests.test_draws import MemoryRows
 from lavendershift.tokenloans import Loan, LoanRequest, TokenLoans
@@ -135,3 +136,21 @@
         return borrower.account.free
 
     assert run_nodes(work) == 10
+
+
+def test_tokens_spent_while_a_loan_is_awaited_are_not_returned():
+    """A round plans returns, then waits for a lender, while requests come in."""
+
+    async def work(lender, borrower, rows):
+        now = SystemClock().elapsed()
+        borrower.draws.return_all()
+        borrower.account.credit(5000)
+        rows.rows.append(GrantRow("plume", 5000, "vm-2/1/0"))
+        deltas = {"plume": -5000}
+        assert borrower.account.reserve(4000, now)
+        shared = borrower.draws._rows[0]
+        await shared.sync()
+        await shared.change(deltas, borrower.draws._record)
+        return borrower.account.free, rows.rows[-1].granted
+
+    assert run_nodes(work) == (0, 4000)
