Keep the last part of a total for urgent requests

What binds: 26.5 % of the requests need no tokens, and nearly all that do are refused in the last seconds, as no total has any left. Large requests draw most of it, so that small urgent ones, 8 % of the demand in tokens, get none. Change: the last 3 % of a total, which callers aren't owed, is drawn by requests of the most urgent routes to engines only. It is granted to nobody ahead, so no loss takes it. A loan's request says whether it is urgent. What requests wait for and the places by hash move out of draws.py. Tests: test_the_last_tokens_of_a_total_pay_for_urgent_requests failed before (0 of 9 urgent requests served); test_large_requests_leave_the_last_part_of_a_total replays the load on three VMs; the schedules draw and borrow with both kinds.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -17,13 +17,20 @@
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from datetime import timedelta
 
-import xxhash
-
 from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError
 from lavendershift.grantrows import DrawRefusedError, GrantLog, GrantRows
+from lavendershift.needs import Need, TokenNeeds
+from lavendershift.partitions import find_partition, find_position
 from lavendershift.passbook import Passbook
-from lavendershift.prepaid import LARGE_FLEET, DrawView, PrepaidAccount, plan_draw
+from lavendershift.prepaid import (
+    LARGE_FLEET,
+    DrawView,
+    PrepaidAccount,
+    bound_draw,
+    find_kept,
+    plan_draw,
+)
 
 ROUND_INTERVAL = timedelta(seconds=1)  # between full rounds of a small fleet
 ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
@@ -40,16 +47,11 @@
 MAX_CONFLICTS = 6  # lost races in one round before the next one is waited for
 
 
-def find_position(customer: str, vm: str) -> float:
-    """Return the place of a VM, from 0 to 1, in an order by customer."""
-    return xxhash.xxh3_64_intdigest(f"{customer}/{vm}".encode()) / 2**64
-
-
 DrawListener = Callable[[str, int, int], None]
-Borrow = Callable[[str, int, int], Awaitable[int]]
+Borrow = Callable[[Need, int], Awaitable[int]]
 
 
-async def borrow_nothing(customer: str, least: int, most: int) -> int:
+async def borrow_nothing(need: Need, most: int) -> int:
     """Return 0, for a fleet without loans."""
     return 0
 
@@ -59,11 +61,6 @@
     return max(ROUND_INTERVAL, vms * ROUND_INTERVAL_PER_VM)
 
 
-def find_partition(customer: str, partitions: int) -> int:
-    """Return the partition of a customer's row, the same on all VMs."""
-    return xxhash.xxh3_64_intdigest(customer.encode()) % partitions
-
-
 class TokenDraws:
     """Keeps the accounts of this VM filled.
 
@@ -101,7 +98,7 @@
         ]
         self.is_reached = False
         self.was_reached = False
-        self._wanted: dict[str, int] = {}
+        self.needs = TokenNeeds()
         self._settling: dict[int, asyncio.Task[bool]] = {}
         self._locks = [asyncio.Lock() for _ in logs]
         self._recording = asyncio.Lock()
@@ -124,32 +121,35 @@
         self._borrow = borrow
         self._is_lender = is_lender
 
-    async def wait_for(self, customer: str, tokens: int, timeout: timedelta) -> bool:
-        """Reserve ``tokens``, borrowing or drawing them if need be.
+    async def wait_for(self, need: Need, timeout: timedelta) -> bool:
+        """Reserve the tokens of ``need``, borrowing or drawing them if need be.
 
         Returns false when the tokens did not come within ``timeout``, sooner
         where neither the store nor a lender is in reach.
         """
-        account = self.find_account(customer)
-        if account.reserve(tokens, self._clock.since_boot()):
+        if self._reserve(need):
             return True
         deadline = self._clock.elapsed() + timeout
-        borrows_first = not self._draws_itself(customer)
-        if borrows_first and await self._borrow_for(customer, tokens, deadline):
+        borrows_first = not self._draws_itself(need.customer)
+        if borrows_first and await self._borrow_for(need, deadline):
             return True
-        if await self._draw_for(customer, tokens, deadline):
+        if await self._draw_for(need, deadline):
             return True
-        return not borrows_first and await self._borrow_for(customer, tokens, deadline)
+        return not borrows_first and await self._borrow_for(need, deadline)
+
+    def _reserve(self, need: Need) -> bool:
+        account = self.find_account(need.customer)
+        return self.needs.leave(need, account.free) and account.reserve(
+            need.tokens, self._clock.since_boot()
+        )
 
     def _draws_itself(self, customer: str) -> bool:
         return self._vms() < LARGE_FLEET or self._is_lender(customer)
 
-    async def _borrow_for(
-        self, customer: str, tokens: int, deadline: timedelta
-    ) -> bool:
-        """Reserve ``tokens`` after borrowing what is missing."""
-        account = self.find_account(customer)
-        missing = tokens - account.free
+    async def _borrow_for(self, need: Need, deadline: timedelta) -> bool:
+        """Reserve tokens after borrowing what is missing."""
+        customer, tokens, _ = need
+        missing = tokens - self.find_account(customer).free
         left = (deadline - self._clock.elapsed()).total_seconds()
         if left <= 0 or tokens > self._prepaid().get(customer, 0):
             return False
@@ -159,60 +159,55 @@
             most = max(plan_draw(view), missing)
             try:
                 async with asyncio.timeout(left):
-                    await self._borrow(customer, missing, most)
+                    await self._borrow(need._replace(tokens=missing), most)
             except TimeoutError:
                 return False
-        return account.reserve(tokens, self._clock.since_boot())
+        return self._reserve(need)
 
-    async def _draw_for(self, customer: str, tokens: int, deadline: timedelta) -> bool:
-        """Reserve ``tokens`` after drawing what is missing."""
-        account = self.find_account(customer)
-        self.note_wanted(customer, tokens)
+    async def _draw_for(self, need: Need, deadline: timedelta) -> bool:
+        """Reserve tokens after drawing what is missing."""
+        self.needs.add(need)
         try:
-            while self.is_reached and self._may_have_left(customer, tokens):
+            while self.is_reached and self._may_have_left(need):
                 left = (deadline - self._clock.elapsed()).total_seconds()
                 if left <= 0:
                     return False
-                settling = self._start_settling(customer)
+                settling = self._start_settling(need.customer)
                 await asyncio.wait({settling}, timeout=left)
-                if account.reserve(tokens, self._clock.since_boot()):
+                if self._reserve(need):
                     return True
                 if settling.done() and not settling.result():
                     return False
                 await asyncio.sleep(SETTLING_PAUSE.total_seconds())
             return False
         finally:
-            self.note_wanted(customer, -tokens)
+            self.needs.drop(need)
 
-    async def lend(self, customer: str, least: int, most: int) -> int:
+    async def lend(self, need: Need, most: int) -> int:
         """Take tokens out of use for another VM; returns how many.
 
         While the store is away, what this VM will soon need itself is kept.
         """
-        account = self.find_account(customer)
+        account = self.find_account(need.customer)
         kept = 0
         if not self.is_reached:
             rate = account.find_rate(self._clock.elapsed())
             kept = int(rate * KEPT_TIME.total_seconds())
-        for tokens in (most, least):
+        for tokens in (most, need.tokens):
             if account.free - tokens >= kept and account.lend(
                 tokens, self._clock.since_boot()
             ):
                 return tokens
         deadline = self._clock.elapsed() + LENT_DRAW_TIMEOUT
-        if not await self._draw_for(customer, least, deadline):
+        if not await self._draw_for(need, deadline):
             return 0
-        account.settle(least, used=least)
-        return least
+        account.settle(need.tokens, used=need.tokens)
+        return need.tokens
 
     def add_loan(self, customer: str, tokens: int) -> None:
         """Add tokens that another VM has taken out of use."""
         self.find_account(customer).credit_drawn(tokens)
 
-    def note_wanted(self, customer: str, tokens: int) -> None:
-        """Note that requests wait for ``tokens`` more, or fewer if negative."""
-        self._wanted[customer] = self._wanted.get(customer, 0) + tokens
-
     def measure_demand(self) -> dict[str, float]:
         """Return the recent demand of each customer here, in tokens/s."""
         now = self._clock.elapsed()
@@ -223,19 +218,25 @@
         granted = self._find_rows(customer).granted.get(customer, 0)
         return self._prepaid().get(customer, 0) - granted
 
+    def count_usable(self, customer: str, is_urgent: bool) -> int:
+        """Return the tokens of the total that a request may still draw."""
+        kept = 0 if is_urgent else find_kept(self._prepaid().get(customer, 0))
+        return max(self.count_left(customer) - kept, 0)
+
     def _find_partition(self, customer: str) -> int:
         return find_partition(customer, len(self._rows))
 
     def _find_rows(self, customer: str) -> GrantRows:
         return self._rows[self._find_partition(customer)]
 
-    def _may_have_left(self, customer: str, tokens: int) -> bool:
-        """Whether ``tokens`` are left, by rows that are recent enough to tell."""
-        if tokens > self._prepaid().get(customer, 0):
+    def _may_have_left(self, need: Need) -> bool:
+        """Whether tokens are left, by rows that are recent enough to tell."""
+        if need.tokens > self._prepaid().get(need.customer, 0):
             return False
-        if self.count_left(customer) + self.find_account(customer).free >= tokens:
+        usable = self.count_usable(need.customer, need.is_urgent)
+        if usable + self.find_account(need.customer).free >= need.tokens:
             return True
-        return self._find_rows(customer).is_older_than(WANTED_ROWS_AGE)
+        return self._find_rows(need.customer).is_older_than(WANTED_ROWS_AGE)
 
     def return_all(self) -> None:
         """Return free tokens from the next round on, as the VM is leaving."""
@@ -337,13 +338,12 @@
             wanted > 0
             and self._find_partition(customer) == number
             and not self._count_missing(customer)
-            for customer, wanted in self._wanted.items()
+            for customer, wanted in self.needs.all.items()
         )
 
     def _count_missing(self, customer: str) -> int:
         """Return the tokens that requests wait for and that are not here."""
-        wanted = self._wanted.get(customer, 0)
-        return max(wanted - self.find_account(customer).free, 0)
+        return self.needs.count_missing(customer, self.find_account(customer).free)
 
     async def _settle(self, number: int) -> None:
         """Change the rows of a partition as planned."""
@@ -393,8 +393,9 @@
         }
         if not borrowed:
             return deltas
+        needs = [Need(c, max(d // 2, 1), False) for c, d in borrowed.items()]
         results = await asyncio.gather(
-            *(self._borrow(c, max(d // 2, 1), d) for c, d in borrowed.items())
+            *(self._borrow(n, borrowed[n.customer]) for n in needs)
         )
         found = {c for c, tokens in zip(borrowed, results, strict=True) if tokens}
         return {c: d for c, d in deltas.items() if c not in found}
@@ -403,7 +404,7 @@
         """Whether ``deltas`` leave a request without tokens."""
         return any(
             self._count_missing(customer) > deltas.get(customer, 0)
-            for customer in self._wanted
+            for customer in self.needs.all
             if self._find_rows(customer) is rows
         )
 
@@ -411,7 +412,7 @@
         """Write what is held to the passbook."""
         if self._passbook is not None:
             async with self._recording:
-                await self._passbook.record(self.accounts, self._wanted)
+                await self._passbook.record(self.accounts, self.needs.all)
 
     def _note_reached(self, reached: bool, reason: str) -> None:
         if reached != self.is_reached:
@@ -445,11 +446,14 @@
         if vms >= LARGE_FLEET and self._is_lender(customer):
             ahead = int(fleet_rate * LENDING_TIME.total_seconds())
             reserve = min(ahead, int(max(prepaid - granted, 0) * LENDING_PART))
+        missing = self._count_missing(customer)
         return DrawView(
             prepaid=prepaid,
             granted=granted,
             free=account.free,
-            wanted=self._count_missing(customer),
+            wanted=missing,
+            urgent=min(self.needs.urgent[customer], missing),
+            kept=find_kept(prepaid),
             rate=rate,
             fleet_rate=fleet_rate,
             largest=account.largest,
@@ -462,8 +466,7 @@
     def _choose_delta(self, view: DrawView, now: timedelta) -> int:
         """Return the tokens to draw, or a negative number to return."""
         if self._hold_nothing:
-            left = max(view.prepaid - view.granted, 0)
-            return min(view.wanted, left) if view.wanted else -view.free
+            return bound_draw(view, view.wanted) if view.wanted else -view.free
         if now < self._settles_at and not view.wanted:
             return 0
         return plan_draw(view)
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -22,6 +22,7 @@
 from lavendershift.delivery import Delivery
 from lavendershift.draws import TokenDraws
 from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.needs import Need
 from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
@@ -108,7 +109,10 @@
         if customer is None or customer.prepaid is None or request.prompt is None:
             await delivery.run()
         else:
-            await self._run_prepaid(trace, delivery, route, customer, request.prompt)
+            is_urgent = table.is_urgent(route)
+            await self._run_prepaid(
+                trace, delivery, route, customer, request.prompt, is_urgent
+            )
 
     async def _run_prepaid(
         self,
@@ -117,6 +121,7 @@
         route: Route,
         customer: Customer,
         prompt: PromptShape,
+        is_urgent: bool,
     ) -> None:
         """Deliver with tokens set aside, and settle what was used."""
         request = trace.request
@@ -125,10 +130,11 @@
         account.note_demand(tokens, self._clock.elapsed())
         started = self._clock.elapsed()
         wait = min(find_wait(route.target), request.deadline - started)
-        is_paid = await self._draws.wait_for(customer.name, tokens, wait)
+        need = Need(customer.name, tokens, is_urgent)
+        is_paid = await self._draws.wait_for(need, wait)
         trace.waited = self._clock.elapsed() - started
         if not is_paid:
-            raise self._describe_shortage(customer, tokens)
+            raise self._describe_shortage(need)
         try:
             await delivery.run()
         finally:
@@ -139,15 +145,15 @@
                 trace.used_tokens = min(used, tokens)
             account.settle(tokens, trace.used_tokens)
 
-    def _describe_shortage(self, customer: Customer, tokens: int) -> RequestError:
+    def _describe_shortage(self, need: Need) -> RequestError:
         """Return the refusal of a request that its budget can't pay for now."""
         shortage = Shortage(
-            tokens,
-            self._draws.find_account(customer.name).free,
-            self._draws.count_left(customer.name),
+            need.tokens,
+            self._draws.find_account(need.customer).free,
+            self._draws.count_usable(need.customer, need.is_urgent),
             self._draws.is_reached,
         )
-        detail = f"need {tokens} free {shortage.free} left {shortage.left}"
+        detail = f"need {need.tokens} free {shortage.free} left {shortage.left}"
         after = choose_return(shortage, self._rng)
         return RequestError(ErrorKind.BUDGET_PENDING, detail, after)
 
--- /dev/null
+++ b/lavendershift/needs.py
@@ -0,0 +1,51 @@
+"""Tokens that requests wait for, by customer.
+
+Urgent requests are counted apart, as the last part of a total is kept for
+them::
+
+    needs = TokenNeeds()
+    needs.add(Need("plume", 900, is_urgent=True))
+    needs.add(Need("plume", 5000, is_urgent=False))
+    assert needs.all["plume"] == 5900
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+
+class Need(NamedTuple):
+    """The tokens of one customer that one request, or several, wait for."""
+
+    customer: str
+    tokens: int
+    is_urgent: bool = True
+
+
+class TokenNeeds:
+    """What requests wait for: ``all`` of them, and the ``urgent`` ones."""
+
+    def __init__(self) -> None:
+        self.all: Counter[str] = Counter()
+        self.urgent: Counter[str] = Counter()
+
+    def add(self, need: Need) -> None:
+        """Note that tokens are waited for."""
+        self.all[need.customer] += need.tokens
+        if need.is_urgent:
+            self.urgent[need.customer] += need.tokens
+
+    def drop(self, need: Need) -> None:
+        """Note that tokens are waited for no longer."""
+        self.add(need._replace(tokens=-need.tokens))
+
+    def count_missing(self, customer: str, free: int) -> int:
+        """Return the tokens that are waited for beyond the ``free`` ones."""
+        return max(self.all[customer] - free, 0)
+
+    def leave(self, need: Need, free: int) -> bool:
+        """Whether a request may take its tokens of the ``free`` ones.
+
+        What urgent requests wait for is not taken by others meanwhile.
+        """
+        spoken_for = 0 if need.is_urgent else self.urgent[need.customer]
+        return free - spoken_for >= need.tokens
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.platform.tests.live_nodes import Platform, wait_for
 from lavendershift_standins.platformserver import make_event, stream
 
@@ -143,6 +144,27 @@
     platform.store.away = False
 
 
+def test_the_last_tokens_of_a_total_pay_for_urgent_requests(platform):
+    """Large requests drew all of a total, and small urgent ones got none of it."""
+    (node,) = platform.nodes
+    routes = json.loads(make_configuration())["routes"]
+    urgent = routes[0] | {"name": "ask", "path_prefix": "/ask/", "priority": 0}
+    tenant = {"name": "plume", "api_keys": ["key-1"], "prepaid": 100_000}
+    ranked = [tenant | {"priority": 1}]
+    platform.configure(version=9, routes=[*routes, urgent], tenants=ranked)
+    wait_for(lambda: node.find_lines("configuration_changed", version=9), "a route")
+    statuses = []
+    for size in (4000, 1000, 300):
+        while statuses[-3:] != [429] * 3:
+            statuses.append(node.ask("r", tokens=(size, 40)).status)
+        statuses.append(size)
+    answers = [
+        node.ask(f"u{n}", path="/ask/a", tokens=(300, 40)).status for n in range(9)
+    ]
+    assert answers.count(200) >= 100_000 * 0.02 // 340
+    assert platform.find_granted()["plume"] <= 100_000
+
+
 def test_a_killed_process_loses_little_and_nothing_is_spent_twice(platform):
     (node,) = platform.nodes
     node.ask("r1")
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -28,6 +28,7 @@
 LEAST_HELD_PART = 0.12  # where little is left for the demand
 MOST_HELD_PART = 0.5
 EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
+KEPT_PART = 0.03  # of a total, for urgent requests; beyond what is owed to all
 SMALL_PART = 0.3  # of a target below one large request, held by all VMs
 LOW_WATER = 0.8  # of the target; below it tokens are drawn
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
@@ -159,10 +160,12 @@
     """What is known of one customer's total when a draw is planned.
 
     ``granted`` is the row in the store, ``wanted`` what requests wait for
-    beyond the free tokens, ``vms`` the number of live VMs. Rates are demand in
-    tokens/s, of this VM and of all of them. ``reserve`` is held beyond the own
-    demand, to lend. ``position`` is the VM's place between 0 and 1 in an order
-    of all VMs that differs by customer.
+    beyond the free tokens, ``urgent`` the part of it that urgent ones do,
+    ``kept`` the last part of the total, which only those may draw, ``vms`` the
+    number of live VMs. Rates are demand in tokens/s, of this VM and of all of
+    them. ``reserve`` is held beyond the own demand, to lend. ``position`` is
+    the VM's place between 0 and 1 in an order of all VMs that differs by
+    customer.
     """
 
     prepaid: int
@@ -176,6 +179,8 @@
     is_measured: bool = True
     reserve: int = 0
     position: float = 0.0
+    urgent: int = 0
+    kept: int = 0
 
 
 def find_share(view: DrawView) -> float:
@@ -230,6 +235,21 @@
     return min(max(part, LEAST_HELD_PART), MOST_HELD_PART)
 
 
+def find_kept(prepaid: int) -> int:
+    """Return the last part of a total, which only urgent requests may draw.
+
+    Where losses leave less than the demand, the large requests would take all
+    that is left, and each caller of a small urgent one be refused from then on.
+    """
+    return int(prepaid * KEPT_PART)
+
+
+def bound_draw(view: DrawView, tokens: int) -> int:
+    """Return ``tokens``, or as many of them as the row leaves to draw."""
+    left = max(view.prepaid - view.granted, 0)
+    return min(tokens, max(left - view.kept, min(view.urgent, left)))
+
+
 def plan_draw(view: DrawView) -> int:
     """Return the tokens to draw, or a negative number of tokens to return.
 
@@ -238,12 +258,11 @@
     small fleets return early; in large ones the returns alone would exceed the
     store's rate.
     """
-    left = max(view.prepaid - view.granted, 0)
     target = find_target(view)
     if view.wanted > 0:
-        return min(max(target - view.free, 0) + view.wanted, left)
+        return bound_draw(view, max(target - view.free, 0) + view.wanted)
     if view.free < target * LOW_WATER:
-        return min(target - view.free, left)
+        return bound_draw(view, target - view.free)
     spare = view.largest if view.vms >= LARGE_FLEET else 0.0
     if view.free > max(target * HIGH_WATER, target + spare):
         return target - view.free
--- a/lavendershift/routes.py
+++ b/lavendershift/routes.py
@@ -103,8 +103,12 @@
         self.needs_keys = bool(self.customers)
         self._by_key = {k: c for c in self.customers.values() for k in c.keys}
         self._hosts: dict[str, dict[str, Route]] = {}
+        urgencies = []
         for route in routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
+            if any(self._is_engine(share.service) for share in route.shares):
+                urgencies.append(route.urgency)
+        self._most_urgent = min(urgencies, default=0)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``."""
@@ -119,6 +123,17 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def _is_engine(self, service: str) -> bool:
+        found = self.services.get(service)
+        return found is not None and found.is_engine
+
+    def is_urgent(self, route: Route) -> bool:
+        """Whether no route to engines is more urgent.
+
+        Customers' ranks don't count, as each pays from a total of its own.
+        """
+        return route.urgency <= self._most_urgent
+
     def find_customer(self, key: str) -> Customer | None:
         """Return the customer that holds ``key``."""
         return self._by_key.get(key)
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -11,9 +11,11 @@
 
 import msgspec
 
-from lavendershift.draws import TokenDraws, find_partition
+from lavendershift.draws import TokenDraws
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.grantrows import GrantRow, SwapResult
+from lavendershift.needs import Need
+from lavendershift.partitions import find_partition
 from lavendershift.passbook import PageResult, Passbook
 from lavendershift.platform.grants import decode_row
 from lavendershift.platform.passbooks import decode_page
@@ -176,7 +178,7 @@
 
     def start(self):
         self.starts += 1
-        self.waiting = Counter()
+        self.waiting = {}
         name = f"{self.name}/{self.starts}"
         passbook = Passbook(
             self.clock, FaultyPages(self.world, self), name, f"boot-{self.boots}"
@@ -218,10 +220,13 @@
             self.clock = WorldClock(self.world)
         self.start()
 
-    def wait_for(self, customer, tokens):
+    def wait_for(self, customer, tokens, is_urgent=True):
         """Let requests wait for ``tokens``, in place of those before."""
-        self.draws.note_wanted(customer, tokens - self.waiting[customer])
-        self.waiting[customer] = tokens
+        if customer in self.waiting:
+            self.draws.needs.drop(self.waiting.pop(customer))
+        if tokens:
+            need = self.waiting[customer] = Need(customer, tokens, is_urgent)
+            self.draws.needs.add(need)
 
     async def run_round(self):
         try:
@@ -335,7 +340,8 @@
 
     async def step_borrow(self, vm):
         customer, least = self.rng.choice(CUSTOMERS), self.rng.randint(1, 3000)
-        self.borrowed += await vm.loans.borrow(customer, least, least * 2)
+        need = Need(customer, least, self.rng.random() < 0.3)
+        self.borrowed += await vm.loans.borrow(need, least * 2)
 
     def step_datagram(self, vm):
         if self.late_datagrams:
@@ -392,7 +398,7 @@
         if vm.begin(customer, tokens):
             self.served += 1
         else:
-            vm.wait_for(customer, tokens)
+            vm.wait_for(customer, tokens, self.rng.random() < 0.3)
 
     def step_finish(self, vm):
         vm.finish(self.rng)
--- a/lavendershift/tests/test_draws.py
+++ b/lavendershift/tests/test_draws.py
@@ -1,4 +1,5 @@
 import asyncio
+from collections import Counter
 from datetime import timedelta
 
 import pytest
@@ -8,11 +9,13 @@
     ROUND_INTERVAL,
     SETTLE_TIME,
     TokenDraws,
-    find_partition,
     find_round_interval,
 )
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.grantrows import GrantRow, SwapResult
+from lavendershift.needs import Need, TokenNeeds
+from lavendershift.partitions import find_partition
+from lavendershift.prepaid import KEPT_PART
 
 TOTAL = {"plume": 100_000}
 
@@ -157,7 +160,7 @@
         rows = MemoryRows()
         draws = make_draws(rows)
         draws.is_reached = False
-        return await draws.wait_for("plume", 50, timedelta(seconds=30))
+        return await draws.wait_for(Need("plume", 50), timedelta(seconds=30))
 
     assert asyncio.run(asyncio.wait_for(work(), 2)) is False
 
@@ -166,7 +169,7 @@
     async def work():
         draws = make_draws(MemoryRows())
         draws.is_reached = True
-        return await draws.wait_for("plume", 100_001, timedelta(seconds=30))
+        return await draws.wait_for(Need("plume", 100_001), timedelta(seconds=30))
 
     assert asyncio.run(asyncio.wait_for(work(), 2)) is False
 
@@ -179,7 +182,7 @@
         running = asyncio.ensure_future(draws.run())
         await asyncio.sleep(0.05)
         # The rows were read, but the first draw has no answer.
-        before = draws.was_reached, await draws.wait_for("plume", 50, timedelta())
+        before = draws.was_reached, await draws.wait_for(Need("plume", 50), timedelta())
         await asyncio.sleep(0.6)
         after = draws.was_reached, draws.find_account("plume").free > 0
         running.cancel()
@@ -199,8 +202,8 @@
         await draws.run_round()
         rows[0].is_away, rows[0].delay_s = True, 0.2
         lost, found = await asyncio.gather(
-            draws.wait_for("plume", 90_000, timedelta(milliseconds=50)),
-            draws.wait_for("sable", 90_000, timedelta(seconds=5)),
+            draws.wait_for(Need("plume", 90_000), timedelta(milliseconds=50)),
+            draws.wait_for(Need("sable", 90_000), timedelta(seconds=5)),
         )
         await asyncio.sleep(0.3)
         return lost, found, draws.is_reached
@@ -216,7 +219,7 @@
         await draws.run_round()
         reached = draws.is_reached
         rows[0].is_away = rows[1].is_away = True
-        await draws.wait_for("plume", 90_000, timedelta(milliseconds=50))
+        await draws.wait_for(Need("plume", 90_000), timedelta(milliseconds=50))
         return reached, draws.is_reached
 
     assert asyncio.run(work()) == (True, False)
@@ -229,7 +232,7 @@
         draws.return_all()
         await draws.run_round()
         held = draws.find_account("plume").free
-        return held, await draws.wait_for("plume", 500, timedelta(seconds=5))
+        return held, await draws.wait_for(Need("plume", 500), timedelta(seconds=5))
 
     assert asyncio.run(work()) == (0, True)
 
@@ -261,3 +264,37 @@
     with pytest.raises(LogUnavailableError):
         run_round(draws)
     assert draws.find_account("plume").free == held
+
+
+def test_large_requests_leave_the_last_part_of_a_total_to_urgent_ones():
+    """A fleet lost tokens with its power; large requests drew all the rest."""
+
+    async def work():
+        rows = MemoryRows()
+        vms = [make_draws(rows, name=f"vm-{n}/1") for n in range(3)]
+        for vm in vms:
+            await vm.run_round()
+        served = Counter()
+        for number in range(400):
+            vm, is_urgent = vms[number % 3], number % 4 == 0
+            need = Need("plume", 100 if is_urgent else 2000, is_urgent)
+            if await vm.wait_for(need, timedelta(seconds=1)):
+                vm.find_account("plume").settle(need.tokens, need.tokens)
+                served[is_urgent] += 1
+        return served, rows.rows[-1].granted
+
+    served, granted = asyncio.run(work())
+    assert granted <= TOTAL["plume"]
+    assert served[True] * 100 >= TOTAL["plume"] * KEPT_PART
+    assert served[False] * 2000 >= TOTAL["plume"] * 0.8
+    assert served[True] >= 60
+
+
+def test_tokens_drawn_for_an_urgent_request_are_not_taken_by_another():
+    needs = TokenNeeds()
+    needs.add(Need("plume", 900))
+    assert not needs.leave(Need("plume", 50, is_urgent=False), 900)
+    assert needs.leave(Need("plume", 50, is_urgent=False), 950)
+    assert needs.leave(Need("plume", 50), 900)
+    needs.drop(Need("plume", 900))
+    assert needs.leave(Need("plume", 900, is_urgent=False), 900)
--- a/lavendershift/tokenloans.py
+++ b/lavendershift/tokenloans.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.needs import Need
 
 ANSWER_TIMEOUT = timedelta(milliseconds=30)  # a draw of the lender and the way
 TRIES = 2  # at one lender, as datagrams get lost
@@ -31,7 +32,8 @@
 class LoanRequest(msgspec.Struct, array_like=True, tag="loan_request"):
     """A request for ``most`` tokens, or at least ``least``.
 
-    ``number`` rises within the borrower's incarnation.
+    ``number`` rises within the borrower's incarnation. An urgent one may use
+    the part of the total that is kept for those.
     """
 
     borrower: str
@@ -39,6 +41,7 @@
     customer: str
     least: int
     most: int
+    is_urgent: bool = False
 
 
 @register_message
@@ -54,7 +57,7 @@
 class Stock(Protocol):
     """The accounts that loans are taken from and added to."""
 
-    async def lend(self, customer: str, least: int, most: int) -> int:
+    async def lend(self, need: Need, most: int) -> int:
         """Take tokens out of use for another VM; returns how many."""
         ...
 
@@ -104,18 +107,25 @@
         datagrams.handle(LoanRequest, self._take_request)
         datagrams.handle(Loan, self._take_loan)
 
-    async def borrow(self, customer: str, least: int, most: int) -> int:
+    async def borrow(self, need: Need, most: int) -> int:
         """Return the tokens borrowed, which were added to the stock; 0 if none."""
-        for lender in self._find_lenders(customer)[:MAX_LENDERS]:
-            tokens = await self._ask(lender, customer, least, most)
+        for lender in self._find_lenders(need.customer)[:MAX_LENDERS]:
+            tokens = await self._ask(lender, need, most)
             if tokens:
                 return tokens
         return 0
 
-    async def _ask(self, lender: Peer, customer: str, least: int, most: int) -> int:
+    async def _ask(self, lender: Peer, need: Need, most: int) -> int:
         self._number += 1
-        request = LoanRequest(self._incarnation, self._number, customer, least, most)
-        asked = self._asked[self._number] = _Asked()
+        request = LoanRequest(
+            self._incarnation,
+            self._number,
+            need.customer,
+            need.tokens,
+            most,
+            need.is_urgent,
+        )
+        asked = self._asked[request.number] = _Asked()
         if len(self._asked) > MAX_REMEMBERED:
             self._asked.popitem(last=False)
         for _ in range(TRIES):
@@ -155,7 +165,8 @@
 
     async def _lend(self, request: LoanRequest, sender: Peer) -> None:
         least, most = max(request.least, 1), max(request.most, 1)
-        tokens = await self._stock.lend(request.customer, min(least, most), most)
+        need = Need(request.customer, min(least, most), request.is_urgent)
+        tokens = await self._stock.lend(need, most)
         loan = Loan(request.borrower, request.number, request.customer, tokens)
         self._given[request.borrower, request.number] = loan
         self._datagrams.send(loan, [sender])
