Release the kept part of a total where no urgent request comes

Evidence: test_a_customer_without_urgent_requests_can_use_its_whole_total, for which nothing beyond the kept part was drawn before. Change: a VM keeps it only while an urgent request of the customer came within 60 s, or the process began within them, so that it is kept over a restart.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -98,7 +98,7 @@
         ]
         self.is_reached = False
         self.was_reached = False
-        self.needs = TokenNeeds()
+        self.needs = TokenNeeds(clock.elapsed())
         self._settling: dict[int, asyncio.Task[bool]] = {}
         self._locks = [asyncio.Lock() for _ in logs]
         self._recording = asyncio.Lock()
@@ -127,6 +127,7 @@
         Returns false when the tokens did not come within ``timeout``, sooner
         where neither the store nor a lender is in reach.
         """
+        self.needs.note(need, self._clock.elapsed())
         if self._reserve(need):
             return True
         deadline = self._clock.elapsed() + timeout
@@ -188,6 +189,7 @@
 
         While the store is away, what this VM will soon need itself is kept.
         """
+        self.needs.note(need, self._clock.elapsed())
         account = self.find_account(need.customer)
         kept = 0
         if not self.is_reached:
@@ -220,9 +222,15 @@
 
     def count_usable(self, customer: str, is_urgent: bool) -> int:
         """Return the tokens of the total that a request may still draw."""
-        kept = 0 if is_urgent else find_kept(self._prepaid().get(customer, 0))
+        kept = 0 if is_urgent else self._count_kept(customer)
         return max(self.count_left(customer) - kept, 0)
 
+    def _count_kept(self, customer: str) -> int:
+        """Return the last part of the total, which only urgent requests draw."""
+        if not self.needs.expects_urgent(customer, self._clock.elapsed()):
+            return 0
+        return find_kept(self._prepaid().get(customer, 0))
+
     def _find_partition(self, customer: str) -> int:
         return find_partition(customer, len(self._rows))
 
@@ -453,7 +461,7 @@
             free=account.free,
             wanted=missing,
             urgent=min(self.needs.urgent[customer], missing),
-            kept=find_kept(prepaid),
+            kept=self._count_kept(customer),
             rate=rate,
             fleet_rate=fleet_rate,
             largest=account.largest,
--- a/lavendershift/needs.py
+++ b/lavendershift/needs.py
@@ -10,8 +10,11 @@
 """
 
 from collections import Counter
+from datetime import timedelta
 from typing import NamedTuple
 
+URGENT_MEMORY = timedelta(seconds=60)  # in which a customer's next urgent one comes
+
 
 class Need(NamedTuple):
     """The tokens of one customer that one request, or several, wait for."""
@@ -22,12 +25,26 @@
 
 
 class TokenNeeds:
-    """What requests wait for: ``all`` of them, and the ``urgent`` ones."""
+    """What requests wait for: ``all`` of them, and the ``urgent`` ones.
+
+    Each customer is taken to have urgent requests until none came for a while.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, now: timedelta = timedelta()) -> None:
+        self._started = now
+        self._urgent_at: dict[str, timedelta] = {}
         self.all: Counter[str] = Counter()
         self.urgent: Counter[str] = Counter()
 
+    def note(self, need: Need, now: timedelta) -> None:
+        """Note a request that came at ``now``."""
+        if need.is_urgent:
+            self._urgent_at[need.customer] = now
+
+    def expects_urgent(self, customer: str, now: timedelta) -> bool:
+        """Whether urgent requests of a customer are to be expected."""
+        return now - self._urgent_at.get(customer, self._started) < URGENT_MEMORY
+
     def add(self, need: Need) -> None:
         """Note that tokens are waited for."""
         self.all[need.customer] += need.tokens
--- a/lavendershift/tests/test_draws.py
+++ b/lavendershift/tests/test_draws.py
@@ -13,7 +13,7 @@
 )
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.grantrows import GrantRow, SwapResult
-from lavendershift.needs import Need, TokenNeeds
+from lavendershift.needs import URGENT_MEMORY, Need, TokenNeeds
 from lavendershift.partitions import find_partition
 from lavendershift.prepaid import KEPT_PART
 
@@ -298,3 +298,29 @@
     assert needs.leave(Need("plume", 50), 900)
     needs.drop(Need("plume", 900))
     assert needs.leave(Need("plume", 900, is_urgent=False), 900)
+
+
+def test_a_customer_without_urgent_requests_can_use_its_whole_total():
+    async def work():
+        clock, rows = ManualClock(), MemoryRows()
+        draws = make_draws(rows, clock)
+        await draws.run_round()
+        used = 0
+
+        async def spend(tokens):
+            need = Need("plume", tokens, is_urgent=False)
+            if not await draws.wait_for(need, timedelta(milliseconds=50)):
+                return False
+            draws.find_account("plume").settle(tokens, tokens)
+            return True
+
+        while await spend(500):
+            used += 500
+        assert used < TOTAL["plume"] * (1 - KEPT_PART) + 500
+        clock.advance(URGENT_MEMORY)
+        await draws.run_round()
+        while await spend(500):
+            used += 500
+        return used
+
+    assert asyncio.run(work()) == TOTAL["plume"]
