Adopt a predecessor's tokens only where two clocks agree

Change: a page bears the time of day as well; nothing is adopted where the two times since it differ by more than a second, and the longer one counts. Tests: test_nothing_is_adopted_where_the_clocks_disagree (4 cases), test_the_longer_of_two_lives_counts; half of the schedules with losses of power now keep the boot id.

--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -10,7 +10,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import Enum
 from pathlib import Path
 from typing import NamedTuple, Protocol
@@ -25,6 +25,7 @@
 RATE_FACTOR = 1.5  # times the demand that is measured
 OPENS_AFTER = timedelta(milliseconds=2500)  # a page each second, and a slow call
 LONGEST_LIFE = timedelta(seconds=60)  # after a page; beyond it nothing is adopted
+CLOCK_TOLERANCE = timedelta(seconds=1)  # between clocks that were never set
 MAX_TRIES = 5  # at one page, against changes by others in the same partition
 
 
@@ -41,7 +42,7 @@
 
 
 class Page(NamedTuple):
-    """A process's page; ``at`` is the time since ``boot`` when it was made.
+    """A process's page, made ``at`` the time since ``boot`` and ``written`` by day.
 
     The unspent tokens open ``opens`` after it.
     """
@@ -49,6 +50,7 @@
     incarnation: str
     boot: str
     at: timedelta
+    written: datetime
     entries: Mapping[str, Entry]
     opens: timedelta = timedelta()
 
@@ -81,12 +83,26 @@
         return ""
 
 
-def find_adoptable(page: Page, boot: str, now: timedelta) -> dict[str, int]:
+def find_life(page: Page, boot: str, at: timedelta, now: datetime) -> timedelta | None:
+    """Return how long the writer of ``page`` can have lived after it.
+
+    ``None`` where that is unknown: the boot is another one, or the time since boot
+    and the time of day disagree, as after a loss of power or where one was set.
+    """
+    since_boot, by_day = at - page.at, now - page.written
+    if not boot or page.boot != boot or abs(since_boot - by_day) > CLOCK_TOLERANCE:
+        return None
+    if not timedelta() <= since_boot <= LONGEST_LIFE:
+        return None
+    return max(since_boot, by_day)
+
+
+def find_adoptable(
+    page: Page, boot: str, at: timedelta, now: datetime
+) -> dict[str, int]:
     """Return the tokens that the dead writer of ``page`` can't have committed."""
-    lived = now - page.at
-    if not boot or page.boot != boot:
-        return {}
-    if not timedelta() <= lived <= LONGEST_LIFE:
+    lived = find_life(page, boot, at, now)
+    if lived is None:
         return {}
     adoptable = {}
     for customer, entry in page.entries.items():
@@ -113,7 +129,7 @@
         self._incarnation = incarnation
         self._boot = boot
         self._on_adopt = on_adopt
-        self._started_at = clock.since_boot()
+        self._started_at, self._started = clock.since_boot(), clock.now()
         self._end: int | None = None
 
     async def adopt(self, find_account: Callable[[str], PrepaidAccount]) -> None:
@@ -130,8 +146,8 @@
                 self._end = end
             else:
                 # The predecessor ended before this process began.
-                began = self._started_at
-                adopted = find_adoptable(old, self._boot, began) if old else {}
+                began = self._started_at, self._started
+                adopted = find_adoptable(old, self._boot, *began) if old else {}
                 if not await self._replace(end, adopted):
                     continue
             for customer, tokens in adopted.items():
@@ -193,7 +209,8 @@
     ) -> Page:
         if at is None:
             at = self._clock.since_boot()
-        return Page(self._incarnation, self._boot, at, entries, OPENS_AFTER)
+        written = self._clock.now()
+        return Page(self._incarnation, self._boot, at, written, entries, OPENS_AFTER)
 
 
 def find_promise(account: PrepaidAccount, now: timedelta) -> tuple[float, float]:
--- a/lavendershift/platform/passbooks.py
+++ b/lavendershift/platform/passbooks.py
@@ -1,6 +1,6 @@
 """Passbook pages in a keyed topic of the store."""
 
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import msgspec
 import xxhash
@@ -10,6 +10,7 @@
 from lavendershift.platform import names
 from lavendershift.platform.store import AppendResult, StoreClient
 
+EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 RESULTS = {
     AppendResult.DONE: PageResult.DONE,
     AppendResult.MOVED: PageResult.MOVED,
@@ -22,6 +23,7 @@
     incarnation: str
     boot: str
     at_us: int  # since boot
+    written_us: int  # of the Unix time
     entries: dict[str, tuple[int, float, float]]  # unspent, burst, tokens/s
     opens_us: int = 0  # after the page
 
@@ -55,6 +57,7 @@
                 page.incarnation,
                 page.boot,
                 page.at // timedelta(microseconds=1),
+                (page.written - EPOCH) // timedelta(microseconds=1),
                 {c: (e.unspent, e.burst, e.rate) for c, e in page.entries.items()},
                 page.opens // timedelta(microseconds=1),
             )
@@ -74,4 +77,5 @@
     entries = {customer: Entry(*entry) for customer, entry in wire.entries.items()}
     at = timedelta(microseconds=wire.at_us)
     opens = timedelta(microseconds=wire.opens_us)
-    return Page(wire.incarnation, wire.boot, at, entries, opens)
+    written = EPOCH + timedelta(microseconds=wire.written_us)
+    return Page(wire.incarnation, wire.boot, at, written, entries, opens)
--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -18,7 +18,7 @@
 from lavendershift.partitions import find_partition
 from lavendershift.passbook import PageResult, Passbook
 from lavendershift.platform.grants import decode_row
-from lavendershift.platform.passbooks import decode_page
+from lavendershift.platform.passbooks import EPOCH, decode_page
 from lavendershift.platform.store import Record
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.tokenloans import TokenLoans
@@ -156,6 +156,7 @@
             "incarnation": page.incarnation,
             "boot": page.boot,
             "at_us": page.at // timedelta(microseconds=1),
+            "written_us": (page.written - EPOCH) // timedelta(microseconds=1),
             "entries": {c: tuple(e) for c, e in page.entries.items()},
             "opens_us": page.opens // timedelta(microseconds=1),
         }
@@ -216,8 +217,14 @@
         for task in [*self.loans._tasks, *self.draws._settling.values()]:
             task.cancel()  # a dead process goes on with nothing
         if with_power:
-            self.boots += 1
+            before = self.clock.since_boot()
             self.clock = WorldClock(self.world)
+            if self.world.seed % 2:
+                self.boots += 1
+            else:
+                # A boot id may outlive a loss of power, the time since does not.
+                back = timedelta(seconds=self.world.rng.uniform(0, 4))
+                self.clock.booted = self.world.now - before + back
         self.start()
 
     def wait_for(self, customer, tokens, is_urgent=True):
--- a/lavendershift/tests/test_passbook.py
+++ b/lavendershift/tests/test_passbook.py
@@ -18,6 +18,7 @@
 from lavendershift.tests.test_draws import MemoryRows
 
 AT = timedelta(seconds=100)
+START = ManualClock().now()
 
 
 class MemoryPages:
@@ -41,7 +42,9 @@
 
 
 def make_page(boot="boot-1", at=AT, unspent=10_000, opens=timedelta(seconds=4)):
-    return Page("old", boot, at, {"plume": Entry(unspent, 500.0, 100.0)}, opens)
+    return Page(
+        "old", boot, at, START + at, {"plume": Entry(unspent, 500.0, 100.0)}, opens
+    )
 
 
 def make_passbook(pages, clock, name="new", boot="boot-1"):
@@ -54,6 +57,11 @@
     return account
 
 
+def adopt(page, boot, at, set_by=timedelta()):
+    """Return what is adopted ``at`` a time since boot, by day ``set_by`` more."""
+    return find_adoptable(page, boot, at, START + at + set_by)
+
+
 def make_clock(since_boot):
     clock = ManualClock()
     clock.advance(since_boot)
@@ -61,7 +69,7 @@
 
 
 def test_what_the_promise_left_is_adoptable():
-    adoptable = find_adoptable(make_page(), "boot-1", AT + timedelta(seconds=3))
+    adoptable = adopt(make_page(), "boot-1", AT + timedelta(seconds=3))
     assert adoptable == {"plume": 10_000 - 500 - 300 - 1}
 
 
@@ -69,7 +77,7 @@
     """One that was cut off from the store serves with all that it holds."""
     page = make_page(opens=timedelta(seconds=2))
     left = [
-        find_adoptable(page, "boot-1", AT + timedelta(seconds=s)).get("plume", 0)
+        adopt(page, "boot-1", AT + timedelta(seconds=s)).get("plume", 0)
         for s in (1, 2, 3, 5, 7)
     ]
     assert left[0] == 10_000 - 500 - 100 - 1
@@ -90,13 +98,13 @@
 
 def test_nothing_is_adopted_from_another_boot():
     later = AT + timedelta(seconds=1)
-    assert find_adoptable(make_page(), "boot-2", later) == {}
-    assert find_adoptable(make_page(boot=""), "", later) == {}
+    assert adopt(make_page(), "boot-2", later) == {}
+    assert adopt(make_page(boot=""), "", later) == {}
 
 
 @pytest.mark.parametrize("lived", [timedelta(seconds=-1), timedelta(seconds=61)])
 def test_nothing_is_adopted_after_an_impossible_time(lived):
-    assert find_adoptable(make_page(), "boot-1", AT + lived) == {}
+    assert adopt(make_page(), "boot-1", AT + lived) == {}
 
 
 def test_the_adopting_page_is_written_before_the_tokens_count():
@@ -128,7 +136,7 @@
     account = make_account(0)
     passbook = make_passbook(pages, make_clock(AT))
     taken = {"plume": Entry(4000, 0.0, 0.0)}
-    pages.page = Page("new", "boot-1", AT, taken)
+    pages.page = Page("new", "boot-1", AT, START + AT, taken)
     asyncio.run(passbook.adopt(lambda name: account))
     assert account.free == 4000
 
@@ -299,3 +307,20 @@
         asyncio.run(draws.run_round())
     assert account.free == held > 0
     assert not account.reserve(held, clock.since_boot())
+
+
+@pytest.mark.parametrize("set_by_s", [-30.0, -1.5, 1.5, 30.0])
+def test_nothing_is_adopted_where_the_clocks_disagree(set_by_s):
+    """A boot id may outlive a loss of power, the time since boot does not."""
+    later = AT + timedelta(seconds=3)
+    assert adopt(make_page(), "boot-1", later)
+    assert adopt(make_page(), "boot-1", later, timedelta(seconds=set_by_s)) == {}
+
+
+def test_the_longer_of_two_lives_counts():
+    later = AT + timedelta(seconds=3)
+    usual = adopt(make_page(), "boot-1", later)["plume"]
+    more = adopt(make_page(), "boot-1", later, timedelta(seconds=0.5))["plume"]
+    less = adopt(make_page(), "boot-1", later, timedelta(seconds=-0.5))["plume"]
+    assert more == usual - 50
+    assert less == usual
