Let time pass in the schedules while a loan waits for a draw

Cause: the world's clock stood still within a step, so that a lender whose tokens were spoken for by urgent requests drew again each 10 ms for a deadline that never came. Nodes are not affected: their clock runs, and 100 ms end such a wait. Change: each look at the world's clock takes 0.2 ms, so that deadlines come.

--- a/lavendershift/tests/prepaid_world.py
+++ b/lavendershift/tests/prepaid_world.py
@@ -27,10 +27,11 @@
 CUSTOMERS = ("plume", "encre", "sable")
 PARTITIONS = 2  # plume and encre share one
 GRANTS, PAGES = "grants", "pages"
+LOOK_TIME = timedelta(microseconds=200)  # so that deadlines pass while a call waits
 
 
 class WorldClock:
-    """The world's time as a VM sees it since its boot."""
+    """The world's time as a VM sees it since its boot; each look takes some."""
 
     def __init__(self, world):
         self._world = world
@@ -40,6 +41,7 @@
         return datetime(2026, 1, 1, tzinfo=UTC) + self._world.now
 
     def elapsed(self):
+        self._world.now += LOOK_TIME
         return self._world.now
 
     def since_boot(self):
