Remember an event that had begun when an answer ends inside it

After an answer that ended cleanly inside an event, a continuation without any event could still end as complete: found by reading the change again.

Cause: the position of an attempt was kept only where its answer was not refused, and such an end counts as refused. Evidence: two cases of test_a_stream_is_not_complete_without_the_event_that_had_begun failed before; a reset and a silence in the same place passed. Change: only an answer that does not follow leaves the position as it was.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -208,7 +208,7 @@
             self._note(entry.id, End.GIVEN_UP, "", reader, started)
             raise
         finally:
-            if reader.is_streamed and reader.refused is None:
+            if reader.is_streamed and reader.refused in (None, End.INSIDE_EVENT):
                 self.position = reader.events.end()
             self._note_read(placed)
             self._servers.finish(placed)
--- a/lavendershift/platform/tests/test_serveranswers.py
+++ b/lavendershift/platform/tests/test_serveranswers.py
@@ -375,12 +375,15 @@
     play(work)
 
 
+@pytest.mark.parametrize("broken_by", [reset, end_cleanly, keep_silent])
 @pytest.mark.parametrize("is_framed", [True, False])
-def test_a_stream_is_not_complete_without_the_event_that_had_begun(play, is_framed):
+def test_a_stream_is_not_complete_without_the_event_that_had_begun(
+    play, is_framed, broken_by
+):
     end = end_cleanly if is_framed else close
 
     async def work(scene):
-        first = send(WHOLE[: LENGTHS["half the data"]], reset)
+        first = send(WHOLE[: LENGTHS["half the data"]], broken_by)
         nothing = send(b"", end, is_framed=is_framed)
         await deliver_in_turn(scene, [first, nothing])
         assert scene.runs == 2
