Begin rounds of draws once the totals are known

Callers got 429 from a VM that had just said it was ready.

Cause: the first round of draws could come before the configuration. It found no totals, so no partition, and counted as whole; readiness followed as soon as the configuration came. No partition had been reached, so every request was refused until the next round: 1 s later in a small fleet, up to 18 s with 195 VMs (find_round_interval). The order of the two is a race after each outage in which a VM starts, which is what test_a_node_without_the_store_is_not_ready plays.

Ruled out: the store's stand-in (it answers both), the passbook (adopted well).

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -69,7 +69,7 @@
     customer at the other ones, in tokens/s.
     ``on_draw`` is told customer, tokens and the new total of grants.
     ``was_reached`` is set once a whole round went well: from then on requests
-    that wait for tokens can get them.
+    that wait for tokens can get them. Rounds begin with ``note_totals``.
     """
 
     def __init__(
@@ -104,6 +104,7 @@
         self._recording = asyncio.Lock()
         self._answered_at = timedelta()
         self._wake = asyncio.Event()
+        self._knows_totals = asyncio.Event()
         self._hold_nothing = False
         self._borrow: Borrow = borrow_nothing
         self._is_lender: Callable[[str], bool] = lambda customer: True
@@ -255,8 +256,13 @@
         """Draw ahead again after ``return_all``."""
         self._hold_nothing = False
 
+    def note_totals(self) -> None:
+        """Note that the totals are known, without which no round is whole."""
+        self._knows_totals.set()
+
     async def run(self) -> None:
         """Draw and return tokens until cancelled."""
+        await self._knows_totals.wait()
         while True:
             interval = self._choose_interval()
             try:
--- a/lavendershift/platform/tests/live_nodes.py
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -155,7 +155,7 @@
 class Platform:
     """The store, some servers and some nodes."""
 
-    def __init__(self, folder, nodes=1, servers=2):
+    def __init__(self, folder, nodes=1, servers=2, is_configured=True):
         self.thread = LoopThread()
         self.store = StoreServer(random.Random(1))
         self.store_port = find_port()
@@ -170,7 +170,8 @@
                 listed.append(server)
         self.sequence = 0
         self.nodes = [Node(n, self.store_port, folder) for n in range(nodes)]
-        self.configure()
+        if is_configured:
+            self.configure()
         self.beat()
 
     def configure(self, **changes):
@@ -220,6 +221,13 @@
             for received in server.received
         )
 
+    def count_pages(self):
+        """Return how many pages of tokens the nodes wrote."""
+        return sum(
+            self.store.state.end(names.PASSBOOK_TOPIC, part)
+            for part in range(PARTITIONS)
+        )
+
     def find_granted(self):
         return {
             key.decode(): msgspec.json.decode(value)["granted"]
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -293,6 +293,23 @@
         platform.stop()
 
 
+def test_a_node_whose_configuration_comes_late_pays_as_soon_as_it_is_ready(tmp_path):
+    """Readiness was taken from a round of draws before any total was known."""
+    platform = Platform(tmp_path, is_configured=False)
+    (node,) = platform.nodes
+    try:
+        node.launch()
+        wait_for(lambda: node.get(node.ready, "/readyz").status == 503, "an answer")
+        deadline = time.monotonic() + 2
+        while not platform.count_pages() and time.monotonic() < deadline:
+            time.sleep(0.005)
+        platform.configure()
+        node.wait_ready()
+        assert node.ask("r1").status == 200
+    finally:
+        platform.stop()
+
+
 def test_idle_connections_stay_open_as_long_as_the_configuration_says(platform):
     (node,) = platform.nodes
     platform.configure(version=9, limits={"idle_timeout_ms": 1000})
