Send callers to as few VMs as carry the load

Cause: callers were spread over all VMs, so that each customer's total was split into as many parts. On 195 VMs with 40 customers a VM's share is less than one large request; a VM that is cut off refuses most of what it is asked, and the rest of the fleet pays for 195 readers, writers and gossips.

Change: every VM works out the active VMs from the rows of all, ranked by what they can carry; the directory tells callers of those of their domain, and of a second one. The others stand by: they hold nothing ahead, send no datagrams and take over where active ones fail or the load rises. Retries are shared by the active VMs; a part that changes keeps its proportion, as a VM that became active had only the tokens of one that stands by.

Ruled out on the way: letting VMs act as active ones for 5 s after they left the set. At the start each VM knows itself alone, so that all of them held a large part.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -39,6 +39,7 @@
 WANTED_ROWS_AGE = timedelta(milliseconds=100)  # of rows that refuse a request
 SETTLING_PAUSE = timedelta(milliseconds=10)  # between tries for a waiting request
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
+IDLE_AWAY_INTERVAL = timedelta(seconds=1)  # the same where nothing is held ahead
 SETTLE_TIME = timedelta(seconds=2)  # until the other VMs' rows were read
 LENDING_TIME = timedelta(milliseconds=500)  # of the fleet's demand, kept for loans
 LENDING_PART = 0.1  # of what is left, kept for loans at most
@@ -65,9 +66,11 @@
     """Keeps the accounts of this VM filled.
 
     ``logs`` are the partitions of the rows. ``prepaid`` returns the newest
-    totals, ``vms`` the number of live VMs and ``others_rate`` the demand of a
-    customer at the other ones, in tokens/s.
+    totals, ``vms`` the number of VMs that hold tokens ahead and ``others_rate``
+    the demand of a customer at the other ones, in tokens/s.
     ``on_draw`` is told customer, tokens and the new total of grants.
+    ``holds_ahead`` tells whether this VM draws before requests come; where it does
+    not, it draws what they need and returns the rest.
     ``was_reached`` is set once a whole round went well: from then on requests
     that wait for tokens can get them. Rounds begin with ``note_totals``.
     """
@@ -83,6 +86,7 @@
         passbook: Passbook | None = None,
         on_draw: DrawListener = lambda customer, tokens, granted: None,
         on_reach: Callable[[bool, str], None] = lambda reached, reason: None,
+        holds_ahead: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._name = name.partition("/")[0]
@@ -92,6 +96,7 @@
         self._others_rate = others_rate
         self._passbook = passbook
         self._on_reach = on_reach
+        self._holds_ahead = holds_ahead
         self.accounts: dict[str, PrepaidAccount] = {}
         self._rows = [
             GrantRows(clock, log, name, self.find_account, on_draw) for log in logs
@@ -268,7 +273,7 @@
             try:
                 await self.run_round()
             except LogUnavailableError:
-                interval = AWAY_INTERVAL
+                interval = AWAY_INTERVAL if self._holds_ahead() else IDLE_AWAY_INTERVAL
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), interval.total_seconds())
             self._wake.clear()
@@ -290,7 +295,7 @@
         with self._watch_reach():
             if self._passbook is not None:
                 await self._passbook.adopt(self.find_account)
-        partitions = sorted({self._find_partition(c) for c in self._prepaid()})
+        partitions = self._list_partitions()
         if partitions and not self.is_reached:
             await self._settle(partitions.pop(0))
         failures = await self._settle_all(partitions)
@@ -300,6 +305,14 @@
             await self._record()
         self.was_reached = self.was_reached or not failures
 
+    def _list_partitions(self) -> list[int]:
+        """Return the partitions whose rows a full round looks at."""
+        used = {self._find_partition(c) for c in self._prepaid()}
+        if not self._holds_ahead() and self.is_reached:
+            held = [c for c, account in self.accounts.items() if account.free]
+            used &= {self._find_partition(customer) for customer in held}
+        return sorted(used)
+
     async def _settle_all(self, partitions: Sequence[int]) -> list[LogUnavailableError]:
         """Settle partitions; returns the failures.
 
@@ -479,7 +492,7 @@
 
     def _choose_delta(self, view: DrawView, now: timedelta) -> int:
         """Return the tokens to draw, or a negative number to return."""
-        if self._hold_nothing:
+        if self._hold_nothing or not self._holds_ahead():
             return bound_draw(view, view.wanted) if view.wanted else -view.free
         if now < self._settles_at and not view.wanted:
             return 0
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -43,7 +43,7 @@
 class Gateway:
     """Serves plain HTTP requests of callers.
 
-    ``vms`` returns the number of live VMs, which share the retry budget.
+    ``find_retry_part`` returns this VM's part of the fleet's repeated sendings.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         draws: TokenDraws,
         reports: RequestReports,
         retry_bounds: RetryBounds,
-        vms: Callable[[], int],
+        find_retry_part: Callable[[], float],
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -66,9 +66,10 @@
         self._draws = draws
         self._reports = reports
         self._bounds = retry_bounds
-        self._vms = vms
+        self._find_retry_part = find_retry_part
         self._retries: dict[str, RetryBudget] = {}
         self.table: RoutingTable | None = None
+        self.on_arrival: Callable[[], None] = lambda: None
 
     def find_limits(self) -> CallerLimits:
         """Return the bounds on what callers may send."""
@@ -82,6 +83,7 @@
         """Answer one request."""
         trace = RequestTrace(request)
         self._reports.note_received()
+        self.on_arrival()
         try:
             await self._serve(trace, answers)
             self._reports.note_answered(trace)
@@ -206,7 +208,7 @@
         return Service(name) if service is None else service
 
     def _find_retries(self, service: str) -> RetryBudget:
-        burst = self._bounds.slack * RETRY_MARGIN / max(self._vms(), 1)
+        burst = self._bounds.slack * RETRY_MARGIN * self._find_retry_part()
         budget = self._retries.get(service)
         if budget is None:
             share = self._bounds.share * RETRY_MARGIN
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -1,12 +1,17 @@
 """What VMs tell each other about the backend servers they use.
 
-Each VM sends its own requests in flight and unread prompt tokens on a server
-to all others whenever they change, and everything from time to time. Totals
+Each VM with requests sends those in flight and unread prompt tokens on a server
+to its peers whenever they change, and everything from time to time. Totals
 are sent, never differences, so that a lost datagram is made up for by the next
 one. Nothing that must hold depends on this: a VM that hears nobody places its
-requests by its own alone::
+requests by its own alone.
 
-    gossip = Gossip(clock, "edge-1", incarnation, servers, list_peers, datagrams)
+The peers are the active VMs, and others that told of requests lately. An active VM
+also tells listeners from time to time that it lives::
+
+    gossip = Gossip(
+        clock, "edge-1", incarnation, servers, list_peers, list_listeners, datagrams
+    )
     gossip.note_change("i-7f3a91c2", ("5c1e07a2", "91bd3f06"))
 """
 
@@ -25,6 +30,7 @@
 SHORTEST_DELAY = timedelta(milliseconds=2)  # lets changes of one turn go together
 MAX_DATAGRAM_BYTES = 1400  # what passes an Ethernet link in one piece
 MAX_PARTS = 40  # prompt parts in one datagram
+TELLER_MEMORY = timedelta(seconds=2)  # in which a VM with requests is told of others'
 
 
 class _Change(msgspec.Struct, array_like=True):
@@ -56,6 +62,7 @@
         incarnation: str,
         servers: ServerList,
         list_peers: Callable[[], Sequence[Peer]],
+        list_listeners: Callable[[], Sequence[Peer]],
         datagrams: Datagrams,
     ) -> None:
         self._clock = clock
@@ -63,6 +70,8 @@
         self._incarnation = incarnation
         self._servers = servers
         self._list_peers = list_peers
+        self._list_listeners = list_listeners
+        self._tellers: dict[Peer, timedelta] = {}
         self._datagrams = datagrams
         self._changed: dict[str, list[str]] = {}
         self._wake = asyncio.Event()
@@ -91,7 +100,7 @@
             except TimeoutError:
                 pass  # nothing changed, a summary is due
             self._wake.clear()
-            peers = self._list_peers()
+            peers = self._find_peers()
             delay = max(DELAY_FOR_PEERS * len(peers) ** 2, SHORTEST_DELAY)
             await asyncio.sleep(delay.total_seconds())
             now = self._clock.elapsed()
@@ -99,7 +108,20 @@
                 summarized = now
                 for server in self._servers.list_used():
                     self._changed.setdefault(server, [])
-            self._send(peers)
+                told = peers if self._changed else []
+                self._send_batch(
+                    [], [peer for peer in self._list_listeners() if peer not in told]
+                )
+            if self._changed:
+                self._send(peers)
+
+    def _find_peers(self) -> list[Peer]:
+        """Return whom to tell of requests."""
+        now = self._clock.elapsed()
+        self._tellers = {
+            peer: at for peer, at in self._tellers.items() if now - at <= TELLER_MEMORY
+        }
+        return list({*self._list_peers(), *self._tellers})
 
     def _send(self, peers: Sequence[Peer]) -> None:
         changes = [
@@ -135,6 +157,8 @@
             return
         self._newest[news.vm] = (news.incarnation, news.number)
         self._heard_at[news.vm] = self._clock.elapsed()
+        if news.changes:
+            self._tellers[sender] = self._clock.elapsed()
         for change in news.changes:
             load = ServerLoad(change.in_flight, change.unread_tokens)
             self._servers.note_others(news.vm, change.server, load, change.parts)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -44,11 +44,13 @@
 from lavendershift.serverlist import ServerEntry, ServerList
 from lavendershift.tokenloans import TokenLoans
 from lavendershift.vmlist import VmList, VmRow, split_address
+from lavendershift.workingset import Activity, WorkingSet, find_capacity
 
 LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
 EXIT_RESERVE = timedelta(milliseconds=500)  # of the grace time, for the last steps
 LAST_WRITES = timedelta(milliseconds=200)  # for answers in the sockets' buffers
 LEAST_VMS = 3  # that share the retries, before the others are known
+ACTIVE_RETRY_PART = 0.8  # of the fleet's repeated sendings, for the active VMs
 METRICS_PORT = 9464  # the usual one of this text format
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 TIDY_INTERVAL = timedelta(seconds=2)  # between looks for stale idle connections
@@ -84,8 +86,11 @@
             0,
             False,
             peer_address=f"{settings.ip}:{settings.peer_port}",
+            capacity=find_capacity(settings.cores, settings.link_mbps),
         )
         self._vms = VmList(clock, row)
+        self._working_set = WorkingSet(clock, self._vms.list_members)
+        self._activity = Activity(clock, self._working_set, settings.name)
         self._servers = ServerList(clock, rng, settings.failure_domain)
         self._datagrams = Datagrams()
         self._gossip = Gossip(
@@ -93,7 +98,8 @@
             settings.name,
             incarnation,
             self._servers,
-            self._vms.list_peers,
+            self._list_active_peers,
+            self._list_listeners,
             self._datagrams,
         )
         self._servers.on_load = self._gossip.note_change
@@ -106,7 +112,7 @@
             ],
             incarnation,
             self._list_prepaid,
-            self._vms.count,
+            self._working_set.count,
             self._vms.sum_demand,
             Passbook(
                 clock,
@@ -117,6 +123,7 @@
             ),
             self._note_draw,
             self._note_grants_reached,
+            self._activity.is_active,
         )
         loans = TokenLoans(
             incarnation,
@@ -135,10 +142,13 @@
             self._draws,
             RequestReports(clock, log, self._instruments),
             RetryBounds(settings.retry_share, settings.retry_slack),
-            lambda: max(self._vms.count(), LEAST_VMS),
+            self._find_retry_part,
         )
+        self._gateway.on_arrival = self._activity.note_arrival
         self._callers = CallerServer(clock, self._gateway)
-        self._directory = SmallServer(Directory(self._vms, settings.resolve_ttl).answer)
+        self._directory = SmallServer(
+            Directory(self._vms, self._working_set, settings.resolve_ttl).answer
+        )
         self._ready = SmallServer(self._answer_ready)
         self._metrics = SmallServer(self._answer_metrics, METRICS_TYPE)
         self._configuration = ConfigurationFeed(
@@ -154,7 +164,11 @@
         )
         self._presence_feed = PresenceFeed(clock, self._store, log, self._vms)
         self._presence = PresenceWriter(
-            self._store, self._vms, self._draws.measure_demand
+            self._store,
+            self._vms,
+            self._draws.measure_demand,
+            self._activity.measure_arrivals,
+            self._activity.is_active,
         )
 
     @property
@@ -281,6 +295,7 @@
         instruments.set_gauge("configuration_version", version)
         instruments.set_gauge("servers", len(self._servers))
         instruments.set_gauge("vms", self._vms.count())
+        instruments.set_gauge("vms_active", self._working_set.count())
         now = self._clock.elapsed()
         for feed in (self._configuration, self._server_feed, self._presence_feed):
             if feed.read_at is not None:
@@ -321,15 +336,36 @@
             free_tokens=account.free,
         )
 
+    def _find_retry_part(self) -> float:
+        """Return this VM's part of the fleet's repeated sendings."""
+        if self._activity.is_active():
+            return ACTIVE_RETRY_PART / max(self._working_set.count(), LEAST_VMS)
+        return (1 - ACTIVE_RETRY_PART) / max(self._vms.count(), LEAST_VMS)
+
+    def _list_active_peers(self) -> list[Peer]:
+        """Return the other active VMs."""
+        return self._vms.list_peers(self._working_set.list_names())
+
+    def _list_listeners(self) -> list[Peer]:
+        """Return who has to know that this VM lives, nobody while it stands by.
+
+        They are the active VMs, and those of its domain, which tell callers of it.
+        """
+        if not self._activity.is_active():
+            return []
+        names = {*self._working_set.list_names(), *self._vms.list_neighbours()}
+        return self._vms.list_peers(names)
+
     def _find_lenders(self, customer: str) -> list[Peer]:
         """Return the other VMs to borrow from, the best first."""
-        rows = self._vms.rank_lenders(customer)
+        rows = self._vms.rank_lenders(customer, self._working_set.list_names())
         addresses = [r.peer_address for r in rows if r.name != self._vms.own.name]
         return [peer for peer in map(split_address, addresses) if peer is not None]
 
     def _is_lender(self, customer: str) -> bool:
         """Whether this VM draws the customer's tokens for the others."""
-        return self._vms.rank_lenders(customer)[0].name == self._vms.own.name
+        ranked = self._vms.rank_lenders(customer, self._working_set.list_names())
+        return ranked[0].name == self._vms.own.name
 
     def _note_loan(self, customer: str, tokens: int) -> None:
         name = "tokens_borrowed" if tokens > 0 else "tokens_lent"
--- a/lavendershift/platform/directory.py
+++ b/lavendershift/platform/directory.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from lavendershift.vmlist import VmList
+from lavendershift.workingset import WorkingSet
 
 RESOLVE_TTL = timedelta(seconds=1)  # how soon callers learn of a VM that left
 MAX_ADDRESSES = 64
@@ -50,17 +51,21 @@
 class Directory:
     """Answers callers that ask for addresses."""
 
-    def __init__(self, vms: VmList, longest_ttl: timedelta) -> None:
+    def __init__(
+        self, vms: VmList, working_set: WorkingSet, longest_ttl: timedelta
+    ) -> None:
         self._vms = vms
+        self._working_set = working_set
         self._ttl = min(RESOLVE_TTL, longest_ttl)
 
     def answer(self, request: HTTPServerRequest) -> tuple[int, bytes]:
-        """Return the addresses for a caller, those of its domain first."""
+        """Return the addresses of the active VMs for a caller's domain."""
         url = urlsplit(request.uri or "")
         if url.path != "/resolve":
             return 404, b"{}"
         domain = parse_qs(url.query).get("zone", [""])[0]
-        addresses = self._vms.list_addresses(domain)[:MAX_ADDRESSES]
+        names = self._working_set.list_for(domain)[:MAX_ADDRESSES]
+        addresses = self._vms.list_addresses(names)
         if not addresses:
             return 503, b"{}"
         answer = {"addresses": addresses, "ttl_s": self._ttl.total_seconds()}
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -29,6 +29,8 @@
     retry_window: timedelta
     resolve_ttl: timedelta  # the longest time callers keep an answer
     partitions: int
+    cores: float  # the part of a usual core that the process gets
+    link_mbps: float  # of the VM's own link, each way
 
 
 class SettingsError(Exception):
@@ -47,6 +49,7 @@
     """Return the settings in ``data``; fields that are not known are ignored."""
     try:
         listen, bounds, store = data["listen"], data["bounds"], data["platform"]
+        limits = data.get("limits", {})
         return NodeSettings(
             name=str(data["node"]),
             role=str(data["role"]),
@@ -66,6 +69,8 @@
             retry_window=timedelta(seconds=bounds["budget_window_s"]),
             resolve_ttl=timedelta(seconds=bounds.get("ttl_max_s", 5)),
             partitions=int(store.get("parts", 1)),
+            cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
+            link_mbps=float(limits.get("link_mbps", 1000)),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise SettingsError(f"{type(error).__name__}: {error}") from None
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -26,6 +26,9 @@
     leaving: bool = False
     demand: dict[str, float] = {}  # tokens/s of each customer
     peer: str = ""  # host and port for datagrams
+    capacity: float = 0.0  # requests/s
+    arrivals: float = 0.0  # requests/s
+    active: bool = True
 
 
 class PresenceWriter:
@@ -36,10 +39,14 @@
         store: StoreClient,
         vms: VmList,
         measure_demand: Callable[[], dict[str, float]],
+        measure_arrivals: Callable[[], float],
+        is_active: Callable[[], bool],
     ) -> None:
         self._store = store
         self._vms = vms
         self._measure_demand = measure_demand
+        self._measure_arrivals = measure_arrivals
+        self._is_active = is_active
 
     async def run(self) -> None:
         """Renew the row until cancelled."""
@@ -51,7 +58,10 @@
         """Write the row once; a failed renewal is made up for by the next."""
         own = self._vms.own
         row = own._replace(
-            renewal=own.renewal + 1, is_leaving=own.is_leaving or is_leaving
+            renewal=own.renewal + 1,
+            is_leaving=own.is_leaving or is_leaving,
+            arrivals=round(self._measure_arrivals(), 2),
+            is_active=self._is_active(),
         )
         self._vms.set_own(row)
         value = _Row(
@@ -66,6 +76,9 @@
                 if rate >= SMALLEST_RATE
             },
             row.peer_address,
+            row.capacity,
+            row.arrivals,
+            row.is_active,
         )
         record = (row.name.encode(), msgspec.json.encode(value))
         await self._store.append(names.VMS_TOPIC, 0, [record])
@@ -111,6 +124,9 @@
             wire.leaving,
             wire.demand,
             wire.peer,
+            wire.capacity,
+            wire.arrivals,
+            wire.active,
         )
         if self._vms.update(row):
             result = "leaving" if row.is_leaving else "serving"
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -14,10 +14,11 @@
 ``plan_draw`` decides how many tokens to draw or to return.
 """
 
-import math
 from datetime import timedelta
 from typing import NamedTuple
 
+from lavendershift.rates import DecayingRate
+
 RATE_WINDOW = timedelta(seconds=8)  # memory of the measured demand
 HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
 LARGEST_DECAY = 0.98  # per request, so that about the largest of 50 counts
@@ -92,8 +93,7 @@
         self.largest = 0.0  # tokens of a large request, decaying
         self.limits: list[SpendingLimit] = []
         self.first_demand: timedelta | None = None
-        self._rate = 0.0  # tokens/s
-        self._rate_at = timedelta()
+        self._rate = DecayingRate(RATE_WINDOW)
 
     def credit(self, tokens: int) -> None:
         """Add tokens that a page may count already, or take away some."""
@@ -140,14 +140,12 @@
         """Note a request that will probably use ``tokens``."""
         if self.first_demand is None:
             self.first_demand = now
-        decay = math.exp(-((now - self._rate_at) / RATE_WINDOW))
-        self._rate = self._rate * decay + tokens / RATE_WINDOW.total_seconds()
+        self._rate.add(tokens, now)
         self.largest = max(self.largest * LARGEST_DECAY, float(tokens))
-        self._rate_at = now
 
     def find_rate(self, now: timedelta) -> float:
         """Return the recent demand in tokens/s."""
-        return self._rate * math.exp(-((now - self._rate_at) / RATE_WINDOW))
+        return self._rate.measure(now)
 
     def is_measured(self, now: timedelta) -> bool:
         """Return whether demand came for long enough to know its rate."""
--- a/lavendershift/rates.py
+++ b/lavendershift/rates.py
@@ -1,6 +1,6 @@
-"""Estimates of how fast a budget is being drawn on.
+"""Estimates of how fast a budget is being drawn on, and of other rates.
 
-The estimate is an average over the recent past in which older amounts weigh
+The estimate of a budget is an average over the recent past in which older amounts weigh
 exponentially less. It is corrected for a short history, so that it is usable
 from the first request on::
 
@@ -45,3 +45,27 @@
         if now_s > self._last_s:
             self._level *= math.exp((self._last_s - now_s) / self._window_s)
             self._last_s = now_s
+
+
+class DecayingRate:
+    """Units per second, in which those of ``window`` ago count a third.
+
+    Unlike ``RateEstimator`` it makes no more of a short history than came::
+
+        arrivals = DecayingRate(timedelta(seconds=5))
+        arrivals.add(1, clock.elapsed())
+    """
+
+    def __init__(self, window: timedelta) -> None:
+        self._window = window
+        self._rate = 0.0
+        self._at = timedelta()
+
+    def add(self, units: float, now: timedelta) -> None:
+        """Note ``units`` that came at ``now``."""
+        self._rate = self.measure(now) + units / self._window.total_seconds()
+        self._at = now
+
+    def measure(self, now: timedelta) -> float:
+        """Return the rate as of ``now``."""
+        return self._rate * math.exp(-((now - self._at) / self._window))
--- a/lavendershift/retries.py
+++ b/lavendershift/retries.py
@@ -87,9 +87,13 @@
         self._tokens = burst
 
     def set_burst(self, burst: float) -> None:
-        """Change the most that is saved, as when the fleet's size changes."""
+        """Change the most that is saved, as when the fleet's size changes.
+
+        What is saved stays the same part of it, so that changes back and forth
+        make no tokens.
+        """
+        self._tokens *= burst / self._burst if self._burst > 0 else 0.0
         self._burst = burst
-        self._tokens = min(self._tokens, burst)
 
     def record_success(self) -> None:
         """Add a success's share."""
--- a/lavendershift/tests/test_gossip.py
+++ b/lavendershift/tests/test_gossip.py
@@ -15,7 +15,7 @@
 class Node:
     """One VM's servers and gossip."""
 
-    def __init__(self, name, port, peer_port):
+    def __init__(self, name, port, peer_port, is_active=True, knows_peers=True):
         self.servers = ServerList(SystemClock(), random.Random(1), "rennes")
         self.servers.update(ENTRY)
         self.port = port
@@ -25,7 +25,8 @@
             name,
             f"{name}/1",
             self.servers,
-            lambda: [("127.0.0.1", peer_port)],
+            lambda: [("127.0.0.1", peer_port)] if knows_peers else [],
+            lambda: [("127.0.0.1", peer_port)] if is_active else [],
             self.datagrams,
         )
         self.servers.on_load = self.gossip.note_change
@@ -68,3 +69,45 @@
         return result
 
     assert asyncio.run(work()) == (None, 600, 0, True)
+
+
+async def hear(sender, listener, name):
+    """Return how long ``listener`` did not hear of ``name``, after a while."""
+    await sender.start()
+    await listener.start()
+    await asyncio.sleep(1.2)
+    silence = listener.gossip.find_silence(name)
+    sender.stop()
+    listener.stop()
+    return silence
+
+
+def test_an_active_vm_tells_that_it_lives_and_one_that_stands_by_does_not():
+    async def work(is_active):
+        ports = find_ports(2)
+        sender = Node("vm-1", *ports, is_active=is_active)
+        listener = Node("vm-2", *ports[::-1], is_active=False)
+        return await hear(sender, listener, "vm-1")
+
+    assert asyncio.run(work(is_active=True)) < timedelta(seconds=1)
+    assert asyncio.run(work(is_active=False)) is None
+
+
+def test_a_vm_that_tells_of_requests_is_told_of_others():
+    """Else one that stands by would place its requests by its own load alone."""
+
+    async def work():
+        ports = find_ports(2)
+        active = Node("vm-1", *ports, is_active=False, knows_peers=False)
+        other = Node("vm-2", *ports[::-1], is_active=False)
+        await active.start()
+        await other.start()
+        heard = other.servers.find("s1")
+        active.servers.start(active.servers.find("s1"), PROMPT)
+        other.servers.start(heard, PROMPT)
+        clock = SystemClock()
+        await wait_until(lambda: heard.sum_load(clock.elapsed()).in_flight == 2)
+        active.stop()
+        other.stop()
+
+    asyncio.run(work())
--- a/lavendershift/tests/test_retries.py
+++ b/lavendershift/tests/test_retries.py
@@ -14,6 +14,7 @@
     GiveUp,
     Retries,
     Retry,
+    RetryBudget,
     RetryReason,
 )
 
@@ -81,3 +82,20 @@
 )
 def test_a_request_that_is_given_up_gets_its_error_kind(change, kind):
     assert make_retries().decide(REFUSED._replace(**change)) == GiveUp(kind)
+
+
+def test_a_larger_part_of_the_fleets_retries_can_be_used_at_once():
+    """A VM that became active had the few tokens of one that stands by."""
+    budget = RetryBudget(share=0.1, burst=2)
+    budget.set_burst(12)
+    assert [budget.spend() for _ in range(13)] == [True] * 12 + [False]
+
+
+def test_changes_of_the_part_back_and_forth_make_no_tokens():
+    budget = RetryBudget(share=0.1, burst=12)
+    for _ in range(6):
+        budget.spend()
+    for _ in range(5):
+        budget.set_burst(2)
+        budget.set_burst(12)
+    assert sum(budget.spend() for _ in range(12)) == 6
--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -18,6 +18,10 @@
     return vms
 
 
+def list_serving(vms):
+    return sorted(row.name for row in vms.list_serving())
+
+
 def renew(vms, clock, names, step=timedelta(seconds=1)):
     clock.advance(step)
     for name in names:
@@ -25,16 +29,15 @@
     vms.expire()
 
 
-def test_addresses_of_the_callers_domain_come_first():
-    vms = make_list(ManualClock(), "a")
-    vms.update(make_row("b", domain="brest"))
-    assert vms.list_addresses("brest")[0] == "b:80"
+def test_addresses_come_in_the_order_of_the_names():
+    vms = make_list(ManualClock(), "a", "b")
+    assert vms.list_addresses(["b", "nobody", "own"]) == ["b:80", "own:80"]
 
 
 def test_a_leaving_vm_is_not_listed():
     vms = make_list(ManualClock(), "a")
     assert vms.update(make_row("a", renewal=2, is_leaving=True))
-    assert vms.list_addresses() == ["own:80"]
+    assert list_serving(vms) == ["own"]
 
 
 def test_a_vm_that_no_longer_renews_is_dropped():
@@ -42,7 +45,7 @@
     vms = make_list(clock, "a", "b")
     for _ in range(6):
         renew(vms, clock, ["b"])
-    assert vms.list_addresses() == ["b:80", "own:80"]
+    assert list_serving(vms) == ["b", "own"]
 
 
 def test_a_vm_without_the_store_drops_nobody():
@@ -50,7 +53,7 @@
     vms = make_list(clock, "a")
     clock.advance(timedelta(minutes=1))
     assert vms.expire() == []
-    assert "a:80" in vms.list_addresses()
+    assert "a" in list_serving(vms)
 
 
 def test_a_silent_vm_is_unlisted_before_its_row_expires():
@@ -59,7 +62,7 @@
     vms.hear_directly(lambda name: EXPIRY if name == "a" else timedelta())
     for _ in range(3):
         renew(vms, clock, ["b", "c"])
-    assert "a:80" not in vms.list_addresses()
+    assert "a" not in list_serving(vms)
     assert vms.count() == 4
 
 
@@ -68,7 +71,27 @@
     vms = make_list(clock, "a", "b", "c")
     vms.hear_directly(lambda name: EXPIRY)
     clock.advance(timedelta(seconds=3))
-    assert len(vms.list_addresses()) == 4
+    assert len(list_serving(vms)) == 4
+
+
+def test_a_vm_that_stands_by_need_not_be_heard():
+    clock = ManualClock()
+    vms = make_list(clock, "a", "b", "c")
+    vms.update(make_row("a", renewal=2)._replace(is_active=False))
+    vms.hear_directly(lambda name: EXPIRY if name == "a" else timedelta())
+    clock.advance(timedelta(seconds=3))
+    assert "a" in list_serving(vms)
+
+
+def test_vms_that_stand_by_don_t_hide_that_this_one_is_cut_off():
+    """Most VMs send nothing, so that nearly all of those that send are silent."""
+    clock = ManualClock()
+    vms = make_list(clock, "a", "b")
+    for name in "cdefgh":
+        vms.update(make_row(name)._replace(is_active=False))
+    vms.hear_directly(lambda name: EXPIRY if name in "ab" else None)
+    clock.advance(timedelta(seconds=3))
+    assert {"a", "b"} <= set(list_serving(vms))
 
 
 def test_demand_is_summed_over_the_others():
@@ -82,7 +105,22 @@
 def test_peers_need_an_address():
     vms = make_list(ManualClock(), "a")
     vms.update(make_row("b")._replace(peer_address="10.0.0.2:7340"))
-    assert vms.list_peers() == [("10.0.0.2", 7340)]
+    assert vms.list_peers(["a", "b", "own"]) == [("10.0.0.2", 7340)]
+
+
+def test_lenders_are_active_vms_that_are_heard():
+    vms = make_list(ManualClock())
+    for name in "abc":
+        vms.update(make_row(name)._replace(peer_address=f"10.0.0.2:{ord(name)}"))
+    vms.hear_directly(lambda name: timedelta() if name in "ab" else None)
+    ranked = vms.rank_lenders("plume", ["b", "c"])
+    assert {row.name for row in ranked} == {"b", "own"}
+
+
+def test_neighbours_are_the_others_of_the_domain():
+    vms = make_list(ManualClock(), "a")
+    vms.update(make_row("b", domain="brest"))
+    assert vms.list_neighbours() == ["a"]
 
 
 @pytest.mark.parametrize("seconds", [0, 1, 10])
@@ -93,6 +131,6 @@
     for _ in range(seconds):
         renew(vms, clock, [])
     assert not vms.update(make_row("a", renewal=2))
-    assert vms.list_addresses() == ["own:80"]
+    assert list_serving(vms) == ["own"]
     assert vms.update(make_row("a", renewal=1)._replace(incarnation="b"))
-    assert vms.list_addresses() == ["a:80", "own:80"]
+    assert list_serving(vms) == ["a", "own"]
--- /dev/null
+++ b/lavendershift/tests/test_workingset.py
@@ -0,0 +1,167 @@
+from datetime import timedelta
+
+from lavendershift.clocks import ManualClock
+from lavendershift.workingset import (
+    USED_CAPACITY,
+    Activity,
+    Member,
+    WorkingSet,
+    choose_active,
+    find_capacity,
+    follow_loads,
+)
+
+DOMAINS = ("rennes", "quimper", "brest", "lorient", "vannes")
+SECOND = timedelta(seconds=1)
+
+
+def make_fleet(small=36, large=3, domains=DOMAINS, arrivals=0.0):
+    """Return the members of a fleet like that of the users' large site."""
+    return [
+        Member(
+            f"{domain}-{number}", domain, 215.0 if number < large else 51.6, arrivals
+        )
+        for domain in domains
+        for number in range(small + large)
+    ]
+
+
+class Fleet:
+    """A working set over members that a test may change."""
+
+    def __init__(self, members):
+        self.clock = ManualClock()
+        self.members = members
+        self.working_set = WorkingSet(self.clock, lambda: self.members)
+
+    def list_for(self, domain="rennes"):
+        self.clock.advance(SECOND)
+        return self.working_set.list_for(domain)
+
+    def serve(self, requests):
+        """Let the callers of each domain send ``requests``/s to its active VMs."""
+        active = self.working_set.find_active()
+        self.members = [
+            member._replace(
+                arrivals=requests / len(active[member.failure_domain])
+                if member.name in active[member.failure_domain]
+                else 0.0
+            )
+            for member in self.members
+        ]
+        self.clock.advance(SECOND)
+
+
+def test_a_large_fleet_serves_with_few_vms():
+    """195 VMs split each total into parts of less than one request."""
+    fleet = Fleet(make_fleet())
+    for _ in range(5):
+        fleet.serve(55)
+    names = fleet.working_set.list_names()
+    assert len(fleet.members) == 195
+    assert 5 <= len(names) <= 20
+    assert all(int(name.partition("-")[2]) < 3 for name in names)
+
+
+def test_the_load_decides_how_many_vms_serve():
+    fleet = Fleet(make_fleet())
+    for requests in (10, 100, 400):
+        for _ in range(5):
+            fleet.serve(requests)
+        carried = sum(
+            member.capacity * USED_CAPACITY
+            for member in fleet.members
+            if fleet.working_set.includes(member.name)
+        )
+        assert requests * len(DOMAINS) <= carried <= requests * len(DOMAINS) * 2 + 215
+
+
+def test_waves_of_the_load_leave_the_set_as_it_is():
+    fleet = Fleet(make_fleet())
+    for _ in range(5):
+        fleet.serve(120)
+    before = fleet.working_set.list_names()
+    for requests in (100, 135, 90, 120, 80, 140):
+        fleet.serve(requests)
+        assert fleet.working_set.list_names() == before
+
+
+def test_loads_fall_only_where_they_have_halved():
+    loads = follow_loads({}, {"rennes": 100.0})
+    assert follow_loads(loads, {"rennes": 60.0}) == loads
+    assert follow_loads(loads, {"rennes": 30.0})["rennes"] < 50
+
+
+def test_a_failed_vm_is_replaced_by_one():
+    members = make_fleet()
+    loads = dict.fromkeys(DOMAINS, 150.0)
+    before = choose_active(members, loads)
+    failed = before["brest"][0]
+    after = choose_active([m for m in members if m.name != failed], loads)
+    assert after["rennes"] == before["rennes"]
+    assert set(before["brest"]) - {failed} <= set(after["brest"])
+
+
+def test_views_that_differ_in_load_give_nested_sets():
+    members = make_fleet()
+    for lower, higher in ((0, 30), (50, 60), (100, 300)):
+        small = choose_active(members, dict.fromkeys(DOMAINS, lower))
+        large = choose_active(members, dict.fromkeys(DOMAINS, higher))
+        for domain in DOMAINS:
+            assert large[domain][: len(small[domain])] == small[domain]
+
+
+def test_callers_get_the_vms_of_their_domain_and_a_second_one():
+    fleet = Fleet(make_fleet(small=2, large=0, domains=DOMAINS[:3]))
+    listed = {domain: fleet.list_for(domain) for domain in DOMAINS[:3]}
+    for domain, names in listed.items():
+        assert len(names) == 2
+        assert names[0].startswith(domain)
+    assert len({name for names in listed.values() for name in names}) == 3
+
+
+def test_callers_of_a_domain_without_vms_are_sent_elsewhere():
+    fleet = Fleet(make_fleet(domains=DOMAINS[:2]))
+    assert len(fleet.list_for("vannes")) == 2
+    assert Fleet([]).list_for("vannes") == []
+
+
+def test_a_vm_that_leaves_the_set_acts_on_while_its_callers_come():
+    fleet = Fleet(make_fleet(small=2, large=0))
+    name = fleet.working_set.list_names()[0]
+    activity = Activity(fleet.clock, fleet.working_set, name)
+    for _ in range(50):
+        activity.note_arrival()
+    fleet.members = [member for member in fleet.members if member.name != name]
+    fleet.clock.advance(SECOND)
+    assert not fleet.working_set.includes(name)
+    assert activity.is_active()
+    fleet.clock.advance(60 * SECOND)
+    assert not activity.is_active()
+
+
+def test_a_vm_that_starts_holds_nothing_for_having_been_alone():
+    """Each VM knows itself alone at first, and all of them held a large part."""
+    fleet = Fleet(make_fleet(small=1, large=0, domains=DOMAINS[:1]))
+    activity = Activity(fleet.clock, fleet.working_set, "rennes-0")
+    assert activity.is_active()
+    fleet.members = make_fleet(small=8, large=1, domains=DOMAINS[:1])[1:]
+    fleet.clock.advance(SECOND)
+    assert activity.is_active() == fleet.working_set.includes("rennes-0")
+
+
+def test_a_vm_that_callers_use_acts_as_an_active_one():
+    """Other VMs may see another set and send callers here."""
+    fleet = Fleet(make_fleet(small=2, large=0))
+    name = next(m.name for m in fleet.members if not fleet.working_set.includes(m.name))
+    activity = Activity(fleet.clock, fleet.working_set, name)
+    assert not activity.is_active()
+    for _ in range(10):
+        activity.note_arrival()
+        fleet.clock.advance(SECOND)
+    assert activity.is_active()
+
+
+def test_the_link_may_bound_what_a_vm_carries():
+    assert find_capacity(1.0, 1000) == 100
+    assert find_capacity(2.15, 5) < 30
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -1,4 +1,4 @@
-"""The VMs of the fleet that callers may connect to.
+"""The VMs of the fleet.
 
 Each VM keeps a row in the store and renews it. A VM is listed while its row is
 renewed and does not say that it is leaving. While this VM reaches the store no
@@ -6,15 +6,16 @@
 
     vms = VmList(clock, "edge-1")
     vms.update(VmRow("edge-2", "10.0.0.2:80", "rennes", "a1", 7, False))
-    vms.list_addresses("rennes")
+    vms.list_serving()
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 from lavendershift.hashing import rank_by_hash
+from lavendershift.workingset import Member
 
 PEER_EXPIRY = timedelta(milliseconds=2200)  # four datagrams, and one late row
 LENDER_SILENCE = timedelta(milliseconds=1300)  # two datagrams, and a late one
@@ -25,6 +26,8 @@
     """What a VM says of itself; ``renewal`` rises with each row it writes.
 
     ``demand`` is the recent demand of each customer there, in tokens/s.
+    ``capacity`` is the requests/s that it can carry, ``arrivals`` those it gets.
+    One that ``is_active`` sends datagrams all the time.
     """
 
     name: str
@@ -35,6 +38,9 @@
     is_leaving: bool
     demand: Mapping[str, float] = {}
     peer_address: str = ""
+    capacity: float = 0.0
+    arrivals: float = 0.0
+    is_active: bool = True
 
 
 def split_address(address: str) -> tuple[str, int] | None:
@@ -110,21 +116,28 @@
         """Return the number of VMs, leaving ones included."""
         return len(self._known) + 1
 
-    def list_peers(self) -> list[tuple[str, int]]:
-        """Return host and port of each other VM for datagrams."""
-        addresses = [known.row.peer_address for known in self._known.values()]
+    def list_peers(self, names: Iterable[str]) -> list[tuple[str, int]]:
+        """Return host and port of the other VMs among ``names`` for datagrams."""
+        known = [self._known[name] for name in names if name in self._known]
+        addresses = [each.row.peer_address for each in known]
         return [peer for peer in map(split_address, addresses) if peer is not None]
 
-    def rank_lenders(self, customer: str) -> list[VmRow]:
+    def list_neighbours(self) -> list[str]:
+        """Return the names of the other VMs of this VM's failure domain."""
+        domain = self.own.failure_domain
+        return [n for n, k in self._known.items() if k.row.failure_domain == domain]
+
+    def rank_lenders(self, customer: str, names: Iterable[str]) -> list[VmRow]:
         """Return the VMs to borrow a customer's tokens from, the best first.
 
-        Others count if they were heard directly within ``LENDER_SILENCE``, as
-        requests wait for a loan.
+        Others are those among ``names`` that were heard directly within
+        ``LENDER_SILENCE``, as requests wait for a loan.
         """
         rows = [
             known.row
-            for known in self._known.values()
-            if not known.row.is_leaving
+            for known in map(self._known.get, names)
+            if known is not None
+            and not known.row.is_leaving
             and known.row.peer_address
             and self._is_heard(known.row.name)
         ]
@@ -147,20 +160,36 @@
         """
         now = self._clock.elapsed()
         known = list(self._known.values())
-        present = [k for k in known if not self._is_silent(k, now)]
-        return known if len(present) * 2 < len(known) else present
+        silent = [k for k in known if self._is_silent(k, now)]
+        active = sum(k.row.is_active for k in known)
+        if len(silent) * 2 > active:
+            return known
+        return [k for k in known if k not in silent]
 
     def _is_silent(self, known: _KnownVm, now: timedelta) -> bool:
         silence = self._find_silence(known.row.name)
         return (
-            silence is not None
+            known.row.is_active
+            and silence is not None
             and silence > PEER_EXPIRY
             and now - known.renewed_at > PEER_EXPIRY
         )
 
-    def list_addresses(self, failure_domain: str = "") -> list[str]:
-        """Return the callers' addresses, those of ``failure_domain`` first."""
-        rows = [known.row for known in self._find_present()] + [self.own]
-        serving = [row for row in rows if not row.is_leaving and row.address]
-        serving.sort(key=lambda row: (row.failure_domain != failure_domain, row.name))
-        return [row.address for row in serving]
+    def list_serving(self) -> list[VmRow]:
+        """Return the VMs that serve callers, or are about to as this one is."""
+        rows = [known.row for known in self._find_present() if known.row.address]
+        return [row for row in [*rows, self.own] if not row.is_leaving]
+
+    def list_members(self) -> list[Member]:
+        """Return the VMs of which some are active."""
+        return [
+            Member(row.name, row.failure_domain, row.capacity, row.arrivals)
+            for row in self.list_serving()
+        ]
+
+    def list_addresses(self, names: Iterable[str]) -> list[str]:
+        """Return the callers' addresses of the VMs ``names``, where they are ready."""
+        rows = {name: known.row for name, known in self._known.items()}
+        rows[self.own.name] = self.own
+        addresses = [rows[name].address for name in names if name in rows]
+        return [address for address in addresses if address]
--- /dev/null
+++ b/lavendershift/workingset.py
@@ -0,0 +1,185 @@
+"""Which VMs callers are sent to: as few as carry the load.
+
+What a VM holds ahead of a customer's tokens serves only the callers that come to
+it. With callers spread over all VMs of a large fleet, a customer's total is split
+into parts of less than one request, and VMs that are cut off refuse most of what
+they are asked. So callers are sent to the *active* VMs only. The others stand by:
+they hold nothing, and take over where active ones fail or the load rises::
+
+    working_set = WorkingSet(clock, list_vms)
+    working_set.list_for("rennes")
+
+Each VM works the set out by itself from the rows of all VMs. VMs are ranked by what
+they can carry, then by a hash, and the first of them are taken until their capacity
+suffices, so that sets made from different views are nested.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from lavendershift.clocks import Clock
+from lavendershift.hashing import rank_by_hash
+from lavendershift.rates import DecayingRate
+
+USED_CAPACITY = 0.2  # of the active VMs, which leaves room for surges and slow VMs
+HEADROOM = 1.25  # above the measured load, so that its waves don't change the set
+LEAST_LISTED = 2  # active VMs that a caller is told of, so that it can try another
+MEMORY = timedelta(milliseconds=200)  # in which the set is not worked out again
+REQUEST_TIME = timedelta(milliseconds=10)  # of a usual core, docs/CAPACITY.md
+REQUEST_BYTES = 24_576  # each way, a prompt of 12 KB that comes in and goes out
+ARRIVAL_WINDOW = timedelta(seconds=5)  # over which arrivals are measured
+LEAST_ARRIVALS = 0.5  # requests/s at which a VM holds tokens though it stands by
+
+
+class Member(NamedTuple):
+    """A VM that could serve callers.
+
+    ``capacity`` is the requests/s that it can carry, ``arrivals`` those it gets.
+    """
+
+    name: str
+    failure_domain: str
+    capacity: float
+    arrivals: float
+
+
+class WorkingSet:
+    """The active VMs, as one VM sees them.
+
+    ``list_members`` returns the VMs that serve, this one included.
+    """
+
+    def __init__(
+        self, clock: Clock, list_members: Callable[[], Iterable[Member]]
+    ) -> None:
+        self._clock = clock
+        self._list_members = list_members
+        self._loads: dict[str, float] = {}
+        self._active: dict[str, list[str]] = {}
+        self._chosen_at: timedelta | None = None
+
+    def find_active(self) -> dict[str, list[str]]:
+        """Return the names of the active VMs by failure domain."""
+        now = self._clock.elapsed()
+        if self._chosen_at is None or now - self._chosen_at >= MEMORY:
+            self._chosen_at = now
+            members = list(self._list_members())
+            self._loads = follow_loads(self._loads, measure_loads(members))
+            self._active = choose_active(members, self._loads)
+        return self._active
+
+    def list_names(self) -> list[str]:
+        """Return the names of all active VMs."""
+        return [name for names in self.find_active().values() for name in names]
+
+    def includes(self, name: str) -> bool:
+        """Whether a VM is active."""
+        return any(name in names for names in self.find_active().values())
+
+    def count(self) -> int:
+        """Return the number of active VMs, at least 1."""
+        return max(sum(len(names) for names in self.find_active().values()), 1)
+
+    def list_for(self, failure_domain: str) -> list[str]:
+        """Return the active VMs for the callers of a failure domain.
+
+        They are those of the domain itself, as some customers have callers in one
+        domain only, and one of each further domain until there are enough.
+        """
+        active = self.find_active()
+        names = list(active.get(failure_domain, ()))
+        others = [domain for domain in active if domain != failure_domain]
+        for domain in rank_by_hash(others, failure_domain):
+            if len(names) >= LEAST_LISTED:
+                break
+            names += active[domain][:1]
+        return names
+
+
+class Activity:
+    """Whether this VM acts as an active one, and the requests that it gets.
+
+    It does so while it is in the working set, and while callers come: they keep
+    addresses for a while, and other VMs may see another set.
+    """
+
+    def __init__(self, clock: Clock, working_set: WorkingSet, name: str) -> None:
+        self._clock = clock
+        self._working_set = working_set
+        self._name = name
+        self._arrivals = DecayingRate(ARRIVAL_WINDOW)
+
+    def note_arrival(self) -> None:
+        """Note a request of a caller."""
+        self._arrivals.add(1, self._clock.elapsed())
+
+    def measure_arrivals(self) -> float:
+        """Return the recent requests/s."""
+        return self._arrivals.measure(self._clock.elapsed())
+
+    def is_active(self) -> bool:
+        """Whether tokens are held here and datagrams sent all the time."""
+        return (
+            self._working_set.includes(self._name)
+            or self.measure_arrivals() >= LEAST_ARRIVALS
+        )
+
+
+def find_capacity(cores: float, link_mbps: float) -> float:
+    """Return the requests/s that fill a VM's processor or its link."""
+    by_processor = cores / REQUEST_TIME.total_seconds()
+    by_link = link_mbps * 1e6 / 8 / REQUEST_BYTES
+    return round(min(by_processor, by_link), 1)
+
+
+def measure_loads(members: Iterable[Member]) -> dict[str, float]:
+    """Return the requests/s that arrive in each failure domain."""
+    loads: dict[str, float] = {}
+    for member in members:
+        domain = member.failure_domain
+        loads[domain] = loads.get(domain, 0.0) + member.arrivals
+    return loads
+
+
+def follow_loads(
+    before: dict[str, float], measured: dict[str, float]
+) -> dict[str, float]:
+    """Return the loads to provide for, in requests/s.
+
+    They rise with the measured ones at once, and fall only where these have halved.
+    """
+    loads = {}
+    for domain, load in measured.items():
+        provided = before.get(domain, 0.0)
+        if load > provided or load * HEADROOM < provided / 2:
+            provided = load * HEADROOM
+        loads[domain] = provided
+    return loads
+
+
+def choose_active(
+    members: Iterable[Member], loads: dict[str, float]
+) -> dict[str, list[str]]:
+    """Return the active VMs of each failure domain, the largest first.
+
+    There is one in each domain at least, and ``LEAST_LISTED`` in a single domain.
+    """
+    by_domain: dict[str, dict[str, Member]] = {}
+    for member in members:
+        by_domain.setdefault(member.failure_domain, {})[member.name] = member
+    least = math.ceil(LEAST_LISTED / max(len(by_domain), 1))
+    active = {}
+    for domain, known in sorted(by_domain.items()):
+        ranked = rank_by_hash(list(known), domain)
+        ranked.sort(key=lambda name: -known[name].capacity)
+        needed = loads.get(domain, 0.0) / USED_CAPACITY
+        chosen: list[str] = []
+        for name in ranked:
+            if needed <= 0 and len(chosen) >= least:
+                break
+            chosen.append(name)
+            needed -= known[name].capacity
+        active[domain] = chosen
+    return active
