Use held tokens where they are needed, and hold less where little is left

Pages are written each 0.4 s while tokens are held and open 1.2 s after the last one, in 2 s; what they promise at once is less, so that a successor adopts more. The page tells the time in which it opens. A refused page is not repeated at once (five tries of 0.6 s each bound the VM to the promise of a page that never was). - VMs that lose the store still hear each other in most cuts, but a loan came from one lender of two by a hash. Active VMs tell each other what they hold; the richest are asked, and several make up one request. Nobody is asked where all hold too little. - Refused callers came back at once and were refused again, which used up their only repeat. Where nobody holds enough they are told to come back after the cut. - The first requests of a customer made one VM hold up to a sixth of its total, which a loss of power took. An equal part is held until demand was seen for 3 s. - Held tokens are lost with the power, and all refusals after that come from them. What is held falls with the time that the rest lasts: from 0.6 at 40 s to 0.03. - A customer of which a VM's share is less than one large request had by chance no VM that held one. A leaving VM tells the others itself. VMs that stand by read less often.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -21,7 +21,7 @@
 from lavendershift.errors import LogUnavailableError
 from lavendershift.grantrows import DrawRefusedError, GrantLog, GrantRows
 from lavendershift.needs import Need, TokenNeeds
-from lavendershift.partitions import find_partition, find_position
+from lavendershift.partitions import find_partition
 from lavendershift.passbook import Passbook
 from lavendershift.prepaid import (
     LARGE_FLEET,
@@ -32,19 +32,21 @@
     plan_draw,
 )
 
+PAGE_INTERVAL = timedelta(milliseconds=400)  # while tokens are held
 ROUND_INTERVAL = timedelta(seconds=1)  # between full rounds of a small fleet
 ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
 SMALL_SPREAD, LARGE_SPREAD = 0.1, 0.5  # of the interval, either way
 ROWS_AGE = timedelta(seconds=3)  # of rows that full rounds plan from, or two rounds
 WANTED_ROWS_AGE = timedelta(milliseconds=100)  # of rows that refuse a request
 SETTLING_PAUSE = timedelta(milliseconds=10)  # between tries for a waiting request
+DOUBTED_AFTER = timedelta(milliseconds=400)  # of some calls of 4 ms each
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
 IDLE_AWAY_INTERVAL = timedelta(seconds=1)  # the same where nothing is held ahead
 SETTLE_TIME = timedelta(seconds=2)  # until the other VMs' rows were read
 LENDING_TIME = timedelta(milliseconds=500)  # of the fleet's demand, kept for loans
 LENDING_PART = 0.1  # of what is left, kept for loans at most
 LENT_DRAW_TIMEOUT = timedelta(milliseconds=100)  # for a draw that a loan needs
-KEPT_TIME = timedelta(seconds=2)  # of the own demand, not lent without the store
+KEPT_TIME = timedelta(milliseconds=500)  # of the own demand, not lent without the store
 MAX_CONFLICTS = 6  # lost races in one round before the next one is waited for
 
 
@@ -70,7 +72,8 @@
     the demand of a customer at the other ones, in tokens/s.
     ``on_draw`` is told customer, tokens and the new total of grants.
     ``holds_ahead`` tells whether this VM draws before requests come; where it does
-    not, it draws what they need and returns the rest.
+    not, it draws what they need and returns the rest. ``find_rank`` returns this
+    VM's place among those that hold a customer's tokens, 0 first.
     ``was_reached`` is set once a whole round went well: from then on requests
     that wait for tokens can get them. Rounds begin with ``note_totals``.
     """
@@ -87,9 +90,9 @@
         on_draw: DrawListener = lambda customer, tokens, granted: None,
         on_reach: Callable[[bool, str], None] = lambda reached, reason: None,
         holds_ahead: Callable[[], bool] = lambda: True,
+        find_rank: Callable[[str], int] = lambda customer: 0,
     ) -> None:
         self._clock = clock
-        self._name = name.partition("/")[0]
         self._rng = random.Random(name)
         self._prepaid = prepaid
         self._vms = vms
@@ -97,6 +100,7 @@
         self._passbook = passbook
         self._on_reach = on_reach
         self._holds_ahead = holds_ahead
+        self._find_rank = find_rank
         self.accounts: dict[str, PrepaidAccount] = {}
         self._rows = [
             GrantRows(clock, log, name, self.find_account, on_draw) for log in logs
@@ -108,6 +112,7 @@
         self._locks = [asyncio.Lock() for _ in logs]
         self._recording = asyncio.Lock()
         self._answered_at = timedelta()
+        self._waiting_since: list[timedelta] = []
         self._wake = asyncio.Event()
         self._knows_totals = asyncio.Event()
         self._hold_nothing = False
@@ -221,6 +226,10 @@
         now = self._clock.elapsed()
         return {name: a.find_rate(now) for name, a in self.accounts.items()}
 
+    def measure_free(self) -> dict[str, int]:
+        """Return the free tokens of each customer here."""
+        return {name: account.free for name, account in self.accounts.items()}
+
     def count_left(self, customer: str) -> int:
         """Return the tokens of the total that are granted to nobody."""
         granted = self._find_rows(customer).granted.get(customer, 0)
@@ -261,6 +270,12 @@
         """Draw ahead again after ``return_all``."""
         self._hold_nothing = False
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the store answers, by calls that still wait as well."""
+        doubtful = self._clock.elapsed() - DOUBTED_AFTER
+        return self.is_reached and all(at > doubtful for at in self._waiting_since)
+
     def note_totals(self) -> None:
         """Note that the totals are known, without which no round is whole."""
         self._knows_totals.set()
@@ -278,6 +293,21 @@
                 await asyncio.wait_for(self._wake.wait(), interval.total_seconds())
             self._wake.clear()
 
+    async def run_pages(self) -> None:
+        """Write pages between the rounds until cancelled.
+
+        The younger a page, the more of the tokens a successor can adopt.
+        """
+        while True:
+            await asyncio.sleep(PAGE_INTERVAL.total_seconds())
+            if not (self.was_reached and self.is_reached and self._holds_ahead()):
+                continue
+            try:
+                with self._watch_reach():
+                    await self._record()
+            except LogUnavailableError:
+                continue  # noted by the watch
+
     def _choose_interval(self) -> timedelta:
         """Return the time to the next round, spread so that VMs don't meet.
 
@@ -398,6 +428,7 @@
         A call without an answer says nothing while others are answered.
         """
         started = self._clock.elapsed()
+        self._waiting_since.append(started)
         try:
             yield
         except DrawRefusedError:
@@ -406,6 +437,8 @@
             if self._answered_at <= started:
                 self._note_reached(False, str(error))
             raise
+        finally:
+            self._waiting_since.remove(started)
         newest = max((r.read_at for r in self._rows if r.read_at), default=timedelta())
         if newest >= started:
             self._answered_at = self._clock.elapsed()
@@ -487,7 +520,7 @@
             vms=vms,
             is_measured=account.is_measured(now),
             reserve=reserve,
-            position=find_position(customer, self._name),
+            rank=self._find_rank(customer),
         )
 
     def _choose_delta(self, view: DrawView, now: timedelta) -> int:
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -70,6 +70,7 @@
         self._retries: dict[str, RetryBudget] = {}
         self.table: RoutingTable | None = None
         self.on_arrival: Callable[[], None] = lambda: None
+        self.estimate_elsewhere: Callable[[str], int | None] = lambda customer: None
 
     def find_limits(self) -> CallerLimits:
         """Return the bounds on what callers may send."""
@@ -153,7 +154,8 @@
             need.tokens,
             self._draws.find_account(need.customer).free,
             self._draws.count_usable(need.customer, need.is_urgent),
-            self._draws.is_reached,
+            self._draws.is_answered,
+            self.estimate_elsewhere(need.customer),
         )
         detail = f"need {need.tokens} free {shortage.free} left {shortage.left}"
         after = choose_return(shortage, self._rng)
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -52,6 +52,14 @@
     changes: list[_Change]
 
 
+@register_message
+class Leaving(msgspec.Struct, array_like=True, tag="leaving"):
+    """The sender's incarnation takes no callers any more."""
+
+    vm: str
+    incarnation: str
+
+
 class Gossip:
     """Sends this VM's news to the others and takes in theirs."""
 
@@ -78,7 +86,9 @@
         self._number = 0
         self._newest: dict[str, tuple[str, int]] = {}
         self._heard_at: dict[str, timedelta] = {}
+        self.on_leaving: Callable[[str, str], None] = lambda vm, incarnation: None
         datagrams.handle(News, self._take_news)
+        datagrams.handle(Leaving, self._take_leaving)
 
     def find_silence(self, vm: str) -> timedelta | None:
         """Return how long nothing was heard of ``vm``; ``None`` if never."""
@@ -90,6 +100,13 @@
         self._changed.setdefault(server, []).extend(parts)
         self._wake.set()
 
+    def announce_leaving(self, peers: Sequence[Peer]) -> None:
+        """Tell ``peers`` that this VM leaves, sooner than they read its row."""
+        self._datagrams.send(Leaving(self._vm, self._incarnation), peers)
+
+    def _take_leaving(self, leaving: Leaving, sender: Peer) -> None:
+        self.on_leaving(leaving.vm, leaving.incarnation)
+
     async def run(self) -> None:
         """Send news until cancelled."""
         summarized = timedelta()
--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -17,13 +17,18 @@
 
 from lavendershift.clocks import BootClock
 from lavendershift.errors import LogUnavailableError
-from lavendershift.prepaid import PrepaidAccount, Promise, SpendingLimit
+from lavendershift.prepaid import (
+    OPENING_TIME,
+    PrepaidAccount,
+    Promise,
+    SpendingLimit,
+)
 
 BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
-HELD_BURST = 0.15  # of the free tokens, which may be committed at once
-LARGE_BURST = 0.3  # of the free tokens, for one large request at once
-RATE_FACTOR = 1.5  # times the demand that is measured
-OPENS_AFTER = timedelta(milliseconds=2500)  # a page each second, and a slow call
+HELD_BURST = 0.1  # of the free tokens, which may be committed at once
+LARGE_BURST = 0.2  # of the free tokens, for one large request at once
+RATE_FACTOR = 1.3  # times the demand that is measured
+OPENS_AFTER = timedelta(milliseconds=1200)  # two pages, and a slow call
 LONGEST_LIFE = timedelta(seconds=60)  # after a page; beyond it nothing is adopted
 CLOCK_TOLERANCE = timedelta(seconds=1)  # between clocks that were never set
 MAX_TRIES = 5  # at one page, against changes by others in the same partition
@@ -44,7 +49,7 @@
 class Page(NamedTuple):
     """A process's page, made ``at`` the time since ``boot`` and ``written`` by day.
 
-    The unspent tokens open ``opens`` after it.
+    The unspent tokens open ``opens`` after it, within ``opening``.
     """
 
     incarnation: str
@@ -53,6 +58,7 @@
     written: datetime
     entries: Mapping[str, Entry]
     opens: timedelta = timedelta()
+    opening: timedelta = OPENING_TIME
 
 
 class PageResult(Enum):
@@ -60,6 +66,7 @@
 
     DONE = "done"
     MOVED = "moved"
+    REFUSED = "refused"  # for a reason that a repeat at once would meet again
     UNKNOWN = "unknown"
 
 
@@ -106,7 +113,9 @@
         return {}
     adoptable = {}
     for customer, entry in page.entries.items():
-        promise = Promise(entry.burst, entry.rate, entry.unspent, page.opens)
+        promise = Promise(
+            entry.burst, entry.rate, entry.unspent, page.opens, page.opening
+        )
         left = entry.unspent - int(promise.sum_until(lived)) - 1
         if left > 0:
             adoptable[customer] = left
@@ -162,8 +171,8 @@
         entries = {c: Entry(tokens, 0.0, 0.0) for c, tokens in adopted.items()}
         page = self._make_page(entries)
         result, new_end = await self._log.write(end, page)
-        if result is PageResult.UNKNOWN:
-            raise LogUnavailableError("no answer to a page")
+        if result in (PageResult.UNKNOWN, PageResult.REFUSED):
+            raise LogUnavailableError(f"a page: {result.value}")
         if result is PageResult.MOVED:
             return False
         self._end = new_end
@@ -200,9 +209,13 @@
                 for customer, limit in limits.items():
                     accounts[customer].limits = [limit]
                 return
+            if result is PageResult.REFUSED:
+                break
         # No write happened, so the limits of this page bind nobody.
         for customer, limit in limits.items():
             accounts[customer].limits.remove(limit)
+        if result is PageResult.REFUSED:
+            raise LogUnavailableError("a page was refused")
 
     def _make_page(
         self, entries: Mapping[str, Entry], at: timedelta | None = None
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -39,11 +39,13 @@
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.serverwire import PlatformServers
 from lavendershift.platform.store import StoreClient
+from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerEntry, ServerList
-from lavendershift.tokenloans import TokenLoans
-from lavendershift.vmlist import VmList, VmRow, split_address
+from lavendershift.tokenloans import Lender, TokenLoans
+from lavendershift.tokenstocks import TokenStocks
+from lavendershift.vmlist import VmList, VmRow
 from lavendershift.workingset import Activity, WorkingSet, find_capacity
 
 LISTEN_AFTER_LEAVING = timedelta(seconds=3)  # callers keep old addresses so long
@@ -102,6 +104,7 @@
             self._list_listeners,
             self._datagrams,
         )
+        self._gossip.on_leaving = self._vms.note_leaving
         self._servers.on_load = self._gossip.note_change
         self._vms.hear_directly(self._gossip.find_silence)
         self._draws = TokenDraws(
@@ -124,6 +127,16 @@
             self._note_draw,
             self._note_grants_reached,
             self._activity.is_active,
+            self._find_rank,
+        )
+        self._stocks = TokenStocks(
+            clock,
+            settings.name,
+            incarnation,
+            self._draws.measure_free,
+            lambda: self._draws.is_reached,
+            lambda: self._list_active_peers() if self._activity.is_active() else [],
+            self._datagrams,
         )
         loans = TokenLoans(
             incarnation,
@@ -145,6 +158,7 @@
             self._find_retry_part,
         )
         self._gateway.on_arrival = self._activity.note_arrival
+        self._gateway.estimate_elsewhere = self._estimate_elsewhere
         self._callers = CallerServer(clock, self._gateway)
         self._directory = SmallServer(
             Directory(self._vms, self._working_set, settings.resolve_ttl).answer
@@ -152,7 +166,7 @@
         self._ready = SmallServer(self._answer_ready)
         self._metrics = SmallServer(self._answer_metrics, METRICS_TYPE)
         self._configuration = ConfigurationFeed(
-            clock, self._store, log, self._accept_table
+            clock, self._store, log, self._accept_table, settings.unstable
         )
         self._server_feed = ServerFeed(
             clock,
@@ -161,8 +175,11 @@
             self._servers,
             self._forget_server,
             settings.drain,
+            self._activity.is_active,
+        )
+        self._presence_feed = PresenceFeed(
+            clock, self._store, log, self._vms, self._activity.is_active
         )
-        self._presence_feed = PresenceFeed(clock, self._store, log, self._vms)
         self._presence = PresenceWriter(
             self._store,
             self._vms,
@@ -202,6 +219,8 @@
             self._server_feed.run(),
             self._presence_feed.run(),
             self._draws.run(),
+            self._draws.run_pages(),
+            self._stocks.run(),
             self._announce(),
             self._gossip.run(),
             self._tidy(),
@@ -250,6 +269,7 @@
         self._is_leaving = True
         self._vms.set_own(self._vms.own._replace(is_leaving=True))
         self._callers.announce_leaving()
+        self._gossip.announce_leaving(self._vms.list_peers(self._vms.list_names()))
         with contextlib.suppress(LogUnavailableError):
             await self._presence.renew()
         await asyncio.sleep(LISTEN_AFTER_LEAVING.total_seconds())
@@ -356,11 +376,34 @@
         names = {*self._working_set.list_names(), *self._vms.list_neighbours()}
         return self._vms.list_peers(names)
 
-    def _find_lenders(self, customer: str) -> list[Peer]:
-        """Return the other VMs to borrow from, the best first."""
+    def _find_lenders(self, customer: str) -> list[Lender]:
+        """Return the other VMs to borrow from, the best first.
+
+        In a large fleet one of them draws for the others.
+        """
         rows = self._vms.rank_lenders(customer, self._working_set.list_names())
-        addresses = [r.peer_address for r in rows if r.name != self._vms.own.name]
-        return [peer for peer in map(split_address, addresses) if peer is not None]
+        names = [row.name for row in rows if row.name != self._vms.own.name]
+        if self._working_set.count() < LARGE_FLEET:
+            names = self._stocks.rank_holders(customer, names)
+        return [
+            Lender(peer, self._stocks.find_stock(name, customer))
+            for name in names
+            for peer in self._vms.list_peers([name])
+        ]
+
+    def _find_rank(self, customer: str) -> int:
+        """Return this VM's place among the active ones by a customer's demand."""
+        demand = self._draws.find_account(customer).find_rate(self._clock.elapsed())
+        names = self._working_set.list_names()
+        ranked = self._vms.rank_by_demand(customer, names, demand)
+        own = self._vms.own.name
+        return ranked.index(own) if own in ranked else len(ranked)
+
+    def _estimate_elsewhere(self, customer: str) -> int | None:
+        """Return the most that another active VM holds of a customer's tokens."""
+        own = self._vms.own.name
+        names = [name for name in self._working_set.list_names() if name != own]
+        return self._stocks.estimate_largest(customer, names)
 
     def _is_lender(self, customer: str) -> bool:
         """Whether this VM draws the customer's tokens for the others."""
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -16,8 +16,11 @@
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import RESTART_GRACE, ServerEntry, ServerList
 
-CONFIGURATION_WAIT = timedelta(milliseconds=1200)  # well within the time to be in force
+SHORTEST_WAIT = timedelta(milliseconds=1200)  # for a change of the configuration
+LONGEST_WAIT = timedelta(seconds=3)
+NOTICE_TIME = timedelta(milliseconds=1800)  # until a connection fallen silent is left
 DRAIN_PARTS = 5  # readings in the time in which a leaving server may get requests
+IDLE_DRAIN_PARTS = 3  # the same on a VM that stands by
 AWAY_INTERVAL = timedelta(milliseconds=250)  # between tries while the store is away
 SHORTEST_OUTAGE = timedelta(seconds=1)  # in which entries may lapse
 MAX_SKIPPED_LOGGED = 5  # faulty entries of one configuration that are logged
@@ -117,8 +120,20 @@
             self._log.write(Event.DEPENDENCY_LOST, name=self.name, reason=str(error))
 
 
+def find_configuration_wait(unstable: timedelta) -> timedelta:
+    """Return how long a reading waits for a change.
+
+    A connection that has fallen silent is noticed only when that time is over, by
+    when the VM still has to be excused.
+    """
+    return min(max(unstable - NOTICE_TIME, SHORTEST_WAIT), LONGEST_WAIT)
+
+
 class ConfigurationFeed(Feed):
-    """Follows the operator's configuration; versions only rise."""
+    """Follows the operator's configuration; versions only rise.
+
+    ``unstable`` is how long after a fault of its connections a VM may be behind.
+    """
 
     name = "configuration"
 
@@ -128,8 +143,10 @@
         store: StoreClient,
         log: EventLog,
         accept: Callable[[RoutingTable], None],
+        unstable: timedelta,
     ) -> None:
-        feed = KeyedFeed(store, names.OPERATOR_TOPIC, CONFIGURATION_WAIT)
+        wait = find_configuration_wait(unstable)
+        feed = KeyedFeed(store, names.OPERATOR_TOPIC, wait)
         super().__init__(clock, feed, log)
         self._accept = accept
         self._version: int | None = None
@@ -181,18 +198,21 @@
         servers: ServerList,
         on_gone: Callable[[ServerEntry], None],
         drain: timedelta,
+        is_active: Callable[[], bool] = lambda: True,
     ) -> None:
         feed = KeyedFeed(store, names.SERVERS_TOPIC, timedelta())
         super().__init__(clock, feed, log)
         self._servers = servers
         self._on_gone = on_gone
-        self._interval = drain / DRAIN_PARTS
+        self._drain = drain
+        self._is_active = is_active
         self._removed: set[str] = set()
         self.is_ready = False
 
     async def pause(self) -> None:
         """Let entries gather, as each server writes one about every second."""
-        await asyncio.sleep(self._interval.total_seconds())
+        parts = DRAIN_PARTS if self._is_active() else IDLE_DRAIN_PARTS
+        await asyncio.sleep((self._drain / parts).total_seconds())
 
     def take(self, records: list[Record], is_whole: bool) -> None:
         """Take over entries, and forget servers whose entries were removed."""
--- a/lavendershift/platform/passbooks.py
+++ b/lavendershift/platform/passbooks.py
@@ -14,7 +14,7 @@
 RESULTS = {
     AppendResult.DONE: PageResult.DONE,
     AppendResult.MOVED: PageResult.MOVED,
-    AppendResult.NOT_DONE: PageResult.MOVED,
+    AppendResult.NOT_DONE: PageResult.REFUSED,
     AppendResult.UNKNOWN: PageResult.UNKNOWN,
 }
 
@@ -26,6 +26,7 @@
     written_us: int  # of the Unix time
     entries: dict[str, tuple[int, float, float]]  # unspent, burst, tokens/s
     opens_us: int = 0  # after the page
+    opening_us: int = 5_000_000  # from then on
 
 
 class StorePassbookLog:
@@ -60,6 +61,7 @@
                 (page.written - EPOCH) // timedelta(microseconds=1),
                 {c: (e.unspent, e.burst, e.rate) for c, e in page.entries.items()},
                 page.opens // timedelta(microseconds=1),
+                page.opening // timedelta(microseconds=1),
             )
         )
         result, new_end = await self._store.append(
@@ -78,4 +80,5 @@
     at = timedelta(microseconds=wire.at_us)
     opens = timedelta(microseconds=wire.opens_us)
     written = EPOCH + timedelta(microseconds=wire.written_us)
-    return Page(wire.incarnation, wire.boot, at, written, entries, opens)
+    opening = timedelta(microseconds=wire.opening_us)
+    return Page(wire.incarnation, wire.boot, at, written, entries, opens, opening)
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -16,6 +16,7 @@
 RENEWAL_INTERVAL = timedelta(milliseconds=1200)
 SMALLEST_RATE = 1.0  # tokens/s; less is not worth its bytes
 READ_INTERVAL = timedelta(milliseconds=600)
+IDLE_READ_INTERVAL = timedelta(milliseconds=1200)  # on a VM that stands by
 
 
 class _Row(msgspec.Struct):
@@ -90,23 +91,30 @@
     name = "vms"
 
     def __init__(
-        self, clock: Clock, store: StoreClient, log: EventLog, vms: VmList
+        self,
+        clock: Clock,
+        store: StoreClient,
+        log: EventLog,
+        vms: VmList,
+        is_active: Callable[[], bool],
     ) -> None:
         super().__init__(clock, KeyedFeed(store, names.VMS_TOPIC, timedelta()), log)
         self._vms = vms
+        self._is_active = is_active
 
     async def pause(self) -> None:
         """Let rows gather."""
-        await asyncio.sleep(READ_INTERVAL.total_seconds())
+        interval = READ_INTERVAL if self._is_active() else IDLE_READ_INTERVAL
+        await asyncio.sleep(interval.total_seconds())
 
     def take(self, records: list[Record], is_whole: bool) -> None:
         """Take over rows, and drop VMs that no longer renew theirs."""
         for record in records:
-            self._take_row(record)
+            self._take_row(record, is_new=not is_whole)
         for name in self._vms.expire():
             self._log.write(Event.VM_CHANGED, name=name, result="gone")
 
-    def _take_row(self, record: Record) -> None:
+    def _take_row(self, record: Record, is_new: bool) -> None:
         if not record.value:
             return
         try:
@@ -128,6 +136,6 @@
             wire.arrivals,
             wire.active,
         )
-        if self._vms.update(row):
+        if self._vms.update(row, is_new):
             result = "leaving" if row.is_leaving else "serving"
             self._log.write(Event.VM_CHANGED, name=name, result=result)
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -14,20 +14,22 @@
 ``plan_draw`` decides how many tokens to draw or to return.
 """
 
+import math
 from datetime import timedelta
 from typing import NamedTuple
 
 from lavendershift.rates import DecayingRate
 
 RATE_WINDOW = timedelta(seconds=8)  # memory of the measured demand
-HOLD_AHEAD = timedelta(seconds=11)  # the longest cut a VM is to serve through
+MEASURED_AFTER = timedelta(seconds=3)  # since the first demand
+HOLD_AHEAD = timedelta(seconds=10)  # the longest cut a VM is to serve through
 LARGEST_DECAY = 0.98  # per request, so that about the largest of 50 counts
 RATE_MARGIN = 1.3  # demand varies about its mean within HOLD_AHEAD
-OPENING_TIME = timedelta(seconds=5)  # in which all that is held may be committed
-HELD_PART = 0.3  # of what is left of a total, held by all VMs together
-ABUNDANT_TIME = timedelta(seconds=30)  # for which tokens at HELD_PART last
-LEAST_HELD_PART = 0.12  # where little is left for the demand
-MOST_HELD_PART = 0.5
+OPENING_TIME = timedelta(seconds=2)  # in which all that is held may be committed
+HELD_PART = 0.2  # of a total, held by all VMs before the demand is known
+ABUNDANT_TIME = timedelta(seconds=40)  # for which what is left lasts where most is held
+LEAST_HELD_PART = 0.03  # of what is left, held by all VMs where it lasts for little
+MOST_HELD_PART = 0.6
 EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
 KEPT_PART = 0.03  # of a total, for urgent requests; beyond what is owed to all
 SMALL_PART = 0.3  # of a target below one large request, held by all VMs
@@ -42,17 +44,18 @@
     ``burst`` tokens at once and ``rate`` tokens a second. The page is renewed
     while the store is reached, so a process that still runs ``opens`` after it
     is probably cut off: from then on the ``held`` tokens may be committed as
-    well, growing over ``OPENING_TIME``.
+    well, growing over ``opening``.
     """
 
     burst: float
     rate: float
     held: float = 0.0
     opens: timedelta = timedelta()
+    opening: timedelta = OPENING_TIME
 
     def sum_until(self, elapsed: timedelta) -> float:
         """Return the tokens committed at most until ``elapsed`` after the page."""
-        opened = min(max((elapsed - self.opens) / OPENING_TIME, 0.0), 1.0)
+        opened = min(max((elapsed - self.opens) / self.opening, 0.0), 1.0)
         steady = self.burst + self.rate * elapsed.total_seconds()
         return steady + self.held * opened
 
@@ -144,13 +147,16 @@
         self.largest = max(self.largest * LARGEST_DECAY, float(tokens))
 
     def find_rate(self, now: timedelta) -> float:
-        """Return the recent demand in tokens/s."""
-        return self._rate.measure(now)
+        """Return the recent demand in tokens/s, corrected for a short history."""
+        if self.first_demand is None:
+            return 0.0
+        history = max(now - self.first_demand, MEASURED_AFTER) / RATE_WINDOW
+        return self._rate.measure(now) / (1 - math.exp(-history))
 
     def is_measured(self, now: timedelta) -> bool:
         """Return whether demand came for long enough to know its rate."""
         return self.first_demand is not None and (
-            now - self.first_demand >= RATE_WINDOW
+            now - self.first_demand >= MEASURED_AFTER
         )
 
 
@@ -161,9 +167,8 @@
     beyond the free tokens, ``urgent`` the part of it that urgent ones do,
     ``kept`` the last part of the total, which only those may draw, ``vms`` the
     number of live VMs. Rates are demand in tokens/s, of this VM and of all of
-    them. ``reserve`` is held beyond the own demand, to lend. ``position`` is
-    the VM's place between 0 and 1 in an order of all VMs that differs by
-    customer.
+    them. ``reserve`` is held beyond the own demand, to lend. ``rank`` is
+    the VM's place, 0 first, among those that may hold a whole large request.
     """
 
     prepaid: int
@@ -176,7 +181,7 @@
     vms: int
     is_measured: bool = True
     reserve: int = 0
-    position: float = 0.0
+    rank: int = 0
     urgent: int = 0
     kept: int = 0
 
@@ -197,39 +202,42 @@
 
 def find_even_target(view: DrawView) -> float:
     """Return the VM's share of what all VMs should hold."""
+    left = float(max(view.prepaid - view.granted, 0))
+    if not view.is_measured:
+        # The first requests come to few VMs, and say nothing of the others.
+        equal = 1 / max(view.vms, 1)
+        return (left + view.free / equal) * HELD_PART * equal
     share = find_share(view)
-    left = max(view.prepaid - view.granted, 0) + view.free / share
+    left += view.free / share
     ahead = view.rate * RATE_MARGIN * HOLD_AHEAD.total_seconds() + view.largest
-    if not view.is_measured:
-        ahead = left
     return min(ahead, left * find_held_part(view, left) * share)
 
 
 def round_target(target: float, view: DrawView) -> float:
     """Return ``target``, or a whole large request or little where it is less.
 
-    In a large fleet the share of each VM would be less than one request, so
-    that a cut VM could serve none. Some VMs hold a whole one instead, and the
-    others what small requests need; a refused caller may find one of them. All
-    VMs together hold as much as before.
+    Where the share of each VM would be less than one request, a cut VM could
+    serve none. Some VMs hold a whole one instead, and the others what small
+    requests need; a refused caller may find one of them. All VMs together hold
+    about as much as before.
     """
     if target >= view.largest:
         return target
     small = target * SMALL_PART
-    holders = (target - small) / (view.largest - small)
-    return view.largest if view.position < holders else small
+    holders = (target - small) / (view.largest - small) * view.vms
+    return view.largest if view.rank + 0.5 < holders else small
 
 
 def find_held_part(view: DrawView, left: float) -> float:
     """Return the part of what is left that all VMs may hold.
 
     Held tokens are lost with the power, which matters most where little is
-    left for the demand.
+    left for the demand: from then on each caller is refused what was paid for.
     """
     if view.fleet_rate <= 0:
         return HELD_PART
     lasts = left / view.fleet_rate
-    part = HELD_PART * lasts / ABUNDANT_TIME.total_seconds()
+    part = MOST_HELD_PART * lasts / ABUNDANT_TIME.total_seconds()
     return min(max(part, LEAST_HELD_PART), MOST_HELD_PART)
 
 
--- a/lavendershift/tests/test_draws.py
+++ b/lavendershift/tests/test_draws.py
@@ -6,6 +6,7 @@
 
 from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.draws import (
+    DOUBTED_AFTER,
     ROUND_INTERVAL,
     SETTLE_TIME,
     TokenDraws,
@@ -325,3 +326,67 @@
         return used
 
     assert asyncio.run(work()) == TOTAL["plume"]
+
+
+def test_a_vm_that_stands_by_draws_what_is_needed_and_returns_the_rest():
+    async def work():
+        rows, clock = MemoryRows(), ManualClock()
+        draws = TokenDraws(
+            clock, [rows], "vm/1", lambda: TOTAL, lambda: 2, holds_ahead=lambda: False
+        )
+        await draws.run_round()
+        clock.advance(SETTLE_TIME)
+        await draws.run_round()
+        drawn_ahead = bool(rows.rows)
+        paid = await draws.wait_for(Need("plume", 800), timedelta(seconds=1))
+        granted = rows.rows[-1].granted
+        draws.find_account("plume").settle(800, used=300)
+        await draws.run_round()
+        return drawn_ahead, paid, granted, rows.rows[-1].granted
+
+    assert asyncio.run(work()) == (False, True, 800, 300)
+
+
+def test_a_vm_that_stands_by_makes_no_calls_while_it_holds_nothing():
+    class CountingRows(MemoryRows):
+        calls = 0
+
+        def _check(self):
+            self.calls += 1
+            super()._check()
+
+    async def work():
+        rows, clock = CountingRows(), ManualClock()
+        draws = TokenDraws(
+            clock, [rows], "vm/1", lambda: TOTAL, lambda: 2, holds_ahead=lambda: False
+        )
+        await draws.run_round()
+        reached, before = draws.was_reached, rows.calls
+        for _ in range(20):
+            clock.advance(timedelta(seconds=1))
+            await draws.run_round()
+        return reached, rows.calls - before
+
+    assert asyncio.run(work()) == (True, 0)
+
+
+def test_a_store_that_lets_calls_wait_is_doubted_before_they_time_out():
+    """In the first second of a cut callers were told to come back for a draw."""
+
+    async def work():
+        rows, clock = MemoryRows(), ManualClock()
+        draws = make_draws(rows, clock)
+        await draws.run_round()
+        before = draws.is_answered
+        rows.delay_s = 0.2
+        drawing = asyncio.ensure_future(
+            draws.wait_for(Need("plume", 90_000), timedelta(seconds=1))
+        )
+        await asyncio.sleep(0.05)
+        soon = draws.is_answered
+        clock.advance(DOUBTED_AFTER)
+        later = draws.is_reached, draws.is_answered
+        await drawing
+        return before, soon, later, draws.is_answered
+
+    assert asyncio.run(work()) == (True, True, (True, False), True)
--- a/lavendershift/tests/test_passbook.py
+++ b/lavendershift/tests/test_passbook.py
@@ -324,3 +324,23 @@
     less = adopt(make_page(), "boot-1", later, timedelta(seconds=-0.5))["plume"]
     assert more == usual - 50
     assert less == usual
+
+
+def test_a_refused_page_binds_nobody_and_is_not_repeated_at_once():
+    """A store that could not be reached was tried five times, 0.6 s each."""
+    clock, account, pages = make_clock(AT), make_account(10_000), MemoryPages()
+    passbook, accounts = start_recording(pages, clock, account)
+    clock.advance(timedelta(seconds=60))
+    pages.results = [PageResult.REFUSED] * 2
+    before = pages.writes
+    with pytest.raises(LogUnavailableError):
+        asyncio.run(passbook.record(accounts, {}))
+    assert pages.writes == before + 1
+    assert account.reserve(10_000, clock.since_boot())
+
+
+def test_a_page_says_in_which_time_its_tokens_open():
+    """A successor of another release may open its own tokens faster or slower."""
+    page = make_page(opens=timedelta(seconds=2))._replace(opening=timedelta(seconds=10))
+    (left,) = adopt(page, "boot-1", AT + timedelta(seconds=4)).values()
+    assert left == 10_000 - 500 - 400 - 2000 - 1
--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -40,6 +40,17 @@
     assert list_serving(vms) == ["own"]
 
 
+def test_a_vm_that_says_itself_that_it_leaves_is_unlisted_at_once():
+    """Its row may be read a second later, and an older one in between."""
+    vms = make_list(ManualClock(), "a")
+    vms.note_leaving("a", "a")
+    assert list_serving(vms) == ["own"]
+    vms.update(make_row("a", renewal=2))
+    assert list_serving(vms) == ["own"]
+    vms.update(make_row("a")._replace(incarnation="b"))
+    assert list_serving(vms) == ["a", "own"]
+
+
 def test_a_vm_that_no_longer_renews_is_dropped():
     clock = ManualClock()
     vms = make_list(clock, "a", "b")
@@ -56,6 +67,26 @@
     assert "a" in list_serving(vms)
 
 
+def test_a_vm_that_starts_lists_no_vm_that_is_long_gone():
+    """The newest rows are kept for good; one of a gone VM was listed for 4.5 s."""
+    clock = ManualClock()
+    vms = VmList(clock, make_row("own"))
+    for name in ("gone", "a"):
+        vms.update(make_row(name), is_new=False)
+    assert list_serving(vms) == ["a", "gone", "own"]  # all may have just started
+    clock.advance(timedelta(seconds=1))
+    vms.update(make_row("a", renewal=2))
+    assert list_serving(vms) == ["a", "own"]
+
+
+def test_rows_that_are_read_anew_prove_nothing_and_disprove_nothing():
+    """The store drops its history, and the newest rows are read once more."""
+    vms = make_list(ManualClock(), "a", "b")
+    vms.update(make_row("a", renewal=2), is_new=False)
+    vms.update(make_row("c", renewal=2), is_new=False)
+    assert list_serving(vms) == ["a", "b", "own"]
+
+
 def test_a_silent_vm_is_unlisted_before_its_row_expires():
     clock = ManualClock()
     vms = make_list(clock, "a", "b", "c")
@@ -117,6 +148,17 @@
     assert {row.name for row in ranked} == {"b", "own"}
 
 
+def test_vms_are_ranked_by_a_customers_demand():
+    vms = make_list(ManualClock(), "c")
+    vms.update(make_row("a")._replace(demand={"plume": 100.0}))
+    vms.update(make_row("b")._replace(demand={"plume": 3000.0}))
+    names = ["a", "b", "c", "own"]
+    assert vms.rank_by_demand("plume", names, 500.0)[:3] == ["b", "own", "a"]
+    before = vms.rank_by_demand("plume", names, 520.0)
+    vms.update(make_row("a", renewal=2)._replace(demand={"plume": 110.0}))
+    assert vms.rank_by_demand("plume", names, 1000.0) == before
+
+
 def test_neighbours_are_the_others_of_the_domain():
     vms = make_list(ManualClock(), "a")
     vms.update(make_row("b", domain="brest"))
--- a/lavendershift/tokenloans.py
+++ b/lavendershift/tokenloans.py
@@ -15,7 +15,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
@@ -24,7 +24,7 @@
 
 ANSWER_TIMEOUT = timedelta(milliseconds=30)  # a draw of the lender and the way
 TRIES = 2  # at one lender, as datagrams get lost
-MAX_LENDERS = 2  # that are asked in turn
+MAX_LENDERS = 3  # that are asked in turn
 MAX_REMEMBERED = 2000  # loans, some seconds of them in a large fleet
 
 
@@ -54,6 +54,13 @@
     tokens: int
 
 
+class Lender(NamedTuple):
+    """A VM to ask; ``stock`` is what it holds, ``None`` if it can draw more."""
+
+    peer: Peer
+    stock: int | None = None
+
+
 class Stock(Protocol):
     """The accounts that loans are taken from and added to."""
 
@@ -81,8 +88,8 @@
     """Lends tokens to other VMs and borrows from them.
 
     ``find_lenders`` returns the VMs to ask for tokens of a customer, the best
-    first. ``on_loan`` is told customer and tokens, negative where they were
-    lent.
+    first. Each is asked for what it holds, until there is enough. ``on_loan`` is
+    told customer and tokens, negative where they were lent.
     """
 
     def __init__(
@@ -90,7 +97,7 @@
         incarnation: str,
         stock: Stock,
         datagrams: Datagrams,
-        find_lenders: Callable[[str], Sequence[Peer]],
+        find_lenders: Callable[[str], Sequence[Lender]],
         on_loan: LoanListener = lambda customer, tokens: None,
         answer_timeout: timedelta = ANSWER_TIMEOUT,
     ) -> None:
@@ -108,12 +115,23 @@
         datagrams.handle(Loan, self._take_loan)
 
     async def borrow(self, need: Need, most: int) -> int:
-        """Return the tokens borrowed, which were added to the stock; 0 if none."""
-        for lender in self._find_lenders(need.customer)[:MAX_LENDERS]:
-            tokens = await self._ask(lender, need, most)
-            if tokens:
-                return tokens
-        return 0
+        """Return the tokens borrowed, which were added to the stock; 0 if none.
+
+        Nobody is asked where all lenders together hold too little.
+        """
+        lenders = self._find_lenders(need.customer)[:MAX_LENDERS]
+        stocks = [need.tokens if x.stock is None else x.stock for x in lenders]
+        if sum(stocks) < need.tokens:
+            return 0
+        borrowed = 0
+        for lender, stock in zip(lenders, stocks, strict=True):
+            least = min(need.tokens - borrowed, stock)
+            if least > 0:
+                part = need._replace(tokens=least)
+                borrowed += await self._ask(lender.peer, part, max(most, least))
+            if borrowed >= need.tokens:
+                break
+        return borrowed
 
     async def _ask(self, lender: Peer, need: Need, most: int) -> int:
         self._number += 1
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -9,6 +9,7 @@
     vms.list_serving()
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
@@ -50,8 +51,11 @@
 
 
 class _KnownVm(NamedTuple):
+    """A VM's newest row; it ``is_proven`` once the row was seen to be renewed."""
+
     row: VmRow
     renewed_at: timedelta
+    is_proven: bool
 
 
 class VmList:
@@ -63,6 +67,7 @@
         self.own = own
         self._known: dict[str, _KnownVm] = {}
         self._newest: dict[str, tuple[str, int]] = {}  # incarnation and renewal
+        self._left: dict[str, str] = {}  # the last incarnation that said it leaves
         self._checked_at = clock.elapsed()
 
     def hear_directly(self, find_silence: Callable[[str], timedelta | None]) -> None:
@@ -73,11 +78,12 @@
         """Note this VM's own row."""
         self.own = row
 
-    def update(self, row: VmRow) -> bool:
+    def update(self, row: VmRow, is_new: bool = True) -> bool:
         """Note a VM's row; true if it is news that callers should get.
 
         A row older than the newest of its incarnation is ignored, as the store
-        may carry out an append without an answer late.
+        may carry out an append without an answer late. One that ``is_new`` was
+        written since this VM reads the rows; others may be of VMs long gone.
         """
         if row.name == self.own.name:
             return False
@@ -85,8 +91,11 @@
         if row.incarnation == incarnation and row.renewal < renewal:
             return False
         self._newest[row.name] = (row.incarnation, row.renewal)
+        if self._left.get(row.name) == row.incarnation:
+            row = row._replace(is_leaving=True)
         known = self._known.get(row.name)
-        self._known[row.name] = _KnownVm(row, self._clock.elapsed())
+        is_proven = is_new or (known is not None and known.is_proven)
+        self._known[row.name] = _KnownVm(row, self._clock.elapsed(), is_proven)
         if known is None:
             return True
         return (known.row.incarnation, known.row.is_leaving) != (
@@ -94,6 +103,18 @@
             row.is_leaving,
         )
 
+    def note_leaving(self, name: str, incarnation: str) -> None:
+        """Note that an incarnation of a VM said itself that it leaves."""
+        self._left[name] = incarnation
+        known = self._known.get(name)
+        if known is not None and known.row.incarnation == incarnation:
+            row = known.row._replace(is_leaving=True)
+            self._known[name] = known._replace(row=row)
+
+    def list_names(self) -> list[str]:
+        """Return the names of the other VMs."""
+        return list(self._known)
+
     def expire(self) -> list[str]:
         """Drop VMs whose rows are no longer renewed; called after each reading.
 
@@ -148,9 +169,30 @@
         silence = self._find_silence(name)
         return silence is not None and silence <= LENDER_SILENCE
 
+    def rank_by_demand(
+        self, customer: str, names: Iterable[str], own_demand: float
+    ) -> list[str]:
+        """Return ``names`` by a customer's demand there, the largest first.
+
+        Demands that differ by less than a factor of two leave the order to a hash, so
+        that it seldom changes.
+        """
+
+        def find_level(name: str) -> int:
+            known = self._known.get(name)
+            demand = known.row.demand.get(customer, 0.0) if known else 0.0
+            if name == self.own.name:
+                demand = own_demand
+            return math.floor(math.log2(demand + 1))
+
+        ranked = rank_by_hash(list(names), customer)
+        return sorted(ranked, key=find_level, reverse=True)
+
     def sum_demand(self, customer: str) -> float:
         """Return a customer's demand at the other VMs, in tokens/s."""
-        return sum(k.row.demand.get(customer, 0.0) for k in self._known.values())
+        return sum(
+            k.row.demand.get(customer, 0.0) for k in self._known.values() if k.is_proven
+        )
 
     def _find_present(self) -> list[_KnownVm]:
         """Return the VMs that were heard of lately, by their rows or directly.
@@ -159,7 +201,10 @@
         and all of them are returned.
         """
         now = self._clock.elapsed()
-        known = list(self._known.values())
+        known = [k for k in self._known.values() if k.is_proven]
+        if not known:
+            # All VMs may have started again together.
+            return list(self._known.values())
         silent = [k for k in known if self._is_silent(k, now)]
         active = sum(k.row.is_active for k in known)
         if len(silent) * 2 > active:
--- a/lavendershift/workingset.py
+++ b/lavendershift/workingset.py
@@ -30,7 +30,7 @@
 REQUEST_TIME = timedelta(milliseconds=10)  # of a usual core, docs/CAPACITY.md
 REQUEST_BYTES = 24_576  # each way, a prompt of 12 KB that comes in and goes out
 ARRIVAL_WINDOW = timedelta(seconds=5)  # over which arrivals are measured
-LEAST_ARRIVALS = 0.5  # requests/s at which a VM holds tokens though it stands by
+LEAST_ARRIVALS = 2.0  # requests/s at which a VM holds tokens though it stands by
 
 
 class Member(NamedTuple):
@@ -116,15 +116,15 @@
         self._arrivals.add(1, self._clock.elapsed())
 
     def measure_arrivals(self) -> float:
-        """Return the recent requests/s."""
-        return self._arrivals.measure(self._clock.elapsed())
+        """Return the recent requests/s; the few of a VM that stands by don't count."""
+        arrivals = self._arrivals.measure(self._clock.elapsed())
+        return arrivals if self.is_active() else 0.0
 
     def is_active(self) -> bool:
         """Whether tokens are held here and datagrams sent all the time."""
-        return (
-            self._working_set.includes(self._name)
-            or self.measure_arrivals() >= LEAST_ARRIVALS
-        )
+        if self._working_set.includes(self._name):
+            return True
+        return self._arrivals.measure(self._clock.elapsed()) >= LEAST_ARRIVALS
 
 
 def find_capacity(cores: float, link_mbps: float) -> float:
