End attempts at servers whose bytes have no end

What callers saw: a resumable stream whose server sent an endless event line, or comments alone, fast or a byte now and then, was held until its deadline; an endless event was handed on in parts as if it were an answer; a plain body without a length could take 64 MB, and one without any frame more.

Cause: any byte counted as progress, and an event over 1 MB was passed on. Now only a head, an event with data and parts of a body of known length are progress (patience.py, without I/O); other bytes prolong the wait once, to 2.4 s. 256 KB without an event, 1 MB of a body without a length and 8 interim answers end an attempt; its server is judged, its connection closed, and a request that may run again goes to another one.

The other way round: the wait for a first event is now at least twice the time that the prompts before it take, so that a server that is slow by load is not left.

Also: a late refusal without an id on a kept connection was taken for this request's, so that one that may not be repeated ran twice; and the answer to HEAD behind another one was read as if a body followed.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -14,7 +14,7 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
@@ -35,6 +35,7 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # a longer answer is cut off
 USER_TIMEOUT_MS = 4000  # unacknowledged data after which the kernel gives up
 LAST_INFORMATIONAL = 199  # status
+MAX_INFORMATIONAL = 8  # answers before the final one
 
 
 class ConnectError(Exception):
@@ -93,9 +94,17 @@
 class _Delegate(HTTPMessageDelegate):
     """Hands one answer over to its reader and resolves ``ended``."""
 
-    def __init__(self, reader: AnswerReader, ended: asyncio.Future[bool]) -> None:
+    def __init__(
+        self,
+        reader: AnswerReader,
+        ended: asyncio.Future[bool],
+        stop: Callable[[], None],
+    ) -> None:
         self._reader = reader
         self._ended = ended
+        self._stop = stop
+        self._informational = 0
+        self._size = 0
         self.status = 0
         self.headers = HTTPHeaders()
         self.closes = False
@@ -108,9 +117,17 @@
             self.status, self.headers = start_line.code, headers
             self.closes = start_line.version == "HTTP/1.0" or _asks_to_close(headers)
             self._reader.start(start_line.code, headers)
+            return None
+        self._informational += 1
+        if self._informational > MAX_INFORMATIONAL:
+            self._stop()
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self._size += len(chunk)
+        if self._size > MAX_ANSWER_BYTES:
+            self._stop()
+            return None
         return self._reader.add(chunk)
 
     def finish(self) -> None:
@@ -133,22 +150,24 @@
         self._stream = stream
         self._reading: asyncio.Task[bool] | None = None
         self._may_keep = False
+        self._request_line: RequestStartLine | None = None
 
     async def exchange(self, request: ServerRequest, reader: AnswerReader) -> Exchange:
         """Send ``request`` and read one answer to it."""
         http = self._make_http()
         self._may_keep = False
-        http.write_headers(
-            RequestStartLine(request.method, request.target, "HTTP/1.1"),
-            request.headers,
-            request.body or None,
+        self._request_line = RequestStartLine(
+            request.method, request.target, "HTTP/1.1"
         )
+        http.write_headers(self._request_line, request.headers, request.body or None)
         http.finish()
         return await self._read(http, reader)
 
     async def read_next(self, reader: AnswerReader) -> Exchange:
         """Read a further answer, after one that belonged to an older request."""
         http = self._make_http()
+        # tornado has no public way to read an answer to HEAD without sending one.
+        http._request_start_line = self._request_line
         http.finish()
         return await self._read(http, reader)
 
@@ -158,7 +177,7 @@
 
     async def _read(self, http: HTTP1Connection, reader: AnswerReader) -> Exchange:
         ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        delegate = _Delegate(reader, ended)
+        delegate = _Delegate(reader, ended, self._stream.close)
         self._reading = asyncio.ensure_future(http.read_response(delegate))
         self._reading.add_done_callback(lambda task: _end_reading(task, ended))
         is_whole = await ended
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -33,6 +33,7 @@
 )
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition, read_position
+from lavendershift.patience import Patience
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serveranswers import SERVER_ERRORS, AttemptReader, ServerAnswer
 from lavendershift.serverlist import (
@@ -46,6 +47,7 @@
 MAX_SENDS = 4  # servers that one request is sent to, refusals included
 MAX_UNREACHED = 6  # servers to which no connection could be made
 FIRST_BYTE_PART = 1.5  # of the route's target, after which a repeat is tried
+EXPECTED_PART = 2.0  # of the expected time, where that is longer
 SHORTEST_FIRST_BYTE = timedelta(milliseconds=250)
 EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
 REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
@@ -56,6 +58,41 @@
 )
 
 
+class AttemptWatch:
+    """Keeps the timeout of an attempt at what ``Patience`` says."""
+
+    def __init__(self, watchdog: asyncio.Timeout, first: float) -> None:
+        self._watchdog = watchdog
+        self._loop = asyncio.get_running_loop()
+        gap = max(EVENT_GAP.total_seconds(), first)
+        self._patience = Patience(self._loop.time(), first, gap)
+
+    def note_progress(self) -> None:
+        """Note what brings the answer on."""
+        self._patience.note_progress(self._loop.time())
+        self._update()
+
+    def note_bytes(self) -> None:
+        """Note bytes that may go on without end."""
+        self._patience.note_bytes(self._loop.time())
+        self._update()
+
+    def hold(self) -> None:
+        """Stop the clock: a caller that reads slowly is no silence of the server."""
+        self._patience.hold(self._loop.time())
+        self._update()
+
+    def release(self) -> None:
+        """Let the clock go on."""
+        self._patience.release(self._loop.time())
+        self._update()
+
+    def _update(self) -> None:
+        # After a pause of the process data and timeout come at once.
+        if not self._watchdog.expired():
+            self._watchdog.reschedule(self._patience.deadline)
+
+
 class Delivery:
     """The attempts at one request.
 
@@ -243,21 +280,10 @@
         )
         message = self._wire.encode(self._request, attempt, now)
         patience = self._find_patience()
-        loop = asyncio.get_running_loop()
-        gap = max(EVENT_GAP, patience or EVENT_GAP).total_seconds()
         try:
-            async with asyncio.timeout(
-                patience.total_seconds() if patience else None
-            ) as watchdog:
-
-                def wait_until(when: float | None) -> None:
-                    # After a pause of the process data and timeout come at once.
-                    if patience is not None and not watchdog.expired():
-                        watchdog.reschedule(when)
-
-                reader.note_progress = lambda: wait_until(loop.time() + gap)
-                # A caller that reads slowly is no silence of the server.
-                reader.note_holding = lambda: wait_until(None)
+            async with asyncio.timeout(patience) as watchdog:
+                if patience is not None:
+                    reader.watch = AttemptWatch(watchdog, patience)
                 exchange = await connection.exchange(message, reader)
                 while exchange.is_whole and reader.kind is AnswerKind.FOREIGN:
                     exchange = await connection.read_next(reader)
@@ -268,18 +294,21 @@
             return End.SILENT, "no progress"
         return end, reader.reason or exchange.reason
 
-    def _find_patience(self) -> timedelta | None:
-        """Return how long to wait for a sign of the answer, ``None`` to the end.
+    def _find_patience(self) -> float | None:
+        """Return the seconds to wait for a sign of the answer, ``None`` to the end.
 
-        Only a request that may be sent elsewhere afterwards is given up early.
+        Only a request that may be sent elsewhere afterwards is given up early, and
+        not while its server is slow for the prompts before it.
         """
         if not self._may_repeat() or self._runs >= self.route.max_attempts:
             return None
         if self.route.repeat is Repeat.NEVER:
             return None
         left = self._limit - self._clock.elapsed()
-        patience = max(self.route.target * FIRST_BYTE_PART, SHORTEST_FIRST_BYTE)
-        return min(patience, left / 2)
+        usual = max(self.route.target * FIRST_BYTE_PART, SHORTEST_FIRST_BYTE)
+        expected = self._placed.expected if self._placed else timedelta()
+        patience = max(usual, expected * EXPECTED_PART)
+        return min(patience, left / 2).total_seconds()
 
     async def _conclude(self, exchange: Exchange, reader: AttemptReader) -> End:
         """Judge an exchange, and hand a whole answer to the caller."""
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -20,13 +20,17 @@
 LAST_EVENT_END = b"\r\r"  # of a stream whose lines end in CR
 IDLE_FIELDS = frozenset({b"", b"event", b"retry"})  # lines without id or data
 MAX_ID_DIGITS = 20  # those of the largest number of 64 bits
-MAX_PARTIAL_BYTES = 1_048_576  # of one event; more of it is handed on in parts
+MAX_EVENT_BYTES = 262_144  # of one event, with the comments before it
 
 
 class EventOrderError(Exception):
     """An event does not follow those that were handed on."""
 
 
+class EndlessEventError(Exception):
+    """Bytes come on and on, and none of them ends an event."""
+
+
 class EventPosition(NamedTuple):
     """How far a stream was handed on.
 
@@ -34,15 +38,14 @@
     last id, or that of the event that the caller asked to go on after; it is empty
     where there is none, or where something without an id followed it.
     ``is_counted`` is set while the ids count the events, ``has_begun`` where one
-    more event had begun, ``is_cut`` where a part of an event was handed on, and
-    ``is_unclear`` where anything was that no event can be proved to follow.
+    more event had begun, and ``is_unclear`` where anything was that no event can be
+    proved to follow.
     """
 
     events: int = 0
     last_id: str = ""
     is_counted: bool = False
     has_begun: bool = False
-    is_cut: bool = False
     is_unclear: bool = False
 
     @property
@@ -95,6 +98,7 @@
         self.position = position or EventPosition()
         self._must_follow = is_rest
         self._partial = b""
+        self._since_event = 0  # bytes that brought no event
 
     @property
     def partial_bytes(self) -> int:
@@ -104,7 +108,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether an answer that ends here leaves an event unfinished."""
-        if self.position.is_cut or self.position.has_begun:
+        if self.position.has_begun:
             return True
         if self._partial.endswith(LAST_EVENT_END):
             return False
@@ -114,20 +118,28 @@
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events that ``chunk`` completes.
 
-        Raises ``EventOrderError`` where they don't follow.
+        Raises ``EventOrderError`` where they don't follow, and
+        ``EndlessEventError``.
         """
         data = self._partial + chunk
         ends = [match.end() for match in EVENT_END.finditer(data)]
-        if not ends:
-            self._partial = data
-            return self._cut() if len(data) > MAX_PARTIAL_BYTES else b""
-        self._partial = data[ends[-1] :]
+        events = self.position.events
         start = 0
         for end in ends:
             self._note(data[start:end])
             start = end
+        self._partial = data[start:]
+        self._count_idle(len(chunk), self.position.events > events)
         return data[:start]
 
+    def _count_idle(self, size: int, has_event: bool) -> None:
+        """Count bytes without an event, so that a server can't send them for ever."""
+        self._since_event = (
+            len(self._partial) if has_event else self._since_event + size
+        )
+        if self._since_event > MAX_EVENT_BYTES:
+            raise EndlessEventError(f"{self._since_event} bytes without an event")
+
     def take_rest(self) -> bytes:
         """Return what came after the last whole event, at the answer's end.
 
@@ -144,19 +156,7 @@
             return self.position
         return self.position._replace(has_begun=True)
 
-    def _cut(self) -> bytes:
-        """Return the part of an event that is too long to be kept."""
-        if self._must_follow:
-            raise EventOrderError("the first event is too long")
-        events = self.position.events + (not self.position.is_cut)
-        self.position = EventPosition(events, is_cut=True, is_unclear=True)
-        rest, self._partial = self._partial, b""
-        return rest
-
     def _note(self, block: bytes) -> None:
-        if self.position.is_cut:
-            self.position = EventPosition(self.position.events, is_unclear=True)
-            return
         event_id, has_data, is_idle = "", False, True
         for line in block.splitlines():
             name, _, value = line.partition(b":")
--- a/lavendershift/platform/serverwire.py
+++ b/lavendershift/platform/serverwire.py
@@ -40,7 +40,7 @@
         answered = headers.get(names.REQUEST_ID)
         if answered is not None and answered != request.id:
             return AnswerKind.FOREIGN
-        if answered is None and not is_fresh and names.NOT_RUN not in headers:
+        if answered is None and not is_fresh:
             return AnswerKind.FOREIGN
         if status == MISDIRECTED:
             return AnswerKind.WRONG_SERVER
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -9,8 +9,9 @@
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
-from lavendershift.serverlist import PromptPart, PromptShape
+from lavendershift.serverlist import PromptPart, PromptShape, ServerLoad
 from lavendershift_standins.platformserver import (
+    REQUEST_ID,
     answer_error,
     answer_foreign_first,
     answer_misdirected,
@@ -20,6 +21,7 @@
     answer_with_extra,
     keep_silent,
     make_event,
+    make_head,
     reset,
     send_bytes_only,
     stream,
@@ -158,6 +160,79 @@
     play(work)
 
 
+async def refuse_late_without_an_id(received, writer):
+    """Send a late refusal of an older request, then the answer."""
+    head = b"HTTP/1.1 503 -\r\nX-Lavendershift-Not-Executed: 1\r\n"
+    writer.write(head + b"Content-Length: 0\r\n\r\n")
+    await answer_whole(received, writer)
+
+
+def test_a_late_refusal_without_an_id_says_nothing_of_this_request(play):
+    """It was sent to a second server while the first one ran it."""
+
+    async def work(scene):
+        await scene.add_server(answer_whole, refuse_late_without_an_id)
+        await scene.deliver()
+        await scene.add_server()
+        scene.servers.choose = lambda service, prompt, excluded: (
+            None if excluded else scene.servers.find("i-0")
+        )
+        answer = await scene.deliver(request=scene.make_request(2))
+        assert answer.body == b"done r2"
+        assert scene.runs == 2
+        assert scene.ends == [End.ANSWERED, End.ANSWERED]
+
+    play(work)
+
+
+async def answer_head_after_another(received, writer):
+    """Send a late copy of an older answer without a body, then the own one."""
+    for request_id in ("other", received.id):
+        headers = received.headers | {REQUEST_ID: request_id}
+        sent = received._replace(headers=headers)
+        writer.write(make_head(sent, 200, {"Content-Length": "800"}))
+
+
+def test_an_answer_to_head_is_found_behind_another_one(play):
+    """The own answer was read as if a body followed, until the time was over."""
+
+    async def work(scene):
+        await scene.add_server(answer_head_after_another)
+        request = scene.make_request()._replace(method="HEAD", body=b"")
+        answer = await scene.deliver(request=request)
+        assert answer.status == 200
+        assert scene.ends == [End.ANSWERED]
+
+    play(work)
+
+
+def test_a_server_that_is_slow_for_the_prompts_before_it_is_not_silent(play):
+    """Under load each prompt was sent to a second server, which made it worse."""
+
+    async def answer_late(received, writer):
+        await asyncio.sleep(0.9)
+        await stream(3)(received, writer)
+
+    async def work(scene):
+        for _ in range(2):
+            server = await scene.add_server()
+            server.default = answer_late
+            load = ServerLoad(40, 50_000)
+            scene.servers.note_others("vm-2", server.name, load, ())
+        prompt = PromptShape((PromptPart("a", 500),), 500, 20)
+        request = scene.make_request(deadline=9 * SECOND)._replace(prompt=prompt)
+        answer = await scene.deliver(
+            request=request,
+            repeat=Repeat.RESUME,
+            is_stream=True,
+            timeout=9 * SECOND,
+        )
+        assert answer.is_done
+        assert scene.ends == [End.ANSWERED]
+
+    play(work)
+
+
 def test_bytes_after_an_answer_belong_to_nobody(play):
     async def work(scene):
         server = await scene.add_server(answer_with_extra)
--- /dev/null
+++ b/lavendershift/platform/tests/test_endlessanswers.py
@@ -0,0 +1,223 @@
+"""Servers in trouble whose bytes are no answer and have no end.
+
+An attempt at such a server ends in the time that a silent one gets, takes bounded
+memory, closes its connection, and counts against the server. A request that may be
+sent again is served by another one.
+"""
+
+import asyncio
+import time
+import tracemalloc
+
+import pytest
+
+from lavendershift.attempts import End
+from lavendershift.errors import RequestError
+from lavendershift.platform.tests.conftest import SECOND, Answer
+from lavendershift.routes import Repeat
+from lavendershift_standins.platformserver import (
+    answer_whole,
+    make_event,
+    make_head,
+    stream,
+    write_chunk,
+)
+
+COUNT = 8
+WHOLE = b"".join(make_event(number) for number in range(1, COUNT + 1))
+PIECE = 16_384  # bytes of a fast server at a time
+SLOW_S = 0.05  # between the bytes of a slow one
+SILENT_TIME_S = 1.5  # first byte 0.3 s, then an event gap of 0.9 s, and a margin
+UNSIZED_TIME_S = 3.5  # bytes of a body without a length are a sign of life for 2.4 s
+MEMORY = 1_048_576  # bytes an attempt may take beyond a sound answer
+
+
+async def pour(writer, unit, is_fast, wrap=lambda data: data):
+    """Write ``unit`` without end, in large pieces or one at a time."""
+    piece = unit * max(PIECE // len(unit), 1) if is_fast else unit
+    while True:
+        writer.write(wrap(piece))
+        await writer.drain()
+        await asyncio.sleep(0 if is_fast else SLOW_S)
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def endless(start, unit, is_chunked=False):
+    """Answer with ``start`` of the head, or a whole one, and ``unit`` for ever."""
+
+    def make(is_fast):
+        async def behave(received, writer):
+            writer.write(start(received) if callable(start) else start)
+            wrap = chunk if is_chunked else bytes
+            await pour(writer, unit, is_fast, wrap)
+
+        return behave
+
+    return make
+
+
+def head(media_type, **headers):
+    fields = {"Content-Type": media_type}
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    return lambda received: make_head(received, 200, fields)
+
+
+EVENTS = head("text/event-stream", Transfer_Encoding="chunked")
+UNFRAMED_EVENTS = head("text/event-stream")
+PLAIN = head("text/plain", Transfer_Encoding="chunked")
+UNFRAMED = head("text/plain")
+IN_HEADS = {
+    "status line": endless(b"HTTP/1.1 200 ", b"x"),
+    "no status line": endless(b"", b"x"),
+    "header": endless(b"HTTP/1.1 200 OK\r\nX-Long: ", b"x"),
+    "headers": endless(b"HTTP/1.1 200 OK\r\n", b"X-Many: x\r\n"),
+    "interim answers": endless(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+}
+IN_FRAMES = {
+    "chunk size": endless(PLAIN, b"0"),
+    "chunk extension": endless(lambda r: PLAIN(r) + b"5;", b"x"),
+    "trailer": endless(lambda r: PLAIN(r) + b"0\r\n", b"X-Trailer: x\r\n"),
+}
+IN_PLAIN_BODIES = {
+    "chunked body": endless(PLAIN, b"x", is_chunked=True),
+    "body without a length": endless(UNFRAMED, b"x"),
+}
+IN_EVENTS = {
+    "event line": endless(
+        lambda r: EVENTS(r) + chunk(b"id: 1\ndata: "), b"x", is_chunked=True
+    ),
+    "event lines": endless(
+        lambda r: EVENTS(r) + chunk(b"id: 1\n"), b"data: x\n", is_chunked=True
+    ),
+    "comments": endless(EVENTS, b": alive\n", is_chunked=True),
+    "empty blocks": endless(EVENTS, b": alive\n\n", is_chunked=True),
+    "unframed event": endless(lambda r: UNFRAMED_EVENTS(r) + b"data: ", b"x"),
+}
+ALL = IN_HEADS | IN_FRAMES | IN_PLAIN_BODIES | IN_EVENTS
+
+
+async def deliver_after(scene, behaviour, sound, **options):
+    """Deliver with one server that pours and one that is sound."""
+    servers = [await scene.add_server() for _ in range(2)]
+    servers[0].script.append(behaviour)
+    servers[1].default = sound
+    listed = [scene.servers.find(server.name) for server in servers]
+
+    def choose(service, prompt, excluded):
+        left = [each for each in listed if each.entry.id not in set(excluded)]
+        return left[0] if left else None
+
+    scene.servers.choose = choose
+    failed = []
+    scene.servers.note_failure = failed.append
+    answer = Answer()
+    delivery = scene.make_delivery(
+        answer,
+        request=scene.make_request(deadline=9 * SECOND),
+        timeout=9 * SECOND,
+        **options,
+    )
+    started = time.monotonic()
+    error = None
+    try:
+        await delivery.run()
+    except RequestError as raised:
+        error = raised
+    took = time.monotonic() - started
+    return answer, error, took, servers, failed
+
+
+@pytest.mark.parametrize("is_fast", [True, False], ids=["fast", "slow"])
+@pytest.mark.parametrize("where", ALL)
+def test_a_stream_that_may_be_resumed_is_served_by_another_server(play, where, is_fast):
+    async def work(scene):
+        answer, error, took, servers, failed = await deliver_after(
+            scene,
+            ALL[where](is_fast),
+            stream(COUNT),
+            repeat=Repeat.RESUME,
+            is_stream=True,
+        )
+        assert error is None
+        assert answer.body.replace(b": alive\n\n", b"") == WHOLE
+        assert answer.is_done
+        assert took < (UNSIZED_TIME_S if where in IN_PLAIN_BODIES else SILENT_TIME_S)
+        assert [server.entry.id for server in failed] == [servers[0].name]
+        await asyncio.sleep(0.2)
+        assert servers[0].closed == 1
+
+    play(work)
+
+
+PLAIN_CASES = IN_HEADS | IN_FRAMES | IN_PLAIN_BODIES
+
+
+@pytest.mark.parametrize("is_fast", [True, False], ids=["fast", "slow"])
+@pytest.mark.parametrize("where", PLAIN_CASES)
+def test_a_plain_request_that_may_be_repeated_is_served_by_another_server(
+    play, where, is_fast
+):
+    async def work(scene):
+        answer, error, took, servers, failed = await deliver_after(
+            scene, PLAIN_CASES[where](is_fast), answer_whole, repeat=Repeat.ALWAYS
+        )
+        assert error is None
+        assert answer.body == b"done r1"
+        assert took < (UNSIZED_TIME_S if where in IN_PLAIN_BODIES else SILENT_TIME_S)
+        assert [server.entry.id for server in failed] == [servers[0].name]
+        await asyncio.sleep(0.2)
+        assert servers[0].closed == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("where", ALL)
+def test_a_request_that_may_not_be_repeated_takes_bounded_memory(play, where):
+    async def work(scene):
+        tracemalloc.start()
+        try:
+            answer, error, took, servers, failed = await deliver_after(
+                scene,
+                ALL[where](True),
+                answer_whole,
+                repeat=Repeat.NEVER,
+                is_stream=where in IN_EVENTS,
+            )
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert error is not None
+        assert not answer.is_done or answer.status >= 500
+        assert peak < 3 * MEMORY  # the stand-in's own buffers included
+        assert len(servers[1].received) == 0
+        await asyncio.sleep(0.2)
+        assert servers[0].closed == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("split", [1, 2, 3, 7, 50])
+def test_a_sound_stream_in_small_pieces_is_one_attempt(play, split):
+    """Each event comes in pieces, slowly, and within the time of an event."""
+
+    async def dribble(received, writer):
+        writer.write(EVENTS(received))
+        for start in range(0, len(WHOLE), split):
+            write_chunk(writer, WHOLE[start : start + split])
+            await writer.drain()
+            await asyncio.sleep(0.002 * split)
+        writer.write(b"0\r\n\r\n")
+
+    async def work(scene):
+        answer, error, _, _, failed = await deliver_after(
+            scene, dribble, stream(COUNT), repeat=Repeat.RESUME, is_stream=True
+        )
+        assert error is None
+        assert answer.body == WHOLE
+        assert scene.ends == [End.ANSWERED]
+        assert failed == []
+
+    play(work)
--- a/lavendershift/serveranswers.py
+++ b/lavendershift/serveranswers.py
@@ -12,11 +12,18 @@
 from tornado.httputil import HTTPHeaders
 
 from lavendershift.attempts import AnswerKind, End, StreamNote
-from lavendershift.eventstreams import EventOrderError, EventPosition, EventReader
+from lavendershift.eventstreams import (
+    EndlessEventError,
+    EventOrderError,
+    EventPosition,
+    EventReader,
+)
+from lavendershift.patience import Unwatched, Watch
 
 SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 EVENT_STREAM = "text/event-stream"  # the media type of the HTML standard
+MAX_UNSIZED_BYTES = 1_048_576  # of a plain body that does not say its length
 
 
 class ServerAnswer(NamedTuple):
@@ -52,10 +59,9 @@
 class AttemptReader:
     """Takes one attempt's answer.
 
-    ``is_fresh`` tells whether its connection was used for no other request,
-    ``note_progress`` is called whenever a part of the answer arrived, ``note_holding``
-    when the caller has to take a part before the next is read. ``refused`` is set
-    once the answer can't be the rest of the stream; ``stop`` then ends it.
+    ``is_fresh`` tells whether its connection was used for no other request.
+    ``watch`` is told what arrives. ``refused`` is set once the answer can't be the
+    rest of the stream, or has no end; ``stop`` then ends it.
     """
 
     def __init__(
@@ -67,8 +73,7 @@
     ) -> None:
         self.refused: End | None = None
         self.reason = ""
-        self.note_progress: Callable[[], None] = lambda: None
-        self.note_holding: Callable[[], None] = lambda: None
+        self.watch: Watch = Unwatched()
         self.kind = AnswerKind.FOREIGN
         self.status = 0
         self.headers = HTTPHeaders()
@@ -80,16 +85,17 @@
         self._stop = stop
         self._before = taker.position
         self._chunks: list[bytes] = []
+        self._size = 0
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Take the head of an answer; one to another request may come first."""
-        self._chunks = []
+        self._chunks, self._size = [], 0
         self.status, self.headers = status, headers
         self.kind = self._taker.judge(status, headers, self._is_fresh)
         self._is_fresh = False
         if self.kind is not AnswerKind.OWN:
             return
-        self.note_progress()
+        self.watch.note_progress()
         if self._taker.first_status and status not in SERVER_ERRORS:
             self._check_kind()
 
@@ -117,22 +123,38 @@
         """Take a part of the body."""
         if self.refused is not None:
             return None
-        if self.kind is AnswerKind.OWN:
-            self.note_progress()
         if not self.is_streamed:
-            self._chunks.append(chunk)
+            self._collect(chunk)
             return None
+        before = self.events.position.events
         try:
-            events = self.events.feed(chunk)
+            data = self.events.feed(chunk)
         except EventOrderError as error:
             self._refuse(End.OUT_OF_PLACE, str(error))
             return None
-        return self._hand_on(events) if events else None
-
-    async def _hand_on(self, events: bytes) -> None:
-        self.note_holding()
-        await self._taker.forward(self, events)
-        self.note_progress()
+        except EndlessEventError as error:
+            self._refuse(End.BROKEN, str(error))
+            return None
+        if self.events.position.events > before:
+            self.watch.note_progress()
+        return self._hand_on(data) if data else None
+
+    def _collect(self, chunk: bytes) -> None:
+        """Keep a part of a plain body."""
+        self._chunks.append(chunk)
+        self._size += len(chunk)
+        if "Content-Length" in self.headers:
+            if self.kind is AnswerKind.OWN:
+                self.watch.note_progress()
+        elif self._size > MAX_UNSIZED_BYTES:
+            self._refuse(End.BROKEN, f"{self._size} bytes without an end")
+        elif self.kind is AnswerKind.OWN:
+            self.watch.note_bytes()
+
+    async def _hand_on(self, data: bytes) -> None:
+        self.watch.hold()
+        await self._taker.forward(self, data)
+        self.watch.release()
 
     def _refuse(self, end: End, reason: str) -> None:
         self.refused, self.reason = end, reason
