--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -22,7 +22,7 @@
 from lavendershift.grantrows import DrawRefusedError, GrantLog, GrantRows
 from lavendershift.needs import Need, TokenNeeds
 from lavendershift.partitions import find_partition
-from lavendershift.passbook import Passbook
+from lavendershift.passbook import PAGE_INTERVAL, Passbook
 from lavendershift.prepaid import (
     LARGE_FLEET,
     DrawView,
@@ -32,7 +32,6 @@
     plan_draw,
 )
 
-PAGE_INTERVAL = timedelta(milliseconds=400)  # while tokens are held
 ROUND_INTERVAL = timedelta(seconds=1)  # between full rounds of a small fleet
 ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
 SMALL_SPREAD, LARGE_SPREAD = 0.1, 0.5  # of the interval, either way
--- /dev/null
+++ b/lavendershift/tools/token_experiment.py
@@ -0,0 +1,70 @@
+"""The ``lavendershift-token-experiment`` command: ways of holding tokens compared.
+
+All variants play the same seeded days of all sites in virtual time::
+
+    python -m lavendershift.tools.token_experiment --seeds 6
+"""
+
+import statistics
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from rich.console import Console
+from rich.table import Table
+
+from lavendershift.tools.tokendays import DayFigures, TokenDay, Variant
+from lavendershift.tools.tokensites import SITES
+
+VARIANTS = {
+    "all VMs serve": Variant(active=0),
+    "one active VM a domain": Variant(active=1),
+    "two active VMs a domain": Variant(active=2),
+    "one, cut from each other": Variant(active=1, is_isolated=True),
+    "one purse for all": Variant(is_oracle=True),
+}
+ENDS = ("kill", "power")
+COLUMNS = ("credit", "again", "refused", "in_cuts", "lost")
+
+
+def play(site: str, variant: Variant, end: str, seed: int) -> DayFigures:
+    """Return the figures of one day."""
+    return TokenDay(SITES[site], variant._replace(end=end), seed).run()
+
+
+def average(runs: list[DayFigures]) -> DayFigures:
+    """Return the mean of each figure."""
+    means = {c: statistics.mean(run[c] for run in runs) for c in COLUMNS}  # type: ignore[literal-required]
+    return DayFigures(**means)  # type: ignore[typeddict-item]
+
+
+@cappa.command(name="lavendershift-token-experiment")
+@dataclass
+class TokenExperiment:
+    """Compare ways of holding prepaid tokens on seeded days."""
+
+    seeds: Annotated[int, cappa.Arg(long=True, help="Days of each kind.")] = 4
+    site: Annotated[str, cappa.Arg(long=True, help="Only this site.")] = ""
+
+    def __call__(self) -> None:
+        """Run and print the table."""
+        table = Table("site", "end", "variant", *COLUMNS)
+        for site in [self.site] if self.site else SITES:
+            for end in ENDS:
+                for name, variant in VARIANTS.items():
+                    if site == "large" and not variant.active:
+                        continue  # 195 VMs with all customers take minutes a day
+                    runs = [play(site, variant, end, n) for n in range(self.seeds)]
+                    row = average(runs)
+                    cells = [f"{row[c]:.3f}" for c in COLUMNS]  # type: ignore[literal-required]
+                    table.add_row(site, end, name, *cells)
+        Console(width=120).print(table)
+
+
+def main() -> None:
+    """Run the command."""
+    cappa.invoke(TokenExperiment)
+
+
+if __name__ == "__main__":
+    main()
