Let slow VMs win draws, and write no empty pages

Causes and changes: - A draw for waiting requests also returned tokens of other customers, for which a page has to be written first; others changed the rows meanwhile. Nothing is returned where requests wait. - Active VMs held an equal part of each customer, and changed rows whenever what was left changed. Only VMs to which callers are sent tell how many are needed, and a load counts for 5 s, so that the set does not shrink when one fails. - VMs that hold nothing wrote an empty page in each round.

test_nodes has a new test of a planned stop: what the kernel took and the process did not is answered or not run.

--- a/lavendershift/draws.py
+++ b/lavendershift/draws.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from datetime import timedelta
@@ -33,10 +34,11 @@
 )
 
 ROUND_INTERVAL = timedelta(seconds=1)  # between full rounds of a small fleet
-ROUND_INTERVAL_PER_VM = timedelta(milliseconds=60)  # so that rounds seldom collide
+ROUND_INTERVAL_PER_VM = timedelta(milliseconds=120)  # so that rounds seldom collide
 SMALL_SPREAD, LARGE_SPREAD = 0.1, 0.5  # of the interval, either way
 ROWS_AGE = timedelta(seconds=3)  # of rows that full rounds plan from, or two rounds
 WANTED_ROWS_AGE = timedelta(milliseconds=100)  # of rows that refuse a request
+TRIES_ALONE = 2  # at a draw, before others are asked for what they hold
 SETTLING_PAUSE = timedelta(milliseconds=10)  # between tries for a waiting request
 DOUBTED_AFTER = timedelta(milliseconds=400)  # of some calls of 4 ms each
 AWAY_INTERVAL = timedelta(milliseconds=400)  # between tries while the store is away
@@ -179,9 +181,9 @@
         """Reserve tokens after drawing what is missing."""
         self.needs.add(need)
         try:
-            while self.is_reached and self._may_have_left(need):
+            for tries in itertools.count(1):
                 left = (deadline - self._clock.elapsed()).total_seconds()
-                if left <= 0:
+                if left <= 0 or not self.is_reached or not self._may_have_left(need):
                     return False
                 settling = self._start_settling(need.customer)
                 await asyncio.wait({settling}, timeout=left)
@@ -189,6 +191,9 @@
                     return True
                 if settling.done() and not settling.result():
                     return False
+                # A slow VM may lose every race for the rows.
+                if tries == TRIES_ALONE and await self._borrow_for(need, deadline):
+                    return True
                 await asyncio.sleep(SETTLING_PAUSE.total_seconds())
             return False
         finally:
@@ -377,7 +382,7 @@
         Returns false if the store did not do what it was asked.
         """
         try:
-            await self._settle(number)
+            await self._settle(number, is_urgent=True)
             if self._is_bound_by_page(number):
                 with self._watch_reach():
                     await self._record()
@@ -401,21 +406,24 @@
         """Return the tokens that requests wait for and that are not here."""
         return self.needs.count_missing(customer, self.find_account(customer).free)
 
-    async def _settle(self, number: int) -> None:
-        """Change the rows of a partition as planned."""
+    async def _settle(self, number: int, is_urgent: bool = False) -> None:
+        """Change the rows of a partition as planned.
+
+        Nothing is returned where requests wait, as a return writes a page first.
+        """
         async with self._locks[number]:
             with self._watch_reach():
-                await self._settle_rows(self._rows[number])
+                await self._settle_rows(self._rows[number], is_urgent)
 
-    async def _settle_rows(self, rows: GrantRows) -> None:
+    async def _settle_rows(self, rows: GrantRows, is_urgent: bool) -> None:
         age = max(ROWS_AGE, 2 * find_round_interval(self._vms()))
         if not self.is_reached or rows.is_older_than(age):
             await rows.sync()
         for _ in range(MAX_CONFLICTS):
-            deltas = await self._borrow_planned(self._plan(rows))
+            deltas = await self._borrow_planned(self._plan(rows, is_urgent))
             if self._lacks(rows, deltas) and rows.is_older_than(WANTED_ROWS_AGE):
                 await rows.sync()
-                deltas = await self._borrow_planned(self._plan(rows))
+                deltas = await self._borrow_planned(self._plan(rows, is_urgent))
             if not deltas or await rows.change(deltas, self._record):
                 break
             await rows.sync()
@@ -478,10 +486,10 @@
             self.is_reached = reached
             self._on_reach(reached, reason)
 
-    def _plan(self, rows: GrantRows) -> dict[str, int]:
+    def _plan(self, rows: GrantRows, is_urgent: bool) -> dict[str, int]:
         """Return the tokens to draw for the customers of a partition.
 
-        Negative numbers are tokens to return.
+        Negative numbers are tokens to return, none in an urgent round.
         """
         deltas = {}
         now = self._clock.elapsed()
@@ -490,7 +498,7 @@
                 continue
             view = self._make_view(customer, now)
             delta = self._choose_delta(view, now)
-            if delta:
+            if delta > 0 or (delta and not is_urgent):
                 deltas[customer] = delta
         return deltas
 
--- a/lavendershift/passbook.py
+++ b/lavendershift/passbook.py
@@ -141,6 +141,7 @@
         self._on_adopt = on_adopt
         self._started_at, self._started = clock.since_boot(), clock.now()
         self._end: int | None = None
+        self._is_empty = False  # the newest page tells of no tokens
 
     async def adopt(self, find_account: Callable[[str], PrepaidAccount]) -> None:
         """Take over what the predecessor left; call before anything is held.
@@ -184,10 +185,12 @@
     ) -> None:
         """Write a page of ``accounts``; raises ``LogUnavailableError``.
 
+        One that would tell again that nothing is held is not written.
         ``wanted`` tokens wait to be committed at once, so the page counts them
         as spent already.
         """
-        assert self._end is not None
+        if self._is_empty and not any(a.free or a.reserved for a in accounts.values()):
+            return
         now = self._clock.elapsed()
         at = self._clock.since_boot()
         entries, limits = {}, {}
@@ -201,23 +204,33 @@
         page = self._make_page(entries, at)
         for customer, limit in limits.items():
             accounts[customer].limits.append(limit)
-        for _ in range(MAX_TRIES):
-            result, end = await self._log.write(self._end, page)
-            if result is PageResult.UNKNOWN:
-                raise LogUnavailableError("no answer to a page")
-            self._end = end
-            if result is PageResult.DONE:
-                for customer, limit in limits.items():
-                    accounts[customer].limits = [limit]
-                return
-            if result is PageResult.REFUSED:
-                break
+        result = await self._write(page)
+        if result is PageResult.UNKNOWN:
+            raise LogUnavailableError("no answer to a page")
+        if result is PageResult.DONE:
+            for customer, limit in limits.items():
+                accounts[customer].limits = [limit]
+            self._is_empty = not any(entry.unspent for entry in entries.values())
+            return
         # No write happened, so the limits of this page bind nobody.
         for customer, limit in limits.items():
             accounts[customer].limits.remove(limit)
         if result is PageResult.REFUSED:
             raise LogUnavailableError("a page was refused")
 
+    async def _write(self, page: Page) -> PageResult:
+        """Write a page, again where others have changed the partition."""
+        assert self._end is not None
+        result = PageResult.MOVED
+        for _ in range(MAX_TRIES):
+            result, end = await self._log.write(self._end, page)
+            if result is PageResult.UNKNOWN:
+                break
+            self._end = end
+            if result is not PageResult.MOVED:
+                break
+        return result
+
     def _make_page(
         self, entries: Mapping[str, Entry], at: timedelta | None = None
     ) -> Page:
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -395,3 +395,32 @@
         assert second.wait_end() == 0
     finally:
         platform.stop()
+
+
+def test_what_waits_to_be_accepted_at_a_stop_is_answered_or_not_run(platform):
+    """Connections that the kernel took but the process did not, as it stops."""
+    (node,) = platform.nodes
+    node.signal(signal.SIGTERM)
+    time.sleep(2.7)
+    node.signal(signal.SIGSTOP)
+    results = {}
+
+    def call(number):
+        try:
+            reply = node.ask(f"b{number}", path="/record/x", tokens=None)
+            results[number] = reply.status if reply.is_whole else "cut"
+        except OSError:
+            results[number] = "not read"
+
+    callers = [threading.Thread(target=call, args=(n,)) for n in range(40)]
+    for caller in callers:
+        caller.start()
+    time.sleep(0.6)  # the time to stop listening passes meanwhile
+    node.signal(signal.SIGCONT)
+    for caller in callers:
+        caller.join()
+    assert node.wait_end() == 0
+    runs = {n: platform.count_runs(f"b{n}") for n in range(40)}
+    for number, result in results.items():
+        assert result in (200, 503, "not read"), number
+        assert runs[number] == (result == 200), number
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -30,11 +30,12 @@
 ABUNDANT_TIME = timedelta(seconds=40)  # for which what is left lasts where most is held
 LEAST_HELD_PART = 0.03  # of what is left, held by all VMs where it lasts for little
 MOST_HELD_PART = 0.6
-EQUAL_PART = 0.3  # of a VM's share that does not depend on its demand
+EQUAL_PART = 0.1  # of a VM's share that does not depend on its demand
 KEPT_PART = 0.03  # of a total, for urgent requests; beyond what is owed to all
 SMALL_PART = 0.3  # of a target below one large request, held by all VMs
 LOW_WATER = 0.8  # of the target; below it tokens are drawn
 HIGH_WATER = 1.5  # of the target; above it tokens are returned
+MANY_HOLDERS = 6  # VMs from which on returns are made only beyond one request
 LARGE_FLEET = 24  # VMs from which on their changes of the same rows often collide
 
 
@@ -261,15 +262,15 @@
 
     It never draws more than the row leaves, so that the sum of all grants
     stays within the prepaid total. What is held is lost with the power, so
-    small fleets return early; in large ones the returns alone would exceed the
-    store's rate.
+    few VMs return early; of many, returns between two requests would make others
+    lose the races for the rows.
     """
     target = find_target(view)
     if view.wanted > 0:
         return bound_draw(view, max(target - view.free, 0) + view.wanted)
     if view.free < target * LOW_WATER:
         return bound_draw(view, target - view.free)
-    spare = view.largest if view.vms >= LARGE_FLEET else 0.0
+    spare = view.largest if view.vms >= MANY_HOLDERS else 0.0
     if view.free > max(target * HIGH_WATER, target + spare):
         return target - view.free
     return 0
--- a/lavendershift/tests/test_passbook.py
+++ b/lavendershift/tests/test_passbook.py
@@ -344,3 +344,18 @@
     page = make_page(opens=timedelta(seconds=2))._replace(opening=timedelta(seconds=10))
     (left,) = adopt(page, "boot-1", AT + timedelta(seconds=4)).values()
     assert left == 10_000 - 500 - 400 - 2000 - 1
+
+
+def test_nothing_held_is_written_once():
+    """195 VMs wrote empty pages, and lost races for the partitions to each other."""
+    clock, account, pages = make_clock(AT), make_account(0), MemoryPages()
+    passbook, accounts = start_recording(pages, clock, account)
+    before = pages.writes
+    for _ in range(5):
+        clock.advance(timedelta(seconds=1))
+        asyncio.run(passbook.record(accounts, {}))
+    assert pages.writes == before
+    account.credit_drawn(500)
+    asyncio.run(passbook.record(accounts, {}))
+    assert pages.writes == before + 1
+    assert pages.page.entries["plume"].unspent == 500
--- a/lavendershift/tests/test_workingset.py
+++ b/lavendershift/tests/test_workingset.py
@@ -118,6 +118,34 @@
             assert large[domain][: len(small[domain])] == small[domain]
 
 
+def test_a_domain_keeps_enough_vms_when_one_of_them_fails():
+    """Its load is gone with it until its callers have found the others."""
+    fleet = Fleet(make_fleet())
+    for _ in range(5):
+        fleet.serve(120)
+    before = fleet.working_set.find_active()["rennes"]
+    failed = before[0]
+    fleet.members = [member for member in fleet.members if member.name != failed]
+    fleet.clock.advance(SECOND)
+    after = fleet.working_set.find_active()["rennes"]
+    assert len(after) >= len(before)
+    assert failed not in after
+
+
+def test_callers_that_keep_to_one_vm_call_for_no_others():
+    """A customer of 130 requests/s kept to one small VM, and 14 became active."""
+    fleet = Fleet(make_fleet())
+    for _ in range(5):
+        fleet.serve(20)
+    before = fleet.working_set.list_names()
+    loaded = next(m for m in fleet.members if m.name not in before)
+    fleet.members = [
+        m._replace(arrivals=130.0) if m is loaded else m for m in fleet.members
+    ]
+    fleet.clock.advance(SECOND)
+    assert fleet.working_set.list_names() == before
+
+
 def test_callers_get_the_vms_of_their_domain_and_a_second_one():
     fleet = Fleet(make_fleet(small=2, large=0, domains=DOMAINS[:3]))
     listed = {domain: fleet.list_for(domain) for domain in DOMAINS[:3]}
--- a/lavendershift/workingset.py
+++ b/lavendershift/workingset.py
@@ -15,6 +15,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Protocol
@@ -26,6 +27,7 @@
 USED_CAPACITY = 0.2  # of the active VMs, which leaves room for surges and slow VMs
 HEADROOM = 1.25  # above the measured load, so that its waves don't change the set
 LEAST_LISTED = 2  # active VMs that a caller is told of, so that it can try another
+PEAK_TIME = timedelta(seconds=5)  # in which a load counts, as VMs come and go
 MEMORY = timedelta(milliseconds=400)  # in which the set is not worked out again
 REQUEST_TIME = timedelta(milliseconds=10)  # of a usual core, docs/CAPACITY.md
 REQUEST_BYTES = 24_576  # each way, a prompt of 12 KB that comes in and goes out
@@ -69,6 +71,7 @@
         self._clock = clock
         self._list_members = list_members
         self._loads: dict[str, float] = {}
+        self._peaks: deque[tuple[timedelta, dict[str, float]]] = deque()
         self._active: dict[str, list[str]] = {}
         self._chosen_at: timedelta | None = None
 
@@ -78,10 +81,21 @@
         if self._chosen_at is None or now - self._chosen_at >= MEMORY:
             self._chosen_at = now
             members = list(self._list_members())
-            self._loads = follow_loads(self._loads, measure_loads(members))
+            # Some callers keep to one VM whatever they are told. Others can't carry
+            # its load.
+            led = [member for member in members if self._led(member)]
+            self._peaks.append((now, measure_loads(led)))
+            while now - self._peaks[0][0] > PEAK_TIME:
+                self._peaks.popleft()
+            peaks = find_peaks(loads for _, loads in self._peaks)
+            self._loads = follow_loads(self._loads, peaks)
             self._active = choose_active(members, self._loads)
         return self._active
 
+    def _led(self, member: Member) -> bool:
+        """Whether callers were sent to a VM."""
+        return member.name in self._active.get(member.failure_domain, ())
+
     def list_names(self) -> list[str]:
         """Return the names of all active VMs."""
         return [name for names in self.find_active().values() for name in names]
@@ -160,6 +174,15 @@
     return loads
 
 
+def find_peaks(measured: Iterable[dict[str, float]]) -> dict[str, float]:
+    """Return the largest load of each failure domain."""
+    peaks: dict[str, float] = {}
+    for loads in measured:
+        for domain, load in loads.items():
+            peaks[domain] = max(peaks.get(domain, 0.0), load)
+    return peaks
+
+
 def follow_loads(
     before: dict[str, float], measured: dict[str, float]
 ) -> dict[str, float]:
