Log what is known of a server when a request goes to it

Logs could not tell the five hypotheses apart: an attempt's line named its server, and nothing of how old that knowledge was.

Attempts tell belief_ms (age of the newest reading of the entries), entry (listed or missing) and connect_ms; server_changed tells an entry that is missing and one that is back; dependency_found tells outage_ms and beats, the entries that one server wrote meanwhile, which tells an outage of the store from a cut of this VM.

No decision is changed.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -12,7 +12,7 @@
 
 from lavendershift.connections import ServerRequest
 from lavendershift.errors import RequestError
-from lavendershift.serverlist import PromptShape
+from lavendershift.serverlist import Belief, PromptShape
 
 
 class CallerRequest(NamedTuple):
@@ -139,7 +139,11 @@
 
 
 class AttemptNote(NamedTuple):
-    """An attempt that ended, for the log; ``stream`` is set on streaming routes."""
+    """An attempt that ended, for the log; ``stream`` is set on streaming routes.
+
+    ``belief`` is what was known of the server when it was chosen, ``connecting`` the
+    time from then until the request was sent, ``None`` where it was not.
+    """
 
     server: str
     end: End
@@ -148,3 +152,5 @@
     duration: timedelta
     expected: timedelta
     stream: StreamNote | None = None
+    belief: Belief = Belief()
+    connecting: timedelta | None = None
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -38,6 +38,7 @@
 from lavendershift.serveranswers import SERVER_ERRORS, AttemptReader, ServerAnswer
 from lavendershift.serverlist import (
     NO_PROMPT,
+    Belief,
     ListedServer,
     Placed,
     ServerList,
@@ -138,6 +139,8 @@
         self._unreached = 0
         self._server_error: ServerAnswer | None = None
         self._placed: Placed | None = None
+        self._belief = Belief()
+        self._connecting: timedelta | None = None
         self._is_read = False
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
@@ -222,6 +225,7 @@
         """Send the request to ``server`` once and judge what came of it."""
         started = self._clock.elapsed()
         entry = server.entry
+        self._belief, self._connecting = self._servers.describe_belief(server), None
         self._placed = None
         self._tried.add(entry.id)
         try:
@@ -230,6 +234,7 @@
             self._servers.note_unreachable(server)
             self._note(entry.id, End.NOT_SENT, str(error), None, started)
             return End.NOT_SENT
+        self._connecting = self._clock.elapsed() - started
         self._sends += 1
         self._runs += 1
         placed = self._servers.start(server, self._request.prompt or NO_PROMPT)
@@ -404,5 +409,15 @@
         expected = self._placed.expected if self._placed else timedelta()
         status = reader.status if reader else 0
         stream = reader.describe() if reader else None
-        note = AttemptNote(server, end, reason, status, duration, expected, stream)
+        note = AttemptNote(
+            server,
+            end,
+            reason,
+            status,
+            duration,
+            expected,
+            stream,
+            self._belief,
+            self._connecting,
+        )
         self._on_attempt(note)
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -107,9 +107,13 @@
     """Fields that a line may have besides those on every line."""
 
     attempt: str
+    beats: int
+    belief_ms: int
     budget: str
     config_offset: int
+    connect_ms: int
     duration_ms: int
+    entry: str
     error: str
     events: int
     expected_ms: int
@@ -120,6 +124,7 @@
     media_type: str
     name: str
     offset: int
+    outage_ms: int
     partial_bytes: int
     place: str
     ran: str
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -8,7 +8,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
-from lavendershift.logs import Event, EventLog
+from lavendershift.logs import Event, EventLog, in_milliseconds
 from lavendershift.platform import names
 from lavendershift.platform.configuration import decode_configuration, describe_fault
 from lavendershift.platform.servers import decode_entry
@@ -83,6 +83,7 @@
         self.found_at = timedelta()
         self.outage = timedelta()  # before ``found_at``, in which nothing was read
         self.read_at: timedelta | None = None
+        self.beats = 0  # of the server with most of them, in the newest reading
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -105,13 +106,20 @@
     def note_reading(self, batch: Batch, is_whole: bool) -> None:
         """Take over what was read."""
         now = self._clock.elapsed()
-        if self._lost_at is not None:
-            self._lost_at = None
+        was_lost, self._lost_at = self._lost_at is not None, None
+        if was_lost:
             self.found_at = now
             self.outage = now - self.read_at if self.read_at else timedelta()
-            self._log.write(Event.DEPENDENCY_FOUND, name=self.name)
         self.read_at = now
         self.take(batch.records, is_whole)
+        if was_lost:
+            outage_ms = in_milliseconds(self.outage)
+            self._log.write(
+                Event.DEPENDENCY_FOUND,
+                name=self.name,
+                outage_ms=outage_ms,
+                beats=self.beats,
+            )
 
     def note_failure(self, error: LogUnavailableError) -> None:
         """Note that nothing could be read."""
@@ -227,6 +235,7 @@
             for entry in self._servers.list_entries():
                 if entry.id not in named:
                     self._note_removed(entry.id)
+        self.beats = self._servers.note_reading()
         if not self._may_come_back():
             self._drop_removed()
         self.is_ready = True
@@ -236,9 +245,12 @@
         if entry is None:
             self._log.write(Event.ENTRY_SKIPPED, name="server", server=server_id)
             return
-        self._removed.discard(server_id)
         old = self._servers.find(server_id)
         before = old.entry if old is not None else None
+        if old is not None and server_id in self._removed:
+            self._removed.discard(server_id)
+            old.is_missing = False
+            self._log.write(Event.SERVER_CHANGED, server=server_id, result="back")
         if not self._servers.update(entry):
             return
         if before is None or (before.born, before.is_leaving, before.address) != (
@@ -254,8 +266,12 @@
             )
 
     def _note_removed(self, server_id: str) -> None:
-        if self._servers.find(server_id) is not None:
-            self._removed.add(server_id)
+        server = self._servers.find(server_id)
+        if server is None or server_id in self._removed:
+            return
+        self._removed.add(server_id)
+        server.is_missing = True
+        self._log.write(Event.SERVER_CHANGED, server=server_id, result="missing")
 
     def _may_come_back(self) -> bool:
         """Whether entries that lapsed in an outage may still come back."""
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -113,7 +113,8 @@
     def __init__(self):
         self.clock = ManualClock()
         self.servers = ServerList(self.clock, random.Random(1))
-        log = EventLog(logbook.NullHandler(), "edge-1", "rennes", self.clock)
+        self.log = logbook.TestHandler()
+        log = EventLog(self.log, "edge-1", "rennes", self.clock)
         self.feed = ServerFeed(
             self.clock, None, log, self.servers, lambda entry: None, DRAIN
         )
@@ -127,6 +128,10 @@
             self.clock.advance(step)
             self.feed.note_failure(LogUnavailableError("no answer"))
 
+    def find_lines(self, event):
+        lines = [record.extra["line"] for record in self.log.records]
+        return [line for line in lines if line["event"] == event]
+
     def lists(self, name="i-1"):
         return self.servers.find(name) is not None
 
@@ -190,3 +195,22 @@
     scene.read(Record(0, b"i-1", b""))
     scene.read(make_record(sequence=1, born=GOOD["born"] + 5000))
     assert scene.lists()
+
+
+def test_the_log_tells_an_outage_from_a_cut_of_one_vm():
+    scene = FeedScene()
+    scene.read(make_record(), make_record("i-2"), is_whole=True)
+    scene.fail(times=20)
+    scene.read(*[make_record("i-2", sequence=n) for n in range(5, 12)])
+    found = scene.find_lines("dependency_found")[-1]
+    assert (found["name"], found["beats"], found["outage_ms"]) == ("servers", 7, 8400)
+
+
+def test_the_log_tells_that_an_entry_is_missing_and_back():
+    scene = FeedScene()
+    scene.read(make_record(), is_whole=True)
+    scene.fail(times=20)
+    scene.read(Record(0, b"i-1", b""))
+    scene.read(make_record(sequence=5))
+    results = [line["result"] for line in scene.find_lines("server_changed")]
+    assert results == ["listed", "missing", "back"]
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -56,7 +56,7 @@
         if trace.longest_gap is not None:
             self._instruments.observe("event_gap", trace.longest_gap)
         self._note_tokens(trace)
-        first_ms = -1 if first is None else in_milliseconds(first - received)
+        first_ms = _in_known_milliseconds(None if first is None else first - received)
         self._write(Event.REQUEST_ANSWERED, trace, first_ms=first_ms)
 
     def note_refused(self, trace: RequestTrace, error: RequestError) -> None:
@@ -91,6 +91,9 @@
             status=attempt.status,
             expected_ms=in_milliseconds(attempt.expected),
             duration_ms=in_milliseconds(attempt.duration),
+            entry="missing" if attempt.belief.is_missing else "listed",
+            belief_ms=_in_known_milliseconds(attempt.belief.age),
+            connect_ms=_in_known_milliseconds(attempt.connecting),
         )
         if attempt.stream is not None:
             self._note_stream(attempt.end, attempt.stream)
@@ -134,3 +137,8 @@
         self._log.write(
             event, request=trace.request.id, customer=trace.customer, **fields
         )
+
+
+def _in_known_milliseconds(length: timedelta | None) -> int:
+    """Return a length for a line, -1 where it is not known."""
+    return -1 if length is None else in_milliseconds(length)
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -11,7 +11,7 @@
 """
 
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
@@ -89,6 +89,16 @@
     sequence: int = 0
 
 
+class Belief(NamedTuple):
+    """How sure this VM is of a server: the age of the newest reading of all entries.
+
+    ``is_missing`` is set while the server's own entry is not there.
+    """
+
+    age: timedelta | None = None
+    is_missing: bool = False
+
+
 class _OthersLoad(NamedTuple):
     load: ServerLoad
     told_at: timedelta
@@ -103,6 +113,7 @@
         self.unread_tokens = 0
         self.avoided_until = timedelta()
         self.pause = UNREACHABLE_PAUSE
+        self.is_missing = False
         self.cache = PrefixIndex(clock)
         self.others: dict[str, _OthersLoad] = {}
 
@@ -145,6 +156,8 @@
         self._outliers: dict[str, OutlierDetector] = {}
         self._mean_time: dict[str, timedelta] = {}
         self._gone: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        self._read_at: timedelta | None = None
+        self._beats: Counter[str] = Counter()
         self.on_load: Callable[[str, Sequence[str]], None] = lambda server, parts: None
 
     def __len__(self) -> int:
@@ -154,6 +167,23 @@
         """Return the entries of all servers."""
         return [server.entry for server in self._servers.values()]
 
+    def note_reading(self) -> int:
+        """Note that all entries were read just now.
+
+        Returns how many entries the server that wrote most of them has written since
+        the reading before.
+        """
+        self._read_at = self._clock.elapsed()
+        beats = max(self._beats.values(), default=0)
+        self._beats.clear()
+        return beats
+
+    def describe_belief(self, server: ListedServer) -> Belief:
+        """Return how sure this VM is of ``server``."""
+        if self._read_at is None:
+            return Belief(None, server.is_missing)
+        return Belief(self._clock.elapsed() - self._read_at, server.is_missing)
+
     def update(self, entry: ServerEntry) -> bool:
         """Take over an entry; false for one that is older than what is known.
 
@@ -170,6 +200,8 @@
         old = known.entry
         if (entry.born, entry.sequence) < (old.born, old.sequence):
             return False
+        if entry.born == old.born:
+            self._beats[entry.id] += entry.sequence - old.sequence
         if entry.born != old.born or entry.address != old.address:
             self._servers[entry.id] = ListedServer(entry, self._clock)
             self._outliers[old.service].forget(entry.id)
--- a/lavendershift/tests/test_requestreports.py
+++ b/lavendershift/tests/test_requestreports.py
@@ -9,6 +9,7 @@
 from lavendershift.instruments import Instruments
 from lavendershift.logs import EventLog, make_handler
 from lavendershift.requestreports import RequestReports
+from lavendershift.serverlist import Belief
 from lavendershift.settings_sections import LoggingSection
 
 REQUEST = CallerRequest(
@@ -21,14 +22,16 @@
     """Return a function that gives an attempt's line and the metrics after it."""
     path = tmp_path / "log"
 
-    def note(end, stream):
+    def note(end, stream, **fields):
         handler = make_handler(LoggingSection(path, "info"))
         log = EventLog(handler, "edge-1", "rennes", ManualClock())
         instruments = Instruments()
         reports = RequestReports(ManualClock(), log, instruments)
         reports.note_attempt(
             REQUEST,
-            AttemptNote("i-1", end, "", 200, timedelta(), timedelta(), stream),
+            AttemptNote(
+                "i-1", end, "", 200, timedelta(), timedelta(), stream, **fields
+            ),
         )
         line = json.loads(path.read_text().splitlines()[-1])
         return line, instruments.render().decode()
@@ -52,3 +55,16 @@
     assert line["event"] == "request_placed"
     assert "partial_bytes" not in line
     assert "lavendershift_partial_events_total{" not in metrics
+
+
+def test_an_attempt_tells_what_was_known_of_its_server(note_attempt):
+    belief = Belief(timedelta(milliseconds=1750), is_missing=True)
+    connecting = timedelta(milliseconds=40)
+    line, _ = note_attempt(End.ANSWERED, None, belief=belief, connecting=connecting)
+    assert (line["belief_ms"], line["entry"]) == (1750, "missing")
+    assert line["connect_ms"] == 40
+
+
+def test_an_attempt_that_was_not_sent_tells_no_time_to_connect(note_attempt):
+    line, _ = note_attempt(End.NOT_SENT, None)
+    assert (line["belief_ms"], line["connect_ms"]) == (-1, -1)
