Reproduce requests to leaving servers in tests that fail

A server that asks for a pause with its 503 gets requests in it.

The stand-in of a server plays both headers.

--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -71,10 +71,10 @@
         self.list_server(server)
         return server
 
-    def list_server(self, server, address=None):
-        self.servers.update(
-            ServerEntry(server.name, "index", address or server.address, "", 8, False)
-        )
+    def list_server(self, server, address=None, **changes):
+        address = address or server.address
+        entry = ServerEntry(server.name, "index", address, "", 8, False)
+        self.servers.update(entry._replace(**changes))
 
     def make_request(self, number=1, deadline=2 * SECOND):
         now = self.clock.elapsed()
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -6,13 +6,13 @@
 import logbook
 import pytest
 
-from lavendershift.clocks import ManualClock
+from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.errors import LogUnavailableError
 from lavendershift.logs import EventLog
-from lavendershift.platform.feeds import KeyedFeed, ServerFeed
+from lavendershift.platform.feeds import Feed, KeyedFeed, ServerFeed
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.store import Batch, Record
-from lavendershift.serverlist import ServerList
+from lavendershift.serverlist import NO_PROMPT, ServerList
 
 GOOD = {
     "service": "pool",
@@ -56,6 +56,15 @@
         {"sequence": "4"},
         {"born": 1.5},
         {"slots": "many"},
+        {"slots": None},
+        {"slots": 0},
+        {"zone": None},
+        {"version": None},
+        {"version": 3},
+        {"cold_remaining_ms": None},
+        {"sequence": None},
+        {"sequence": -1},
+        {"born": -1},
     ],
 )
 def test_a_malformed_entry_names_no_server(changes):
@@ -132,12 +141,17 @@
         lines = [record.extra["line"] for record in self.log.records]
         return [line for line in lines if line["event"] == event]
 
+    def chooses(self):
+        """Whether a request to the service finds a server."""
+        return self.servers.choose("pool", NO_PROMPT, ()) is not None
+
     def lists(self, name="i-1"):
         return self.servers.find(name) is not None
 
 
 def make_record(name="i-1", **changes):
-    return Record(0, name.encode(), json.dumps(GOOD | changes).encode())
+    entry = {k: v for k, v in (GOOD | changes).items() if v is not None}
+    return Record(0, name.encode(), json.dumps(entry).encode())
 
 
 def test_a_server_that_leaves_just_after_an_outage_gets_nothing_new():
@@ -214,3 +228,134 @@
     scene.read(make_record(sequence=5))
     results = [line["result"] for line in scene.find_lines("server_changed")]
     assert results == ["listed", "missing", "back"]
+
+
+def test_a_server_removed_while_only_this_vm_was_cut_off_gets_nothing_new():
+    """Other servers wrote entries all the time, so that none can have lapsed."""
+    scene = FeedScene()
+    scene.read(make_record(), make_record("i-2"), is_whole=True)
+    scene.fail(times=20)
+    beats = [make_record("i-2", sequence=n, state="draining") for n in range(5, 11)]
+    scene.read(*beats, Record(0, b"i-1", b""))
+    assert not scene.chooses()
+
+
+def test_a_removal_hidden_by_expired_records_is_no_lapse_either():
+    scene = FeedScene()
+    scene.read(make_record(), make_record("i-2"), is_whole=True)
+    scene.fail(times=20)
+    scene.read(make_record("i-2", sequence=11, state="draining"), is_whole=True)
+    assert not scene.chooses()
+
+
+def test_an_outage_of_the_store_within_a_longer_cut_gives_entries_time():
+    scene = FeedScene()
+    scene.read(make_record(), make_record("i-2"), is_whole=True)
+    scene.fail(times=40)
+    beats = [make_record("i-2", sequence=n, state="draining") for n in range(5, 13)]
+    scene.read(*beats, Record(0, b"i-1", b""))
+    assert scene.chooses()
+
+
+@pytest.mark.parametrize("late", [timedelta(milliseconds=1), timedelta(seconds=1)])
+def test_a_missing_server_gets_nothing_more_though_no_reading_comes(late):
+    """Readings of a VM that stands by were up to a second apart."""
+    scene = FeedScene()
+    scene.read(make_record(), is_whole=True)
+    scene.fail(times=20)
+    scene.read(Record(0, b"i-1", b""))
+    assert scene.chooses()
+    scene.clock.advance(timedelta(seconds=2) + late)
+    assert not scene.chooses()
+
+
+def test_an_entry_of_another_writer_does_not_hide_that_a_server_leaves():
+    scene = FeedScene()
+    scene.read(make_record(), is_whole=True)
+    scene.read(make_record(sequence=900, slots=None))
+    scene.read(make_record(state="draining", sequence=5))
+    assert not scene.chooses()
+
+
+@pytest.mark.parametrize("change", [{"service": "ledger"}, {"address": "10.9.9.9:80"}])
+def test_an_entry_of_another_writer_does_not_move_a_server(change):
+    scene = FeedScene()
+    scene.read(make_record(), is_whole=True)
+    scene.read(make_record(sequence=5, **change))
+    entry = scene.servers.find("i-1").entry
+    assert (entry.service, entry.address) == (GOOD["service"], GOOD["address"])
+
+
+class HangingStore:
+    """Answers a first reading, then lets the next calls hang."""
+
+    def __init__(self, hanging=1, trickle=False):
+        self.hanging = hanging
+        self.trickle = trickle
+        self.calls = 0
+        self.cancelled = 0
+
+    async def read_newest(self, topic, partition, *options):
+        return Batch([], 0, 0)
+
+    async def read(self, topic, partition, offset, wait, on_bytes=None, is_fresh=False):
+        self.calls += 1
+        if self.calls > self.hanging:
+            return Batch([Record(0, b"i-1", b"")], 1, 1)
+        try:
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                if self.trickle:
+                    on_bytes()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        raise LogUnavailableError("no answer")
+
+
+class NotingFeed(Feed):
+    name = "notes"
+
+    def __init__(self, store, wait=timedelta()):
+        log = EventLog(logbook.NullHandler(), "edge-1", "rennes", SystemClock())
+        super().__init__(SystemClock(), KeyedFeed(store, "keyed.notes", wait), log)
+        self.taken = asyncio.Event()
+
+    def take(self, records, is_whole):
+        if records:
+            self.taken.set()
+
+    async def pause(self):
+        await asyncio.sleep(0.05)
+
+
+async def follow(feed, length_s):
+    """Run a feed until it took something; returns the seconds it needed."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    running = asyncio.ensure_future(feed.run())
+    try:
+        async with asyncio.timeout(length_s):
+            await feed.taken.wait()
+    finally:
+        running.cancel()
+    return loop.time() - began
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 0.5])
+def test_a_reading_that_hangs_is_made_again_beside_it(wait_s):
+    """What a server or an operator wrote was known 1.5 s late and more."""
+    store = HangingStore()
+    feed_time = asyncio.run(
+        follow(NotingFeed(store, timedelta(seconds=wait_s)), wait_s + 1.0)
+    )
+    assert feed_time > wait_s
+    assert store.cancelled == 1
+
+
+def test_a_reading_that_brings_bytes_slowly_is_not_made_again():
+    """A link that is full would carry the same records twice."""
+    store = HangingStore(trickle=True)
+    with pytest.raises(TimeoutError):
+        asyncio.run(follow(NotingFeed(store), 1.5))
+    assert store.calls == 1
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -18,12 +18,16 @@
 
 
 class Received(NamedTuple):
-    """A request as the server got it."""
+    """A request as the server got it.
+
+    ``is_leaving`` tells whether the answer says that the server leaves.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    is_leaving: bool = False
 
     @property
     def id(self) -> str:
@@ -117,6 +121,8 @@
     lines = [f"HTTP/1.1 {status} -", f"X-Lavendershift-Attempt-Id: {received.id}"]
     lines.append(f"X-Lavendershift-Response-Signature: sign-{received.id}")
     lines += [f"{name}: {value}" for name, value in headers.items()]
+    if received.is_leaving:
+        lines.append("Server-Leaving: 1")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
@@ -133,6 +139,27 @@
     writer.write(make_head(received, 503, headers))
 
 
+def announce(behaviour: Behaviour) -> Behaviour:
+    """Answer as ``behaviour``, and say that the server leaves."""
+
+    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
+        await behaviour(received._replace(is_leaving=True), writer)
+
+    return behave
+
+
+def answer_busy(retry_after: str, status: int = 503) -> Behaviour:
+    """Turn a request away, and ask to get none for some seconds."""
+
+    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
+        headers = {"Content-Length": "0", "Retry-After": retry_after}
+        if status != 200:
+            headers["X-Lavendershift-Not-Executed"] = "1"
+        writer.write(make_head(received, status, headers))
+
+    return behave
+
+
 async def answer_error(received: Received, writer: asyncio.StreamWriter) -> None:
     """Fail after running."""
     writer.write(make_head(received, 500, {"Content-Length": "5"}) + b"error")
