Keep a server whose entry is missing only where entries can have lapsed

Cause: a VM that was cut off took each removal that it read first for a lapse, though the store and the servers spoke all the time. The grace of 2 s began when the VM found the store, up to 1.75 s after the cut, and ended at a reading, 0.4 to 1.4 s later; where no reading came, as the VM lost the store again, it never ended, and the next outage began it anew.

Servers write an entry in 1.2 s and count them: in a cut of 4 s one server's count rose by 3 or 4, in an outage of the store by 0 or 1.

Change: lapses.py gives a grace only where no server could write for two beats. What keeps a server from getting requests, the end of the grace included, is asked for when one is placed. A second outage gives no more time. A running request at a server that was started again no longer takes over the new process's entry.

Ruled out: a lower bound of the store's return by the last failed call (it saves 0.3 s at most, and one reading could still be late). The state of one server moved to serverstates.py.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -12,7 +12,8 @@
 
 from lavendershift.connections import ServerRequest
 from lavendershift.errors import RequestError
-from lavendershift.serverlist import Belief, PromptShape
+from lavendershift.notices import ServerNotice
+from lavendershift.serverstates import Belief, PromptShape
 
 
 class CallerRequest(NamedTuple):
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -36,13 +36,8 @@
 from lavendershift.patience import Patience
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serveranswers import SERVER_ERRORS, AttemptReader, ServerAnswer
-from lavendershift.serverlist import (
-    NO_PROMPT,
-    Belief,
-    ListedServer,
-    Placed,
-    ServerList,
-)
+from lavendershift.serverlist import Placed, ServerList
+from lavendershift.serverstates import NO_PROMPT, Belief, ListedServer
 
 CONNECT_TIMEOUT = timedelta(milliseconds=300)  # a hundred times the longest path
 MAX_SENDS = 4  # servers that one request is sent to, refusals included
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -26,7 +26,8 @@
 from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
-from lavendershift.serverlist import PromptShape, ServerList
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import PromptShape
 from lavendershift.shortages import Shortage, choose_return, find_wait
 
 DEFAULT_URGENCY = 5
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -23,7 +23,9 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, register_message
-from lavendershift.serverlist import ServerList, ServerLoad
+from lavendershift.notices import ServerNotice
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import ServerEntry, ServerLoad
 
 SUMMARY_INTERVAL = timedelta(milliseconds=500)  # between datagrams with everything
 DELAY_FOR_PEERS = timedelta(microseconds=50)  # times the square of their number
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -42,7 +42,8 @@
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
-from lavendershift.serverlist import ServerEntry, ServerList
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import ServerEntry
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
 from lavendershift.vmlist import VmList, VmRow
@@ -175,6 +176,7 @@
             self._servers,
             self._forget_server,
             settings.drain,
+            settings.beat_interval,
             self._activity.is_active,
         )
         self._presence_feed = PresenceFeed(
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -32,7 +32,7 @@
 from lavendershift.gateway import Gateway
 from lavendershift.platform import names
 from lavendershift.routes import CallerLimits
-from lavendershift.serverlist import PromptPart, PromptShape
+from lavendershift.serverstates import PromptPart, PromptShape
 
 SINGLE_HEADERS = (
     "Host",
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -8,13 +8,15 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.lapses import find_grace
 from lavendershift.logs import Event, EventLog, in_milliseconds
 from lavendershift.platform import names
 from lavendershift.platform.configuration import decode_configuration, describe_fault
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.store import Batch, Record, StoreClient
 from lavendershift.routes import RoutingTable
-from lavendershift.serverlist import RESTART_GRACE, ServerEntry, ServerList
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import ServerEntry
 
 SHORTEST_WAIT = timedelta(milliseconds=1200)  # for a change of the configuration
 LONGEST_WAIT = timedelta(seconds=3)
@@ -191,9 +193,9 @@
 class ServerFeed(Feed):
     """Follows the entries of backend servers.
 
-    An entry that disappears during an outage of the store may only have lapsed.
-    Its server stays in use until ``RESTART_GRACE`` after the store's return, by
-    when the entries of servers that live are back.
+    An entry that is missing after an outage of the store may only have lapsed. Its
+    server stays in use for as long as ``find_grace`` says, by when the entries of
+    servers that live are back.
     """
 
     name = "servers"
@@ -206,6 +208,7 @@
         servers: ServerList,
         on_gone: Callable[[ServerEntry], None],
         drain: timedelta,
+        beat_interval: timedelta,
         is_active: Callable[[], bool] = lambda: True,
     ) -> None:
         feed = KeyedFeed(store, names.SERVERS_TOPIC, timedelta())
@@ -213,8 +216,10 @@
         self._servers = servers
         self._on_gone = on_gone
         self._drain = drain
+        self._beat_interval = beat_interval
         self._is_active = is_active
         self._removed: set[str] = set()
+        self._grace_ends = timedelta()
         self.is_ready = False
 
     async def pause(self) -> None:
@@ -236,7 +241,13 @@
                 if entry.id not in named:
                     self._note_removed(entry.id)
         self.beats = self._servers.note_reading()
-        if not self._may_come_back():
+        now = self._clock.elapsed()
+        if self.found_at == now:
+            grace = find_grace(self.outage, self.beats, self._beat_interval)
+            self._grace_ends = now + grace
+        for server_id in self._removed:
+            self._servers.note_missing(server_id, self._grace_ends)
+        if now >= self._grace_ends:
             self._drop_removed()
         self.is_ready = True
 
@@ -247,9 +258,8 @@
             return
         old = self._servers.find(server_id)
         before = old.entry if old is not None else None
-        if old is not None and server_id in self._removed:
-            self._removed.discard(server_id)
-            old.is_missing = False
+        self._removed.discard(server_id)
+        if self._servers.note_back(server_id):
             self._log.write(Event.SERVER_CHANGED, server=server_id, result="back")
         if not self._servers.update(entry):
             return
@@ -266,18 +276,11 @@
             )
 
     def _note_removed(self, server_id: str) -> None:
-        server = self._servers.find(server_id)
-        if server is None or server_id in self._removed:
+        if self._servers.find(server_id) is None or server_id in self._removed:
             return
         self._removed.add(server_id)
-        server.is_missing = True
         self._log.write(Event.SERVER_CHANGED, server=server_id, result="missing")
 
-    def _may_come_back(self) -> bool:
-        """Whether entries that lapsed in an outage may still come back."""
-        since = self._clock.elapsed() - self.found_at
-        return self.outage >= SHORTEST_OUTAGE and since < RESTART_GRACE
-
     def _drop_removed(self) -> None:
         for server_id in self._removed:
             entry = self._servers.remove(server_id)
--- a/lavendershift/platform/servers.py
+++ b/lavendershift/platform/servers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from lavendershift.serverlist import ServerEntry
+from lavendershift.serverstates import ServerEntry
 
 STATES = ("ready", "draining")
 
--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -13,7 +13,8 @@
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.serverwire import PlatformServers
 from lavendershift.routes import Repeat, Route, Service, ServiceShare
-from lavendershift.serverlist import ServerEntry, ServerList
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import ServerEntry
 from lavendershift_standins.platformserver import PlatformServer
 
 SECOND = timedelta(seconds=1)
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -9,7 +9,7 @@
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.platform.tests.conftest import SECOND, Answer
 from lavendershift.routes import Repeat
-from lavendershift.serverlist import PromptPart, PromptShape, ServerLoad
+from lavendershift.serverstates import PromptPart, PromptShape, ServerLoad
 from lavendershift_standins.platformserver import (
     REQUEST_ID,
     answer_error,
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -12,7 +12,8 @@
 from lavendershift.platform.feeds import Feed, KeyedFeed, ServerFeed
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.store import Batch, Record
-from lavendershift.serverlist import NO_PROMPT, ServerList
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import NO_PROMPT
 
 GOOD = {
     "service": "pool",
@@ -114,6 +115,7 @@
 
 DRAIN = timedelta(seconds=2)
 READING = DRAIN / 5
+BEAT = timedelta(milliseconds=1200)
 
 
 class FeedScene:
@@ -125,7 +127,7 @@
         self.log = logbook.TestHandler()
         log = EventLog(self.log, "edge-1", "rennes", self.clock)
         self.feed = ServerFeed(
-            self.clock, None, log, self.servers, lambda entry: None, DRAIN
+            self.clock, None, log, self.servers, lambda entry: None, DRAIN, BEAT
         )
 
     def read(self, *records, is_whole=False):
@@ -269,6 +271,17 @@
     assert not scene.chooses()
 
 
+def test_a_second_outage_gives_a_missing_server_no_more_time():
+    """Found by a day of departures: it was kept for 12 s, over two cuts of its VM."""
+    scene = FeedScene()
+    scene.read(make_record(), is_whole=True)
+    scene.fail(times=20)
+    scene.read(Record(0, b"i-1", b""))
+    scene.fail(times=20)
+    scene.read()
+    assert not scene.chooses()
+
+
 def test_an_entry_of_another_writer_does_not_hide_that_a_server_leaves():
     scene = FeedScene()
     scene.read(make_record(), is_whole=True)
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -3,7 +3,9 @@
 An entry names one incarnation of a server. Entries are ordered by the start of
 the incarnation and its sequence number, so that an older one that arrives late
 changes nothing. A server that is leaving gets nothing new from the moment its
-entry says so::
+entry or one of its answers says so. All that keeps a server from getting requests is
+asked for when one is placed, and once more when it is sent, so that no bound waits for
+the next reading of the entries::
 
     servers = ServerList(clock, rng)
     servers.update(entry)
@@ -20,9 +22,17 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.ejection import OutlierDetector
-from lavendershift.prefixes import PrefixIndex
+from lavendershift.notices import Notices, ServerNotice
+from lavendershift.serverstates import (
+    UNREACHABLE_PAUSE,
+    Belief,
+    ListedServer,
+    OthersLoad,
+    PromptShape,
+    ServerEntry,
+    ServerLoad,
+)
 
-UNREACHABLE_PAUSE = timedelta(milliseconds=400)  # after a failed connection attempt
 LONGEST_PAUSE = timedelta(seconds=3)  # with doubling after each further failure
 IN_FLIGHT_TOKENS = 60  # prompt tokens read in the time a running request costs
 STREAM_TIME = timedelta(seconds=2)  # of a usual stream, after which a place is free
@@ -30,109 +40,11 @@
 READ_RATE = 50_000.0  # prompt tokens/s of an engine, for estimates
 ENGINE_LATENCY = timedelta(milliseconds=40)  # to the first event without any load
 SERVICE_WEIGHT = 0.05  # of the newest answer in a service's mean time
-LOAD_EXPIRY = timedelta(seconds=2)  # of what another VM told, four summaries
-RESTART_GRACE = timedelta(seconds=2)  # for entries to come back after an outage
+RETURN_SPREAD = 0.25  # of the time until a server wants requests, added by chance
 MAX_GONE = 1000  # removed servers whose last entries are remembered
 NEVER = (-1, -1)  # before any start and sequence number
 
 
-class PromptPart(NamedTuple):
-    """A part of a prompt that requests may share, by its id."""
-
-    id: str
-    tokens: int
-
-
-class PromptShape(NamedTuple):
-    """The parts of a prompt in order, and its sizes in tokens."""
-
-    parts: tuple[PromptPart, ...]
-    input_tokens: int
-    max_output_tokens: int
-
-    @property
-    def shared_parts(self) -> tuple[PromptPart, ...]:
-        """The parts that other requests may have as well, all but the last."""
-        return self.parts[:-1] or self.parts
-
-    @property
-    def home_key(self) -> str:
-        """The largest shared part, which decides the prompt's home server."""
-        parts = self.shared_parts
-        return max(parts, key=lambda part: part.tokens).id if parts else ""
-
-
-NO_PROMPT = PromptShape((), 0, 0)
-
-
-class ServerLoad(NamedTuple):
-    """One VM's requests on a server, and their prompt tokens still to be read."""
-
-    in_flight: int
-    unread_tokens: int
-
-
-class ServerEntry(NamedTuple):
-    """What a server says of itself.
-
-    ``born`` is the start of its incarnation in ms since the epoch, 0 if it
-    does not tell; ``sequence`` counts its entries.
-    """
-
-    id: str
-    service: str
-    address: str
-    failure_domain: str
-    slots: int
-    is_leaving: bool
-    born: int = 0
-    sequence: int = 0
-
-
-class Belief(NamedTuple):
-    """How sure this VM is of a server: the age of the newest reading of all entries.
-
-    ``is_missing`` is set while the server's own entry is not there.
-    """
-
-    age: timedelta | None = None
-    is_missing: bool = False
-
-
-class _OthersLoad(NamedTuple):
-    load: ServerLoad
-    told_at: timedelta
-
-
-class ListedServer:
-    """A registered server, this VM's requests on it and what others told."""
-
-    def __init__(self, entry: ServerEntry, clock: Clock) -> None:
-        self.entry = entry
-        self.in_flight = 0
-        self.unread_tokens = 0
-        self.avoided_until = timedelta()
-        self.pause = UNREACHABLE_PAUSE
-        self.is_missing = False
-        self.cache = PrefixIndex(clock)
-        self.others: dict[str, _OthersLoad] = {}
-
-    def sum_load(self, now: timedelta) -> ServerLoad:
-        """Return the load of all VMs."""
-        told = [o.load for o in self.others.values() if now - o.told_at <= LOAD_EXPIRY]
-        return ServerLoad(
-            self.in_flight + sum(load.in_flight for load in told),
-            self.unread_tokens + sum(load.unread_tokens for load in told),
-        )
-
-    def count_unread(self, prompt: PromptShape) -> int:
-        """Return the tokens of ``prompt`` that the server would have to read."""
-        held = self.cache.count_held([part.id for part in prompt.parts])
-        return max(
-            prompt.input_tokens - sum(part.tokens for part in prompt.parts[:held]), 0
-        )
-
-
 class Placed(NamedTuple):
     """A request that counts on a server until it is finished.
 
@@ -158,6 +70,9 @@
         self._gone: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self._read_at: timedelta | None = None
         self._beats: Counter[str] = Counter()
+        self._disputed: dict[str, ServerEntry] = {}
+        self._notices = Notices(clock)
+        self.on_left: Callable[[ServerEntry], None] = lambda entry: None
         self.on_load: Callable[[str, Sequence[str]], None] = lambda server, parts: None
 
     def __len__(self) -> int:
@@ -203,19 +118,52 @@
         if entry.born == old.born:
             self._beats[entry.id] += entry.sequence - old.sequence
         if entry.born != old.born or entry.address != old.address:
+            # Requests that run at the one before keep what is known of that one.
             self._servers[entry.id] = ListedServer(entry, self._clock)
             self._outliers[old.service].forget(entry.id)
-        known.entry = entry
+        else:
+            known.entry = entry
         if old.service != entry.service:
             self._update_outliers(old.service)
             self._update_outliers(entry.service)
         return True
 
+    def _is_foreign(self, old: ServerEntry, entry: ServerEntry) -> bool:
+        """Whether somebody else wrote ``entry``: it moves a process that runs.
+
+        One that is written again is believed, as ``old`` may have been the other's.
+        """
+        place = (entry.service, entry.address)
+        if place == (old.service, old.address):
+            self._disputed.pop(entry.id, None)
+            return False
+        before = self._disputed.get(entry.id)
+        self._disputed[entry.id] = entry
+        return before is None or (before.service, before.address) != place
+
+    def note_missing(self, server_id: str, until: timedelta) -> None:
+        """Note that a server's entry is gone; it gets requests ``until`` then.
+
+        A later outage gives one that is already missing no more time.
+        """
+        server = self._servers[server_id]
+        if server.usable_until is None:
+            server.usable_until = until
+
+    def note_back(self, server_id: str) -> bool:
+        """Note that a server's entry is there; true if it was missing."""
+        server = self._servers.get(server_id)
+        was_missing = server is not None and server.is_missing
+        if server is not None:
+            server.usable_until = None
+        return was_missing
+
     def remove(self, server_id: str) -> ServerEntry | None:
         """Forget a server that is gone; returns its last entry."""
         server = self._servers.pop(server_id, None)
         if server is None:
             return None
+        self._disputed.pop(server_id, None)
         self._gone[server_id] = (server.entry.born, server.entry.sequence)
         if len(self._gone) > MAX_GONE:
             self._gone.popitem(last=False)
@@ -241,8 +189,8 @@
             server
             for server in self._servers.values()
             if server.entry.service == service
-            and not server.entry.is_leaving
             and server.entry.id not in tried
+            and self._accepts(server)
         ]
         if not usable:
             return None
@@ -265,6 +213,42 @@
             ),
         )
 
+    def is_usable(self, server: ListedServer) -> bool:
+        """Whether a server that was chosen may still be sent a request."""
+        is_listed = self._servers.get(server.entry.id) is server
+        return is_listed and self._accepts(server)
+
+    def _accepts(self, server: ListedServer) -> bool:
+        """Whether a server is there and takes requests of this VM."""
+        if server.entry.is_leaving or self._notices.is_leaving(server.incarnation):
+            return False
+        if self._notices.find_pause(server.incarnation):
+            return False
+        until = server.usable_until
+        return until is None or self._clock.elapsed() < until
+
+    def note_notice(self, server: ListedServer, notice: ServerNotice) -> None:
+        """Note what an answer of ``server`` says of it."""
+        if self._notices.take(server.incarnation, notice):
+            self.on_left(server.entry)
+
+    def find_return(self, service: str) -> timedelta | None:
+        """Return when a server that asked for a pause takes requests again.
+
+        ``None`` where none asked for one. Callers that are told so don't all come
+        back at the same time.
+        """
+        pauses = [
+            self._notices.find_pause(server.incarnation)
+            for server in self._servers.values()
+            if server.entry.service == service
+            and not server.entry.is_leaving
+            and not self._notices.is_leaving(server.incarnation)
+        ]
+        if not any(pauses):
+            return None
+        return min(filter(None, pauses)) * self._rng.uniform(1, 1 + RETURN_SPREAD)
+
     def _is_avoided(self, server: ListedServer) -> bool:
         now = self._clock.elapsed()
         if server.avoided_until > now:
@@ -320,7 +304,7 @@
         server = self._servers.get(server_id)
         if server is None:
             return
-        server.others[vm] = _OthersLoad(load, self._clock.elapsed())
+        server.others[vm] = OthersLoad(load, self._clock.elapsed())
         if parts:
             server.cache.note_used(parts)
 
--- a/lavendershift/tests/test_gossip.py
+++ b/lavendershift/tests/test_gossip.py
@@ -5,7 +5,8 @@
 from lavendershift.clocks import SystemClock
 from lavendershift.datagrams import Datagrams
 from lavendershift.gossip import Gossip
-from lavendershift.serverlist import PromptPart, PromptShape, ServerEntry, ServerList
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import PromptPart, PromptShape, ServerEntry
 from lavendershift.tools.ports import find_ports
 
 ENTRY = ServerEntry("s1", "index", "127.0.0.1:9", "rennes", 8, False)
--- a/lavendershift/tests/test_requestreports.py
+++ b/lavendershift/tests/test_requestreports.py
@@ -9,7 +9,7 @@
 from lavendershift.instruments import Instruments
 from lavendershift.logs import EventLog, make_handler
 from lavendershift.requestreports import RequestReports
-from lavendershift.serverlist import Belief
+from lavendershift.serverstates import Belief
 from lavendershift.settings_sections import LoggingSection
 
 REQUEST = CallerRequest(
--- a/lavendershift/tests/test_serverlist.py
+++ b/lavendershift/tests/test_serverlist.py
@@ -5,12 +5,12 @@
 from datetime import timedelta
 
 from lavendershift.clocks import ManualClock
-from lavendershift.serverlist import (
+from lavendershift.serverlist import ServerList
+from lavendershift.serverstates import (
     NO_PROMPT,
     PromptPart,
     PromptShape,
     ServerEntry,
-    ServerList,
     ServerLoad,
 )
 
