Read what servers say of themselves in their answers

Cause: nothing read either header. A VM without the store went on sending.

The head of an answer binds at once, also that of a stream that goes on, of a refusal and of a late answer to another request; not that of another server at the address. Idle connections are closed. VMs tell each other of departures, as some don't reach the store. Where all servers asked for a pause, callers are refused at once with the time of the first to come back, spread by chance.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -100,6 +100,10 @@
         """Return whose answer this is and whether the request ran."""
         ...
 
+    def read_notice(self, status: int, headers: HTTPHeaders) -> ServerNotice:
+        """Return what the head of an answer says of its server."""
+        ...
+
     def select_answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers that the caller gets."""
         ...
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -133,6 +133,7 @@
         self._runs = 0
         self._unreached = 0
         self._server_error: ServerAnswer | None = None
+        self._server: ListedServer | None = None
         self._placed: Placed | None = None
         self._belief = Belief()
         self._connecting: timedelta | None = None
@@ -211,7 +212,8 @@
         if self._runs == 0:
             refused = end in (End.NOT_RUN, End.WRONG_SERVER)
             kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
-            raise RequestError(kind)
+            after = self._servers.find_return(self._service.name)
+            raise RequestError(kind, retry_after=after)
         if self.route.repeat is Repeat.NEVER:
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
         raise RequestError(ErrorKind.SERVER_FAILED)
@@ -220,6 +222,7 @@
         """Send the request to ``server`` once and judge what came of it."""
         started = self._clock.elapsed()
         entry = server.entry
+        self._server = server
         self._belief, self._connecting = self._servers.describe_belief(server), None
         self._placed = None
         self._tried.add(entry.id)
@@ -249,7 +252,7 @@
                 self.position = reader.events.end()
             self._note_read(placed)
             self._servers.finish(placed)
-            if keeps:
+            if keeps and self._servers.is_usable(server):
                 self._connections.give_back(connection)
             else:
                 connection.close()
@@ -345,8 +348,12 @@
         return End.ANSWERED
 
     def judge(self, status: int, headers: HTTPHeaders, is_fresh: bool) -> AnswerKind:
-        """Return whose answer has these headers."""
-        return self._wire.judge(self._request, status, headers, is_fresh)
+        """Return whose answer this is, and note what it says of its server."""
+        kind = self._wire.judge(self._request, status, headers, is_fresh)
+        if kind is not AnswerKind.WRONG_SERVER and self._server is not None:
+            notice = self._wire.read_notice(status, headers)
+            self._servers.note_notice(self._server, notice)
+        return kind
 
     async def forward(self, reader: AttemptReader, events: bytes) -> None:
         """Hand whole events on to the caller."""
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -62,6 +62,14 @@
     incarnation: str
 
 
+@register_message
+class Departure(msgspec.Struct, array_like=True, tag="departure"):
+    """A backend server's process, by its start, said in an answer that it leaves."""
+
+    server: str
+    born: int
+
+
 class Gossip:
     """Sends this VM's news to the others and takes in theirs."""
 
@@ -91,6 +99,7 @@
         self.on_leaving: Callable[[str, str], None] = lambda vm, incarnation: None
         datagrams.handle(News, self._take_news)
         datagrams.handle(Leaving, self._take_leaving)
+        datagrams.handle(Departure, self._take_departure)
 
     def find_silence(self, vm: str) -> timedelta | None:
         """Return how long nothing was heard of ``vm``; ``None`` if never."""
@@ -109,6 +118,19 @@
     def _take_leaving(self, leaving: Leaving, sender: Peer) -> None:
         self.on_leaving(leaving.vm, leaving.incarnation)
 
+    def announce_departure(self, entry: ServerEntry) -> None:
+        """Tell the others of a server that leaves, as they may not reach the store.
+
+        Each VM tells it once, so that one lost datagram keeps it from nobody.
+        """
+        peers = {*self._find_peers(), *self._list_listeners()}
+        self._datagrams.send(Departure(entry.id, entry.born), peers)
+
+    def _take_departure(self, departure: Departure, sender: Peer) -> None:
+        server = self._servers.find(departure.server)
+        if server is not None and server.entry.born == departure.born:
+            self._servers.note_notice(server, ServerNotice(is_leaving=True))
+
     async def run(self) -> None:
         """Send news until cancelled."""
         summarized = timedelta()
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -107,6 +107,7 @@
         )
         self._gossip.on_leaving = self._vms.note_leaving
         self._servers.on_load = self._gossip.note_change
+        self._servers.on_left = self._note_left
         self._vms.hear_directly(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
@@ -346,6 +347,14 @@
     def _forget_server(self, entry: ServerEntry) -> None:
         self._connections.drop(entry.address)
 
+    def _note_left(self, entry: ServerEntry) -> None:
+        """Note that a server's own answer, or another VM, said that it leaves."""
+        self._connections.drop(entry.address)
+        self._log.write(
+            Event.SERVER_CHANGED, server=entry.id, result="leaving", reason="answer"
+        )
+        self._gossip.announce_departure(entry)
+
     def _note_draw(self, customer: str, tokens: int, granted: int) -> None:
         account = self._draws.find_account(customer)
         name = "tokens_drawn" if tokens > 0 else "tokens_returned"
--- a/lavendershift/platform/names.py
+++ b/lavendershift/platform/names.py
@@ -19,6 +19,7 @@
 MEMORY_FROM = "Kv-From"
 MEMORY_FETCH = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"  # of the server that answers, in all its answers
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "bearer"
 
--- a/lavendershift/platform/serverwire.py
+++ b/lavendershift/platform/serverwire.py
@@ -1,14 +1,18 @@
 """The wire towards backend servers: requests encoded, answers judged."""
 
+import math
 from datetime import timedelta
 
 from tornado.httputil import HTTPHeaders
 
 from lavendershift.attempts import AnswerKind, Attempt, CallerRequest
 from lavendershift.connections import ServerRequest
+from lavendershift.notices import ServerNotice
 from lavendershift.platform import names
 
 MISDIRECTED = 421
+TURNED_AWAY = 503
+LONGEST_PAUSE = timedelta(days=1)  # that a server may ask for
 MAX_URGENCY = 9
 
 
@@ -48,6 +52,14 @@
             return AnswerKind.NOT_RUN
         return AnswerKind.OWN
 
+    def read_notice(self, status: int, headers: HTTPHeaders) -> ServerNotice:
+        """Return what the head of an answer says of its server."""
+        is_leaving = headers.get(names.LEAVING, "").strip() not in ("", "0")
+        pause = None
+        if status == TURNED_AWAY and names.RETRY_AFTER in headers:
+            pause = parse_seconds(headers[names.RETRY_AFTER])
+        return ServerNotice(is_leaving, pause)
+
     def select_answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers of a server's answer that a caller gets."""
         selected = HTTPHeaders()
@@ -55,3 +67,14 @@
             if name.lower() not in names.CONNECTION_HEADERS:
                 selected.add(name, value)
         return selected
+
+
+def parse_seconds(value: str) -> timedelta | None:
+    """Return a time in seconds, which may have a fraction; ``None`` if it is none."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    if not 0 <= seconds < math.inf:
+        return None
+    return timedelta(seconds=min(seconds, LONGEST_PAUSE.total_seconds()))
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -13,7 +13,12 @@
 
 from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.platform.tests.live_nodes import Platform, wait_for
-from lavendershift_standins.platformserver import make_event, stream
+from lavendershift_standins.platformserver import (
+    announce,
+    answer_whole,
+    make_event,
+    stream,
+)
 
 EVENTS = b"".join(make_event(number) for number in range(1, 9))
 
@@ -424,3 +429,37 @@
     for number, result in results.items():
         assert result in (200, 503, "not read"), number
         assert runs[number] == (result == 200), number
+
+
+def test_vms_without_the_store_tell_each_other_of_a_server_that_leaves(tmp_path):
+    """Its answer says so to one of them, and no entry can be read."""
+    world = Platform(tmp_path, nodes=2)
+    try:
+        world.start()
+        first, second = world.nodes
+        wait_for(
+            lambda: first.find_lines("vm_changed") and second.find_lines("vm_changed"),
+            "the VMs to know each other",
+        )
+        world.store.away = True
+        leaving = world.servers["ledger"][0]
+        leaving.default = announce(answer_whole)
+        number = 0
+        while not leaving.received:
+            number += 1
+            assert first.ask(f"a{number}", "/record/a", tokens=None).status == 200
+        for node in (first, second):
+            wait_for(
+                lambda node=node: node.find_lines(
+                    "server_changed", server=leaving.name, result="leaving"
+                ),
+                "the departure",
+            )
+        before = len(leaving.received)
+        for number in range(20):
+            for node in (first, second):
+                reply = node.ask(f"{node.name}-{number}", "/record/a", tokens=None)
+                assert reply.status == 200
+        assert len(leaving.received) == before
+    finally:
+        world.stop()
