Ask once more whether a server takes requests when its connection is made

A server was chosen, a connection was opened for up to 0.3 s, and nobody looked again: what was read meanwhile did not bind the sending. The attempt ends as not sent, and another server is chosen.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -232,6 +232,10 @@
             self._servers.note_unreachable(server)
             self._note(entry.id, End.NOT_SENT, str(error), None, started)
             return End.NOT_SENT
+        if not self._servers.is_usable(server):
+            self._connections.give_back(connection)
+            self._note(entry.id, End.NOT_SENT, "it left meanwhile", None, started)
+            return End.NOT_SENT
         self._connecting = self._clock.elapsed() - started
         self._sends += 1
         self._runs += 1
