Take entries only where all their fields are there

An entry of another writer that lacks fields was taken with defaults; with a high sequence number it hid that the server itself wrote that it leaves. All fields that the users' pages list have to be there. The start of the server may be missing: such an entry is older than any that has it.

--- a/lavendershift/platform/servers.py
+++ b/lavendershift/platform/servers.py
@@ -1,5 +1,7 @@
 """Entries of backend servers, decoded into ``ServerEntry``."""
 
+from typing import Annotated
+
 import msgspec
 
 from lavendershift.serverstates import ServerEntry
@@ -7,14 +9,21 @@
 STATES = ("ready", "draining")
 
 
+Natural = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Entry(msgspec.Struct):
+    """An entry as servers write it; one that lacks a field is somebody else's."""
+
     service: str
     address: str
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
     state: str
-    zone: str = ""
-    slots: int = 1
-    sequence: int = 0
-    born: int = 0
+    cold_remaining_ms: float
+    sequence: Natural
+    born: Natural = 0
 
 
 def decode_entry(server_id: str, value: bytes) -> ServerEntry | None:
@@ -30,7 +39,7 @@
         service=wire.service,
         address=wire.address,
         failure_domain=wire.zone,
-        slots=max(wire.slots, 1),
+        slots=wire.slots,
         is_leaving=wire.state != "ready",
         born=wire.born,
         sequence=wire.sequence,
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -116,6 +116,8 @@
         if (entry.born, entry.sequence) < (old.born, old.sequence):
             return False
         if entry.born == old.born:
+            if old.born and self._is_foreign(old, entry):
+                return False
             self._beats[entry.id] += entry.sequence - old.sequence
         if entry.born != old.born or entry.address != old.address:
             # Requests that run at the one before keep what is known of that one.
