Make a reading again beside one that hangs

What callers saw: nothing yet that was traced to it. A call to the store that hung was waited for 1.5 s, and 2.2 s longer where it waited for a change; with the pause before it that is more than the time in which a leaving server may get requests (2 s) or a configuration is in force (3 s). Idle connections of the same path, fallen silent as well, cost 1.5 s each.

Change: without a byte for 0.4 s another call is made beside it on a connection of its own, four at the most; the first answer counts. A call that brings bytes slowly is not repeated, as a full link would carry the same records twice. After a call without an answer idle connections to the store are closed. The store's return is noticed at most 0.65 s late (1.75 s before), which the grace for lapsed entries counts from.

Ruled out: a shorter timeout of the call itself (a store that is slow by 60 times answers in 240 ms and more, and would never be found).

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 import msgspec
 
@@ -24,43 +25,65 @@
 DRAIN_PARTS = 5  # readings in the time in which a leaving server may get requests
 IDLE_DRAIN_PARTS = 3  # the same on a VM that stands by
 AWAY_INTERVAL = timedelta(milliseconds=250)  # between tries while the store is away
-SHORTEST_OUTAGE = timedelta(seconds=1)  # in which entries may lapse
+PATIENCE = timedelta(milliseconds=400)  # without a byte; calls take a hundredth of it
+MOST_CALLS = 4  # that one reading makes beside each other
 MAX_SKIPPED_LOGGED = 5  # faulty entries of one configuration that are logged
 
 
+class Reading(NamedTuple):
+    """What one call brought; ``is_whole`` if its records are all newest records."""
+
+    batch: Batch
+    is_whole: bool
+
+
 class KeyedFeed:
-    """Reads one partition of a keyed topic, the newest records first."""
+    """Reads one partition of a keyed topic, the newest records first.
+
+    Several calls may be under way; ``accept`` takes over the answer of one of them.
+    """
 
     def __init__(self, store: StoreClient, topic: str, wait: timedelta) -> None:
         self.topic = topic
-        self.is_reached = False
+        self.wait = wait
         self._store = store
-        self._wait = wait
         self._offset: int | None = None
         self._ahead: dict[bytes, int] = {}
 
-    async def read(self) -> tuple[Batch, bool]:
-        """Return new records, and whether they are all newest records.
+    async def fetch(
+        self, on_bytes: Callable[[], None] = lambda: None, is_repeat: bool = False
+    ) -> Reading:
+        """Read what is new; raises ``LogUnavailableError``.
 
-        Raises ``LogUnavailableError``.
+        ``on_bytes`` is told of progress. A repeat is made beside a call that hangs:
+        it does not wait for a change, and uses a connection of its own.
         """
-        if self._offset is None:
-            batch = await self._store.read_newest(self.topic, 0)
-            self._offset = batch.next_offset
-            # Pages may be newer than the offset that the reading goes on from.
-            self._ahead = {
-                record.key: record.offset
-                for record in batch.records
-                if record.offset >= batch.next_offset
-            }
-            return batch, True
-        try:
-            batch = await self._store.read(self.topic, 0, self._offset, self._wait)
-        except RecordsExpiredError:
-            self._offset = None
-            return await self.read()
+        offset = self._offset
+        if offset is not None:
+            wait = timedelta() if is_repeat else self.wait
+            try:
+                batch = await self._store.read(
+                    self.topic, 0, offset, wait, on_bytes, is_repeat
+                )
+                return Reading(batch, False)
+            except RecordsExpiredError:
+                pass  # the newest records are still there
+        batch = await self._store.read_newest(self.topic, 0, on_bytes, is_repeat)
+        return Reading(batch, True)
+
+    def accept(self, reading: Reading) -> Batch:
+        """Go on after ``reading``; returns its records that are news."""
+        batch = reading.batch
         self._offset = batch.next_offset
-        return self._drop_older(batch), False
+        if not reading.is_whole:
+            return self._drop_older(batch)
+        # Pages may be newer than the offset that the reading goes on from.
+        self._ahead = {
+            record.key: record.offset
+            for record in batch.records
+            if record.offset >= batch.next_offset
+        }
+        return batch
 
     def _drop_older(self, batch: Batch) -> Batch:
         """Return ``batch`` without records older than a page told."""
@@ -85,19 +108,69 @@
         self.found_at = timedelta()
         self.outage = timedelta()  # before ``found_at``, in which nothing was read
         self.read_at: timedelta | None = None
+        self._heard_at = timedelta()
         self.beats = 0  # of the server with most of them, in the newest reading
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
+            reading = await self._read()
+            self.note_reading(self._feed.accept(reading), reading.is_whole)
+            await self.pause()
+
+    async def _read(self) -> Reading:
+        """Return the next reading, however long the store is away.
+
+        A call that hangs is not waited for: another one is made beside it, as only its
+        connection may have fallen silent. Bounds on what callers see count from what
+        was written, and don't wait for a call to time out.
+        """
+        calls: set[asyncio.Task[Reading]] = set()
+        patience = PATIENCE + self._feed.wait
+        try:
+            while True:
+                if len(calls) < MOST_CALLS:
+                    call = self._feed.fetch(self._note_bytes, bool(calls))
+                    calls.add(asyncio.ensure_future(call))
+                calls, reading = await self._await_calls(calls, patience)
+                if reading is not None:
+                    return reading
+                patience = PATIENCE
+        finally:
+            for task in calls:
+                task.cancel()
+
+    async def _await_calls(
+        self, calls: set[asyncio.Task[Reading]], patience: timedelta
+    ) -> tuple[set[asyncio.Task[Reading]], Reading | None]:
+        """Wait until a call ends, or none of them brought a byte for ``patience``."""
+        self._note_bytes()
+        done: set[asyncio.Task[Reading]] = set()
+        while not done:
+            left = self._heard_at + patience - self._clock.elapsed()
+            if left <= timedelta():
+                return calls, None
+            done, _ = await asyncio.wait(
+                calls,
+                timeout=left.total_seconds(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        calls = calls - done
+        failed = [call for call in done if call.exception() is not None]
+        for call in done:
+            if call not in failed:
+                return calls, call.result()
+        for call in failed:
             try:
-                batch, is_whole = await self._feed.read()
+                call.result()
             except LogUnavailableError as error:
                 self.note_failure(error)
-                await asyncio.sleep(AWAY_INTERVAL.total_seconds())
-                continue
-            self.note_reading(batch, is_whole)
-            await self.pause()
+        await asyncio.sleep(AWAY_INTERVAL.total_seconds())
+        return calls, None
+
+    def _note_bytes(self) -> None:
+        """Note that a call makes progress."""
+        self._heard_at = self._clock.elapsed()
 
     def take(self, records: list[Record], is_whole: bool) -> None:
         """Take over records; ``is_whole`` if keys that are missing don't exist."""
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -90,18 +90,24 @@
     truncated: bool = False
 
 
+ByteListener = Callable[[], None]
+
+
 class _Collector:
-    """Collects an answer's status and body."""
+    """Collects an answer's status and body, and tells that bytes come."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_bytes: ByteListener) -> None:
         self.status = 0
         self.chunks: list[bytes] = []
+        self._on_bytes = on_bytes
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         self.status = status
+        self._on_bytes()
 
     def add(self, chunk: bytes) -> Awaitable[None] | None:
         self.chunks.append(chunk)
+        self._on_bytes()
         return None
 
 
@@ -129,23 +135,36 @@
         partition: int,
         offset: int,
         wait: timedelta = timedelta(),
+        on_bytes: ByteListener = lambda: None,
+        is_repeat: bool = False,
     ) -> Batch:
         """Return the records from ``offset`` on, waiting for one up to ``wait``.
 
+        ``on_bytes`` is told whenever bytes come. A repeat of a call that hangs is made
+        on a new connection.
+
         Raises ``RecordsExpiredError`` where older records were deleted, and
         ``LogUnavailableError``.
         """
         query = {"topic": topic, "part": partition, "from": offset}
         if wait:
             query["wait_ms"] = wait // timedelta(milliseconds=1)
-        answer = await self._call("GET", "/log-read", query, timeout=wait)
+        answer = await self._call(
+            "GET", "/log-read", query, b"", wait, on_bytes, is_repeat
+        )
         if answer.status == 410:
             raise RecordsExpiredError(topic, offset)
         self._check(answer)
         return decode_batch(answer.body, offset)
 
-    async def read_newest(self, topic: str, partition: int) -> Batch:
-        """Return the newest record of each key.
+    async def read_newest(
+        self,
+        topic: str,
+        partition: int,
+        on_bytes: ByteListener = lambda: None,
+        is_repeat: bool = False,
+    ) -> Batch:
+        """Return the newest record of each key; see ``read`` on a repeat.
 
         ``next_offset`` is an end from before the first page was made: records
         from there on may be newer than those returned.
@@ -158,7 +177,13 @@
             query: dict[str, object] = {"topic": topic, "part": partition}
             if after:
                 query["after"] = after
-            answer = await self._call("GET", "/log-newest", query)
+            answer = await self._call(
+                "GET",
+                "/log-newest",
+                query,
+                on_bytes=on_bytes,
+                is_repeat=is_repeat and not passed,
+            )
             self._check(answer)
             try:
                 page = msgspec.json.decode(answer.body, type=_Newest)
@@ -220,6 +245,8 @@
         query: dict[str, object],
         body: bytes = b"",
         timeout: timedelta = timedelta(),
+        on_bytes: ByteListener = lambda: None,
+        is_repeat: bool = False,
     ) -> _Answer:
         """Make one call; raises ``LogUnavailableError``."""
         call = path.strip("/")
@@ -229,7 +256,9 @@
         request = ServerRequest(method, f"{path}?{urlencode(query)}", headers, body)
         started = self._clock.elapsed()
         try:
-            connection = self._connections.take(self._address)
+            connection = None
+            if not is_repeat:
+                connection = self._connections.take(self._address)
             if connection is None:
                 connection = await self._connections.connect(
                     self._address, CONNECT_TIMEOUT
@@ -237,7 +266,10 @@
         except ConnectError as error:
             self._on_call(call, "unreachable", self._clock.elapsed() - started)
             raise StoreUnreachableError(str(error)) from None
-        answer = await self._exchange(connection, request, CALL_TIMEOUT + timeout)
+        collector = _Collector(on_bytes)
+        answer = await self._exchange(
+            connection, request, CALL_TIMEOUT + timeout, collector
+        )
         outcome = str(answer.status) if answer else "no answer"
         self._on_call(call, outcome, self._clock.elapsed() - started - timeout)
         if answer is None:
@@ -245,17 +277,24 @@
         return answer
 
     async def _exchange(
-        self, connection: Connection, request: ServerRequest, timeout: timedelta
+        self,
+        connection: Connection,
+        request: ServerRequest,
+        timeout: timedelta,
+        collector: _Collector,
     ) -> _Answer | None:
-        collector = _Collector()
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 exchange = await connection.exchange(request, collector)
         except TimeoutError:
             connection.close()
+            # Idle connections of the same path may have fallen silent as well.
+            self._connections.drop(self._address)
             return None
         except BaseException:
             connection.close()
+            if not collector.status:
+                self._connections.drop(self._address)
             raise
         if not exchange.is_whole:
             connection.close()
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -83,10 +83,10 @@
     def __init__(self, *batches):
         self.batches = list(batches)
 
-    async def read_newest(self, topic, partition):
+    async def read_newest(self, topic, partition, *options):
         return self.batches.pop(0)
 
-    async def read(self, topic, partition, offset, wait):
+    async def read(self, topic, partition, offset, wait, *options):
         return self.batches.pop(0)
 
 
@@ -105,7 +105,7 @@
             "keyed.servers",
             timedelta(),
         )
-        return [(await feed.read())[0].records for _ in range(4)]
+        return [feed.accept(await feed.fetch()).records for _ in range(4)]
 
     _, second, third, last = asyncio.run(work())
     assert [(r.offset, r.key) for r in second] == [(5, b"i-2")]
