Refuse at once where a VM makes too many connections

Cause: a VM with half a core. Eight servers crashed at 11 s; requests tried further servers, whose handshakes timed out for want of processor time, and each request tried up to six. The handshakes kept it busy for 15 s, until the load fell.

Change: at most 32 connections are in the making. Calls to the store are not bounded.

Ruled out: a longer time for a connection (the requests wait instead), fewer tries for each request (servers that are dark need them).

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -32,6 +32,7 @@
 DEFAULT_IDLE = timedelta(seconds=4)  # kept without a Keep-Alive header of the server
 IDLE_MARGIN = timedelta(seconds=1)  # before the server's own idle timeout
 MAX_IDLE_CONNECTIONS = 16  # for each address
+MAX_CONNECTING = 32  # connections in the making, each a handshake of some ms
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # a longer answer is cut off
 USER_TIMEOUT_MS = 4000  # unacknowledged data after which the kernel gives up
 LAST_INFORMATIONAL = 199  # status
@@ -42,6 +43,10 @@
     """No connection was made, so nothing was sent."""
 
 
+class ConnectLimitError(ConnectError):
+    """So many connections are being made that the fault is this VM's own."""
+
+
 class ServerRequest(NamedTuple):
     """A request as it goes on the wire; ``target`` is path and query."""
 
@@ -220,6 +225,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, deque[Connection]] = {}
+        self._connecting = 0
         self.opened = 0
 
     def take(self, address: str) -> Connection | None:
@@ -233,8 +239,28 @@
             connection.close()
         return None
 
+    async def connect_within_limit(
+        self, address: str, timeout: timedelta
+    ) -> Connection:
+        """Open a connection unless too many are in the making.
+
+        Load pattern: a VM whose processor or link is full. Handshakes time out, and
+        each request tries further servers, which keeps the VM busy with handshakes
+        alone. Raises ``ConnectError``.
+        """
+        if self._connecting >= MAX_CONNECTING:
+            raise ConnectLimitError(f"{self._connecting} connections in the making")
+        return await self.connect(address, timeout)
+
     async def connect(self, address: str, timeout: timedelta) -> Connection:
         """Open a connection; raises ``ConnectError``."""
+        self._connecting += 1
+        try:
+            return await self._connect(address, timeout)
+        finally:
+            self._connecting -= 1
+
+    async def _connect(self, address: str, timeout: timedelta) -> Connection:
         host, _, port = address.rpartition(":")
         endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
