Play servers that leave by their answers, and that ask for a pause, in the soak

Servers say in their answers alone that they leave, and are started again under their id; others turn a request away with a time to come back. The judge holds the promises: no request by a node that passed such an answer on 2 s and more before, no more than two in a pause, and, which nothing checked so far, none in calm to a server whose entry has said for 2 s that it drains.

--- a/lavendershift/platform/tests/soak/faults.py
+++ b/lavendershift/platform/tests/soak/faults.py
@@ -34,6 +34,7 @@
     node = world.find_running(rng)
     if node is None:
         return None
+    world.disturb(node)
     node.signal(signal.SIGSTOP)
     return lambda: world.signal_if_running(node, signal.SIGCONT)
 
@@ -97,12 +98,36 @@
 @register_fault(1, 4.0, PLANNED)
 def drain_server(world, rng):
     server = rng.choice(world.servers["ledger"])
-    if len(world.drained) >= len(world.servers["ledger"]) - 1:
+    unusable = {*world.drained, *world.leaving}
+    if sum(s.name in unusable for s in world.servers["ledger"]) >= 2:
         return None
     world.drain(server)
     return lambda: world.undrain(server)
 
 
+@register_fault(1, 5.0, PLANNED)
+def leave_by_answer(world, rng):
+    """A server says only in its answers that it leaves, and is then started again."""
+    service = rng.choice(list(world.servers))
+    server = rng.choice(world.servers[service])
+    names_of_service = {each.name for each in world.servers[service]}
+    if names_of_service & {*world.drained, *world.leaving}:
+        return None
+    world.leave(server)
+    return lambda: world.renew(server)
+
+
+@register_fault(2, 5.0)
+def leave_by_answer_in_trouble(world, rng):
+    return leave_by_answer(world, rng)
+
+
+@register_fault(2, 0.0)
+def turn_requests_away(world, rng):
+    server = rng.choice(world.servers[rng.choice(list(world.servers))])
+    world.turn_away(server, rng.uniform(0.8, 3.0))
+
+
 @register_fault(4, 4.0)
 def cut_store_link(world, rng):
     link = rng.choice(world.store_links)
--- a/lavendershift/platform/tests/soak/judge.py
+++ b/lavendershift/platform/tests/soak/judge.py
@@ -13,6 +13,9 @@
 OWNERS = {"key-1": "plume", "key-2": "encre", "key-3": "sable"}
 TOKENS_PER_EVENT = 5
 DRAIN_S = 2.0
+TURNED_AWAY_S = 0.5  # after which a server that wants a pause gets nothing
+MOST_IN_PAUSE = 2
+PAUSE_S = 5.0  # the longest time for which a node is paused
 CROSSING_S = 0.2  # within which a request may cross the close of its connection
 
 
@@ -37,6 +40,9 @@
     found += judge_headers(seen, received)
     found += judge_spending(world, seen, runs)
     found += judge_calm_part(world, seen, runs, starts)
+    found += judge_drains(world, seen, starts)
+    found += judge_departures(world, seen)
+    found += judge_pauses(world, seen)
     found += judge_logs(world)
     if len(seen) < 100 or not any(each.status == 200 for each in seen):
         found.append(f"only {len(seen)} requests")
@@ -118,6 +124,62 @@
             yield f"{each.id} at {each.node} ended with {each.status} in calm"
 
 
+def judge_drains(world, seen, starts):
+    """In calm a server gets nothing new once its entry says for long that it leaves."""
+    callers = {each.id: each for each in seen}
+    for server, began, ended in world.drains:
+        for received in server.received:
+            each = callers.get(received.id)
+            if each is None or not began + DRAIN_S < each.sent_at < ended:
+                continue
+            if each.sent_at < starts[1]:
+                yield f"{each.id} at {each.node} reached {server.name}, which drained"
+
+
+def judge_departures(world, seen):
+    """A node that passed an answer on which says so sends its server nothing more."""
+    callers = {each.id: each for each in seen}
+    for server, began, ended in world.leavings:
+        times = [r for r in server.received if began <= r.at < ended]
+        told = {}
+        for each in (callers[r.id] for r in times if r.id in callers):
+            if each.is_whole and each.headers.get("Server-Leaving") == "1":
+                first = told.get(each.node, each.ended_at)
+                told[each.node] = min(first, each.ended_at)
+        for received in times:
+            each = callers.get(received.id)
+            if each is None or each.node not in told:
+                continue
+            since = told[each.node]
+            if is_disturbed(world, each.node, since, received.at):
+                continue
+            if each.sent_at > since + DRAIN_S:
+                yield f"{each.id} at {each.node} reached {server.name}, which had left"
+
+
+def judge_pauses(world, seen):
+    """A server gets no more than two requests from a node that it asked to wait."""
+    nodes = {each.id: each.node for each in seen}
+    for server, behaviour, seconds in world.pauses:
+        for request, answered_at in behaviour.answered:
+            node, until = nodes.get(request), answered_at + seconds
+            if node is None or is_disturbed(world, node, answered_at, until):
+                continue
+            reached = [
+                received.id
+                for received in server.received
+                if answered_at + TURNED_AWAY_S < received.at < until
+                and nodes.get(received.id) == node
+            ]
+            if len(reached) > MOST_IN_PAUSE:
+                yield f"{server.name} got {reached[:4]} from {node} in a pause"
+
+
+def is_disturbed(world, node, since, until):
+    """Whether a node was stopped, paused or started in a time."""
+    return any(since - PAUSE_S <= at <= until for at in world.disturbed[node])
+
+
 def judge_logs(world):
     known = {event.value for event in Event}
     for node in world.nodes:
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 import time
+from collections import defaultdict
 
 import msgspec
 
@@ -13,7 +14,12 @@
 from lavendershift.platform.tests.soak.callers import Caller
 from lavendershift.platform.tests.soak.faults import FAULTS, PLANNED
 from lavendershift.platform.tests.soak.links import FaultyLink
-from lavendershift_standins.platformserver import stream
+from lavendershift_standins.platformserver import (
+    TurnAway,
+    announce,
+    answer_whole,
+    stream,
+)
 
 BEAT_S = 1.0
 SMALL, LARGE = 60_000, 50_000_000
@@ -32,6 +38,11 @@
         self.violations = []
         self.drained = {}
         self.drains = []
+        self.born = {}
+        self.leaving = {}
+        self.leavings = []
+        self.pauses = []
+        self.disturbed = defaultdict(list)
         self.server_links = {}
         self.store_links = []
         self.prepaid = {"plume": SMALL, "encre": LARGE, "sable": LARGE}
@@ -104,7 +115,7 @@
                     "cold_remaining_ms": 0,
                     "state": state,
                     "sequence": self.sequence,
-                    "born": 1,
+                    "born": self.born.get(server.name, 1),
                 }
                 records.append((server.name.encode(), msgspec.json.encode(entry)))
         self.append(names.SERVERS_TOPIC, records)
@@ -126,6 +137,32 @@
                 self.drains.append((server, began, time.monotonic()))
             self.beat()
 
+    def leave(self, server):
+        """Let ``server`` say in its answers that it leaves, and nowhere else."""
+        server.default = announce(server.default)
+        self.leaving[server.name] = time.monotonic()
+
+    def renew(self, server):
+        """Start the server's process again, under its id."""
+        with self.lock:
+            self.leavings.append(
+                (server, self.leaving.pop(server.name), time.monotonic())
+            )
+            is_pool = server in self.servers["pool"]
+            server.default = stream(8, pause_s=0.01) if is_pool else answer_whole
+            self.born[server.name] = self.born.get(server.name, 1) + 1
+            self.beat()
+
+    def turn_away(self, server, seconds):
+        """Let ``server`` turn its next request away, with a time to come back."""
+        behaviour = TurnAway(f"{seconds:.3f}")
+        self.pauses.append((server, behaviour, seconds))
+        server.script.append(behaviour)
+
+    def disturb(self, node):
+        """Note that a node is stopped, paused or started, which excuses it."""
+        self.disturbed[node.name].append(time.monotonic())
+
     def list_running(self):
         return [node for node in self.nodes if node.is_running]
 
@@ -142,6 +179,7 @@
             return
         if node.ending is not None:
             node.ending.join()
+        self.disturb(node)
         node.launch()
         node.is_running = True
         node.launched_at = time.monotonic()
--- a/lavendershift/platform/tests/test_leavingservers.py
+++ b/lavendershift/platform/tests/test_leavingservers.py
@@ -8,8 +8,8 @@
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.routes import Repeat
 from lavendershift_standins.platformserver import (
+    TurnAway,
     announce,
-    answer_busy,
     answer_error,
     answer_foreign_first,
     answer_misdirected,
@@ -137,7 +137,7 @@
 @pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.ALWAYS])
 def test_a_server_that_wants_nothing_for_a_while_gets_nothing(play, repeat):
     async def work(scene):
-        busy = await scene.add_server(answer_busy("30"))
+        busy = await scene.add_server(TurnAway("30"))
         await scene.add_server()
         assert await deliver_some(scene, 12, repeat=repeat) == []
         assert len(busy.received) <= 1
@@ -147,7 +147,7 @@
 
 def test_a_server_gets_requests_again_after_the_time_it_asked_for(play):
     async def work(scene):
-        busy = await scene.add_server(answer_busy("0.3"))
+        busy = await scene.add_server(TurnAway("0.3"))
         with pytest.raises(RequestError):
             await scene.deliver()
         with pytest.raises(RequestError):
@@ -163,10 +163,10 @@
 def test_a_longer_time_that_a_server_asked_for_is_not_shortened_by_another(play):
     async def answer_later(received, writer):
         await asyncio.sleep(0.1)
-        await answer_busy("0.05")(received, writer)
+        await TurnAway("0.05")(received, writer)
 
     async def work(scene):
-        server = await scene.add_server(answer_busy("30"), answer_later)
+        server = await scene.add_server(TurnAway("30"), answer_later)
         requests = [scene.make_request(number) for number in (1, 2)]
         await asyncio.gather(
             *[scene.deliver(request=request) for request in requests],
@@ -183,8 +183,8 @@
     """They are refused at once, and come back when they can be served."""
 
     async def work(scene):
-        await scene.add_server(answer_busy("20"))
-        await scene.add_server(answer_busy("3"))
+        await scene.add_server(TurnAway("20"))
+        await scene.add_server(TurnAway("3"))
         errors = await deliver_some(scene, 2)
         for error in errors:
             assert error.kind in (ErrorKind.SERVER_REFUSED, ErrorKind.NO_SERVER)
@@ -198,7 +198,7 @@
 @pytest.mark.parametrize("value", ["", "soon", "-1", "nan", "inf", "1e400", "1, 2"])
 def test_a_time_that_can_not_be_read_asks_for_nothing(play, value):
     async def work(scene):
-        server = await scene.add_server(answer_busy(value))
+        server = await scene.add_server(TurnAway(value))
         with pytest.raises(RequestError):
             await scene.deliver()
         await deliver_some(scene, 1)
@@ -209,7 +209,7 @@
 
 def test_only_a_server_that_turns_a_request_away_asks_for_a_pause(play):
     async def work(scene):
-        server = await scene.add_server(answer_busy("30", status=200))
+        server = await scene.add_server(TurnAway("30", status=200))
         await scene.deliver()
         await scene.deliver(request=scene.make_request(2))
         assert len(server.received) == 2
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -11,6 +11,7 @@
 import contextlib
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -20,7 +21,8 @@
 class Received(NamedTuple):
     """A request as the server got it.
 
-    ``is_leaving`` tells whether the answer says that the server leaves.
+    ``is_leaving`` tells whether the answer says that the server leaves, ``at`` the
+    monotonic time in seconds when the request was there.
     """
 
     method: str
@@ -28,6 +30,7 @@
     headers: dict[str, str]
     body: bytes
     is_leaving: bool = False
+    at: float = 0.0
 
     @property
     def id(self) -> str:
@@ -76,7 +79,7 @@
                 received = await read_request(reader)
                 self.received.append(received)
                 behaviour = self.script.pop(0) if self.script else self.default
-                if behaviour not in (answer_not_run, answer_misdirected):
+                if not is_refusal(behaviour):
                     self.runs.append(received.id)
                 answering = asyncio.ensure_future(behaviour(received, writer))
                 gone = asyncio.ensure_future(watch_close(reader))
@@ -113,7 +116,14 @@
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Received(method, target, headers, body)
+    return Received(method, target, headers, body, at=time.monotonic())
+
+
+def is_refusal(behaviour: Behaviour) -> bool:
+    """Whether a behaviour runs nothing."""
+    if isinstance(behaviour, TurnAway):
+        return behaviour.status == 503
+    return behaviour in (answer_not_run, answer_misdirected)
 
 
 def make_head(received: Received, status: int, headers: dict[str, str]) -> bytes:
@@ -148,16 +158,24 @@
     return behave
 
 
-def answer_busy(retry_after: str, status: int = 503) -> Behaviour:
-    """Turn a request away, and ask to get none for some seconds."""
+class TurnAway:
+    """Turn requests away, and ask to get none for some seconds.
 
-    async def behave(received: Received, writer: asyncio.StreamWriter) -> None:
-        headers = {"Content-Length": "0", "Retry-After": retry_after}
-        if status != 200:
-            headers["X-Lavendershift-Not-Executed"] = "1"
-        writer.write(make_head(received, status, headers))
+    ``answered`` holds the ids of those requests and when they were answered.
+    """
 
-    return behave
+    def __init__(self, retry_after: str, status: int = 503) -> None:
+        self.answered: list[tuple[str, float]] = []
+        self.status = status
+        self._retry_after = retry_after
+
+    async def __call__(self, received: Received, writer: asyncio.StreamWriter) -> None:
+        """Answer one request."""
+        headers = {"Content-Length": "0", "Retry-After": self._retry_after}
+        if self.status == 503:
+            headers["X-Lavendershift-Not-Executed"] = "1"
+        writer.write(make_head(received, self.status, headers))
+        self.answered.append((received.id, time.monotonic()))
 
 
 async def answer_error(received: Received, writer: asyncio.StreamWriter) -> None:
