Use servers whose entries are missing only where they are needed

The first fix counted the entries that servers wrote in an outage: the store hands on none that only says the same again, so that a sequence number tells how long a server lives, not what it wrote lately.

What is at stake differs: after a release or a scale-in a few servers are missing and hardly missed, after an outage nearly all are. Missing servers get requests, within the 2 s in which entries may come back, only while less than half of the service's servers are there.

--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -107,7 +107,6 @@
     """Fields that a line may have besides those on every line."""
 
     attempt: str
-    beats: int
     belief_ms: int
     budget: str
     config_offset: int
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -109,7 +109,6 @@
         self.outage = timedelta()  # before ``found_at``, in which nothing was read
         self.read_at: timedelta | None = None
         self._heard_at = timedelta()
-        self.beats = 0  # of the server with most of them, in the newest reading
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -189,12 +188,7 @@
         self.take(batch.records, is_whole)
         if was_lost:
             outage_ms = in_milliseconds(self.outage)
-            self._log.write(
-                Event.DEPENDENCY_FOUND,
-                name=self.name,
-                outage_ms=outage_ms,
-                beats=self.beats,
-            )
+            self._log.write(Event.DEPENDENCY_FOUND, name=self.name, outage_ms=outage_ms)
 
     def note_failure(self, error: LogUnavailableError) -> None:
         """Note that nothing could be read."""
@@ -266,9 +260,9 @@
 class ServerFeed(Feed):
     """Follows the entries of backend servers.
 
-    An entry that is missing after an outage of the store may only have lapsed. Its
-    server stays in use for as long as ``find_grace`` says, by when the entries of
-    servers that live are back.
+    An entry that is missing after an outage may only have lapsed. Its server is kept
+    for as long as ``find_grace`` says, by when the entries of servers that live are
+    back, and gets requests only where too few others are there.
     """
 
     name = "servers"
@@ -313,11 +307,10 @@
             for entry in self._servers.list_entries():
                 if entry.id not in named:
                     self._note_removed(entry.id)
-        self.beats = self._servers.note_reading()
+        self._servers.note_reading()
         now = self._clock.elapsed()
         if self.found_at == now:
-            grace = find_grace(self.outage, self.beats, self._beat_interval)
-            self._grace_ends = now + grace
+            self._grace_ends = now + find_grace(self.outage, self._beat_interval)
         for server_id in self._removed:
             self._servers.note_missing(server_id, self._grace_ends)
         if now >= self._grace_ends:
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -13,7 +13,7 @@
 """
 
 import random
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
@@ -22,6 +22,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.ejection import OutlierDetector
+from lavendershift.lapses import is_needed
 from lavendershift.notices import Notices, ServerNotice
 from lavendershift.serverstates import (
     UNREACHABLE_PAUSE,
@@ -69,7 +70,6 @@
         self._mean_time: dict[str, timedelta] = {}
         self._gone: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self._read_at: timedelta | None = None
-        self._beats: Counter[str] = Counter()
         self._disputed: dict[str, ServerEntry] = {}
         self._notices = Notices(clock)
         self.on_left: Callable[[ServerEntry], None] = lambda entry: None
@@ -82,16 +82,9 @@
         """Return the entries of all servers."""
         return [server.entry for server in self._servers.values()]
 
-    def note_reading(self) -> int:
-        """Note that all entries were read just now.
-
-        Returns how many entries the server that wrote most of them has written since
-        the reading before.
-        """
+    def note_reading(self) -> None:
+        """Note that all entries were read just now."""
         self._read_at = self._clock.elapsed()
-        beats = max(self._beats.values(), default=0)
-        self._beats.clear()
-        return beats
 
     def describe_belief(self, server: ListedServer) -> Belief:
         """Return how sure this VM is of ``server``."""
@@ -115,10 +108,8 @@
         old = known.entry
         if (entry.born, entry.sequence) < (old.born, old.sequence):
             return False
-        if entry.born == old.born:
-            if old.born and self._is_foreign(old, entry):
-                return False
-            self._beats[entry.id] += entry.sequence - old.sequence
+        if old.born == entry.born != 0 and self._is_foreign(old, entry):
+            return False
         if entry.born != old.born or entry.address != old.address:
             # Requests that run at the one before keep what is known of that one.
             self._servers[entry.id] = ListedServer(entry, self._clock)
@@ -189,10 +180,8 @@
         tried = set(excluded)
         usable = [
             server
-            for server in self._servers.values()
-            if server.entry.service == service
-            and server.entry.id not in tried
-            and self._accepts(server)
+            for server in self._list_accepting(service)
+            if server.entry.id not in tried
         ]
         if not usable:
             return None
@@ -215,6 +204,16 @@
             ),
         )
 
+    def _list_accepting(self, service: str) -> list[ListedServer]:
+        """Return the servers of a service that take requests of this VM."""
+        accepting = [
+            server
+            for server in self._servers.values()
+            if server.entry.service == service and self._accepts(server)
+        ]
+        present = [server for server in accepting if not server.is_missing]
+        return accepting if is_needed(len(present), len(accepting)) else present
+
     def is_usable(self, server: ListedServer) -> bool:
         """Whether a server that was chosen may still be sent a request."""
         is_listed = self._servers.get(server.entry.id) is server
