Give lapsed entries their time with a clock that goes on

The tests used a clock that stands still between two looks. Theirs now goes on with each look; five of them failed before.

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -308,12 +308,12 @@
                 if entry.id not in named:
                     self._note_removed(entry.id)
         self._servers.note_reading()
-        now = self._clock.elapsed()
-        if self.found_at == now:
-            self._grace_ends = now + find_grace(self.outage, self._beat_interval)
+        if self.found_at == self.read_at:
+            grace = find_grace(self.outage, self._beat_interval)
+            self._grace_ends = self.found_at + grace
         for server_id in self._removed:
             self._servers.note_missing(server_id, self._grace_ends)
-        if now >= self._grace_ends:
+        if self._clock.elapsed() >= self._grace_ends:
             self._drop_removed()
         self.is_ready = True
 
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -118,11 +118,19 @@
 BEAT = timedelta(milliseconds=1200)
 
 
+class TickingClock(ManualClock):
+    """A clock that goes on a little with each look, as a real one does."""
+
+    def elapsed(self):
+        self.advance(timedelta(microseconds=1))
+        return super().elapsed()
+
+
 class FeedScene:
     """A feed of servers that is read by hand, in virtual time."""
 
     def __init__(self):
-        self.clock = ManualClock()
+        self.clock = TickingClock()
         self.servers = ServerList(self.clock, random.Random(1))
         self.log = logbook.TestHandler()
         log = EventLog(self.log, "edge-1", "rennes", self.clock)
