Tell callers of a server's pause only where all servers asked for one

A caller refused by several servers was told to come back when the first pause ends, though another server was free to take it sooner: find_return left out servers without a pause instead of asking whether there are any. Found on reading; the test failed before.

--- a/lavendershift/platform/tests/test_leavingservers.py
+++ b/lavendershift/platform/tests/test_leavingservers.py
@@ -195,6 +195,19 @@
     play(work)
 
 
+def test_one_server_that_asked_for_a_pause_keeps_no_caller_away(play):
+    """The other one turned the request away for this time only."""
+
+    async def work(scene):
+        await scene.add_server(TurnAway("300"))
+        await scene.add_server(answer_not_run)
+        (error,) = await deliver_some(scene, 1)
+        assert error.kind is ErrorKind.SERVER_REFUSED
+        assert error.answer.retry_after.total_seconds() < 10
+
+    play(work)
+
+
 @pytest.mark.parametrize("value", ["", "soon", "-1", "nan", "inf", "1e400", "1, 2"])
 def test_a_time_that_can_not_be_read_asks_for_nothing(play, value):
     async def work(scene):
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -234,10 +234,10 @@
             self.on_left(server.entry)
 
     def find_return(self, service: str) -> timedelta | None:
-        """Return when a server that asked for a pause takes requests again.
+        """Return when the first server of a service takes requests again.
 
-        ``None`` where none asked for one. Callers that are told so don't all come
-        back at the same time.
+        ``None`` unless all of them asked for a pause. Callers that are told so don't
+        all come back at the same time.
         """
         pauses = [
             self._notices.find_pause(server.incarnation)
@@ -246,9 +246,9 @@
             and not server.entry.is_leaving
             and not self._notices.is_leaving(server.incarnation)
         ]
-        if not any(pauses):
+        if not pauses or not all(pauses):
             return None
-        return min(filter(None, pauses)) * self._rng.uniform(1, 1 + RETURN_SPREAD)
+        return min(pauses) * self._rng.uniform(1, 1 + RETURN_SPREAD)
 
     def _is_avoided(self, server: ListedServer) -> bool:
         now = self._clock.elapsed()
