Let a burst of connections have its turn

Where all connections of a VM are reset, each running request needs a new one at once; those beyond 32 were refused, and streams that had begun were cut, though a handshake takes some ms. Brought in by the bound on connections in the making; found on reading. They now wait for a turn, for as long as a handshake may take.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -225,7 +225,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, deque[Connection]] = {}
-        self._connecting = 0
+        self._turns = asyncio.Semaphore(MAX_CONNECTING)
         self.opened = 0
 
     def take(self, address: str) -> Connection | None:
@@ -242,25 +242,26 @@
     async def connect_within_limit(
         self, address: str, timeout: timedelta
     ) -> Connection:
-        """Open a connection unless too many are in the making.
+        """Open a connection, one of so many at a time.
 
         Load pattern: a VM whose processor or link is full. Handshakes time out, and
         each request tries further servers, which keeps the VM busy with handshakes
-        alone. Raises ``ConnectError``.
+        alone. Where handshakes succeed, many that are needed at once have their turn
+        within some ms. Waiting for it takes ``timeout`` at most, and so does the
+        handshake. Raises ``ConnectError``.
         """
-        if self._connecting >= MAX_CONNECTING:
-            raise ConnectLimitError(f"{self._connecting} connections in the making")
-        return await self.connect(address, timeout)
-
-    async def connect(self, address: str, timeout: timedelta) -> Connection:
-        """Open a connection; raises ``ConnectError``."""
-        self._connecting += 1
         try:
-            return await self._connect(address, timeout)
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self._turns.acquire()
+        except TimeoutError:
+            raise ConnectLimitError("too many connections in the making") from None
+        try:
+            return await self.connect(address, timeout)
         finally:
-            self._connecting -= 1
+            self._turns.release()
 
-    async def _connect(self, address: str, timeout: timedelta) -> Connection:
+    async def connect(self, address: str, timeout: timedelta) -> Connection:
+        """Open a connection; raises ``ConnectError``."""
         host, _, port = address.rpartition(":")
         endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
