--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -32,7 +32,6 @@
 DEFAULT_IDLE = timedelta(seconds=4)  # kept without a Keep-Alive header of the server
 IDLE_MARGIN = timedelta(seconds=1)  # before the server's own idle timeout
 MAX_IDLE_CONNECTIONS = 16  # for each address
-MAX_CONNECTING = 32  # connections in the making, each a handshake of some ms
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # a longer answer is cut off
 USER_TIMEOUT_MS = 4000  # unacknowledged data after which the kernel gives up
 LAST_INFORMATIONAL = 199  # status
@@ -43,10 +42,6 @@
     """No connection was made, so nothing was sent."""
 
 
-class ConnectLimitError(ConnectError):
-    """So many connections are being made that the fault is this VM's own."""
-
-
 class ServerRequest(NamedTuple):
     """A request as it goes on the wire; ``target`` is path and query."""
 
@@ -225,7 +220,6 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, deque[Connection]] = {}
-        self._turns = asyncio.Semaphore(MAX_CONNECTING)
         self.opened = 0
 
     def take(self, address: str) -> Connection | None:
@@ -239,27 +233,6 @@
             connection.close()
         return None
 
-    async def connect_within_limit(
-        self, address: str, timeout: timedelta
-    ) -> Connection:
-        """Open a connection, one of so many at a time.
-
-        Load pattern: a VM whose processor or link is full. Handshakes time out, and
-        each request tries further servers, which keeps the VM busy with handshakes
-        alone. Where handshakes succeed, many that are needed at once have their turn
-        within some ms. Waiting for it takes ``timeout`` at most, and so does the
-        handshake. Raises ``ConnectError``.
-        """
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                await self._turns.acquire()
-        except TimeoutError:
-            raise ConnectLimitError("too many connections in the making") from None
-        try:
-            return await self.connect(address, timeout)
-        finally:
-            self._turns.release()
-
     async def connect(self, address: str, timeout: timedelta) -> Connection:
         """Open a connection; raises ``ConnectError``."""
         host, _, port = address.rpartition(":")
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -29,7 +29,6 @@
     ConnectError,
     Connection,
     Connections,
-    ConnectLimitError,
     Exchange,
 )
 from lavendershift.errors import ErrorKind, RequestError
@@ -47,7 +46,6 @@
 EXPECTED_PART = 2.0  # of the expected time, where that is longer
 SHORTEST_FIRST_BYTE = timedelta(milliseconds=250)
 EVENT_GAP = timedelta(milliseconds=900)  # silence after which a stream is resumed
-OVERLOAD_RETURN = timedelta(milliseconds=500)  # to another VM, or to this one later
 REPEAT_RESERVE = timedelta(milliseconds=60)  # time left that a repeat needs
 ANSWER_RESERVE = timedelta(milliseconds=20)  # for the last answer to arrive in time
 # No whole answer was taken: the connection is not used again.
@@ -134,7 +132,6 @@
         self._sends = 0
         self._runs = 0
         self._unreached = 0
-        self._is_overloaded = False
         self._server_error: ServerAnswer | None = None
         self._server: ListedServer | None = None
         self._placed: Placed | None = None
@@ -186,7 +183,7 @@
         """Return whether the request may go to another server after ``end``."""
         if end is End.NOT_SENT:
             self._unreached += 1
-            return self._unreached < MAX_UNREACHED and not self._is_overloaded
+            return self._unreached < MAX_UNREACHED
         if self._sends >= MAX_SENDS or self._runs >= self.route.max_attempts:
             return False
         if not end.did_not_run and not self._may_repeat():
@@ -213,8 +210,6 @@
             self._answers.send(answer.status, headers, answer.body)
             return
         if self._runs == 0:
-            if self._is_overloaded:
-                raise RequestError(ErrorKind.OVERLOADED, retry_after=OVERLOAD_RETURN)
             refused = end in (End.NOT_RUN, End.WRONG_SERVER)
             kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
             after = self._servers.find_return(self._service.name)
@@ -233,10 +228,6 @@
         self._tried.add(entry.id)
         try:
             connection = await self._open(server)
-        except ConnectLimitError as error:
-            self._is_overloaded = True
-            self._note(entry.id, End.NOT_SENT, str(error), None, started)
-            return End.NOT_SENT
         except ConnectError as error:
             self._servers.note_unreachable(server)
             self._note(entry.id, End.NOT_SENT, str(error), None, started)
@@ -280,7 +271,7 @@
         connection = self._connections.take(address)
         if connection is not None:
             return connection
-        return await self._connections.connect_within_limit(address, CONNECT_TIMEOUT)
+        return await self._connections.connect(address, CONNECT_TIMEOUT)
 
     async def _exchange(
         self, connection: Connection, server: str, reader: AttemptReader
