Leave a call that brings bytes to its end

Cause: a call of the store had 1.5 s in all, and 2.2 s more where it waited for a change, however many bytes had come. And a reading beside one that hangs was made where the first byte was merely late: up to four calls carried the same record over a link of 5 Mbit/s.

Change: 1.5 s without a byte end a call, 15 s in all. The first call of a reading that brings a byte goes on alone, the others are cancelled. The tests failed before: an answer in pieces 0.5 s apart was given up, and a call whose first byte came after 0.6 s was made four times.

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -108,7 +108,7 @@
         self.found_at = timedelta()
         self.outage = timedelta()  # before ``found_at``, in which nothing was read
         self.read_at: timedelta | None = None
-        self._heard_at = timedelta()
+        self._heard: asyncio.Task[Reading] | None = None
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -128,33 +128,45 @@
         patience = PATIENCE + self._feed.wait
         try:
             while True:
-                if len(calls) < MOST_CALLS:
-                    call = self._feed.fetch(self._note_bytes, bool(calls))
-                    calls.add(asyncio.ensure_future(call))
+                if self._heard not in calls and len(calls) < MOST_CALLS:
+                    calls.add(self._start_call(is_repeat=bool(calls)))
                 calls, reading = await self._await_calls(calls, patience)
                 if reading is not None:
                     return reading
                 patience = PATIENCE
         finally:
+            self._heard = None
             for task in calls:
                 task.cancel()
 
+    def _start_call(self, is_repeat: bool) -> "asyncio.Task[Reading]":
+        """Start a call; the first that brings bytes is the one that goes on."""
+
+        def note_bytes() -> None:
+            if self._heard is None:
+                self._heard = call
+
+        fetching = self._feed.fetch(note_bytes, is_repeat)
+        call: asyncio.Task[Reading] = asyncio.ensure_future(fetching)
+        return call
+
     async def _await_calls(
         self, calls: set[asyncio.Task[Reading]], patience: timedelta
     ) -> tuple[set[asyncio.Task[Reading]], Reading | None]:
-        """Wait until a call ends, or none of them brought a byte for ``patience``."""
-        self._note_bytes()
-        done: set[asyncio.Task[Reading]] = set()
-        while not done:
-            left = self._heard_at + patience - self._clock.elapsed()
-            if left <= timedelta():
-                return calls, None
-            done, _ = await asyncio.wait(
-                calls,
-                timeout=left.total_seconds(),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        calls = calls - done
+        """Wait until a call ends; no longer than ``patience`` if none brings a byte."""
+        done, calls = await asyncio.wait(
+            calls,
+            timeout=patience.total_seconds(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if self._heard in calls:
+            for call in calls - {self._heard}:
+                call.cancel()
+            calls = {self._heard}
+        if not done:
+            return calls, None
+        if self._heard in done:
+            self._heard = None
         failed = [call for call in done if call.exception() is not None]
         for call in done:
             if call not in failed:
@@ -167,10 +179,6 @@
         await asyncio.sleep(AWAY_INTERVAL.total_seconds())
         return calls, None
 
-    def _note_bytes(self) -> None:
-        """Note that a call makes progress."""
-        self._heard_at = self._clock.elapsed()
-
     def take(self, records: list[Record], is_whole: bool) -> None:
         """Take over records; ``is_whole`` if keys that are missing don't exist."""
 
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -30,6 +30,7 @@
 
 CONNECT_TIMEOUT = timedelta(milliseconds=600)  # a path that lives answers in ms
 CALL_TIMEOUT = timedelta(milliseconds=1500)  # calls take 4 ms; slow ones 100 times it
+LONGEST_CALL = timedelta(seconds=15)  # while bytes come, as a record has 256 KiB
 REFUSALS = frozenset({400, 403, 404, 409, 413, 429, 503, 507})  # nothing was done
 HEAD = struct.Struct(">QQ")  # the partition's end and its first retained offset
 LENGTH = struct.Struct(">I")
@@ -99,15 +100,15 @@
     def __init__(self, on_bytes: ByteListener) -> None:
         self.status = 0
         self.chunks: list[bytes] = []
-        self._on_bytes = on_bytes
+        self.on_bytes = on_bytes
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         self.status = status
-        self._on_bytes()
+        self.on_bytes()
 
     def add(self, chunk: bytes) -> Awaitable[None] | None:
         self.chunks.append(chunk)
-        self._on_bytes()
+        self.on_bytes()
         return None
 
 
@@ -266,9 +267,8 @@
         except ConnectError as error:
             self._on_call(call, "unreachable", self._clock.elapsed() - started)
             raise StoreUnreachableError(str(error)) from None
-        collector = _Collector(on_bytes)
         answer = await self._exchange(
-            connection, request, CALL_TIMEOUT + timeout, collector
+            connection, request, CALL_TIMEOUT + timeout, on_bytes
         )
         outcome = str(answer.status) if answer else "no answer"
         self._on_call(call, outcome, self._clock.elapsed() - started - timeout)
@@ -281,10 +281,25 @@
         connection: Connection,
         request: ServerRequest,
         timeout: timedelta,
-        collector: _Collector,
+        on_bytes: ByteListener,
     ) -> _Answer | None:
+        """Return the answer, ``None`` where it does not come or stops.
+
+        A large answer on a full link takes long, and would take longer from the start.
+        """
+        loop = asyncio.get_running_loop()
+        collector = _Collector(on_bytes)
+        ends_at = loop.time() + LONGEST_CALL.total_seconds()
+
+        def note_bytes() -> None:
+            on_bytes()
+            later = loop.time() + CALL_TIMEOUT.total_seconds()
+            if not watchdog.expired():
+                watchdog.reschedule(min(max(later, watchdog.when() or 0.0), ends_at))
+
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()) as watchdog:
+                collector.on_bytes = note_bytes
                 exchange = await connection.exchange(request, collector)
         except TimeoutError:
             connection.close()
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -383,6 +383,28 @@
     assert store.cancelled == 1
 
 
+def test_a_reading_whose_first_byte_is_late_is_left_to_its_end():
+    """Four calls for one large configuration shared a link of 5 Mbit/s."""
+
+    class LateStore(HangingStore):
+        async def read(
+            self, topic, partition, offset, wait, on_bytes=None, is_fresh=False
+        ):
+            self.calls += 1
+            try:
+                await asyncio.sleep(0.6)
+                on_bytes()
+                await asyncio.sleep(1.0)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+            return Batch([Record(0, b"i-1", b"")], 1, 1)
+
+    store = LateStore()
+    assert asyncio.run(follow(NotingFeed(store), 2.5)) < 2.2
+    assert (store.calls, store.cancelled) == (2, 1)
+
+
 def test_a_reading_that_brings_bytes_slowly_is_not_made_again():
     """A link that is full would carry the same records twice."""
     store = HangingStore(trickle=True)
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -321,3 +321,34 @@
 
     cut = b"HTTP/1.1 200 -\r\n\r\n" + HEAD.pack(5, 0)
     play_answers(work, send(cut, closes=True))
+
+
+@pytest.mark.parametrize("pause_s, is_whole", [(0.5, True), (1.8, False)])
+def test_a_large_answer_on_a_full_link_is_read_to_its_end(pause_s, is_whole):
+    """It was cut off after 1.5 s, and began again, as long as the link was full."""
+    body = HEAD.pack(4, 0) + b"".join(encode_record(b"a", b"x" * 99) for _ in range(4))
+
+    async def trickle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode())
+        for start in range(0, len(body), 100):
+            writer.write(body[start : start + 100])
+            await asyncio.sleep(pause_s)
+
+    async def work():
+        server = await asyncio.start_server(trickle, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        clock = SystemClock()
+        connections = Connections(clock)
+        client = StoreClient(f"{host}:{port}", connections, clock)
+        try:
+            return await client.read(TOPIC, 0, 0)
+        finally:
+            connections.close()
+            server.close()
+
+    if is_whole:
+        assert len(asyncio.run(work()).records) == 4
+    else:
+        with pytest.raises(LogUnavailableError):
+            asyncio.run(work())
