Refuse requests that come long after a stop began

Cause: SIGTERM at 14.5 s; at 21.3 s a request came on a connection kept since before, was passed on, and cut at 22.2 s with the process. While any request runs, idle connections stay open, as closing one could cut a request that crosses it; the stop did not ask how late a request came.

Change: from 3 s after the signal on, when callers have learnt of the stop, new requests are refused at once with 503 and a time to come back; they have not run. What runs by then has 4.5 s to end.

The test failed before (its connection was reset). Ruled out: closing idle connections at 3 s, which cuts requests that cross the close.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -70,6 +70,7 @@
         self._find_retry_part = find_retry_part
         self._retries: dict[str, RetryBudget] = {}
         self.table: RoutingTable | None = None
+        self.is_stopping = False  # too late for a new request to end in time
         self.on_arrival: Callable[[], None] = lambda: None
         self.estimate_elsewhere: Callable[[str], int | None] = lambda customer: None
 
@@ -102,6 +103,8 @@
 
     async def _serve(self, trace: RequestTrace, answers: Answers) -> None:
         table, request = self.table, trace.request
+        if self.is_stopping:
+            raise RequestError(ErrorKind.STOPPING)
         if table is None:
             raise RequestError(ErrorKind.STARTING)
         route, customer = admit(table, request)
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -292,7 +292,11 @@
         self._is_leaving = True
 
     def stop_listening(self) -> None:
-        """Take no more connections."""
+        """Take no more connections, and no requests of those that are kept.
+
+        Callers may go on using a kept connection until the process is gone.
+        """
+        self._gateway.is_stopping = True
         if self._http is not None:
             self._http.stop()
 
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -241,6 +241,39 @@
     assert cut == []
 
 
+def test_a_request_long_after_the_stop_began_is_refused_and_not_cut(platform):
+    """A hunted day: on a kept connection, 6.8 s after the signal, and cut at its end.
+
+    Another caller's stream kept the process from closing its connections.
+    """
+    (node,) = platform.nodes
+    for server in platform.servers["pool"]:
+        server.default = stream(6, pause_s=0.9)
+    head = (
+        "POST /index/x HTTP/1.1\r\nHost: books.example\r\nContent-Length: 0\r\n"
+        "Authorization: Bearer key-1\r\nX-Lavendershift-Attempt-Id: {id}\r\n\r\n"
+    )
+    running, kept = (
+        socket.create_connection((node.ip, node.callers), timeout=9) for _ in range(2)
+    )
+    node.signal(signal.SIGTERM)
+    time.sleep(2.5)
+    running.sendall(head.format(id="running").encode())
+    time.sleep(1.5)
+    kept.sendall(head.format(id="late").encode())
+    answers = []
+    for connection in (kept, running):
+        received = b""
+        while chunk := connection.recv(65536):
+            received += chunk
+        answers.append(received)
+    assert answers[0].startswith(b"HTTP/1.1 503")
+    assert b"Retry-After" in answers[0]
+    assert platform.count_runs("late") == 0
+    assert answers[1].endswith(b"0\r\n\r\n")
+    assert node.wait_end() == 0
+
+
 def test_a_paused_process_goes_on_with_its_streams(platform):
     """The soak, seeds 8 and 10: data and the timeout are due in one turn."""
     (node,) = platform.nodes
