Log the limit a VM knew of a server and the one in its answer

The header is decoded in the adapter; lines of attempts have known_limit and named_limit, and the counter limited_attempts counts attempts at servers whose limit was known. Nothing decides by it yet.

Test: test_requestreports (two new cases).

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -101,7 +101,7 @@
         ...
 
     def read_signal(self, status: int, headers: HTTPHeaders) -> ServerSignal:
-        """Return the drain or pause signal of a response head."""
+        """Return the signals of a response head."""
         ...
 
     def select_response_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
@@ -152,6 +152,8 @@
 
     ``knowledge`` is what the VM knew of the server when it selected it, ``connecting``
     the time from then until the request was sent, ``None`` if it was not sent.
+    ``known_limit`` is the server's limit in requests/s that the VM knew when it sent
+    the request, ``named_limit`` the one in the response; ``None`` if there is none.
     """
 
     server: str
@@ -163,3 +165,5 @@
     stream: StreamReport | None = None
     knowledge: ServerKnowledge = ServerKnowledge()
     connecting: timedelta | None = None
+    known_limit: float | None = None
+    named_limit: float | None = None
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -148,6 +148,8 @@
         self._assignment: Assignment | None = None
         self._knowledge = ServerKnowledge()
         self._connecting: timedelta | None = None
+        self._known_limit: float | None = None
+        self._named_limit: float | None = None
         self._is_prompt_read = False
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
@@ -235,6 +237,7 @@
         entry = server.entry
         self._server = server
         self._knowledge, self._connecting = self._servers.get_knowledge(server), None
+        self._known_limit = self._named_limit = None
         self._assignment = None
         self._tried.add(entry.id)
         try:
@@ -252,6 +255,7 @@
             )
             return AttemptEnd.NOT_SENT
         self._connecting = self._clock.elapsed() - started
+        self._known_limit = self._servers.find_limit(server)
         self._sends += 1
         self._possible_runs += 1
         assignment = self._servers.start(server, self._request.prompt or NO_PROMPT)
@@ -375,11 +379,12 @@
     def classify(
         self, status: int, headers: HTTPHeaders, is_fresh: bool
     ) -> ResponseKind:
-        """Classify a response head, and apply its drain or pause signal."""
+        """Classify a response head, and apply its signals."""
         kind = self._wire.classify(self._request, status, headers, is_fresh)
         if kind is not ResponseKind.WRONG_SERVER and self._server is not None:
             signal = self._wire.read_signal(status, headers)
             self._servers.note_signal(self._server, signal)
+            self._named_limit = signal.limit
         return kind
 
     async def forward(self, reader: AttemptReader, events: bytes) -> None:
@@ -448,5 +453,7 @@
             stream,
             self._knowledge,
             self._connecting,
+            self._known_limit,
+            self._named_limit,
         )
         self._on_attempt(report)
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -38,6 +38,9 @@
     "refusals": Instrument("Requests ended with an error kind.", ("kind",)),
     "abandoned": Instrument("Requests whose caller went away."),
     "attempts": Instrument("Attempts at servers, by how they ended.", ("end",)),
+    "limited_attempts": Instrument(
+        "Attempts at servers whose limit the VM knew, by how they ended.", ("end",)
+    ),
     "resumes": Instrument(
         "Attempts at the rest of a stream, by how they ended.", ("end",)
     ),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -130,8 +130,10 @@
     free_tokens: int
     granted_tokens: int
     incarnation: str
+    known_limit: float
     media_type: str
     name: str
+    named_limit: float
     offset: int
     outage_ms: int
     partial_bytes: int
--- a/lavendershift/platform/names.py
+++ b/lavendershift/platform/names.py
@@ -21,6 +21,7 @@
 CACHE_FETCH = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"  # header of all responses of a leaving server
+LIMIT = "Server-Limit"  # requests/s that a server takes from all VMs together
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "bearer"
 
--- a/lavendershift/platform/serverwire.py
+++ b/lavendershift/platform/serverwire.py
@@ -56,12 +56,15 @@
         return ResponseKind.OWN
 
     def read_signal(self, status: int, headers: HTTPHeaders) -> ServerSignal:
-        """Return the drain and pause signals in the head of a response."""
+        """Return the signals in the head of a response."""
         is_leaving = headers.get(names.LEAVING, "").strip() not in ("", "0")
         pause = None
         if status == SERVICE_UNAVAILABLE and names.RETRY_AFTER in headers:
             pause = parse_seconds(headers[names.RETRY_AFTER])
-        return ServerSignal(is_leaving, pause)
+        limit = None
+        if names.LIMIT in headers:
+            limit = parse_rate(headers[names.LIMIT])
+        return ServerSignal(is_leaving, pause, limit)
 
     def select_response_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers of a server's response that are passed to a caller."""
@@ -72,6 +75,18 @@
         return selected
 
 
+def parse_rate(value: str) -> float | None:
+    """Parse a number of requests per second, which may have a fraction.
+
+    Returns ``None`` for a malformed, negative or infinite number.
+    """
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 def parse_seconds(value: str) -> timedelta | None:
     """Parse a number of seconds, which may have a fraction.
 
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -103,6 +103,11 @@
             belief_ms=_to_milliseconds_or_unknown(attempt.knowledge.age),
             connect_ms=_to_milliseconds_or_unknown(attempt.connecting),
         )
+        if attempt.known_limit is not None:
+            self._instruments.count("limited_attempts", attempt.end.value)
+            fields["known_limit"] = attempt.known_limit
+        if attempt.named_limit is not None:
+            fields["named_limit"] = attempt.named_limit
         if attempt.stream is not None:
             self._count_stream(attempt.end, attempt.stream)
             fields["resumed_after"] = attempt.stream.resumed_after
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -247,10 +247,14 @@
         return until is None or self._clock.elapsed() < until
 
     def note_signal(self, server: ListedServer, signal: ServerSignal) -> None:
-        """Apply the drain or pause signal of a response of ``server``."""
+        """Apply the signals of a response of ``server``."""
         if self._signals.apply(server.incarnation, signal):
             self.on_leaving(server.entry)
 
+    def find_limit(self, server: ListedServer) -> float | None:
+        """Return the requests/s that ``server`` takes, ``None`` without a limit."""
+        return self._signals.find_limit(server.incarnation)
+
     def find_retry_delay(self, service: str) -> timedelta | None:
         """Return the time until the first pause of a service's servers ends.
 
--- a/lavendershift/serversignals.py
+++ b/lavendershift/serversignals.py
@@ -22,10 +22,15 @@
 
 
 class ServerSignal(NamedTuple):
-    """The signal of one response; ``pause`` is the time without new requests."""
+    """The signal of one response.
+
+    ``pause`` is the time without new requests, ``limit`` the requests/s that the server
+    takes from all VMs together, ``None`` if the response doesn't name them.
+    """
 
     is_leaving: bool = False
     pause: timedelta | None = None
+    limit: float | None = None
 
 
 NO_SIGNAL = ServerSignal()
@@ -34,6 +39,10 @@
 class _ReceivedSignals(NamedTuple):
     is_leaving: bool
     paused_until: timedelta
+    limit: float | None
+
+
+NOT_RECEIVED = _ReceivedSignals(False, timedelta(), None)
 
 
 class ServerSignals:
@@ -45,12 +54,14 @@
 
     def apply(self, incarnation: Incarnation, signal: ServerSignal) -> bool:
         """Apply a signal; return whether it is the first to announce a drain."""
-        if signal == NO_SIGNAL:
+        if signal == NO_SIGNAL and incarnation not in self._received:
             return False
-        known = self._received.pop(incarnation, _ReceivedSignals(False, timedelta()))
+        known = self._received.pop(incarnation, NOT_RECEIVED)
         until = self._clock.elapsed() + (signal.pause or timedelta())
         self._received[incarnation] = _ReceivedSignals(
-            known.is_leaving or signal.is_leaving, max(known.paused_until, until)
+            known.is_leaving or signal.is_leaving,
+            max(known.paused_until, until),
+            signal.limit,
         )
         if len(self._received) > MAX_INCARNATIONS:
             self._received.popitem(last=False)
@@ -61,6 +72,11 @@
         received = self._received.get(incarnation)
         return received is not None and received.is_leaving
 
+    def find_limit(self, incarnation: Incarnation) -> float | None:
+        """Return the limit in the last response of an incarnation."""
+        received = self._received.get(incarnation)
+        return None if received is None else received.limit
+
     def find_pause(self, incarnation: Incarnation) -> timedelta:
         """Return the remaining pause of an incarnation, 0 if there is none."""
         received = self._received.get(incarnation)
--- a/lavendershift/tests/test_requestreports.py
+++ b/lavendershift/tests/test_requestreports.py
@@ -75,3 +75,19 @@
 def test_unsent_attempt_reports_unknown_connect_time(report_attempt):
     line, _ = report_attempt(AttemptEnd.NOT_SENT, None)
     assert (line["belief_ms"], line["connect_ms"]) == (-1, -1)
+
+
+def test_attempt_reports_the_limit_known_before_and_the_one_in_the_answer(
+    report_attempt,
+):
+    line, metrics = report_attempt(
+        AttemptEnd.ANSWERED, None, known_limit=1.2, named_limit=0.8
+    )
+    assert (line["known_limit"], line["named_limit"]) == (1.2, 0.8)
+    assert 'lavendershift_limited_attempts_total{end="answered"} 1.0' in metrics
+
+
+def test_attempt_at_a_server_without_a_limit_reports_none(report_attempt):
+    line, metrics = report_attempt(AttemptEnd.ANSWERED, None)
+    assert not {"known_limit", "named_limit"} & line.keys()
+    assert "lavendershift_limited_attempts_total{" not in metrics
