--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -22,8 +22,9 @@
 class ReceivedRequest(NamedTuple):
     """A request that the server received.
 
-    ``is_leaving`` adds a ``Server-Leaving`` header to the response; ``at`` is the
-    monotonic time in seconds at which the request was complete.
+    ``is_leaving`` adds a ``Server-Leaving`` header to the response and ``limit`` a
+    ``Server-Limit``; ``at`` is the monotonic time in seconds at which the request was
+    complete.
     """
 
     method: str
@@ -32,6 +33,7 @@
     body: bytes
     is_leaving: bool = False
     at: float = 0.0
+    limit: str = ""
 
     @property
     def id(self) -> str:
@@ -138,6 +140,8 @@
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if received.is_leaving:
         lines.append("Server-Leaving: 1")
+    if received.limit:
+        lines.append(f"Server-Limit: {received.limit}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
@@ -167,6 +171,27 @@
     return behave
 
 
+class LimitRequests:
+    """Respond like ``behaviour``, with a ``Server-Limit`` header of ``limit``.
+
+    ``limit`` may be changed; an empty one sends no header. ``answered`` holds the
+    attempt id and the monotonic time in seconds of each response that named a limit.
+    """
+
+    def __init__(self, behaviour: Behaviour, limit: str) -> None:
+        self.limit = limit
+        self.answered: list[tuple[str, float]] = []
+        self._behaviour = behaviour
+
+    async def __call__(
+        self, received: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Respond to one request."""
+        if self.limit:
+            self.answered.append((received.id, time.monotonic()))
+        await self._behaviour(received._replace(limit=self.limit), writer)
+
+
 class RetryLater:
     """Respond with ``Retry-After``, the seconds without further requests.
 
