Take a permit before a connection, and move shared parts off limited servers

Cause: the permit was asked for after the connection was open. A VM without one kept the connection idle until it timed out, and opened another for the next refusal. And a prompt whose affinity server has a limit was read there while a permit was free, and by another server from the next refusal on.

Change: the permit comes first, and once more only if the limit became known during the connect. A server with a limit is no affinity server while there is one without, so that all VMs move a shared part to the same other server at once; prompts that it has cached already still go there. A caller that leaves while a permit is asked for no longer leaves its connection open.

Tests: test_a_refused_permit_opens_no_connection, test_a_caller_that_leaves_ while_a_permit_is_requested_leaks_nothing and test_new_shared_parts_are_not_ read_at_a_server_with_a_limit fail on the code before.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -64,6 +64,15 @@
 )
 
 
+class _UnsentError(Exception):
+    """An attempt that ended before its request was sent, and why."""
+
+    def __init__(self, end: AttemptEnd, reason: str) -> None:
+        super().__init__(reason)
+        self.end = end
+        self.reason = reason
+
+
 class AttemptMonitor:
     """Reschedules the timeout of an attempt to the ``ProgressTimeout`` deadline."""
 
@@ -253,18 +262,10 @@
         self._assignment = None
         self._tried.add(entry.id)
         try:
-            connection = await self._open_connection(server)
-        except ConnectError as error:
-            self._servers.note_unreachable(server)
-            self._report_attempt(
-                entry.id, AttemptEnd.NOT_SENT, str(error), None, started
-            )
-            return AttemptEnd.NOT_SENT
-        obstacle = await self._find_obstacle(server)
-        if obstacle is not None:
-            self._connections.give_back(connection)
-            self._report_attempt(entry.id, *obstacle, None, started)
-            return obstacle[0]
+            connection = await self._prepare(server)
+        except _UnsentError as error:
+            self._report_attempt(entry.id, error.end, error.reason, None, started)
+            return error.end
         self._sent_at = self._clock.elapsed()
         self._connecting = self._sent_at - started
         self._sends += 1
@@ -296,21 +297,38 @@
         self._report_attempt(entry.id, end, reason, reader, started)
         return end
 
-    async def _find_obstacle(
-        self, server: ListedServer
-    ) -> tuple[AttemptEnd, str] | None:
-        """Return why a request can't be sent to ``server`` now, ``None`` if it can.
+    async def _prepare(self, server: ListedServer) -> Connection:
+        """Return a connection on which the request may be sent now.
 
         The state of the server may have changed since it was selected, and changes
-        while its keeper is asked for a permit.
+        while a connection is opened or its keeper is asked for a permit. Raises
+        ``_UnsentError``.
         """
-        if self._servers.is_usable(server):
-            self._known_limit = self._servers.find_limit(server)
-            if not await self._permits.take(server.incarnation, self._urgency):
-                return AttemptEnd.NO_PERMIT, "limit"
-        if not self._servers.is_usable(server):
-            return AttemptEnd.NOT_SENT, "it left meanwhile"
-        return None
+        was_limited = await self._take_permit(server)
+        try:
+            connection = await self._open_connection(server)
+        except ConnectError as error:
+            self._servers.note_unreachable(server)
+            raise _UnsentError(AttemptEnd.NOT_SENT, str(error)) from None
+        try:
+            if not was_limited:
+                await self._take_permit(server)
+            if not self._servers.is_usable(server):
+                raise _UnsentError(AttemptEnd.NOT_SENT, "it left meanwhile")
+        except _UnsentError:
+            self._connections.give_back(connection)
+            raise
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        return connection
+
+    async def _take_permit(self, server: ListedServer) -> bool:
+        """Take a permit if the server has a limit, and return whether it has one."""
+        self._known_limit = self._servers.find_limit(server)
+        if not await self._permits.take(server.incarnation, self._urgency):
+            raise _UnsentError(AttemptEnd.NO_PERMIT, "limit")
+        return self._known_limit is not None
 
     async def _open_connection(self, server: ListedServer) -> Connection:
         address = server.entry.address
--- a/lavendershift/platform/tests/test_limitedservers.py
+++ b/lavendershift/platform/tests/test_limitedservers.py
@@ -215,3 +215,37 @@
         assert errors[0].answer.retry_after.total_seconds() <= 5
 
     play(work)
+
+
+def test_a_refused_permit_opens_no_connection(play):
+    async def work(scene):
+        server = await scene.add_server(LimitRequests(answer_complete, "0.3"))
+        await deliver_sequentially(scene, 1)
+        scene.connections.drop(server.address)
+        await deliver_sequentially(scene, 3)
+        assert server.connections == 1
+
+    play(work)
+
+
+def test_a_caller_that_leaves_while_a_permit_is_requested_leaks_nothing(play):
+    async def work(scene):
+        server = await scene.add_server()
+        asked = asyncio.Event()
+
+        async def take(incarnation, urgency):
+            if scene.connections.opened:
+                asked.set()
+                await asyncio.sleep(10)
+            return True
+
+        scene.permits.take = take
+        delivery = asyncio.ensure_future(scene.deliver())
+        await asked.wait()
+        delivery.cancel()
+        await asyncio.gather(delivery, return_exceptions=True)
+        await asyncio.sleep(0.1)
+        assert server.closed == 1
+        assert server.received == []
+
+    play(work)
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -213,8 +213,11 @@
         candidates = healthy or usable
         now = self._clock.elapsed()
         if prompt.parts:
+            # A server with a limit can't take all prompts with some shared part.
+            unlimited = [s for s in candidates if self.find_limit(s) is None]
             affinity_server = max(
-                candidates, key=lambda s: rank_server(prompt.affinity_key, s.entry.id)
+                unlimited or candidates,
+                key=lambda s: rank_server(prompt.affinity_key, s.entry.id),
             )
             return min(
                 candidates,
--- a/lavendershift/tests/test_serverlist.py
+++ b/lavendershift/tests/test_serverlist.py
@@ -234,3 +234,69 @@
         servers.note_success(previous)
         fail(servers, servers.find("i-0"), times=1)
     assert not is_chosen(servers, "i-0")
+
+
+def limit_server(servers, number, rate=1.2):
+    listed = servers.find(f"i-{number}")
+    servers.limits.note_response(listed.incarnation, rate, None)
+    return listed
+
+
+def test_new_shared_parts_are_not_read_at_a_server_with_a_limit():
+    """Load: prompts with many shared parts, one of six servers has a limit.
+
+    It would get a request for each of its shared parts, and then refuse the next
+    ones, whose shared parts another server would read again.
+    """
+    servers = make_servers(6)
+    limited = limit_server(servers, 0)
+    chosen = Counter()
+    for number in range(60):
+        prompt = make_prompt(f"book-{number}", request=f"r{number}")
+        server = servers.choose("index", prompt, ())
+        assignment = servers.start(server, prompt)
+        servers.record_prompt_read(assignment)
+        servers.finish(assignment)
+        chosen[server.entry.id] += 1
+    assert chosen[limited.entry.id] == 0
+    assert len(chosen) == 5
+
+
+def test_a_server_with_a_limit_gets_prompts_that_it_has_cached():
+    servers = make_servers(3)
+    prompt = make_prompt("book")
+    limited = limit_server(servers, 0, rate=20.0)
+    assignment = servers.start(limited, prompt)
+    servers.record_prompt_read(assignment)
+    servers.finish(assignment)
+    for number in (1, 2):
+        servers.start(servers.find(f"i-{number}"), make_prompt(f"other-{number}"))
+    assert servers.choose("index", make_prompt("book", request="r2"), ()) is limited
+
+
+def test_a_server_is_left_out_until_its_next_permit_is_due():
+    clock = ManualClock()
+    servers = make_servers(2, clock=clock)
+    limited = limit_server(servers, 0)
+    servers.limits.note_refusal(limited.incarnation, 1, timedelta(milliseconds=400))
+    names = {servers.choose("index", NO_PROMPT, (), 1).entry.id for _ in range(20)}
+    assert names == {"i-1"}
+    assert servers.choose("index", NO_PROMPT, ["i-1"], 1) is None
+    assert servers.choose("index", NO_PROMPT, ["i-1"], 0) is limited
+    clock.advance(timedelta(milliseconds=401))
+    assert servers.choose("index", NO_PROMPT, ["i-1"], 1) is limited
+
+
+def test_the_delay_of_a_return_counts_the_servers_that_wait_for_permits():
+    servers = make_servers(2)
+    for number, wait_ms in enumerate((400, 700)):
+        listed = limit_server(servers, number, rate=2.0)
+        wait = timedelta(milliseconds=wait_ms)
+        servers.limits.note_refusal(listed.incarnation, 0, wait)
+    servers.count_vms = lambda: 2
+    delays = [servers.find_permit_delay("index", 0) for _ in range(3)]
+    assert [delay / timedelta(milliseconds=1) for delay in delays] == [400, 900, 1400]
+
+
+def test_a_service_without_limits_has_no_delay_for_permits():
+    assert make_servers(2).find_permit_delay("index", 0) is None
