--- a/lavendershift/platform/tests/test_limitedservers.py
+++ b/lavendershift/platform/tests/test_limitedservers.py
@@ -223,6 +223,7 @@
         await deliver_sequentially(scene, 1)
         scene.connections.drop(server.address)
         await deliver_sequentially(scene, 3)
+        await asyncio.sleep(0.1)
         assert server.connections == 1
 
     play(work)
