Ignore refused permits of a limit that has ended, and ask again each second

Found by reading: a refusal that arrived just after the message that a limit had ended kept its server out for up to 10 s (a limit of 0). A refusal is recorded only while the limit lasts, and for a second at the most, since the message of a higher limit may be lost. Two tests, failing before.

--- a/lavendershift/serverlimits.py
+++ b/lavendershift/serverlimits.py
@@ -29,6 +29,8 @@
 
 # Requests/s to a server whose limit is lower, as only responses tell that it ended.
 MIN_RATE = 0.2
+# Longest time without a request for a permit after a refusal, as the limit may rise.
+MAX_REFUSAL = timedelta(seconds=1)
 # Longest delay after which a caller is told to return to servers with limits.
 MAX_RETURN_DELAY = timedelta(seconds=5)
 
@@ -130,8 +132,13 @@
     def note_refusal(
         self, incarnation: Incarnation, urgency: int, wait: timedelta
     ) -> None:
-        """Record that no permit is due before ``wait`` has passed."""
-        self._refusals[incarnation] = _Refusal(self._clock.elapsed() + wait, urgency)
+        """Record that no permit is due before ``wait`` has passed.
+
+        It is ignored if the limit ended while the permit was requested.
+        """
+        if self.find(incarnation) is not None:
+            until = self._clock.elapsed() + min(wait, MAX_REFUSAL)
+            self._refusals[incarnation] = _Refusal(until, urgency)
 
     def find_wait(self, incarnation: Incarnation, urgency: int) -> timedelta:
         """Return the time until a permit may be due, 0 if it may be due now.
--- a/lavendershift/tests/test_serverlimits.py
+++ b/lavendershift/tests/test_serverlimits.py
@@ -4,6 +4,7 @@
 
 from lavendershift.clocks import ManualClock
 from lavendershift.serverlimits import (
+    MAX_REFUSAL,
     MAX_RETURN_DELAY,
     LimitState,
     ServerLimits,
@@ -133,6 +134,20 @@
     assert not vm.limits.find_wait(SERVER, 0)
 
 
+def test_a_refusal_that_arrives_after_the_end_of_a_limit_is_ignored(vm):
+    vm.read(0.0)
+    vm.read(None)
+    vm.limits.note_refusal(SERVER, 0, 9000 * MS)
+    assert not vm.limits.find_wait(SERVER, 0)
+
+
+def test_a_permit_is_requested_again_before_a_long_wait_has_passed(vm):
+    """The limit may have risen meanwhile, and the message of it been lost."""
+    vm.read(0.0)
+    vm.limits.note_refusal(SERVER, 0, 9000 * MS)
+    assert vm.limits.find_wait(SERVER, 0) == MAX_REFUSAL
+
+
 def test_refused_callers_return_one_by_one(vm):
     delays = [vm.limits.schedule_return("pool", 100 * MS, 4.0) for _ in range(4)]
     assert delays == [100 * MS, 350 * MS, 600 * MS, 850 * MS]
