Play limits of servers in the soak and check the sum over all nodes

The soak's servers name limits of 0, 1.2, 4 or 9.5 requests/s, one of a service in the planned phase, any number of them beside other faults. The check is the users' bound over the nodes that had forwarded a response with the limit; nodes that were paused or started just before are left out. A stand-in server names its limit in all responses, whatever its script (in place of LimitRequests).

--- a/lavendershift/platform/tests/soak/faults.py
+++ b/lavendershift/platform/tests/soak/faults.py
@@ -102,8 +102,7 @@
 @register_fault(1, 4.0, PLANNED)
 def drain_server(world, rng):
     server = rng.choice(world.servers["ledger"])
-    unusable = {*world.drained, *world.leaving}
-    if sum(s.name in unusable for s in world.servers["ledger"]) >= 2:
+    if len(world.list_unusable("ledger")) >= 2:
         return None
     world.drain(server)
     return lambda: world.undrain(server)
@@ -114,8 +113,7 @@
     """Announce a server's departure in its responses only, then restart it."""
     service = rng.choice(list(world.servers))
     server = rng.choice(world.servers[service])
-    names_of_service = {each.name for each in world.servers[service]}
-    if names_of_service & {*world.drained, *world.leaving}:
+    if world.list_unusable(service):
         return None
     world.announce_leaving(server)
     return lambda: world.restart_server(server)
@@ -126,6 +124,28 @@
     return announce_leaving(world, rng)
 
 
+@register_fault(4, 16.0, PLANNED)
+def name_limit(world, rng):
+    """Let one server name a limit for the requests of all nodes."""
+    service = rng.choice(list(world.servers))
+    if world.list_unusable(service):
+        return None
+    server = rng.choice(world.servers[service])
+    world.name_limit(server, rng.choice([0.0, 1.2, 4.0, 9.5]))
+    return lambda: world.end_limit(server)
+
+
+@register_fault(4, 16.0)
+def name_limits_during_faults(world, rng):
+    """Let any number of servers of a service name limits."""
+    service = rng.choice(list(world.servers))
+    servers = [s for s in world.servers[service] if s.name not in world.limiting]
+    chosen = rng.sample(servers, rng.randint(0, len(servers)))
+    for server in chosen:
+        world.name_limit(server, rng.choice([0.0, 1.2, 4.0, 9.5]))
+    return lambda: [world.end_limit(server) for server in chosen]
+
+
 @register_fault(2, 0.0)
 def request_pause(world, rng):
     server = rng.choice(world.servers[rng.choice(list(world.servers))])
--- a/lavendershift/platform/tests/soak/violations.py
+++ b/lavendershift/platform/tests/soak/violations.py
@@ -5,6 +5,7 @@
 
 from lavendershift.logs import Event
 from lavendershift.platform.tests.soak.callers import OUTPUT_TOKENS
+from lavendershift.tests.limitbounds import find_excess
 from lavendershift_standins.platformserver import make_event
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # responses to requests that never run
@@ -48,6 +49,7 @@
     violations += check_drains(world, calls, starts)
     violations += check_departures(world, calls)
     violations += check_pauses(world, calls)
+    violations += check_limits(world, calls)
     violations += check_logs(world)
     if len(calls) < 100 or not any(call.status == 200 for call in calls):
         violations.append(
@@ -196,6 +198,25 @@
                 yield f"{server.name} got {requests[:4]} from {node} during Retry-After"
 
 
+def check_limits(world, calls):
+    """Check that all nodes together keep to the limit that a server names.
+
+    A node has to obey from ``OBEY_S`` after it forwarded a response with the limit.
+    """
+    nodes = {each.id: each.node for each in calls}
+    ended = {each.id: each.ended_at for each in calls if "Server-Limit" in each.headers}
+    for server, limit, start, end in world.limits:
+        requests = [r for r in server.received if start <= r.at <= end]
+        forwarded = [(nodes[r.id], ended[r.id]) for r in requests if r.id in ended]
+        arrivals = [
+            (r.at, nodes[r.id])
+            for r in requests
+            if r.id in nodes and not is_disturbed(world, nodes[r.id], r.at, r.at)
+        ]
+        for excess in find_excess(float(limit), arrivals, forwarded):
+            yield f"{server.name} with the limit {limit} got {excess}"
+
+
 def is_disturbed(world, node, since, until):
     """Return whether a node was paused or started between two times.
 
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -32,8 +32,8 @@
 class SoakWorld(Platform):
     """Platform with fault injection for its links, processes and servers.
 
-    It records the times of drains, departures, requested pauses, process starts
-    and SIGSTOPs, which the checks of the run read.
+    It records the times of drains, departures, requested pauses, limits, process
+    starts and SIGSTOPs, which the checks of the run read.
     """
 
     def __init__(self, folder, seed, nodes=3):
@@ -46,6 +46,8 @@
         self.leaving = {}
         self.departures = []
         self.pauses = []
+        self.limiting = {}
+        self.limits = []
         self.disturbed = defaultdict(list)
         self.server_links = {}
         self.store_links = []
@@ -153,6 +155,7 @@
     def restart_server(self, server):
         """Replace the server by a new incarnation under the same id."""
         with self.lock:
+            self.end_limit(server)
             self.departures.append(
                 (server, self.leaving.pop(server.name), time.monotonic())
             )
@@ -169,6 +172,23 @@
         self.pauses.append((server, behaviour, seconds))
         server.script.append(behaviour)
 
+    def name_limit(self, server, rate):
+        """Let all responses of ``server`` name a limit in requests/s."""
+        server.limit = f"{rate:.2f}"
+        self.limiting[server.name] = time.monotonic()
+
+    def end_limit(self, server):
+        start = self.limiting.pop(server.name, None)
+        if start is not None:
+            limited = (server, server.limit, start, time.monotonic())
+            server.limit = ""
+            self.limits.append(limited)
+
+    def list_unusable(self, service):
+        """Return the servers of a service that drain, leave or have a limit."""
+        unusable = {*self.drained, *self.leaving, *self.limiting}
+        return [s for s in self.servers[service] if s.name in unusable]
+
     def record_disturbance(self, node):
         """Record that a node is paused or started.
 
--- a/lavendershift/platform/tests/test_limitedservers.py
+++ b/lavendershift/platform/tests/test_limitedservers.py
@@ -9,7 +9,6 @@
 from lavendershift.errors import ErrorKind, Ran, RequestError
 from lavendershift.routes import Repeat
 from lavendershift_standins.platformserver import (
-    LimitRequests,
     announce_leaving,
     answer_complete,
     answer_error,
@@ -47,7 +46,7 @@
 def test_a_limit_in_any_response_binds_the_next_request(play, behaviour, repeat):
     async def work(scene):
         limited = await scene.add_server()
-        limited.default = LimitRequests(behaviour, "0.3")
+        limited.default, limited.limit = behaviour, "0.3"
         await deliver_sequentially(scene, 1, is_stream=True, repeat=repeat)
         other = await scene.add_server()
         assert await deliver_sequentially(scene, repeat=repeat) == []
@@ -59,7 +58,8 @@
 
 def test_a_limit_binds_from_the_head_of_a_stream_on(play):
     async def work(scene):
-        limited = await scene.add_server(LimitRequests(stream(5, pause_s=0.2), "0.3"))
+        limited = await scene.add_server(stream(5, pause_s=0.2))
+        limited.limit = "0.3"
         running = asyncio.ensure_future(scene.deliver(is_stream=True))
         while not limited.received:
             await asyncio.sleep(0.01)
@@ -122,7 +122,7 @@
     async def work(scene):
         for _ in range(2):
             server = await scene.add_server()
-            server.default = LimitRequests(answer_complete, "2")
+            server.limit = "2"
         assert len(await deliver_sequentially(scene, 2)) == 0
         started = time.monotonic()
         errors = await deliver_sequentially(scene, 8)
@@ -141,7 +141,7 @@
 def test_the_limit_of_a_server_is_used(play):
     async def work(scene):
         server = await scene.add_server()
-        server.default = LimitRequests(answer_complete, "20")
+        server.limit = "20"
         started = time.monotonic()
         while time.monotonic() - started < 2:
             await deliver_sequentially(scene, 1)
@@ -154,9 +154,9 @@
 def test_a_server_gets_all_requests_after_its_limit_ended(play):
     async def work(scene):
         server = await scene.add_server()
-        behaviour = server.default = LimitRequests(answer_complete, "4")
+        server.limit = "4"
         assert len(await deliver_sequentially(scene, 5)) == 4
-        behaviour.limit = ""
+        server.limit = ""
         await asyncio.sleep(0.6)
         assert await deliver_sequentially(scene, 20) == []
 
@@ -165,8 +165,10 @@
 
 def test_a_restarted_server_has_no_limit(play):
     async def work(scene):
-        server = await scene.add_server(LimitRequests(answer_complete, "0.3"))
+        server = await scene.add_server()
+        server.limit = "0.3"
         await deliver_sequentially(scene, 2)
+        server.limit = ""
         scene.list_server(server, born=5)
         assert await deliver_sequentially(scene, 5) == []
         assert len(server.received) == 6
@@ -176,9 +178,11 @@
 
 def test_the_limit_of_another_server_at_the_address_is_ignored(play):
     async def work(scene):
-        server = await scene.add_server(LimitRequests(answer_misdirected, "0"))
+        server = await scene.add_server(answer_misdirected)
+        server.limit = "0"
         with pytest.raises(RequestError):
             await scene.deliver()
+        server.limit = ""
         assert await deliver_sequentially(scene, 3) == []
         assert len(server.received) == 4
 
@@ -190,16 +194,16 @@
     async def work(scene):
         reported = []
         scene.servers.on_invalid_limit = reported.append
-        server = await scene.add_server(LimitRequests(answer_complete, value))
+        server = await scene.add_server()
+        server.limit = value
         assert await deliver_sequentially(scene, 3) == []
         listed = scene.servers.find(server.name)
         scene.servers.limits.note_response(listed.incarnation, 50.0, None)
-        server.script.append(LimitRequests(answer_complete, value))
-        while server.script:
+        while len(server.received) < 4:
             await deliver_sequentially(scene, 1)
             await asyncio.sleep(0.01)
         assert scene.servers.limits.find(listed.incarnation) == 50.0
-        assert [entry.id for entry in reported] == [server.name] * 2
+        assert [entry.id for entry in reported] == [server.name] * 4
 
     play(work)
 
@@ -208,7 +212,7 @@
 def test_a_server_that_takes_no_requests_gets_next_to_none(play, value):
     async def work(scene):
         server = await scene.add_server()
-        server.default = LimitRequests(answer_complete, value)
+        server.limit = value
         errors = await deliver_sequentially(scene, 30)
         assert len(errors) == 29
         assert len(server.received) == 1
@@ -219,7 +223,8 @@
 
 def test_a_refused_permit_opens_no_connection(play):
     async def work(scene):
-        server = await scene.add_server(LimitRequests(answer_complete, "0.3"))
+        server = await scene.add_server()
+        server.limit = "0.3"
         await deliver_sequentially(scene, 1)
         scene.connections.drop(server.address)
         await deliver_sequentially(scene, 3)
--- a/lavendershift/platform/tests/test_serverlimits.py
+++ b/lavendershift/platform/tests/test_serverlimits.py
@@ -7,7 +7,6 @@
 
 from lavendershift.platform.tests.live_nodes import Platform
 from lavendershift.tests.limitbounds import find_excess
-from lavendershift_standins.platformserver import LimitRequests
 
 NODES = 8
 REQUESTS_PER_S = 4.0  # of each node's caller
@@ -62,8 +61,7 @@
     platform, path, tokens, service, limit
 ):
     limited = platform.servers[service][0]
-    behaviour = LimitRequests(limited.default, str(limit))
-    limited.default = behaviour
+    limited.limit = str(limit)
     callers = [SteadyCaller(node, path, tokens) for node in platform.nodes]
     for caller in callers:
         caller.start()
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -47,8 +47,10 @@
 class PlatformServer:
     """Listens on the loopback interface and responds by its script.
 
-    ``connections`` counts the accepted connections, ``closed`` those that the client
-    closed, during a response or between requests, or that a behaviour closed.
+    All responses have a ``Server-Limit`` header with the value of ``limit``, unless
+    that is empty. ``connections`` counts the accepted connections, ``closed`` those
+    that the client closed, during a response or between requests, or that a behaviour
+    closed.
     """
 
     def __init__(self, name: str) -> None:
@@ -57,6 +59,7 @@
         self.default: Behaviour = answer_complete
         self.received: list[ReceivedRequest] = []
         self.runs: list[str] = []  # attempt ids of requests that weren't rejected
+        self.limit = ""
         self.closed = 0
         self.connections = 0
         self.port = 0
@@ -84,6 +87,7 @@
         try:
             while True:
                 received = await read_request(reader)
+                received = received._replace(limit=self.limit)
                 self.received.append(received)
                 behaviour = self.script.pop(0) if self.script else self.default
                 if not is_refusal(behaviour):
@@ -171,27 +175,6 @@
     return behave
 
 
-class LimitRequests:
-    """Respond like ``behaviour``, with a ``Server-Limit`` header of ``limit``.
-
-    ``limit`` may be changed; an empty one sends no header. ``answered`` holds the
-    attempt id and the monotonic time in seconds of each response that named a limit.
-    """
-
-    def __init__(self, behaviour: Behaviour, limit: str) -> None:
-        self.limit = limit
-        self.answered: list[tuple[str, float]] = []
-        self._behaviour = behaviour
-
-    async def __call__(
-        self, received: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        """Respond to one request."""
-        if self.limit:
-            self.answered.append((received.id, time.monotonic()))
-        await self._behaviour(received._replace(limit=self.limit), writer)
-
-
 class RetryLater:
     """Respond with ``Retry-After``, the seconds without further requests.
 
