Run the simulation of limits by hand, with counts of its datagrams

python -m lavendershift.tests.limitsimulation prints the rate of limited servers, the most requests in 4 s and the datagrams a second, for fleets of any size.

--- a/lavendershift/tests/limitsimulation.py
+++ b/lavendershift/tests/limitsimulation.py
@@ -2,11 +2,15 @@
 
 The real server lists, limits, permits, limit gossip, VM lists and working sets run in
 virtual time. Network, store, heartbeats and backend servers are modelled.
-``arrivals`` holds, apart from all of them, what the servers got.
+``arrivals`` holds, apart from all of them, what the servers got. One run by hand::
+
+    python -m lavendershift.tests.limitsimulation --vms 330 --limit 4 --demand 2000
 """
 
+import argparse
 import asyncio
 import random
+from collections import Counter
 
 import msgspec
 
@@ -198,7 +202,7 @@
         self.demand, self.loss, self.response_s = demand, loss, response_s
         self.is_store_down = False
         self.refused = 0
-        self.sent_datagrams = 0
+        self.datagrams = Counter()
         self.vms = [SimulatedVm(self, number) for number in range(vms)]
         self.tasks = set()
 
@@ -207,7 +211,7 @@
 
     def deliver(self, sender, number, kind, data):
         """Deliver a datagram after the delay of the network, if nothing loses it."""
-        self.sent_datagrams += 1
+        self.datagrams[sender.name, kind.__name__] += 1
         receiver = self.vms[number]
         if sender.is_cut or receiver.is_cut or self.rng.random() < self.loss:
             return
@@ -325,3 +329,38 @@
             )
         finally:
             self.loop.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description="Play a fleet with a limited server.")
+    parser.add_argument("--vms", type=int, default=8)
+    parser.add_argument("--limit", type=float, default=4.0, help="requests/s")
+    parser.add_argument("--limited", type=int, default=1, help="servers with the limit")
+    parser.add_argument("--servers", type=int, default=3)
+    parser.add_argument("--demand", type=float, default=100.0, help="requests/s")
+    parser.add_argument("--seconds", type=float, default=30.0)
+    options = parser.parse_args()
+    fleet = LimitFleet(1, options.vms, options.servers, options.demand)
+    limited = fleet.servers[: options.limited]
+    start_s = 5.0
+    schedule = [(start_s, s.set_limit, start_s, options.limit) for s in limited]
+    fleet.run(start_s + options.seconds, schedule)
+    for server in limited:
+        times = [at for at, _ in server.arrivals if at > start_s + 3]
+        most = max(sum(at - 4 < t <= at for t in times) for at in times)
+        print(
+            f"{server.name}: {len(times) / (options.seconds - 3):.2f} requests/s, "
+            f"{most} in 4 s, {6 * options.limit + 5:g} allowed"
+        )
+    kinds, senders = Counter(), Counter()
+    for (sender, kind), count in fleet.datagrams.items():
+        kinds[kind] += count
+        senders[sender] += count
+    for kind, count in sorted(kinds.items()):
+        print(f"{kind}: {count / options.seconds:.0f} datagrams/s")
+    (_, most), *_ = senders.most_common(1)
+    print(f"busiest VM: {most / options.seconds:.0f} datagrams/s")
+
+
+if __name__ == "__main__":
+    main()
