End a starting process at once when it is told to stop

Cause, possible and not shown to be the one: the handler raised SystemExit, which is ignored where it runs in a destructor or the callback of a weak reference, so that the start went on and the stop was lost. There is nothing to drain or flush yet, so that the handler ends the process directly.

Test: test_a_stop_during_the_start_is_not_lost_where_exceptions_are_ignored, failing before ("the start went on").

--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -430,6 +430,20 @@
         platform.stop()
 
 
+def test_a_stop_during_the_start_is_not_lost_where_exceptions_are_ignored():
+    """The handler may run in a destructor, which swallows what it raises."""
+    check = (
+        "import signal, sys, lavendershift.tools.node as node\n"
+        "class Module:\n"
+        "    def __del__(self):\n"
+        "        signal.signal(signal.SIGTERM, node.exit_while_starting)\n"
+        "        signal.raise_signal(signal.SIGTERM)\n"
+        "Module()\n"
+        "sys.exit('the start went on')"
+    )
+    assert subprocess.run([sys.executable, "-c", check], check=False).returncode == 0
+
+
 def test_signal_handlers_are_installed_before_slow_imports():
     check = (
         "import sys, lavendershift.tools.node as node;"
--- a/lavendershift/tools/node.py
+++ b/lavendershift/tools/node.py
@@ -10,7 +10,8 @@
 
 def exit_while_starting(number: int, frame: FrameType | None) -> None:
     """Exit on a signal that arrives during startup, when there is nothing to drain."""
-    sys.exit(0)
+    # An exception would be lost in a destructor or a callback of a weak reference.
+    os._exit(0)
 
 
 def main() -> None:
