Show in explain the limits of servers that a request's VM knew

An operator who looks up a request refused for "limits of servers" sees which servers had limits on that VM, and from when, before the request's own lines. Test: test_timeline_has_the_limits_of_servers_that_the_vm_knew.

--- a/lavendershift/commands/explain.py
+++ b/lavendershift/commands/explain.py
@@ -5,7 +5,7 @@
 prints a line for each event of the request, in order of time. The lines before
 them describe the VMs that handled the request: for each VM, the latest event
 about each dependency, the configuration and the process, up to the time of the
-request's first event.
+request's first event, and the limits of servers that it knew then.
 """
 
 import json
@@ -19,7 +19,13 @@
 NOT_FOUND = 1  # exit code if no log line has the request
 # Events of a VM that are printed before those of the request
 CONTEXT_EVENTS = frozenset(
-    {"dependency_lost", "dependency_found", "configuration_changed", "process_started"}
+    {
+        "dependency_lost",
+        "dependency_found",
+        "configuration_changed",
+        "process_started",
+        "server_limited",
+    }
 )
 # Fields that ``format_event`` prints without their name, or not at all
 COMMON_FIELDS = frozenset(
@@ -70,8 +76,8 @@
 def build_timeline(request: str, lines: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Return the events of a request, preceded by the state of its VMs.
 
-    The state is the latest of the ``CONTEXT_EVENTS`` of each VM and dependency up
-    to the request's first event.
+    The state is the latest of the ``CONTEXT_EVENTS`` of each VM and dependency, and of
+    each server with a limit, up to the request's first event.
     """
     lines = sorted(lines, key=lambda line: line["time"])
     own = [line for line in lines if line.get("request") == request]
@@ -84,9 +90,10 @@
         if line["time"] > first:
             break
         if line["event"] in CONTEXT_EVENTS and line["vm"] in vms:
-            kind = line.get("name") or line["event"]
+            kind = line.get("name") or line.get("server") or line["event"]
             context[line["vm"], kind] = line
-    before = sorted(context.values(), key=lambda line: line["time"])
+    state = [line for line in context.values() if line.get("result") != "unlimited"]
+    before = sorted(state, key=lambda line: line["time"])
     return before + own
 
 
--- a/lavendershift/tests/test_explain.py
+++ b/lavendershift/tests/test_explain.py
@@ -34,6 +34,19 @@
     ]
 
 
+def test_timeline_has_the_limits_of_servers_that_the_vm_knew():
+    lines = [
+        make_line("01", "server_limited", server="i-1", result="limited"),
+        make_line("01", "server_limited", server="i-2", result="limited"),
+        make_line("02", "server_limited", server="i-2", result="unlimited"),
+        make_line("02", "server_limited", vm="edge-2", server="i-3", result="limited"),
+        make_line("03", "request_refused", request="r1", error="overloaded"),
+        make_line("04", "server_limited", server="i-4", result="limited"),
+    ]
+    timeline = build_timeline("r1", lines)
+    assert [line.get("server") for line in timeline] == ["i-1", None]
+
+
 def test_timeline_of_unknown_request_is_empty():
     assert build_timeline("r9", LINES) == []
 
