--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -288,17 +288,16 @@
         ``None`` unless a server of the service could be used but for its limit. VMs
         that callers are sent to share the permits of all limited servers.
         """
-        now_limited = [
-            server
-            for server in self._list_available(service)
-            if self.limits.find_wait(server.incarnation, urgency)
-        ]
-        if not now_limited:
+        waits = {}
+        for server in self._list_available(service):
+            wait = self.limits.find_wait(server.incarnation, urgency)
+            if wait:
+                waits[server.incarnation] = wait
+        if not waits:
             return None
-        waits = [self.limits.find_wait(s.incarnation, urgency) for s in now_limited]
-        rates = [self.limits.find(s.incarnation) or 0.0 for s in now_limited]
-        rate = max(sum(rates), MIN_RATE) / self.count_vms()
-        return self.limits.schedule_return(service, min(waits), rate)
+        rate = sum(self.limits.find(incarnation) or 0.0 for incarnation in waits)
+        part = max(rate, MIN_RATE) / self.count_vms()
+        return self.limits.schedule_return(service, min(waits.values()), part)
 
     def find_retry_delay(self, service: str) -> timedelta | None:
         """Return the time until the first pause of a service's servers ends.
