--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -11,6 +11,7 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.datagrams import Datagrams
 from lavendershift.delivery import Delivery
+from lavendershift.errors import RequestError
 from lavendershift.permits import Permits
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.serverwire import PlatformServerWire
@@ -148,6 +149,17 @@
         await delivery.run()
         return answer
 
+    async def deliver_sequentially(self, count=6, **options):
+        """Deliver requests one after the other and return their errors."""
+        errors = []
+        for number in range(100, 100 + count):
+            request = self.make_request(number)
+            try:
+                await self.deliver(request=request, **options)
+            except RequestError as error:
+                errors.append(error)
+        return errors
+
     @property
     def ends(self):
         return [note.end for note in self.notes]
--- a/lavendershift/platform/tests/test_drainingservers.py
+++ b/lavendershift/platform/tests/test_drainingservers.py
@@ -19,18 +19,6 @@
 )
 
 
-async def deliver_sequentially(scene, count=6, **options):
-    """Deliver requests one after the other and return their errors."""
-    errors = []
-    for number in range(100, 100 + count):
-        request = scene.make_request(number)
-        try:
-            await scene.deliver(request=request, **options)
-        except RequestError as error:
-            errors.append(error)
-    return errors
-
-
 @pytest.mark.parametrize(
     "behaviour",
     [
@@ -46,10 +34,10 @@
 
     async def work(scene):
         leaving = await scene.add_server(announce_leaving(behaviour))
-        await deliver_sequentially(scene, 1, is_stream=True)
+        await scene.deliver_sequentially(1, is_stream=True)
         other = await scene.add_server()
         scene.list_server(leaving, sequence=9)
-        assert await deliver_sequentially(scene) == []
+        assert await scene.deliver_sequentially() == []
         assert len(leaving.received) == 1
         assert len(other.received) >= 6
 
@@ -66,7 +54,7 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
         await scene.add_server()
-        await deliver_sequentially(scene)
+        await scene.deliver_sequentially()
         assert (await running).is_done
         assert len(leaving.received) == 1
 
@@ -90,7 +78,7 @@
         server = await scene.add_server(announce_leaving(answer_complete))
         await scene.deliver()
         scene.list_server(server, born=5)
-        assert await deliver_sequentially(scene, 2) == []
+        assert await scene.deliver_sequentially(2) == []
         assert len(server.received) == 3
 
     play(work)
@@ -102,7 +90,7 @@
         await scene.deliver()
         scene.servers.remove(server.name)
         scene.list_server(server, sequence=9)
-        (error,) = await deliver_sequentially(scene, 1)
+        (error,) = await scene.deliver_sequentially(1)
         assert error.kind is ErrorKind.NO_SERVER
 
     play(work)
@@ -145,7 +133,7 @@
     async def work(scene):
         busy = await scene.add_server(RetryLater("30"))
         await scene.add_server()
-        assert await deliver_sequentially(scene, 12, repeat=repeat) == []
+        assert await scene.deliver_sequentially(12, repeat=repeat) == []
         assert len(busy.received) <= 1
 
     play(work)
@@ -179,7 +167,7 @@
             return_exceptions=True,
         )
         await asyncio.sleep(0.1)
-        assert len(await deliver_sequentially(scene, 1)) == 1
+        assert len(await scene.deliver_sequentially(1)) == 1
         assert len(server.received) == 2
 
     play(work)
@@ -191,7 +179,7 @@
     async def work(scene):
         await scene.add_server(RetryLater("20"))
         await scene.add_server(RetryLater("3"))
-        errors = await deliver_sequentially(scene, 2)
+        errors = await scene.deliver_sequentially(2)
         for error in errors:
             assert error.kind in (ErrorKind.SERVER_REFUSED, ErrorKind.NO_SERVER)
             assert error.answer.ran.value == "no"
@@ -207,7 +195,7 @@
     async def work(scene):
         await scene.add_server(RetryLater("300"))
         await scene.add_server(answer_not_run)
-        (error,) = await deliver_sequentially(scene, 1)
+        (error,) = await scene.deliver_sequentially(1)
         assert error.kind is ErrorKind.SERVER_REFUSED
         assert error.answer.retry_after.total_seconds() < 10
 
@@ -220,7 +208,7 @@
         server = await scene.add_server(RetryLater(value))
         with pytest.raises(RequestError):
             await scene.deliver()
-        await deliver_sequentially(scene, 1)
+        await scene.deliver_sequentially(1)
         assert len(server.received) == 2
 
     play(work)
--- a/lavendershift/platform/tests/test_limitedservers.py
+++ b/lavendershift/platform/tests/test_limitedservers.py
@@ -19,18 +19,6 @@
 )
 
 
-async def deliver_sequentially(scene, count=6, **options):
-    """Deliver requests one after the other and return their errors."""
-    errors = []
-    for number in range(100, 100 + count):
-        request = scene.make_request(number)
-        try:
-            await scene.deliver(request=request, **options)
-        except RequestError as error:
-            errors.append(error)
-    return errors
-
-
 @pytest.mark.parametrize(
     "behaviour",
     [
@@ -47,9 +35,9 @@
     async def work(scene):
         limited = await scene.add_server()
         limited.default, limited.limit = behaviour, "0.3"
-        await deliver_sequentially(scene, 1, is_stream=True, repeat=repeat)
+        await scene.deliver_sequentially(1, is_stream=True, repeat=repeat)
         other = await scene.add_server()
-        assert await deliver_sequentially(scene, repeat=repeat) == []
+        assert await scene.deliver_sequentially(repeat=repeat) == []
         assert len(limited.received) == 1
         assert len(other.received) >= 6
 
@@ -65,7 +53,7 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
         await scene.add_server()
-        await deliver_sequentially(scene)
+        await scene.deliver_sequentially()
         assert (await running).is_done
         assert len(limited.received) == 1
 
@@ -123,9 +111,9 @@
         for _ in range(2):
             server = await scene.add_server()
             server.limit = "2"
-        assert len(await deliver_sequentially(scene, 2)) == 0
+        assert len(await scene.deliver_sequentially(2)) == 0
         started = time.monotonic()
-        errors = await deliver_sequentially(scene, 8)
+        errors = await scene.deliver_sequentially(8)
         assert time.monotonic() - started < 0.5
         assert {error.kind for error in errors} == {ErrorKind.OVERLOADED}
         assert {error.answer.ran for error in errors} == {Ran.NO}
@@ -144,7 +132,7 @@
         server.limit = "20"
         started = time.monotonic()
         while time.monotonic() - started < 2:
-            await deliver_sequentially(scene, 1)
+            await scene.deliver_sequentially(1)
             await asyncio.sleep(0.01)
         assert 0.7 * 40 <= len(server.received) <= 1 + 40
 
@@ -155,10 +143,10 @@
     async def work(scene):
         server = await scene.add_server()
         server.limit = "4"
-        assert len(await deliver_sequentially(scene, 5)) == 4
+        assert len(await scene.deliver_sequentially(5)) == 4
         server.limit = ""
         await asyncio.sleep(0.6)
-        assert await deliver_sequentially(scene, 20) == []
+        assert await scene.deliver_sequentially(20) == []
 
     play(work)
 
@@ -167,10 +155,10 @@
     async def work(scene):
         server = await scene.add_server()
         server.limit = "0.3"
-        await deliver_sequentially(scene, 2)
+        await scene.deliver_sequentially(2)
         server.limit = ""
         scene.list_server(server, born=5)
-        assert await deliver_sequentially(scene, 5) == []
+        assert await scene.deliver_sequentially(5) == []
         assert len(server.received) == 6
 
     play(work)
@@ -183,7 +171,7 @@
         with pytest.raises(RequestError):
             await scene.deliver()
         server.limit = ""
-        assert await deliver_sequentially(scene, 3) == []
+        assert await scene.deliver_sequentially(3) == []
         assert len(server.received) == 4
 
     play(work)
@@ -196,11 +184,11 @@
         scene.servers.on_invalid_limit = reported.append
         server = await scene.add_server()
         server.limit = value
-        assert await deliver_sequentially(scene, 3) == []
+        assert await scene.deliver_sequentially(3) == []
         listed = scene.servers.find(server.name)
         scene.servers.limits.note_response(listed.incarnation, 50.0, None)
         while len(server.received) < 4:
-            await deliver_sequentially(scene, 1)
+            await scene.deliver_sequentially(1)
             await asyncio.sleep(0.01)
         assert scene.servers.limits.find(listed.incarnation) == 50.0
         assert [entry.id for entry in reported] == [server.name] * 4
@@ -213,7 +201,7 @@
     async def work(scene):
         server = await scene.add_server()
         server.limit = value
-        errors = await deliver_sequentially(scene, 30)
+        errors = await scene.deliver_sequentially(30)
         assert len(errors) == 29
         assert len(server.received) == 1
         assert errors[0].answer.retry_after.total_seconds() <= 5
@@ -225,9 +213,9 @@
     async def work(scene):
         server = await scene.add_server()
         server.limit = "0.3"
-        await deliver_sequentially(scene, 1)
+        await scene.deliver_sequentially(1)
         scene.connections.drop(server.address)
-        await deliver_sequentially(scene, 3)
+        await scene.deliver_sequentially(3)
         await asyncio.sleep(0.1)
         assert server.connections == 1
 
