Test a limit with real routers while its keeper is paused

Nothing reaches the server in the first 0.8 s, another router grants permits within 2 s, and the bound holds over the time in which the first one wakes.

--- a/lavendershift/platform/tests/test_serverlimits.py
+++ b/lavendershift/platform/tests/test_serverlimits.py
@@ -1,10 +1,12 @@
 """The limit that a server names holds over the requests of all router processes."""
 
+import signal
 import threading
 import time
 
 import pytest
 
+from lavendershift.hashing import rank_by_hash
 from lavendershift.platform.tests.live_nodes import Platform
 from lavendershift.tests.limitbounds import find_excess
 
@@ -48,6 +50,22 @@
     platform.stop()
 
 
+def collect(limited, callers):
+    """Return the requests that a server got, and the responses with its limit.
+
+    Both are pairs of a node's name and a time, in the order of ``find_excess``.
+    """
+    owners = {name: caller.node.name for caller in callers for name in caller.replies}
+    arrivals = [(r.at, owners.get(r.id, "")) for r in limited.received]
+    forwarded = [
+        (caller.node.name, at)
+        for caller in callers
+        for reply, at in caller.replies.values()
+        if "Server-Limit" in reply.headers
+    ]
+    return arrivals, forwarded
+
+
 @pytest.mark.parametrize("limit", [1.2, 4.0])
 @pytest.mark.parametrize(
     ("path", "tokens", "service"),
@@ -67,15 +85,8 @@
         caller.start()
     for caller in callers:
         caller.join()
-    passed_on = {
-        request_id: (caller.node.name, at)
-        for caller in callers
-        for request_id, (reply, at) in caller.replies.items()
-        if "Server-Limit" in reply.headers
-    }
-    owners = {name: caller.node.name for caller in callers for name in caller.replies}
-    arrivals = [(r.at, owners.get(r.id, "")) for r in limited.received]
-    assert find_excess(limit, arrivals, list(passed_on.values())) == []
+    arrivals, forwarded = collect(limited, callers)
+    assert find_excess(limit, arrivals, forwarded) == []
     statuses = {
         reply.status for caller in callers for reply, _ in caller.replies.values()
     }
@@ -83,3 +94,31 @@
     # The limit is used: the time before the first permit is left out.
     steady = [at for at, _ in arrivals if at > arrivals[-1][0] - 4.0]
     assert len(steady) >= 0.5 * limit * 4.0
+
+
+def test_a_limit_holds_while_its_keeper_is_paused_and_after(platform):
+    """Another router becomes the keeper, and the first one wakes with its permits."""
+    limited = platform.servers["ledger"][0]
+    limited.limit = "4"
+    ranked = rank_by_hash([node.name for node in platform.nodes], "rennes")
+    (keeper,) = [node for node in platform.nodes if node.name == ranked[0]]
+    callers = [
+        SteadyCaller(node, "/read/x", None)
+        for node in platform.nodes
+        if node is not keeper
+    ]
+    for caller in callers:
+        caller.start()
+    time.sleep(3)
+    keeper.signal(signal.SIGSTOP)
+    paused_at = time.monotonic()
+    time.sleep(4)
+    keeper.signal(signal.SIGCONT)
+    for caller in callers:
+        caller.join()
+    arrivals, forwarded = collect(limited, callers)
+    assert find_excess(4.0, arrivals, forwarded) == []
+    # The other routers need at most 1.3 s to miss the keeper.
+    during = [at - paused_at for at, _ in arrivals if 0.2 < at - paused_at < 4]
+    assert not [at for at in during if at < 0.8]
+    assert len([at for at in during if at > 2.0]) >= 0.5 * 4.0 * 2.0
