--- a/lavendershift/serverlimits.py
+++ b/lavendershift/serverlimits.py
@@ -1,8 +1,8 @@
 """Limits that backend servers put on the requests/s of all VMs together.
 
-A server in need names its limit in its responses, for as long as it has one. Nothing
-in a response tells when the server wrote it, and VMs have no common clock, so limits
-are ordered by what was known when they were learned:
+An overloaded server names its limit in its responses, for as long as it has one.
+Nothing in a response tells when the server wrote it, and VMs have no common clock, so
+limits are ordered by what was known when they were learned:
 
 - A lower limit takes effect immediately. It may come from an old response, and then
   the next response corrects it.
@@ -54,7 +54,10 @@
 
 
 class _Refusal(NamedTuple):
-    """A refused permit: none is due before ``until``, except at a lower rank."""
+    """A refused permit: none is due before ``until``, unless for more urgent requests.
+
+    ``urgency`` is the rank of the refused request, 0 is the most urgent.
+    """
 
     until: timedelta
     urgency: int
