Log crashes of servers, their suspects and the parts of broken attempts

The three hypotheses of the crashing prompts can't be told apart by the logs: no attempt names a part of its prompt, and a connection that was cut looks like a server that has crashed. An attempt without a complete response now has `parts`. A request that broke off before its first event makes its VM probe the server's address once per crash; if connections are refused, `server_crashed` names each such request's parts and whether its response had begun. Streams that were well on their way, servers that drain, and connections that were reset alone give no line. `lavendershift_server_crashes_total` counts the crashes. No request is routed otherwise than before.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -156,6 +156,7 @@
     the time from then until the request was sent, ``None`` if it was not sent.
     ``known_limit`` is the server's limit in requests/s that the VM knew when it sent
     the request, ``named_limit`` the one in the response; ``None`` if there is none.
+    ``parts`` are the ids of the prompt's parts.
     """
 
     server: str
@@ -169,3 +170,4 @@
     connecting: timedelta | None = None
     known_limit: float | None = None
     named_limit: float | None = None
+    parts: tuple[str, ...] = ()
--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -33,13 +33,22 @@
 IDLE_MARGIN = timedelta(seconds=1)  # margin below the server's own idle timeout
 MAX_IDLE_CONNECTIONS = 16  # idle connections to one address
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # size at which a response is cut off
+# Timeout of a connection that only tells whether a process listens.
+PROBE_TIMEOUT = timedelta(milliseconds=100)
 TCP_USER_TIMEOUT_MS = 4000  # time without an ACK until the kernel drops a connection
 LAST_INFORMATIONAL_STATUS = 199
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses accepted before the final one
 
 
 class ConnectError(Exception):
-    """The connection could not be opened, so nothing was sent."""
+    """The connection could not be opened, so nothing was sent.
+
+    ``was_refused`` is set if the host responded that nothing listens on the port.
+    """
+
+    def __init__(self, message: str, was_refused: bool = False) -> None:
+        super().__init__(message)
+        self.was_refused = was_refused
 
 
 class ServerRequest(NamedTuple):
@@ -254,13 +263,24 @@
                 await stream.connect((host, int(port)))
         except (TimeoutError, OSError, StreamClosedError, ValueError) as error:
             stream.close()
-            raise ConnectError(f"{address}: {_describe(error)}") from None
+            reason = _describe(error)
+            was_refused = reason == ConnectionRefusedError.__name__
+            raise ConnectError(f"{address}: {reason}", was_refused) from None
         except BaseException:
             stream.close()
             raise
         self.opened += 1
         return Connection(stream, address)
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether connections to ``address`` are refused."""
+        try:
+            connection = await self.connect(address, PROBE_TIMEOUT)
+        except ConnectError as error:
+            return error.was_refused
+        connection.close()
+        return False
+
     def give_back(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         connection.idle_since = self._clock.elapsed()
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -31,6 +31,7 @@
     ConnectionPool,
     Exchange,
 )
+from lavendershift.crashes import CrashDetector, Exposure
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.permits import Permits
@@ -126,6 +127,7 @@
         servers: ServerList,
         connections: ConnectionPool,
         permits: Permits,
+        crashes: CrashDetector,
         wire: ServerWire,
         response: ResponseWriter,
         spend_retry: Callable[[AttemptEnd], bool],
@@ -144,6 +146,7 @@
         self._servers = servers
         self._connections = connections
         self._permits = permits
+        self._crashes = crashes
         self._wire = wire
         self._response = response
         self._spend_retry = spend_retry
@@ -163,6 +166,7 @@
         self._sent_at = timedelta()
         self._known_limit: float | None = None
         self._named_limit: float | None = None
+        self._exposure: Exposure | None = None
         self._is_prompt_read = False
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
@@ -273,6 +277,7 @@
         assignment = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._assignment, self._is_prompt_read = assignment, False
         is_reusable = False
+        exposure = self._expose(connection)
         reader = AttemptReader(
             self, self.route.is_stream, connection.is_fresh, connection.close
         )
@@ -285,18 +290,49 @@
         finally:
             if reader.is_streamed and reader.refused in (None, AttemptEnd.INSIDE_EVENT):
                 self.position = reader.events.end()
+            self._end_exposure()
             self._note_prompt_read(assignment)
             self._servers.finish(assignment)
             if is_reusable and self._servers.is_usable(server):
                 self._connections.give_back(connection)
             else:
                 connection.close()
+        if self._is_suspect(server, exposure, end, reader):
+            has_begun = reader.kind is ResponseKind.OWN
+            await self._crashes.inspect(server, exposure, has_begun)
         self._update_server_state(server, end)
         if end.did_not_run:
             self._possible_runs -= 1
         self._report_attempt(entry.id, end, reason, reader, started)
         return end
 
+    def _expose(self, connection: Connection) -> Exposure:
+        """Register the request as one that may crash its server."""
+        prompt = self._request.prompt or NO_PROMPT
+        self._exposure = self._crashes.expose(prompt.part_ids, connection.close)
+        return self._exposure
+
+    def _end_exposure(self) -> None:
+        if self._exposure is not None:
+            self._crashes.end(self._exposure)
+            self._exposure = None
+
+    def _is_suspect(
+        self,
+        server: ListedServer,
+        exposure: Exposure,
+        end: AttemptEnd,
+        reader: AttemptReader,
+    ) -> bool:
+        """Return whether an attempt broke off unplanned before its first event."""
+        if not exposure.parts or exposure.was_stopped:
+            return False
+        if self._servers.is_leaving(server):
+            return False
+        if end not in (AttemptEnd.BROKEN, AttemptEnd.INSIDE_EVENT) or reader.reason:
+            return False
+        return not reader.has_event
+
     async def _prepare(self, server: ListedServer) -> Connection:
         """Return a connection on which the request may be sent now.
 
@@ -442,6 +478,7 @@
         if self._assignment is not None and not self._is_prompt_read:
             self._servers.record_latency(self._assignment)
             self._note_prompt_read(self._assignment)
+        self._end_exposure()
         self._update_longest_gap()
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
@@ -502,5 +539,6 @@
             self._connecting,
             self._known_limit,
             self._named_limit,
+            (self._request.prompt or NO_PROMPT).part_ids,
         )
         self._on_attempt(report)
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -20,6 +20,7 @@
 )
 from lavendershift.clocks import Clock
 from lavendershift.connections import ConnectionPool
+from lavendershift.crashes import CrashDetector
 from lavendershift.delivery import Delivery
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.pendingtokens import TokenRequest
@@ -63,6 +64,7 @@
         servers: ServerList,
         connections: ConnectionPool,
         permits: Permits,
+        crashes: CrashDetector,
         wire: ServerWire,
         draws: TokenDraws,
         reports: RequestReports,
@@ -74,6 +76,7 @@
         self._servers = servers
         self._connections = connections
         self._permits = permits
+        self._crashes = crashes
         self._wire = wire
         self._draws = draws
         self._reports = reports
@@ -210,6 +213,7 @@
             self._servers,
             self._connections,
             self._permits,
+            self._crashes,
             self._wire,
             writer,
             take_retry,
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -44,6 +44,9 @@
     "permits": Instrument(
         "Permits needed for requests to servers with limits, by outcome.", ("outcome",)
     ),
+    "server_crashes": Instrument(
+        "Servers seen to crash before the first event of a request."
+    ),
     "resumes": Instrument(
         "Attempts at the rest of a stream, by how they ended.", ("end",)
     ),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -46,6 +46,7 @@
     TOKENS_LENT = "tokens_lent"
     SERVER_CHANGED = "server_changed"
     SERVER_LIMITED = "server_limited"
+    SERVER_CRASHED = "server_crashed"
     VM_CHANGED = "vm_changed"
     ENTRY_SKIPPED = "entry_skipped"
     SETTINGS_RELOADED = "settings_reloaded"
@@ -98,6 +99,10 @@
     Event.SERVER_LIMITED: EventInfo(
         "info", "The limit of a backend server's requests/s changed or ended."
     ),
+    Event.SERVER_CRASHED: EventInfo(
+        "warning",
+        "A server broke off requests before their first event and refuses connections.",
+    ),
     Event.VM_CHANGED: EventInfo("info", "A VM joined, is leaving, or is gone."),
     Event.ENTRY_SKIPPED: EventInfo("warning", "Data that can't be used was skipped."),
     Event.SETTINGS_RELOADED: EventInfo("notice", "The settings were reloaded."),
@@ -141,6 +146,7 @@
     offset: int
     outage_ms: int
     partial_bytes: int
+    parts: str
     place: str
     ran: str
     reason: str
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -7,7 +7,7 @@
 import secrets
 import signal
 import sys
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -17,6 +17,7 @@
 from lavendershift.applications import Application
 from lavendershift.clocks import BootClock
 from lavendershift.connections import ConnectionPool
+from lavendershift.crashes import CrashDetector, Suspect
 from lavendershift.datagrams import Datagrams, Peer
 from lavendershift.errors import LogUnavailableError
 from lavendershift.gateway import Gateway, RetryBounds
@@ -132,6 +133,8 @@
             clock, self._servers.limits, self._datagrams, self._find_keeper
         )
         permits.on_taken = lambda outcome: self._instruments.count("permits", outcome)
+        self._crashes = CrashDetector(self._connections.is_refused)
+        self._crashes.on_crash = self._note_crash
         self._vms.set_silence_lookup(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
@@ -178,6 +181,7 @@
             self._servers,
             self._connections,
             permits,
+            self._crashes,
             PlatformServerWire(),
             self._draws,
             RequestReports(clock, log, self._instruments),
@@ -399,6 +403,19 @@
         if is_own:
             self._limit_gossip.announce(incarnation, state)
 
+    def _note_crash(
+        self, incarnation: Incarnation, suspects: Sequence[Suspect]
+    ) -> None:
+        """Handle the crash of a server that broke off requests of this VM."""
+        self._instruments.count("server_crashes")
+        for suspect in suspects:
+            self._log.write(
+                Event.SERVER_CRASHED,
+                server=incarnation[0],
+                parts=",".join(suspect.parts),
+                result="begun" if suspect.has_begun else "waiting",
+            )
+
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
         self._instruments.count("skipped_entries", "limit")
         self._log.write(Event.ENTRY_SKIPPED, server=entry.id, name="limit")
--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -9,6 +9,7 @@
 from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import SystemClock
 from lavendershift.connections import ConnectionPool
+from lavendershift.crashes import CrashDetector
 from lavendershift.datagrams import Datagrams
 from lavendershift.delivery import Delivery
 from lavendershift.errors import RequestError
@@ -71,6 +72,7 @@
         self.permits = Permits(
             self.clock, self.servers.limits, Datagrams(), lambda server: None
         )
+        self.crashes = CrashDetector(self.connections.is_refused)
         self.backends = []
         self.notes = []
         self.retries = 10
@@ -137,6 +139,7 @@
             self.servers,
             self.connections,
             self.permits,
+            self.crashes,
             PlatformServerWire(),
             answer,
             spend,
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -108,6 +108,8 @@
             fields["known_limit"] = attempt.known_limit
         if attempt.named_limit is not None:
             fields["named_limit"] = attempt.named_limit
+        if attempt.parts and event is Event.REQUEST_ATTEMPTED:
+            fields["parts"] = ",".join(attempt.parts)
         if attempt.stream is not None:
             self._count_stream(attempt.end, attempt.stream)
             fields["resumed_after"] = attempt.stream.resumed_after
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -252,9 +252,13 @@
         is_listed = self._servers.get(server.entry.id) is server
         return is_listed and self._accepts(server)
 
+    def is_leaving(self, server: ListedServer) -> bool:
+        """Whether a server's entry or one of its responses announced that it drains."""
+        return server.entry.is_leaving or self._signals.is_leaving(server.incarnation)
+
     def _accepts(self, server: ListedServer) -> bool:
         """Whether a server is neither draining nor paused nor missing for too long."""
-        if server.entry.is_leaving or self._signals.is_leaving(server.incarnation):
+        if self.is_leaving(server):
             return False
         if self._signals.find_pause(server.incarnation):
             return False
@@ -308,9 +312,7 @@
         pauses = [
             self._signals.find_pause(server.incarnation)
             for server in self._servers.values()
-            if server.entry.service == service
-            and not server.entry.is_leaving
-            and not self._signals.is_leaving(server.incarnation)
+            if server.entry.service == service and not self.is_leaving(server)
         ]
         if not pauses or not all(pauses):
             return None
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -117,6 +117,11 @@
             and is_event_stream(self.media_type)
         )
 
+    @property
+    def has_event(self) -> bool:
+        """Whether the response has a complete event."""
+        return self.events.position.events > self._initial_position.events
+
     @property
     def media_type(self) -> str:
         """The response's Content-Type."""
--- a/lavendershift/serverstates.py
+++ b/lavendershift/serverstates.py
@@ -35,6 +35,11 @@
         """The parts that other requests may share: all but the last."""
         return self.parts[:-1] or self.parts
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """The ids of all parts."""
+        return tuple(part.id for part in self.parts)
+
     @property
     def affinity_key(self) -> str:
         """Id of the largest shared part, which determines the affinity server."""
