--- a/lavendershift/platform/tests/live_nodes.py
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -198,6 +198,20 @@
                 records.append((server.name.encode(), msgspec.json.encode(entry)))
         self.append(names.SERVERS_TOPIC, records)
 
+    def replace_server(self, server, name):
+        """Start the successor of a server under another id, and remove its entry."""
+        successor = PlatformServer(name)
+        successor.default, successor.read_s = server.default, server.read_s
+        successor.crash_parts = server.crash_parts
+        successor.crash_output = server.crash_output
+        self.thread.run(successor.start())
+        for servers in self.servers.values():
+            if server in servers:
+                servers[servers.index(server)] = successor
+        self.append(names.SERVERS_TOPIC, [(server.name.encode(), b"")])
+        self.write_server_entries()
+        return successor
+
     def append(self, topic, records):
         self.thread.call(self.store.state.append, topic, 0, records)
 
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -14,9 +14,11 @@
 import struct
 import time
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from typing import NamedTuple
 
 ATTEMPT_ID_HEADER = "x-lavendershift-attempt-id"
+PROMPT_HEADER = "x-lavendershift-prompt-prefix"
 
 
 class ReceivedRequest(NamedTuple):
@@ -40,6 +42,20 @@
         """The attempt id of the request, empty if it has none."""
         return self.headers.get(ATTEMPT_ID_HEADER, "")
 
+    @property
+    def parts(self) -> list[str]:
+        """The ids of the parts of the prompt."""
+        entries = self.headers.get(PROMPT_HEADER, "").split(",")
+        return [entry.partition(":")[0].strip() for entry in entries if entry]
+
+
+class CrashOutput(Enum):
+    """What a server sends of a response before it crashes."""
+
+    NOTHING = "nothing"
+    HEAD = "head"
+    PARTIAL_EVENT = "partial event"
+
 
 Behaviour = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
 
@@ -50,7 +66,8 @@
     All responses have a ``Server-Limit`` header with the value of ``limit``, unless
     that is empty. ``connections`` counts the accepted connections, ``closed`` those
     that the client closed, during a response or between requests, or that a behaviour
-    closed.
+    closed. ``crash_parts`` are parts of prompts with which the server crashes after
+    ``read_s`` seconds, and ``crash_output`` what it sends of the response before.
     """
 
     def __init__(self, name: str) -> None:
@@ -60,10 +77,15 @@
         self.received: list[ReceivedRequest] = []
         self.runs: list[str] = []  # attempt ids of requests that weren't rejected
         self.limit = ""
+        self.crash_parts: set[str] = set()
+        self.crash_output = CrashOutput.HEAD
+        self.read_s = 0.0
+        self.crashed_at: float | None = None
         self.closed = 0
         self.connections = 0
         self.port = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -75,6 +97,29 @@
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones, as if the process had ended."""
+        if self._server is None or self.crashed_at is not None:
+            return
+        self.crashed_at = time.monotonic()
+        self._server.close()
+        for writer in list(self._writers):
+            abort(writer)
+
+    async def _answer_with_crash(
+        self, received: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(self.read_s)
+        headers = {"Content-Type": "text/event-stream"}
+        if self.crash_output is not CrashOutput.NOTHING:
+            writer.write(make_head(received, 200, headers))
+        if self.crash_output is CrashOutput.PARTIAL_EVENT:
+            writer.write(make_event(1)[:7])
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        self.crash()
+        raise ConnectionError
+
     @property
     def address(self) -> str:
         """The address as ``host:port``."""
@@ -84,12 +129,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 received = await read_request(reader)
                 received = received._replace(limit=self.limit)
                 self.received.append(received)
                 behaviour = self.script.pop(0) if self.script else self.default
+                if not self.crash_parts.isdisjoint(received.parts):
+                    behaviour = self._answer_with_crash
                 if not is_refusal(behaviour):
                     self.runs.append(received.id)
                 responding = asyncio.ensure_future(behaviour(received, writer))
@@ -106,6 +154,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
         finally:
+            self._writers.discard(writer)
             with contextlib.suppress(ConnectionError):
                 writer.close()
 
@@ -238,10 +287,15 @@
 
 async def reset(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     """Reset the connection: a linger time of 0 sends RST in place of FIN."""
+    abort(writer)
+    raise ConnectionError
+
+
+def abort(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
     endpoint: socket.socket = writer.get_extra_info("socket")
     endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
-    raise ConnectionError
 
 
 async def send_invalid_http(
