Put prompts into quarantine that crash servers

Cause: nothing related a crash to what the server had begun. Each crash was booked to the server, and the next request with the part went to a sound one.

A request that a crash broke off before its first event is evidence against the parts of its prompt, any event or complete response to a prompt clears its parts. VMs exchange both, judge by the sum, and put a part into quarantine after two crashes of responses that had begun, or four of requests that may have been waiting; twice as many if the part was answered lately. Crashes at one moment count once. Parts with the same evidence are stopped only where they occur together, so that a caller can't have the prompts of another customer refused. Requests with quarantined parts are refused at once with 503, before tokens are reserved and again right before sending; those in flight without an event are stopped. A request that had begun when its server crashed isn't repeated unless its parts are known to be sound. After 30 s one request for all VMs is tried, after a failed trial the time doubles. A stream without a length that ends without an event has been broken off.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -116,6 +116,7 @@
     SERVER_ERROR = "server_error"
     NOT_SENT = "not_sent"
     NO_PERMIT = "no_permit"  # the server's limit allows no request at this time
+    QUARANTINED = "quarantined"  # the prompt has a part that crashed servers
     NOT_RUN = "not_run"
     WRONG_SERVER = "wrong_server"
     BROKEN = "broken"
@@ -131,6 +132,7 @@
         return self in (
             AttemptEnd.NOT_SENT,
             AttemptEnd.NO_PERMIT,
+            AttemptEnd.QUARANTINED,
             AttemptEnd.NOT_RUN,
             AttemptEnd.WRONG_SERVER,
         )
--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -195,7 +195,7 @@
         has_started = delegate.status > 0
         if (
             is_complete
-            and not _is_delimited(delegate)
+            and not is_delimited(delegate.status, delegate.headers)
             and self._stream.error is not None
         ):
             return Exchange(False, True, "reset before the end")
@@ -207,7 +207,8 @@
 
     def _note_response(self, delegate: _Delegate) -> None:
         headers = delegate.headers
-        self._may_reuse = _is_delimited(delegate) and not delegate.closes
+        has_end = is_delimited(delegate.status, headers)
+        self._may_reuse = has_end and not delegate.closes
         timeout = _parse_keep_alive(headers.get("Keep-Alive", ""))
         if timeout is not None:
             self.max_idle = timeout - IDLE_MARGIN
@@ -335,10 +336,9 @@
         ended.set_result(False)
 
 
-def _is_delimited(delegate: _Delegate) -> bool:
-    """Return whether the response can end without the end of its connection."""
-    headers = delegate.headers
-    if "Content-Length" in headers or delegate.status in (204, 304):
+def is_delimited(status: int, headers: HTTPHeaders) -> bool:
+    """Return whether a response can end without the end of its connection."""
+    if "Content-Length" in headers or status in (204, 304):
         return True
     return "chunked" in headers.get("Transfer-Encoding", "").lower()
 
--- a/lavendershift/crashes.py
+++ b/lavendershift/crashes.py
@@ -16,7 +16,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from typing import NamedTuple
 
 from lavendershift.serversignals import Incarnation
@@ -81,9 +81,9 @@
         """Unregister a request that got an event, or whose attempt ended."""
         self._exposures.discard(exposure)
 
-    def stop_exposed(self, part: str) -> None:
-        """Stop the requests in flight whose prompts have ``part``."""
-        for exposure in [e for e in self._exposures if part in e.parts]:
+    def stop_exposed(self, parts: Collection[str]) -> None:
+        """Stop the requests in flight whose prompts have all of ``parts``."""
+        for exposure in [e for e in self._exposures if set(parts) <= set(e.parts)]:
             exposure.stop()
 
     async def inspect(
--- a/lavendershift/datagrams.py
+++ b/lavendershift/datagrams.py
@@ -18,15 +18,17 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from datetime import timedelta
 from functools import reduce
 from operator import or_
-from typing import Any, TypeVar, cast
+from typing import Any, Generic, TypeVar, cast
 
 import msgspec
 
 MESSAGES: list[type[msgspec.Struct]] = []
 Peer = tuple[str, int]  # host and port of a UDP socket
 Message = TypeVar("Message", bound=msgspec.Struct)
+Result = TypeVar("Result")
 
 
 def register_message(kind: type[Message]) -> type[Message]:
@@ -35,6 +37,36 @@
     return kind
 
 
+class Replies(Generic[Result]):
+    """Replies that requests to other VMs wait for, identified by a number."""
+
+    def __init__(self) -> None:
+        self._pending: dict[int, asyncio.Future[Result]] = {}
+        self._number = 0
+
+    async def wait(self, send: Callable[[int], None], timeout: timedelta) -> Result:
+        """Call ``send`` with a new number, and return the reply to it.
+
+        Raises ``TimeoutError``.
+        """
+        self._number += 1
+        number = self._number
+        reply: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        self._pending[number] = reply
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                send(number)
+                return await reply
+        finally:
+            del self._pending[number]
+
+    def resolve(self, number: int, result: Result) -> None:
+        """End the wait for the reply to ``number``, unless it has ended."""
+        waiting = self._pending.get(number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(result)
+
+
 class Datagrams(asyncio.DatagramProtocol):
     """Sends and receives all messages of a process on one UDP port.
 
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -11,6 +11,7 @@
 import contextlib
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
@@ -30,12 +31,20 @@
     Connection,
     ConnectionPool,
     Exchange,
+    is_delimited,
 )
 from lavendershift.crashes import CrashDetector, Exposure
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.permits import Permits
 from lavendershift.progresstimeouts import ProgressTimeout
+from lavendershift.quarantine import (
+    CRASH_SEPARATION,
+    Block,
+    Parts,
+    Quarantine,
+    make_quarantine_error,
+)
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serverlist import Assignment, ServerList
 from lavendershift.serverresponses import SERVER_ERRORS, AttemptReader, ServerResponse
@@ -110,12 +119,24 @@
             self._watchdog.reschedule(self._timeout.deadline)
 
 
+class Backends(NamedTuple):
+    """The access of this VM to backend servers."""
+
+    servers: ServerList
+    connections: ConnectionPool
+    permits: Permits
+    crashes: CrashDetector
+    quarantine: Quarantine
+    wire: ServerWire
+
+
 class Delivery:
     """Delivers one request in one or more attempts.
 
     ``spend_retry`` is called before another attempt with the end of the previous one.
     It takes a token of the retry budget, and returns false if there is none.
     ``on_attempt`` is called with the report of each attempt.
+    ``trial`` may be set to quarantined parts of which the request is a trial.
     """
 
     def __init__(
@@ -124,11 +145,7 @@
         request: CallerRequest,
         route: Route,
         service: Service,
-        servers: ServerList,
-        connections: ConnectionPool,
-        permits: Permits,
-        crashes: CrashDetector,
-        wire: ServerWire,
+        backends: Backends,
         response: ResponseWriter,
         spend_retry: Callable[[AttemptEnd], bool],
         on_attempt: Callable[[AttemptReport], None],
@@ -140,14 +157,16 @@
         if route.repeat is Repeat.RESUME:
             self.position = read_position(request.resumed_after)
         self.first_status = 0
+        self.trial: Parts | None = None
         self._clock = clock
         self._request = request
         self._service = service
-        self._servers = servers
-        self._connections = connections
-        self._permits = permits
-        self._crashes = crashes
-        self._wire = wire
+        self._servers = backends.servers
+        self._connections = backends.connections
+        self._permits = backends.permits
+        self._crashes = backends.crashes
+        self._quarantine = backends.quarantine
+        self._wire = backends.wire
         self._response = response
         self._spend_retry = spend_retry
         self._on_attempt = on_attempt
@@ -167,6 +186,9 @@
         self._known_limit: float | None = None
         self._named_limit: float | None = None
         self._exposure: Exposure | None = None
+        self._parts = (request.prompt or NO_PROMPT).part_ids
+        # Set if the request may be the cause of a server's crash.
+        self._is_suspicious = False
         self._is_prompt_read = False
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
@@ -219,6 +241,8 @@
             return self._connect_failures < MAX_CONNECT_FAILURES
         if end is AttemptEnd.NO_PERMIT:
             return True
+        if self._is_suspicious or self._find_block() is not None:
+            return False
         if self._sends >= MAX_SENDS or self._possible_runs >= self.route.max_attempts:
             return False
         if not end.did_not_run and not self._may_repeat():
@@ -245,6 +269,9 @@
             self._response.send(response.status, headers, response.body)
             return
         if self._possible_runs == 0:
+            block = self._find_block()
+            if block is not None:
+                raise make_quarantine_error(block)
             delay = self._servers.find_permit_delay(self._service.name, self._urgency)
             if delay is not None:
                 raise RequestError(ErrorKind.OVERLOADED, "limits of servers", delay)
@@ -298,9 +325,9 @@
             else:
                 connection.close()
         if self._is_suspect(server, exposure, end, reader):
-            has_begun = reader.kind is ResponseKind.OWN
-            await self._crashes.inspect(server, exposure, has_begun)
-        self._update_server_state(server, end)
+            await self._inspect_break(server, exposure, reader)
+        if not exposure.was_stopped:
+            self._update_server_state(server, end)
         if end.did_not_run:
             self._possible_runs -= 1
         self._report_attempt(entry.id, end, reason, reader, started)
@@ -308,8 +335,7 @@
 
     def _expose(self, connection: Connection) -> Exposure:
         """Register the request as one that may crash its server."""
-        prompt = self._request.prompt or NO_PROMPT
-        self._exposure = self._crashes.expose(prompt.part_ids, connection.close)
+        self._exposure = self._crashes.expose(self._parts, connection.close)
         return self._exposure
 
     def _end_exposure(self) -> None:
@@ -317,6 +343,30 @@
             self._crashes.end(self._exposure)
             self._exposure = None
 
+    def _note_answer(self) -> None:
+        """Record that the server responds to the prompt without a crash."""
+        if self._exposure is not None and self._parts:
+            self._quarantine.note_answer(self._parts)
+        self._end_exposure()
+
+    def _find_block(self) -> Block | None:
+        """Return the quarantine that stops the request, unless it is a trial of it."""
+        block = self._quarantine.find(self._parts)
+        return None if block is None or block.parts == self.trial else block
+
+    async def _inspect_break(
+        self, server: ListedServer, exposure: Exposure, reader: AttemptReader
+    ) -> None:
+        """Find out whether the server crashed, perhaps because of this request."""
+        has_begun = reader.kind is ResponseKind.OWN
+        was_suspicious = self._quarantine.is_suspicious(self._parts)
+        is_crash = await self._crashes.inspect(server, exposure, has_begun)
+        if is_crash and was_suspicious:
+            self._is_suspicious = has_begun
+            if not has_begun:
+                # If the next server crashes as well, it counts as a second crash.
+                await asyncio.sleep(CRASH_SEPARATION.total_seconds())
+
     def _is_suspect(
         self,
         server: ListedServer,
@@ -340,6 +390,7 @@
         while a connection is opened or its keeper is asked for a permit. Raises
         ``_UnsentError``.
         """
+        self._check_quarantine()
         was_limited = await self._take_permit(server)
         try:
             connection = await self._open_connection(server)
@@ -349,6 +400,7 @@
         try:
             if not was_limited:
                 await self._take_permit(server)
+            self._check_quarantine()
             if not self._servers.is_usable(server):
                 raise _UnsentError(AttemptEnd.NOT_SENT, "it left meanwhile")
         except _UnsentError:
@@ -359,6 +411,11 @@
             raise
         return connection
 
+    def _check_quarantine(self) -> None:
+        block = self._find_block()
+        if block is not None:
+            raise _UnsentError(AttemptEnd.QUARANTINED, "/".join(block.parts))
+
     async def _take_permit(self, server: ListedServer) -> bool:
         """Take a permit if the server has a limit, and return whether it has one."""
         self._known_limit = self._servers.find_limit(server)
@@ -435,6 +492,7 @@
             return AttemptEnd.BROKEN
         if reader.is_streamed:
             return await self._finish_stream(reader)
+        self._note_answer()
         response = reader.collect()
         if response.status in SERVER_ERRORS:
             self._server_error = response
@@ -446,9 +504,13 @@
         return AttemptEnd.ANSWERED
 
     async def _finish_stream(self, reader: AttemptReader) -> AttemptEnd:
+        if not (reader.has_event or is_delimited(reader.status, reader.headers)):
+            # A server that crashes may close its connections without a reset.
+            return AttemptEnd.BROKEN
         remainder = reader.take_remainder()
         if remainder is None:
             return reader.refused or AttemptEnd.BROKEN
+        self._note_answer()
         self.position = reader.events.position
         if not self._response.has_started:
             self._start_response(reader)
@@ -478,7 +540,8 @@
         if self._assignment is not None and not self._is_prompt_read:
             self._servers.record_latency(self._assignment)
             self._note_prompt_read(self._assignment)
-        self._end_exposure()
+        if reader.has_event:
+            self._note_answer()
         self._update_longest_gap()
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
@@ -539,6 +602,6 @@
             self._connecting,
             self._known_limit,
             self._named_limit,
-            (self._request.prompt or NO_PROMPT).part_ids,
+            self._parts,
         )
         self._on_attempt(report)
--- a/lavendershift/errors.py
+++ b/lavendershift/errors.py
@@ -47,6 +47,7 @@
     CONFIGURATION_STALE = "configuration_stale"
     IN_PROGRESS = "in_progress"
     SERVER_REFUSED = "server_refused"
+    QUARANTINED = "quarantined"
     SERVER_FAILED = "server_failed"
     ANSWER_TRUNCATED = "answer_truncated"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -132,6 +133,9 @@
     ErrorKind.SERVER_REFUSED: _refuse(
         503, "server_refused", "The backend server refused the request.", 2
     ),
+    ErrorKind.QUARANTINED: _refuse(
+        503, "quarantined", "A part of this prompt crashed backend servers.", 30
+    ),
     ErrorKind.SERVER_FAILED: Answer(
         502,
         Ran.UNKNOWN,
@@ -190,6 +194,7 @@
         ErrorKind.STOPPING,
         ErrorKind.CONFIGURATION_STALE,
         ErrorKind.SERVER_REFUSED,
+        ErrorKind.QUARANTINED,
     }
 )
 
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from lavendershift.attempts import (
@@ -16,19 +16,15 @@
     AttemptReport,
     CallerRequest,
     ResponseWriter,
-    ServerWire,
 )
 from lavendershift.clocks import Clock
-from lavendershift.connections import ConnectionPool
-from lavendershift.crashes import CrashDetector
-from lavendershift.delivery import Delivery
+from lavendershift.delivery import Backends, Delivery
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.pendingtokens import TokenRequest
-from lavendershift.permits import Permits
+from lavendershift.quarantine import Parts, make_quarantine_error
 from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
-from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import PromptShape
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenshortages import TokenShortage, choose_retry_delay, find_wait
@@ -61,11 +57,7 @@
         self,
         clock: Clock,
         rng: random.Random,
-        servers: ServerList,
-        connections: ConnectionPool,
-        permits: Permits,
-        crashes: CrashDetector,
-        wire: ServerWire,
+        backends: Backends,
         draws: TokenDraws,
         reports: RequestReports,
         retry_bounds: RetryBounds,
@@ -73,11 +65,7 @@
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._servers = servers
-        self._connections = connections
-        self._permits = permits
-        self._crashes = crashes
-        self._wire = wire
+        self._backends = backends
         self._draws = draws
         self._reports = reports
         self._bounds = retry_bounds
@@ -88,6 +76,7 @@
         self.is_stopping = False
         self.on_arrival: Callable[[], None] = lambda: None
         self.estimate_peer_tokens: Callable[[str], int | None] = lambda customer: None
+        self.take_trial: Callable[[Parts], Awaitable[bool]] = _refuse_trial
 
     def find_limits(self) -> CallerLimits:
         """Return the size limits and timeouts that apply to callers."""
@@ -127,7 +116,9 @@
         trace.version = table.version
         trace.customer = customer.name if customer else ""
         service = self._choose_service(table, route)
+        trial = await self._check_quarantine(request.prompt)
         delivery = self._make_delivery(request, writer, route, service, customer)
+        delivery.trial = trial
         if customer is None or customer.prepaid is None or request.prompt is None:
             await delivery.run()
         else:
@@ -136,6 +127,18 @@
                 trace, delivery, route, customer, request.prompt, is_urgent
             )
 
+    async def _check_quarantine(self, prompt: PromptShape | None) -> Parts | None:
+        """Return the quarantined parts of which a request is a trial, if any.
+
+        Raises ``RequestError`` if the prompt is in quarantine and no trial is due.
+        """
+        block = self._backends.quarantine.find(prompt.part_ids) if prompt else None
+        if block is None:
+            return None
+        if block.is_trial_due and await self.take_trial(block.parts):
+            return block.parts
+        raise make_quarantine_error(block)
+
     async def _run_prepaid(
         self,
         trace: RequestTrace,
@@ -210,11 +213,7 @@
             request,
             route,
             service,
-            self._servers,
-            self._connections,
-            self._permits,
-            self._crashes,
-            self._wire,
+            self._backends,
             writer,
             take_retry,
             report_attempt,
@@ -251,6 +250,10 @@
             writer.refuse(error)
 
 
+async def _refuse_trial(parts: Parts) -> bool:
+    return False
+
+
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer.
 
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -73,6 +73,7 @@
     "configuration_version": Instrument("Version of the configuration in force."),
     "servers": Instrument("Backend servers known."),
     "servers_limited": Instrument("Backend servers that limit their requests."),
+    "quarantines": Instrument("Quarantines of prompt parts in force."),
     "vms": Instrument("VMs known, this one included."),
     "vms_active": Instrument("VMs that callers are sent to."),
     "belief_age": Instrument("Seconds since a feed was last read.", ("feed",)),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -47,6 +47,8 @@
     SERVER_CHANGED = "server_changed"
     SERVER_LIMITED = "server_limited"
     SERVER_CRASHED = "server_crashed"
+    PARTS_QUARANTINED = "parts_quarantined"
+    PARTS_RELEASED = "parts_released"
     VM_CHANGED = "vm_changed"
     ENTRY_SKIPPED = "entry_skipped"
     SETTINGS_RELOADED = "settings_reloaded"
@@ -103,6 +105,12 @@
         "warning",
         "A server broke off requests before their first event and refuses connections.",
     ),
+    Event.PARTS_QUARANTINED: EventInfo(
+        "warning", "Prompts with these parts aren't sent, as they crashed servers."
+    ),
+    Event.PARTS_RELEASED: EventInfo(
+        "notice", "Prompts with these parts are sent to servers again."
+    ),
     Event.VM_CHANGED: EventInfo("info", "A VM joined, is leaving, or is gone."),
     Event.ENTRY_SKIPPED: EventInfo("warning", "Data that can't be used was skipped."),
     Event.SETTINGS_RELOADED: EventInfo("notice", "The settings were reloaded."),
--- a/lavendershift/permits.py
+++ b/lavendershift/permits.py
@@ -15,7 +15,6 @@
 that the keeper knows, so the newer of the two applies to both.
 """
 
-import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
 from datetime import timedelta
@@ -23,7 +22,7 @@
 import msgspec
 
 from lavendershift.clocks import Clock
-from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.datagrams import Datagrams, Peer, Replies, register_message
 from lavendershift.serverlimits import MIN_RATE, LimitState, ServerLimits
 from lavendershift.serversignals import MAX_INCARNATIONS, Incarnation
 
@@ -139,8 +138,7 @@
         self._buckets = PermitBuckets(clock, limits)
         self._datagrams = datagrams
         self._find_keeper = find_keeper
-        self._pending: dict[int, asyncio.Future[timedelta]] = {}
-        self._number = 0
+        self._replies: Replies[timedelta] = Replies()
         self.on_taken: Callable[[str], None] = lambda outcome: None
         datagrams.handle(PermitRequest, self._handle_request)
         datagrams.handle(PermitReply, self._handle_reply)
@@ -155,8 +153,7 @@
             wait = self._buckets.take(incarnation, urgency)
         else:
             try:
-                async with asyncio.timeout(REPLY_TIMEOUT.total_seconds()):
-                    wait = await self._ask(keeper, incarnation, urgency)
+                wait = await self._ask(keeper, incarnation, urgency)
             except TimeoutError:
                 wait, outcome = NO_REPLY_DELAY, "no_reply"
         if not wait:
@@ -170,19 +167,15 @@
         self, keeper: Peer, incarnation: Incarnation, urgency: int
     ) -> timedelta:
         """Ask the keeper for a permit; return 0, or the time until one is due."""
-        self._number += 1
-        number = self._number
-        reply: asyncio.Future[timedelta] = asyncio.get_running_loop().create_future()
-        self._pending[number] = reply
         state = self._limits.find_state(incarnation)
-        request = PermitRequest(
-            number, *incarnation, state.rate, state.version, urgency
-        )
-        self._datagrams.send(request, [keeper])
-        try:
-            return await reply
-        finally:
-            del self._pending[number]
+
+        def send(number: int) -> None:
+            request = PermitRequest(
+                number, *incarnation, state.rate, state.version, urgency
+            )
+            self._datagrams.send(request, [keeper])
+
+        return await self._replies.wait(send, REPLY_TIMEOUT)
 
     def _handle_request(self, request: PermitRequest, sender: Peer) -> None:
         """Grant or refuse a permit, or forward the request to the server's keeper.
@@ -214,6 +207,4 @@
     def _handle_reply(self, reply: PermitReply, sender: Peer) -> None:
         incarnation = (reply.server, reply.born)
         self._limits.merge(incarnation, LimitState(reply.rate, reply.version))
-        waiting = self._pending.get(reply.number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(timedelta(seconds=reply.wait_s))
+        self._replies.resolve(reply.number, timedelta(seconds=reply.wait_s))
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -19,12 +19,14 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashes import CrashDetector, Suspect
 from lavendershift.datagrams import Datagrams, Peer
+from lavendershift.delivery import Backends
 from lavendershift.errors import LogUnavailableError
+from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
 from lavendershift.instruments import Instruments
 from lavendershift.leases import LeaseBook, read_boot_id
-from lavendershift.limitgossip import LimitGossip
+from lavendershift.limitgossip import LimitFacts
 from lavendershift.logoutput import StandardOutputHandler
 from lavendershift.logs import Event, EventFields, EventLog, LibraryHandler, format_line
 from lavendershift.permits import Permits
@@ -42,6 +44,12 @@
 from lavendershift.platform.serverwire import PlatformServerWire
 from lavendershift.platform.store import StoreClient
 from lavendershift.prepaid import LARGE_FLEET
+from lavendershift.quarantine import Parts, Quarantine, QuarantineState
+from lavendershift.quarantinegossip import (
+    CrashGossip,
+    QuarantineFacts,
+    make_keeper_key,
+)
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlimits import LimitState
@@ -51,6 +59,7 @@
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
+from lavendershift.trials import Trials
 from lavendershift.vmlist import VmList, VmRow
 from lavendershift.workingset import Activity, WorkingSet, estimate_capacity
 
@@ -123,10 +132,24 @@
         self._servers.on_invalid_limit = self._note_invalid_limit
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
-        self._limit_gossip = LimitGossip(
-            self._servers.limits,
+        self._quarantine = Quarantine(clock, rng)
+        self._quarantine.on_change = self._note_quarantine
+        self._limit_facts = LimitFacts(self._servers.limits)
+        self._quarantine_facts = QuarantineFacts(clock, self._quarantine)
+        self._fact_gossip = FactGossip(
+            [self._limit_facts, self._quarantine_facts],
+            self._datagrams,
+            self._list_all_peers,
+            self._find_keeper,
+        )
+        self._crash_gossip = CrashGossip(
+            self._quarantine, self._datagrams, self._list_all_peers, rng
+        )
+        trials = Trials(
+            clock,
+            self._quarantine,
+            self._quarantine_facts,
             self._datagrams,
-            lambda: self._vms.list_peers(self._vms.list_names()),
             self._find_keeper,
         )
         permits = Permits(
@@ -178,16 +201,20 @@
         self._gateway = Gateway(
             clock,
             rng,
-            self._servers,
-            self._connections,
-            permits,
-            self._crashes,
-            PlatformServerWire(),
+            Backends(
+                self._servers,
+                self._connections,
+                permits,
+                self._crashes,
+                self._quarantine,
+                PlatformServerWire(),
+            ),
             self._draws,
             RequestReports(clock, log, self._instruments),
             RetryBounds(settings.retry_share, settings.retry_slack),
             self._find_retry_share,
         )
+        self._gateway.take_trial = trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
         self._callers = CallerServer(clock, self._gateway)
@@ -255,7 +282,7 @@
             self._stocks.run(),
             self._maintain_row(),
             self._gossip.run(),
-            self._limit_gossip.run(),
+            self._fact_gossip.run(),
             self._close_stale_connections(),
         )
         self._tasks = [asyncio.ensure_future(self._run_loop(loop)) for loop in loops]
@@ -349,6 +376,8 @@
         instruments.set_gauge("servers", len(self._servers))
         limited = self._servers.limits.list_limited()
         instruments.set_gauge("servers_limited", len(limited))
+        quarantines = len(self._quarantine.list_active())
+        instruments.set_gauge("quarantines", quarantines)
         instruments.set_gauge("vms", self._vms.count())
         instruments.set_gauge("vms_active", self._working_set.count())
         now = self._clock.elapsed()
@@ -401,7 +430,7 @@
             fields["known_limit"] = state.rate
         self._log.write(Event.SERVER_LIMITED, **fields)
         if is_own:
-            self._limit_gossip.announce(incarnation, state)
+            self._fact_gossip.announce(self._limit_facts, {incarnation: state})
 
     def _note_crash(
         self, incarnation: Incarnation, suspects: Sequence[Suspect]
@@ -415,15 +444,43 @@
                 parts=",".join(suspect.parts),
                 result="begun" if suspect.has_begun else "waiting",
             )
+        self._crash_gossip.report_crash(incarnation, suspects)
+
+    def _note_quarantine(
+        self, parts: Parts, state: QuarantineState, cause: str, is_own: bool
+    ) -> None:
+        """Handle the begin or end of a quarantine.
+
+        If all VMs reach the same verdict, only those that saw the crash and the
+        quarantine's keeper announce it.
+        """
+        self._log.write(
+            Event.PARTS_QUARANTINED if state.is_active else Event.PARTS_RELEASED,
+            parts="/".join(parts),
+            version=state.version,
+            reason=cause,
+        )
+        if state.is_active:
+            self._crashes.stop_exposed(parts)
+        is_keeper = self._find_keeper(make_keeper_key(parts)) is None
+        if is_own or (cause == "crash" and is_keeper):
+            self._fact_gossip.announce(self._quarantine_facts, {parts: state})
 
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
         self._instruments.count("skipped_entries", "limit")
         self._log.write(Event.ENTRY_SKIPPED, server=entry.id, name="limit")
 
-    def _find_keeper(self, server: str) -> Peer | None:
-        """Return the VM that grants a server's permits, ``None`` if it is this one."""
+    def _list_all_peers(self) -> list[Peer]:
+        """Return the datagram addresses of all other VMs."""
+        return self._vms.list_peers(self._vms.list_names())
+
+    def _find_keeper(self, key: str) -> Peer | None:
+        """Return the VM that keeps a server's permits or another fact.
+
+        Returns ``None`` if it is this one.
+        """
         ranked = self._working_set.rank_members()
-        name = self._vms.choose_keeper(server, ranked)
+        name = self._vms.choose_keeper(key, ranked)
         if name == self._vms.own.name:
             return None
         (address,) = self._vms.list_peers([name])
--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -11,11 +11,12 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashes import CrashDetector
 from lavendershift.datagrams import Datagrams
-from lavendershift.delivery import Delivery
+from lavendershift.delivery import Backends, Delivery
 from lavendershift.errors import RequestError
 from lavendershift.permits import Permits
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.serverwire import PlatformServerWire
+from lavendershift.quarantine import Quarantine
 from lavendershift.routes import Repeat, Route, Service, ServiceShare
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ServerEntry
@@ -73,6 +74,10 @@
             self.clock, self.servers.limits, Datagrams(), lambda server: None
         )
         self.crashes = CrashDetector(self.connections.is_refused)
+        self.quarantine = Quarantine(self.clock, random.Random(2))
+        self.crashes.on_crash = lambda incarnation, suspects: (
+            self.quarantine.note_crash(incarnation, suspects, is_own=True)
+        )
         self.backends = []
         self.notes = []
         self.retries = 10
@@ -136,11 +141,14 @@
             request or self.make_request(),
             route,
             Service("index", tokens_per_event=5),
-            self.servers,
-            self.connections,
-            self.permits,
-            self.crashes,
-            PlatformServerWire(),
+            Backends(
+                self.servers,
+                self.connections,
+                self.permits,
+                self.crashes,
+                self.quarantine,
+                PlatformServerWire(),
+            ),
             answer,
             spend,
             self.notes.append,
--- /dev/null
+++ b/lavendershift/platform/tests/test_suspects.py
@@ -0,0 +1,208 @@
+"""Tests of deliveries to servers that crash on parts of prompts."""
+
+import asyncio
+
+import pytest
+
+from lavendershift.attempts import AttemptEnd
+from lavendershift.errors import ErrorKind, Ran, RequestError
+from lavendershift.quarantine import QuarantineState
+from lavendershift.routes import Repeat
+from lavendershift.serverstates import PromptPart, PromptShape
+from lavendershift_standins.platformserver import (
+    CrashOutput,
+    answer_error,
+    keep_silent,
+    reset,
+    send_invalid_http,
+    stream,
+)
+
+
+def make_prompt(*parts):
+    return PromptShape(tuple(PromptPart(part, 10) for part in parts), 30, 10)
+
+
+async def add_crashing(scene, output=CrashOutput.HEAD):
+    server = await scene.add_server()
+    server.default = stream(4)
+    server.crash_parts = {"dead"}
+    server.crash_output = output
+    return server
+
+
+def make_request(scene, number, *parts):
+    request = scene.make_request(number)._replace(prompt=make_prompt(*parts))
+    entries = ",".join(f"{part}:10" for part in parts)
+    request.headers["X-Lavendershift-Prompt-Prefix"] = entries
+    return request
+
+
+async def send(scene, number, *parts, **options):
+    """Deliver a request and return its error kind, ``None`` if there was none."""
+    request = make_request(scene, number, *parts)
+    options = {"is_stream": True, "repeat": Repeat.RESUME, "attempts": 2} | options
+    try:
+        await scene.deliver(request=request, **options)
+    except RequestError as error:
+        return error.kind
+    return None
+
+
+@pytest.mark.parametrize("output", [CrashOutput.HEAD, CrashOutput.PARTIAL_EVENT])
+def test_a_request_that_may_have_crashed_its_server_is_not_repeated(play, output):
+    async def work(scene):
+        servers = [await add_crashing(scene, output) for _ in range(4)]
+        assert await send(scene, 1, "a", "dead", "x") is ErrorKind.SERVER_FAILED
+        assert sum(server.crashed_at is not None for server in servers) == 1
+
+    play(work)
+
+
+@pytest.mark.parametrize("output", list(CrashOutput))
+def test_few_servers_crash_and_sound_prompts_are_served(play, output):
+    async def work(scene):
+        servers = [await add_crashing(scene, output) for _ in range(8)]
+        for number in range(20):
+            await send(scene, number, "a", "dead", f"x{number}")
+            assert await send(scene, 100 + number, "a", f"y{number}", "z") is None
+            await asyncio.sleep(0.06)
+        assert sum(server.crashed_at is not None for server in servers) <= 5
+        with pytest.raises(RequestError) as caught:
+            request = make_request(scene, 99, "b", "dead", "x")
+            await scene.deliver(request=request, is_stream=True)
+        assert caught.value.kind is ErrorKind.QUARANTINED
+        assert caught.value.answer.ran is Ran.NO
+
+    play(work)
+
+
+def test_a_sound_request_that_a_crash_breaks_off_goes_on_at_another_server(play):
+    async def work(scene):
+        crashing = await add_crashing(scene)
+        crashing.default = keep_silent
+        waiting = asyncio.ensure_future(send(scene, 1, "a", "b", "own"))
+        while not crashing.received:
+            await asyncio.sleep(0.01)
+        other = await add_crashing(scene)
+        crashing.crash()
+        assert await waiting is None
+        assert [received.id for received in other.received] == ["r1"]
+
+    play(work)
+
+
+def test_a_known_sound_request_that_had_begun_is_repeated(play):
+    async def work(scene):
+        other = await add_crashing(scene)
+        assert await send(scene, 1, "a", "b", "own1") is None
+        other.default = stream(4, cut_after=0, partial=3, cut=keep_silent)
+        waiting = asyncio.ensure_future(send(scene, 2, "a", "b", "own2"))
+        while len(other.received) < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        sound = await add_crashing(scene)
+        other.crash()
+        assert await waiting is None
+        assert [received.id for received in sound.received] == ["r2"]
+
+    play(work)
+
+
+def test_requests_in_flight_with_a_quarantined_part_are_stopped(play):
+    async def work(scene):
+        server = await add_crashing(scene)
+        server.read_s = 0.3
+        waiting = asyncio.ensure_future(send(scene, 1, "a", "dead", "own"))
+        while not server.received:
+            await asyncio.sleep(0.01)
+        at = scene.clock.elapsed() * 2
+        scene.quarantine.on_change = lambda parts, *_: scene.crashes.stop_exposed(parts)
+        scene.quarantine.merge(("dead",), QuarantineState(True, 1, 0, at))
+        assert await waiting is ErrorKind.SERVER_FAILED
+        await asyncio.sleep(0.4)
+        assert server.crashed_at is None
+        # The end of the connection is not booked to the server.
+        listed = scene.servers.find(server.name)
+        assert not scene.servers._is_avoided(listed)
+        assert await send(scene, 2, "a", "b", "own") is None
+
+    play(work)
+
+
+def test_a_part_quarantined_during_a_connect_is_not_sent(play):
+    async def work(scene):
+        server = await add_crashing(scene)
+        connect = scene.connections.connect
+
+        async def connect_slowly(address, timeout):
+            connection = await connect(address, timeout)
+            at = scene.clock.elapsed() * 2
+            scene.quarantine.merge(("dead",), QuarantineState(True, 1, 0, at))
+            return connection
+
+        scene.connections.connect = connect_slowly
+        assert await send(scene, 1, "a", "dead", "x") is ErrorKind.QUARANTINED
+        assert server.received == []
+        assert scene.ends == [AttemptEnd.QUARANTINED]
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        reset,
+        answer_error,
+        send_invalid_http,
+        stream(4, cut_after=0, partial=0),
+        stream(4, cut_after=0, partial=5),
+        stream(4, cut_after=2),
+    ],
+)
+def test_a_server_that_goes_on_has_not_crashed(play, behaviour):
+    async def work(scene):
+        crashes = []
+        scene.crashes.on_crash = lambda *crash: crashes.append(crash)
+        await scene.add_server(*[behaviour] * 6)
+        for number in range(6):
+            await send(scene, number, "a", "b", f"x{number}")
+        assert crashes == []
+
+    play(work)
+
+
+def test_a_server_that_leaves_has_not_crashed(play):
+    async def work(scene):
+        crashes = []
+        scene.crashes.on_crash = lambda *crash: crashes.append(crash)
+        server = await add_crashing(scene)
+        server.default = keep_silent
+        waiting = asyncio.ensure_future(send(scene, 1, "a", "b", "own"))
+        while not server.received:
+            await asyncio.sleep(0.01)
+        scene.list_server(server, is_leaving=True, sequence=2)
+        server.crash()
+        assert await waiting is not None
+        assert crashes == []
+
+    play(work)
+
+
+def test_streams_with_events_are_no_suspects_of_a_crash(play):
+    async def work(scene):
+        crashes = []
+        scene.crashes.on_crash = lambda *crash: crashes.append(crash)
+        server = await add_crashing(scene)
+        server.default = stream(4, cut_after=2, cut=keep_silent)
+        waiting = asyncio.ensure_future(
+            send(scene, 1, "a", "b", "own", repeat=Repeat.NEVER)
+        )
+        while not server.received:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        server.crash()
+        assert await waiting is ErrorKind.ANSWER_TRUNCATED
+        assert crashes == []
+
+    play(work)
--- a/lavendershift/tests/limitsimulation.py
+++ b/lavendershift/tests/limitsimulation.py
@@ -15,7 +15,8 @@
 import msgspec
 
 from lavendershift.datagrams import Datagrams
-from lavendershift.limitgossip import REPEAT_INTERVAL, LimitGossip
+from lavendershift.factgossip import REPEAT_INTERVAL, FactGossip
+from lavendershift.limitgossip import LimitFacts
 from lavendershift.permits import Permits
 from lavendershift.serverlist import ServerList
 from lavendershift.serversignals import ServerSignal
@@ -97,8 +98,9 @@
             self.list_server(server)
         self.datagrams = Datagrams()
         self.datagrams.send = self._send
-        self.gossip = LimitGossip(
-            self.servers.limits,
+        self.limit_facts = LimitFacts(self.servers.limits)
+        self.gossip = FactGossip(
+            [self.limit_facts],
             self.datagrams,
             self._list_peers,
             self._find_keeper,
@@ -138,7 +140,7 @@
 
     def _note_limit(self, incarnation, state, is_own):
         if is_own:
-            self.gossip.announce(incarnation, state)
+            self.gossip.announce(self.limit_facts, {incarnation: state})
 
     def _send(self, message, peers):
         data = msgspec.msgpack.encode(message)
--- a/lavendershift/tests/test_crashes.py
+++ b/lavendershift/tests/test_crashes.py
@@ -88,6 +88,6 @@
         for name, parts in {"1": ("a", "b"), "2": ("c",), "3": ("b",)}.items()
     }
     detector.end(exposures["3"])
-    detector.stop_exposed("b")
+    detector.stop_exposed(["a", "b"])
     assert stopped == ["1"]
     assert [e.was_stopped for e in exposures.values()] == [True, False, False]
--- /dev/null
+++ b/lavendershift/trials.py
@@ -0,0 +1,133 @@
+"""Trials of quarantined prompts, one at a time for all VMs together.
+
+A quarantined part gets no more responses that could clear it. After some time one
+request with it is sent as a trial: a response ends the quarantine, and another crash
+prolongs it. A VM that has such a request asks the quarantine's keeper for the trial. No
+reply, no trial::
+
+    trials = Trials(clock, quarantine, facts, datagrams, find_keeper)
+    if await trials.take(block.parts):
+        ...
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from lavendershift.clocks import Clock
+from lavendershift.datagrams import Datagrams, Peer, Replies, register_message
+from lavendershift.quarantine import MAX_QUARANTINES, Parts, Quarantine
+from lavendershift.quarantinegossip import (
+    QuarantineFact,
+    QuarantineFacts,
+    make_keeper_key,
+)
+
+REPLY_TIMEOUT = timedelta(milliseconds=100)
+# Time after which a trial without a result is followed by another one.
+TRIAL_TIMEOUT = timedelta(seconds=15)
+
+
+@register_message
+class TrialRequest(msgspec.Struct, array_like=True, tag="trial_request"):
+    """A request for a trial, with the quarantine that its sender knows.
+
+    ``origin`` is the sender's address if another VM forwarded it.
+    """
+
+    number: int
+    quarantine: QuarantineFact
+    origin: Peer | None = None
+
+
+@register_message
+class TrialReply(msgspec.Struct, array_like=True, tag="trial"):
+    """The reply to the request ``number``.
+
+    ``quarantine`` is the state that the keeper knows.
+    """
+
+    number: int
+    is_granted: bool
+    quarantine: QuarantineFact
+
+
+class Trials:
+    """Gets trials from keepers, and grants those of the quarantines kept here.
+
+    ``find_keeper`` returns the address of a keeper, ``None`` if it is this VM.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        quarantine: Quarantine,
+        facts: QuarantineFacts,
+        datagrams: Datagrams,
+        find_keeper: Callable[[str], Peer | None],
+    ) -> None:
+        self._clock = clock
+        self._quarantine = quarantine
+        self._facts = facts
+        self._datagrams = datagrams
+        self._find_keeper = find_keeper
+        self._replies: Replies[bool] = Replies()
+        self._granted_at: dict[Parts, timedelta] = {}
+        datagrams.handle(TrialRequest, self._handle_request)
+        datagrams.handle(TrialReply, self._handle_reply)
+
+    async def take(self, parts: Parts) -> bool:
+        """Return whether a request with the quarantined ``parts`` may be sent now."""
+        keeper = self._find_keeper(make_keeper_key(parts))
+        if keeper is None:
+            return self._grant(parts)
+        state = self._quarantine.find_state(parts)
+        if state is None:
+            return False
+        fact = self._facts.encode_one(parts, state)
+
+        def send(number: int) -> None:
+            self._datagrams.send(TrialRequest(number, fact), [keeper])
+
+        try:
+            return await self._replies.wait(send, REPLY_TIMEOUT)
+        except TimeoutError:
+            return False
+
+    def _grant(self, parts: Parts) -> bool:
+        """Return whether a trial is due and none is under way."""
+        now = self._clock.elapsed()
+        state = self._quarantine.find_state(parts)
+        if state is None or not state.is_active or now < state.trial_at:
+            return False
+        granted_at = self._granted_at.get(parts)
+        if granted_at is not None and now - granted_at < TRIAL_TIMEOUT:
+            return False
+        if len(self._granted_at) >= MAX_QUARANTINES:
+            self._granted_at.clear()
+        self._granted_at[parts] = now
+        return True
+
+    def _handle_request(self, request: TrialRequest, sender: Peer) -> None:
+        """Grant or refuse a trial, or forward the request to the keeper once.
+
+        VMs may disagree on the keeper while the list of VMs changes.
+        """
+        parts = tuple(request.quarantine.parts)
+        keeper = self._find_keeper(make_keeper_key(parts))
+        if keeper is not None and request.origin is None:
+            request.origin = sender
+            self._datagrams.send(request, [keeper])
+            return
+        self._facts.merge(request.quarantine)
+        is_granted = keeper is None and self._grant(parts)
+        state = self._quarantine.find_state(parts)
+        assert state is not None  # merged above
+        fact = self._facts.encode_one(parts, state)
+        reply = TrialReply(request.number, is_granted, fact)
+        self._datagrams.send(reply, [request.origin or sender])
+
+    def _handle_reply(self, reply: TrialReply, sender: Peer) -> None:
+        self._facts.merge(reply.quarantine)
+        self._replies.resolve(reply.number, reply.is_granted)
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -182,17 +182,17 @@
         by_name = {row.name: row for row in [*rows, self.own]}
         return [by_name[name] for name in rank_by_hash(list(by_name), customer)]
 
-    def choose_keeper(self, server: str, candidates: Iterable[Sequence[str]]) -> str:
-        """Return the name of the VM that grants the permits of a backend server.
+    def choose_keeper(self, key: str, candidates: Iterable[Sequence[str]]) -> str:
+        """Return the name of the VM that keeps a server's permits or another fact.
 
         ``candidates`` are the names of the VMs of each failure domain in a ranking
         that is the same on all VMs. The first of each domain that can be reached
-        stands for its domain, and a hash of ``server`` chooses among these.
+        stands for its domain, and a hash of ``key`` chooses among these.
         """
         leaders = []
         for ranked in candidates:
             leaders += [name for name in ranked if self._is_reachable(name)][:1]
-        return rank_by_hash(leaders, server)[0] if leaders else self.own.name
+        return rank_by_hash(leaders, key)[0] if leaders else self.own.name
 
     def _is_reachable(self, name: str) -> bool:
         """Whether nothing shows that a VM can't be reached.
