--- a/lavendershift/tests/limitsimulation.py
+++ b/lavendershift/tests/limitsimulation.py
@@ -197,6 +197,8 @@
     callers, ``response_s`` the mean time of a response.
     """
 
+    vm_type = SimulatedVm
+
     def __init__(self, seed, vms, servers=3, demand=40.0, loss=0.0, response_s=0.05):
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
@@ -205,7 +207,7 @@
         self.is_store_down = False
         self.refused = 0
         self.datagrams = Counter()
-        self.vms = [SimulatedVm(self, number) for number in range(vms)]
+        self.vms = [self.vm_type(self, number) for number in range(vms)]
         self.tasks = set()
 
     def find_server(self, name):
