Play deadly prompts in the soak and check their arrivals over all nodes

While the fault lasts, a fifth of the callers' prompts have a part with which each server crashes: with nothing sent, after the head, or inside an event. A crashed server refuses connections and is back after a second as a new incarnation.

--- a/lavendershift/platform/tests/soak/callers.py
+++ b/lavendershift/platform/tests/soak/callers.py
@@ -42,11 +42,12 @@
 class Caller(threading.Thread):
     """Sends one request at a time until it is stopped."""
 
-    def __init__(self, number, rng, nodes):
+    def __init__(self, number, rng, world):
         super().__init__(daemon=True)
         self._number = number
         self._rng = rng
-        self._nodes = nodes
+        self._nodes = world.nodes
+        self._world = world
         self._sent = 0
         self._addresses = {}
         self._resolved_at = -ADDRESS_TTL_S
@@ -104,7 +105,9 @@
         }
         if tokens:
             headers["X-Lavendershift-Token-Usage"] = f"{tokens},{OUTPUT_TOKENS}"
-            headers["X-Lavendershift-Prompt-Prefix"] = f"ab:40,{request_id}:10"
+            part = self._world.sent_part
+            shared = f"ab:20,{part}:20" if part and rng.random() < 0.2 else "ab:40"
+            headers["X-Lavendershift-Prompt-Prefix"] = f"{shared},{request_id}:10"
         connection = self._connections.pop(node.name, None)
         is_reused = connection is not None
         if connection is None:
--- a/lavendershift/platform/tests/soak/faults.py
+++ b/lavendershift/platform/tests/soak/faults.py
@@ -146,6 +146,19 @@
     return lambda: [world.end_limit(server) for server in chosen]
 
 
+@register_fault(3, 8.0)
+def send_deadly_prompts(world, rng):
+    """Let a part of the callers' prompts crash each server that responds to it."""
+    if world.sent_part:
+        return None
+    world.send_deadly_part(rng.choice(list(platformserver.CrashOutput)))
+
+    def undo():
+        world.sent_part = ""
+
+    return undo
+
+
 @register_fault(2, 0.0)
 def request_pause(world, rng):
     server = rng.choice(world.servers[rng.choice(list(world.servers))])
--- a/lavendershift/platform/tests/soak/links.py
+++ b/lavendershift/platform/tests/soak/links.py
@@ -37,7 +37,8 @@
         self._blackhole = asyncio.Event()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen, on the same port as before if the link was stopped."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self):
--- a/lavendershift/platform/tests/soak/violations.py
+++ b/lavendershift/platform/tests/soak/violations.py
@@ -5,7 +5,7 @@
 
 from lavendershift.logs import Event
 from lavendershift.platform.tests.soak.callers import OUTPUT_TOKENS
-from lavendershift.tests.limitbounds import find_excess
+from lavendershift.tests.limitbounds import STABLE_WINDOW_S, find_excess
 from lavendershift_standins.platformserver import make_event
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # responses to requests that never run
@@ -16,6 +16,8 @@
 DRAIN_S = 2.0  # time until nodes stop using a draining or leaving server
 PAUSE_DELAY_S = 0.5  # time until a node applies a Retry-After of a server
 MAX_PAUSE_REQUESTS = 2  # requests that a node may send a server during its Retry-After
+MAX_CRASHES = 5  # crashes after which requests with a deadly part have to stop
+MAX_LATE_DEADLY = 3  # requests with the part that may still reach servers
 MAX_NODE_PAUSE_S = 5.0  # maximum duration of a SIGSTOP
 # Maximum duration of a request that fails because its node closes the reused
 # connection at the same moment.
@@ -50,6 +52,7 @@
     violations += check_departures(world, calls)
     violations += check_pauses(world, calls)
     violations += check_limits(world, calls)
+    violations += check_deadly_parts(world, calls, received)
     violations += check_logs(world)
     if len(calls) < 100 or not any(call.status == 200 for call in calls):
         violations.append(
@@ -217,6 +220,34 @@
             yield f"{server.name} with the limit {limit} got {excess}"
 
 
+def check_deadly_parts(world, calls, received):
+    """Check that requests with a deadly part stop after a few crashes.
+
+    At most ``MAX_LATE_DEADLY`` may reach servers later than ``STABLE_WINDOW_S`` after
+    the last of ``MAX_CRASHES`` crashes, those of disturbed nodes left out.
+    """
+    nodes = {each.id: each.node for each in calls}
+    for part in world.deadly_parts:
+        arrivals = sorted(
+            (each.at, nodes[each.id])
+            for each in received
+            if part in each.parts and each.id in nodes
+        )
+        if not arrivals:
+            continue
+        crashes = [at for at in sorted(world.crashes) if at >= arrivals[0][0]]
+        if len(crashes) < MAX_CRASHES:
+            continue
+        since = crashes[MAX_CRASHES - 1] + STABLE_WINDOW_S
+        late = [
+            node
+            for at, node in arrivals
+            if at > since and not is_disturbed(world, node, at, at)
+        ]
+        if len(late) > MAX_LATE_DEADLY:
+            yield f"{len(late)} requests with {part} reached servers late"
+
+
 def is_disturbed(world, node, since, until):
     """Return whether a node was paused or started between two times.
 
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections import defaultdict
+from functools import partial
 
 import msgspec
 
@@ -48,6 +49,9 @@
         self.pauses = []
         self.limiting = {}
         self.limits = []
+        self.deadly_parts = []
+        self.sent_part = ""
+        self.crashes = []
         self.disturbed = defaultdict(list)
         self.server_links = {}
         self.store_links = []
@@ -70,8 +74,10 @@
             node.is_running, node.stopping, node.launched_at = False, None, 0.0
         for server in self.servers["pool"]:
             server.default = stream(8, pause_s=0.01)
+            server.read_s = 0.05
+            server.on_crash = partial(self._note_crash, server)
         self.callers = [
-            Caller(n, random.Random(f"{seed}/{n}"), self.nodes) for n in range(CALLERS)
+            Caller(n, random.Random(f"{seed}/{n}"), self) for n in range(CALLERS)
         ]
         self._heartbeats = threading.Thread(target=self._send_heartbeats, daemon=True)
         self._is_finished = threading.Event()
@@ -133,8 +139,34 @@
     def _send_heartbeats(self):
         while not self._is_finished.wait(HEARTBEAT_S):
             with self.lock:
+                self._restart_crashed_servers()
                 self.write_server_entries()
 
+    def _note_crash(self, server):
+        """Let the server's link refuse connections, in the loop of the stand-ins."""
+        self.crashes.append(server.crashed_at)
+        self.server_links[server.name].stop()
+
+    def _restart_crashed_servers(self):
+        for server in self.servers["pool"]:
+            if server.crashed_at is None or time.monotonic() < server.crashed_at + 1.0:
+                continue
+            self.thread.run(server.restart())
+            link = self.server_links[server.name]
+            link.target_port = server.port
+            self.thread.run(link.start())
+            self.server_incarnations[server.name] = (
+                self.server_incarnations.get(server.name, 1) + 1
+            )
+
+    def send_deadly_part(self, output):
+        """Let callers send a new part with which the servers of the pool crash."""
+        self.sent_part = f"deadly-{len(self.deadly_parts)}"
+        self.deadly_parts.append(self.sent_part)
+        for server in self.servers["pool"]:
+            server.crash_output = output
+            server.crash_parts.add(self.sent_part)
+
     def drain(self, server):
         with self.lock:
             self.drained[server.name] = time.monotonic()
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -68,6 +68,7 @@
     that the client closed, during a response or between requests, or that a behaviour
     closed. ``crash_parts`` are parts of prompts with which the server crashes after
     ``read_s`` seconds, and ``crash_output`` what it sends of the response before.
+    ``on_crash`` is called at each crash.
     """
 
     def __init__(self, name: str) -> None:
@@ -84,6 +85,7 @@
         self.closed = 0
         self.connections = 0
         self.port = 0
+        self.on_crash: Callable[[], None] = lambda: None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -105,6 +107,12 @@
         self._server.close()
         for writer in list(self._writers):
             abort(writer)
+        self.on_crash()
+
+    async def restart(self) -> None:
+        """Listen again after a crash, on another port."""
+        self.crashed_at = None
+        await self.start()
 
     async def _answer_with_crash(
         self, received: ReceivedRequest, writer: asyncio.StreamWriter
