Count crashes of begun responses 100 ms apart as two

A response that had begun counts now if the crash before is 100 ms old; a request that may have been waiting needs 500 ms, as many of them are at all servers that fail one after the other (a simulated failure of 12 servers in 0.6 s made a sound part guilty with 50 ms for both).

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -39,7 +39,6 @@
 from lavendershift.permits import Permits
 from lavendershift.progresstimeouts import ProgressTimeout
 from lavendershift.quarantine import (
-    CRASH_SEPARATION,
     Block,
     Parts,
     Quarantine,
@@ -62,6 +61,8 @@
 RETRY_RESERVE = timedelta(milliseconds=60)  # least time to the deadline for a retry
 # Part of the timeout kept free, so that the last response reaches the caller in time.
 RESPONSE_RESERVE = timedelta(milliseconds=20)
+# Delay of a retry that may crash the next server too, while other VMs report the crash.
+SUSPECT_DELAY = timedelta(milliseconds=100)
 # Ends of an attempt without a complete response: the connection can't be reused.
 UNFINISHED = frozenset(
     {
@@ -364,8 +365,7 @@
         if is_crash and was_suspicious:
             self._is_suspicious = has_begun
             if not has_begun:
-                # If the next server crashes as well, it counts as a second crash.
-                await asyncio.sleep(CRASH_SEPARATION.total_seconds())
+                await asyncio.sleep(SUSPECT_DELAY.total_seconds())
 
     def _is_suspect(
         self,
--- a/lavendershift/quarantine.py
+++ b/lavendershift/quarantine.py
@@ -39,8 +39,10 @@
 GUILT = 2.0
 # The same for a part that got a response shortly before the first crash.
 GUILT_AFTER_ANSWER = 4.0
-# Time between two crashes that count as two.
-CRASH_SEPARATION = timedelta(milliseconds=250)
+# Time between two crashes that count as two. It is longer for requests that may have
+# been waiting, as many of them are at all servers that fail one after the other.
+BEGUN_SEPARATION = timedelta(milliseconds=100)
+WAITING_SEPARATION = timedelta(milliseconds=500)
 EVIDENCE_LIFETIME = timedelta(minutes=10)
 ANSWER_LIFETIME = timedelta(seconds=30)  # time for which a response is remembered
 # Time until the first trial, doubled after each that crashes a server.
@@ -119,15 +121,18 @@
 
     def weigh(self) -> float:
         """Return the sum of the weights, of crashes at one moment the largest."""
-        total, heaviest = 0.0, 0.0
-        previous: timedelta | None = None
+        total, last_weight = 0.0, 0.0
+        counted_at: timedelta | None = None
         for at, weight in sorted(self.crashes.values()):
-            if previous is not None and at - previous < CRASH_SEPARATION:
-                heaviest = max(heaviest, weight)
-            else:
-                total += heaviest
-                previous, heaviest = at, weight
-        return total + heaviest
+            has_begun = weight >= BEGUN_WEIGHT
+            separation = BEGUN_SEPARATION if has_begun else WAITING_SEPARATION
+            if counted_at is None or at - counted_at >= separation:
+                counted_at, last_weight = at, weight
+                total += weight
+            elif weight > last_weight:
+                total += weight - last_weight
+                last_weight = weight
+        return total
 
 
 class Quarantine:
