Show quarantines in explain, and test streams that end too early

explain prints the quarantines that a request's VM knew. Streams without a length that end before or inside an event, with a crash or without, plain and resumed, are shown not to look complete; the bytes of the new datagrams are fixed by a test.

--- a/lavendershift/commands/explain.py
+++ b/lavendershift/commands/explain.py
@@ -5,7 +5,8 @@
 prints a line for each event of the request, in order of time. The lines before
 them describe the VMs that handled the request: for each VM, the latest event
 about each dependency, the configuration and the process, up to the time of the
-request's first event, and the limits of servers that it knew then.
+request's first event, and the limits of servers and the quarantines of prompt parts
+that it knew then.
 """
 
 import json
@@ -25,8 +26,12 @@
         "configuration_changed",
         "process_started",
         "server_limited",
+        "parts_quarantined",
+        "parts_released",
     }
 )
+# Values that end the state of an earlier event
+ENDED = frozenset({"unlimited", "parts_released"})
 # Fields that ``format_event`` prints without their name, or not at all
 COMMON_FIELDS = frozenset(
     {"time", "level", "event", "vm", "failure_domain", "request", "customer"}
@@ -77,7 +82,7 @@
     """Return the events of a request, preceded by the state of its VMs.
 
     The state is the latest of the ``CONTEXT_EVENTS`` of each VM and dependency, and of
-    each server with a limit, up to the request's first event.
+    each server with a limit and quarantine, up to the request's first event.
     """
     lines = sorted(lines, key=lambda line: line["time"])
     own = [line for line in lines if line.get("request") == request]
@@ -90,9 +95,14 @@
         if line["time"] > first:
             break
         if line["event"] in CONTEXT_EVENTS and line["vm"] in vms:
-            kind = line.get("name") or line.get("server") or line["event"]
+            names = (line.get(field) for field in ("name", "server", "parts"))
+            kind = next((name for name in names if name), line["event"])
             context[line["vm"], kind] = line
-    state = [line for line in context.values() if line.get("result") != "unlimited"]
+    state = [
+        line
+        for line in context.values()
+        if ENDED.isdisjoint((line.get("result"), line["event"]))
+    ]
     before = sorted(state, key=lambda line: line["time"])
     return before + own
 
--- a/lavendershift/platform/tests/test_suspects.py
+++ b/lavendershift/platform/tests/test_suspects.py
@@ -6,19 +6,21 @@
 
 from lavendershift.attempts import AttemptEnd
 from lavendershift.errors import ErrorKind, Ran, RequestError
+from lavendershift.platform.tests.conftest import RecordedResponse
 from lavendershift.quarantine import QuarantineState
 from lavendershift.routes import Repeat
 from lavendershift.serverstates import PromptPart, PromptShape
 from lavendershift_standins.platformserver import (
     CrashOutput,
     answer_error,
+    close,
     keep_silent,
+    make_event,
     reset,
     send_invalid_http,
     stream,
 )
 
-
 MAX_CRASHES = 5  # crashes after which requests with the part have to stop
 STABLE_WINDOW_S = 3.0  # time until they have to
 MAX_LATE = 3  # requests that may still reach servers after that
@@ -64,6 +66,78 @@
     play(work)
 
 
+@pytest.mark.parametrize("resets", [True, False])
+@pytest.mark.parametrize("output", [CrashOutput.HEAD, CrashOutput.PARTIAL_EVENT])
+def test_a_crash_in_a_stream_without_a_length_is_no_end_of_it(play, output, resets):
+    """A process that ends may close its connections as after a complete stream."""
+
+    async def work(scene):
+        crashes = []
+        scene.crashes.on_crash = lambda *crash: crashes.append(crash)
+        server = await add_crashing(scene, output)
+        server.resets_at_crash = resets
+        answer = RecordedResponse()
+        request = make_request(scene, 1, "a", "dead", "x")
+        with pytest.raises(RequestError):
+            await scene.make_delivery(answer, request=request, is_stream=True).run()
+        assert not answer.is_done
+        assert answer.body == b""
+        ((_, (suspect,)),) = crashes
+        assert suspect.has_begun
+
+    play(work)
+
+
+@pytest.mark.parametrize("resumed_events", [0, 2])
+@pytest.mark.parametrize("partial", [0, 5])
+def test_a_stream_without_a_length_that_ends_too_early_is_resumed(
+    play, resumed_events, partial
+):
+    """The first server ends inside an event, the second before or inside its first."""
+
+    async def work(scene):
+        cut = stream(
+            6, cut_after=resumed_events, partial=5, cut=close, is_chunked=False
+        )
+        again = stream(6, cut_after=0, partial=partial, cut=close, is_chunked=False)
+        await scene.add_server(cut)
+        await scene.add_server(again)
+        last = await scene.add_server()
+        last.default = stream(6, is_chunked=False)
+        scene.servers.choose = lambda service, prompt, excluded, urgency: (
+            scene.servers.find(f"i-{len(excluded)}")
+        )
+        answer = await scene.deliver(is_stream=True, repeat=Repeat.RESUME, attempts=3)
+        assert answer.is_done
+        assert answer.body == b"".join(make_event(number) for number in range(1, 7))
+
+    play(work)
+
+
+@pytest.mark.parametrize("partial", [0, 5])
+def test_a_stream_that_may_not_be_resumed_and_ends_too_early_is_an_error(play, partial):
+    async def work(scene):
+        behaviour = stream(6, cut_after=0, partial=partial, cut=close, is_chunked=False)
+        await scene.add_server(behaviour)
+        answer = RecordedResponse()
+        with pytest.raises(RequestError):
+            await scene.make_delivery(answer, is_stream=True).run()
+        assert not answer.is_done
+
+    play(work)
+
+
+@pytest.mark.parametrize("count", [1, 4])
+def test_a_stream_without_a_length_ends_with_its_connection(play, count):
+    async def work(scene):
+        await scene.add_server(stream(count, is_chunked=False))
+        answer = await scene.deliver(is_stream=True)
+        assert answer.is_done
+        assert answer.body.count(b"\n\n") == count
+
+    play(work)
+
+
 @pytest.mark.parametrize("output", list(CrashOutput))
 def test_few_servers_crash_and_sound_prompts_are_served(play, output):
     async def work(scene):
--- a/lavendershift/quarantine.py
+++ b/lavendershift/quarantine.py
@@ -138,8 +138,8 @@
 class Quarantine:
     """Evidence against parts of prompts, and the quarantines in force.
 
-    ``on_change`` is called with the parts, the new state, its cause ("crash", "answer",
-    "operator" or "vm"), and whether this VM saw the cause itself. ``on_cleared`` is
+    ``on_change`` is called with the parts, the new state, its cause ("crash", "answer"
+    or "vm"), and whether this VM saw the cause itself. ``on_cleared`` is
     called with the suspected parts that a response to this VM has cleared.
     """
 
@@ -217,7 +217,7 @@
             self._answered[part] = now
         _drop_oldest(self._answered, MAX_ANSWERED)
         for guilty in self._list_blocking(parts):
-            self._release(guilty, "answer")
+            self._release(guilty)
         if cleared:
             self.on_cleared(cleared)
 
@@ -292,19 +292,13 @@
         if state.supersedes(self._states.get(parts)):
             self._store(parts, state, "vm", is_own=False)
 
-    def release(self, part: str) -> list[Parts]:
-        """End all quarantines with ``part`` on behalf of an operator; return them."""
-        released = [parts for parts in self.list_active() if part in parts]
-        for parts in released:
-            self._release(parts, "operator")
-        return released
-
-    def _release(self, parts: Parts, cause: str) -> None:
+    def _release(self, parts: Parts) -> None:
+        """End a quarantine after a response to a prompt with all of its parts."""
         state = self._states[parts]
         for part in parts:
             self._evidence.pop(part, None)
         released = state._replace(is_active=False, version=state.version + 1)
-        self._store(parts, released, cause, is_own=True)
+        self._store(parts, released, "answer", is_own=True)
 
     def _store(
         self, parts: Parts, state: QuarantineState, cause: str, is_own: bool
--- a/lavendershift/tests/test_explain.py
+++ b/lavendershift/tests/test_explain.py
@@ -34,6 +34,17 @@
     ]
 
 
+def test_timeline_has_the_quarantines_that_the_vm_knew():
+    lines = [
+        make_line("01", "parts_quarantined", parts="5c1e/91bd", version=1),
+        make_line("01", "parts_quarantined", parts="77aa", version=1),
+        make_line("02", "parts_released", parts="77aa", version=2),
+        make_line("03", "request_refused", request="r1", error="quarantined"),
+    ]
+    found = [(line["event"], line.get("parts")) for line in build_timeline("r1", lines)]
+    assert found == [("parts_quarantined", "5c1e/91bd"), ("request_refused", None)]
+
+
 def test_timeline_has_the_limits_of_servers_that_the_vm_knew():
     lines = [
         make_line("01", "server_limited", server="i-1", result="limited"),
--- a/lavendershift/tests/test_storedformats.py
+++ b/lavendershift/tests/test_storedformats.py
@@ -44,6 +44,13 @@
     encode_message,
 )
 from lavendershift.permits import PermitReply, PermitRequest
+from lavendershift.quarantinegossip import (
+    AnsweredParts,
+    CrashReport,
+    QuarantineFact,
+    QuarantineUpdate,
+    SuspectPrompt,
+)
 from lavendershift.records import (
     RECORD_KINDS,
     Abandon,
@@ -74,6 +81,7 @@
 from lavendershift.tokenloans import Loan, LoanRequest
 from lavendershift.tokenstocks import StockReport
 from lavendershift.topups import TopUpEntry
+from lavendershift.trials import TrialReply, TrialRequest
 from lavendershift.verdicts import Status, Verdict
 
 BUDGET = "desks/rennes/plume"
@@ -387,6 +395,32 @@
             ]
         ),
     ),
+    (
+        "95a56372617368a3692d31cf0000018bcfe56800929292a435633165a439"
+        "316264c39291a437376161c291a435633165",
+        CrashReport(
+            "i-1",
+            1700000000000,
+            [SuspectPrompt(["5c1e", "91bd"], True), SuspectPrompt(["77aa"], False)],
+            ["5c1e"],
+        ),
+    ),
+    (
+        "93ae616e7377657265645f706172747391a43563316591cb3fe0000000000000",
+        AnsweredParts(["5c1e"], [0.5]),
+    ),
+    (
+        "92ab71756172616e74696e6573919592a435633165a439316264c30201cb403e800000000000",
+        QuarantineUpdate([QuarantineFact(["5c1e", "91bd"], True, 2, 1, 30.5)]),
+    ),
+    (
+        "94ad747269616c5f72657175657374049591a439316264c30201cbbfe0000000000000c0",
+        TrialRequest(4, QuarantineFact(["91bd"], True, 2, 1, -0.5)),
+    ),
+    (
+        "94a5747269616c04c39591a439316264c20301cbbfe0000000000000",
+        TrialReply(4, True, QuarantineFact(["91bd"], False, 3, 1, -0.5)),
+    ),
     (
         "98ae7065726d69745f7265717565737404a3692d31cf0000018bcfe56800"
         "cb3ff33333333333330305c0",
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -68,7 +68,8 @@
     that the client closed, during a response or between requests, or that a behaviour
     closed. ``crash_parts`` are parts of prompts with which the server crashes after
     ``read_s`` seconds, and ``crash_output`` what it sends of the response before.
-    ``on_crash`` is called at each crash.
+    A crash resets the connections, or closes them if ``resets_at_crash`` is false, and
+    calls ``on_crash``.
     """
 
     def __init__(self, name: str) -> None:
@@ -80,6 +81,7 @@
         self.limit = ""
         self.crash_parts: set[str] = set()
         self.crash_output = CrashOutput.HEAD
+        self.resets_at_crash = True
         self.read_s = 0.0
         self.crashed_at: float | None = None
         self.closed = 0
@@ -100,13 +102,16 @@
             self._server.close()
 
     def crash(self) -> None:
-        """Reset all connections and refuse new ones, as if the process had ended."""
+        """End all connections and refuse new ones, as if the process had ended."""
         if self._server is None or self.crashed_at is not None:
             return
         self.crashed_at = time.monotonic()
         self._server.close()
         for writer in list(self._writers):
-            abort(writer)
+            if self.resets_at_crash:
+                abort(writer)
+            else:
+                writer.close()
         self.on_crash()
 
     async def restart(self) -> None:
