--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -33,17 +33,13 @@
     Exchange,
     is_delimited,
 )
-from lavendershift.crashes import CrashDetector, Exposure
+from lavendershift.crashes import CrashDetector
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.permits import Permits
 from lavendershift.progresstimeouts import ProgressTimeout
-from lavendershift.quarantine import (
-    Block,
-    Parts,
-    Quarantine,
-    make_quarantine_error,
-)
+from lavendershift.promptguards import PromptGuard
+from lavendershift.quarantine import Quarantine, make_quarantine_error
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serverlist import Assignment, ServerList
 from lavendershift.serverresponses import SERVER_ERRORS, AttemptReader, ServerResponse
@@ -61,8 +57,6 @@
 RETRY_RESERVE = timedelta(milliseconds=60)  # least time to the deadline for a retry
 # Part of the timeout kept free, so that the last response reaches the caller in time.
 RESPONSE_RESERVE = timedelta(milliseconds=20)
-# Delay of a retry that may crash the next server too, while other VMs report the crash.
-SUSPECT_DELAY = timedelta(milliseconds=100)
 # Ends of an attempt without a complete response: the connection can't be reused.
 UNFINISHED = frozenset(
     {
@@ -137,7 +131,6 @@
     ``spend_retry`` is called before another attempt with the end of the previous one.
     It takes a token of the retry budget, and returns false if there is none.
     ``on_attempt`` is called with the report of each attempt.
-    ``trial`` may be set to quarantined parts of which the request is a trial.
     """
 
     def __init__(
@@ -158,15 +151,12 @@
         if route.repeat is Repeat.RESUME:
             self.position = read_position(request.resumed_after)
         self.first_status = 0
-        self.trial: Parts | None = None
         self._clock = clock
         self._request = request
         self._service = service
         self._servers = backends.servers
         self._connections = backends.connections
         self._permits = backends.permits
-        self._crashes = backends.crashes
-        self._quarantine = backends.quarantine
         self._wire = backends.wire
         self._response = response
         self._spend_retry = spend_retry
@@ -186,10 +176,11 @@
         self._sent_at = timedelta()
         self._known_limit: float | None = None
         self._named_limit: float | None = None
-        self._exposure: Exposure | None = None
-        self._parts = (request.prompt or NO_PROMPT).part_ids
-        # Set if the request may be the cause of a server's crash.
-        self._is_suspicious = False
+        self.guard = PromptGuard(
+            (request.prompt or NO_PROMPT).part_ids,
+            backends.crashes,
+            backends.quarantine,
+        )
         self._is_prompt_read = False
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
@@ -242,7 +233,7 @@
             return self._connect_failures < MAX_CONNECT_FAILURES
         if end is AttemptEnd.NO_PERMIT:
             return True
-        if self._is_suspicious or self._find_block() is not None:
+        if self.guard.is_suspicious or self.guard.find_block() is not None:
             return False
         if self._sends >= MAX_SENDS or self._possible_runs >= self.route.max_attempts:
             return False
@@ -270,7 +261,7 @@
             self._response.send(response.status, headers, response.body)
             return
         if self._possible_runs == 0:
-            block = self._find_block()
+            block = self.guard.find_block()
             if block is not None:
                 raise make_quarantine_error(block)
             delay = self._servers.find_permit_delay(self._service.name, self._urgency)
@@ -305,7 +296,7 @@
         assignment = self._servers.start(server, self._request.prompt or NO_PROMPT)
         self._assignment, self._is_prompt_read = assignment, False
         is_reusable = False
-        exposure = self._expose(connection)
+        self.guard.expose(connection.close)
         reader = AttemptReader(
             self, self.route.is_stream, connection.is_fresh, connection.close
         )
@@ -318,66 +309,28 @@
         finally:
             if reader.is_streamed and reader.refused in (None, AttemptEnd.INSIDE_EVENT):
                 self.position = reader.events.end()
-            self._end_exposure()
+            self.guard.end_exposure()
             self._note_prompt_read(assignment)
             self._servers.finish(assignment)
             if is_reusable and self._servers.is_usable(server):
                 self._connections.give_back(connection)
             else:
                 connection.close()
-        if self._is_suspect(server, exposure, end, reader):
-            await self._inspect_break(server, exposure, reader)
-        if not exposure.was_stopped:
+        if self._is_suspect(server, end, reader):
+            has_begun = reader.kind is ResponseKind.OWN
+            await self.guard.inspect_break(server, has_begun)
+        if not self.guard.was_stopped:
             self._update_server_state(server, end)
         if end.did_not_run:
             self._possible_runs -= 1
         self._report_attempt(entry.id, end, reason, reader, started)
         return end
 
-    def _expose(self, connection: Connection) -> Exposure:
-        """Register the request as one that may crash its server."""
-        self._exposure = self._crashes.expose(self._parts, connection.close)
-        return self._exposure
-
-    def _end_exposure(self) -> None:
-        if self._exposure is not None:
-            self._crashes.end(self._exposure)
-            self._exposure = None
-
-    def _note_answer(self) -> None:
-        """Record that the server responds to the prompt without a crash."""
-        if self._exposure is not None and self._parts:
-            self._quarantine.note_answer(self._parts)
-        self._end_exposure()
-
-    def _find_block(self) -> Block | None:
-        """Return the quarantine that stops the request, unless it is a trial of it."""
-        block = self._quarantine.find(self._parts)
-        return None if block is None or block.parts == self.trial else block
-
-    async def _inspect_break(
-        self, server: ListedServer, exposure: Exposure, reader: AttemptReader
-    ) -> None:
-        """Find out whether the server crashed, perhaps because of this request."""
-        has_begun = reader.kind is ResponseKind.OWN
-        was_suspicious = self._quarantine.is_suspicious(self._parts)
-        is_crash = await self._crashes.inspect(server, exposure, has_begun)
-        if is_crash and was_suspicious:
-            self._is_suspicious = has_begun
-            if not has_begun:
-                await asyncio.sleep(SUSPECT_DELAY.total_seconds())
-
     def _is_suspect(
-        self,
-        server: ListedServer,
-        exposure: Exposure,
-        end: AttemptEnd,
-        reader: AttemptReader,
+        self, server: ListedServer, end: AttemptEnd, reader: AttemptReader
     ) -> bool:
         """Return whether an attempt broke off unplanned before its first event."""
-        if not exposure.parts or exposure.was_stopped:
-            return False
-        if self._servers.is_leaving(server):
+        if self.guard.was_stopped or self._servers.is_leaving(server):
             return False
         if end not in (AttemptEnd.BROKEN, AttemptEnd.INSIDE_EVENT) or reader.reason:
             return False
@@ -412,7 +365,7 @@
         return connection
 
     def _check_quarantine(self) -> None:
-        block = self._find_block()
+        block = self.guard.find_block()
         if block is not None:
             raise _UnsentError(AttemptEnd.QUARANTINED, "/".join(block.parts))
 
@@ -492,7 +445,7 @@
             return AttemptEnd.BROKEN
         if reader.is_streamed:
             return await self._finish_stream(reader)
-        self._note_answer()
+        self.guard.note_response()
         response = reader.collect()
         if response.status in SERVER_ERRORS:
             self._server_error = response
@@ -510,7 +463,7 @@
         remainder = reader.take_remainder()
         if remainder is None:
             return reader.refused or AttemptEnd.BROKEN
-        self._note_answer()
+        self.guard.note_response()
         self.position = reader.events.position
         if not self._response.has_started:
             self._start_response(reader)
@@ -541,7 +494,7 @@
             self._servers.record_latency(self._assignment)
             self._note_prompt_read(self._assignment)
         if reader.has_event:
-            self._note_answer()
+            self.guard.note_response()
         self._update_longest_gap()
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
@@ -602,6 +555,6 @@
             self._connecting,
             self._known_limit,
             self._named_limit,
-            self._parts,
+            self.guard.parts,
         )
         self._on_attempt(report)
--- a/lavendershift/factgossip.py
+++ b/lavendershift/factgossip.py
@@ -11,7 +11,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Hashable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from functools import partial
 from typing import Any, Protocol
@@ -68,7 +68,7 @@
     def _apply(self, kind: FactKind, message: Any, sender: Peer) -> None:
         kind.apply(message)
 
-    def announce(self, kind: FactKind, facts: Mapping[Hashable, Any]) -> None:
+    def announce(self, kind: FactKind, facts: Mapping[Any, Any]) -> None:
         """Tell the other VMs facts that this VM has learned."""
         peers = self._list_peers()
         for message in kind.encode(facts):
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -118,7 +118,7 @@
         service = self._choose_service(table, route)
         trial = await self._check_quarantine(request.prompt)
         delivery = self._make_delivery(request, writer, route, service, customer)
-        delivery.trial = trial
+        delivery.guard.trial = trial
         if customer is None or customer.prepaid is None or request.prompt is None:
             await delivery.run()
         else:
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -45,7 +45,7 @@
         "Permits needed for requests to servers with limits, by outcome.", ("outcome",)
     ),
     "server_crashes": Instrument(
-        "Servers seen to crash before the first event of a request."
+        "Reports of servers that crashed before the first event of a request."
     ),
     "resumes": Instrument(
         "Attempts at the rest of a stream, by how they ended.", ("end",)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -7,7 +7,7 @@
 import secrets
 import signal
 import sys
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -17,7 +17,7 @@
 from lavendershift.applications import Application
 from lavendershift.clocks import BootClock
 from lavendershift.connections import ConnectionPool
-from lavendershift.crashes import CrashDetector, Suspect
+from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
 from lavendershift.delivery import Backends
 from lavendershift.errors import LogUnavailableError
@@ -44,12 +44,6 @@
 from lavendershift.platform.serverwire import PlatformServerWire
 from lavendershift.platform.store import StoreClient
 from lavendershift.prepaid import LARGE_FLEET
-from lavendershift.quarantine import Parts, Quarantine, QuarantineState
-from lavendershift.quarantinegossip import (
-    CrashGossip,
-    QuarantineFacts,
-    make_keeper_key,
-)
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlimits import LimitState
@@ -59,7 +53,6 @@
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
-from lavendershift.trials import Trials
 from lavendershift.vmlist import VmList, VmRow
 from lavendershift.workingset import Activity, WorkingSet, estimate_capacity
 
@@ -132,32 +125,28 @@
         self._servers.on_invalid_limit = self._note_invalid_limit
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
-        self._quarantine = Quarantine(clock, rng)
-        self._quarantine.on_change = self._note_quarantine
-        self._limit_facts = LimitFacts(self._servers.limits)
-        self._quarantine_facts = QuarantineFacts(clock, self._quarantine)
-        self._fact_gossip = FactGossip(
-            [self._limit_facts, self._quarantine_facts],
+        self._crash_control = CrashControl(
+            clock,
+            rng,
+            log,
+            self._instruments,
+            self._connections,
             self._datagrams,
             self._list_all_peers,
             self._find_keeper,
         )
-        self._crash_gossip = CrashGossip(
-            self._quarantine, self._datagrams, self._list_all_peers, rng
-        )
-        trials = Trials(
-            clock,
-            self._quarantine,
-            self._quarantine_facts,
+        self._limit_facts = LimitFacts(self._servers.limits)
+        self._fact_gossip = FactGossip(
+            [self._limit_facts, self._crash_control.facts],
             self._datagrams,
+            self._list_all_peers,
             self._find_keeper,
         )
+        self._crash_control.announce = self._fact_gossip.announce
         permits = Permits(
             clock, self._servers.limits, self._datagrams, self._find_keeper
         )
         permits.on_taken = lambda outcome: self._instruments.count("permits", outcome)
-        self._crashes = CrashDetector(self._connections.is_refused)
-        self._crashes.on_crash = self._note_crash
         self._vms.set_silence_lookup(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
@@ -205,8 +194,8 @@
                 self._servers,
                 self._connections,
                 permits,
-                self._crashes,
-                self._quarantine,
+                self._crash_control.detector,
+                self._crash_control.quarantine,
                 PlatformServerWire(),
             ),
             self._draws,
@@ -214,7 +203,7 @@
             RetryBounds(settings.retry_share, settings.retry_slack),
             self._find_retry_share,
         )
-        self._gateway.take_trial = trials.take
+        self._gateway.take_trial = self._crash_control.trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
         self._callers = CallerServer(clock, self._gateway)
@@ -376,7 +365,7 @@
         instruments.set_gauge("servers", len(self._servers))
         limited = self._servers.limits.list_limited()
         instruments.set_gauge("servers_limited", len(limited))
-        quarantines = len(self._quarantine.list_active())
+        quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
         instruments.set_gauge("vms", self._vms.count())
         instruments.set_gauge("vms_active", self._working_set.count())
@@ -432,40 +421,6 @@
         if is_own:
             self._fact_gossip.announce(self._limit_facts, {incarnation: state})
 
-    def _note_crash(
-        self, incarnation: Incarnation, suspects: Sequence[Suspect]
-    ) -> None:
-        """Handle the crash of a server that broke off requests of this VM."""
-        self._instruments.count("server_crashes")
-        for suspect in suspects:
-            self._log.write(
-                Event.SERVER_CRASHED,
-                server=incarnation[0],
-                parts=",".join(suspect.parts),
-                result="begun" if suspect.has_begun else "waiting",
-            )
-        self._crash_gossip.report_crash(incarnation, suspects)
-
-    def _note_quarantine(
-        self, parts: Parts, state: QuarantineState, cause: str, is_own: bool
-    ) -> None:
-        """Handle the begin or end of a quarantine.
-
-        If all VMs reach the same verdict, only those that saw the crash and the
-        quarantine's keeper announce it.
-        """
-        self._log.write(
-            Event.PARTS_QUARANTINED if state.is_active else Event.PARTS_RELEASED,
-            parts="/".join(parts),
-            version=state.version,
-            reason=cause,
-        )
-        if state.is_active:
-            self._crashes.stop_exposed(parts)
-        is_keeper = self._find_keeper(make_keeper_key(parts)) is None
-        if is_own or (cause == "crash" and is_keeper):
-            self._fact_gossip.announce(self._quarantine_facts, {parts: state})
-
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
         self._instruments.count("skipped_entries", "limit")
         self._log.write(Event.ENTRY_SKIPPED, server=entry.id, name="limit")
