Weigh crashes without a head more, and a repeated request as one that had begun

A request that may have been waiting weighs 0.7 now, so that three crashes suffice, and one that was repeated after a crash weighs 1 at the second server.

--- a/lavendershift/crashes.py
+++ b/lavendershift/crashes.py
@@ -28,7 +28,8 @@
 class Suspect(NamedTuple):
     """A prompt whose request a crash broke off before its first event.
 
-    ``has_begun`` is set if the response had begun, with its head or part of an event.
+    ``has_begun`` is set if the response had begun, with its head or part of an event,
+    or if the request was repeated after a crash of another server.
     """
 
     parts: tuple[str, ...]
--- a/lavendershift/platform/tests/test_suspects.py
+++ b/lavendershift/platform/tests/test_suspects.py
@@ -66,6 +66,20 @@
     play(work)
 
 
+def test_the_second_crash_of_a_repeated_request_counts_as_begun(play):
+    """All servers crash in one wave before any of them has sent a head."""
+
+    async def work(scene):
+        crashes = []
+        scene.crashes.on_crash = lambda *crash: crashes.append(crash)
+        for _ in range(4):
+            await add_crashing(scene, CrashOutput.NOTHING)
+        assert await send(scene, 1, "a", "dead", "x", attempts=4) is not None
+        assert [suspect.has_begun for _, (suspect,) in crashes] == [False, True]
+
+    play(work)
+
+
 @pytest.mark.parametrize("resets", [True, False])
 @pytest.mark.parametrize("output", [CrashOutput.HEAD, CrashOutput.PARTIAL_EVENT])
 def test_a_crash_in_a_stream_without_a_length_is_no_end_of_it(play, output, resets):
--- a/lavendershift/promptguards.py
+++ b/lavendershift/promptguards.py
@@ -37,6 +37,7 @@
         self._quarantine = quarantine
         self._exposure: Exposure | None = None
         self._is_in_flight = False
+        self._is_repeat = False
 
     def find_block(self) -> Block | None:
         """Return the quarantine that stops the request, unless it is a trial of it."""
@@ -73,7 +74,9 @@
         if self._exposure is None or not self.parts:
             return
         was_suspicious = self._quarantine.is_suspicious(self.parts)
+        has_begun = has_begun or self._is_repeat
         is_crash = await self._crashes.inspect(server, self._exposure, has_begun)
+        self._is_repeat = is_crash
         if is_crash and was_suspicious:
             self.is_suspicious = has_begun
             if not has_begun:
--- a/lavendershift/quarantine.py
+++ b/lavendershift/quarantine.py
@@ -5,7 +5,7 @@
 VMs is collected for each part:
 
 - For its guilt: crashes of servers while a request with it had no event yet. A request
-  whose response had begun counts twice as much as one that may have been waiting.
+  whose response had begun counts more than one that may have been waiting.
   Servers that crash at one moment, as in a power failure, count once.
 - For its innocence: any event or complete response to a prompt with it. This clears
   earlier crashes, and more crashes are needed where one was known before the first.
@@ -34,8 +34,9 @@
 from lavendershift.serversignals import Incarnation
 
 BEGUN_WEIGHT = 1.0  # evidence of a crash during a response that had begun
-WAITING_WEIGHT = 0.5  # evidence of a crash while a request may have been waiting
-# Evidence that puts a part into quarantine: two responses that had begun.
+WAITING_WEIGHT = 0.7  # evidence of a crash while a request may have been waiting
+# Evidence that puts a part into quarantine: two responses that had begun, or three
+# requests that may have been waiting.
 GUILT = 2.0
 # The same for a part that got a response shortly before the first crash.
 GUILT_AFTER_ANSWER = 4.0
