Report who ended a caller's connection, and how far its request had come

A request that got neither an answer nor a refusal left no trace that named who ended its connection: the caller, the idle timer, a stop, a reset after a truncated answer, or a malformed request. Each end is now counted by its cause and by the stage of the latest request (connections_ended, requests_cut), and one with a request on it, or for an error, gets a line connection_ended with the request's id and the version in force. The streams of callers are of a class of their own, which sees the end of the caller's bytes and everything that closes it. No change of behaviour.

--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -37,6 +37,15 @@
     "answers": Instrument("Requests that got their whole answer."),
     "refusals": Instrument("Requests ended with an error kind.", ("kind",)),
     "abandoned": Instrument("Requests whose caller went away."),
+    "connections_ended": Instrument(
+        "Callers' connections that ended, by cause and by the latest request's stage.",
+        ("cause", "stage"),
+    ),
+    "requests_cut": Instrument(
+        "Requests read at least in part, without a complete response or a refusal "
+        "when their connection ended, by its cause.",
+        ("cause",),
+    ),
     "attempts": Instrument("Attempts at servers, by how they ended.", ("end",)),
     "limited_attempts": Instrument(
         "Attempts at servers whose limit the VM knew, by how they ended.", ("end",)
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -41,6 +41,7 @@
     REQUEST_PLACED = "request_placed"
     REQUEST_ATTEMPTED = "request_attempted"
     REQUEST_ABANDONED = "request_abandoned"
+    CONNECTION_ENDED = "connection_ended"
     TOKENS_DRAWN = "tokens_drawn"
     TOKENS_ADOPTED = "tokens_adopted"
     TOKENS_LENT = "tokens_lent"
@@ -88,6 +89,9 @@
     Event.REQUEST_ABANDONED: EventInfo(
         "info", "The caller disconnected or a shutdown cancelled the request."
     ),
+    Event.CONNECTION_ENDED: EventInfo(
+        "info", "A caller's connection ended with a request on it, or for an error."
+    ),
     Event.TOKENS_DRAWN: EventInfo(
         "info", "Tokens of a customer were drawn, or returned where negative."
     ),
@@ -133,9 +137,11 @@
 class EventFields(TypedDict, total=False):
     """Optional fields of a log line, in addition to those of every line."""
 
+    age_ms: int
     attempt: str
     belief_ms: int
     budget: str
+    cause: str
     config_offset: int
     connect_ms: int
     duration_ms: int
@@ -146,6 +152,7 @@
     first_ms: int
     free_tokens: int
     granted_tokens: int
+    idle_ms: int
     incarnation: str
     known_limit: float
     media_type: str
@@ -161,10 +168,13 @@
     result: str
     resumed_after: str
     route: str
+    served: int
     server: str
+    stage: str
     status: int
     stream: str
     tokens: int
+    unread_bytes: int
     version: int
     waited_ms: int
 
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -16,6 +16,7 @@
 
 from lavendershift.applications import Application
 from lavendershift.clocks import BootClock
+from lavendershift.connectionreports import ConnectionReports
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
@@ -207,6 +208,9 @@
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
         self._callers = CallerServer(clock, self._gateway)
+        self._callers.on_connection_end = ConnectionReports(
+            log, self._instruments, self._find_version
+        ).report
         self._directory_server = SyncHttpServer(
             VmDirectory(self._vms, self._working_set, settings.resolve_ttl).handle
         )
@@ -359,9 +363,7 @@
             instruments.set_gauge("tokens_free", account.free, name)
             instruments.set_gauge("tokens_reserved", account.reserved, name)
             instruments.set_gauge("tokens_left", self._draws.count_left(name), name)
-        table = self._gateway.table
-        version = table.version if table else 0
-        instruments.set_gauge("configuration_version", version)
+        instruments.set_gauge("configuration_version", self._find_version())
         instruments.set_gauge("servers", len(self._servers))
         limited = self._servers.limits.list_limited()
         instruments.set_gauge("servers_limited", len(limited))
@@ -375,6 +377,11 @@
                 age = (now - feed.read_at).total_seconds()
                 instruments.set_gauge("belief_age", age, feed.name)
 
+    def _find_version(self) -> int:
+        """Return the version of the configuration in force, 0 if there is none."""
+        table = self._gateway.table
+        return table.version if table else 0
+
     def _note_call(self, call: str, outcome: str, duration: timedelta) -> None:
         self._instruments.count("store_calls", call, outcome)
         self._instruments.observe("store_call", max(duration, timedelta()), call)
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
@@ -22,14 +23,16 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import Clock
+from lavendershift.connectionreports import ConnectionEnd, EndCause
 from lavendershift.connections import reset_stream
 from lavendershift.errors import Answer, ErrorKind, Ran, RequestError
 from lavendershift.gateway import Gateway
 from lavendershift.platform import names
+from lavendershift.platform.callerstreams import CHUNK_BYTES, CallerStream
 from lavendershift.routes import CallerLimits
 from lavendershift.serverstates import PromptPart, PromptShape
 
@@ -45,7 +48,6 @@
 )
 DEFAULT_DEADLINE = timedelta(seconds=30)  # time limit of a request without a deadline
 MAX_DEADLINE = timedelta(hours=1)  # upper bound to which longer deadlines are reduced
-CHUNK_BYTES = 65_536  # maximum size of one read from a caller
 # Statuses that an error may keep if its request was not executed; others become 503.
 NOT_EXECUTED_STATUSES = frozenset({400, 401, 402, 404, 413, 429, 503})
 RECEIVE_POLL_S = 0.02  # interval between checks for requests whose bodies still arrive
@@ -63,6 +65,7 @@
         self, connection: HTTPConnection, should_close: Callable[[], bool], method: str
     ) -> None:
         self._connection: Any = connection
+        self._stream: CallerStream | None = getattr(connection, "stream", None)
         self._should_close = should_close
         self._has_body = method != "HEAD"
         self.has_started = False
@@ -75,7 +78,7 @@
         self.is_done = self.has_started = True
         headers["Content-Length"] = str(len(body))
         self._write_head(status, headers, body if self._has_body else None)
-        self._connection.finish()
+        self._end_response()
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Begin a response whose body follows in chunks."""
@@ -89,6 +92,15 @@
     def finish(self) -> None:
         """End the response as complete."""
         self.is_done = True
+        self._end_response()
+
+    def _end_response(self) -> None:
+        """Tell the connection that the response is complete, and flush it."""
+        stream = self._stream
+        if stream is not None:
+            stream.note_response()
+            if self._connection._disconnect_on_finish:
+                stream.set_cause(EndCause.RESPONSE)
         self._connection.finish()
 
     def abort(self) -> None:
@@ -96,8 +108,11 @@
         if self.is_done:
             return
         self.is_done = True
-        stream = getattr(self._connection, "stream", None)
+        stream = self._stream
         if stream is not None and not stream.closed():
+            task = asyncio.current_task()
+            is_cancelled = task is not None and task.cancelling() > 0
+            stream.set_cause(EndCause.CANCELLED if is_cancelled else EndCause.TRUNCATED)
             reset_stream(stream)
 
     def refuse(self, error: RequestError) -> None:
@@ -155,6 +170,8 @@
         assert isinstance(start_line, RequestStartLine)
         self._start_line, self._headers = start_line, headers
         self._server.add_receiving(self)
+        if self.stream is not None:
+            self.stream.note_header(headers.get(names.REQUEST_ID, ""))
         if start_line.version == "HTTP/1.0":
             # Only the end of the connection marks the end of a stream, but tornado
             # would keep the connection open if the request's headers ask for it.
@@ -174,7 +191,7 @@
         return None
 
     @property
-    def stream(self) -> IOStream | None:
+    def stream(self) -> CallerStream | None:
         """The connection's stream, while it has one."""
         return getattr(self._connection, "stream", None)
 
@@ -186,6 +203,7 @@
             # A pipelined request is still read from the buffer of a closed
             # connection, but its response could not be delivered.
             return
+        self.stream.note_request()
         method = self._start_line.method
         writer = self._server.make_writer(self._connection, method)
         try:
@@ -218,17 +236,18 @@
 
     def __init__(self, clock: Clock, gateway: Gateway) -> None:
         self.clock = clock
+        self.on_connection_end: Callable[[ConnectionEnd], None] = lambda end: None
         self._gateway = gateway
         self._http: _CallerHttpServer | None = None
         self._is_leaving = False
-        self._active: dict[asyncio.Task[None], IOStream | None] = {}
+        self._active: dict[asyncio.Task[None], CallerStream | None] = {}
         self._receiving: set[_RequestReader] = set()
-        self._streams: WeakSet[IOStream] = WeakSet()
+        self._streams: WeakSet[CallerStream] = WeakSet()
 
     def listen(self, address: str) -> None:
         """Listen on ``address``."""
         self._http = _CallerHttpServer(self, chunk_size=CHUNK_BYTES)
-        self._http.on_stream = self.note_stream
+        self._http.make_stream = self.make_stream
         self.update_limits(self._gateway.find_limits())
         host, _, port = address.rpartition(":")
         self._http.listen(int(port), address=host, backlog=1024)
@@ -265,9 +284,11 @@
         """Return the maximum size of a body, in bytes."""
         return self._gateway.find_limits().body_bytes
 
-    def note_stream(self, stream: IOStream) -> None:
-        """Register a caller's new connection."""
+    def make_stream(self, endpoint: socket.socket) -> CallerStream:
+        """Return the stream of a caller's new connection, and register it."""
+        stream = CallerStream(endpoint, self.clock, self.on_connection_end)
         self._streams.add(stream)
+        return stream
 
     def add_receiving(self, reader: _RequestReader) -> None:
         """Register a request whose body is being received."""
@@ -281,7 +302,7 @@
         self,
         request: CallerRequest,
         writer: CallerResponseWriter,
-        stream: IOStream | None = None,
+        stream: CallerStream | None = None,
     ) -> asyncio.Task[None]:
         """Start the task that serves a request."""
         task = asyncio.ensure_future(self._serve(request, writer))
@@ -329,19 +350,21 @@
         for stream in list(self._streams):
             # A stream that is still writing is closed after its response.
             if stream not in busy and not stream.writing():
+                stream.set_cause(EndCause.STOP)
                 stream.close()
         return len(self._active)
 
 
 class _CallerHttpServer(HTTPServer):
-    """HTTP server without Nagle's algorithm that reports each new stream."""
+    """HTTP server without Nagle's algorithm whose streams come from ``make_stream``."""
 
-    on_stream: Callable[[IOStream], None]
+    make_stream: Callable[[socket.socket], CallerStream]
 
-    def handle_stream(self, stream: IOStream, address: Any) -> None:  # type: ignore[override]
+    def _handle_connection(self, connection: socket.socket, address: Any) -> None:
+        # tornado has no public way to choose the class of the streams.
+        stream = self.make_stream(connection)
         stream.set_nodelay(True)
-        self.on_stream(stream)
-        super().handle_stream(stream, address)
+        self.handle_stream(stream, address)
 
 
 def decode_request(
