--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -17,8 +17,11 @@
 from enum import Enum
 from typing import NamedTuple
 
+from lavendershift_standins.heldwriters import HeldWriter
+
 ATTEMPT_ID_HEADER = "x-lavendershift-attempt-id"
 PROMPT_HEADER = "x-lavendershift-prompt-prefix"
+MAX_SILENCE_S = 3600.0  # the event loop takes no infinite delay
 
 
 class ReceivedRequest(NamedTuple):
@@ -69,7 +72,8 @@
     closed. ``crash_parts`` are parts of prompts with which the server crashes after
     ``read_s`` seconds, and ``crash_output`` what it sends of the response before.
     A crash resets the connections, or closes them if ``resets_at_crash`` is false, and
-    calls ``on_crash``.
+    calls ``on_crash``. ``fall_silent`` stops all output for a time, as if the process
+    had been stopped, and ``silences`` holds the monotonic times of each silence.
     """
 
     def __init__(self, name: str) -> None:
@@ -89,7 +93,9 @@
         self.port = 0
         self.on_crash: Callable[[], None] = lambda: None
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self.silences: list[tuple[float, float]] = []
+        self._writers: set[HeldWriter] = set()
+        self._goes_on: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -114,6 +120,31 @@
                 writer.close()
         self.on_crash()
 
+    def fall_silent(self, seconds: float = float("inf")) -> None:
+        """Send nothing for ``seconds``, then go on with all responses.
+
+        Connections are accepted and requests received meanwhile. A silence without
+        end lasts until ``go_on``.
+        """
+        if self._goes_on is not None:
+            self._goes_on.cancel()
+        loop = asyncio.get_running_loop()
+        now = time.monotonic()
+        self.silences.append((now, now + seconds))
+        self._goes_on = loop.call_later(min(seconds, MAX_SILENCE_S), self.go_on)
+        for writer in self._writers:
+            writer.hold()
+
+    def go_on(self) -> None:
+        """End a silence."""
+        if self._goes_on is None:
+            return
+        self._goes_on.cancel()
+        self._goes_on = None
+        self.silences[-1] = (self.silences[-1][0], time.monotonic())
+        for writer in list(self._writers):
+            writer.release()
+
     async def restart(self) -> None:
         """Listen again after a crash, on another port."""
         self.crashed_at = None
@@ -139,9 +170,12 @@
         return f"127.0.0.1:{self.port}"
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, accepted: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        writer = HeldWriter(accepted)
+        if self._goes_on is not None:
+            writer.hold()
         self._writers.add(writer)
         try:
             while True:
@@ -153,7 +187,7 @@
                     behaviour = self._answer_with_crash
                 if not is_refusal(behaviour):
                     self.runs.append(received.id)
-                responding = asyncio.ensure_future(behaviour(received, writer))
+                responding = asyncio.ensure_future(respond(behaviour, received, writer))
                 closing = asyncio.ensure_future(wait_for_close(reader))
                 await asyncio.wait(
                     {responding, closing}, return_when=asyncio.FIRST_COMPLETED
@@ -167,11 +201,20 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
         finally:
+            await writer.wait_released()
             self._writers.discard(writer)
             with contextlib.suppress(ConnectionError):
                 writer.close()
 
 
+async def respond(
+    behaviour: Behaviour, received: ReceivedRequest, writer: HeldWriter
+) -> None:
+    """Respond to one request, after a silence of the server."""
+    await writer.wait_released()
+    await behaviour(received, writer)
+
+
 async def wait_for_close(reader: asyncio.StreamReader) -> None:
     """Wait until the client closes the connection."""
     while not reader.at_eof() and reader.exception() is None:
