--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -81,6 +81,7 @@
         self.backends = []
         self.notes = []
         self.retries = 10
+        self.on_report = lambda: None
 
     async def add_server(self, *script):
         server = PlatformServer(f"i-{len(self.backends)}")
@@ -151,9 +152,13 @@
             ),
             answer,
             spend,
-            self.notes.append,
+            self.note_attempt,
         )
 
+    def note_attempt(self, report):
+        self.notes.append(report)
+        self.on_report()
+
     async def deliver(self, **options):
         answer = RecordedResponse()
         delivery = self.make_delivery(answer, **options)
