Reject a response head that two responses share

Callers were told 503 or 421, so 'not run, try again', for a request that its server was running, or such a request ran at a second server as well.

A server that repeats an earlier refusal on a kept connection may break it off within its head and then send the response to the present request. Both heads are read as one: status and not-run header of the first, request id of the second. The id was taken as proof that the refusal belongs to the request.

A head whose reason or headers contain a status line is no response. Its connection is closed, and the outcome of the request is unknown.

Attempts that end since a response is too long, or has too many informational responses, now name that reason in the log.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 from collections import deque
@@ -38,6 +39,7 @@
 TCP_USER_TIMEOUT_MS = 4000  # time without an ACK until the kernel drops a connection
 LAST_INFORMATIONAL_STATUS = 199
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses accepted before the final one
+STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}\b")
 
 
 class ConnectError(Exception):
@@ -117,11 +119,15 @@
         self.status = 0
         self.headers = HTTPHeaders()
         self.closes = False
+        self.reason = ""
 
     def headers_received(
         self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
+        if has_second_head(start_line.reason, headers):
+            self._fail("two joined heads")
+            return None
         if start_line.code > LAST_INFORMATIONAL_STATUS:
             self.status, self.headers = start_line.code, headers
             self.closes = start_line.version == "HTTP/1.0" or _asks_to_close(headers)
@@ -129,16 +135,21 @@
             return None
         self._informational += 1
         if self._informational > MAX_INFORMATIONAL_RESPONSES:
-            self._stop()
+            self._fail("too many informational responses")
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._size += len(chunk)
         if self._size > MAX_RESPONSE_BYTES:
-            self._stop()
+            self._fail("response too long")
             return None
         return self._reader.add(chunk)
 
+    def _fail(self, reason: str) -> None:
+        self.reason = reason
+        self.on_connection_close()
+        self._stop()
+
     def finish(self) -> None:
         if not self._ended.done():
             self._ended.set_result(True)
@@ -201,7 +212,7 @@
             return Exchange(False, True, "reset before the end")
         if not is_complete:
             error = self._stream.error
-            return Exchange(False, has_started, _describe(error))
+            return Exchange(False, has_started, delegate.reason or _describe(error))
         self._note_response(delegate)
         return Exchange(True, True)
 
@@ -336,6 +347,17 @@
         ended.set_result(False)
 
 
+def has_second_head(reason: str, headers: HTTPHeaders) -> bool:
+    """Return whether a head contains the status line of another response.
+
+    A server that breaks off a response within its head and sends the next one on the
+    same connection joins both heads. The status is then that of the first response,
+    and the request's id that of the second one.
+    """
+    texts = [reason, *(value for _, value in headers.get_all())]
+    return any(STATUS_LINE.search(text) for text in texts)
+
+
 def is_delimited(status: int, headers: HTTPHeaders) -> bool:
     """Return whether a response can end without the end of its connection."""
     if "Content-Length" in headers or status in (204, 304):
