Search each byte of a stream once for the end of an event

A server that sends an event without an end, in small pieces, occupied the event loop of the VM, and with it every request there: all bytes since the last event were searched again for each piece.

The search starts at the last bytes before the piece that can be part of an end.

--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -17,6 +17,7 @@
 
 # A CR at the end of the data read so far may be the first half of a CRLF.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n|\Z)){2}")
+MAX_END_BYTES = 4  # CRLF CRLF
 LAST_EVENT_END = b"\r\r"  # end of the last event of a stream with CR line ends
 IDLE_FIELDS = frozenset({b"", b"event", b"retry"})  # fields other than id and data
 MAX_ID_DIGITS = 20  # digits of the largest 64-bit number
@@ -122,7 +123,10 @@
         ``EventLimitError`` after too many bytes without an event.
         """
         data = self._partial + chunk
-        ends = [match.end() for match in EVENT_END.finditer(data)]
+        # Only an end that chunk completes is new. Searching all of a long event again
+        # for each of its chunks would take quadratic time.
+        searched = max(len(self._partial) - MAX_END_BYTES + 1, 0)
+        ends = [match.end() for match in EVENT_END.finditer(data, searched)]
         events = self.position.events
         start = 0
         for end in ends:
--- a/lavendershift/tests/test_eventstreams.py
+++ b/lavendershift/tests/test_eventstreams.py
@@ -1,3 +1,6 @@
+import random
+import time
+
 import pytest
 
 from lavendershift.eventstreams import (
@@ -26,6 +29,33 @@
     assert reader.position == EventPosition(5, "5", is_consecutive=True)
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_events_do_not_depend_on_the_chunks_of_mixed_line_ends(seed):
+    rng = random.Random(seed)
+    pieces = [b"\r", b"\n", b"\r\n", b"id: 1", b"data: x", b": y", b"\n\n", b"\r\r"]
+    stream = b"".join(rng.choices(pieces, k=60))
+    whole, chunked = EventReader(), EventReader()
+    expected = whole.feed(stream) + whole.take_remainder()
+    data, start = b"", 0
+    while start < len(stream):
+        end = start + rng.randint(1, 6)
+        data += chunked.feed(stream[start:end])
+        start = end
+    assert data + chunked.take_remainder() == expected == stream
+    assert chunked.position == whole.position
+
+
+@pytest.mark.parametrize("size", [16, 64, 1024])
+def test_a_long_event_in_small_chunks_takes_linear_time(size):
+    """Guards against an event line without end that occupies the event loop."""
+    reader = EventReader()
+    started = time.process_time()
+    with pytest.raises(EventLimitError):
+        while True:
+            reader.feed(b"x" * size)
+    assert time.process_time() - started < 1
+
+
 def test_a_partial_event_is_not_counted():
     reader = EventReader()
     assert reader.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
