Act on a refusal once its head has arrived

Requests that a server had refused were held until their deadline and then got 504, and requests that may be repeated counted the refusal as a silent server, where the body of the refusal didn't end: it was too short, lacked its last chunk, or had no length on a connection that the server kept.

The head of a refusal says all that matters, but the attempt waited for the end of its body, so that the connection could be kept.

A body that nobody needs may take 100 ms; then the connection is closed, and the refusal counts.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -39,6 +39,8 @@
 TCP_USER_TIMEOUT_MS = 4000  # time without an ACK until the kernel drops a connection
 LAST_INFORMATIONAL_STATUS = 199
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses accepted before the final one
+# Time that a body which isn't needed may take, so that its connection can be kept.
+UNNEEDED_BODY_TIMEOUT = timedelta(milliseconds=100)
 STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}\b")
 
 
@@ -65,6 +67,11 @@
 class ResponseReader(Protocol):
     """Processes a response as it arrives."""
 
+    @property
+    def needs_body(self) -> bool:
+        """Whether the caller of the exchange has to wait for the body."""
+        ...
+
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Process the status and the headers."""
         ...
@@ -120,6 +127,7 @@
         self.headers = HTTPHeaders()
         self.closes = False
         self.reason = ""
+        self._timeout: asyncio.TimerHandle | None = None
 
     def headers_received(
         self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
@@ -132,6 +140,10 @@
             self.status, self.headers = start_line.code, headers
             self.closes = start_line.version == "HTTP/1.0" or _asks_to_close(headers)
             self._reader.start(start_line.code, headers)
+            if not self._reader.needs_body:
+                self._timeout = asyncio.get_running_loop().call_later(
+                    UNNEEDED_BODY_TIMEOUT.total_seconds(), self._fail, "body too late"
+                )
             return None
         self._informational += 1
         if self._informational > MAX_INFORMATIONAL_RESPONSES:
@@ -147,16 +159,20 @@
 
     def _fail(self, reason: str) -> None:
         self.reason = reason
-        self.on_connection_close()
+        self._end(False)
         self._stop()
 
-    def finish(self) -> None:
+    def _end(self, is_complete: bool) -> None:
+        if self._timeout is not None:
+            self._timeout.cancel()
         if not self._ended.done():
-            self._ended.set_result(True)
+            self._ended.set_result(is_complete)
+
+    def finish(self) -> None:
+        self._end(True)
 
     def on_connection_close(self) -> None:
-        if not self._ended.done():
-            self._ended.set_result(False)
+        self._end(False)
 
 
 class Connection:
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -102,6 +102,7 @@
     """Collects the status and body of a response, and reports progress."""
 
     def __init__(self, on_bytes: ByteListener) -> None:
+        self.needs_body = True
         self.status = 0
         self.chunks: list[bytes] = []
         self.on_bytes = on_bytes
--- a/lavendershift/platform/tests/test_staleresponses.py
+++ b/lavendershift/platform/tests/test_staleresponses.py
@@ -321,6 +321,36 @@
     play(work)
 
 
+SLOW_REFUSALS = {
+    "no body": b"Content-Length: 9\r\n",
+    "no last chunk": b"Transfer-Encoding: chunked\r\n",
+    "no length": b"",
+}
+
+
+@pytest.mark.parametrize("framing", SLOW_REFUSALS)
+@pytest.mark.parametrize("status", [503, 421])
+@pytest.mark.parametrize("kind", KINDS)
+def test_refusal_whose_body_does_not_end_is_believed(play, kind, status, framing):
+    """Guards against a refused request that is kept until its deadline."""
+
+    async def refuse(received, writer):
+        own_id = f"X-Lavendershift-Attempt-Id: {received.id}\r\n".encode()
+        writer.write(make_refusal(status, own_id, NOT_RUN, SLOW_REFUSALS[framing]))
+        await asyncio.sleep(60)
+
+    async def work(scene):
+        started = scene.clock.elapsed()
+        response, error, _, other = await deliver_after_a_response(scene, refuse, kind)
+        assert error is None
+        assert response.body == get_expected(kind) and response.is_done
+        assert scene.clock.elapsed() - started < 0.5 * SECOND
+        assert len(other.received) == 1
+        assert scene.ends[1].did_not_run
+
+    play(work)
+
+
 def test_only_a_new_connection_may_carry_a_refusal_without_an_id(play):
     async def refuse(received, writer):
         writer.write(make_refusal(400, NOT_RUN, EMPTY))
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -96,9 +96,11 @@
         self.status, self.headers = status, headers
         self.kind = self._receiver.classify(status, headers, self._is_fresh)
         self._is_fresh = False
-        if self.kind is not ResponseKind.OWN:
+        if self.kind is ResponseKind.FOREIGN:
             return
         self.monitor.note_progress()
+        if not self.needs_body:
+            return
         if self._receiver.first_status and status not in SERVER_ERRORS:
             self._check_continuation()
 
@@ -107,6 +109,11 @@
         if not self.is_streamed or self.status != self._receiver.first_status:
             self._refuse(AttemptEnd.OTHER_KIND, f"{self.status} {self.media_type}")
 
+    @property
+    def needs_body(self) -> bool:
+        """Whether the head leaves anything open; that of a refusal doesn't."""
+        return self.kind not in (ResponseKind.NOT_RUN, ResponseKind.WRONG_SERVER)
+
     @property
     def is_streamed(self) -> bool:
         """Whether the response is forwarded as it arrives."""
@@ -148,8 +155,9 @@
         return self._forward(data) if data else None
 
     def _collect(self, chunk: bytes) -> None:
-        """Buffer a chunk of a plain body."""
-        self._chunks.append(chunk)
+        """Buffer a chunk of a plain body, or skip it if it isn't the request's."""
+        if self.kind is ResponseKind.OWN:
+            self._chunks.append(chunk)
         self._size += len(chunk)
         if "Content-Length" in self.headers:
             if self.kind is ResponseKind.OWN:
--- a/lavendershift/tests/test_connections.py
+++ b/lavendershift/tests/test_connections.py
@@ -17,6 +17,7 @@
 
     def __init__(self, pause_s=0.0):
         self.pause_s = pause_s
+        self.needs_body = True
         self.parts = []
 
     def start(self, status, headers):
