Bound the responses to other requests that an attempt skips

A server that writes responses to other requests without end kept the event loop of the VM busy until the deadline of a request that must not be repeated: each response was skipped, and only the attempt's timeout, which such a request doesn't have, ended this.

After eight skipped responses the attempt is broken, and its connection is closed.

--- a/lavendershift/platform/tests/test_endlessresponses.py
+++ b/lavendershift/platform/tests/test_endlessresponses.py
@@ -12,10 +12,11 @@
 import pytest
 
 from lavendershift.attempts import AttemptEnd
-from lavendershift.errors import RequestError
+from lavendershift.errors import ErrorKind, Ran, RequestError
 from lavendershift.platform.tests.conftest import SECOND, RecordedResponse
 from lavendershift.routes import Repeat
 from lavendershift_standins.platformserver import (
+    ATTEMPT_ID_HEADER,
     answer_complete,
     make_event,
     make_head,
@@ -119,8 +120,7 @@
     delivery = scene.make_delivery(
         response,
         request=scene.make_request(deadline=9 * SECOND),
-        timeout=9 * SECOND,
-        **options,
+        **{"timeout": 9 * SECOND} | options,
     )
     started = time.monotonic()
     error = None
@@ -204,6 +204,53 @@
     play(work)
 
 
+async def refuse_others_endlessly(received, writer):
+    other = received._replace(headers={ATTEMPT_ID_HEADER: "other"})
+    headers = {"Content-Length": "0", "X-Lavendershift-Not-Executed": "1"}
+    await write_endlessly(writer, make_head(other, 503, headers), is_fast=True)
+
+
+@pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.ALWAYS])
+def test_endless_responses_to_other_requests_end_the_attempt(play, repeat):
+    """Guards against a server that occupies the event loop until the deadline."""
+
+    async def work(scene):
+        response, error, took, servers, failed = await deliver_after(
+            scene, refuse_others_endlessly, answer_complete, repeat=repeat
+        )
+        assert took < SILENT_TIMEOUT_S
+        assert [server.entry.id for server in failed] == [servers[0].name]
+        if repeat is Repeat.NEVER:
+            assert error is not None and error.kind is ErrorKind.OUTCOME_UNKNOWN
+            assert len(servers[1].received) == 0
+        else:
+            assert error is None and response.body == b"done r1"
+
+    play(work)
+
+
+@pytest.mark.parametrize("where", ALL)
+def test_request_that_may_not_be_repeated_ends_at_its_timeout(play, where):
+    """A byte now and then is no progress beyond the route's timeout."""
+
+    async def work(scene):
+        _, error, took, servers, _ = await deliver_after(
+            scene,
+            ALL[where](False),
+            answer_complete,
+            repeat=Repeat.NEVER,
+            is_stream=where in IN_EVENTS,
+            timeout=0.4 * SECOND,
+        )
+        assert error is not None and error.answer.ran is not Ran.NO
+        assert took < 0.6
+        assert len(servers[1].received) == 0
+        await asyncio.sleep(0.1)
+        assert servers[0].closed == 1
+
+    play(work)
+
+
 @pytest.mark.parametrize("split", [1, 2, 3, 7, 50])
 def test_valid_stream_in_small_chunks_takes_one_attempt(play, split):
     """Each event arrives slowly in pieces, within the event gap timeout."""
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -24,6 +24,7 @@
 SERVER_ERRORS = range(500, 600)
 EVENT_STREAM = "text/event-stream"  # media type of server-sent events, HTML standard
 MAX_UNSIZED_BYTES = 1_048_576  # limit for a plain body without a Content-Length
+MAX_SKIPPED_RESPONSES = 8  # responses to other requests before the attempt's own
 
 
 class ServerResponse(NamedTuple):
@@ -89,6 +90,7 @@
         self._initial_position = receiver.position
         self._chunks: list[bytes] = []
         self._size = 0
+        self._skipped = 0
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Process a response head; one for an earlier request may come first."""
@@ -97,6 +99,7 @@
         self.kind = self._receiver.classify(status, headers, self._is_fresh)
         self._is_fresh = False
         if self.kind is ResponseKind.FOREIGN:
+            self._skip()
             return
         self.monitor.note_progress()
         if not self.needs_body:
@@ -104,6 +107,12 @@
         if self._receiver.first_status and status not in SERVER_ERRORS:
             self._check_continuation()
 
+    def _skip(self) -> None:
+        """Skip a response to another request, up to a number of them."""
+        self._skipped += 1
+        if self._skipped > MAX_SKIPPED_RESPONSES:
+            self._refuse(AttemptEnd.BROKEN, "only responses to other requests")
+
     def _check_continuation(self) -> None:
         """Refuse a response that can't be the continuation of the stream."""
         if not self.is_streamed or self.status != self._receiver.first_status:
