Fail a completion stream at a block that is no event

An engine that answered the request to resume a stream with a text or a response head, as an event stream, got it into the caller's stream where no event had been forwarded before. Such a block within an engine's own stream was forwarded, too.

Blocks were only parsed if they contain usage, an error or the end mark, and a block without the field data was forwarded unparsed.

Streams that had begun were right before, as a resumed one repeats its last events first.

Each line has to be a field of an event stream or a comment, and a stream with another line fails, as one with an event that can't be decoded does. The check of the usual events, of one line each, counts line ends and decodes nothing.

--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -6,6 +6,7 @@
 usage or an error are parsed.
 """
 
+import re
 from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple, TypeGuard
@@ -26,6 +27,8 @@
 USAGE_MARKER = b'"usage"'
 ERROR_MARKER = b'"error"'
 END_OF_STREAM = b"data: [DONE]\n\n"
+# A line of an event stream by the HTML standard, without the unknown fields.
+FIELD = re.compile(rb":|(?:data|event|id|retry)(?::|\r?\Z)")
 
 
 class CompletionRequest(NamedTuple):
@@ -159,6 +162,9 @@
             return b""
         events = data[: end + 2]
         self._store_remainder(data[end + 2 :])
+        if not _has_only_fields(events):
+            self.failed = True
+            return b""
         if self._expected_repeats:
             events = self._drop_repeated(events)
         if self._can_forward_unparsed(events):
@@ -226,6 +232,15 @@
         return self._wants_usage
 
 
+def _has_only_fields(events: bytes) -> bool:
+    """Return whether each line is a field or a comment of an event stream."""
+    count = events.count(b"\n\n")
+    data_lines = events.startswith(b"data:") + events.count(b"\n\ndata:")
+    if data_lines == count and events.count(b"\n") == 2 * count:
+        return True
+    return all(FIELD.match(line) for line in events.split(b"\n") if line)
+
+
 def _decode_content(event: bytes) -> Any:
     """Return an event's fields without ``created``, or ``event`` if not an object."""
     try:
--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -65,8 +65,10 @@
     [
         [b"data: " + b"x" * MAX_EVENT_BYTES, b"rest of it\n\n"],
         [b'data: {"error":{"message":"out of memory"}}\n\n', b"data: 1\n\n"],
+        [b"out of memory\n\n", b"data: 1\n\n"],
+        [b"data: 1\nout of memory\n\n", b"data: 1\n\n"],
     ],
-    ids=["event too long", "error event"],
+    ids=["event too long", "error event", "no event", "event with another line"],
 )
 def test_a_failed_stream_forwards_nothing(chunks):
     stream = CompletionStream(wants_usage=False)
@@ -209,6 +211,19 @@
         lambda n: make_response(b"".join(REPEATED[n:]), End.COMPLETE, status=206),
         False,
     ),
+    "of a failure's status": (
+        lambda n: make_response(b"".join(REPEATED[n:]), End.COMPLETE, status=503),
+        False,
+    ),
+    "with an error's text": (
+        lambda n: make_response(b"out of memory\n\n", End.COMPLETE),
+        False,
+    ),
+    "with a response head": (
+        lambda n: make_response(HEAD + b"".join(REPEATED[n:]), End.COMPLETE),
+        False,
+    ),
+    "without events": (lambda n: make_response(b"", End.COMPLETE), False),
     "from the start": (
         lambda n: make_response(b"".join(REPEATED), End.COMPLETE),
         False,
