Eject no server as slow after one silence

What callers saw: a server that was silent for 1.3 s and went on was ejected, and got one request at a time when it came back, so that the others had to carry its load.

Cause: the mean of the ratios of first-token times took a ratio of 26 in full, and a single one moved it above the bound of 3. All requests that a server had during the silence counted as independent samples.

Evidence: test_a_server_that_was_silent_once_is_not_ejected_as_slow failed before in all four cases (one and eight requests in flight, short and long prompts).

Why it works: a ratio counts up to twice the bound, so that it takes three samples to make an outlier, and of slow requests that overlap one counts. A server that stays slow is still ejected, also if its requests overlap (test_a_slow_server_is_ejected_if_its_requests_overlap).

--- a/lavendershift/ejection.py
+++ b/lavendershift/ejection.py
@@ -19,6 +19,9 @@
 MAX_EJECTION = timedelta(seconds=60)
 PROBE_DOUBLINGS = 6  # doublings of the probe limit before it is lifted
 SLOW_FACTOR = 3.0  # slowness of an outlier, as a multiple of the peers' median
+# Largest ratio that one sample counts with, as a multiple of an outlier's slowness. It
+# takes three of them to make an outlier of a server that was as fast as its peers.
+MAX_SAMPLE_FACTOR = 2.0
 MIN_SAMPLES = 8
 SLOWNESS_WEIGHT = 0.2  # weight of the newest sample in the moving average
 JITTER = 0.2  # random change of an ejection's length, as a share of it
@@ -55,6 +58,14 @@
         self.probe_successes: int | None = None
         self.samples = 0
         self.slowness = 1.0
+        self.slow_at: timedelta | None = None
+
+    def note_slow(self, started: timedelta | None, now: timedelta) -> bool:
+        """Return whether a slow request began after the last one that counted."""
+        if started is not None and self.slow_at is not None and started < self.slow_at:
+            return False
+        self.slow_at = now
+        return True
 
 
 class OutlierDetector:
@@ -118,25 +129,35 @@
         return self._eject(server, EjectionCause.FAILURES, now)
 
     def record_slowness(
-        self, server: str, ratio: float, now: timedelta
+        self,
+        server: str,
+        ratio: float,
+        now: timedelta,
+        started: timedelta | None = None,
     ) -> Ejection | None:
         """Record the ratio of a first-token latency to its estimate.
 
-        Returns the ejection that it causes, if any.
+        A sound server may be silent for a second or so, which makes all requests slow
+        that it has then. Of slow requests that overlap only the first one counts, if
+        ``started``, the start of the request, is given. Returns the ejection that the
+        ratio causes, if any.
         """
         health = self._servers.get(server)
         if health is None or self.is_ejected(server, now):
             return None
-        health.samples += 1
-        health.slowness += SLOWNESS_WEIGHT * (ratio - health.slowness)
         peers = [
             other.slowness
             for name, other in self._servers.items()
             if name != server and other.samples >= MIN_SAMPLES
         ]
+        bound = SLOW_FACTOR * max(statistics.median(peers or [1.0]), 1.0)
+        if ratio >= bound and not health.note_slow(started, now):
+            return None
+        health.samples += 1
+        counted = min(ratio, MAX_SAMPLE_FACTOR * bound)
+        health.slowness += SLOWNESS_WEIGHT * (counted - health.slowness)
         if len(peers) < 2:
             return None
-        bound = SLOW_FACTOR * max(statistics.median(peers), 1.0)
         if health.probe_successes is not None and ratio >= bound:
             return self._eject(server, EjectionCause.PROBE_FAILED, now)
         if health.samples < MIN_SAMPLES or health.slowness < bound:
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -217,7 +217,7 @@
         group.prefill.observe(started.tokens, waited)
         ratio = waited / unloaded
         self._signal_ejection(
-            group.outliers.record_slowness(started.server, ratio, now)
+            group.outliers.record_slowness(started.server, ratio, now, started.started)
         )
 
     def finish(self, attempt: str, result: AttemptResult) -> None:
--- a/lavendershift/tests/test_servers.py
+++ b/lavendershift/tests/test_servers.py
@@ -1,6 +1,7 @@
 import random
 from datetime import timedelta
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -131,6 +132,43 @@
     assert list_names(pool) == {"e0", "e1", "e2", "e4", "e5"}
 
 
+def serve_first_tokens(pool, clock, rounds, seconds=0.4):
+    for number in range(rounds):
+        for server in range(6):
+            pool.start(f"e{server}", f"w{number}.{server}", 1000)
+        clock.advance(timedelta(seconds=seconds))
+        for server in range(6):
+            pool.note_first_token(f"w{number}.{server}")
+            pool.finish(f"w{number}.{server}", AttemptResult.COMPLETED)
+
+
+@pytest.mark.parametrize("in_flight", [1, 8])
+@pytest.mark.parametrize("tokens", [0, 1000])
+def test_a_server_that_was_silent_once_is_not_ejected_as_slow(in_flight, tokens):
+    clock, pool = make_pool()
+    serve_first_tokens(pool, clock, 40, 0.1)
+    for slot in range(in_flight):
+        pool.start("e3", f"s{slot}", tokens)
+        clock.advance(timedelta(milliseconds=20))
+    clock.advance(timedelta(seconds=1.3))
+    for slot in range(in_flight):
+        pool.note_first_token(f"s{slot}")
+        pool.finish(f"s{slot}", AttemptResult.COMPLETED)
+    assert "e3" in list_names(pool)
+    [candidate] = [c for c in pool.list_candidates("plume") if c.name == "e3"]
+    assert candidate.limit >= 7
+
+
+def test_a_slow_server_is_ejected_if_its_requests_overlap():
+    clock, pool = make_pool()
+    serve_first_tokens(pool, clock, 40, 0.1)
+    for number in range(40):  # a request every 0.5 s, each 4 s to its first token
+        pool.start("e3", f"s{number}", 1000)
+        clock.advance(timedelta(seconds=0.5))
+        pool.note_first_token(f"s{number - 7}")
+    assert "e3" not in list_names(pool)
+
+
 def test_slow_first_tokens_lower_the_limit_and_fast_ones_raise_it():
     clock, pool = make_pool(1)
 
