Count requests that expire in one silence of a service as one failure

What callers saw: a service that was silent for 1.3 s and went on was ejected, because three requests with short deadlines had expired meanwhile; its load went to the others, and it got one request at a time afterwards.

Cause: an attempt that its deadline ended counted as a failure of the server, like an error response or a reset, however many shared the silence. A service call without a response was also recorded as a first token, fast or slow.

Evidence: test_requests_that_expire_in_one_silence_do_not_eject_a_service failed before with ejected.failures = 1. The tests of a silent engine, service and log in the same file passed before; they show that the attempts themselves go on.

Why it works: the transport tells a timeout from other failures, and of attempts that overlap and time out one counts. A server that never responds is still ejected after three timeouts in a row (test_a_server_that_never_responds_is_ejected_after_three_timeouts).

--- a/lavendershift/ejection.py
+++ b/lavendershift/ejection.py
@@ -48,6 +48,25 @@
     length: timedelta
 
 
+class _Silences:
+    """Counts requests that met the same silence of a server as one."""
+
+    def __init__(self) -> None:
+        self._last_at: timedelta | None = None
+
+    def add(self, started: timedelta | None, now: timedelta) -> bool:
+        """Return whether a request counts: it began after the last one that counted.
+
+        A request whose start is unknown always counts.
+        """
+        if started is None:
+            return True
+        if self._last_at is not None and started < self._last_at:
+            return False
+        self._last_at = now
+        return True
+
+
 class _Health:
     """Failure and latency statistics of one server."""
 
@@ -58,14 +77,8 @@
         self.probe_successes: int | None = None
         self.samples = 0
         self.slowness = 1.0
-        self.slow_at: timedelta | None = None
-
-    def note_slow(self, started: timedelta | None, now: timedelta) -> bool:
-        """Return whether a slow request began after the last one that counted."""
-        if started is not None and self.slow_at is not None and started < self.slow_at:
-            return False
-        self.slow_at = now
-        return True
+        self.slow_requests = _Silences()
+        self.timeouts = _Silences()
 
 
 class OutlierDetector:
@@ -116,11 +129,19 @@
             health.probe_successes = None
             health.ejections = 0
 
-    def record_failure(self, server: str, now: timedelta) -> Ejection | None:
-        """Record a failed request; return the ejection it causes, if any."""
+    def record_failure(
+        self, server: str, now: timedelta, started: timedelta | None = None
+    ) -> Ejection | None:
+        """Record a failed request; return the ejection it causes, if any.
+
+        Of failed requests that overlap only the first one counts, if ``started``, the
+        start of the request, is given.
+        """
         health = self._servers.get(server)
         if health is None or self.is_ejected(server, now):
             return None
+        if not health.timeouts.add(started, now):
+            return None
         health.failures += 1
         if health.probe_successes is not None:
             return self._eject(server, EjectionCause.PROBE_FAILED, now)
@@ -151,7 +172,7 @@
             if name != server and other.samples >= MIN_SAMPLES
         ]
         bound = SLOW_FACTOR * max(statistics.median(peers or [1.0]), 1.0)
-        if ratio >= bound and not health.note_slow(started, now):
+        if ratio >= bound and not health.slow_requests.add(started, now):
             return None
         health.samples += 1
         counted = min(ratio, MAX_SAMPLE_FACTOR * bound)
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -38,12 +38,17 @@
 
 
 class AttemptResult(Enum):
-    """Result of an attempt, as it counts for the health of the server."""
+    """Result of an attempt, as it counts for the health of the server.
+
+    Of attempts that overlap and time out only the first one counts, because a sound
+    server may be silent for a second or so.
+    """
 
     COMPLETED = "completed"
     CANCELLED = "cancelled"
     REFUSED = "refused"
     FAILED = "failed"
+    TIMED_OUT = "timed_out"
 
 
 class _Attempt(NamedTuple):
@@ -237,8 +242,9 @@
         elif result is not AttemptResult.CANCELLED:
             if result is AttemptResult.REFUSED:
                 known.limit.decrease(now)
+            started = ended.started if result is AttemptResult.TIMED_OUT else None
             self._signal_ejection(
-                known.group.outliers.record_failure(ended.server, now)
+                known.group.outliers.record_failure(ended.server, now, started)
             )
 
     def _signal_ejection(self, ejection: Ejection | None) -> None:
--- a/lavendershift/servicecalls.py
+++ b/lavendershift/servicecalls.py
@@ -332,7 +332,8 @@
         health = AttemptResult.FAILED
         try:
             result = await self._client.run_call(request, Transfer())
-            self._placement.note_first_token(assignment)
+            if result.status:
+                self._placement.note_first_token(assignment)
             health = classify_health(result)
         finally:
             self._placement.release(assignment, health)
@@ -362,7 +363,7 @@
         return AttemptResult.REFUSED
     if result.delivery is Delivery.ANSWERED and result.status < 500:
         return AttemptResult.COMPLETED
-    return AttemptResult.FAILED
+    return AttemptResult.TIMED_OUT if result.timed_out else AttemptResult.FAILED
 
 
 def classify(result: UpstreamResult) -> tuple[RetryReason, Ran]:
--- a/lavendershift/tests/links.py
+++ b/lavendershift/tests/links.py
@@ -1,7 +1,8 @@
 """TCP proxy on loopback that a test can interrupt.
 
 A link in the state ``cut`` resets its connections and refuses new ones. In the state
-``hang`` it accepts connections and discards all data.
+``hang`` it accepts connections and discards all data. In the state ``silent`` it holds
+all data back, as a server does that is paused, until it is open again.
 """
 
 import asyncio
@@ -11,27 +12,34 @@
 
 
 class Link:
-    """Proxy from a port to another, ``open``, ``cut`` or ``hang``."""
+    """Proxy from a port to another, ``open``, ``cut``, ``hang`` or ``silent``."""
 
     def __init__(self, port, target_port):
         self.port, self.target_port = port, target_port
         self.state = "open"
         self.forwarded_bytes = 0
+        self._speaks = asyncio.Event()
         self._server = None
         self._writers = set()
         self._tasks = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        if self.state != "silent":
+            self._speaks.set()
 
     async def stop(self):
         await self.set_state("cut")
 
     async def set_state(self, state):
-        if state == "open":
+        if state == "open" and self.state != "silent":
             # Connections that lost data in the state ``hang`` can't continue.
             self._abort_all()
         self.state = state
+        if state == "silent":
+            self._speaks.clear()
+        else:
+            self._speaks.set()
         if state == "cut":
             self._server.close()
             self._abort_all()
@@ -67,6 +75,7 @@
 
     async def _forward(self, reader, writer):
         while data := await reader.read(READ_BYTES):
+            await self._speaks.wait()
             if self.state == "open":
                 self.forwarded_bytes += len(data)
                 writer.write(data)
--- a/lavendershift/tests/test_servers.py
+++ b/lavendershift/tests/test_servers.py
@@ -84,6 +84,18 @@
     assert "e0" not in list_names(pool)
 
 
+def test_a_server_that_never_responds_is_ejected_after_three_timeouts():
+    clock, pool = make_pool()
+    for round_number in range(3):
+        assert "e0" in list_names(pool)
+        for slot in range(4):
+            pool.start("e0", f"{round_number}.{slot}", 10)
+        clock.advance(timedelta(seconds=1))
+        for slot in range(4):
+            pool.finish(f"{round_number}.{slot}", AttemptResult.TIMED_OUT)
+    assert "e0" not in list_names(pool)
+
+
 def test_a_failed_probe_doubles_the_ejection():
     clock, pool = make_pool()
     lengths = []
--- /dev/null
+++ b/lavendershift/tests/test_silentservers.py
@@ -0,0 +1,132 @@
+"""Servers, services and logs that are silent for a second or so and then go on."""
+
+import asyncio
+import threading
+
+import pytest
+
+from lavendershift.tests.links import Link
+from lavendershift.tests.live_fleet import Fleet
+from lavendershift.tests.live_tree import DOMAINS
+from lavendershift.tests.processes import find_port
+
+SILENCE_S = 1.3
+
+
+class SilentFleet(Fleet):
+    """A router and servers behind links; ``catalogue`` is served by several."""
+
+    def __init__(self, path, catalogues=1, **options):
+        super().__init__(path, 1, engines=1, in_process=True, **options)
+        self.catalogues = catalogues
+        self.silences = []
+
+    def publish_tree(self):
+        engine = self.engines["engine-1"]
+        self.nodes["servers/engine-1"] = {
+            "kind": "engine",
+            "address": self.add_server_link("engine-1", engine.port),
+            "failure_domain": DOMAINS[0],
+            "models": ["index-large"],
+            "capacity": 16,
+        }
+        for service in ("approvals", "catalogue"):
+            self.add_service(service, service)
+        for number in range(2, self.catalogues + 1):
+            self.add_service(f"catalogue-{number}", "catalogue")
+        super().publish_tree()
+
+    def add_service(self, name, service):
+        self.nodes[f"servers/{name}"] = {
+            "kind": "service",
+            "address": self.add_server_link(name, self.service.port),
+            "failure_domain": DOMAINS[0],
+            "service": service,
+            "capacity": 16,
+        }
+
+    def add_server_link(self, name, target_port):
+        self.links[name] = Link(find_port(), target_port)
+        self.thread.run(self.links[name].start())
+        return f"127.0.0.1:{self.links[name].port}"
+
+    def silence(self, link, seconds=SILENCE_S):
+        """Let a link fall silent, and go on after some seconds."""
+        self.set_link(link, "silent")
+
+        async def speak():
+            await asyncio.sleep(seconds)
+            await self.links[link].set_state("open")
+
+        self.silences.append(self.thread.call(asyncio.ensure_future, speak()))
+
+    def stop(self):
+        if self.silences:
+            self.thread.run(asyncio.wait(self.silences))
+        super().stop()
+
+    def list_ejections(self):
+        counters = self.applications["r1"].metrics.snapshot().counters
+        return {n: c for n, c in counters.items() if n.startswith("ejected.") and c}
+
+    def browse(self, headers=None):
+        path = "/services/catalogue/items"
+        return self.caller.call(self.ports["r1"], "GET", path, headers=headers)
+
+
+@pytest.fixture
+def make_fleet(tmp_path):
+    fleets = []
+
+    def make(**options):
+        fleet = SilentFleet(tmp_path, **options)
+        fleets.append(fleet)
+        fleet.start()
+        return fleet
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def test_a_silent_engine_costs_no_response(make_fleet):
+    fleet = make_fleet()
+    assert fleet.complete("r1", "warm").status == 200
+    fleet.silence("engine-1")
+    assert fleet.complete("r1", "before the head").status == 200
+    stream = fleet.open_stream("r1", "within the stream", max_tokens=400).begin()
+    stream.read_some()
+    fleet.silence("engine-1")
+    assert stream.finish().is_complete_stream
+    [runs] = fleet.list_executions().values()
+    assert len(runs) == 3
+
+
+@pytest.mark.parametrize("link", ["servers", "r1-log"])
+def test_a_silent_service_or_log_costs_no_call(make_fleet, link):
+    fleet = make_fleet()
+    assert fleet.approve("r1", "warm").status == 200
+    fleet.silence("approvals" if link == "servers" else link)
+    assert fleet.approve("r1", "silent").status == 200
+    if link == "servers":
+        fleet.silence("catalogue")
+    assert fleet.browse().status == 200
+    assert fleet.count_calls("silent") == 1
+
+
+def test_requests_that_expire_in_one_silence_do_not_eject_a_service(make_fleet):
+    fleet = make_fleet(catalogues=4)
+    for _ in range(60):
+        assert fleet.browse().status == 200
+    links = ["catalogue", "catalogue-2", "catalogue-3", "catalogue-4"]
+    for link in links:
+        fleet.silence(link)
+    threads = [
+        threading.Thread(target=fleet.browse, args=[{"Deadline-Ms": "700"}])
+        for _ in range(16)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert fleet.list_ejections() == {}
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 import pycurl
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
@@ -56,7 +57,8 @@
     """Result of an attempt.
 
     ``status`` is 0 if no response began. ``body`` is empty if the response was
-    streamed to ``on_chunk``. ``detail`` is the transport error, if any.
+    streamed to ``on_chunk``. ``detail`` is the transport error, if any. ``timed_out``
+    is set if the timeout of the exchange, not of its connection, ended it.
     """
 
     delivery: Delivery
@@ -64,6 +66,7 @@
     headers: HTTPHeaders
     body: bytes
     detail: str
+    timed_out: bool = False
 
 
 class Transfer:
@@ -240,8 +243,9 @@
         status = (
             self._status if response.code == TRANSFER_FAILED_STATUS else response.code
         )
+        timed_out = delivery is Delivery.UNKNOWN and _has_timed_out(response)
         return UpstreamResult(
-            delivery, status, self._headers, b"".join(self._chunks), detail
+            delivery, status, self._headers, b"".join(self._chunks), detail, timed_out
         )
 
     def _classify_delivery(self, response: HTTPResponse) -> Delivery:
@@ -257,6 +261,11 @@
         return Delivery.ANSWERED
 
 
+def _has_timed_out(response: HTTPResponse) -> bool:
+    error = response.error
+    return isinstance(error, CurlError) and error.errno == pycurl.E_OPERATION_TIMEDOUT
+
+
 def _may_have_sent(response: HTTPResponse) -> bool:
     """Return whether a failed transfer may have sent any byte of the request.
 
