Report a request as not run if no connection to its server was made

What callers saw: a call that may run once got 504 with Ran: unknown from a server that refused the connection or didn't complete it within a second, and its tokens stayed in doubt; a completion was retried as one that may have run.

Cause: a failed transfer counted as sent if curl reported the time of the step before the transfer. Newer versions of curl set it when the connection fails.

Evidence: test_a_call_without_a_connection_certainly_did_not_run failed before for a refused and for an unanswered connection: (504, unknown) instead of (503, no).

--- a/lavendershift/tests/test_silentservers.py
+++ b/lavendershift/tests/test_silentservers.py
@@ -1,6 +1,8 @@
 """Servers, services and logs that are silent for a second or so and then go on."""
 
 import asyncio
+import contextlib
+import socket
 import threading
 
 import pytest
@@ -13,6 +15,36 @@
 SILENCE_S = 1.3
 
 
+class DeafServer:
+    """A server whose port drops the packets of new connections until it listens."""
+
+    def __init__(self):
+        self.calls = 0
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.waiting = []
+        with contextlib.suppress(TimeoutError):
+            for _ in range(8):  # the backlog holds one or two
+                host, port = self.socket.getsockname()
+                self.waiting.append(socket.create_connection((host, port), 0.1))
+
+    async def listen(self):
+        await asyncio.sleep(SILENCE_S)
+        self.server = await asyncio.start_server(self.serve, sock=self.socket)
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.calls += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        writer.close()
+
+    def close(self):
+        for connection in self.waiting:
+            connection.close()
+        self.socket.close()
+
+
 class SilentFleet(Fleet):
     """A router and servers behind links; ``catalogue`` is served by several."""
 
@@ -20,6 +52,7 @@
         super().__init__(path, 1, engines=1, in_process=True, **options)
         self.catalogues = catalogues
         self.silences = []
+        self.deaf = options.get("deaf", {})
 
     def publish_tree(self):
         engine = self.engines["engine-1"]
@@ -34,6 +67,8 @@
             self.add_service(service, service)
         for number in range(2, self.catalogues + 1):
             self.add_service(f"catalogue-{number}", "catalogue")
+        for service, server in self.deaf.items():
+            self.nodes[f"servers/{service}"]["address"] = server.address
         super().publish_tree()
 
     def add_service(self, name, service):
@@ -60,9 +95,17 @@
 
         self.silences.append(self.thread.call(asyncio.ensure_future, speak()))
 
+    def let_listen(self):
+        for server in self.deaf.values():
+            self.silences.append(
+                self.thread.call(asyncio.ensure_future, server.listen())
+            )
+
     def stop(self):
         if self.silences:
             self.thread.run(asyncio.wait(self.silences))
+        for server in self.deaf.values():
+            self.thread.call(server.close)
         super().stop()
 
     def list_ejections(self):
@@ -130,3 +173,21 @@
     for thread in threads:
         thread.join()
     assert fleet.list_ejections() == {}
+
+
+def refuse(server):
+    server.close()
+
+
+def stay_deaf(server):
+    pass
+
+
+@pytest.mark.parametrize("fail", [refuse, stay_deaf])
+def test_a_call_without_a_connection_certainly_did_not_run(make_fleet, fail):
+    server = DeafServer()
+    fleet = make_fleet(deaf={"approvals": server})
+    fail(server)
+    reply = fleet.approve("r1", "dead", {"Deadline-Ms": "1500"})
+    assert (reply.status, reply.headers["Ran"]) == (503, "no")
+    assert server.calls == 0
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -269,7 +269,10 @@
 def _may_have_sent(response: HTTPResponse) -> bool:
     """Return whether a failed transfer may have sent any byte of the request.
 
-    Over TLS no byte of the request is sent before the handshake has ended.
+    Over TLS no byte of the request is sent before the handshake has ended. The time of
+    a step that was not reached is 0, except that newer versions of curl also set
+    "pretransfer" when a connection fails.
     """
-    step = "appconnect" if response.request.url.startswith("https:") else "pretransfer"
-    return bool(response.time_info.get(step))
+    step = "appconnect" if response.request.url.startswith("https:") else "connect"
+    times = response.time_info
+    return bool(times.get(step) and times.get("pretransfer"))
