Wait longer for the connection of an attempt that no retry can replace

What callers saw: a server whose machine was silent for 1.3 s while a request was to be sent, and which was the only one of its service, or was sent a call that may run once, cost the request: 503 with seconds of the deadline left.

Cause: the timeout of a connection ended the attempt before it was known whether another server, attempt and retry token were left. It is 1 s, and the kernel repeats a lost packet of the handshake after 1 s and after 3 s.

Evidence: test_the_only_server_of_a_service_may_be_silent_when_it_is_connected failed before for a call that may run once (504; 503 since connections that were not made count as such) and for one that may be repeated (502).

Why it works: the usual timeout holds while a server, an attempt and a retry token are left; else the connection gets up to 3.5 s, and ends early enough before the deadline that the caller is told that the request didn't run.

--- a/lavendershift/dispatch.py
+++ b/lavendershift/dispatch.py
@@ -128,7 +128,8 @@
             if earlier_ran is Ran.NO:
                 raise
             raise RequestError(ErrorKind.SERVER_FAILED, error.kind.value) from None
-        return Attempt(number, held, assignment)
+        others = route._replace(excluded=route.excluded | {assignment.server})
+        return Attempt(number, held, assignment, self._placement.has_untried(others))
 
     async def _run_attempt(
         self,
@@ -174,6 +175,7 @@
         returned.
         """
         for _ in range(MAX_RESUMES):
+            attempt.servers_left = attempt.servers_left and not sink.started
             call = self._make_resume_call(context, attempt, forwarder.prepare_resume())
             result = await self._exchange(call, context, attempt, forwarder, sink)
             if result is None:
@@ -304,7 +306,7 @@
             self._client.make_url(attempt.assignment.address, path),
             headers,
             request.body,
-            self._settings.connect_timeout,
+            self._choose_connect_timeout(context, attempt),
             context.deadline - self._clock.elapsed() + 2 * CANCEL_GRACE,
         )
 
@@ -319,10 +321,20 @@
             self._client.make_url(address, path),
             {},
             None,
-            self._settings.connect_timeout,
+            self._choose_connect_timeout(context, attempt),
             context.deadline - self._clock.elapsed() + 2 * CANCEL_GRACE,
         )
 
+    def _choose_connect_timeout(
+        self, context: RequestContext, attempt: Attempt
+    ) -> timedelta:
+        return self._retries.choose_connect_timeout(
+            self._settings.connect_timeout,
+            attempt.number,
+            attempt.servers_left,
+            context.deadline,
+        )
+
 
 def make_route(context: RequestContext, request: CompletionRequest) -> RouteRequest:
     """Return the routing properties of a completion."""
--- a/lavendershift/forwarding.py
+++ b/lavendershift/forwarding.py
@@ -28,14 +28,20 @@
 class Attempt:
     """One attempt of a completion and the state of its response.
 
+    ``servers_left`` is whether another server was available when it began.
     ``given_up`` is set if the deadline passes or the caller closes the
     connection; later chunks are not forwarded.
     """
 
     def __init__(
-        self, number: int, held: HeldReservation, assignment: Assignment
+        self,
+        number: int,
+        held: HeldReservation,
+        assignment: Assignment,
+        servers_left: bool,
     ) -> None:
         self.number = number
+        self.servers_left = servers_left
         self.id = assignment.attempt
         self.held = held
         self.assignment = assignment
--- a/lavendershift/placement.py
+++ b/lavendershift/placement.py
@@ -70,10 +70,7 @@
 
     def has_untried(self, route: RouteRequest) -> bool:
         """Return whether an untried server is available."""
-        candidates = self._pool.list_candidates(
-            route.model, route.service, route.prefix, route.adapter
-        )
-        return any(c.name not in route.excluded for c in candidates)
+        return self._pool.has_available(route.model, route.service, route.excluded)
 
     async def poll_queues(self) -> None:
         """Run ``dispatch_queued`` as a periodic task."""
--- a/lavendershift/retries.py
+++ b/lavendershift/retries.py
@@ -26,6 +26,11 @@
 MAX_ATTEMPTS = 3
 FIRST_DELAY = timedelta(milliseconds=20)
 LONGEST_DELAY = timedelta(milliseconds=500)
+# Timeout of a connection that no other server can replace. The kernel repeats a lost
+# packet of the handshake after 1 s and after 3 s.
+LAST_CONNECT_TIMEOUT = timedelta(milliseconds=3500)
+# Time before the deadline in which the caller is told that its request did not run.
+NOT_RUN_MARGIN = timedelta(milliseconds=100)
 
 
 class RetryReason(Enum):
@@ -99,9 +104,14 @@
         """Add the share of one success."""
         self._tokens = min(self._tokens + self._share, self._burst)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether a retry may be made."""
+        return self._tokens >= 1
+
     def spend(self) -> bool:
         """Take the token of one retry; return ``False`` if there is none."""
-        if self._tokens < 1:
+        if not self.has_token:
             return False
         self._tokens -= 1
         return True
@@ -133,6 +143,24 @@
             return GiveUp(choose_error(outcome))
         return Retry(delay, outcome.reason)
 
+    def choose_connect_timeout(
+        self,
+        usual: timedelta,
+        attempts: int,
+        servers_left: bool,
+        deadline: timedelta,
+    ) -> timedelta:
+        """Return how long an attempt may wait for its connection.
+
+        That is ``usual`` if a retry can replace the attempt, and longer if it is the
+        last one: a sound server may be silent for a second or so. ``attempts`` counts
+        this one.
+        """
+        may_retry = servers_left and attempts < MAX_ATTEMPTS and self._budget.has_token
+        longest = usual if may_retry else max(usual, LAST_CONNECT_TIMEOUT)
+        left = deadline - self._clock.elapsed() - NOT_RUN_MARGIN
+        return min(longest, max(left, NOT_RUN_MARGIN))
+
     def _choose_delay(self, attempts: int) -> timedelta:
         longest = min(FIRST_DELAY * 2 ** (attempts - 1), LONGEST_DELAY)
         return longest * self._rng.random()
--- a/lavendershift/servers.py
+++ b/lavendershift/servers.py
@@ -16,7 +16,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple
@@ -268,13 +268,7 @@
         adapter: str = "",
     ) -> list[Candidate]:
         """Return the available servers of a model or service, including busy ones."""
-        serving = [
-            server
-            for server in self._servers.values()
-            if serves(server.settings, model, service)
-            and (server.models is None or not model or model in server.models)
-            and self.is_available(server.settings.name)
-        ]
+        serving = list(self._find_serving(model, service))
         mean_other_load = self._find_mean_other_load(serving)
         names = [server.settings.name for server in serving]
         batch_servers = set(names) if service else choose_batch_servers(names)
@@ -285,6 +279,23 @@
             for server in serving
         ]
 
+    def has_available(
+        self, model: str, service: str, excluded: Collection[str]
+    ) -> bool:
+        """Return whether a server other than those ``excluded`` is available."""
+        serving = self._find_serving(model, service)
+        return any(server.settings.name not in excluded for server in serving)
+
+    def _find_serving(self, model: str, service: str) -> Iterator[_Server]:
+        """Yield the available servers of a model or service."""
+        for server in self._servers.values():
+            if (
+                serves(server.settings, model, service)
+                and (server.models is None or not model or model in server.models)
+                and self.is_available(server.settings.name)
+            ):
+                yield server
+
     def _find_mean_other_load(self, servers: Sequence[_Server]) -> float:
         reported = [server.load.find_other_load() for server in servers]
         known = [other_load for other_load in reported if other_load is not None]
--- a/lavendershift/servicecalls.py
+++ b/lavendershift/servicecalls.py
@@ -133,12 +133,18 @@
             number += 1
             attempt = f"{context.attempt}-{number}"
             assignment = await self._placement.place(context, route, attempt)
-            result = await self._send_priced(context, call, assignment)
+            route = route._replace(excluded=route.excluded | {assignment.server})
+            connect_timeout = self._retries.choose_connect_timeout(
+                self._connect_timeout,
+                number,
+                self._placement.has_untried(route),
+                context.deadline,
+            )
+            result = await self._send_priced(context, call, assignment, connect_timeout)
             if result.delivery is Delivery.ANSWERED and result.status < 500:
                 self._retries.record_success()
                 send_response(sink, make_response(result), attempt)
                 return
-            route = route._replace(excluded=route.excluded | {assignment.server})
             reason, ran = classify(result)
             outcome = AttemptOutcome(
                 reason=reason,
@@ -159,7 +165,11 @@
             await asyncio.sleep(decision.delay.total_seconds())
 
     async def _send_priced(
-        self, context: RequestContext, call: ServiceCall, assignment: Assignment
+        self,
+        context: RequestContext,
+        call: ServiceCall,
+        assignment: Assignment,
+        connect_timeout: timedelta,
     ) -> UpstreamResult:
         """Send a repeatable call and settle its price."""
         held = None
@@ -172,7 +182,7 @@
             self._placement.release(assignment, AttemptResult.CANCELLED)
             raise
         try:
-            result = await self._send(context, call, assignment)
+            result = await self._send(context, call, assignment, connect_timeout)
         except BaseException:
             if held is not None:
                 self._budgets.mark_in_doubt(held)
@@ -238,8 +248,11 @@
             error.is_first_submission = True
             self._abandon_claim(context, held)
             raise
+        connect_timeout = self._retries.choose_connect_timeout(
+            self._connect_timeout, 1, False, context.deadline
+        )
         try:
-            result = await self._send(context, call, assignment)
+            result = await self._send(context, call, assignment, connect_timeout)
         except BaseException:
             self._budgets.mark_in_doubt(held)
             raise
@@ -310,7 +323,11 @@
         return response
 
     async def _send(
-        self, context: RequestContext, call: ServiceCall, assignment: Assignment
+        self,
+        context: RequestContext,
+        call: ServiceCall,
+        assignment: Assignment,
+        connect_timeout: timedelta,
     ) -> UpstreamResult:
         """Send one attempt and release its assignment."""
         signals.request_dispatched.send(
@@ -326,7 +343,7 @@
             self._client.make_url(assignment.address, call.path),
             headers,
             call.body or None,
-            self._connect_timeout,
+            connect_timeout,
             context.deadline - self._clock.elapsed(),
         )
         health = AttemptResult.FAILED
--- a/lavendershift/settings_table.py
+++ b/lavendershift/settings_table.py
@@ -307,7 +307,7 @@
         _duration(0.05, 60),
         1.0,
         "s",
-        "Timeout of a connection attempt to a backend server.",
+        "Timeout of a connection to a backend server if another one can replace it.",
         ROUTER,
     ),
     SettingRow(
--- a/lavendershift/tests/test_silentservers.py
+++ b/lavendershift/tests/test_silentservers.py
@@ -191,3 +191,15 @@
     reply = fleet.approve("r1", "dead", {"Deadline-Ms": "1500"})
     assert (reply.status, reply.headers["Ran"]) == (503, "no")
     assert server.calls == 0
+
+
+@pytest.mark.parametrize("service", ["approvals", "catalogue"])
+def test_the_only_server_of_a_service_may_be_silent_when_it_is_connected(
+    make_fleet, service
+):
+    server = DeafServer()
+    fleet = make_fleet(deaf={service: server})
+    fleet.let_listen()
+    reply = fleet.approve("r1", "deaf") if service == "approvals" else fleet.browse()
+    assert reply.status == 200
+    assert server.calls == 1
