Keep a silent attempt until another one goes on in its place

Cause: the first-byte and event-gap timeouts ended an attempt, and only then was it found out whether another one may be made. No other server, retry token, permit or connection, or a second server that refuses or fails: the response in hand had been given up for one that was never sure.

A silence no longer ends an attempt. It lets another one start beside it, which needs a server, a permit, a connection and a retry token before it is sent, and counts towards max_attempts. The first attempt that brings an event or another complete response replaces the others at once, so that events come once and in order and no two responses are joined. What may run once is never sent twice. A response ends only by itself, with its connection, by such a replacement, or at the deadline.

A silent server is neither ejected nor slow, and keeps its connections. If nothing else arrives from it, it gets one request at a time at growing intervals until it is heard; requests that can't be repeated are not the ones to try it. Bytes without progress, unlike a silence, still count as a failure. Delivery, attempts and their preparation are modules of their own now.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -120,7 +120,9 @@
     NOT_RUN = "not_run"
     WRONG_SERVER = "wrong_server"
     BROKEN = "broken"
-    SILENT = "silent"
+    SILENT = "silent"  # no progress, until another attempt went on in its place
+    REPLACED = "replaced"  # not needed any more, as another attempt went on
+    NO_RETRY = "no_retry"  # the retry budget is empty
     INSIDE_EVENT = "inside_event"  # clean end of the response within an event
     OTHER_KIND = "other_kind"  # another status or media type than the stream's
     OUT_OF_PLACE = "out_of_place"  # events that don't follow the forwarded ones
@@ -132,6 +134,7 @@
         return self in (
             AttemptEnd.NOT_SENT,
             AttemptEnd.NO_PERMIT,
+            AttemptEnd.NO_RETRY,
             AttemptEnd.QUARANTINED,
             AttemptEnd.NOT_RUN,
             AttemptEnd.WRONG_SERVER,
@@ -158,7 +161,9 @@
     the time from then until the request was sent, ``None`` if it was not sent.
     ``known_limit`` is the server's limit in requests/s that the VM knew when it sent
     the request, ``named_limit`` the one in the response; ``None`` if there is none.
-    ``parts`` are the ids of the prompt's parts.
+    ``parts`` are the ids of the prompt's parts. ``silence`` is the longest time without
+    progress, ``None`` if the attempt never fell silent. ``is_beside`` is set if it was
+    started while another attempt was silent.
     """
 
     server: str
@@ -173,3 +178,5 @@
     known_limit: float | None = None
     named_limit: float | None = None
     parts: tuple[str, ...] = ()
+    silence: timedelta | None = None
+    is_beside: bool = False
--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -94,7 +94,19 @@
 
 
 class ServerStream(IOStream):
-    """A stream that can be checked for received but unread bytes."""
+    """A stream that can be checked for received but unread bytes.
+
+    ``received_at`` is the time on the event loop's clock at which bytes last arrived.
+    """
+
+    received_at = 0.0
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket."""
+        size = super().read_from_fd(buf)
+        if size:
+            self.received_at = asyncio.get_running_loop().time()
+        return size
 
     def has_unread(self) -> bool:
         """Return whether the peer sent bytes after the response or closed."""
@@ -188,6 +200,11 @@
         self._may_reuse = False
         self._request_line: RequestStartLine | None = None
 
+    @property
+    def received_at(self) -> float:
+        """Time on the event loop's clock at which bytes last arrived."""
+        return self._stream.received_at
+
     async def exchange(
         self, request: ServerRequest, reader: ResponseReader
     ) -> Exchange:
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -1,128 +1,60 @@
-"""Delivery of one plain HTTP request to a backend server, with retries.
+"""Delivery of one plain HTTP request to backend servers, with retries.
 
 A ``Delivery`` sends a request to one server after another until it has a complete
 response, or until a further attempt is not allowed or can't succeed. Whether the
 request may be sent again depends on the route and on what is certain about the
 attempts so far: a request that must not be repeated goes to another server only if
 it certainly did not run.
+
+An attempt that makes no progress stays in flight, as its server may be sound and go
+on. Another one is started beside it, if one is allowed and has a server, a permit, a
+connection and a token of the retry budget. The first that brings an event of a stream,
+or another complete response, replaces the others.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
-from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
 from lavendershift.attempts import (
-    Attempt,
     AttemptEnd,
     AttemptReport,
     CallerRequest,
-    ResponseKind,
     ResponseWriter,
-    ServerWire,
 )
 from lavendershift.clocks import Clock
-from lavendershift.connections import (
-    ConnectError,
-    Connection,
-    ConnectionPool,
-    Exchange,
-    is_delimited,
-)
-from lavendershift.crashes import CrashDetector
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition, read_position
-from lavendershift.permits import Permits
-from lavendershift.progresstimeouts import ProgressTimeout
+from lavendershift.preparations import AttemptOrder, Backends
 from lavendershift.promptguards import PromptGuard
-from lavendershift.quarantine import Quarantine, make_quarantine_error
+from lavendershift.quarantine import make_quarantine_error
 from lavendershift.routes import Repeat, Route, Service
-from lavendershift.serverlist import Assignment, ServerList
-from lavendershift.serverresponses import SERVER_ERRORS, AttemptReader, ServerResponse
-from lavendershift.serverstates import NO_PROMPT, ListedServer, ServerKnowledge
+from lavendershift.serverattempts import ServerAttempt
+from lavendershift.serverresponses import ServerResponse
+from lavendershift.serverstates import NO_PROMPT, ListedServer
 
-# Timeout of a connection attempt, 100 times the latency of the longest network path.
-CONNECT_TIMEOUT = timedelta(milliseconds=300)
 MAX_SENDS = 4  # servers to which one request is sent, those that refuse it included
 MAX_CONNECT_FAILURES = 6  # failed connections after which a request is given up
-FIRST_BYTE_FACTOR = 1.5  # first-byte timeout as a multiple of the route's target
-EXPECTED_FACTOR = 2.0  # first-byte timeout as a multiple of a longer expected latency
-MIN_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=250)
-# Time without an event after which a stream is resumed at another server.
-EVENT_GAP_TIMEOUT = timedelta(milliseconds=900)
 RETRY_RESERVE = timedelta(milliseconds=60)  # least time to the deadline for a retry
 # Part of the timeout kept free, so that the last response reaches the caller in time.
 RESPONSE_RESERVE = timedelta(milliseconds=20)
-# Ends of an attempt without a complete response: the connection can't be reused.
-UNFINISHED = frozenset(
-    {
-        AttemptEnd.SILENT,
-        AttemptEnd.BROKEN,
-        AttemptEnd.INSIDE_EVENT,
-        AttemptEnd.OTHER_KIND,
-        AttemptEnd.OUT_OF_PLACE,
-    }
-)
-
-
-class _UnsentError(Exception):
-    """An attempt that ended before its request was sent, and why."""
-
-    def __init__(self, end: AttemptEnd, reason: str) -> None:
-        super().__init__(reason)
-        self.end = end
-        self.reason = reason
-
-
-class AttemptMonitor:
-    """Reschedules the timeout of an attempt to the ``ProgressTimeout`` deadline."""
+# Interval at which a silent request is tried elsewhere while that is not possible.
+BESIDE_INTERVAL = timedelta(milliseconds=250)
 
-    def __init__(self, watchdog: asyncio.Timeout, first: float) -> None:
-        self._watchdog = watchdog
-        self._loop = asyncio.get_running_loop()
-        gap = max(EVENT_GAP_TIMEOUT.total_seconds(), first)
-        self._timeout = ProgressTimeout(self._loop.time(), first, gap)
 
-    def note_progress(self) -> None:
-        """Record progress of the response, which restarts the timeout."""
-        self._timeout.note_progress(self._loop.time())
-        self._update()
+class _Change(NamedTuple):
+    """Something that a delivery reacts to: an attempt's end, or else a silence.
 
-    def note_bytes(self) -> None:
-        """Record bytes without progress, which extend the timeout up to a limit."""
-        self._timeout.note_bytes(self._loop.time())
-        self._update()
-
-    def suspend(self) -> None:
-        """Suspend the timeout while a slow caller, not the server, causes the delay."""
-        self._timeout.suspend(self._loop.time())
-        self._update()
-
-    def resume(self) -> None:
-        """Resume the timeout with the time that was left."""
-        self._timeout.resume(self._loop.time())
-        self._update()
-
-    def _update(self) -> None:
-        # After a pause of the process, data may arrive together with the expiry of
-        # the timeout, and an expired timeout can't be rescheduled.
-        if not self._watchdog.expired():
-            self._watchdog.reschedule(self._timeout.deadline)
-
-
-class Backends(NamedTuple):
-    """The access of this VM to backend servers."""
+    ``error`` is an unexpected exception that ended the attempt.
+    """
 
-    servers: ServerList
-    connections: ConnectionPool
-    permits: Permits
-    crashes: CrashDetector
-    quarantine: Quarantine
-    wire: ServerWire
+    attempt: ServerAttempt | None = None
+    end: AttemptEnd | None = None
+    error: Exception | None = None
 
 
 class Delivery:
@@ -154,10 +86,8 @@
         self._clock = clock
         self._request = request
         self._service = service
+        self._backends = backends
         self._servers = backends.servers
-        self._connections = backends.connections
-        self._permits = backends.permits
-        self._wire = backends.wire
         self._response = response
         self._spend_retry = spend_retry
         self._on_attempt = on_attempt
@@ -165,23 +95,20 @@
         self._urgency = urgency
         self._deadline = min(request.deadline, request.received + route.timeout)
         self._tried: set[str] = set()
+        self._unsent: set[str] = set()
         self._sends = 0
         self._possible_runs = 0
         self._connect_failures = 0
         self._server_error: ServerResponse | None = None
-        self._server: ListedServer | None = None
-        self._assignment: Assignment | None = None
-        self._knowledge = ServerKnowledge()
-        self._connecting: timedelta | None = None
-        self._sent_at = timedelta()
-        self._known_limit: float | None = None
-        self._named_limit: float | None = None
         self.guard = PromptGuard(
             (request.prompt or NO_PROMPT).part_ids,
             backends.crashes,
             backends.quarantine,
         )
-        self._is_prompt_read = False
+        self._running: dict[ServerAttempt, asyncio.Task[None]] = {}
+        self._replaced: list[asyncio.Task[None]] = []
+        self._changes: asyncio.Queue[_Change] = asyncio.Queue()
+        self._beside_timer: asyncio.TimerHandle | None = None
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
         self._last_events_at: timedelta | None = None
@@ -203,45 +130,58 @@
             async with asyncio.timeout(max(timeout.total_seconds(), 0)):
                 await self._run_attempts()
         except TimeoutError:
+            if self._send_server_error():
+                return
             if self._possible_runs:
                 raise RequestError(ErrorKind.DEADLINE_EXCEEDED) from None
             raise RequestError(ErrorKind.DEADLINE_UNREACHABLE) from None
 
     async def _run_attempts(self) -> None:
         end = AttemptEnd.NOT_SENT
-        while True:
-            server = self._servers.choose(
-                self._service.name,
-                self._request.prompt or NO_PROMPT,
-                self._tried,
-                self._urgency,
-            )
-            if server is None:
-                self._give_up(end)
-                return
-            end = await self._attempt(server)
-            if end is AttemptEnd.ANSWERED:
-                return
-            if not self._may_try_next(end):
-                self._give_up(end)
-                return
+        try:
+            is_possible = self._start_attempt()
+            while is_possible:
+                change = await self._changes.get()
+                if change.error is not None:
+                    raise change.error
+                if change.attempt is None or change.end is None:
+                    self._start_beside()
+                    continue
+                if change.end is AttemptEnd.ANSWERED:
+                    await self._finish(change.attempt)
+                    return
+                if change.end is not AttemptEnd.NO_RETRY:
+                    end = change.end
+                is_possible = self._go_on(change.end)
+            self._give_up(end)
+        finally:
+            await self._cancel_attempts()
+
+    def _go_on(self, end: AttemptEnd) -> bool:
+        """Start another attempt if needed; return false if no response can come."""
+        if not self._running:
+            return self._may_try_next(end) and self._start_attempt()
+        if end is AttemptEnd.NOT_SENT:
+            self._connect_failures += 1
+        if end is AttemptEnd.NO_RETRY:
+            self._tried -= self._unsent
+            self._schedule_beside()
+        else:
+            self._start_beside()
+        return True
 
     def _may_try_next(self, end: AttemptEnd) -> bool:
         """Return whether another attempt is allowed after one ended with ``end``."""
+        if end is AttemptEnd.NO_RETRY:
+            return False
         if end is AttemptEnd.NOT_SENT:
             self._connect_failures += 1
             return self._connect_failures < MAX_CONNECT_FAILURES
         if end is AttemptEnd.NO_PERMIT:
             return True
-        if self.guard.is_suspicious or self.guard.find_block() is not None:
-            return False
-        if self._sends >= MAX_SENDS or self._possible_runs >= self.route.max_attempts:
-            return False
         if not end.did_not_run and not self._may_repeat():
             return False
-        if self._deadline - self._clock.elapsed() < RETRY_RESERVE:
-            return False
-        return self._spend_retry(end)
+        return self._may_send_again() and self._spend_retry(end)
 
     def _may_repeat(self) -> bool:
         """Return whether the request may be sent again although it may have run."""
@@ -251,260 +191,184 @@
             return not self._response.has_started or self.position.can_resume
         return False
 
-    def _give_up(self, end: AttemptEnd) -> None:
-        """Forward a server's own error response, or raise ``RequestError``."""
-        if self._response.has_started:
-            raise RequestError(ErrorKind.ANSWER_TRUNCATED)
-        if self._server_error is not None:
-            response = self._server_error
-            headers = self._wire.select_response_headers(response.headers)
-            self._response.send(response.status, headers, response.body)
-            return
-        if self._possible_runs == 0:
-            block = self.guard.find_block()
-            if block is not None:
-                raise make_quarantine_error(block)
-            delay = self._servers.find_permit_delay(self._service.name, self._urgency)
-            if delay is not None:
-                raise RequestError(ErrorKind.OVERLOADED, "limits of servers", delay)
-            refused = end in (AttemptEnd.NOT_RUN, AttemptEnd.WRONG_SERVER)
-            kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
-            after = self._servers.find_retry_delay(self._service.name)
-            raise RequestError(kind, retry_after=after)
-        if self.route.repeat is Repeat.NEVER:
-            raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
-        raise RequestError(ErrorKind.SERVER_FAILED)
+    def _may_send_again(self) -> bool:
+        """Return whether limits, the prompt and the deadline allow another attempt."""
+        if self.guard.is_suspicious or self.guard.find_block() is not None:
+            return False
+        if self._sends >= MAX_SENDS or self._possible_runs >= self.route.max_attempts:
+            return False
+        return self._deadline - self._clock.elapsed() >= RETRY_RESERVE
 
-    async def _attempt(self, server: ListedServer) -> AttemptEnd:
-        """Send the request to ``server`` once and return how the attempt ended."""
-        started = self._clock.elapsed()
-        entry = server.entry
-        self._server = server
-        self._knowledge, self._connecting = self._servers.get_knowledge(server), None
-        self._known_limit = self._named_limit = None
-        self._assignment = None
-        self._tried.add(entry.id)
-        try:
-            connection = await self._prepare(server)
-        except _UnsentError as error:
-            self._report_attempt(entry.id, error.end, error.reason, None, started)
-            return error.end
-        self._sent_at = self._clock.elapsed()
-        self._connecting = self._sent_at - started
-        self._sends += 1
-        self._possible_runs += 1
-        assignment = self._servers.start(server, self._request.prompt or NO_PROMPT)
-        self._assignment, self._is_prompt_read = assignment, False
-        is_reusable = False
-        self.guard.expose(connection.close)
-        reader = AttemptReader(
-            self, self.route.is_stream, connection.is_fresh, connection.close
+    def _start_beside(self) -> None:
+        """Start an attempt if all that are in flight are silent."""
+        is_silent = all(attempt.is_silent for attempt in self._running)
+        if not self._running or not is_silent:
+            return
+        if not self._may_repeat() or not self._may_send_again():
+            return
+        if not self._start_attempt(is_beside=True):
+            if self._connect_failures < MAX_CONNECT_FAILURES:
+                self._tried -= self._unsent
+            self._schedule_beside()
+
+    def _schedule_beside(self) -> None:
+        if self._beside_timer is not None:
+            self._beside_timer.cancel()
+        self._beside_timer = asyncio.get_running_loop().call_later(
+            BESIDE_INTERVAL.total_seconds(), self._changes.put_nowait, _Change()
         )
-        try:
-            end, reason = await self._exchange(connection, entry.id, reader)
-            is_reusable = end not in UNFINISHED
-        except asyncio.CancelledError:
-            self._report_attempt(entry.id, AttemptEnd.GIVEN_UP, "", reader, started)
-            raise
-        finally:
-            if reader.is_streamed and reader.refused in (None, AttemptEnd.INSIDE_EVENT):
-                self.position = reader.events.end()
-            self.guard.end_exposure()
-            self._note_prompt_read(assignment)
-            self._servers.finish(assignment)
-            if is_reusable and self._servers.is_usable(server):
-                self._connections.give_back(connection)
-            else:
-                connection.close()
-        if self._is_suspect(server, end, reader):
-            has_begun = reader.kind is ResponseKind.OWN
-            await self.guard.inspect_break(server, has_begun)
-        if not self.guard.was_stopped:
-            self._update_server_state(server, end)
-        if end.did_not_run:
-            self._possible_runs -= 1
-        self._report_attempt(entry.id, end, reason, reader, started)
-        return end
-
-    def _is_suspect(
-        self, server: ListedServer, end: AttemptEnd, reader: AttemptReader
-    ) -> bool:
-        """Return whether an attempt broke off unplanned before its first event."""
-        if self.guard.was_stopped or self._servers.is_leaving(server):
-            return False
-        if end not in (AttemptEnd.BROKEN, AttemptEnd.INSIDE_EVENT) or reader.reason:
+
+    def _start_attempt(self, is_beside: bool = False) -> bool:
+        """Start an attempt; return false if there is no server for it."""
+        server = self._choose_server()
+        if server is None:
             return False
-        return not reader.has_event
+        self._tried.add(server.entry.id)
+        order = AttemptOrder(
+            self._request,
+            self.route,
+            server,
+            self._customer,
+            self._urgency,
+            self._deadline,
+            self.position._replace(has_partial_event=self.has_partial_event()),
+            is_beside,
+        )
+        attempt = ServerAttempt(self._clock, self._backends, order, self)
+        self._running[attempt] = asyncio.ensure_future(self._run_attempt(attempt))
+        return True
 
-    async def _prepare(self, server: ListedServer) -> Connection:
-        """Return a connection on which the request may be sent now.
+    def _choose_server(self) -> ListedServer | None:
+        """Return a server that was not tried, or ``None`` if there is none.
 
-        The state of the server may have changed since it was selected, and changes
-        while a connection is opened or its keeper is asked for a permit. Raises
-        ``_UnsentError``.
+        A request that can't be repeated is not the one to find out whether a silent
+        server goes on, unless there is no other.
         """
-        self._check_quarantine()
-        was_limited = await self._take_permit(server)
-        try:
-            connection = await self._open_connection(server)
-        except ConnectError as error:
-            self._servers.note_unreachable(server)
-            raise _UnsentError(AttemptEnd.NOT_SENT, str(error)) from None
+        choose, service = self._servers.choose, self._service.name
+        prompt = self._request.prompt or NO_PROMPT
+        if self.route.repeat is Repeat.NEVER:
+            heard = self._tried.union(self._servers.list_silent(service))
+            server = choose(service, prompt, heard, self._urgency)
+            if server is not None:
+                return server
+        return choose(service, prompt, self._tried, self._urgency)
+
+    async def _run_attempt(self, attempt: ServerAttempt) -> None:
+        """Run an attempt and record how it ended, unless it was replaced."""
         try:
-            if not was_limited:
-                await self._take_permit(server)
-            self._check_quarantine()
-            if not self._servers.is_usable(server):
-                raise _UnsentError(AttemptEnd.NOT_SENT, "it left meanwhile")
-        except _UnsentError:
-            self._connections.give_back(connection)
-            raise
-        except asyncio.CancelledError:
-            connection.close()
-            raise
-        return connection
-
-    def _check_quarantine(self) -> None:
-        block = self.guard.find_block()
-        if block is not None:
-            raise _UnsentError(AttemptEnd.QUARANTINED, "/".join(block.parts))
-
-    async def _take_permit(self, server: ListedServer) -> bool:
-        """Take a permit if the server has a limit, and return whether it has one."""
-        self._known_limit = self._servers.find_limit(server)
-        if not await self._permits.take(server.incarnation, self._urgency):
-            raise _UnsentError(AttemptEnd.NO_PERMIT, "limit")
-        return self._known_limit is not None
-
-    async def _open_connection(self, server: ListedServer) -> Connection:
-        address = server.entry.address
-        connection = self._connections.take(address)
-        if connection is not None:
-            return connection
-        return await self._connections.connect(address, CONNECT_TIMEOUT)
-
-    async def _exchange(
-        self, connection: Connection, server: str, reader: AttemptReader
-    ) -> tuple[AttemptEnd, str]:
-        """Send the request on ``connection`` and read its response.
-
-        Responses to earlier requests on the same connection are skipped.
-        """
-        now = self._clock.elapsed()
-        attempt = Attempt(
-            server=server,
-            customer=self._customer,
-            urgency=self._urgency,
-            deadline=self._deadline,
-            resume_after=self.position.last_id,
+            end = await attempt.run()
+        except Exception as error:
+            self._running.pop(attempt, None)
+            self._changes.put_nowait(_Change(attempt, error=error))
+            return
+        if attempt not in self._running:
+            return
+        if attempt.is_inside_event:
+            self.position = self.position._replace(has_partial_event=True)
+        del self._running[attempt]
+        self._note_end(attempt, end)
+        self._changes.put_nowait(_Change(attempt, end))
+
+    def _note_end(self, attempt: ServerAttempt, end: AttemptEnd) -> None:
+        if end.did_not_run and attempt.was_sent:
+            self._possible_runs -= 1
+        if end is AttemptEnd.SERVER_ERROR:
+            self._server_error = attempt.response
+        if not attempt.was_sent:
+            self._unsent.add(attempt.server.entry.id)
+
+    def _replace(self, attempts: Iterable[ServerAttempt]) -> None:
+        """End attempts in flight, as another one goes on in their place."""
+        for attempt in list(attempts):
+            attempt.replace()
+            task = self._running.pop(attempt)
+            task.cancel()
+            self._replaced.append(task)
+
+    async def _cancel_attempts(self) -> None:
+        if self._beside_timer is not None:
+            self._beside_timer.cancel()
+        for task in self._running.values():
+            task.cancel()
+        tasks = [*self._running.values(), *self._replaced]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def find_refusal(self, attempt: ServerAttempt) -> AttemptEnd | None:
+        """Return why a prepared attempt may not be sent; count it if it may be."""
+        if attempt.order.is_beside:
+            others = [other for other in self._running if other is not attempt]
+            if not all(other.is_silent for other in others):
+                return AttemptEnd.REPLACED
+            if not self._spend_retry(AttemptEnd.SILENT):
+                return AttemptEnd.NO_RETRY
+        self._unsent.discard(attempt.server.entry.id)
+        self._sends += 1
+        self._possible_runs += 1
+        return None
+
+    def note_answer(self, attempt: ServerAttempt) -> None:
+        """End the other attempts, as the response of one is complete."""
+        self._replace(other for other in self._running if other is not attempt)
+
+    def note_silence(self, attempt: ServerAttempt) -> None:
+        """Handle an attempt that falls silent."""
+        self._changes.put_nowait(_Change())
+
+    def has_partial_event(self) -> bool:
+        """Whether an attempt has received a part of the next event."""
+        return self.position.has_partial_event or any(
+            attempt.is_inside_event for attempt in self._running
         )
-        message = self._wire.encode(self._request, attempt, now)
-        first_timeout = self._find_first_byte_timeout()
-        try:
-            async with asyncio.timeout(first_timeout) as watchdog:
-                if first_timeout is not None:
-                    reader.monitor = AttemptMonitor(watchdog, first_timeout)
-                exchange = await connection.exchange(message, reader)
-                while exchange.is_complete and reader.kind is ResponseKind.FOREIGN:
-                    exchange = await connection.read_next(reader)
-                end = await self._classify_exchange(exchange, reader)
-        except TimeoutError:
-            if not watchdog.expired():
-                raise
-            return AttemptEnd.SILENT, "no progress"
-        return end, reader.reason or exchange.reason
 
-    def _find_first_byte_timeout(self) -> float | None:
-        """Return the first-byte timeout in seconds, or ``None`` for no timeout.
+    def report(self, report: AttemptReport) -> None:
+        """Handle the report of an attempt that ended."""
+        self._on_attempt(report)
+
+    async def forward(self, attempt: ServerAttempt, events: bytes) -> None:
+        """Forward complete events to the caller.
 
-        An attempt is cut short only if the request may then be sent to another server.
-        The timeout grows with the expected latency, so that a server isn't given up
-        if it is slow because other prompts are queued there before this request's.
+        The first attempt with an event replaces the others. Blocks without one, such
+        as comments, wait for it if another attempt may still go on.
         """
-        if not self._may_repeat() or self._possible_runs >= self.route.max_attempts:
-            return None
-        if self.route.repeat is Repeat.NEVER:
-            return None
-        left = self._deadline - self._clock.elapsed()
-        usual = max(self.route.target * FIRST_BYTE_FACTOR, MIN_FIRST_BYTE_TIMEOUT)
-        expected = self._assignment.expected if self._assignment else timedelta()
-        first_timeout = max(usual, expected * EXPECTED_FACTOR)
-        return min(first_timeout, left / 2).total_seconds()
-
-    async def _classify_exchange(
-        self, exchange: Exchange, reader: AttemptReader
-    ) -> AttemptEnd:
-        """Return how an exchange ended, and forward a complete response."""
-        if reader.kind is ResponseKind.NOT_RUN:
-            return AttemptEnd.NOT_RUN
-        if reader.kind is ResponseKind.WRONG_SERVER:
-            return AttemptEnd.WRONG_SERVER
-        if reader.refused is not None:
-            return reader.refused
-        if not exchange.is_complete or reader.kind is ResponseKind.FOREIGN:
-            return AttemptEnd.BROKEN
-        if reader.is_streamed:
-            return await self._finish_stream(reader)
-        self.guard.note_response()
-        response = reader.collect()
-        if response.status in SERVER_ERRORS:
-            self._server_error = response
-            return AttemptEnd.SERVER_ERROR
-        if self._assignment is not None and not self.route.is_stream:
-            self._servers.record_latency(self._assignment)
-        headers = self._wire.select_response_headers(response.headers)
-        self._response.send(response.status, headers, response.body)
-        return AttemptEnd.ANSWERED
-
-    async def _finish_stream(self, reader: AttemptReader) -> AttemptEnd:
-        if not (reader.has_event or is_delimited(reader.status, reader.headers)):
-            # A server that crashes may close its connections without a reset.
-            return AttemptEnd.BROKEN
-        remainder = reader.take_remainder()
-        if remainder is None:
-            return reader.refused or AttemptEnd.BROKEN
-        self.guard.note_response()
-        self.position = reader.events.position
-        if not self._response.has_started:
-            self._start_response(reader)
-        if remainder:
-            await self._response.write(remainder)
-        self._response.finish()
-        return AttemptEnd.ANSWERED
-
-    def classify(
-        self, status: int, headers: HTTPHeaders, is_fresh: bool
-    ) -> ResponseKind:
-        """Classify a response head, and apply its signals."""
-        kind = self._wire.classify(self._request, status, headers, is_fresh)
-        if kind is not ResponseKind.WRONG_SERVER and self._server is not None:
-            signal = self._wire.read_signal(status, headers)
-            is_current = kind is not ResponseKind.FOREIGN
-            sent_at = self._sent_at if is_current else None
-            self._servers.note_signal(self._server, signal, sent_at)
-            self._named_limit = signal.limit
-        return kind
-
-    async def forward(self, reader: AttemptReader, events: bytes) -> None:
-        """Forward complete events to the caller."""
-        self.position = reader.events.position
+        position = attempt.events_position
+        others = [other for other in self._running if other is not attempt]
+        if position.events > self.position.events:
+            self._replace(others)
+        elif others and not attempt.has_forwarded:
+            attempt.held += events
+            return
+        attempt.has_forwarded = True
+        self.position = position
         if not self._response.has_started:
-            self._start_response(reader)
-        if self._assignment is not None and not self._is_prompt_read:
-            self._servers.record_latency(self._assignment)
-            self._note_prompt_read(self._assignment)
-        if reader.has_event:
-            self.guard.note_response()
+            self._start_response(attempt)
         self._update_longest_gap()
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
-            await self._response.write(events)
+            await self._response.write(attempt.take_held() + events)
+
+    async def _finish(self, attempt: ServerAttempt) -> None:
+        """Forward the end of a complete response."""
+        if attempt.response is not None:
+            self._send(attempt.response)
+            return
+        self.position = attempt.events_position
+        if not self._response.has_started:
+            self._start_response(attempt)
+        remainder = attempt.take_held() + attempt.remainder
+        if remainder:
+            await self._response.write(remainder)
+        self._response.finish()
+
+    def _send(self, response: ServerResponse) -> None:
+        headers = self._backends.wire.select_response_headers(response.headers)
+        self._response.send(response.status, headers, response.body)
 
-    def _start_response(self, reader: AttemptReader) -> None:
+    def _start_response(self, attempt: ServerAttempt) -> None:
+        assert attempt.reader is not None
         self.first_event_at = self._clock.elapsed()
-        headers = self._wire.select_response_headers(reader.headers)
-        self.first_status = reader.status
-        self._response.start(reader.status, headers)
+        headers = self._backends.wire.select_response_headers(attempt.reader.headers)
+        self.first_status = attempt.reader.status
+        self._response.start(self.first_status, headers)
 
     def _update_longest_gap(self) -> None:
         """Update the longest time between two writes of events."""
@@ -514,47 +378,30 @@
             self.longest_gap = max(self.longest_gap or gap, gap)
         self._last_events_at = now
 
-    def _note_prompt_read(self, assignment: Assignment) -> None:
-        if not self._is_prompt_read:
-            self._is_prompt_read = True
-            self._servers.record_prompt_read(assignment)
-
-    def _update_server_state(self, server: ListedServer, end: AttemptEnd) -> None:
-        if end is AttemptEnd.ANSWERED:
-            self._servers.note_success(server)
-        elif end is AttemptEnd.OUT_OF_PLACE and not self._response.has_started:
-            pass  # the caller may have sent a Last-Event-ID that never existed
-        elif end in UNFINISHED or end is AttemptEnd.SERVER_ERROR:
-            self._servers.note_failure(server)
-        elif end is AttemptEnd.WRONG_SERVER:
-            self._servers.note_unreachable(server)
-        if end in (AttemptEnd.SILENT, AttemptEnd.BROKEN):
-            self._connections.drop(server.entry.address)
-
-    def _report_attempt(
-        self,
-        server: str,
-        end: AttemptEnd,
-        reason: str,
-        reader: AttemptReader | None,
-        started: timedelta,
-    ) -> None:
-        duration = self._clock.elapsed() - started
-        expected = self._assignment.expected if self._assignment else timedelta()
-        status = reader.status if reader else 0
-        stream = reader.describe() if reader else None
-        report = AttemptReport(
-            server,
-            end,
-            reason,
-            status,
-            duration,
-            expected,
-            stream,
-            self._knowledge,
-            self._connecting,
-            self._known_limit,
-            self._named_limit,
-            self.guard.parts,
-        )
-        self._on_attempt(report)
+    def _send_server_error(self) -> bool:
+        """Forward a server's own error response; return false if there is none."""
+        if self._server_error is None or self._response.has_started:
+            return False
+        self._send(self._server_error)
+        return True
+
+    def _give_up(self, end: AttemptEnd) -> None:
+        """Forward a server's own error response, or raise ``RequestError``."""
+        if self._response.has_started:
+            raise RequestError(ErrorKind.ANSWER_TRUNCATED)
+        if self._send_server_error():
+            return
+        if self._possible_runs == 0:
+            block = self.guard.find_block()
+            if block is not None:
+                raise make_quarantine_error(block)
+            delay = self._servers.find_permit_delay(self._service.name, self._urgency)
+            if delay is not None:
+                raise RequestError(ErrorKind.OVERLOADED, "limits of servers", delay)
+            refused = end in (AttemptEnd.NOT_RUN, AttemptEnd.WRONG_SERVER)
+            kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
+            after = self._servers.find_retry_delay(self._service.name)
+            raise RequestError(kind, retry_after=after)
+        if self.route.repeat is Repeat.NEVER:
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
+        raise RequestError(ErrorKind.SERVER_FAILED)
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -18,9 +18,10 @@
     ResponseWriter,
 )
 from lavendershift.clocks import Clock
-from lavendershift.delivery import Backends, Delivery
+from lavendershift.delivery import Delivery
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.pendingtokens import TokenRequest
+from lavendershift.preparations import Backends
 from lavendershift.quarantine import Parts, make_quarantine_error
 from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.retries import RetryBudget
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -50,6 +50,12 @@
     "limited_attempts": Instrument(
         "Attempts at servers whose limit the VM knew, by how they ended.", ("end",)
     ),
+    "server_silences": Instrument(
+        "Begins and ends of servers' silences that this VM noticed.", ("change",)
+    ),
+    "attempts_beside": Instrument(
+        "Attempts begun while another one was silent, by how they ended.", ("end",)
+    ),
     "permits": Instrument(
         "Permits needed for requests to servers with limits, by outcome.", ("outcome",)
     ),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -170,6 +170,7 @@
     route: str
     served: int
     server: str
+    silent_ms: int
     stage: str
     status: int
     stream: str
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -20,7 +20,6 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
-from lavendershift.delivery import Backends
 from lavendershift.errors import LogUnavailableError
 from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
@@ -45,6 +44,7 @@
 from lavendershift.platform.serverwire import PlatformServerWire
 from lavendershift.platform.store import StoreClient
 from lavendershift.prepaid import LARGE_FLEET
+from lavendershift.preparations import Backends
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlimits import LimitState
@@ -124,6 +124,7 @@
         self._servers.on_load_change = self._gossip.note_change
         self._servers.on_leaving = self._note_server_leaving
         self._servers.on_invalid_limit = self._note_invalid_limit
+        self._servers.on_silence = self._note_silence
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
         self._crash_control = CrashControl(
@@ -428,6 +429,12 @@
         if is_own:
             self._fact_gossip.announce(self._limit_facts, {incarnation: state})
 
+    def _note_silence(self, entry: ServerEntry, is_silent: bool) -> None:
+        """Report that a server fell silent or was heard again."""
+        change = "silent" if is_silent else "heard"
+        self._instruments.count("server_silences", change)
+        self._log.write(Event.SERVER_CHANGED, server=entry.id, result=change)
+
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
         self._instruments.count("skipped_entries", "limit")
         self._log.write(Event.ENTRY_SKIPPED, server=entry.id, name="limit")
--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -11,11 +11,12 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashes import CrashDetector
 from lavendershift.datagrams import Datagrams
-from lavendershift.delivery import Backends, Delivery
+from lavendershift.delivery import Delivery
 from lavendershift.errors import RequestError
 from lavendershift.permits import Permits
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.serverwire import PlatformServerWire
+from lavendershift.preparations import Backends
 from lavendershift.quarantine import Quarantine
 from lavendershift.routes import Repeat, Route, Service, ServiceShare
 from lavendershift.serverlist import ServerList
--- a/lavendershift/platform/tests/test_silentservers.py
+++ b/lavendershift/platform/tests/test_silentservers.py
@@ -190,6 +190,24 @@
     play(work)
 
 
+def test_silent_request_is_sent_to_a_server_that_can_be_reached_later(play):
+    async def work(scene):
+        first = await scene.add_server()
+        first.default = keep_silent
+        task = asyncio.ensure_future(deliver(scene, is_stream=True))
+        await asyncio.sleep(0.1)
+        second = await scene.add_server()
+        second.default = stream(COUNT)
+        await second.stop()
+        await asyncio.sleep(0.6)
+        assert AttemptEnd.NOT_SENT in scene.ends
+        await second.start(second.port)
+        await task
+        assert scene.ends[-1] is AttemptEnd.ANSWERED
+
+    play(work)
+
+
 @pytest.mark.parametrize("moment", STREAMS)
 def test_streams_of_two_servers_silent_at_once_are_not_joined(play, moment):
     async def work(scene):
@@ -334,6 +352,37 @@
     play(work)
 
 
+def test_server_is_silent_while_a_response_is_and_then_heard_again(play):
+    async def work(scene):
+        changes = []
+        scene.servers.on_silence = lambda entry, is_silent: changes.append(is_silent)
+        await add_servers(scene, STREAMS["after some events"])
+        await deliver(scene, is_stream=True)
+        assert changes == [True, False]
+
+    play(work)
+
+
+def test_connections_from_before_a_silence_are_not_used_if_only_new_ones_go_on(play):
+    async def work(scene):
+        server = await scene.add_server()
+        both = [scene.deliver(request=scene.make_request(n)) for n in (1, 2)]
+        await asyncio.gather(*both)
+        assert server.connections == 2
+        server.script += [keep_silent, keep_silent]
+        task = asyncio.ensure_future(
+            scene.deliver(request=scene.make_request(3), repeat=Repeat.ALWAYS)
+        )
+        await asyncio.sleep(0.5)
+        task.cancel()
+        server.script.clear()
+        await scene.deliver(request=scene.make_request(4))
+        await asyncio.sleep(0.05)
+        assert server.connections == 3 and server.closed == 2
+
+    play(work)
+
+
 def test_server_that_stays_silent_is_left_by_the_next_requests(play):
     async def work(scene):
         first = await scene.add_server()
--- a/lavendershift/promptguards.py
+++ b/lavendershift/promptguards.py
@@ -5,7 +5,7 @@
 
     guard = PromptGuard(prompt.part_ids, crashes, quarantine)
     if guard.find_block() is None:
-        guard.expose(connection.close)
+        exposure = guard.expose(connection.close)
 """
 
 import asyncio
@@ -35,8 +35,7 @@
         self.is_suspicious = False
         self._crashes = crashes
         self._quarantine = quarantine
-        self._exposure: Exposure | None = None
-        self._is_in_flight = False
+        self._in_flight: set[Exposure] = set()
         self._is_repeat = False
 
     def find_block(self) -> Block | None:
@@ -44,38 +43,36 @@
         block = self._quarantine.find(self.parts)
         return None if block is None or block.parts == self.trial else block
 
-    def expose(self, stop: Callable[[], None]) -> None:
+    def expose(self, stop: Callable[[], None]) -> Exposure:
         """Begin an attempt; ``stop`` closes its connection."""
-        self._exposure = self._crashes.expose(self.parts, stop)
-        self._is_in_flight = True
+        exposure = self._crashes.expose(self.parts, stop)
+        self._in_flight.add(exposure)
+        return exposure
 
-    def note_response(self) -> None:
-        """Record an event or a complete response of the attempt."""
-        if self._is_in_flight and self.parts:
+    def note_response(self, exposure: Exposure) -> None:
+        """Record an event or a complete response of an attempt."""
+        if exposure in self._in_flight and self.parts:
             self._quarantine.note_answer(self.parts)
-        self.end_exposure()
+        self.end_exposure(exposure)
 
-    def end_exposure(self) -> None:
-        """End the time in which the attempt may crash its server."""
-        if self._is_in_flight and self._exposure is not None:
-            self._crashes.end(self._exposure)
-        self._is_in_flight = False
+    def end_exposure(self, exposure: Exposure) -> None:
+        """End the time in which an attempt may crash its server."""
+        if exposure in self._in_flight:
+            self._in_flight.remove(exposure)
+            self._crashes.end(exposure)
 
-    @property
-    def was_stopped(self) -> bool:
-        """Whether the last attempt was stopped because of a quarantine."""
-        return self._exposure is not None and self._exposure.was_stopped
-
-    async def inspect_break(self, server: ListedServer, has_begun: bool) -> None:
-        """Find out whether a server crashed that broke off the attempt.
+    async def inspect_break(
+        self, server: ListedServer, exposure: Exposure, has_begun: bool
+    ) -> None:
+        """Find out whether a server crashed that broke off an attempt.
 
         ``has_begun`` is set if its response had begun.
         """
-        if self._exposure is None or not self.parts:
+        if not self.parts:
             return
         was_suspicious = self._quarantine.is_suspicious(self.parts)
         has_begun = has_begun or self._is_repeat
-        is_crash = await self._crashes.inspect(server, self._exposure, has_begun)
+        is_crash = await self._crashes.inspect(server, exposure, has_begun)
         self._is_repeat = is_crash
         if is_crash and was_suspicious:
             self.is_suspicious = has_begun
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -108,6 +108,11 @@
             fields["known_limit"] = attempt.known_limit
         if attempt.named_limit is not None:
             fields["named_limit"] = attempt.named_limit
+        if attempt.silence is not None:
+            fields["silent_ms"] = in_milliseconds(attempt.silence)
+        if attempt.is_beside:
+            self._instruments.count("attempts_beside", attempt.end.value)
+            fields["place"] = "beside"
         if attempt.parts and event is Event.REQUEST_ATTEMPTED:
             fields["parts"] = ",".join(attempt.parts)
         if attempt.stream is not None:
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -67,8 +67,9 @@
     ``on_leaving`` is called with the entry of a server whose response announces that
     it drains, and ``on_load_change`` with a server's id and the prompt parts sent to
     it whenever this VM's load on it changes. ``on_invalid_limit`` is called with the
-    entry of a server whose response names a limit that can't be read. ``count_vms``
-    returns the number of VMs that callers are sent to.
+    entry of a server whose response names a limit that can't be read, ``on_silence``
+    with that of one that falls silent or is heard again. ``count_vms`` returns the
+    number of VMs that callers are sent to.
     """
 
     def __init__(self, clock: Clock, rng: random.Random, domain: str = "") -> None:
@@ -86,6 +87,7 @@
         self.count_vms: Callable[[], int] = lambda: 1
         self.on_invalid_limit: Callable[[ServerEntry], None] = lambda entry: None
         self.on_leaving: Callable[[ServerEntry], None] = lambda entry: None
+        self.on_silence: Callable[[ServerEntry, bool], None] = _ignore_silence
         self.on_load_change: Callable[[str, Sequence[str]], None] = (
             lambda server, parts: None
         )
@@ -320,7 +322,7 @@
 
     def _is_avoided(self, server: ListedServer) -> bool:
         now = self._clock.elapsed()
-        if server.avoided_until > now:
+        if server.avoided_until > now or server.silence.is_avoided(now):
             return True
         outliers = self._outliers.get(server.entry.service)
         return outliers is not None and outliers.is_ejected(server.entry.id, now)
@@ -334,6 +336,7 @@
         server.in_flight += 1
         server.unread_tokens += unread
         server.cache.note_used(parts)
+        server.silence.note_request(now)
         self.on_load_change(server.entry.id, parts)
         return Assignment(server, unread, now, expected)
 
@@ -404,6 +407,26 @@
         if outliers is not None:
             outliers.record_failure(server.entry.id, self._clock.elapsed())
 
+    def note_silence(self, server: ListedServer, progress_at: timedelta) -> None:
+        """Record that a request makes no progress since ``progress_at``."""
+        if server.silence.note_silence(self._clock.elapsed(), progress_at):
+            self.on_silence(server.entry, True)
+
+    def note_progress(self, server: ListedServer) -> bool:
+        """Record progress of a response; return whether it ended a silence."""
+        if not server.silence.note_heard(self._clock.elapsed()):
+            return False
+        self.on_silence(server.entry, False)
+        return True
+
+    def list_silent(self, service: str) -> list[str]:
+        """Return the ids of the silent servers of a service."""
+        return [
+            server.entry.id
+            for server in self._servers.values()
+            if server.entry.service == service and server.silence.is_open
+        ]
+
     def note_unreachable(self, server: ListedServer) -> None:
         """Record a failed connection attempt, and back off from the server."""
         server.avoided_until = self._clock.elapsed() + server.connect_backoff
@@ -422,6 +445,10 @@
         )
 
 
+def _ignore_silence(entry: ServerEntry, is_silent: bool) -> None:
+    """Do nothing."""
+
+
 def estimate_cost(
     server: ListedServer, prompt: PromptShape, is_affinity_server: bool, now: timedelta
 ) -> float:
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -138,6 +138,16 @@
         """Whether the response has a complete event."""
         return self.events.position.events > self._initial_position.events
 
+    @property
+    def position(self) -> EventPosition:
+        """The position up to which events were read."""
+        return self.events.position
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of an event has arrived."""
+        return self.events.is_inside_event
+
     @property
     def media_type(self) -> str:
         """The response's Content-Type."""
--- a/lavendershift/serverstates.py
+++ b/lavendershift/serverstates.py
@@ -6,6 +6,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.prefixes import PrefixIndex
 from lavendershift.serversignals import Incarnation
+from lavendershift.silences import ServerSilence
 
 # Backoff after the first failed connection.
 CONNECT_BACKOFF = timedelta(milliseconds=400)
@@ -104,6 +105,7 @@
         self.unread_tokens = 0
         self.avoided_until = timedelta()
         self.connect_backoff = CONNECT_BACKOFF
+        self.silence = ServerSilence()
         self.usable_until: timedelta | None = None
         self.cache = PrefixIndex(clock)
         self.peer_loads: dict[str, PeerLoad] = {}
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -97,9 +97,9 @@
         self._writers: set[HeldWriter] = set()
         self._goes_on: asyncio.TimerHandle | None = None
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on ``port``, or on a free one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
