Take no success without its request's id for a response

Callers got a success that no server had signed, in place of their own response, when a server wrote bytes of another origin first on a new connection.

A response could lack the request's id on a new connection, since servers refuse a request that they can't read in this way. That exception held for successes, too, although servers echo the id of each request that they run.

Such a response is skipped as that to another request. A request without an id may still get a response without one on a new connection.

--- a/lavendershift/platform/serverwire.py
+++ b/lavendershift/platform/serverwire.py
@@ -8,6 +8,7 @@
 from lavendershift.attempts import Attempt, CallerRequest, ResponseKind
 from lavendershift.connections import ServerRequest
 from lavendershift.platform import names
+from lavendershift.serverresponses import SUCCESSES
 from lavendershift.serversignals import ServerSignal
 
 MISDIRECTED_REQUEST = 421  # status of a server that is not the expected one
@@ -42,13 +43,16 @@
     ) -> ResponseKind:
         """Return whose response this is, and whether ``request`` was executed.
 
-        Only on a new connection (``is_fresh``) may it lack the request's id.
+        A response may lack the request's id only on a new connection (``is_fresh``),
+        and a success only if the request has none either.
         """
         response_id = headers.get(names.REQUEST_ID)
         if response_id is not None and response_id != request.id:
             return ResponseKind.FOREIGN
         if response_id is None and not is_fresh:
             return ResponseKind.FOREIGN
+        if response_id is None and request.id and status in SUCCESSES:
+            return ResponseKind.FOREIGN
         if status == MISDIRECTED_REQUEST:
             return ResponseKind.WRONG_SERVER
         if names.NOT_RUN in headers:
--- a/lavendershift/platform/tests/test_staleresponses.py
+++ b/lavendershift/platform/tests/test_staleresponses.py
@@ -28,6 +28,7 @@
 PROMISES = (408, 421, 429, 503)  # statuses that tell a caller that nothing was run
 NOT_RUN = b"X-Lavendershift-Not-Executed: 1\r\n"
 OTHER_ID = b"X-Lavendershift-Attempt-Id: r1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 EMPTY = b"Content-Length: 0\r\n"
 INTERIM = b"HTTP/1.1 103 Early Hints\r\n" + NOT_RUN + b"\r\n"
 KINDS = {
@@ -147,10 +148,7 @@
     "informational response only": (INTERIM,),
     "with a body": (WITH_BODY,),
     "with a late body": (WITH_BODY[:-4], b"full"),
-    "chunked": (
-        make_refusal(503, NOT_RUN, b"Transfer-Encoding: chunked\r\n")
-        + b"4\r\nfull\r\n0\r\n\r\n",
-    ),
+    "chunked": (make_refusal(503, NOT_RUN, CHUNKED) + b"4\r\nfull\r\n0\r\n\r\n",),
     "no content": (make_refusal(204, NOT_RUN),),
 }
 
@@ -185,8 +183,6 @@
 @pytest.mark.parametrize("shape", UNREADABLE)
 @pytest.mark.parametrize("kind", KINDS)
 def test_broken_refusal_of_an_earlier_request_is_no_proof(play, kind, shape):
-    """The response may be lost with it, but is never taken for a refusal."""
-
     async def work(scene):
         behaviour = write_before(*UNREADABLE[shape], pause_s=0.005)
         timeout = 0.7 * SECOND
@@ -323,7 +319,7 @@
 
 SLOW_REFUSALS = {
     "no body": b"Content-Length: 9\r\n",
-    "no last chunk": b"Transfer-Encoding: chunked\r\n",
+    "no last chunk": CHUNKED,
     "no length": b"",
 }
 
@@ -364,3 +360,40 @@
         assert set(scene.ends) == {AttemptEnd.NOT_RUN}
 
     play(work)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_success_without_an_id_is_nobodys_on_a_new_connection_too(play, kind):
+    """Guards against a success that the server didn't sign."""
+
+    async def answer_anyhow(received, writer):
+        media_type = b"Content-Type: text/event-stream\r\n"
+        length = b"Content-Length: %d\r\n" % len(FULL_STREAM)
+        writer.write(make_refusal(200, media_type, length) + FULL_STREAM)
+        await writer.drain()
+        await answer_own(received, writer)
+
+    async def work(scene):
+        await scene.add_server(answer_anyhow)
+        is_stream = KINDS[kind].get("is_stream", False)
+        target = "/a/stream" if is_stream else "/a/plain"
+        request = scene.make_request(2)._replace(target=target)
+        response = await scene.deliver(request=request, **KINDS[kind])
+        assert response.body == get_expected(kind) and response.is_done
+        assert response.headers["X-Lavendershift-Response-Signature"] == "sign-r2"
+
+    play(work)
+
+
+def test_response_to_a_request_without_an_id_may_lack_one(play):
+    async def answer_without_id(received, writer):
+        writer.write(make_refusal(200, b"Content-Length: 4\r\n") + b"done")
+
+    async def work(scene):
+        await scene.add_server(answer_without_id)
+        request = scene.make_request()._replace(id="")
+        request.headers.clear()
+        response = await scene.deliver(request=request)
+        assert (response.status, response.body) == (200, b"done")
+
+    play(work)
