Keep a plain response body in one buffer

A server that sends a body in pieces of a few bytes made the VM keep an object for each of them, some 20 times the body's size; a body may have 64 MB.

--- a/lavendershift/platform/tests/test_endlessresponses.py
+++ b/lavendershift/platform/tests/test_endlessresponses.py
@@ -10,11 +10,14 @@
 import tracemalloc
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
-from lavendershift.attempts import AttemptEnd
+from lavendershift.attempts import AttemptEnd, ResponseKind
 from lavendershift.errors import ErrorKind, Ran, RequestError
+from lavendershift.eventstreams import EventPosition
 from lavendershift.platform.tests.conftest import SECOND, RecordedResponse
 from lavendershift.routes import Repeat
+from lavendershift.serverresponses import AttemptReader
 from lavendershift_standins.platformserver import (
     ATTEMPT_ID_HEADER,
     answer_complete,
@@ -251,6 +254,30 @@
     play(work)
 
 
+class Receiver:
+    first_status = 0
+    position = EventPosition()
+
+    def classify(self, status, headers, is_fresh):
+        return ResponseKind.OWN
+
+
+def test_body_in_small_pieces_takes_little_more_memory_than_its_bytes():
+    """Guards against an object for each of the pieces of a slow body."""
+    size = 600_000
+    reader = AttemptReader(Receiver(), False, True, lambda: None)
+    reader.start(200, HTTPHeaders({"Content-Length": str(size)}))
+    tracemalloc.start()
+    try:
+        for number in range(size // 2):
+            reader.add(number.to_bytes(4)[2:])
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < size + MAX_EXTRA_MEMORY
+    assert len(reader.collect().body) == size
+
+
 @pytest.mark.parametrize("split", [1, 2, 3, 7, 50])
 def test_valid_stream_in_small_chunks_takes_one_attempt(play, split):
     """Each event arrives slowly in pieces, within the event gap timeout."""
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -88,13 +88,13 @@
         self._is_fresh = is_fresh
         self._stop = stop
         self._initial_position = receiver.position
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._skipped = 0
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Process a response head; one for an earlier request may come first."""
-        self._chunks, self._size = [], 0
+        self._body, self._size = bytearray(), 0
         self.status, self.headers = status, headers
         self.kind = self._receiver.classify(status, headers, self._is_fresh)
         self._is_fresh = False
@@ -176,7 +176,7 @@
     def _collect(self, chunk: bytes) -> None:
         """Buffer a chunk of a plain body, or skip it if it isn't the request's."""
         if self.kind is ResponseKind.OWN:
-            self._chunks.append(chunk)
+            self._body += chunk
         self._size += len(chunk)
         if "Content-Length" in self.headers:
             if self.kind is ResponseKind.OWN:
@@ -208,7 +208,7 @@
 
     def collect(self) -> ServerResponse:
         """Return the complete response."""
-        return ServerResponse(self.status, self.headers, b"".join(self._chunks))
+        return ServerResponse(self.status, self.headers, bytes(self._body))
 
     def describe(self) -> StreamReport | None:
         """Return the report of a stream for the log."""
