Grant no second trial when the keeper of a quarantine is silent

What callers saw: the keeper of a quarantine granted a trial, was silent for more than 1.3 s, and the VM that took its place granted another one within the 15 s in which only one may be under way, so that a prompt that crashes servers was sent twice.

Cause: only the keeper knew of the trials that it had granted.

Evidence: the steps of test_a_vm_that_replaces_a_silent_keeper_grants_no_second_ trial got two grants before, one from each keeper.

Why it works: the keeper tells all VMs of each grant, at most one in 15 s for a quarantine.

--- a/lavendershift/crashcontrol.py
+++ b/lavendershift/crashcontrol.py
@@ -51,7 +51,9 @@
         self.detector = CrashDetector(connections.is_refused)
         self.quarantine = Quarantine(clock, rng)
         self.facts = QuarantineFacts(clock, self.quarantine)
-        self.trials = Trials(clock, self.quarantine, self.facts, datagrams, find_keeper)
+        self.trials = Trials(
+            clock, self.quarantine, self.facts, datagrams, find_keeper, list_peers
+        )
         self.announce: Callable[[FactKind, Mapping[Any, Any]], None] = (
             lambda kind, facts: None
         )
--- a/lavendershift/tests/crashsimulation.py
+++ b/lavendershift/tests/crashsimulation.py
@@ -56,7 +56,12 @@
             self.quarantine, self.datagrams, self._list_peers, rng
         )
         self.trials = Trials(
-            fleet.loop, self.quarantine, self.facts, self.datagrams, self._find_keeper
+            fleet.loop,
+            self.quarantine,
+            self.facts,
+            self.datagrams,
+            self._find_keeper,
+            self._list_peers,
         )
         self.quarantine.on_change = self._note_quarantine
 
--- a/lavendershift/tests/test_storedformats.py
+++ b/lavendershift/tests/test_storedformats.py
@@ -81,7 +81,7 @@
 from lavendershift.tokenloans import Loan, LoanRequest
 from lavendershift.tokenstocks import StockReport
 from lavendershift.topups import TopUpEntry
-from lavendershift.trials import TrialReply, TrialRequest
+from lavendershift.trials import TrialNotice, TrialReply, TrialRequest
 from lavendershift.verdicts import Status, Verdict
 
 BUDGET = "desks/rennes/plume"
@@ -421,6 +421,10 @@
         "94a5747269616c04c39591a439316264c20301cbbfe0000000000000",
         TrialReply(4, True, QuarantineFact(["91bd"], False, 3, 1, -0.5)),
     ),
+    (
+        "92ac747269616c5f6e6f746963659591a439316264c30201cbbfe0000000000000",
+        TrialNotice(QuarantineFact(["91bd"], True, 2, 1, -0.5)),
+    ),
     (
         "98ae7065726d69745f7265717565737404a3692d31cf0000018bcfe56800"
         "cb3ff33333333333330305c0",
--- a/lavendershift/tests/test_trials.py
+++ b/lavendershift/tests/test_trials.py
@@ -56,6 +56,7 @@
             self.facts,
             datagrams,
             lambda key: None if self.keeper == port else ("", self.keeper),
+            lambda: [("", other) for other in network.vms if other != port],
         )
         self.gossip = CrashGossip(
             self.quarantine,
@@ -91,6 +92,18 @@
     assert take(keeper, second) == [True, False]
 
 
+def test_a_vm_that_replaces_a_silent_keeper_grants_no_second_trial(fleet):
+    network, clock, vms = fleet
+    clock.advance(FIRST_TRIAL_DELAY)
+    assert take(vms[2]) == [True]
+    network.lost.add(1)
+    for vm in vms:
+        vm.keeper = 2
+    assert take(vms[2], vms[1]) == [False, False]
+    clock.advance(TRIAL_TIMEOUT)
+    assert take(vms[2], vms[1]) == [True, False]
+
+
 def test_no_trial_is_made_without_a_reply(fleet):
     network, clock, (_, second, _) = fleet
     clock.advance(FIRST_TRIAL_DELAY)
--- a/lavendershift/trials.py
+++ b/lavendershift/trials.py
@@ -3,14 +3,15 @@
 A quarantined part gets no more responses that could clear it. After some time one
 request with it is sent as a trial: a response ends the quarantine, and another crash
 prolongs it. A VM that has such a request asks the quarantine's keeper for the trial. No
-reply, no trial::
+reply, no trial. The keeper tells all VMs of a trial that it grants, as another VM
+becomes the keeper when it is silent::
 
     trials = Trials(clock, quarantine, facts, datagrams, find_keeper)
     if await trials.take(block.parts):
         ...
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 import msgspec
@@ -53,10 +54,18 @@
     quarantine: QuarantineFact
 
 
+@register_message
+class TrialNotice(msgspec.Struct, array_like=True, tag="trial_notice"):
+    """A notice that a trial of ``quarantine`` has been granted."""
+
+    quarantine: QuarantineFact
+
+
 class Trials:
     """Gets trials from keepers, and grants those of the quarantines kept here.
 
-    ``find_keeper`` returns the address of a keeper, ``None`` if it is this VM.
+    ``find_keeper`` returns the address of a keeper, ``None`` if it is this VM, and
+    ``list_peers`` the addresses of the other VMs.
     """
 
     def __init__(
@@ -66,16 +75,19 @@
         facts: QuarantineFacts,
         datagrams: Datagrams,
         find_keeper: Callable[[str], Peer | None],
+        list_peers: Callable[[], Collection[Peer]] = lambda: (),
     ) -> None:
         self._clock = clock
         self._quarantine = quarantine
         self._facts = facts
         self._datagrams = datagrams
         self._find_keeper = find_keeper
+        self._list_peers = list_peers
         self._replies: Replies[bool] = Replies()
         self._granted_at: dict[Parts, timedelta] = {}
         datagrams.handle(TrialRequest, self._handle_request)
         datagrams.handle(TrialReply, self._handle_reply)
+        datagrams.handle(TrialNotice, self._handle_notice)
 
     async def take(self, parts: Parts) -> bool:
         """Return whether a request with the quarantined ``parts`` may be sent now."""
@@ -104,10 +116,15 @@
         granted_at = self._granted_at.get(parts)
         if granted_at is not None and now - granted_at < TRIAL_TIMEOUT:
             return False
+        self._note_grant(parts)
+        fact = self._facts.encode_one(parts, state)
+        self._datagrams.send(TrialNotice(fact), self._list_peers())
+        return True
+
+    def _note_grant(self, parts: Parts) -> None:
         if len(self._granted_at) >= MAX_QUARANTINES:
             self._granted_at.clear()
-        self._granted_at[parts] = now
-        return True
+        self._granted_at[parts] = self._clock.elapsed()
 
     def _handle_request(self, request: TrialRequest, sender: Peer) -> None:
         """Grant or refuse a trial, or forward the request to the keeper once.
@@ -131,3 +148,8 @@
     def _handle_reply(self, reply: TrialReply, sender: Peer) -> None:
         self._facts.merge(reply.quarantine)
         self._replies.resolve(reply.number, reply.is_granted)
+
+    def _handle_notice(self, notice: TrialNotice, sender: Peer) -> None:
+        """Grant no other trial for some time, should this VM become the keeper."""
+        self._facts.merge(notice.quarantine)
+        self._note_grant(tuple(notice.quarantine.parts))
