Test that silences of relays, lenders and VMs give nothing up

Calls through a relay that is silent, or whose log is, for 1.3 s get their responses; a loan is credited when it arrives after its request timed out; a VM that was silent for 1.5 s beyond its usual pauses stays listed. All passed without a change.

--- a/lavendershift/tests/test_silentservers.py
+++ b/lavendershift/tests/test_silentservers.py
@@ -145,9 +145,9 @@
     assert len(runs) == 3
 
 
-@pytest.mark.parametrize("link", ["servers", "r1-log"])
+@pytest.mark.parametrize("link", ["servers", "r1-log", "relay1-peer", "relay1-log"])
 def test_a_silent_service_or_log_costs_no_call(make_fleet, link):
-    fleet = make_fleet()
+    fleet = make_fleet(relays=1 if link.startswith("relay") else 0)
     assert fleet.approve("r1", "warm").status == 200
     fleet.silence("approvals" if link == "servers" else link)
     assert fleet.approve("r1", "silent").status == 200
--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -155,6 +155,21 @@
     assert run_nodes(work) == 10
 
 
+def test_a_loan_that_arrives_after_the_lender_was_silent_is_not_lost():
+    async def work(lender, borrower, quota_log):
+        lender.account.credit(5000)
+        held = []
+        send = lender.datagrams.send
+        lender.datagrams.send = lambda message, peers: held.append((message, peers))
+        borrowed = await borrower.loans.borrow(TokenRequest("plume", 300), 300)
+        for message, peers in held:
+            send(message, peers)
+        await asyncio.sleep(0.05)
+        return borrowed, lender.account.free, borrower.account.free
+
+    assert run_nodes(work) == (0, 4700, 300)
+
+
 def test_tokens_reserved_while_a_loan_is_awaited_are_not_returned():
     """A round plans returns and then waits for a lender, while requests arrive."""
 
--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -101,6 +101,19 @@
     assert vms.count() == 4
 
 
+def test_a_vm_that_was_silent_for_over_a_second_stays_listed():
+    """Its datagrams come twice in a second, and its rows every 1.2 s."""
+    clock = ManualClock()
+    vms = make_list(clock, "a", "b", "c")
+    silence = timedelta(seconds=0.5 + 1.5)
+    vms.set_silence_lookup(lambda name: silence if name == "a" else timedelta())
+    clock.advance(timedelta(seconds=1.2 + 1.5))
+    for name in ("b", "c"):
+        vms.update(make_row(name, renewal=2))
+    assert vms.expire() == []
+    assert "a" in list_serving(vms)
+
+
 def test_a_vm_without_contact_to_any_other_keeps_the_list():
     clock = ManualClock()
     vms = make_list(clock, "a", "b", "c")
