--- a/lavendershift/tests/test_silentservers.py
+++ b/lavendershift/tests/test_silentservers.py
@@ -11,6 +11,15 @@
 from lavendershift.tests.live_fleet import Fleet
 from lavendershift.tests.live_tree import DOMAINS
 from lavendershift.tests.processes import find_port
+from lavendershift.tools.capacity_streams import (
+    CHUNK,
+    HEAD,
+    NOT_FOUND,
+    REQUEST,
+    Engine,
+    parse_content_length,
+    run_bench,
+)
 
 SILENCE_S = 1.3
 
@@ -203,3 +212,49 @@
     reply = fleet.approve("r1", "deaf") if service == "approvals" else fleet.browse()
     assert reply.status == 200
     assert server.calls == 1
+
+
+class TricklingEngine(Engine):
+    """Sends the start of a response, and then a byte now and then without end."""
+
+    def __init__(self, start):
+        super().__init__()
+        self.start = start
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if not head.startswith(b"POST /v1/completions"):
+            writer.write(NOT_FOUND)
+            writer.close()
+            return
+        await reader.readexactly(parse_content_length(head))
+        writer.write(self.start)
+        with contextlib.suppress(OSError):
+            while not writer.is_closing():
+                writer.write(b"x")
+                await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"HTTP/1.1 200 OK\r\nX-Note: ",
+        HEAD,
+        HEAD + CHUNK + b"data: ",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+    ],
+    ids=["head", "first event", "later event", "body"],
+)
+def test_a_response_of_a_byte_now_and_then_ends_at_the_deadline(start):
+    async def work(bench):
+        reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
+        headers = b"Host: r0\r\nConnection: close\r\nDeadline-Ms: 1500"
+        writer.write(REQUEST.replace(b"Host: r0", headers))
+        async with asyncio.timeout(4):
+            data = await reader.read()
+        writer.close()
+        return data
+
+    response = asyncio.run(run_bench(work, engine=TricklingEngine(start)))
+    assert b"deadline_exceeded" in response
+    assert b"xx" not in response
