--- a/lavendershift/tests/test_silentservers.py
+++ b/lavendershift/tests/test_silentservers.py
@@ -217,9 +217,9 @@
 class TricklingEngine(Engine):
     """Sends the start of a response, and then a byte now and then without end."""
 
-    def __init__(self, start):
+    def __init__(self, start, data=b"x", pause_s=0.05):
         super().__init__()
-        self.start = start
+        self.start, self.data, self.pause_s = start, data, pause_s
 
     async def serve(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
@@ -231,8 +231,24 @@
         writer.write(self.start)
         with contextlib.suppress(OSError):
             while not writer.is_closing():
-                writer.write(b"x")
-                await asyncio.sleep(0.05)
+                writer.write(self.data)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+
+
+def request(engine, deadline_ms):
+    """Return the bytes of the response to a stream."""
+
+    async def work(bench):
+        reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
+        headers = f"Host: r0\r\nConnection: close\r\nDeadline-Ms: {deadline_ms}"
+        writer.write(REQUEST.replace(b"Host: r0", headers.encode()))
+        async with asyncio.timeout(4):
+            data = await reader.read()
+        writer.close()
+        return data
+
+    return asyncio.run(run_bench(work, engine=engine))
 
 
 @pytest.mark.parametrize(
@@ -246,15 +262,21 @@
     ids=["head", "first event", "later event", "body"],
 )
 def test_a_response_of_a_byte_now_and_then_ends_at_the_deadline(start):
-    async def work(bench):
-        reader, writer = await asyncio.open_connection("127.0.0.1", bench.port)
-        headers = b"Host: r0\r\nConnection: close\r\nDeadline-Ms: 1500"
-        writer.write(REQUEST.replace(b"Host: r0", headers))
-        async with asyncio.timeout(4):
-            data = await reader.read()
-        writer.close()
-        return data
-
-    response = asyncio.run(run_bench(work, engine=TricklingEngine(start)))
+    response = request(TricklingEngine(start), deadline_ms=1500)
     assert b"deadline_exceeded" in response
     assert b"xx" not in response
+
+
+@pytest.mark.parametrize(
+    "start, code",
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Note: ", b"server_failed"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"server_failed"),
+        (HEAD, b"server_failed"),
+        (HEAD + CHUNK, b"answer_truncated"),
+    ],
+    ids=["head", "body", "first event", "later event"],
+)
+def test_a_response_without_end_is_left_long_before_the_deadline(start, code):
+    engine = TricklingEngine(start, b"x" * 65_536, 0.0)
+    assert code in request(engine, deadline_ms=30_000)
