Give a header its own timeout, and read what arrived before a timer closes

Callers that reused a connection got neither an answer nor a refusal. One timer, of the length of the idle timeout, ran from the previous response to the end of the next header: a caller that began a header in time, late in the idle time, had only the rest of it, and not header_timeout_ms; a slow header on a new connection had the whole idle timeout. A request that was read in the turn of the event loop in which the timer ended was dropped. A longer idle timeout didn't apply to connections that were idle already, on which callers relied on it.

Streams have timeouts of their own now: the idle timeout until the first byte, then the header timeout. A late header is refused with 408, which says that nothing ran. Before a close, bytes in the socket's buffer are read. A longer limit extends timeouts that run; a shorter one counts from the next response on, as before. Checks are lazy, a few a second for each connection at most and none for a request.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -247,6 +247,7 @@
     def listen(self, address: str) -> None:
         """Listen on ``address``."""
         self._http = _CallerHttpServer(self, chunk_size=CHUNK_BYTES)
+        self._http.conn_params.header_timeout = None  # streams have their own timeouts
         self._http.make_stream = self.make_stream
         self.update_limits(self._gateway.find_limits())
         host, _, port = address.rpartition(":")
@@ -255,20 +256,23 @@
     def update_limits(self, limits: CallerLimits) -> None:
         """Apply limits, also to open connections.
 
-        Callers reuse connections for most of the idle timeout, so that closing them
-        earlier would interrupt requests.
+        Callers reuse connections for most of the idle timeout, so that a shorter one
+        applies from the next response on.
         """
         if self._http is None:
             return
         parameters = self._http.conn_params
-        parameters.header_timeout = limits.idle_timeout.total_seconds()
         parameters.max_header_size = limits.header_bytes
         parameters.max_body_size = limits.body_bytes + BODY_MARGIN
+        for stream in list(self._streams):
+            stream.raise_limits(limits)
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the reader of a request."""
+        stream: CallerStream = request_conn.stream  # type: ignore[attr-defined]
+        stream.note_waiting()
         return _RequestReader(self, request_conn)
 
     def on_close(self, server_conn: object) -> None:
@@ -280,13 +284,19 @@
         """Return the writer of the response to a request of ``method``."""
         return CallerResponseWriter(connection, lambda: self._is_leaving, method)
 
+    def find_limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self._gateway.find_limits()
+
     def get_body_limit(self) -> int:
         """Return the maximum size of a body, in bytes."""
         return self._gateway.find_limits().body_bytes
 
     def make_stream(self, endpoint: socket.socket) -> CallerStream:
         """Return the stream of a caller's new connection, and register it."""
-        stream = CallerStream(endpoint, self.clock, self.on_connection_end)
+        stream = CallerStream(
+            endpoint, self.clock, self.find_limits, self.on_connection_end
+        )
         self._streams.add(stream)
         return stream
 
--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -1,17 +1,31 @@
-"""Connections of callers, which note what they carry and report how they end."""
+"""Connections of callers: their timeouts, and reports of how they end.
 
+An idle connection is closed after the idle timeout, and one on which a header has begun
+is refused after the header timeout. Before that, bytes that arrived meanwhile are read.
+"""
+
+import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
-from tornado.iostream import IOStream, UnsatisfiableReadError
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from lavendershift.clocks import Clock
 from lavendershift.connectionreports import ConnectionEnd, EndCause, Stage
+from lavendershift.routes import CallerLimits
 
 CHUNK_BYTES = 65_536  # maximum size of one read from a caller
 # Stages in which the id of the latest request is known.
 NAMED_STAGES = frozenset({Stage.BODY, Stage.IN_FLIGHT, Stage.SENDING})
+# Time until a timeout is checked again, for bytes that arrived at its end to be read.
+RECHECK_TIME = timedelta(milliseconds=20)
+MIN_CHECK_INTERVAL = timedelta(milliseconds=100)
+HEADER_TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class CallerStream(IOStream):
@@ -21,10 +35,12 @@
         self,
         endpoint: socket.socket,
         clock: Clock,
+        find_limits: Callable[[], CallerLimits],
         on_end: Callable[[ConnectionEnd], None],
     ) -> None:
         super().__init__(endpoint, read_chunk_size=CHUNK_BYTES)
         self._clock = clock
+        self._find_limits = find_limits
         self._on_end = on_end
         self._opened = self._idle_since = clock.elapsed()
         self._served = 0
@@ -32,9 +48,33 @@
         self._request_id = ""
         self._was_ended_by_caller = False
         self._cause: EndCause | None = None
+        self._is_waiting = False
+        self._timed_since = self._opened
+        # Limit of the header timeout or the idle timeout, if one of them is running.
+        self._time_limit: timedelta | None = None
+        self._timer = self._schedule(MIN_CHECK_INTERVAL)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether nothing was read since the latest response was sent."""
+        return self._is_waiting
+
+    def has_unread(self) -> bool:
+        """Return whether bytes were received that the process hasn't read."""
+        return self._peek() > 0
+
+    def note_waiting(self) -> None:
+        """Note that the connection is ready for a request."""
+        self._idle_since = self._clock.elapsed()
+        if self._read_buffer_size:
+            self._begin_header()
+        else:
+            self._is_waiting = True
+            self._start_timer(self._find_limits().idle_timeout)
 
     def note_header(self, request_id: str) -> None:
         """Note that a request's header was read."""
+        self._time_limit = None
         self._stage = Stage.BODY
         self._request_id = request_id
 
@@ -48,6 +88,12 @@
         self._served += 1
         self._idle_since = self._clock.elapsed()
 
+    def raise_limits(self, limits: CallerLimits) -> None:
+        """Extend the timeout that is running, as callers rely on the longer one."""
+        if self._time_limit is not None:
+            limit = limits.idle_timeout if self._is_waiting else limits.header_timeout
+            self._time_limit = max(self._time_limit, limit)
+
     def set_cause(self, cause: EndCause) -> None:
         """Set why the connection is about to be closed."""
         self._cause = cause
@@ -60,23 +106,65 @@
             self._was_ended_by_caller = True
             raise
         self._was_ended_by_caller = received == 0
+        if received and self._is_waiting:
+            self._begin_header()
         return received
 
     def close(self, exc_info: Any = False) -> None:
         """Close the connection, and report its end."""
         if not self.closed():
-            self._report(exc_info)
+            self._timer.cancel()
+            error = exc_info if isinstance(exc_info, BaseException) else self.error
+            self._cause = self._find_cause(error)
+            self._report(self._cause, error)
         super().close(exc_info)
 
-    def _report(self, exc_info: Any) -> None:
+    def _begin_header(self) -> None:
+        self._is_waiting = False
+        self._start_timer(self._find_limits().header_timeout)
+
+    def _start_timer(self, limit: timedelta) -> None:
+        self._timed_since, self._time_limit = self._clock.elapsed(), limit
+
+    def _schedule(self, delay: timedelta) -> asyncio.TimerHandle:
+        loop = asyncio.get_running_loop()
+        return loop.call_later(delay.total_seconds(), self._check_timer)
+
+    def _check_timer(self) -> None:
+        """Close the connection if its time is over and no bytes have arrived.
+
+        The check is repeated at least once in each header timeout, so that requests
+        need no timers of their own.
+        """
+        interval = max(self._find_limits().header_timeout, MIN_CHECK_INTERVAL)
+        if self._time_limit is not None and self.reading():
+            remaining = self._time_limit - (self._clock.elapsed() - self._timed_since)
+            if remaining <= timedelta():
+                if not self.has_unread():
+                    self._close_late()
+                    return
+                remaining = RECHECK_TIME
+            interval = min(interval, remaining)
+        self._timer = self._schedule(interval)
+
+    def _close_late(self) -> None:
+        """Close the connection, after a refusal if a part of a header was read."""
+        if self._is_waiting:
+            self.set_cause(EndCause.IDLE_TIMER)
+        else:
+            self.set_cause(EndCause.HEADER_TIMER)
+            with contextlib.suppress(StreamClosedError):  # the caller disconnected
+                self.write(HEADER_TIMEOUT_RESPONSE)
+        self.close()
+
+    def _report(self, cause: EndCause, error: BaseException | None) -> None:
         now = self._clock.elapsed()
-        error = exc_info if isinstance(exc_info, BaseException) else self.error
         unread_bytes = self._read_buffer_size + self._peek()
         stage = self._find_stage(unread_bytes)
-        is_named = stage in NAMED_STAGES or self._cause is EndCause.RESPONSE
+        is_named = stage in NAMED_STAGES or cause is EndCause.RESPONSE
         self._on_end(
             ConnectionEnd(
-                self._find_cause(error),
+                cause,
                 stage,
                 self._request_id if is_named else "",
                 self._served,
@@ -94,20 +182,18 @@
             return EndCause.LARGE_HEADER
         if self._cause is not None:
             return self._cause
-        if error is not None:
-            return EndCause.FAILED
-        if self._stage is not Stage.IDLE or not self.reading():
-            return EndCause.MALFORMED
-        return EndCause.HEADER_TIMER if self._read_buffer_size else EndCause.IDLE_TIMER
+        return EndCause.MALFORMED if error is None else EndCause.FAILED
 
     def _find_stage(self, unread_bytes: int) -> Stage:
         if self._stage is not Stage.IDLE:
             return self._stage
+        if self._cause is EndCause.RESPONSE:
+            return Stage.SENDING if self.writing() else Stage.IDLE
+        if self._read_buffer_size:
+            return Stage.HEADER
         if self.writing():
             return Stage.SENDING
-        if self._cause is EndCause.RESPONSE or not unread_bytes:
-            return Stage.IDLE
-        return Stage.HEADER if self._read_buffer_size else Stage.UNREAD
+        return Stage.UNREAD if unread_bytes else Stage.IDLE
 
     def _peek(self) -> int:
         """Return how many received bytes aren't read, up to the size of one read."""
