Measure each request by the limits that are in force when its header is read

The server took its bounds on headers and bodies when a connection became idle. Beside a configuration with higher limits, a request that they allow was cut on a connection idle since before: a header above the old limit without any response, and a body over 1 MiB above the old limit with a bare 400. A lower limit on bodies refused requests midway that had begun under the higher one, and a header above the limit was closed without a refusal. A chunk over 1 MiB above the limit got a bare 400 in place of the 413.

The reader of a request now checks both limits, as they are when the header is read, and refuses with 413. The server's own bounds are far above them. A Content-Length of thousands of digits, which raised ValueError in the reader, is left to the server, which responds with 400.

Failed before: test_a_body_admitted_under_a_higher_limit_is_read_to_its_end (413), test_higher_limits_apply_to_idle_connections (reset) and test_a_large_header_is_refused (closed, no response). The end of a connection with the cause large_header is tested with a header above the server's bound, as one above the limit is refused now; a chunk without a length line has the cause malformed.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
@@ -51,8 +52,9 @@
 # Statuses that an error may keep if its request was not executed; others become 503.
 NOT_EXECUTED_STATUSES = frozenset({400, 401, 402, 404, 413, 429, 503})
 RECEIVE_POLL_S = 0.02  # interval between checks for requests whose bodies still arrive
-# Bytes above the body limit that are still read, so that the response is 413.
-BODY_MARGIN = 1_048_576
+# Size up to which headers are read, so that those above the limit are refused, and so
+# that a higher limit applies to connections that are idle when it is set.
+MAX_HEADER_READ = 1_048_576
 
 
 class CallerResponseWriter:
@@ -161,6 +163,7 @@
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
         self._size = 0
+        self._limit = 0
         self._is_refused = False
         self._task: asyncio.Task[None] | None = None
 
@@ -177,14 +180,18 @@
             # would keep the connection open if the request's headers ask for it.
             headers["Connection"] = "close"
             self._connection._disconnect_on_finish = True
-        length = headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self._server.get_body_limit():
+        limits = self._server.find_limits()
+        self._limit = limits.body_bytes
+        if (
+            measure_header(start_line, headers) > limits.header_bytes
+            or parse_length(headers.get("Content-Length", "")) > limits.body_bytes
+        ):
             self._refuse(ErrorKind.TOO_LARGE)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._size += len(chunk)
-        if self._size > self._server.get_body_limit():
+        if self._size > self._limit:
             self._refuse(ErrorKind.TOO_LARGE)
         if not self._is_refused:
             self._chunks.append(chunk)
@@ -247,7 +254,9 @@
     def listen(self, address: str) -> None:
         """Listen on ``address``."""
         self._http = _CallerHttpServer(self, chunk_size=CHUNK_BYTES)
-        self._http.conn_params.header_timeout = None  # streams have their own timeouts
+        # Streams have their own timeouts, and readers refuse bodies above the limit.
+        self._http.conn_params.header_timeout = None
+        self._http.conn_params.max_body_size = sys.maxsize
         self._http.make_stream = self.make_stream
         self.update_limits(self._gateway.find_limits())
         host, _, port = address.rpartition(":")
@@ -262,8 +271,7 @@
         if self._http is None:
             return
         parameters = self._http.conn_params
-        parameters.max_header_size = limits.header_bytes
-        parameters.max_body_size = limits.body_bytes + BODY_MARGIN
+        parameters.max_header_size = max(limits.header_bytes, MAX_HEADER_READ)
         for stream in list(self._streams):
             stream.raise_limits(limits)
 
@@ -288,10 +296,6 @@
         """Return the limits in force."""
         return self._gateway.find_limits()
 
-    def get_body_limit(self) -> int:
-        """Return the maximum size of a body, in bytes."""
-        return self._gateway.find_limits().body_bytes
-
     def make_stream(self, endpoint: socket.socket) -> CallerStream:
         """Return the stream of a caller's new connection, and register it."""
         stream = CallerStream(
@@ -377,6 +381,20 @@
         self.handle_stream(stream, address)
 
 
+def measure_header(start_line: RequestStartLine, headers: HTTPHeaders) -> int:
+    """Return the size of a header in bytes, without optional white space."""
+    lines = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+    return sum(len(part) for part in start_line) + 4 + lines + 2
+
+
+def parse_length(value: str) -> int:
+    """Return the value of a Content-Length header, 0 if it is malformed."""
+    try:
+        return int(value)
+    except ValueError:
+        return 0
+
+
 def decode_request(
     start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, now: timedelta
 ) -> CallerRequest:
--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -179,7 +179,9 @@
         if self._was_ended_by_caller or isinstance(error, OSError):
             return EndCause.CALLER
         if isinstance(error, UnsatisfiableReadError):
-            return EndCause.LARGE_HEADER
+            # Lines of a chunked body are limited too.
+            is_header = self._stage is Stage.IDLE
+            return EndCause.LARGE_HEADER if is_header else EndCause.MALFORMED
         if self._cause is not None:
             return self._cause
         return EndCause.MALFORMED if error is None else EndCause.FAILED
--- a/lavendershift/platform/tests/test_callerconnections.py
+++ b/lavendershift/platform/tests/test_callerconnections.py
@@ -66,8 +66,16 @@
         "r1",
     ),
     "malformed": (b"what is this\r\n\r\n", None, EndCause.MALFORMED, Stage.IDLE, ""),
+    "malformed chunk": (
+        make_request("r1", Transfer_Encoding="chunked").replace(b"Content", b"Other")
+        + b"x" * 100,
+        None,
+        EndCause.MALFORMED,
+        Stage.BODY,
+        "r1",
+    ),
     "large header": (
-        make_request("r1", Filler="x" * 3000),
+        make_request("r1", Filler="x" * 1_100_000),
         None,
         EndCause.LARGE_HEADER,
         Stage.HEADER,
