Keep the connection open for reading after a response that closes it

After a refusal of a large body, of an ambiguous or malformed request, or a response with Connection: close, the connection was closed at once. What the caller still sent then met a closed socket, or was unread at the close, and the kernel reset the connection. A caller may lose the response to a reset, depending on its system and library, and is left with neither answer nor refusal (RFC 9112, section 9.6).

The socket is now closed for writing, and what arrives is discarded until the caller closes, for 3 s at most. Connections closed by the idle timer or a stop aren't kept: a request that crosses their close is still reset, which tells its caller that it wasn't read.

--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -26,6 +26,18 @@
 HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Causes after which the caller may still have to read a response.
+LINGERING_CAUSES = frozenset(
+    {
+        EndCause.RESPONSE,
+        EndCause.HEADER_TIMER,
+        EndCause.LARGE_HEADER,
+        EndCause.MALFORMED,
+    }
+)
+# Time in which bytes are still received after a response that closes, see RFC 9112,
+# section 9.6.
+LINGER_TIME = timedelta(seconds=3)
 
 
 class CallerStream(IOStream):
@@ -119,6 +131,14 @@
             self._report(self._cause, error)
         super().close(exc_info)
 
+    def close_fd(self) -> None:
+        """Close the socket, after the caller if it may have to read a response."""
+        if self._cause in LINGERING_CAUSES:
+            endpoint, self.socket = self.socket, None  # type: ignore[assignment]
+            discard_remainder(endpoint)
+        else:
+            super().close_fd()
+
     def _begin_header(self) -> None:
         self._is_waiting = False
         self._start_timer(self._find_limits().header_timeout)
@@ -204,3 +224,35 @@
             return len(self.socket.recv(CHUNK_BYTES, flags))
         except OSError:
             return 0
+
+
+def discard_remainder(endpoint: socket.socket) -> None:
+    """Send the end of a connection, and close it once the peer has ended it too.
+
+    Closing a socket with unread bytes resets the connection, and the peer may then lose
+    the response that was sent before.
+    """
+    loop = asyncio.get_running_loop()
+
+    def discard() -> None:
+        try:
+            if endpoint.recv(CHUNK_BYTES):
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass  # the peer reset the connection
+        end()
+
+    def end() -> None:
+        loop.remove_reader(endpoint)
+        timer.cancel()
+        endpoint.close()
+
+    try:
+        endpoint.shutdown(socket.SHUT_WR)
+    except OSError:  # the peer reset the connection
+        endpoint.close()
+        return
+    timer = loop.call_later(LINGER_TIME.total_seconds(), end)
+    loop.add_reader(endpoint, discard)
--- a/lavendershift/platform/tests/test_callerrefusals.py
+++ b/lavendershift/platform/tests/test_callerrefusals.py
@@ -1,6 +1,8 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
+
 from lavendershift.platform.tests.listeners import play
 from lavendershift.platform.tests.test_callers import make_request
 
@@ -9,9 +11,71 @@
     b"POST /whole HTTP/1.1\r\nHost: books.example\r\n"
     b"X-Lavendershift-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+
+
+def make_chunked(size):
+    return CHUNKED + b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n"
+
+
+def make_sized(size):
+    return make_request("r1", body=b"x" * size)
+
+
 SIZES = [1500, 70_000, 1_000_000, 1_500_000, 6_000_000]
 
 
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("make", [make_sized, make_chunked])
+def test_the_refusal_of_a_large_body_is_not_destroyed_by_a_reset(make, size):
+    async def work(listener):
+        caller = listener.connect()
+        await caller.send_all(make(size))
+        return await caller.read_all()
+
+    received, was_reset = play(work)
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert received.count(b"HTTP/1.1") == 1
+    assert not was_reset
+
+
+@pytest.mark.parametrize("make", [make_sized, make_chunked])
+def test_the_refusal_of_a_large_body_arrives_before_its_end(make):
+    async def work(listener):
+        caller = listener.connect()
+        caller.send(make(5000)[:2500])
+        return await caller.read_until(b"too_large")
+
+    play(work)
+
+
+def test_a_caller_that_goes_on_sending_a_refused_body_is_closed():
+    async def work(listener):
+        caller = listener.connect()
+        caller.send(CHUNKED + b"7d0\r\n" + b"x" * 2000 + b"\r\n")
+        await caller.read_until(b"too_large")
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    caller.send(b"3\r\nxxx\r\n")
+                except ConnectionError:
+                    return
+                await asyncio.sleep(0.1)
+
+    play(work)
+
+
+def test_no_continuation_is_announced_to_a_request_that_is_refused():
+    async def work(listener):
+        caller = listener.connect()
+        request = make_request("r1", body=b"x" * 5000, Expect="100-continue")
+        caller.send(request[:-5000])
+        return await caller.read_all()
+
+    received, _ = play(work)
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert received.count(b"HTTP/1.1") == 1
+
+
 def test_a_body_admitted_under_a_higher_limit_is_read_to_its_end():
     async def work(listener):
         caller = listener.connect()
@@ -46,3 +110,22 @@
     received, was_reset = play(work)
     assert received.startswith(b"HTTP/1.1 413 ")
     assert not was_reset
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        make_request("r1", Connection="close"),
+        make_request("r1", X_Lavendershift_Attempt_Id="other"),
+        b"what is this\r\n\r\n",
+    ],
+)
+def test_a_response_that_closes_is_not_destroyed_by_what_was_sent_after(request_bytes):
+    async def work(listener):
+        caller = listener.connect()
+        await caller.send_all(request_bytes + make_request("r2", body=b"x" * 500_000))
+        return await caller.read_all()
+
+    received, was_reset = play(work)
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert not was_reset
