Refuse requests that wait in buffers when a process stops

A stop closed each connection without a request whose header had been received, once no other was in flight. A request in the socket's buffer, one read in that turn of the event loop, or a header of which a part was read, was cut: its caller got a reset or the end of the connection, neither answer nor refusal. So did callers whose connection the process hadn't accepted yet when it stopped listening.

A stop now waits, within its grace time, until all connections are waiting for a first byte and none has unread bytes, and closes them in the turn of that check. Connections that wait to be accepted are accepted before the listener is closed.

Failed before: test_requests_in_the_buffers_are_refused_when_the_process_stops and test_connections_that_were_not_accepted_are_served_when_listening_stops, both with a reset. A pipelined request behind a stream was refused before as well; the test stays.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -51,7 +51,7 @@
 MAX_DEADLINE = timedelta(hours=1)  # upper bound to which longer deadlines are reduced
 # Statuses that an error may keep if its request was not executed; others become 503.
 NOT_EXECUTED_STATUSES = frozenset({400, 401, 402, 404, 413, 429, 503})
-RECEIVE_POLL_S = 0.02  # interval between checks for requests whose bodies still arrive
+STOP_POLL_S = 0.02  # interval between checks for connections with requests
 # Size up to which headers are read, so that those above the limit are refused, and so
 # that a higher limit applies to connections that are idle when it is set.
 MAX_HEADER_READ = 1_048_576
@@ -172,7 +172,6 @@
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, RequestStartLine)
         self._start_line, self._headers = start_line, headers
-        self._server.add_receiving(self)
         if self.stream is not None:
             self.stream.note_header(headers.get(names.REQUEST_ID, ""))
         if start_line.version == "HTTP/1.0":
@@ -203,7 +202,6 @@
         return getattr(self._connection, "stream", None)
 
     def finish(self) -> None:
-        self._server.remove_receiving(self)
         if self._is_refused or self._start_line is None:
             return
         if self.stream is None or self.stream.closed():
@@ -223,11 +221,10 @@
         except RequestError as error:
             writer.refuse(error)
             return
-        self._task = self._server.start_serving(request, writer, self.stream)
+        self._task = self._server.start_serving(request, writer)
         self._connection.set_close_callback(self._task.cancel)
 
     def on_connection_close(self) -> None:
-        self._server.remove_receiving(self)
         self._chunks.clear()
 
     def _refuse(self, kind: ErrorKind) -> None:
@@ -247,8 +244,7 @@
         self._gateway = gateway
         self._http: _CallerHttpServer | None = None
         self._is_leaving = False
-        self._active: dict[asyncio.Task[None], CallerStream | None] = {}
-        self._receiving: set[_RequestReader] = set()
+        self._active: set[asyncio.Task[None]] = set()
         self._streams: WeakSet[CallerStream] = WeakSet()
 
     def listen(self, address: str) -> None:
@@ -304,24 +300,13 @@
         self._streams.add(stream)
         return stream
 
-    def add_receiving(self, reader: _RequestReader) -> None:
-        """Register a request whose body is being received."""
-        self._receiving.add(reader)
-
-    def remove_receiving(self, reader: _RequestReader) -> None:
-        """Unregister a request that was received, or whose connection is closed."""
-        self._receiving.discard(reader)
-
     def start_serving(
-        self,
-        request: CallerRequest,
-        writer: CallerResponseWriter,
-        stream: CallerStream | None = None,
+        self, request: CallerRequest, writer: CallerResponseWriter
     ) -> asyncio.Task[None]:
         """Start the task that serves a request."""
         task = asyncio.ensure_future(self._serve(request, writer))
-        self._active[task] = stream
-        task.add_done_callback(lambda task: self._active.pop(task, None))
+        self._active.add(task)
+        task.add_done_callback(self._active.discard)
         return task
 
     async def _serve(
@@ -341,33 +326,32 @@
         """
         self._gateway.is_stopping = True
         if self._http is not None:
+            self._http.accept_pending()
             self._http.stop()
 
     async def end_connections(self, timeout: timedelta) -> int:
-        """Wait until no request is in flight, then close idle connections.
+        """Wait until no connection has a request, then close them all.
 
         A request may arrive on an idle connection until it is closed, so the last
         check and the closing are done in one turn of the event loop. Returns the
         number of requests that are still in flight after ``timeout``.
         """
         deadline = self.clock.elapsed() + timeout
-        while self._active or self._receiving:
-            remaining = (deadline - self.clock.elapsed()).total_seconds()
-            if remaining <= 0:
-                break
-            await asyncio.wait(
-                {*self._active, asyncio.ensure_future(asyncio.sleep(RECEIVE_POLL_S))},
-                timeout=remaining,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        busy = {*self._active.values(), *(reader.stream for reader in self._receiving)}
+        while self._has_requests() and self.clock.elapsed() < deadline:
+            await asyncio.sleep(STOP_POLL_S)
         for stream in list(self._streams):
-            # A stream that is still writing is closed after its response.
-            if stream not in busy and not stream.writing():
+            if stream.is_waiting:
                 stream.set_cause(EndCause.STOP)
                 stream.close()
         return len(self._active)
 
+    def _has_requests(self) -> bool:
+        """Whether any connection has a request, unread bytes or an unsent response."""
+        streams = [stream for stream in self._streams if not stream.closed()]
+        return not all(stream.is_waiting for stream in streams) or any(
+            stream.has_unread() for stream in streams
+        )
+
 
 class _CallerHttpServer(HTTPServer):
     """HTTP server without Nagle's algorithm whose streams come from ``make_stream``."""
@@ -380,6 +364,13 @@
         stream.set_nodelay(True)
         self.handle_stream(stream, address)
 
+    def accept_pending(self) -> None:
+        """Accept connections that wait, which would be reset with the listener."""
+        for listener in self._sockets.values():
+            with contextlib.suppress(OSError):  # no other connection waits
+                while True:
+                    self._handle_connection(*listener.accept())
+
 
 def measure_header(start_line: RequestStartLine, headers: HTTPHeaders) -> int:
     """Return the size of a header in bytes, without optional white space."""
--- a/lavendershift/platform/tests/test_callerrefusals.py
+++ b/lavendershift/platform/tests/test_callerrefusals.py
@@ -129,3 +129,66 @@
     received, was_reset = play(work)
     assert received.count(b"HTTP/1.1 ") == 1
     assert not was_reset
+
+
+def test_requests_in_the_buffers_are_refused_when_the_process_stops():
+    async def work(listener):
+        callers = [listener.connect() for _ in range(3)]
+        await asyncio.sleep(0.1)
+        listener.server.stop_listening()
+        request = make_request("r1", body=b"x" * 500)
+        for caller, size in zip(callers, (len(request), 30, 300), strict=True):
+            caller.send(request[:size])
+        ending = asyncio.ensure_future(listener.server.end_connections(SECOND))
+        await asyncio.sleep(0.1)
+        callers[1].send(request[30:])
+        callers[2].send(request[300:])
+        results = [await caller.read_all() for caller in callers]
+        assert await ending == 0
+        return results
+
+    for received, was_reset in play(work):
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert not was_reset
+
+
+def test_a_pipelined_request_is_refused_when_the_process_stops():
+    async def work(listener):
+        caller = listener.connect()
+        caller.send(make_request("r1", "/stream") + make_request("r2"))
+        await asyncio.sleep(0.1)
+        listener.server.stop_listening()
+        assert await listener.server.end_connections(SECOND) == 0
+        return await caller.read_all()
+
+    received, was_reset = play(work)
+    assert b"done r1" in received
+    assert b"HTTP/1.1 503 " in received
+    assert not was_reset
+
+
+def test_connections_that_were_not_accepted_are_served_when_listening_stops():
+    async def work(listener):
+        callers = [listener.connect() for _ in range(5)]
+        for caller in callers:
+            caller.send(make_request("r1"))
+        listener.server.stop_listening()
+        await listener.server.end_connections(SECOND)
+        return [await caller.read_all() for caller in callers]
+
+    for received, was_reset in play(work):
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert not was_reset
+
+
+def test_an_idle_connection_does_not_delay_a_stop():
+    async def work(listener):
+        listener.connect()
+        slow = listener.connect()
+        slow.send(make_request("r1")[:30])
+        await asyncio.sleep(0.1)
+        started = asyncio.get_running_loop().time()
+        assert await listener.server.end_connections(5 * SECOND) == 0
+        return asyncio.get_running_loop().time() - started
+
+    assert play(work) < 1.0
