Answer a request whose serving ends without a response

The task that serves a request could end without a response: with an exception of its own, by returning, or with a CancelledError of something else that it waited for. The caller then waited until its own deadline, or, after such a CancelledError, got a reset and the log said that it had gone away. Where the head of a response couldn't be encoded, the writer counted the response as sent, so that neither the error's response nor a reset followed.

The gateway responds with 500 to a CancelledError unless its task's cancellation was requested. Whatever way the task ends, the server of callers refuses a request without a response, and resets one with an incomplete response. A response counts as sent once its head was written.

By reading, no future that a request waits for is cancelled by others today.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -97,14 +97,23 @@
             self._reports.report_answered(trace)
         except RequestError as error:
             self._send_error(trace, writer, error)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
+            if not is_being_cancelled():
+                # Something that the request waited for was cancelled.
+                self._fail(trace, writer, error)
+                return
             self._reports.report_abandoned(trace)
             writer.abort()
             raise
         except Exception as error:
-            # An unexpected exception must not leave the caller without a response.
-            self._reports.report_error(trace, error)
-            self._send_error(trace, writer, RequestError(ErrorKind.INTERNAL))
+            self._fail(trace, writer, error)
+
+    def _fail(
+        self, trace: RequestTrace, writer: ResponseWriter, error: BaseException
+    ) -> None:
+        """Respond to a request that ended with an unexpected exception."""
+        self._reports.report_error(trace, error)
+        self._send_error(trace, writer, RequestError(ErrorKind.INTERNAL))
 
     async def _route_request(self, trace: RequestTrace, writer: ResponseWriter) -> None:
         table, request = self.table, trace.request
@@ -255,6 +264,12 @@
     return False
 
 
+def is_being_cancelled() -> bool:
+    """Return whether the cancellation of the current task was requested."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer.
 
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -31,7 +31,7 @@
 from lavendershift.connectionreports import ConnectionEnd, EndCause
 from lavendershift.connections import reset_stream
 from lavendershift.errors import Answer, ErrorKind, Ran, RequestError
-from lavendershift.gateway import Gateway
+from lavendershift.gateway import Gateway, is_being_cancelled
 from lavendershift.platform import names
 from lavendershift.platform.callerstreams import CHUNK_BYTES, CallerStream
 from lavendershift.routes import CallerLimits
@@ -73,13 +73,18 @@
         self.has_started = False
         self.is_done = False
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed."""
+        return self._stream is None or self._stream.closed()
+
     def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete response."""
         if self.is_done:
             return
-        self.is_done = self.has_started = True
         headers["Content-Length"] = str(len(body))
         self._write_head(status, headers, body if self._has_body else None)
+        self.is_done = self.has_started = True
         self._end_response()
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
@@ -173,7 +178,7 @@
         assert isinstance(start_line, RequestStartLine)
         self._start_line, self._headers = start_line, headers
         if self.stream is not None:
-            self.stream.note_header(headers.get(names.REQUEST_ID, ""))
+            self.stream.note_header(self._request_id)
         if start_line.version == "HTTP/1.0":
             # Only the end of the connection marks the end of a stream, but tornado
             # would keep the connection open if the request's headers ask for it.
@@ -196,6 +201,10 @@
             self._chunks.append(chunk)
         return None
 
+    @property
+    def _request_id(self) -> str:
+        return self._headers.get(names.REQUEST_ID, "")
+
     @property
     def stream(self) -> CallerStream | None:
         """The connection's stream, while it has one."""
@@ -219,7 +228,7 @@
                 self._server.clock.elapsed(),
             )
         except RequestError as error:
-            writer.refuse(error)
+            self._server.refuse(writer, self._request_id, error)
             return
         self._task = self._server.start_serving(request, writer)
         self._connection.set_close_callback(self._task.cancel)
@@ -232,7 +241,7 @@
             self._is_refused = True
             method = self._start_line.method
             writer = self._server.make_writer(self._connection, method)
-            writer.refuse(RequestError(kind))
+            self._server.refuse(writer, self._request_id, RequestError(kind))
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -241,6 +250,7 @@
     def __init__(self, clock: Clock, gateway: Gateway) -> None:
         self.clock = clock
         self.on_connection_end: Callable[[ConnectionEnd], None] = lambda end: None
+        self.on_refusal: Callable[[str, RequestError], None] = lambda name, error: None
         self._gateway = gateway
         self._http: _CallerHttpServer | None = None
         self._is_leaving = False
@@ -312,8 +322,28 @@
     async def _serve(
         self, request: CallerRequest, writer: CallerResponseWriter
     ) -> None:
-        with contextlib.suppress(StreamClosedError):  # the caller disconnected
-            await self._gateway.serve(request, writer)
+        try:
+            with contextlib.suppress(StreamClosedError):  # the caller disconnected
+                await self._gateway.serve(request, writer)
+        finally:
+            if not writer.is_done:
+                self._end_unfinished(request, writer)
+
+    def _end_unfinished(
+        self, request: CallerRequest, writer: CallerResponseWriter
+    ) -> None:
+        """End a response that the gateway has left incomplete."""
+        if writer.has_started or writer.is_closed or is_being_cancelled():
+            writer.abort()
+        else:
+            self.refuse(writer, request.id, RequestError(ErrorKind.INTERNAL))
+
+    def refuse(
+        self, writer: CallerResponseWriter, request_id: str, error: RequestError
+    ) -> None:
+        """Refuse a request that the gateway doesn't serve."""
+        self.on_refusal(request_id, error)
+        writer.refuse(error)
 
     def announce_leaving(self) -> None:
         """Close each connection after its next response."""
--- a/lavendershift/platform/tests/test_callerrefusals.py
+++ b/lavendershift/platform/tests/test_callerrefusals.py
@@ -2,9 +2,15 @@
 from datetime import timedelta
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
-from lavendershift.platform.tests.listeners import play
+from lavendershift.clocks import SystemClock
+from lavendershift.connectionreports import EndCause, Stage
+from lavendershift.gateway import Gateway, RetryBounds
+from lavendershift.instruments import Instruments
+from lavendershift.platform.tests.listeners import RecordedLog, play
 from lavendershift.platform.tests.test_callers import make_request
+from lavendershift.requestreports import RequestReports
 
 SECOND = timedelta(seconds=1)
 CHUNKED = (
@@ -192,3 +198,68 @@
         return asyncio.get_running_loop().time() - started
 
     assert play(work) < 1.0
+
+
+class FailingGateway:
+    """Ends without a response, as only a fault could."""
+
+    def __init__(self, gateway, failure):
+        self.find_limits = gateway.find_limits
+        self._failure = failure
+
+    async def serve(self, request, writer):
+        if self._failure == "header":
+            writer.send(200, HTTPHeaders({"X-Server": "\u20ac"}), b"1")
+        if self._failure == "started":
+            writer.start(200, HTTPHeaders())
+            await writer.write(b"part")
+        if self._failure == "cancelled":
+            raise asyncio.CancelledError
+        if self._failure == "raised":
+            raise LookupError
+
+
+@pytest.mark.parametrize(
+    "failure", ["returned", "raised", "cancelled", "started", "header"]
+)
+def test_a_request_that_ends_without_a_response_gets_one(failure):
+    async def work(listener):
+        listener.server._gateway = FailingGateway(listener.gateway, failure)
+        caller = listener.connect()
+        caller.send(make_request("r1"))
+        received, was_reset = await caller.read_all()
+        return received, was_reset, listener.ends
+
+    received, was_reset, ends = play(work)
+    if failure == "started":
+        assert was_reset
+        ((cause, stage),) = [(end.cause, end.stage) for end in ends]
+        assert (cause, stage) == (EndCause.TRUNCATED, Stage.IN_FLIGHT)
+    else:
+        assert b"internal" in received
+
+
+class CancelledGateway(Gateway):
+    """Waits for something that another task cancels."""
+
+    async def _route_request(self, trace, writer):
+        waiting = asyncio.ensure_future(asyncio.sleep(5))
+        asyncio.get_running_loop().call_later(0.05, waiting.cancel)
+        await waiting
+
+
+def test_a_request_whose_wait_is_cancelled_by_another_task_is_answered():
+    async def work(listener):
+        bounds = RetryBounds(0.2, 10)
+        log = RecordedLog()
+        reports = RequestReports(SystemClock(), log, Instruments())
+        gateway = CancelledGateway(
+            SystemClock(), None, None, None, reports, bounds, lambda: 1.0
+        )
+        listener.server._gateway = gateway
+        caller = listener.connect()
+        caller.send(make_request("r1"))
+        await caller.read_until(b"internal")
+        return [event for event, _ in log.lines]
+
+    assert play(work) == ["internal_error", "request_refused"]
