Report requests that are refused before they are routed

A refusal of a large or ambiguous request had neither a log line nor a count, so that its id was in no line of any VM, like that of a request that was never read.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -189,6 +189,7 @@
             self._note_loan,
         )
         self._draws.use_loans(loans.borrow, self._is_lender)
+        reports = RequestReports(clock, log, self._instruments)
         self._gateway = Gateway(
             clock,
             rng,
@@ -201,7 +202,7 @@
                 PlatformServerWire(),
             ),
             self._draws,
-            RequestReports(clock, log, self._instruments),
+            reports,
             RetryBounds(settings.retry_share, settings.retry_slack),
             self._find_retry_share,
         )
@@ -209,6 +210,7 @@
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
         self._callers = CallerServer(clock, self._gateway)
+        self._callers.on_refusal = reports.report_rejected
         self._callers.on_connection_end = ConnectionReports(
             log, self._instruments, self._find_version
         ).report
--- a/lavendershift/platform/tests/test_callerrefusals.py
+++ b/lavendershift/platform/tests/test_callerrefusals.py
@@ -263,3 +263,25 @@
         return [event for event, _ in log.lines]
 
     assert play(work) == ["internal_error", "request_refused"]
+
+
+def test_a_request_refused_before_it_is_routed_is_reported():
+    async def work(listener):
+        log, instruments = RecordedLog(), Instruments()
+        reports = RequestReports(SystemClock(), log, instruments)
+        listener.server.on_refusal = reports.report_rejected
+        for request in (
+            make_sized(2000),
+            make_request("r1", X_Lavendershift_Attempt_Id="other"),
+        ):
+            caller = listener.connect()
+            await caller.send_all(request)
+            await caller.read_all()
+        return log.lines, instruments.render().decode()
+
+    lines, metrics = play(work)
+    assert [(event, line["request"], line["error"]) for event, line in lines] == [
+        ("request_refused", "r1", "too_large"),
+        ("request_refused", "r1,other", "invalid_request"),
+    ]
+    assert 'lavendershift_refusals_total{kind="too_large"} 1.0' in metrics
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -80,6 +80,17 @@
             ran=answer.ran.value,
         )
 
+    def report_rejected(self, request_id: str, error: RequestError) -> None:
+        """Report a request that was refused before it was routed."""
+        self._instruments.count("refusals", error.kind.value)
+        self._log.write(
+            Event.REQUEST_REFUSED,
+            request=request_id,
+            error=error.kind.value,
+            reason=error.detail,
+            ran=error.answer.ran.value,
+        )
+
     def report_abandoned(self, trace: RequestTrace) -> None:
         """Report a request that its caller or a shutdown cancelled."""
         self._instruments.count("abandoned")
