Skip entries of servers, rows and configurations that can't be decoded

What callers saw: one odd entry among those of the servers, nested 5,000 deep, with a port or an octet of 5,000 digits, ended every process that read the list, and again after each start, with all requests in it. Slots of 400 digits made each request for the service fail with 502 instead. Rows of VMs (a port of "²" or of 5,000 digits, deep nesting) and a deeply nested configuration did the same. A peer address with a port out of range closed the socket for datagrams for good.

Cause: the decoders caught the exceptions that the library documents, and it raises others (RecursionError, ValueError); numbers were not checked against what the code does with them. Any exception that left a feed ended the process.

All of it is now decoded by the new module decoding, which checks size, depth and range and raises one DecodeError whatever the library raises. A record that fails is skipped alone, with a counter and a bounded number of log lines, and the feed goes on with the records after it. The last valid entry of a server stays beside an odd one, as that is no notice that it has left. A deeply nested value of a configuration counts as null, so that it takes no other route away, and an invalid limit leaves the others.

test_oddrecords runs real processes beside such records. The tests of decoders that expected None or the library's errors now expect DecodeError.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -51,6 +51,7 @@
 from lavendershift.serverlist import ServerList
 from lavendershift.serversignals import Incarnation
 from lavendershift.serverstates import ServerEntry
+from lavendershift.skips import SkipReports
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
@@ -111,6 +112,8 @@
         self._activity = Activity(clock, self._working_set, settings.name)
         self._servers = ServerList(clock, rng, settings.failure_domain)
         self._datagrams = Datagrams()
+        self._skips = SkipReports(clock, log)
+        self._skips.on_skipped = self._note_skipped
         self._gossip = Gossip(
             clock,
             settings.name,
@@ -235,6 +238,8 @@
         self._presence_feed = PresenceFeed(
             clock, self._store, log, self._vms, self._activity.is_active
         )
+        for feed in (self._configuration, self._server_feed, self._presence_feed):
+            feed.skips.on_skipped = self._note_skipped
         self._presence = PresenceWriter(
             self._store,
             self._vms,
@@ -345,7 +350,7 @@
         try:
             settings = load_node_settings(path)
         except SettingsError as error:
-            self._log.write(Event.ENTRY_SKIPPED, name="settings", reason=str(error))
+            self._skips.note("settings", str(error))
             return
         self._settings = settings
         self._gateway.set_retry_bounds(
@@ -438,8 +443,7 @@
         self._log.write(Event.SERVER_CHANGED, server=entry.id, result=change)
 
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
-        self._instruments.count("skipped_entries", "limit")
-        self._log.write(Event.ENTRY_SKIPPED, server=entry.id, name="limit")
+        self._skips.note("limit", "", server=entry.id)
 
     def _list_all_peers(self) -> list[Peer]:
         """Return the datagram addresses of all other VMs."""
@@ -541,6 +545,9 @@
         self._instruments.count("tokens_adopted", customer, amount=tokens)
         self._log.write(Event.TOKENS_ADOPTED, customer=customer, tokens=tokens)
 
+    def _note_skipped(self, kind: str) -> None:
+        self._instruments.count("skipped_entries", kind)
+
     def _note_grants_reached(self, reached: bool, reason: str) -> None:
         event = Event.DEPENDENCY_FOUND if reached else Event.DEPENDENCY_LOST
         self._log.write(event, name="grants", reason=reason)
--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -1,16 +1,25 @@
 """Decoding of the operator's configuration into a ``RoutingTable``.
 
 A route, service or customer with a field of a wrong type is skipped, and the rest of
-the configuration is used; invalid limits are replaced by defaults. Descriptions of the
-skipped entries are returned, to be logged.
+the configuration is used; an invalid limit is replaced by its default. Descriptions of
+the skipped entries are returned, to be logged.
 """
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, NamedTuple, TypeVar
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
+from lavendershift.decoding import (
+    MAX_DEPTH,
+    Count,
+    Integer,
+    decode_json,
+    make_duration,
+    prune_depth,
+)
+from lavendershift.errors import DecodeError
 from lavendershift.routes import (
     CallerLimits,
     Customer,
@@ -23,6 +32,8 @@
 
 STREAMING = "streaming"
 SAFE = "safe"
+MAX_WEIGHT = 1e9  # largest weight of a service, so that their sum is finite
+MAX_CONFIGURATION_BYTES = 4_194_304
 
 
 class Decoded(NamedTuple):
@@ -33,8 +44,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
@@ -51,35 +62,35 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 1000.0
-    priority: int = 0
+    priority: Integer = 0
     service: str = ""
     traffic_split: list[_Share] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
-    stride: int = 1  # maximum output tokens in one event of a stream
+    slots: Integer = 1
+    kv_capacity_tokens: Integer = 0
+    stride: Integer = 1  # maximum output tokens in one event of a stream
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: Integer = 0
     engine: _Engine | None = None
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
-    prepaid: int | None = None
+    priority: Integer | None = None
+    prepaid: Integer | None = None
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[msgspec.Raw] = []
     services: list[msgspec.Raw] = []
     tenants: list[msgspec.Raw] = []
@@ -91,16 +102,18 @@
 
 
 def decode_configuration(value: bytes) -> Decoded:
-    """Decode a configuration; raises ``msgspec.MsgspecError`` if malformed."""
-    config = msgspec.json.decode(value, type=_Config)
+    """Decode a configuration; raises ``DecodeError`` if malformed."""
     skipped: list[str] = []
-    limits = _decode_all([config.limits], _Limits, _make_limits, "limits", skipped)
+    pruned = prune_depth(value)
+    if pruned is not value:
+        skipped.append(f"values nested more than {MAX_DEPTH} levels deep")
+    config = decode_json(pruned, _Config, "configuration", MAX_CONFIGURATION_BYTES)
     table = RoutingTable(
         config.version,
         _decode_all(config.routes, _Route, _make_route, "route", skipped),
         _decode_all(config.services, _Service, _make_service, "service", skipped),
         _decode_all(config.tenants, _Tenant, _make_customer, "customer", skipped),
-        limits[0] if limits else CallerLimits(),
+        _make_limits(_decode_limits(config.limits, skipped)),
     )
     return Decoded(table, skipped)
 
@@ -116,23 +129,54 @@
     items = []
     for number, raw in enumerate(raws):
         try:
-            items.append(make(msgspec.json.decode(raw, type=wire)))
-        except (msgspec.MsgspecError, ValueError, OverflowError) as error:
-            skipped.append(f"{noun} {number}: {error}")
+            items.append(make(decode_json(raw, wire, f"{noun} {number}")))
+        except DecodeError as error:
+            skipped.append(str(error))
     return items
 
 
+def _decode_limits(raw: msgspec.Raw, skipped: list[str]) -> _Limits:
+    """Return the limits; invalid ones have their default values."""
+    limits = _Limits()
+    try:
+        values = decode_json(raw, dict[str, msgspec.Raw], "limits")
+    except DecodeError as error:
+        skipped.append(str(error))
+        return limits
+    for field in msgspec.structs.fields(_Limits):
+        if field.name not in values:
+            continue
+        location = f"limits.{field.name}"
+        try:
+            value = decode_json(values[field.name], field.type, location)
+        except DecodeError as error:
+            skipped.append(str(error))
+        else:
+            setattr(limits, field.name, value)
+    return limits
+
+
 def _make_limits(wire: _Limits) -> CallerLimits:
     return CallerLimits(
         wire.max_header_bytes,
         wire.max_body_bytes,
-        timedelta(milliseconds=wire.header_timeout_ms),
-        timedelta(milliseconds=wire.idle_timeout_ms),
+        _make_timeout(wire.header_timeout_ms),
+        _make_timeout(wire.idle_timeout_ms),
     )
 
 
+def _make_timeout(milliseconds: float) -> timedelta:
+    return make_duration(milliseconds / 1000)
+
+
 def _make_route(wire: _Route) -> Route:
-    shares = tuple(ServiceShare(s.service, s.weight) for s in wire.traffic_split)
+    shares = tuple(
+        ServiceShare(s.service, min(max(s.weight, 0.0), MAX_WEIGHT))
+        for s in wire.traffic_split
+    )
+    if shares and not any(share.weight for share in shares):
+        # No service can be drawn by weights of 0.
+        shares = tuple(share._replace(weight=1.0) for share in shares)
     if not shares:
         shares = (ServiceShare(wire.service, 1.0),)
     return Route(
@@ -142,8 +186,8 @@
         shares=shares,
         repeat=_find_repeat(wire),
         is_stream=wire.kind == STREAMING,
-        timeout=timedelta(milliseconds=wire.timeout_ms),
-        target=timedelta(milliseconds=wire.target_latency_ms),
+        timeout=_make_timeout(wire.timeout_ms),
+        target=_make_timeout(wire.target_latency_ms),
         urgency=wire.priority,
         max_attempts=max(wire.max_attempts, 1),
         is_public=wire.public,
@@ -175,8 +219,3 @@
 
 def _make_customer(wire: _Tenant) -> Customer:
     return Customer(wire.name, frozenset(wire.api_keys), wire.prepaid, wire.priority)
-
-
-def describe_fault(error: Any) -> str:
-    """Format a decoding error for a log line."""
-    return f"{type(error).__name__}: {error}"
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -9,19 +9,18 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-import msgspec
-
 from lavendershift.clocks import Clock
-from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.errors import DecodeError, LogUnavailableError, RecordsExpiredError
 from lavendershift.expiries import find_grace
 from lavendershift.logs import Event, EventLog, in_milliseconds
 from lavendershift.platform import names
-from lavendershift.platform.configuration import decode_configuration, describe_fault
+from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.store import Batch, Record, StoreClient
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ServerEntry
+from lavendershift.skips import SkipReports
 
 MIN_LONG_POLL = timedelta(milliseconds=1200)  # shortest wait for a new configuration
 MAX_LONG_POLL = timedelta(seconds=3)  # longest wait for a new configuration
@@ -35,8 +34,6 @@
 # Time without a byte after which a call is hedged; calls take a hundredth of it.
 PROGRESS_TIMEOUT = timedelta(milliseconds=400)
 MAX_CONCURRENT_CALLS = 4  # maximum number of calls in one reading, hedges included
-# Maximum number of invalid entries logged for each configuration.
-MAX_SKIPPED_LOGGED = 5
 
 
 class ReadResult(NamedTuple):
@@ -110,15 +107,17 @@
     """A loop that follows a topic and survives outages of the store.
 
     ``read_at`` is the time of the last reading, ``recovered_at`` the end of the last
-    outage, and ``outage`` its duration.
+    outage, and ``outage`` its duration. ``kind`` names one record in log lines.
     """
 
     name = ""
+    kind = ""
 
     def __init__(self, clock: Clock, reader: TopicReader, log: EventLog) -> None:
         self._clock = clock
         self._reader = reader
         self._log = log
+        self.skips = SkipReports(clock, log)
         self._unreachable_since: timedelta | None = timedelta()
         self.recovered_at = timedelta()
         self.outage = timedelta()
@@ -204,6 +203,19 @@
     async def pause(self) -> None:
         """Wait before the next reading."""
 
+    def apply_each(
+        self, records: list[Record], apply: Callable[[Record], None]
+    ) -> None:
+        """Call ``apply`` for each record; one that fails is skipped alone.
+
+        The reading isn't repeated, so the records after it would be lost.
+        """
+        for record in records:
+            try:
+                apply(record)
+            except Exception as error:
+                self.skips.note_failure(self.kind, error)
+
     def note_reading(self, batch: Batch, is_snapshot: bool) -> None:
         """Apply the records of a reading, and end an outage if there was one."""
         now = self._clock.elapsed()
@@ -244,7 +256,7 @@
     an old configuration.
     """
 
-    name = "configuration"
+    name = kind = "configuration"
 
     def __init__(
         self,
@@ -270,24 +282,21 @@
     def _activate(self, record: Record) -> bool:
         try:
             decoded = decode_configuration(record.value)
-        except msgspec.MsgspecError as error:
-            self._skip("configuration", describe_fault(error))
+            table = decoded.table
+            if self._version is not None and table.version <= self._version:
+                return True
+            self._accept(table)
+        except Exception as error:
+            self.skips.note_failure(self.kind, error)
             return False
-        for reason in decoded.skipped[:MAX_SKIPPED_LOGGED]:
-            self._skip("configuration", reason)
-        table = decoded.table
-        if self._version is not None and table.version <= self._version:
-            return True
+        for reason in decoded.skipped:
+            self.skips.note(self.kind, reason)
         self._version = table.version
-        self._accept(table)
         self._log.write(
             Event.CONFIGURATION_CHANGED, version=table.version, offset=record.offset
         )
         return True
 
-    def _skip(self, name: str, reason: str) -> None:
-        self._log.write(Event.ENTRY_SKIPPED, name=name, reason=reason)
-
 
 class ServerFeed(Feed):
     """Follows the entries of backend servers.
@@ -299,6 +308,7 @@
     """
 
     name = "servers"
+    kind = "server"
 
     def __init__(
         self,
@@ -329,14 +339,9 @@
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Update servers from their entries; drop those missing after their grace."""
-        for record in records:
-            server_id = record.key.decode("utf-8", "replace")
-            if record.value:
-                self._update(server_id, record.value)
-            else:
-                self._note_missing(server_id)
+        self.apply_each(records, self._apply_record)
         if is_snapshot:
-            named = {record.key.decode("utf-8", "replace") for record in records}
+            named = {decode_key(record) for record in records}
             for entry in self._servers.list_entries():
                 if entry.id not in named:
                     self._note_missing(entry.id)
@@ -350,11 +355,19 @@
             self._drop_missing()
         self.is_ready = True
 
-    def _update(self, server_id: str, value: bytes) -> None:
-        entry = decode_entry(server_id, value)
-        if entry is None:
-            self._log.write(Event.ENTRY_SKIPPED, name="server", server=server_id)
+    def _apply_record(self, record: Record) -> None:
+        server_id = decode_key(record)
+        if not record.value:
+            self._note_missing(server_id)
+            return
+        try:
+            entry = decode_entry(record.key, record.value)
+        except DecodeError as error:
+            self.skips.note(self.kind, error.reason, server=server_id)
             return
+        self._update(server_id, entry)
+
+    def _update(self, server_id: str, entry: ServerEntry) -> None:
         old = self._servers.find(server_id)
         before = old.entry if old is not None else None
         self._missing.discard(server_id)
@@ -387,3 +400,8 @@
                 self._on_removed(entry)
                 self._log.write(Event.SERVER_CHANGED, server=server_id, result="gone")
         self._missing.clear()
+
+
+def decode_key(record: Record) -> str:
+    """Return the id of the server whose entry a record holds."""
+    return record.key.decode("utf-8", "replace")
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -3,10 +3,19 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 import msgspec
 
 from lavendershift.clocks import Clock
+from lavendershift.decoding import (
+    Count,
+    Demand,
+    decode_identifier,
+    decode_json,
+    parse_address,
+)
+from lavendershift.errors import DecodeError
 from lavendershift.logs import Event, EventLog
 from lavendershift.platform import names
 from lavendershift.platform.feeds import Feed, TopicReader
@@ -27,12 +36,12 @@
     address: str
     domain: str
     incarnation: str
-    renewal: int
+    renewal: Count
     leaving: bool = False
-    demand: dict[str, float] = {}  # demand of each customer in tokens/s
+    demand: dict[str, Demand] = {}  # demand of each customer in tokens/s
     peer: str = ""  # host and port that receive datagrams
-    capacity: float = 0.0  # capacity of the VM in requests/s
-    arrivals: float = 0.0  # arrival rate of the VM in requests/s
+    capacity: Demand = 0.0  # capacity of the VM in requests/s
+    arrivals: Demand = 0.0  # arrival rate of the VM in requests/s
     active: bool = True
 
 
@@ -93,6 +102,7 @@
     """Follows the rows of all VMs."""
 
     name = "vms"
+    kind = "vm"
 
     def __init__(
         self,
@@ -113,33 +123,39 @@
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Update VMs from their rows, and drop VMs whose rows are no longer renewed."""
-        for record in records:
-            self._apply_row(record, is_new=not is_snapshot)
+        self.apply_each(records, partial(self._apply_row, is_new=not is_snapshot))
         for name in self._vms.expire():
             self._log.write(Event.VM_CHANGED, name=name, result="gone")
 
     def _apply_row(self, record: Record, is_new: bool) -> None:
         if not record.value:
             return
-        try:
-            wire = msgspec.json.decode(record.value, type=_Row)
-            name = record.key.decode()
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            self._log.write(Event.ENTRY_SKIPPED, name="vm", reason=str(error))
-            return
-        row = VmRow(
-            name,
-            wire.address,
-            wire.domain,
-            wire.incarnation,
-            wire.renewal,
-            wire.leaving,
-            wire.demand,
-            wire.peer,
-            wire.capacity,
-            wire.arrivals,
-            wire.active,
-        )
+        row = decode_row(record.key, record.value)
         if self._vms.update(row, is_new):
             result = "leaving" if row.is_leaving else "serving"
-            self._log.write(Event.VM_CHANGED, name=name, result=result)
+            self._log.write(Event.VM_CHANGED, name=row.name, result=result)
+
+
+def decode_row(key: bytes, value: bytes) -> VmRow:
+    """Decode the row of the VM ``key``; raises ``DecodeError``.
+
+    A VM whose rows can't be decoded is dropped like one that renews none.
+    """
+    name = decode_identifier(key, "vm")
+    wire = decode_json(value, _Row, "vm")
+    for address in (wire.address, wire.peer):
+        if address and parse_address(address) is None:
+            raise DecodeError("vm", "an address is no IPv4 address with a port")
+    return VmRow(
+        name,
+        wire.address,
+        wire.domain,
+        wire.incarnation,
+        wire.renewal,
+        wire.leaving,
+        wire.demand,
+        wire.peer,
+        wire.capacity,
+        wire.arrivals,
+        wire.active,
+    )
--- a/lavendershift/platform/servers.py
+++ b/lavendershift/platform/servers.py
@@ -1,15 +1,20 @@
 """Decoding of the entries that backend servers write to the store."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
+from lavendershift.decoding import (
+    Count,
+    decode_identifier,
+    decode_json,
+    parse_address,
+)
+from lavendershift.errors import DecodeError
 from lavendershift.serverstates import ServerEntry
 
-STATES = ("ready", "draining")
-
-
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+MAX_ENTRY_BYTES = 16_384  # entries have a few hundred bytes
+MAX_SLOTS = 1_000_000
 
 
 class _Entry(msgspec.Struct):
@@ -23,21 +28,24 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
-    state: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
     cold_remaining_ms: float
-    sequence: NonNegativeInt
-    born: NonNegativeInt = 0
-
-
-def decode_entry(server_id: str, value: bytes) -> ServerEntry | None:
-    """Decode a server's entry; return ``None`` if it is malformed."""
-    try:
-        wire = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    if wire.state not in STATES or not _is_address(wire.address):
-        return None
+    sequence: Count
+    born: Count = 0
+
+
+def decode_entry(key: bytes, value: bytes) -> ServerEntry:
+    """Decode the entry of the server with the id ``key``.
+
+    Raises ``DecodeError``. A malformed entry names no server to use. It isn't a notice
+    that the server has left either: the last valid entry stays until a newer one or
+    the removal of the key.
+    """
+    server_id = decode_identifier(key, "server")
+    wire = decode_json(value, _Entry, "server", MAX_ENTRY_BYTES)
+    if parse_address(wire.address) is None:
+        raise DecodeError("server", "the address is no IPv4 address with a port")
     return ServerEntry(
         id=server_id,
         service=wire.service,
@@ -48,15 +56,3 @@
         born=wire.born,
         sequence=wire.sequence,
     )
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    octets = host.split(".")
-    return (
-        len(octets) == 4
-        and all(n.isascii() and n.isdigit() and int(n) < 256 for n in octets)
-        and port.isascii()
-        and port.isdigit()
-        and 0 < int(port) < 65_536
-    )
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -26,7 +26,12 @@
     ConnectionPool,
     ServerRequest,
 )
-from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.decoding import Count, decode_json
+from lavendershift.errors import (
+    DecodeError,
+    LogUnavailableError,
+    RecordsExpiredError,
+)
 
 # Timeout of connecting, which takes milliseconds on a working path.
 CONNECT_TIMEOUT = timedelta(milliseconds=600)
@@ -34,6 +39,7 @@
 CALL_TIMEOUT = timedelta(milliseconds=1500)
 # Longest duration of a call that keeps receiving bytes: a record may have 256 KiB.
 MAX_CALL_DURATION = timedelta(seconds=15)
+MAX_PAGE_BYTES = 67_108_864  # longest page of newest records
 # Response statuses of calls that were not executed.
 REJECTED_STATUSES = frozenset({400, 403, 404, 409, 413, 429, 503, 507})
 READ_HEADER = struct.Struct(">QQ")  # the partition's end and its first retained offset
@@ -77,21 +83,21 @@
 
 
 class _AppendResponse(msgspec.Struct):
-    end: int
-    offset: int | None = None  # offset of the first record that was appended
+    end: Count
+    offset: Count | None = None  # offset of the first record that was appended
 
 
 class _NewestItem(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Count
 
 
 class _NewestPage(msgspec.Struct):
     """A page of the newest records; ``truncated`` if more pages follow."""
 
     items: list[_NewestItem]
-    end: int
+    end: Count
     truncated: bool = False
 
 
@@ -193,12 +199,12 @@
             )
             self._require_ok(response)
             try:
-                page = msgspec.json.decode(response.body, type=_NewestPage)
+                page = decode_json(response.body, _NewestPage, topic, MAX_PAGE_BYTES)
                 records += [
                     Record(i.offset, i.key.encode(), base64.b64decode(i.value))
                     for i in page.items
                 ]
-            except (msgspec.MsgspecError, ValueError) as error:
+            except ValueError as error:  # DecodeError is one
                 raise LogUnavailableError(f"{topic}: {error}") from None
             if end_before is None:
                 end_before = page.end
@@ -340,8 +346,8 @@
 def decode_append_response(body: bytes) -> _AppendResponse | None:
     """Decode the response to an append; ``None`` if it is malformed."""
     try:
-        return msgspec.json.decode(body, type=_AppendResponse)
-    except msgspec.MsgspecError:
+        return decode_json(body, _AppendResponse, "append")
+    except DecodeError:
         return None
 
 
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from lavendershift.clocks import Clock
+from lavendershift.decoding import MAX_PORT, parse_count
 from lavendershift.hashing import rank_by_hash
 
 # Time without datagrams and renewals after which an active VM counts as silent: four
@@ -53,7 +54,8 @@
 def split_address(address: str) -> tuple[str, int] | None:
     """Return the host and port of ``address``, or ``None`` if it is malformed."""
     host, _, port = address.rpartition(":")
-    return (host, int(port)) if host and port.isdigit() else None
+    number = parse_count(port, MAX_PORT + 1)
+    return (host, number) if host and number and number <= MAX_PORT else None
 
 
 class _KnownVm(NamedTuple):
