Drop odd datagrams, and send none to an address that no socket takes

What callers saw: nothing at once. A datagram or a row with a port such as 65,536 or 2**40 as the address to reply to made the event loop close the socket for datagrams, so that the VM neither heard of nor told loads, departures of servers, permits and loans until its next start. Sending to ("127.0.0.1", 65536) on the code before: is_closing() is true afterwards; with this commit it is false.

Cause: addresses of peers went unchecked into sendto, which raises OverflowError, a fatal error of the transport. Datagrams that nest deeply raised RecursionError out of the callback, as did numbers beyond what timedelta or the encoder hold (a limit's version of 2**64 - 1 can't be incremented and encoded). The latter also stayed in the VM's state.

Messages now have types with ranges, run_decoder turns whatever the decoder raises into DecodeError, and a handler that fails drops its datagram only, with a counter and a bounded number of log lines. test_odd_datagrams_of_peers_do_not_end_processes failed before.

--- a/lavendershift/datagrams.py
+++ b/lavendershift/datagrams.py
@@ -25,6 +25,8 @@
 
 import msgspec
 
+from lavendershift.decoding import is_endpoint, run_decoder
+
 MESSAGES: list[type[msgspec.Struct]] = []
 Peer = tuple[str, int]  # host and port of a UDP socket
 Message = TypeVar("Message", bound=msgspec.Struct)
@@ -70,7 +72,8 @@
 class Datagrams(asyncio.DatagramProtocol):
     """Sends and receives all messages of a process on one UDP port.
 
-    ``dropped`` counts messages that can't be decoded or have no handler.
+    ``dropped`` counts messages that can't be decoded, have no handler or make it fail.
+    ``on_dropped`` is called with the error in the first and last case.
     """
 
     def __init__(self) -> None:
@@ -78,6 +81,7 @@
         self._decoder: msgspec.msgpack.Decoder[Any] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self.dropped = 0
+        self.on_dropped: Callable[[Exception], None] = lambda error: None
 
     def handle(
         self, kind: type[Message], handler: Callable[[Message, Peer], None]
@@ -105,20 +109,31 @@
             self._transport.close()
 
     def send(self, message: msgspec.Struct, peers: Iterable[Peer]) -> None:
-        """Send ``message`` to each of ``peers``; failures are not reported."""
+        """Send ``message`` to each of ``peers``; failures are not reported.
+
+        An address comes from another program too. A transport closes itself for good
+        at one that no socket takes, so those are left out.
+        """
         if self._transport is None:
             return
         data = msgspec.msgpack.encode(message)
         for peer in peers:
+            if not is_endpoint(*peer):
+                self.dropped += 1
+                continue
             self._transport.sendto(data, peer)
 
     def datagram_received(self, data: bytes, addr: Peer) -> None:
         """Decode a message and call its handler."""
-        assert self._decoder is not None
+        decoder = self._decoder
+        assert decoder is not None
         try:
-            message = self._decoder.decode(data)
-            handler = self._handlers[type(message)]
-        except (msgspec.MsgspecError, KeyError):
+            message = run_decoder(lambda: decoder.decode(data), "datagram")
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                self.dropped += 1
+                return
+            handler(message, addr)
+        except Exception as error:
             self.dropped += 1
-            return
-        handler(message, addr)
+            self.on_dropped(error)
--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -24,6 +24,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.decoding import Count, Integer
 from lavendershift.serverlist import ServerList
 from lavendershift.serversignals import ServerSignal
 from lavendershift.serverstates import ServerEntry, ServerLoad
@@ -44,8 +45,8 @@
     """The sender's load on one server, and the prompt parts it sent there."""
 
     server: str
-    in_flight: int
-    unread_tokens: int
+    in_flight: Integer
+    unread_tokens: Integer
     parts: list[str] = []
 
 
@@ -55,7 +56,7 @@
 
     vm: str
     incarnation: str
-    number: int
+    number: Count
     changes: list[_LoadChange]
 
 
@@ -75,7 +76,7 @@
     """
 
     server: str
-    born: int
+    born: Count
 
 
 class Gossip:
@@ -218,5 +219,5 @@
         if update.changes:
             self._reporters[sender] = self._clock.elapsed()
         for change in update.changes:
-            load = ServerLoad(change.in_flight, change.unread_tokens)
+            load = ServerLoad(max(change.in_flight, 0), max(change.unread_tokens, 0))
             self._servers.record_peer_load(update.vm, change.server, load, change.parts)
--- a/lavendershift/limitgossip.py
+++ b/lavendershift/limitgossip.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lavendershift.datagrams import register_message
+from lavendershift.decoding import Count, Rate
 from lavendershift.serverlimits import LimitState, ServerLimits
 from lavendershift.serversignals import Incarnation
 
@@ -20,9 +21,9 @@
     """The limit of one incarnation of a server."""
 
     server: str
-    born: int
-    rate: float | None
-    version: int
+    born: Count
+    rate: Rate | None
+    version: Count
 
 
 @register_message
--- a/lavendershift/permits.py
+++ b/lavendershift/permits.py
@@ -23,6 +23,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, Replies, register_message
+from lavendershift.decoding import Count, Integer, Rate, Seconds
 from lavendershift.serverlimits import MIN_RATE, LimitState, ServerLimits
 from lavendershift.serversignals import MAX_INCARNATIONS, Incarnation
 
@@ -46,12 +47,12 @@
     address if another VM forwarded it.
     """
 
-    number: int
+    number: Count
     server: str
-    born: int
-    rate: float | None
-    version: int
-    urgency: int
+    born: Count
+    rate: Rate | None
+    version: Count
+    urgency: Integer
     origin: Peer | None = None
 
 
@@ -62,12 +63,12 @@
     ``wait_s`` is 0 if the permit is granted, else the time until the next one is due.
     """
 
-    number: int
+    number: Count
     server: str
-    born: int
-    rate: float | None
-    version: int
-    wait_s: float
+    born: Count
+    rate: Rate | None
+    version: Count
+    wait_s: Seconds
 
 
 class PermitBucket:
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -114,6 +114,7 @@
         self._datagrams = Datagrams()
         self._skips = SkipReports(clock, log)
         self._skips.on_skipped = self._note_skipped
+        self._datagrams.on_dropped = self._note_dropped
         self._gossip = Gossip(
             clock,
             settings.name,
@@ -548,6 +549,9 @@
     def _note_skipped(self, kind: str) -> None:
         self._instruments.count("skipped_entries", kind)
 
+    def _note_dropped(self, error: Exception) -> None:
+        self._skips.note_failure("datagram", error)
+
     def _note_grants_reached(self, reached: bool, reason: str) -> None:
         event = Event.DEPENDENCY_FOUND if reached else Event.DEPENDENCY_LOST
         self._log.write(event, name="grants", reason=reason)
--- a/lavendershift/platform/serverwire.py
+++ b/lavendershift/platform/serverwire.py
@@ -7,6 +7,7 @@
 
 from lavendershift.attempts import Attempt, CallerRequest, ResponseKind
 from lavendershift.connections import ServerRequest
+from lavendershift.decoding import MAX_RATE
 from lavendershift.platform import names
 from lavendershift.serverresponses import SUCCESSES
 from lavendershift.serversignals import ServerSignal
@@ -83,13 +84,13 @@
 def parse_rate(value: str) -> float | None:
     """Parse a number of requests per second, which may have a fraction.
 
-    Returns ``None`` for a malformed, negative or infinite number.
+    Returns ``None`` for a malformed or negative number, or one above ``MAX_RATE``.
     """
     try:
         rate = float(value)
     except ValueError:
         return None
-    return rate if 0 <= rate < math.inf else None
+    return rate if 0 <= rate <= MAX_RATE else None
 
 
 def parse_seconds(value: str) -> timedelta | None:
--- a/lavendershift/quarantinegossip.py
+++ b/lavendershift/quarantinegossip.py
@@ -17,6 +17,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.crashes import Suspect
 from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.decoding import Count, Seconds
 from lavendershift.quarantine import Parts, Quarantine, QuarantineState, shorten
 from lavendershift.serversignals import Incarnation
 
@@ -43,7 +44,7 @@
     """
 
     server: str
-    born: int
+    born: Count
     suspects: list[SuspectPrompt]
     answered: list[str]
 
@@ -53,7 +54,7 @@
     """The sender got responses to prompts with these parts, ``ages_s`` ago."""
 
     parts: list[str]
-    ages_s: list[float]
+    ages_s: list[Seconds]
 
 
 class QuarantineFact(msgspec.Struct, array_like=True):
@@ -61,9 +62,9 @@
 
     parts: list[str]
     is_active: bool
-    version: int
-    failed_trials: int
-    trial_in_s: float
+    version: Count
+    failed_trials: Count
+    trial_in_s: Seconds
 
 
 @register_message
--- a/lavendershift/tokenloans.py
+++ b/lavendershift/tokenloans.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.decoding import Count
 from lavendershift.pendingtokens import TokenRequest
 
 # Time for the lender's draw and a round trip.
@@ -37,10 +38,10 @@
     """
 
     borrower: str
-    number: int
+    number: Count
     customer: str
-    least: int
-    most: int
+    least: Count
+    most: Count
     is_urgent: bool = False
 
 
@@ -49,9 +50,9 @@
     """The reply to a ``LoanRequest``; 0 tokens are a refusal."""
 
     borrower: str
-    number: int
+    number: Count
     customer: str
-    tokens: int
+    tokens: Count
 
 
 class Lender(NamedTuple):
--- a/lavendershift/tokenstocks.py
+++ b/lavendershift/tokenstocks.py
@@ -25,6 +25,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.decoding import Count
 
 REPORT_INTERVAL = timedelta(milliseconds=500)  # time between reports of each active VM
 # Time without a new report after which an estimate is 0.
@@ -39,7 +40,7 @@
     vm: str
     incarnation: str
     is_store_reachable: bool
-    tokens: dict[str, int]
+    tokens: dict[str, Count]
 
 
 class _KnownStock:
--- a/lavendershift/trials.py
+++ b/lavendershift/trials.py
@@ -18,6 +18,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, Replies, register_message
+from lavendershift.decoding import Count
 from lavendershift.quarantine import MAX_QUARANTINES, Parts, Quarantine
 from lavendershift.quarantinegossip import (
     QuarantineFact,
@@ -37,7 +38,7 @@
     ``origin`` is the sender's address if another VM forwarded it.
     """
 
-    number: int
+    number: Count
     quarantine: QuarantineFact
     origin: Peer | None = None
 
@@ -49,7 +50,7 @@
     ``quarantine`` is the state that the keeper knows.
     """
 
-    number: int
+    number: Count
     is_granted: bool
     quarantine: QuarantineFact
 
