Stop only the draws of the customer whose quota record can't be decoded

What callers saw: 429 for all customers of a partition, for ever, and after a restart a VM that never got ready, as it counted the partition as unreachable; with deep nesting in the record the process ended.

Cause: a record that can't be decoded was treated like an answer that didn't arrive, for the whole partition and without a log line of its own.

Its key names the customer it is for, so the record now stops the draws and returns of this customer alone: the number of grants before it may be outdated, and a guess could overspend the total. Requests use the tokens that VMs hold. Pending changes sent for the record's offset are undone, as for any other record.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -175,6 +175,7 @@
             self._note_grants_reached,
             self._activity.is_active,
             self._find_rank,
+            lambda customer, reason: self._skips.note("quota", reason, customer),
         )
         self._stocks = TokenStocks(
             clock,
--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from lavendershift.errors import LogUnavailableError
+from lavendershift.decoding import Count, decode_json
+from lavendershift.errors import DecodeError, LogUnavailableError
 from lavendershift.platform import names
 from lavendershift.platform.store import AppendResult, Record, StoreClient
 from lavendershift.quotarecords import QuotaRecord, SwapResult
@@ -16,7 +17,7 @@
 
 
 class _QuotaValue(msgspec.Struct):
-    granted: int
+    granted: Count
     change: str
 
 
@@ -58,6 +59,7 @@
                 msgspec.json.encode(_QuotaValue(quota.granted, quota.change_id)),
             )
             for quota in quota_records
+            if quota.granted is not None
         ]
         result, _ = await self._store.append(
             names.GRANTS_TOPIC, self._partition, records, end
@@ -66,11 +68,16 @@
 
 
 def decode_record(record: Record) -> QuotaRecord:
-    """Decode a quota record; raises ``LogUnavailableError`` if that fails."""
+    """Decode a quota record; one that is malformed has no number of grants.
+
+    A key that is no text has the empty name, which no customer has.
+    """
+    try:
+        customer = record.key.decode()
+    except UnicodeDecodeError:
+        return QuotaRecord("", None, "", "the key is no text")
     try:
-        quota = msgspec.json.decode(record.value, type=_QuotaValue)
-        return QuotaRecord(record.key.decode(), quota.granted, quota.change)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise LogUnavailableError(
-            f"quota record at offset {record.offset} can't be decoded: {error}"
-        ) from None
+        quota = decode_json(record.value, _QuotaValue, "quota")
+    except DecodeError as error:
+        return QuotaRecord(customer, None, "", error.reason)
+    return QuotaRecord(customer, quota.granted, quota.change)
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -11,6 +11,11 @@
 no response may still be appended later, so its outcome is read from the log: once
 its offset holds a record, that is either this change or another one, and in the
 latter case this change can no longer be appended.
+
+If another program has written a record without a valid number of grants, nothing is
+drawn or returned for its customer until an operator has written a valid one: the
+number before it may be outdated, and a guess could overspend the total. Other
+customers of the partition aren't affected.
 """
 
 from collections.abc import Awaitable, Callable
@@ -30,13 +35,14 @@
 class QuotaRecord(NamedTuple):
     """One customer's quota, as stored in the log.
 
-    ``granted`` is the new total of grants, ``change_id`` identifies the change that
-    wrote it.
+    ``granted`` is the new total of grants, ``None`` if the record can't be decoded for
+    the reason ``fault``. ``change_id`` identifies the change that wrote it.
     """
 
     customer: str
-    granted: int
+    granted: int | None
     change_id: str
+    fault: str = ""
 
 
 class SwapResult(Enum):
@@ -78,7 +84,9 @@
 class QuotaRecords:
     """The quota records of one partition, and this VM's changes to them.
 
-    ``on_draw`` is called with customer, tokens and the new total of grants.
+    ``on_draw`` is called with customer, tokens and the new total of grants, and
+    ``on_invalid`` with customer and reason for a record that can't be decoded. The
+    newest records of the customers ``invalid`` are such records.
     ``read_at`` is the time at which the records were last known to be the newest.
     """
 
@@ -89,12 +97,15 @@
         name: str,
         find_account: Callable[[str], PrepaidAccount],
         on_draw: Callable[[str, int, int], None],
+        on_invalid: Callable[[str, str], None] = lambda customer, reason: None,
     ) -> None:
         self._clock = clock
         self._log = log
         self._name = name
         self._find_account = find_account
         self._on_draw = on_draw
+        self._on_invalid = on_invalid
+        self.invalid: set[str] = set()
         self.granted: dict[str, int] = {}
         self.read_at: timedelta | None = None
         self._end: int | None = None
@@ -116,7 +127,7 @@
         if self._end is None:
             records, end = await self._log.read_newest()
             for record in records:
-                self.granted[record.customer] = record.granted
+                self._store_quota(record)
             self._end = end
         try:
             records = await self._log.read_records(self._end)
@@ -204,7 +215,7 @@
 
     def _apply(self, offset: int, record: QuotaRecord) -> None:
         """Apply a record and resolve the pending changes sent for its offset."""
-        self.granted[record.customer] = record.granted
+        self._store_quota(record)
         for pending in [p for p in self._pending if p.offset == offset]:
             self._pending.remove(pending)
             if record.change_id == pending.change_id:
@@ -212,6 +223,14 @@
             else:
                 self._undo(pending.deltas)
 
+    def _store_quota(self, record: QuotaRecord) -> None:
+        if record.granted is None:
+            self.invalid.add(record.customer)
+            self._on_invalid(record.customer, record.fault)
+            return
+        self.invalid.discard(record.customer)
+        self.granted[record.customer] = record.granted
+
     def _reset(self) -> None:
         """Forget the offset, so that the newest records are read next.
 
--- a/lavendershift/tests/test_tokendraws.py
+++ b/lavendershift/tests/test_tokendraws.py
@@ -11,6 +11,7 @@
 from lavendershift.prepaid import URGENT_RESERVE_FRACTION
 from lavendershift.quotarecords import QuotaRecord, SwapResult
 from lavendershift.tokendraws import (
+    MAX_AGE_TO_PLAN,
     ROUND_INTERVAL,
     STARTUP_DELAY,
     UNRESPONSIVE_AFTER,
@@ -414,3 +415,39 @@
         return before, soon, later, draws.is_store_responsive
 
     assert asyncio.run(work()) == (True, True, (True, False), True)
+
+
+def test_an_odd_quota_record_stops_only_the_draws_of_its_customer(monkeypatch):
+    monkeypatch.setitem(TOTAL, "other", 100_000)
+    quota_log, clock = MemoryQuotaLog(), ManualClock()
+    draws = make_draws(quota_log, clock)
+    run_round(draws)
+    held = draws.find_account("other").free
+    quota_log.records.append(QuotaRecord("other", None, "", "no number"))
+    draws.return_all()
+    run_round(draws)
+    run_round(draws)
+    assert draws.find_account("plume").free == 0
+    assert draws.find_account("other").free == held
+    assert draws.count_left("other") == 0
+    assert draws.count_left("plume") == 100_000
+    assert draws.has_synced
+    assert draws.is_store_reachable
+    # An operator writes the number of grants.
+    quota_log.records.append(QuotaRecord("other", held, "operator"))
+    clock.advance(2 * MAX_AGE_TO_PLAN)
+    run_round(draws)
+    assert draws.find_account("other").free == 0
+    assert quota_log.records[-1].granted == 0
+
+
+def test_nothing_is_drawn_by_a_vm_that_starts_beside_an_odd_quota_record(monkeypatch):
+    monkeypatch.setitem(TOTAL, "other", 100_000)
+    quota_log = MemoryQuotaLog()
+    quota_log.records.append(QuotaRecord("other", None, "", "no number"))
+    draws = make_draws(quota_log)
+    run_round(draws)
+    assert draws.find_account("plume").free > 0
+    assert draws.find_account("other").free == 0
+    assert [r.customer for r in quota_log.records] == ["other", "plume"]
+    assert draws.has_synced
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -89,7 +89,9 @@
     ``draws_ahead`` returns whether this VM draws before requests arrive; if not, it
     draws for each request and returns the tokens it did not use. ``find_rank``
     returns the position of this VM, 0 first, among those that hold a customer's
-    tokens. ``has_synced`` is set once a full round has succeeded: from then on
+    tokens. ``on_invalid`` is called with the customer of a quota record that can't be
+    decoded and the reason; nothing is drawn or returned for that customer.
+    ``has_synced`` is set once a full round has succeeded: from then on
     requests that wait for tokens can get them. ``mark_totals_known`` lets the rounds
     begin.
     """
@@ -107,6 +109,7 @@
         on_reachability: Callable[[bool, str], None] = lambda reachable, reason: None,
         draws_ahead: Callable[[], bool] = lambda: True,
         find_rank: Callable[[str], int] = lambda customer: 0,
+        on_invalid: Callable[[str, str], None] = lambda customer, reason: None,
     ) -> None:
         self._clock = clock
         self._rng = random.Random(name)
@@ -119,7 +122,8 @@
         self._find_rank = find_rank
         self.accounts: dict[str, PrepaidAccount] = {}
         self._records = [
-            QuotaRecords(clock, log, name, self.find_account, on_draw) for log in logs
+            QuotaRecords(clock, log, name, self.find_account, on_draw, on_invalid)
+            for log in logs
         ]
         self.is_store_reachable = False
         self.has_synced = False
@@ -260,7 +264,12 @@
         return {name: account.free for name, account in self.accounts.items()}
 
     def count_left(self, customer: str) -> int:
-        """Return the tokens of the total that are not granted to any VM."""
+        """Return the tokens of the total that are not granted to any VM.
+
+        These are 0 if the number of grants is unknown.
+        """
+        if customer in self._find_records(customer).invalid:
+            return 0
         granted = self._find_records(customer).granted.get(customer, 0)
         return self._prepaid().get(customer, 0) - granted
 
@@ -543,6 +552,8 @@
         for customer in self._prepaid():
             if self._find_records(customer) is not records:
                 continue
+            if customer in records.invalid:
+                continue
             view = self._make_view(customer, now)
             delta = self._choose_delta(view, now)
             if delta > 0 or (delta and not is_urgent):
