--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Coroutine
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -166,7 +167,12 @@
             self._vms.sum_demand,
             LeaseBook(
                 clock,
-                StoreLeaseLog(self._store, settings.name, settings.partitions),
+                StoreLeaseLog(
+                    self._store,
+                    settings.name,
+                    settings.partitions,
+                    partial(self._skips.note, "lease snapshot"),
+                ),
                 incarnation,
                 read_boot_id(),
                 self._note_adopted,
--- a/lavendershift/platform/leases.py
+++ b/lavendershift/platform/leases.py
@@ -1,11 +1,14 @@
 """Lease snapshots in a keyed topic of the store."""
 
+from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from typing import Annotated
 
 import msgspec
 import xxhash
 
-from lavendershift.errors import LogUnavailableError
+from lavendershift.decoding import Count, Rate, decode_json
+from lavendershift.errors import DecodeError
 from lavendershift.leases import LeaseEntry, LeaseSnapshot, SnapshotResult
 from lavendershift.platform import names
 from lavendershift.platform.store import AppendResult, StoreClient
@@ -19,27 +22,47 @@
 }
 
 
+# A time in µs; the largest is below the end of the calendar.
+MAX_MICROSECONDS = 10**17
+Microseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_MICROSECONDS)]
+Period = Annotated[int, msgspec.Meta(ge=1, le=MAX_MICROSECONDS)]
+
+
 class _SnapshotValue(msgspec.Struct):
     incarnation: str
     boot: str
-    at_us: int  # µs from the boot to the snapshot
-    written_us: int  # Unix time of the snapshot in µs
+    at_us: Microseconds  # µs from the boot to the snapshot
+    written_us: Microseconds  # Unix time of the snapshot in µs
     # Unspent tokens, burst and tokens/s of each customer.
-    entries: dict[str, tuple[int, float, float]]
-    opens_us: int = 0  # delay in µs from the snapshot to the unlock period
-    opening_us: int = 5_000_000  # duration of the unlock period in µs
+    entries: dict[str, tuple[Count, Rate, Rate]]
+    opens_us: Microseconds = 0  # delay in µs from the snapshot to the unlock period
+    opening_us: Period = 5_000_000  # duration of the unlock period in µs
 
 
 class StoreLeaseLog:
-    """The lease snapshots of one VM, in a partition that VMs may share."""
+    """The lease snapshots of one VM, in a partition that VMs may share.
+
+    ``on_skipped`` is called with the reason why a snapshot can't be decoded.
+    """
 
-    def __init__(self, store: StoreClient, vm: str, partitions: int) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        vm: str,
+        partitions: int,
+        on_skipped: Callable[[str], None] = lambda reason: None,
+    ) -> None:
+        self._on_skipped = on_skipped
         self._store = store
         self._key = vm.encode()
         self._partition = xxhash.xxh3_64_intdigest(self._key) % max(partitions, 1)
 
     async def read(self) -> tuple[LeaseSnapshot | None, int]:
-        """Return this VM's newest snapshot and the end of its partition."""
+        """Return this VM's newest snapshot and the end of its partition.
+
+        There is none if the newest can't be decoded: its tokens stay granted and
+        unused, and the next snapshot replaces it.
+        """
         newest = await self._store.read_newest(names.LEASES_TOPIC, self._partition)
         records = list(newest.records)
         end = newest.next_offset
@@ -50,7 +73,14 @@
             if not batch.records or end >= batch.end:
                 break
         own = [r.value for r in records if r.key == self._key and r.value]
-        return (decode_snapshot(own[-1]) if own else None), end
+        return (self._decode(own[-1]) if own else None), end
+
+    def _decode(self, value: bytes) -> LeaseSnapshot | None:
+        try:
+            return decode_snapshot(value)
+        except DecodeError as error:
+            self._on_skipped(error.reason)
+            return None
 
     async def write(
         self, end: int, snapshot: LeaseSnapshot
@@ -74,22 +104,15 @@
 
 
 def decode_snapshot(value: bytes) -> LeaseSnapshot:
-    """Decode a snapshot; raises ``LogUnavailableError`` if that fails."""
-    try:
-        wire = msgspec.json.decode(value, type=_SnapshotValue)
-    except msgspec.MsgspecError as error:
-        raise LogUnavailableError(f"lease snapshot can't be decoded: {error}") from None
+    """Decode a snapshot; raises ``DecodeError``."""
+    wire = decode_json(value, _SnapshotValue, "lease snapshot")
     entries = {customer: LeaseEntry(*entry) for customer, entry in wire.entries.items()}
-    since_boot = timedelta(microseconds=wire.at_us)
-    unlock_delay = timedelta(microseconds=wire.opens_us)
-    written_at = EPOCH + timedelta(microseconds=wire.written_us)
-    unlock_period = timedelta(microseconds=wire.opening_us)
     return LeaseSnapshot(
         wire.incarnation,
         wire.boot,
-        since_boot,
-        written_at,
+        timedelta(microseconds=wire.at_us),
+        EPOCH + timedelta(microseconds=wire.written_us),
         entries,
-        unlock_delay,
-        unlock_period,
+        timedelta(microseconds=wire.opens_us),
+        timedelta(microseconds=wire.opening_us),
     )
