Start a loop that fails again instead of ending the process

What callers saw: any exception in one of ten background loops ended the whole process with exit code 0, after the grace time, and with it the requests in flight; with the same input at the next start, again and again.

Cause: the loops' exceptions stood for a damaged state that only a restart mends. Most come from input, which all VMs read, so that the fleet ended together.

No failure of a loop ends a process now. Each failure has a line loop_failed, with the loop, the error and its place, and adds to the counter loop_failures.

--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -78,6 +78,9 @@
     "tokens_lent": Instrument("Tokens lent to other VMs.", ("customer",)),
     "tokens_spent": Instrument("Tokens that requests used.", ("customer",)),
     "connections": Instrument("Connections opened to servers and the store."),
+    "loop_failures": Instrument(
+        "Failures of background loops, which start again.", ("loop",)
+    ),
     "skipped_entries": Instrument("Entries that could not be read.", ("kind",)),
 }
 
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -60,6 +60,7 @@
     SERVER_EJECTED = "server_ejected"
     LOG_LOST = "log_lost"
     LOG_FOUND = "log_found"
+    LOOP_FAILED = "loop_failed"
     INTERNAL_ERROR = "internal_error"
     LIBRARY_MESSAGE = "library_message"
 
@@ -129,6 +130,9 @@
     ),
     Event.LOG_LOST: EventInfo("warning", "The log service stopped responding."),
     Event.LOG_FOUND: EventInfo("notice", "The log service responds again."),
+    Event.LOOP_FAILED: EventInfo(
+        "error", "A background loop failed, and starts again after a pause."
+    ),
     Event.INTERNAL_ERROR: EventInfo("error", "An unexpected exception occurred."),
     Event.LIBRARY_MESSAGE: EventInfo("warning", "A library logged a message."),
 }
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -7,11 +7,10 @@
 import secrets
 import signal
 import sys
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 from tornado.httputil import HTTPServerRequest
 
@@ -29,7 +28,15 @@
 from lavendershift.leases import LeaseBook, read_boot_id
 from lavendershift.limitgossip import LimitFacts
 from lavendershift.logoutput import StandardOutputHandler
-from lavendershift.logs import Event, EventFields, EventLog, LibraryHandler, format_line
+from lavendershift.logs import (
+    Event,
+    EventFields,
+    EventLog,
+    LibraryHandler,
+    format_line,
+    format_traceback,
+    in_milliseconds,
+)
 from lavendershift.permits import Permits
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import SyncHttpServer, VmDirectory
@@ -53,6 +60,7 @@
 from lavendershift.serversignals import Incarnation
 from lavendershift.serverstates import ServerEntry
 from lavendershift.skips import SkipReports
+from lavendershift.supervision import LoopSupervisor
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
@@ -282,27 +290,23 @@
         await self._datagrams.listen(settings.ip, settings.peer_port)
 
     async def _start_loops(self) -> None:
-        loops: tuple[Coroutine[Any, Any, None], ...] = (
-            self._configuration.run(),
-            self._server_feed.run(),
-            self._presence_feed.run(),
-            self._draws.run(),
-            self._draws.run_snapshots(),
-            self._stocks.run(),
-            self._maintain_row(),
-            self._gossip.run(),
-            self._fact_gossip.run(),
-            self._close_stale_connections(),
-        )
-        self._tasks = [asyncio.ensure_future(self._run_loop(loop)) for loop in loops]
-
-    async def _run_loop(self, loop: Coroutine[Any, Any, None]) -> None:
-        """Run a loop; its failure ends the process, which is then restarted."""
-        try:
-            await loop
-        except Exception as error:
-            self._log.write_error(error)
-            self.request_stop()
+        loops: dict[str, Callable[[], Awaitable[None]]] = {
+            "configuration": self._configuration.run,
+            "servers": self._server_feed.run,
+            "vms": self._presence_feed.run,
+            "draws": self._draws.run,
+            "snapshots": self._draws.run_snapshots,
+            "stocks": self._stocks.run,
+            "row": self._maintain_row,
+            "gossip": self._gossip.run,
+            "facts": self._fact_gossip.run,
+            "connections": self._close_stale_connections,
+        }
+        supervisor = LoopSupervisor(self._clock, self._note_loop_failure)
+        self._tasks = [
+            asyncio.ensure_future(supervisor.run(name, loop))
+            for name, loop in loops.items()
+        ]
 
     async def _stop_loops(self) -> None:
         for task in self._tasks:
@@ -559,6 +563,22 @@
     def _note_dropped(self, error: Exception) -> None:
         self._skips.note_failure("datagram", error)
 
+    def _note_loop_failure(self, name: str, error: Exception, pause: timedelta) -> None:
+        """Report a failed loop; readiness doesn't change.
+
+        The other VMs read the same input, so leaving the list of VMs could leave
+        none for callers. What a loop maintains gets old instead: a VM that can't renew
+        its row is dropped by the others, and ``belief_age`` grows.
+        """
+        self._instruments.count("loop_failures", name)
+        self._log.write(
+            Event.LOOP_FAILED,
+            name=name,
+            error=type(error).__name__,
+            place=format_traceback(error),
+            waited_ms=in_milliseconds(pause),
+        )
+
     def _note_grants_reached(self, reached: bool, reason: str) -> None:
         event = Event.DEPENDENCY_FOUND if reached else Event.DEPENDENCY_LOST
         self._log.write(event, name="grants", reason=reason)
