Keep the active settings when a reloaded file nests or counts too far

A settings file with an array nested 5,000 deep, with an infinite time or with a value where a section belongs raised RecursionError, OverflowError or AttributeError out of the signal handler of a reload, and no line told of the skipped file.

--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from lavendershift.decoding import run_decoder
+from lavendershift.errors import DecodeError
 from lavendershift.platform.names import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 
 
@@ -43,39 +45,47 @@
 def load_node_settings(path: Path) -> NodeSettings:
     """Load the settings in the file at ``path``; raises ``SettingsError``."""
     try:
-        return decode_settings(tomllib.loads(path.read_text(encoding="utf-8")))
-    except (OSError, ValueError) as error:
+        text = path.read_text(encoding="utf-8")
+        return decode_settings(run_decoder(lambda: tomllib.loads(text), "settings"))
+    except (OSError, ValueError) as error:  # DecodeError is a ValueError
         raise SettingsError(f"{path}: {error}") from None
 
 
 def decode_settings(data: dict[str, Any]) -> NodeSettings:
-    """Decode the settings in ``data``; unknown fields are ignored."""
+    """Decode the settings in ``data``; unknown fields are ignored.
+
+    Raises ``SettingsError``.
+    """
     try:
-        listen, bounds, store = data["listen"], data["bounds"], data["platform"]
-        limits = data.get("limits", {})
-        return NodeSettings(
-            name=str(data["node"]),
-            role=str(data["role"]),
-            ip=str(data["ip"]),
-            failure_domain=str(data["zone"]),
-            region=str(data["region"]),
-            callers_address=listen["front"],
-            ready_address=listen["ready"],
-            directory_address=listen.get("directory", ""),
-            peer_port=int(data["internal_ports"][0]),
-            store_address=store["address"],
-            seeds=tuple(data.get("seeds", ())),
-            grace=timedelta(seconds=bounds["grace_s"]),
-            drain=timedelta(milliseconds=bounds["drain_ms"]),
-            heartbeat_interval=timedelta(milliseconds=data.get("heartbeat_ms", 1200)),
-            stable_window=timedelta(milliseconds=bounds.get("stable_window_ms", 3000)),
-            retry_share=float(bounds["retry_budget_ratio"]),
-            retry_slack=float(bounds["retry_budget_slack"]),
-            retry_window=timedelta(seconds=bounds["budget_window_s"]),
-            resolve_ttl=timedelta(seconds=bounds.get("ttl_max_s", 5)),
-            partitions=int(store.get("parts", 1)),
-            cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
-            link_mbps=float(limits.get("link_mbps", 1000)),
-        )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        raise SettingsError(f"{type(error).__name__}: {error}") from None
+        return run_decoder(lambda: _decode_sections(data), "settings")
+    except DecodeError as error:
+        raise SettingsError(error.reason) from None
+
+
+def _decode_sections(data: dict[str, Any]) -> NodeSettings:
+    listen, bounds, store = data["listen"], data["bounds"], data["platform"]
+    limits = data.get("limits", {})
+    return NodeSettings(
+        name=str(data["node"]),
+        role=str(data["role"]),
+        ip=str(data["ip"]),
+        failure_domain=str(data["zone"]),
+        region=str(data["region"]),
+        callers_address=listen["front"],
+        ready_address=listen["ready"],
+        directory_address=listen.get("directory", ""),
+        peer_port=int(data["internal_ports"][0]),
+        store_address=store["address"],
+        seeds=tuple(data.get("seeds", ())),
+        grace=timedelta(seconds=bounds["grace_s"]),
+        drain=timedelta(milliseconds=bounds["drain_ms"]),
+        heartbeat_interval=timedelta(milliseconds=data.get("heartbeat_ms", 1200)),
+        stable_window=timedelta(milliseconds=bounds.get("stable_window_ms", 3000)),
+        retry_share=float(bounds["retry_budget_ratio"]),
+        retry_slack=float(bounds["retry_budget_slack"]),
+        retry_window=timedelta(seconds=bounds["budget_window_s"]),
+        resolve_ttl=timedelta(seconds=bounds.get("ttl_max_s", 5)),
+        partitions=int(store.get("parts", 1)),
+        cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
+        link_mbps=float(limits.get("link_mbps", 1000)),
+    )
