Bound the numbers in heads before they are converted

What callers saw: a request with a Content-Length of 5,000 digits or of the superscript "2" got a closed connection instead of a refusal; token numbers of 400 digits got 502 instead of 400. A server's response with a Keep-Alive timeout of 400 or 5,000 digits was replaced by 502 "internal", although the server had run the request.

Cause: int() raises ValueError for more than 4,300 digits and for characters that isdigit() accepts, timedelta raises OverflowError, and so does a float of a large integer.

parse_count bounds the number of digits first and takes ASCII digits only. Token numbers beyond 2**62 make a request malformed.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -29,6 +29,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from lavendershift.clocks import Clock
+from lavendershift.decoding import parse_count
 
 IDLE_TIMEOUT = timedelta(seconds=4)  # idle limit if a server sends no Keep-Alive
 IDLE_MARGIN = timedelta(seconds=1)  # margin below the server's own idle timeout
@@ -36,6 +37,7 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # size at which a response is cut off
 # Timeout of a connection that only tells whether a process listens.
 PROBE_TIMEOUT = timedelta(milliseconds=100)
+MAX_KEEP_ALIVE_S = 86_400  # largest idle timeout that a server may name
 TCP_USER_TIMEOUT_MS = 4000  # time without an ACK until the kernel drops a connection
 LAST_INFORMATIONAL_STATUS = 199
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses accepted before the final one
@@ -408,8 +410,9 @@
     """Return the timeout of a ``Keep-Alive`` header, ``None`` if it has none."""
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
-            return timedelta(seconds=int(number))
+        seconds = parse_count(number, MAX_KEEP_ALIVE_S)
+        if name.lower() == "timeout" and seconds is not None:
+            return timedelta(seconds=seconds)
     return None
 
 
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -30,6 +30,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.connectionreports import ConnectionEnd, EndCause
 from lavendershift.connections import reset_stream
+from lavendershift.decoding import MAX_INTEGER, parse_count
 from lavendershift.errors import Answer, ErrorKind, Ran, RequestError
 from lavendershift.gateway import Gateway, is_being_cancelled
 from lavendershift.platform import names
@@ -186,9 +187,10 @@
             self._connection._disconnect_on_finish = True
         limits = self._server.find_limits()
         self._limit = limits.body_bytes
+        length = parse_count(headers.get("Content-Length", "0"), MAX_INTEGER) or 0
         if (
             measure_header(start_line, headers) > limits.header_bytes
-            or parse_length(headers.get("Content-Length", "")) > limits.body_bytes
+            or length > limits.body_bytes
         ):
             self._refuse(ErrorKind.TOO_LARGE)
         return None
@@ -408,14 +410,6 @@
     return sum(len(part) for part in start_line) + 4 + lines + 2
 
 
-def parse_length(value: str) -> int:
-    """Return the value of a Content-Length header, 0 if it is malformed."""
-    try:
-        return int(value)
-    except ValueError:
-        return 0
-
-
 def decode_request(
     start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, now: timedelta
 ) -> CallerRequest:
@@ -472,7 +466,8 @@
         )
     except ValueError:
         raise RequestError(ErrorKind.INVALID_REQUEST, "sizes of the prompt") from None
-    if input_tokens < 0 or output_tokens < 0:
+    sizes = (input_tokens, output_tokens, *(part.tokens for part in parts))
+    if min(input_tokens, output_tokens) < 0 or max(map(abs, sizes)) > MAX_INTEGER:
         raise RequestError(ErrorKind.INVALID_REQUEST, "sizes of the prompt")
     return PromptShape(parts, input_tokens, output_tokens)
 
