Name a parameter apart from the fields of log lines

The type check of the joined parts failed: the fields of log lines have a cause since callers' connections report who ended them. No change of behaviour.

--- a/lavendershift/skips.py
+++ b/lavendershift/skips.py
@@ -35,14 +35,14 @@
     def note(
         self,
         kind: str,
-        cause: str,
+        fault: str,
         customer: str = "",
         **fields: Unpack[EventFields],
     ) -> None:
         """Report one input of ``kind``; ``fields`` say which one it is."""
         self.on_skipped(kind)
         if self._takes_line():
-            fields["name"], fields["reason"] = kind, cause
+            fields["name"], fields["reason"] = kind, fault
             self._log.write(Event.ENTRY_SKIPPED, customer=customer, **fields)
 
     def note_failure(self, kind: str, error: Exception) -> None:
