Let the soak silence servers and write odd entries, and check how requests end

Beside the schedule of faults and planned work, a second one now silences sound servers for 0.5 to 2 s (one, several, all of a service, or once within a response) and lets another writer leave odd entries among those of the servers, under a server's own id too, among the VMs' rows and the operator's records. In the phase of faults, servers also stay silent for good.

A new check finds requests that ended without a complete answer or a refusal while a server that got them went on. Allowed causes: the caller left, the deadline or the route's timeout was reached, the node was killed, the server crashed, was cut off, hung for longer than 2 s or broke the response off. In the planned phase, a request may reach its timeout if a server of its service was silent: the timeout of two routes is 2 s.

--- /dev/null
+++ b/lavendershift/platform/tests/soak/schedules.py
@@ -0,0 +1,44 @@
+"""Random schedules of faults and planned operations."""
+
+import heapq
+import threading
+import time
+
+BESIDE_GAP_S = (0.2, 1.0)
+
+
+def run_phase(world, kinds, length_s, gap_s):
+    """Run two schedules at once, one of each registry of kinds.
+
+    They have a random generator each: another kind in the second registry leaves the
+    first schedule of all seeds as it is.
+    """
+    first, second = kinds
+    args = (world, world.rng_beside, second, length_s, BESIDE_GAP_S)
+    beside = threading.Thread(target=run_schedule, args=args, daemon=True)
+    beside.start()
+    run_schedule(world, world.rng, first, length_s, gap_s)
+    beside.join()
+
+
+def run_schedule(world, rng, kinds, length_s, gap_s):
+    """Inject random kinds for ``length_s`` seconds, then end all that still last."""
+    undos = []
+    end = time.monotonic() + length_s
+    number = 0
+    while time.monotonic() < end:
+        undo_until(undos, time.monotonic())
+        name = rng.choices(list(kinds), [k.weight for k in kinds.values()])[0]
+        kind = kinds[name]
+        undo = kind.inject(world, rng)
+        if undo is not None:
+            number += 1
+            duration_s = rng.uniform(0.1, 1.0) * kind.max_duration_s
+            heapq.heappush(undos, (time.monotonic() + duration_s, number, undo))
+        time.sleep(rng.uniform(*gap_s))
+    undo_until(undos, float("inf"))
+
+
+def undo_until(undos, now):
+    while undos and undos[0][0] <= now:
+        heapq.heappop(undos)[2]()
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -81,6 +81,7 @@
         self.script: list[Behaviour] = []
         self.default: Behaviour = answer_complete
         self.received: list[ReceivedRequest] = []
+        self.handled: list[tuple[ReceivedRequest, Behaviour]] = []
         self.runs: list[str] = []  # attempt ids of requests that weren't rejected
         self.limit = ""
         self.crash_parts: set[str] = set()
@@ -135,6 +136,11 @@
         for writer in self._writers:
             writer.hold()
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the server is in a silence."""
+        return self._goes_on is not None
+
     def go_on(self) -> None:
         """End a silence."""
         if self._goes_on is None:
@@ -185,6 +191,7 @@
                 behaviour = self.script.pop(0) if self.script else self.default
                 if not self.crash_parts.isdisjoint(received.parts):
                     behaviour = self._answer_with_crash
+                self.handled.append((received, behaviour))
                 if not is_refusal(behaviour):
                     self.runs.append(received.id)
                 responding = asyncio.ensure_future(respond(behaviour, received, writer))
