Let engines and services fall silent within a response and go on

The stand-ins of our own interface could delay a response or cut it off, but not fall silent within it. The fault "silence" stops a stream after some tokens, or a service's body after some bytes, for a time, and then sends the rest.

--- a/lavendershift_standins/completions.py
+++ b/lavendershift_standins/completions.py
@@ -8,7 +8,7 @@
 from lavendershift_standins.application import StandInHandler
 from lavendershift_standins.batch import Caller, Run, RunState
 from lavendershift_standins.events import EventWriter, make_completion
-from lavendershift_standins.faults import Truncate
+from lavendershift_standins.faults import Silence, Truncate
 from lavendershift_standins.prompts import Prompt, PromptError, read_prompt
 
 
@@ -24,7 +24,7 @@
         handler: StandInHandler,
         run: Run,
         first_event: int,
-        truncation: Truncate | None,
+        fault: Truncate | Silence | None,
     ) -> None:
         app = handler.standin
         self._handler = handler
@@ -32,12 +32,12 @@
         self._run = run
         self._events = EventWriter(run, app.settings.tokens_per_event, app.now_s)
         self._next = first_event
-        self._event_limit = self._find_event_limit(truncation)
+        self._event_limit = self._find_event_limit(fault)
         self._is_writing = False
         self.ended = asyncio.Event()
 
     async def send(self) -> bool:
-        """Send all events; return ``False`` if a fault truncated the stream."""
+        """Send all events; return ``False`` if a fault interrupted the stream."""
         self._run.listeners.append(self.pump)
         try:
             self.pump()
@@ -64,11 +64,16 @@
         if parts:
             self._write(b"".join(parts))
 
-    def _find_event_limit(self, truncation: Truncate | None) -> int | None:
-        """Return the number of events after which the stream is truncated."""
-        if truncation is None:
+    @property
+    def next_event(self) -> int:
+        """The number of the first event that wasn't sent."""
+        return self._next
+
+    def _find_event_limit(self, fault: Truncate | Silence | None) -> int | None:
+        """Return the number of events after which the stream is interrupted."""
+        if fault is None:
             return None
-        return -(-truncation.length // self._handler.standin.settings.tokens_per_event)
+        return -(-fault.length // self._handler.standin.settings.tokens_per_event)
 
     def _write(self, data: bytes) -> None:
         if self._connection.stream.closed():
@@ -95,16 +100,20 @@
 
     async def stream_run(self, run: Run, first_event: int) -> None:
         """Stream the events of ``run`` from event ``first_event`` on."""
-        truncation = self.standin.faults.find_truncation(self)
+        fault = self.standin.faults.find_body_fault(self)
         self.request.connection.stream.set_nodelay(True)  # type: ignore[union-attr]
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-cache")
         await self.flush()
-        self.pump = EventPump(self, run, first_event, truncation)
+        self.pump = EventPump(self, run, first_event, fault)
         is_complete = await self.pump.send()
+        if isinstance(fault, Silence) and not is_complete:
+            await asyncio.sleep(fault.silence_ms / 1000)
+            self.pump = EventPump(self, run, self.pump.next_event, None)
+            is_complete = await self.pump.send()
         if is_complete:
             return
-        if truncation is not None and truncation.answer == "hang":
+        if isinstance(fault, Truncate) and fault.answer == "hang":
             await self.wait_closed()
         self.close_connection()
 
--- a/lavendershift_standins/faults.py
+++ b/lavendershift_standins/faults.py
@@ -227,6 +227,19 @@
     when: FaultCondition = FaultCondition()
 
 
+@register_fault("silence", Phase.BODY, frozenset({"engine", "service"}))
+class Silence(NamedTuple):
+    """Send nothing for ``silence_ms`` within a response, then the rest of it.
+
+    ``length`` counts the tokens of a stream or the bytes of a service's body that are
+    sent before.
+    """
+
+    length: Annotated[int, Field(ge=0)] = 0
+    silence_ms: PositiveCount = 1000
+    when: FaultCondition = FaultCondition()
+
+
 @register_fault("slow", Phase.PACE)
 class Slow(NamedTuple):
     """Multiply the duration of steps and loads, or the delay of a call, by ``factor``.
--- a/lavendershift_standins/faultset.py
+++ b/lavendershift_standins/faultset.py
@@ -14,6 +14,7 @@
     FaultCondition,
     FaultKind,
     Phase,
+    Silence,
     Truncate,
 )
 
@@ -109,10 +110,10 @@
                 return True
         return False
 
-    def find_truncation(self, call: Call) -> Truncate | None:
-        """Return the fault that truncates the response to ``call``, if any."""
+    def find_body_fault(self, call: Call) -> Truncate | Silence | None:
+        """Return the fault that interrupts the response to ``call``, if any."""
         for active in self._select_active(Phase.BODY, call):
-            fault: Truncate = active.fault
+            fault: Truncate | Silence = active.fault
             return fault
         return None
 
--- a/lavendershift_standins/service.py
+++ b/lavendershift_standins/service.py
@@ -16,6 +16,7 @@
 from lavendershift.clocks import Clock
 from lavendershift_standins.application import StandInApp, StandInHandler
 from lavendershift_standins.commandline import run_program
+from lavendershift_standins.faults import Silence
 
 
 class ServiceSettings(NamedTuple):
@@ -60,16 +61,20 @@
         await self.send(body)
 
     async def send(self, body: bytes) -> None:
-        """Send the response, truncated if an active ``truncate`` fault applies."""
+        """Send the response, interrupted if a ``truncate`` or ``silence`` applies."""
         self.set_header("Content-Type", "application/json")
         self.set_header("Content-Length", str(len(body)))
-        truncation = self.standin.faults.find_truncation(self)
-        if truncation is None:
+        fault = self.standin.faults.find_body_fault(self)
+        if fault is None:
             self.write(body)
             return
-        self.write(body[: truncation.length])
+        self.write(body[: fault.length])
         await self.flush()
-        if truncation.answer == "hang":
+        if isinstance(fault, Silence):
+            await asyncio.sleep(fault.silence_ms / 1000)
+            self.write(body[fault.length :])
+            return
+        if fault.answer == "hang":
             await self.wait_closed()
         self.close_connection()
 
--- a/lavendershift_standins/tests/test_engine.py
+++ b/lavendershift_standins/tests/test_engine.py
@@ -144,6 +144,22 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("length", [0, 3])
+def test_silent_stream_goes_on_where_it_was(run, length):
+    async def scenario(standins):
+        engine = await standins.engine()
+        fields = {"length": length, "silence_ms": 300, "when": {"times": 1}}
+        await standins.add_fault(engine, "silence", **fields)
+        started = asyncio.get_running_loop().time()
+        reply = await standins.complete(engine)
+        assert asyncio.get_running_loop().time() - started >= 0.3
+        assert not reply.is_broken
+        assert is_complete(reply.text)
+        assert reply.events.count(b"[DONE]") == 1
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("cancels", [True, False])
 def test_disconnect_cancels_if_configured(run, cancels):
     async def scenario(standins):
--- a/lavendershift_standins/tests/test_faults.py
+++ b/lavendershift_standins/tests/test_faults.py
@@ -72,6 +72,17 @@
     return 2
 
 
+async def check_silence(standins, app):
+    whole = (await standins.call(app, "/a", b"x")).body
+    when = {"times": 1}
+    await standins.add_fault(app, "silence", length=5, silence_ms=300, when=when)
+    start = asyncio.get_running_loop().time()
+    reply = await standins.call(app, "/a", b"x")
+    assert (reply.status, reply.body) == (200, whole)
+    assert asyncio.get_running_loop().time() - start >= 0.3
+    return 2
+
+
 async def check_slow(standins, app):
     await standins.add_fault(app, "slow", factor=100.0, when={"duration_ms": 60_000})
     assert (await standins.call(app, "/a", b"x", timeout_s=0.1)).is_broken
