--- a/lavendershift/platform/tests/soak/schedules.py
+++ b/lavendershift/platform/tests/soak/schedules.py
@@ -1,8 +1,8 @@
 """Random schedules of faults and planned operations."""
 
 import heapq
-import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 BESIDE_GAP_S = (0.2, 1.0)
 
@@ -15,10 +15,10 @@
     """
     first, second = kinds
     args = (world, world.rng_beside, second, length_s, BESIDE_GAP_S)
-    beside = threading.Thread(target=run_schedule, args=args, daemon=True)
-    beside.start()
-    run_schedule(world, world.rng, first, length_s, gap_s)
-    beside.join()
+    with ThreadPoolExecutor(1) as pool:
+        beside = pool.submit(run_schedule, *args)
+        run_schedule(world, world.rng, first, length_s, gap_s)
+        beside.result()
 
 
 def run_schedule(world, rng, kinds, length_s, gap_s):
