Leave requests that last into the phase of faults to the check of endings

Silences let requests last longer than the half second by which the check of the planned phase ended early.

--- a/lavendershift/platform/tests/soak/violations.py
+++ b/lavendershift/platform/tests/soak/violations.py
@@ -135,12 +135,15 @@
 def check_planned_phase(world, calls, runs, starts):
     """Check that planned operations and silences interrupt no request.
 
-    A request may reach its timeout if a server of its service was silent.
+    A request may reach its timeout if a server of its service was silent. Faults may
+    end those that last into the next phase, see ``check_endings``.
     """
     start, end = starts[0], starts[1]
     for each in calls:
         if not start < each.sent_at < end - 0.5 or each.closed_early:
             continue
+        if each.ended_at > end:
+            continue
         if each.status not in (200, 401, 429) or not each.is_complete:
             hit_close = each.is_reused and not runs[each.id]
             if each.ended_at - each.sent_at <= CLOSE_RACE_S and hit_close:
