Report a silence also where the timers of a process are late

A resumable stream and a repeatable request waited for a server that sent bytes without end until their deadline, though another server was free.

Cause: a timer of the silence monitor that was over 0.1 s late waited once more for data to be read, and compared its next time with the one at which it had been set, so that it was late for ever. One late turn of the event loop hid the silence for good.

A late timer now waits once, by the deadline that it belongs to.

--- a/lavendershift/silences.py
+++ b/lavendershift/silences.py
@@ -108,20 +108,21 @@
 
     def _schedule(self) -> None:
         if self._timeout.deadline is not None:
-            self._timer = self._loop.call_at(
-                self._timeout.deadline, self._check, self._timeout.deadline
-            )
+            self._timer = self._loop.call_at(self._timeout.deadline, self._check)
 
-    def _check(self, expected_at: float) -> None:
-        """Report a silence, unless progress has moved the deadline meanwhile."""
+    def _check(self, has_waited: bool = False) -> None:
+        """Report a silence, unless progress has moved the deadline meanwhile.
+
+        A late timer waits once more, and no longer.
+        """
         self._timer = None
         now, deadline = self._loop.time(), self._timeout.deadline
         if deadline is None:
             return
         if now < deadline:
             self._schedule()
-        elif now - expected_at > TIMER_SLACK:
-            self._timer = self._loop.call_at(now + TIMER_SLACK, self._check, now)
+        elif now - deadline > TIMER_SLACK and not has_waited:
+            self._timer = self._loop.call_at(now + TIMER_SLACK, self._check, True)
         else:
             self.is_silent = self.was_silent = True
             self.on_silence()
--- a/lavendershift/tests/test_silences.py
+++ b/lavendershift/tests/test_silences.py
@@ -117,6 +117,12 @@
     assert monitor.silences == [3.5]
 
 
+def test_late_timers_do_not_hide_a_silence(loop, monitor):
+    loop.late_s = 0.2
+    loop.advance(5.0)
+    assert monitor.silences == [1.1]
+
+
 def test_stopped_monitor_reports_nothing(loop, monitor):
     monitor.stop()
     loop.advance(5.0)
