--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -1,4 +1,4 @@
-"""Protocol of callers: decodes requests and encodes responses.
+"""Server for callers.
 
 Requests arrive on tornado's HTTP server and are passed to the gateway once their body
 is complete. An ambiguous request is refused with 400, and its connection is closed.
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import json
 import socket
 import sys
 from collections.abc import Awaitable, Callable
@@ -22,143 +21,27 @@
     HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
-    responses,
 )
 from tornado.iostream import StreamClosedError
 
 from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import Clock
 from lavendershift.connectionreports import ConnectionEnd, EndCause
-from lavendershift.connections import reset_stream
 from lavendershift.decoding import MAX_INTEGER, parse_count
-from lavendershift.errors import Answer, ErrorKind, Ran, RequestError
+from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.gateway import Gateway, is_being_cancelled
 from lavendershift.platform import names
+from lavendershift.platform.callerrequests import decode_request, measure_header
+from lavendershift.platform.callerresponses import CallerResponseWriter
 from lavendershift.platform.callerstreams import CHUNK_BYTES, CallerStream
 from lavendershift.routes import CallerLimits
-from lavendershift.serverstates import PromptPart, PromptShape
-
-SINGLE_HEADERS = (
-    "Host",
-    names.REQUEST_ID,
-    names.DEADLINE_MS,
-    names.PROMPT_PARTS,
-    names.LAST_EVENT_ID,
-    names.MODEL,
-    names.TOKENS,
-    names.AUTHORIZATION,
-)
-DEFAULT_DEADLINE = timedelta(seconds=30)  # time limit of a request without a deadline
-MAX_DEADLINE = timedelta(hours=1)  # upper bound to which longer deadlines are reduced
-# Statuses that an error may keep if its request was not executed; others become 503.
-NOT_EXECUTED_STATUSES = frozenset({400, 401, 402, 404, 413, 429, 503})
+
 STOP_POLL_S = 0.02  # interval between checks for connections with requests
 # Size up to which headers are read, so that those above the limit are refused, and so
 # that a higher limit applies to connections that are idle when it is set.
 MAX_HEADER_READ = 1_048_576
 
 
-class CallerResponseWriter:
-    """Writes one response to a caller, without a body for a HEAD request.
-
-    ``should_close`` tells whether the response has to end its connection.
-    """
-
-    def __init__(
-        self, connection: HTTPConnection, should_close: Callable[[], bool], method: str
-    ) -> None:
-        self._connection: Any = connection
-        self._stream: CallerStream | None = getattr(connection, "stream", None)
-        self._should_close = should_close
-        self._has_body = method != "HEAD"
-        self.has_started = False
-        self.is_done = False
-
-    @property
-    def is_closed(self) -> bool:
-        """Whether the connection is closed."""
-        return self._stream is None or self._stream.closed()
-
-    def send(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
-        """Send a complete response."""
-        if self.is_done:
-            return
-        headers["Content-Length"] = str(len(body))
-        self._write_head(status, headers, body if self._has_body else None)
-        self.is_done = self.has_started = True
-        self._end_response()
-
-    def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Begin a response whose body follows in chunks."""
-        self.has_started = True
-        self._write_head(status, headers, None)
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a chunk of the body; return once the socket has accepted it."""
-        await self._connection.write(chunk)
-
-    def finish(self) -> None:
-        """End the response as complete."""
-        self.is_done = True
-        self._end_response()
-
-    def _end_response(self) -> None:
-        """Tell the connection that the response is complete, and flush it."""
-        stream = self._stream
-        if stream is not None:
-            stream.note_response()
-            if self._connection._disconnect_on_finish:
-                stream.set_cause(EndCause.RESPONSE)
-        self._connection.finish()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the response can't be taken for complete."""
-        if self.is_done:
-            return
-        self.is_done = True
-        stream = self._stream
-        if stream is not None and not stream.closed():
-            task = asyncio.current_task()
-            is_cancelled = task is not None and task.cancelling() > 0
-            stream.set_cause(EndCause.CANCELLED if is_cancelled else EndCause.TRUNCATED)
-            reset_stream(stream)
-
-    def refuse(self, error: RequestError) -> None:
-        """Send the response for an error."""
-        response = error.answer
-        headers = HTTPHeaders({"Content-Type": "application/json"})
-        if response.retry_after is not None and response.ran is Ran.NO:
-            seconds = response.retry_after.total_seconds()
-            headers[names.RETRY_AFTER] = f"{max(seconds, 0.05):.2f}"
-        if choose_status(response) in (400, 413):
-            headers["Connection"] = "close"
-        body = json.dumps({"error": error.kind.value, "message": response.message})
-        self.send(choose_status(response), headers, body.encode())
-
-    def _write_head(
-        self, status: int, headers: HTTPHeaders, body: bytes | None
-    ) -> None:
-        if self._should_close():
-            headers["Connection"] = "close"
-        if headers.get("Connection") == "close":
-            # tornado has no public way to close after the response was flushed.
-            self._connection._disconnect_on_finish = True
-        reason = responses.get(status, "Unknown")
-        line = ResponseStartLine("HTTP/1.1", status, reason)
-        self._connection.write_headers(line, headers, body)
-
-
-def choose_status(response: Answer) -> int:
-    """Return the status that callers get for an error.
-
-    Callers take 429 and 503 as proof that a request was not executed, so no other
-    error may have them; 502 and 504 leave open whether it was.
-    """
-    if response.ran is Ran.NO:
-        return response.status if response.status in NOT_EXECUTED_STATUSES else 503
-    return 504 if response.status == 504 else 502
-
-
 class _RequestReader(HTTPMessageDelegate):
     """Receives one request and passes it to the gateway."""
 
@@ -402,90 +285,3 @@
             with contextlib.suppress(OSError):  # no other connection waits
                 while True:
                     self._handle_connection(*listener.accept())
-
-
-def measure_header(start_line: RequestStartLine, headers: HTTPHeaders) -> int:
-    """Return the size of a header in bytes, without optional white space."""
-    lines = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
-    return sum(len(part) for part in start_line) + 4 + lines + 2
-
-
-def decode_request(
-    start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, now: timedelta
-) -> CallerRequest:
-    """Decode a request; raises ``RequestError`` if it is ambiguous or malformed."""
-    for name in SINGLE_HEADERS:
-        if len(headers.get_list(name)) > 1:
-            raise RequestError(ErrorKind.INVALID_REQUEST, f"repeated {name}")
-    return CallerRequest(
-        id=headers.get(names.REQUEST_ID, ""),
-        method=start_line.method,
-        target=start_line.path,
-        host=headers.get("Host", "").partition(":")[0].lower(),
-        headers=select_headers(headers),
-        body=body,
-        key=parse_api_key(headers.get(names.AUTHORIZATION, "")),
-        received=now,
-        deadline=now + parse_deadline(headers.get(names.DEADLINE_MS)),
-        prompt=parse_prompt(headers),
-        resumed_after=headers.get(names.LAST_EVENT_ID, ""),
-    )
-
-
-def parse_api_key(value: str) -> str:
-    """Return the API key of an ``Authorization`` header, or an empty string."""
-    scheme, _, key = value.strip().partition(" ")
-    return key.strip() if scheme.lower() == names.KEY_SCHEME else ""
-
-
-def parse_deadline(value: str | None) -> timedelta:
-    """Return how long a caller waits; raises ``RequestError`` if malformed."""
-    if value is None:
-        return DEFAULT_DEADLINE
-    try:
-        deadline = timedelta(milliseconds=float(value))
-    except (ValueError, OverflowError):
-        raise RequestError(ErrorKind.INVALID_REQUEST, "deadline") from None
-    return min(max(deadline, timedelta()), MAX_DEADLINE)
-
-
-def parse_prompt(headers: HTTPHeaders) -> PromptShape | None:
-    """Return the sizes and parts of a prompt; raises ``RequestError`` if malformed.
-
-    Returns ``None`` for a request without a prompt.
-    """
-    tokens = headers.get(names.TOKENS)
-    if tokens is None:
-        return None
-    try:
-        input_tokens, output_tokens = (int(number) for number in tokens.split(","))
-        parts = tuple(
-            PromptPart(part.partition(":")[0].strip(), int(part.partition(":")[2]))
-            for part in headers.get(names.PROMPT_PARTS, "").split(",")
-            if part.strip()
-        )
-    except ValueError:
-        raise RequestError(ErrorKind.INVALID_REQUEST, "sizes of the prompt") from None
-    sizes = (input_tokens, output_tokens, *(part.tokens for part in parts))
-    if min(input_tokens, output_tokens) < 0 or max(map(abs, sizes)) > MAX_INTEGER:
-        raise RequestError(ErrorKind.INVALID_REQUEST, "sizes of the prompt")
-    return PromptShape(parts, input_tokens, output_tokens)
-
-
-def select_headers(headers: HTTPHeaders) -> HTTPHeaders:
-    """Return the headers that are forwarded to a server."""
-    connection_specific = {
-        name.strip().lower()
-        for value in headers.get_list("Connection")
-        for name in value.split(",")
-    } - names.PROTECTED_HEADERS
-    selected = HTTPHeaders()
-    for name, value in headers.get_all():
-        lowered = name.lower()
-        if (
-            lowered not in names.SYSTEM_HEADERS
-            and lowered not in names.CONNECTION_HEADERS
-            and lowered not in connection_specific
-        ):
-            selected.add(name, value)
-    return selected
--- a/lavendershift/platform/tests/test_callers.py
+++ b/lavendershift/platform/tests/test_callers.py
@@ -6,12 +6,9 @@
 
 from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.errors import ANSWERS, ErrorKind, Ran, RequestError
-from lavendershift.platform.callers import (
-    CallerServer,
-    choose_status,
-    decode_request,
-    select_headers,
-)
+from lavendershift.platform.callerrequests import decode_request, select_headers
+from lavendershift.platform.callerresponses import choose_status
+from lavendershift.platform.callers import CallerServer
 from lavendershift.routes import CallerLimits
 from lavendershift.tests.processes import find_port
 
