--- a/lavendershift/connectionreports.py
+++ b/lavendershift/connectionreports.py
@@ -42,6 +42,8 @@
 ORDINARY_CAUSES = frozenset(
     {EndCause.CALLER, EndCause.IDLE_TIMER, EndCause.RESPONSE, EndCause.STOP}
 )
+# Causes with a refusal, 400 or 408.
+REFUSING_CAUSES = frozenset({EndCause.MALFORMED, EndCause.HEADER_TIMER})
 CUT_STAGES = frozenset({Stage.HEADER, Stage.BODY, Stage.IN_FLIGHT, Stage.SENDING})
 
 
@@ -83,7 +85,7 @@
         """Report a connection that ended."""
         cause, stage = end.cause.value, end.stage.value
         self._instruments.count("connections_ended", cause, stage)
-        if end.stage in CUT_STAGES:
+        if end.stage in CUT_STAGES and end.cause not in REFUSING_CAUSES:
             self._instruments.count("requests_cut", cause)
         is_ordinary = end.cause in ORDINARY_CAUSES and not end.unread_bytes
         if is_ordinary and end.stage is Stage.IDLE:
