Make records with numbers beyond 64 bits void, and bound odd bodies

What callers saw, of lavendershift's own interface: after one record with a number of 2**70 or with a sequence number of 5,000 digits in a stream, routers no longer followed it, or refused each request. A request or an event of a server that nests 5,000 deep got 500 "internal".

The relay packs entries with MessagePack, which raises OverflowError beyond 64 bits, for the whole reply. int() raises ValueError for 5,000 digits, which ended the task that follows the stream. Bodies nested deeply raise RecursionError, which isn't a DecodeError of the library; in a page of the log it hid all records of the page.

The numbers of records have a range, beyond which a record is void. The relay leaves out a record that it can't pack, which is void as well. A page of the log with a record that nests too deep is decoded with null in its place. Messages, members, reports of engines, events and bodies are decoded by run_decoder.

--- a/lavendershift/attemptresults.py
+++ b/lavendershift/attemptresults.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from lavendershift.errors import Ran
+from lavendershift.decoding import run_decoder
+from lavendershift.errors import DecodeError, Ran
 from lavendershift.retries import RetryReason
 from lavendershift.upstreams import Delivery, UpstreamResult
 
@@ -47,8 +48,8 @@
 def summarize_error(body: bytes) -> str:
     """Return the message of an engine's error response, cut to 200 characters."""
     try:
-        data = msgspec.json.decode(body)
-    except msgspec.DecodeError:
+        data = run_decoder(lambda: msgspec.json.decode(body), "error")
+    except DecodeError:
         return ""
     error = data.get("error") if isinstance(data, dict) else None
     message = error.get("message") if isinstance(error, dict) else error
--- a/lavendershift/checkpoints.py
+++ b/lavendershift/checkpoints.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lavendershift.decoding import run_decoder
 from lavendershift.errors import DecodeError
 from lavendershift.records import Checkpoint
 
@@ -46,8 +47,7 @@
     complete = [part.part for part in ordered] == list(range(first.parts))
     if len(identities) != 1 or not complete:
         raise DecodeError(f"checkpoint {first.id}", "parts are missing or mixed")
-    try:
-        text = "".join(part.state for part in ordered)
-        return msgspec.json.decode(text, type=state_type)
-    except msgspec.DecodeError as error:
-        raise DecodeError(f"checkpoint {first.id}", str(error)) from None
+    text = "".join(part.state for part in ordered)
+    return run_decoder(
+        lambda: msgspec.json.decode(text, type=state_type), f"checkpoint {first.id}"
+    )
--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.decoding import run_decoder
+from lavendershift.errors import DecodeError, ErrorKind, RequestError
 
 TOKENS_PER_MESSAGE = 8  # role and separator tokens around each message
 TOKENS_PER_PROMPT = 16  # start and end tokens around the whole prompt
@@ -215,8 +216,8 @@
         if not event.startswith(b"data:"):
             return True
         try:
-            data = msgspec.json.decode(event[5:])
-        except msgspec.DecodeError:
+            data = run_decoder(lambda: msgspec.json.decode(event[5:]), "event")
+        except DecodeError:
             self.failed = True
             return False
         if isinstance(data, dict) and data.get("error"):
@@ -244,8 +245,9 @@
 def _decode_content(event: bytes) -> Any:
     """Return an event's fields without ``created``, or ``event`` if not an object."""
     try:
-        data = msgspec.json.decode(event.removeprefix(b"data:"))
-    except msgspec.DecodeError:
+        content = event.removeprefix(b"data:")
+        data = run_decoder(lambda: msgspec.json.decode(content), "event")
+    except DecodeError:
         return event
     if not isinstance(data, dict):
         return event
@@ -258,9 +260,9 @@
 
 def _decode_object(body: bytes) -> dict[str, Any]:
     try:
-        data = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise RequestError(ErrorKind.INVALID_REQUEST, f"body: {error}") from None
+        data = run_decoder(lambda: msgspec.json.decode(body), "body")
+    except DecodeError as error:
+        raise RequestError(ErrorKind.INVALID_REQUEST, str(error)) from None
     if not isinstance(data, dict):
         raise RequestError(ErrorKind.INVALID_REQUEST, "body: expected an object")
     return data
--- a/lavendershift/incarnations.py
+++ b/lavendershift/incarnations.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
+MAX_SEQUENCE_DIGITS = 18  # longest sequence number, which 64 bits hold
+
 
 class Membership(Enum):
     """State in the life cycle of an incarnation."""
@@ -49,6 +51,8 @@
     author, separator, digits = record_id.rpartition("/")
     if not separator or not (digits.isascii() and digits.isdigit()):
         return None
+    if len(digits) > MAX_SEQUENCE_DIGITS:
+        return None
     return RecordId(author, int(digits))
 
 
--- a/lavendershift/messages.py
+++ b/lavendershift/messages.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from lavendershift.decoding import run_decoder
 from lavendershift.errors import DecodeError
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024  # longest message that is decoded
@@ -206,15 +207,14 @@
     """
     if len(data) > MAX_MESSAGE_BYTES:
         raise DecodeError("message", f"longer than {MAX_MESSAGE_BYTES} bytes")
-    try:
-        kind, *fields = msgspec.msgpack.decode(data, type=list)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise DecodeError("message", str(error)) from None
+    parts = run_decoder(lambda: msgspec.msgpack.decode(data, type=list), "message")
+    if not parts:
+        raise DecodeError("message", "expected an array that starts with a kind")
+    kind, *fields = parts
     message_type = MESSAGE_KINDS.get(kind) if isinstance(kind, str) else None
     if message_type is None:
         raise DecodeError("message", f"unknown kind {str(kind)[:40]!r}")
-    try:
-        message: Message = msgspec.convert(fields, message_type)
-    except msgspec.ValidationError as error:
-        raise DecodeError(f"message.{kind}", str(error)) from None
+    message: Message = run_decoder(
+        lambda: msgspec.convert(fields, message_type), f"message.{kind}"
+    )
     return message
--- a/lavendershift/plugins/http_log.py
+++ b/lavendershift/plugins/http_log.py
@@ -7,7 +7,8 @@
 import msgspec
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.decoding import prune_depth, run_decoder
+from lavendershift.errors import DecodeError, LogUnavailableError, RecordsExpiredError
 from lavendershift.httpclients import HttpClient
 from lavendershift.records import Record, decode_entry, encode_record
 from lavendershift.streams import ReadResult, register_log_client
@@ -110,9 +111,19 @@
         return response
 
     def _decode(self, response: HTTPResponse, answer_type: type) -> Any:
+        body = response.body
         try:
-            return msgspec.json.decode(response.body, type=answer_type)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            try:
+                return decode_body(body, answer_type)
+            except DecodeError:
+                # One record that nests too deep mustn't hide those after it.
+                return decode_body(prune_depth(body), answer_type)
+        except DecodeError as error:
             raise LogUnavailableError(
                 f"invalid response of the log service: {error}"
             ) from None
+
+
+def decode_body(body: bytes, kind: type) -> Any:
+    """Decode a response of the log service; raises ``DecodeError``."""
+    return run_decoder(lambda: msgspec.json.decode(body, type=kind), "log service")
--- a/lavendershift/records.py
+++ b/lavendershift/records.py
@@ -19,6 +19,7 @@
 import msgspec
 import xxhash
 
+from lavendershift.decoding import Integer
 from lavendershift.errors import DecodeError
 
 CONFIG_STREAM = "config"
@@ -53,7 +54,7 @@
 
     path: str
     key: str
-    value: str | int | float | bool | list[str] | None
+    value: str | Integer | float | bool | list[str] | None
 
 
 @register_record("change")
@@ -64,7 +65,7 @@
     """
 
     id: str
-    base_offset: int
+    base_offset: Integer
     author: str
     settings: list[Setting]
 
@@ -75,7 +76,7 @@
 
     id: str
     budget: str
-    tokens: int
+    tokens: Integer
     author: str
 
 
@@ -87,7 +88,7 @@
     incarnation: str
     vm: str
     failure_domain: str
-    config_offset: int
+    config_offset: Integer
 
 
 @register_record("grant")
@@ -102,8 +103,8 @@
     id: str
     budget: str
     incarnation: str
-    tokens: int
-    config_offset: int
+    tokens: Integer
+    config_offset: Integer
 
 
 @register_record("return")
@@ -113,7 +114,7 @@
     id: str
     budget: str
     incarnation: str
-    tokens: int
+    tokens: Integer
 
 
 @register_record("transfer")
@@ -128,7 +129,7 @@
     budget: str
     sender: str
     receiver: str
-    tokens: int
+    tokens: Integer
     loan: str = ""
 
 
@@ -143,7 +144,7 @@
     id: str
     budget: str
     incarnation: str
-    tokens: int
+    tokens: Integer
 
 
 @register_record("charge")
@@ -160,7 +161,7 @@
     budget: str
     incarnation: str
     request: str
-    tokens: int
+    tokens: Integer
     attempt: str = ""
 
 
@@ -202,8 +203,8 @@
     request: str
     budget: str
     incarnation: str
-    tokens: int
-    status: int
+    tokens: Integer
+    status: Integer
     content_type: str
     body: str
     attempt: str = ""
@@ -234,7 +235,7 @@
     """Unspent tokens of one budget when an incarnation closes."""
 
     budget: str
-    tokens: int
+    tokens: Integer
 
 
 @register_record("close")
@@ -257,7 +258,7 @@
     id: str
     budget: str
     incarnation: str
-    tokens: int
+    tokens: Integer
     evidence: str
     author: str
 
@@ -275,7 +276,7 @@
     budget: str
     incarnation: str
     request: str
-    tokens: int
+    tokens: Integer
     attempt: str
     author: str
 
@@ -290,9 +291,9 @@
 
     id: str
     stream: str
-    next_offset: int
-    part: int
-    parts: int
+    next_offset: Integer
+    part: Integer
+    parts: Integer
     state: str
 
 
@@ -347,7 +348,7 @@
         raise DecodeError(location, f"unknown record kind {data[0][:40]!r}")
     try:
         record: Record = msgspec.convert(data[1:], record_type)
-    except msgspec.ValidationError as error:
+    except Exception as error:  # the library's documentation doesn't list them all
         raise DecodeError(f"{location}.{data[0]}", str(error)) from None
     tokens = getattr(record, "tokens", 0)
     if tokens < 0:
--- a/lavendershift/relay.py
+++ b/lavendershift/relay.py
@@ -94,7 +94,7 @@
     def add_entries(self, entries: list[tuple[int, int, Any]]) -> None:
         """Add entries read from the log and wake the waiting readers."""
         for entry in entries:
-            packed = msgspec.msgpack.encode(entry)
+            packed = pack_entry(entry)
             self._entries.append(packed)
             self.size += len(packed)
         self.next_offset = entries[-1][0] + 1
@@ -135,6 +135,18 @@
         return self.size > MAX_CACHE_BYTES
 
 
+def pack_entry(entry: tuple[int, int, Any]) -> bytes:
+    """Encode an entry; a record that MessagePack can't hold is left out.
+
+    Such a record is void, and readers need the entries after it.
+    """
+    try:
+        return msgspec.msgpack.encode(entry)
+    except (OverflowError, RecursionError):
+        offset, time_ms, _ = entry
+        return msgspec.msgpack.encode((offset, time_ms, None))
+
+
 def fit_reply(entries: Iterable[bytes]) -> list[msgspec.Raw]:
     """Return as many leading entries as fit into a reply, at least one."""
     fitting: list[msgspec.Raw] = []
@@ -377,7 +389,7 @@
             return Expired(error.first_offset)
         except LogUnavailableError as error:
             return Failure("log_unavailable", str(error))
-        entries = fit_reply(msgspec.msgpack.encode(entry) for entry in page.entries)
+        entries = fit_reply(pack_entry(entry) for entry in page.entries)
         next_offset = request.offset + len(entries)
         # The log service was read after the request arrived, hence 0.
         return ReadReply(entries, next_offset, page.end_offset, 0)
--- a/lavendershift/tests/test_decoding.py
+++ b/lavendershift/tests/test_decoding.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from functools import reduce
 from operator import or_
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -24,9 +25,15 @@
     parse_count,
     prune_depth,
 )
-from lavendershift.errors import DecodeError
+from lavendershift.errors import DecodeError, LogUnavailableError
+from lavendershift.incarnations import parse_record_id
+from lavendershift.messages import decode_message
+from lavendershift.plugins.http_log import HttpLogClient, _ReadAnswer
+from lavendershift.records import decode_entry
+from lavendershift.relay import pack_entry
 from lavendershift.tokenstocks import StockReport
 from lavendershift.vmlist import split_address
+from lavendershift.watchers import decode_members
 
 DIGITS = "9" * 5000
 
@@ -214,3 +221,46 @@
             decode_json(data, kind, "record")
         except DecodeError as error:
             assert len(error.reason) < 300
+
+
+def test_a_record_that_nests_too_deep_does_not_hide_those_after_it():
+    entries = b"[[1,2," + nest(5000) + b'],[2,3,["evict","i","r1","x"]]]'
+    body = b'{"entries":' + entries + b',"next_offset":3,"end_offset":3}'
+    client = HttpLogClient("http://10.0.0.1:80", timedelta(seconds=1))
+    page = client._decode(SimpleNamespace(body=body), _ReadAnswer)
+    odd, good = [decode_entry("config", *raw) for raw in page.entries]
+    assert odd.record is None
+    assert good.record is not None
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"\xff", nest(5000), b"[1]"])
+def test_an_odd_response_of_the_log_is_an_unavailable_log(body):
+    client = HttpLogClient("http://10.0.0.1:80", timedelta(seconds=1))
+    with pytest.raises(LogUnavailableError):
+        client._decode(SimpleNamespace(body=body), _ReadAnswer)
+
+
+@pytest.mark.parametrize("number", [2**70, -(2**70), 10**400])
+def test_a_record_with_a_number_beyond_64_bits_is_void(number):
+    record = ["top_up", "odd", "acme", number, "test"]
+    assert decode_entry("ledger-0", 1, 2, record).record is None
+    packed = msgspec.msgpack.decode(pack_entry((1, 2, record)))
+    assert packed == [1, 2, None]
+
+
+@pytest.mark.parametrize("digits", [DIGITS, "²", "9" * 19, "", "-1"])
+def test_an_odd_sequence_number_is_that_of_no_incarnation(digits):
+    assert parse_record_id(f"r1/{digits}") is None
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"members":1}', b'{"members":[' + nest(5000) + b"]}"]
+)
+def test_an_odd_list_of_members_is_none(body):
+    assert decode_members(body) is None
+
+
+@pytest.mark.parametrize("data", [b"", b"\x90", b"\xc1", b"\x91" * 50_000, b"\x92\xa1"])
+def test_odd_messages_raise_the_one_named_error(data):
+    with pytest.raises(DecodeError):
+        decode_message(data)
--- a/lavendershift/watchers.py
+++ b/lavendershift/watchers.py
@@ -4,10 +4,12 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from lavendershift.decoding import Count, decode_json, run_decoder
+from lavendershift.errors import DecodeError
 from lavendershift.loads import LoadReport
 from lavendershift.membership import Member, Membership
 from lavendershift.nodes import ServerSettings
@@ -16,6 +18,9 @@
 from lavendershift.upstreams import UpstreamClient
 
 CALL_TIMEOUT = timedelta(seconds=2)
+MAX_REPORT_BYTES = 4_194_304  # longest report of an engine that is read
+# A time whose distance from now a ``timedelta`` can hold.
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
 
 
 class Periodic:
@@ -89,11 +94,14 @@
 
 def decode_members(body: bytes) -> list[Member] | None:
     """Return the members in a response body, or ``None`` if it is invalid."""
-    try:
-        data = msgspec.json.decode(body)
-        rows = data["members"]
+
+    def decode() -> list[Member]:
+        rows = msgspec.json.decode(body)["members"]
         return [msgspec.convert(_pick_fields(row), Member) for row in rows]
-    except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError):
+
+    try:
+        return run_decoder(decode, "members")
+    except DecodeError:
         return None
 
 
@@ -102,9 +110,9 @@
 
 
 class _LoadAnswer(msgspec.Struct):
-    time_ms: int
-    running: int
-    waiting: int
+    time_ms: Milliseconds
+    running: Count
+    waiting: Count
     kv_used: float = 0.0
     adapters: list[str] = []
     models: list[str] | None = None
@@ -112,7 +120,7 @@
 
 class _EventsAnswer(msgspec.Struct):
     events: list[dict[str, Any]]
-    last_seq: int
+    last_seq: Count
 
 
 class LoadWatcher:
@@ -141,8 +149,8 @@
         response = await self._client.fetch("GET", f"{base}/load", CALL_TIMEOUT)
         if response.code != 200:
             return
-        with contextlib.suppress(msgspec.DecodeError, msgspec.ValidationError):
-            load = msgspec.json.decode(response.body, type=_LoadAnswer)
+        with contextlib.suppress(DecodeError):
+            load = decode_json(response.body, _LoadAnswer, "load", MAX_REPORT_BYTES)
             age = timedelta(milliseconds=max(0, self._now_ms() - load.time_ms))
             report = LoadReport(
                 load.running,
@@ -161,8 +169,8 @@
             self._record_events(engine.name, response.body)
 
     def _record_events(self, engine: str, body: bytes) -> None:
-        with contextlib.suppress(msgspec.DecodeError, msgspec.ValidationError):
-            report = msgspec.json.decode(body, type=_EventsAnswer)
+        with contextlib.suppress(DecodeError, msgspec.ValidationError):
+            report = decode_json(body, _EventsAnswer, "events", MAX_REPORT_BYTES)
             rows = [
                 [e.get("seq"), e.get("kind"), e.get("prefix")] for e in report.events
             ]
