Poll the load of engines independently of one that is silent

What callers saw: while one engine was silent, the load of all others was read later, so that routers placed requests by old reports.

Cause: a poll of all engines ended with the slowest of them, whose two calls time out after 2 s each.

Evidence: test_a_silent_engine_does_not_delay_the_load_reports_of_others failed before: three polls beside an engine that is silent for 1.3 s in each call took longer than one such silence.

Why it works: a poll waits 200 ms for the engines, and an engine whose last poll is under way is left out of the next one.

--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -345,6 +345,7 @@
             self.sessions,
             lambda: self.find_fault() is None,
         )
+        self.add_part("load polls", stop=load.stop)
         jobs = [
             ("members", settings.members.poll, members.poll),
             ("load", settings.servers.load_poll, load.poll),
--- a/lavendershift/tests/test_silentservers.py
+++ b/lavendershift/tests/test_silentservers.py
@@ -4,6 +4,8 @@
 import contextlib
 import socket
 import threading
+from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
@@ -20,6 +22,7 @@
     parse_content_length,
     run_bench,
 )
+from lavendershift.watchers import LoadWatcher
 
 SILENCE_S = 1.3
 
@@ -154,6 +157,36 @@
     assert len(runs) == 3
 
 
+def test_a_silent_engine_does_not_delay_the_load_reports_of_others():
+    class SilentClient:
+        def __init__(self):
+            self.polled = []
+
+        def make_url(self, address, path):
+            return address + path
+
+        async def fetch(self, method, url, timeout):
+            self.polled.append(url)
+            if url.startswith("e1"):
+                await asyncio.sleep(SILENCE_S)
+            return SimpleNamespace(code=599)
+
+    async def work():
+        client = SilentClient()
+        servers = [
+            SimpleNamespace(name=name, address=name, kind="engine")
+            for name in ("e1", "e2")
+        ]
+        watcher = LoadWatcher(client, None, lambda: servers, lambda: 0)
+        async with asyncio.timeout(SILENCE_S):
+            for _ in range(3):
+                await watcher.poll()
+        await watcher.stop()
+        return Counter(client.polled)
+
+    assert asyncio.run(work()) == {"e1/control/load": 1, "e2/control/load": 3}
+
+
 @pytest.mark.parametrize("link", ["servers", "r1-log", "relay1-peer", "relay1-log"])
 def test_a_silent_service_or_log_costs_no_call(make_fleet, link):
     fleet = make_fleet(relays=1 if link.startswith("relay") else 0)
--- a/lavendershift/watchers.py
+++ b/lavendershift/watchers.py
@@ -21,6 +21,7 @@
 MAX_REPORT_BYTES = 4_194_304  # longest report of an engine that is read
 # A time whose distance from now a ``timedelta`` can hold.
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
+POLL_TIME = timedelta(milliseconds=200)  # time that a poll of the engines waits for all
 
 
 class Periodic:
@@ -124,7 +125,11 @@
 
 
 class LoadWatcher:
-    """Polls load reports and cache events of the engines and updates ``pool``."""
+    """Polls load reports and cache events of the engines and updates ``pool``.
+
+    An engine that doesn't respond is polled again after the timeout of its calls, and
+    delays the polls of the others by ``POLL_TIME`` at most.
+    """
 
     def __init__(
         self,
@@ -138,11 +143,25 @@
         self._list_servers = list_servers
         self._now_ms = now_ms
         self._last_seqs: dict[str, int] = {}
+        self._polls: dict[str, asyncio.Task[None]] = {}
 
     async def poll(self) -> None:
-        """Poll all engines once, concurrently."""
-        engines = [s for s in self._list_servers() if s.kind == "engine"]
-        await asyncio.gather(*(self._poll_engine(engine) for engine in engines))
+        """Poll all engines concurrently, except for those still being polled."""
+        for server in self._list_servers():
+            if server.kind == "engine" and server.name not in self._polls:
+                task = asyncio.ensure_future(self._poll_engine(server))
+                self._polls[server.name] = task
+        if self._polls:
+            timeout = POLL_TIME.total_seconds()
+            await asyncio.wait(self._polls.values(), timeout=timeout)
+        for name in [name for name, task in self._polls.items() if task.done()]:
+            self._polls.pop(name).result()
+
+    async def stop(self) -> None:
+        """Cancel the polls that are under way."""
+        for task in self._polls.values():
+            task.cancel()
+        await asyncio.gather(*self._polls.values(), return_exceptions=True)
 
     async def _poll_engine(self, engine: ServerSettings) -> None:
         base = self._client.make_url(engine.address, "/control")
