Search each byte of a completion stream once

An engine that sends an event without an end in small pieces occupied the event loop, as all bytes since the last event were copied and searched for each piece.

--- a/lavendershift/completions.py
+++ b/lavendershift/completions.py
@@ -142,13 +142,13 @@
         self.events = 0
         self._wants_usage = wants_usage
         self._usage_so_far: Usage | None = None
-        self._remainder = b""
+        self._remainder = bytearray()
         self._recent: deque[bytes] = deque(maxlen=RESUME_OVERLAP)
         self._expected_repeats: deque[bytes] = deque()
 
     def restart(self) -> int:
         """Prepare to resume; return the index of the first event to request."""
-        self._remainder = b""
+        self._remainder.clear()
         self._expected_repeats = self._recent.copy()
         return self.events - len(self._recent)
 
@@ -156,13 +156,9 @@
         """Process a chunk and return the bytes to forward, possibly none."""
         if self.failed:
             return b""
-        data = self._remainder + chunk if self._remainder else chunk
-        end = data.rfind(b"\n\n")
-        if end < 0:
-            self._store_remainder(data)
+        events = self._take_events(chunk)
+        if not events:
             return b""
-        events = data[: end + 2]
-        self._store_remainder(data[end + 2 :])
         if not _has_only_fields(events):
             self.failed = True
             return b""
@@ -184,11 +180,20 @@
                 return b""
         return events
 
-    def _store_remainder(self, remainder: bytes) -> None:
-        if len(remainder) > MAX_EVENT_BYTES:
+    def _take_events(self, chunk: bytes) -> bytes:
+        """Return the complete events, and keep the bytes after them."""
+        # Bytes received earlier are searched only where chunk may complete an end.
+        searched = max(len(self._remainder) - 1, 0)
+        self._remainder += chunk
+        end = self._remainder.rfind(b"\n\n", searched) + 2
+        events = b""
+        if end > 1:
+            events = bytes(self._remainder[:end])
+            del self._remainder[:end]
+        if len(self._remainder) > MAX_EVENT_BYTES:
             self.failed = True
-            remainder = b""
-        self._remainder = remainder
+            self._remainder.clear()
+        return events
 
     def _can_forward_unparsed(self, events: bytes) -> bool:
         return (
