Keep the tests of broken streams apart from other test processes

Two causes were traced, both in the tests:

- Clients of another test process called a port that a crashed server of theirs had, and that a scripted server got since (a trace shows their requests, which expect i-pool-1).
They used up its script.
A server in these tests now answers 421 to a request that expects another server, as real ones do.
- The first server reset its connection 30 ms after its events.
On a busy machine they were still unread, and lost with it, so the next server's response was the caller's first.
It closes the connection in place of that, and only four deliveries run at a time.

--- a/lavendershift/platform/tests/test_continuations.py
+++ b/lavendershift/platform/tests/test_continuations.py
@@ -41,6 +41,7 @@
     "compressed": (EVENT_STREAM, gzip.compress(b"".join(EVENTS[3:]))),
     "nothing": (EVENT_STREAM, b""),
 }
+MAX_PARALLEL = 4  # deliveries at a time, so that none waits until its timeout
 CUTS = (PREFIXES[3], FULL_STREAM[: CUT_POSITIONS["half the data"]])
 
 
@@ -99,10 +100,16 @@
     ``deliver_with_responses`` hold for each.
     """
 
+    slots = asyncio.Semaphore(MAX_PARALLEL)
+
     async def deliver(sent, error):
+        async with slots:
+            return await deliver_one(sent, error)
+
+    async def deliver_one(sent, error):
         scene = Scenario()
         try:
-            first = send(sent, reset)
+            first = send(sent, close)  # a reset could drop the events before it
             return await deliver_with_responses(scene, [first, error, *behaviours])
         finally:
             await scene.close()
--- a/lavendershift/platform/tests/test_serverresponses.py
+++ b/lavendershift/platform/tests/test_serverresponses.py
@@ -17,6 +17,7 @@
     ATTEMPT_ID_HEADER,
     answer_complete,
     answer_error,
+    answer_misdirected,
     answer_not_run,
     keep_silent,
     make_event,
@@ -123,8 +124,13 @@
     turns = iter(behaviours)
 
     async def take_turn(received, writer):
+        # Clients of other test processes may still call an earlier user of the port.
+        if received.headers["x-lavendershift-expect-instance"] not in names:
+            await answer_misdirected(received, writer)
+            return
         await next(turns)(received, writer)
 
+    names = {f"i-{number}" for number in range(len(behaviours))}
     for _ in behaviours:
         server = await scene.add_server()
         server.default = take_turn
