Count requests that meet one silence of a server once in its slowness

Callers' requests avoided a server for a second after its silence had ended, as all the requests that it had then counted as slow, one by one. The detector counts overlapping requests once if it knows when they began, and the list of servers did not tell it.

Evidence: test_requests_in_one_silence_do_not_eject_a_server_as_slow failed before: eight requests in one silence of 0.55 s ejected the server.

--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -389,7 +389,9 @@
             outliers = self._find_current_outliers(assignment.server)
             ratio = waited / assignment.expected
             if outliers is not None:
-                outliers.record_slowness(assignment.server.entry.id, ratio, now)
+                outliers.record_slowness(
+                    assignment.server.entry.id, ratio, now, assignment.started
+                )
         if not assignment.unread_tokens:
             mean = self._mean_latency.get(service, waited)
             self._mean_latency[service] = mean + (waited - mean) * LATENCY_WEIGHT
--- a/lavendershift/tests/test_silences.py
+++ b/lavendershift/tests/test_silences.py
@@ -8,7 +8,12 @@
 from lavendershift.clocks import ManualClock
 from lavendershift.progresstimeouts import UNSIZED_BODY_TIMEOUT
 from lavendershift.serverlist import ServerList
-from lavendershift.serverstates import NO_PROMPT, ServerEntry
+from lavendershift.serverstates import (
+    NO_PROMPT,
+    PromptPart,
+    PromptShape,
+    ServerEntry,
+)
 from lavendershift.silences import (
     FIRST_AVOIDANCE,
     MAX_AVOIDANCE,
@@ -187,3 +192,30 @@
     servers.note_progress(servers.find("i-1"))
     chosen = {servers.choose("index", NO_PROMPT, ()).entry.id for _ in range(20)}
     assert chosen == {"i-1", "i-2"}
+
+
+def test_requests_in_one_silence_do_not_eject_a_server_as_slow():
+    clock = ManualClock()
+    servers = ServerList(clock, random.Random(1))
+    names = [f"i-{number}" for number in range(1, 5)]
+    for name in names:
+        servers.update(ServerEntry(name, "index", f"10.0.0.{name[2]}:80", "", 8, False))
+    prompt = PromptShape((PromptPart("a1", 500),), 500, 10)
+
+    def run(name, count, wait):
+        started = [servers.start(servers.find(name), prompt) for _ in range(count)]
+        clock.advance(wait)
+        for assignment in started:
+            servers.record_latency(assignment)
+            servers.record_prompt_read(assignment)
+            servers.finish(assignment)
+
+    for _ in range(10):
+        for name in names:
+            run(name, 1, seconds(0.05))
+    run("i-1", 8, seconds(0.55))
+    assert servers.choose("index", NO_PROMPT, names[1:]).entry.id == "i-1"
+    others = ("i-2", "i-3")
+    assert servers.choose("index", NO_PROMPT, others).entry.id in ("i-1", "i-4")
+    chosen = {servers.choose("index", NO_PROMPT, others).entry.id for _ in range(30)}
+    assert chosen == {"i-1", "i-4"}
