Let callers rely on a longer idle timeout for 3 s after a shorter one

Callers learn of a shorter idle timeout later than a VM. One that became idle just after the change, and reused its connection within the former timeout, met a closed connection. A connection that becomes idle after a shorter timeout came into force is now closed when callers can know of it, 3 s after the change, or at the former timeout if that is sooner; the shorter one holds where it is longer than that.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -36,6 +36,8 @@
 from lavendershift.platform.callerstreams import CHUNK_BYTES, CallerStream
 from lavendershift.routes import CallerLimits
 
+# Time in which callers may not know of a shorter idle timeout yet.
+IDLE_CHANGE_TIME = timedelta(seconds=3)
 STOP_POLL_S = 0.02  # interval between checks for connections with requests
 # Size up to which headers are read, so that those above the limit are refused, and so
 # that a higher limit applies to connections that are idle when it is set.
@@ -139,6 +141,8 @@
         self._gateway = gateway
         self._http: _CallerHttpServer | None = None
         self._is_leaving = False
+        self._idle_timeout = self._longer_idle = timedelta()
+        self._longer_until = clock.elapsed()
         self._active: set[asyncio.Task[None]] = set()
         self._streams: WeakSet[CallerStream] = WeakSet()
 
@@ -157,10 +161,17 @@
         """Apply limits, also to open connections.
 
         Callers reuse connections for most of the idle timeout, so that a shorter one
-        applies from the next response on.
+        applies from the next response on, and once callers can know of it.
         """
         if self._http is None:
             return
+        if limits.idle_timeout < self._idle_timeout:
+            now = self.clock.elapsed()
+            is_over = now >= self._longer_until
+            former = timedelta() if is_over else self._longer_idle
+            self._longer_idle = max(former, self._idle_timeout)
+            self._longer_until = now + IDLE_CHANGE_TIME
+        self._idle_timeout = limits.idle_timeout
         parameters = self._http.conn_params
         parameters.max_header_size = max(limits.header_bytes, MAX_HEADER_READ)
         for stream in list(self._streams):
@@ -184,8 +195,13 @@
         return CallerResponseWriter(connection, lambda: self._is_leaving, method)
 
     def find_limits(self) -> CallerLimits:
-        """Return the limits in force."""
-        return self._gateway.find_limits()
+        """Return the limits in force, with the idle timeout that callers rely on."""
+        limits = self._gateway.find_limits()
+        remaining = self._longer_until - self.clock.elapsed()
+        longer = min(self._longer_idle, remaining)
+        if longer <= limits.idle_timeout:
+            return limits
+        return limits._replace(idle_timeout=longer)
 
     def make_stream(self, endpoint: socket.socket) -> CallerStream:
         """Return the stream of a caller's new connection, and register it."""
