Allow a silent attempt to be left for one whose response had begun

The stand-in server now records when a response began and that its client closed it, and only an attempt that was left while no other response was going on counts.

--- a/lavendershift_standins/heldwriters.py
+++ b/lavendershift_standins/heldwriters.py
@@ -9,13 +9,15 @@
 class HeldWriter(asyncio.StreamWriter):
     """Writes to another writer, or keeps the data while it is held.
 
-    ``drain`` waits until the writer is released.
+    ``drain`` waits until the writer is released. ``on_first_write`` is called once,
+    before the next data is written to the other writer.
     """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
         protocol = writer.transport.get_protocol()
         super().__init__(writer.transport, protocol, None, loop)
+        self.on_first_write: Callable[[], None] | None = None
         self._writer = writer
         self._kept = bytearray()
         self._released = asyncio.Event()
@@ -31,7 +33,7 @@
         self._kept.clear()
         self._released.set()
         if kept:
-            self._writer.write(kept)
+            self._pass_on(kept)
 
     async def wait_released(self) -> None:
         """Wait until the writer isn't held."""
@@ -40,10 +42,16 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Write ``data``, or keep it while the writer is held."""
         if self._released.is_set():
-            self._writer.write(data)
+            self._pass_on(data)
         else:
             self._kept += data
 
+    def _pass_on(self, data: bytes | bytearray | memoryview) -> None:
+        if self.on_first_write is not None:
+            self.on_first_write()
+            self.on_first_write = None
+        self._writer.write(data)
+
     async def drain(self) -> None:
         """Wait until the data is sent."""
         await self.wait_released()
--- a/lavendershift_standins/tests/test_silences.py
+++ b/lavendershift_standins/tests/test_silences.py
@@ -111,6 +111,29 @@
     assert SILENCE_S - 0.01 < end - start < SILENCE_S + 0.2
 
 
+def test_a_server_records_when_a_response_begins_and_that_it_was_left():
+    async def run():
+        server = PlatformServer("i-1")
+        server.default = fall_silent(SILENCE_S, after_events(1), stream(3))
+        await server.start()
+        server.fall_silent(SILENCE_S)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(REQUEST % b"r-1")
+        await reader.readuntil(FIRST_EVENT)
+        writer.close()
+        await asyncio.sleep(0.1)
+        await receive_timed(server)
+        await server.stop()
+        return server
+
+    server = asyncio.run(run())
+    left, whole = server.handled
+    start, end = server.silences[0]
+    assert left.received.at < end <= left.sent_at < left.ended_at < end + SILENCE_S
+    assert left.was_left and not whole.was_left
+    assert whole.ended_at - whole.sent_at > SILENCE_S - 0.01
+
+
 def test_a_silence_without_end_lasts_until_it_is_ended():
     async def run():
         server = PlatformServer("i-1")
