Check an attempt beside a silent one again before it is sent

An attempt beside a silent one was prepared under conditions that no longer held when it was sent, or that were checked last. Callers saw three things, each with a test that failed before:

- 502 for a complete response: if another attempt was refused in the same turn of the event loop, its end was handled first, found no attempt in flight, and the request was given up (server_failed).
- A prompt that had just crashed a server was sent to the next one, since the attempt beside it was already waiting for its permit.
- A silent request without a retry token prepared an attempt every 250 ms: 10 connections, as many permits and 12 lines in 3 s, for one request that could not be sent anyway.

And a request was sent again without a token: if the first attempt broke off while the one beside it was connecting, and that failed, the third took none.

A delivery now takes the token before it prepares an attempt, and keeps it until a request is sent. The conditions are checked again then, and an attempt whose response has ended isn't silent. A complete response is never given up for another attempt's end.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -122,7 +122,6 @@
     BROKEN = "broken"
     SILENT = "silent"  # no progress, until another attempt went on in its place
     REPLACED = "replaced"  # not needed any more, as another attempt went on
-    NO_RETRY = "no_retry"  # the retry budget is empty
     INSIDE_EVENT = "inside_event"  # clean end of the response within an event
     OTHER_KIND = "other_kind"  # another status or media type than the stream's
     OUT_OF_PLACE = "out_of_place"  # events that don't follow the forwarded ones
@@ -134,7 +133,6 @@
         return self in (
             AttemptEnd.NOT_SENT,
             AttemptEnd.NO_PERMIT,
-            AttemptEnd.NO_RETRY,
             AttemptEnd.QUARANTINED,
             AttemptEnd.NOT_RUN,
             AttemptEnd.WRONG_SERVER,
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -61,7 +61,8 @@
     """Delivers one request in one or more attempts.
 
     ``spend_retry`` is called before another attempt with the end of the previous one.
-    It takes a token of the retry budget, and returns false if there is none.
+    It takes a token of the retry budget, and returns false if there is none. The token
+    covers the next request that is sent, whichever attempt sends it.
     ``on_attempt`` is called with the report of each attempt.
     """
 
@@ -97,6 +98,7 @@
         self._tried: set[str] = set()
         self._unsent: set[str] = set()
         self._sends = 0
+        self._has_retry_token = False
         self._possible_runs = 0
         self._connect_failures = 0
         self._server_error: ServerResponse | None = None
@@ -108,6 +110,7 @@
         self._running: dict[ServerAttempt, asyncio.Task[None]] = {}
         self._replaced: list[asyncio.Task[None]] = []
         self._changes: asyncio.Queue[_Change] = asyncio.Queue()
+        self._is_answered = False
         self._beside_timer: asyncio.TimerHandle | None = None
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
@@ -150,38 +153,39 @@
                 if change.end is AttemptEnd.ANSWERED:
                     await self._finish(change.attempt)
                     return
-                if change.end is not AttemptEnd.NO_RETRY:
-                    end = change.end
-                is_possible = self._go_on(change.end)
+                end = change.end
+                is_possible = self._go_on(end)
             self._give_up(end)
         finally:
             await self._cancel_attempts()
 
     def _go_on(self, end: AttemptEnd) -> bool:
         """Start another attempt if needed; return false if no response can come."""
-        if not self._running:
-            return self._may_try_next(end) and self._start_attempt()
         if end is AttemptEnd.NOT_SENT:
             self._connect_failures += 1
-        if end is AttemptEnd.NO_RETRY:
-            self._tried -= self._unsent
-            self._schedule_beside()
-        else:
+        if self._running:
             self._start_beside()
-        return True
+            return True
+        if self._is_answered:
+            return True  # the complete response of another attempt is the next change
+        return self._may_try_next(end) and self._start_attempt()
 
     def _may_try_next(self, end: AttemptEnd) -> bool:
         """Return whether another attempt is allowed after one ended with ``end``."""
-        if end is AttemptEnd.NO_RETRY:
-            return False
-        if end is AttemptEnd.NOT_SENT:
-            self._connect_failures += 1
-            return self._connect_failures < MAX_CONNECT_FAILURES
-        if end is AttemptEnd.NO_PERMIT:
-            return True
-        if not end.did_not_run and not self._may_repeat():
+        if end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PERMIT):
+            if self._connect_failures >= MAX_CONNECT_FAILURES:
+                return False
+            if not self._possible_runs:
+                return True
+        if self._possible_runs and not self._may_repeat():
             return False
-        return self._may_send_again() and self._spend_retry(end)
+        return self._may_send_again() and self._take_retry_token(end)
+
+    def _take_retry_token(self, end: AttemptEnd) -> bool:
+        """Take a token for the next request, unless an unsent one has left its own."""
+        if not self._has_retry_token:
+            self._has_retry_token = self._spend_retry(end)
+        return self._has_retry_token
 
     def _may_repeat(self) -> bool:
         """Return whether the request may be sent again although it may have run."""
@@ -219,10 +223,12 @@
         )
 
     def _start_attempt(self, is_beside: bool = False) -> bool:
-        """Start an attempt; return false if there is no server for it."""
+        """Start an attempt; return false if it lacks a server or a retry token."""
         server = self._choose_server()
         if server is None:
             return False
+        if is_beside and not self._take_retry_token(AttemptEnd.SILENT):
+            return False
         self._tried.add(server.entry.id)
         order = AttemptOrder(
             self._request,
@@ -274,6 +280,8 @@
             self._possible_runs -= 1
         if end is AttemptEnd.SERVER_ERROR:
             self._server_error = attempt.response
+        if end is AttemptEnd.ANSWERED:
+            self._is_answered = True
         if not attempt.was_sent:
             self._unsent.add(attempt.server.entry.id)
 
@@ -299,8 +307,9 @@
             others = [other for other in self._running if other is not attempt]
             if not all(other.is_silent for other in others):
                 return AttemptEnd.REPLACED
-            if not self._spend_retry(AttemptEnd.SILENT):
-                return AttemptEnd.NO_RETRY
+            if not self._may_repeat() or not self._may_send_again():
+                return AttemptEnd.REPLACED
+        self._has_retry_token = False
         self._unsent.discard(attempt.server.entry.id)
         self._sends += 1
         self._possible_runs += 1
--- /dev/null
+++ b/lavendershift/platform/tests/test_attemptsbeside.py
@@ -0,0 +1,162 @@
+"""Tests of attempts that are prepared or sent beside a silent one."""
+
+import asyncio
+
+import pytest
+
+from lavendershift.attempts import AttemptEnd
+from lavendershift.errors import RequestError
+from lavendershift.platform.tests.conftest import SECOND, RecordedResponse
+from lavendershift.routes import Repeat
+from lavendershift.serverlimits import LimitState
+from lavendershift.serverstates import PromptPart, PromptShape
+from lavendershift_standins.platformserver import (
+    answer_complete,
+    answer_not_run,
+    keep_silent,
+    make_head,
+    reset,
+)
+
+BODY = b"x" * 400
+PROMPT = PromptShape((PromptPart("p1", 100), PromptPart("p2", 50)), 150, 10)
+
+
+def make_delivery(scene, response, repeat=Repeat.ALWAYS, deadline=4, prompt=None):
+    request = scene.make_request(deadline=deadline * SECOND)._replace(prompt=prompt)
+    return scene.make_delivery(
+        response, request=request, repeat=repeat, attempts=3, timeout=deadline * SECOND
+    )
+
+
+def break_after(delay_s):
+    async def behave(received, writer):
+        await asyncio.sleep(delay_s)
+        await reset(received, writer)
+
+    return behave
+
+
+def delay_permits(scene, delay_s):
+    """Let the permit of each attempt beside another one take ``delay_s``."""
+    take = scene.permits.take
+    taken = []
+
+    async def take_late(incarnation, urgency):
+        taken.append(incarnation[0])
+        if incarnation[0] != taken[0]:
+            await asyncio.sleep(delay_s)
+        return await take(incarnation, urgency)
+
+    scene.permits.take = take_late
+
+
+def test_retry_after_a_break_takes_a_token_if_the_attempt_beside_it_is_not_sent(play):
+    async def work(scene):
+        scene.retries = 1
+        first = await scene.add_server()
+        first.default = break_after(0.45)
+        second = await scene.add_server()
+        await second.stop()
+        third = await scene.add_server()
+        turns = iter([first, second, third, third, third])
+        scene.servers.choose = lambda *arguments: scene.servers.find(next(turns).name)
+        delay_permits(scene, 0.3)
+        response = RecordedResponse()
+        await make_delivery(scene, response).run()
+        assert response.is_done
+        assert scene.ends == [
+            AttemptEnd.BROKEN,
+            AttemptEnd.NOT_SENT,
+            AttemptEnd.ANSWERED,
+        ]
+        assert scene.retries == 0
+
+    play(work)
+
+
+def test_response_that_ends_with_a_refusal_beside_it_is_delivered(play):
+    async def work(scene):
+        writers = []
+
+        async def wait_for_other(received, writer):
+            head = make_head(received, 200, {"Content-Length": str(len(BODY))})
+            writers.append((writer, head + BODY))
+            await asyncio.sleep(5)
+
+        async def refuse_as_other_ends(received, writer):
+            other, response = writers[0]
+            await answer_not_run(received, writer)
+            other.write(response)
+
+        for _ in range(20):
+            writers.clear()
+            scene.retries = 1
+            first = await scene.add_server(wait_for_other)
+            second = await scene.add_server(refuse_as_other_ends)
+            turns = iter([first, second])
+            scene.servers.choose = lambda *arguments, turns=turns: next(
+                (scene.servers.find(server.name) for server in turns), None
+            )
+            response = RecordedResponse()
+            await make_delivery(scene, response).run()
+            assert response.body == BODY
+
+    play(work)
+
+
+def test_prompt_that_crashed_a_server_is_not_sent_by_the_attempt_beside_it(play):
+    async def work(scene):
+        scene.quarantine.is_suspicious = lambda parts: True
+
+        async def crash_late(received, writer):
+            writer.write(make_head(received, 200, {"Content-Length": "400"}))
+            await asyncio.sleep(1.1)
+            first.crash()
+
+        first = await scene.add_server(crash_late)
+        second = await scene.add_server()
+        turns = iter([first, second, second])
+        scene.servers.choose = lambda *arguments: scene.servers.find(next(turns).name)
+        delay_permits(scene, 0.4)
+        with pytest.raises(RequestError):
+            await make_delivery(scene, RecordedResponse(), prompt=PROMPT).run()
+        assert not second.received
+
+    play(work)
+
+
+def test_silent_request_without_a_retry_budget_uses_no_connections_and_permits(play):
+    async def work(scene):
+        scene.retries = 0
+        permits = []
+        scene.permits.on_taken = permits.append
+        first = await scene.add_server()
+        first.default = keep_silent
+        task = asyncio.ensure_future(
+            make_delivery(scene, RecordedResponse(), deadline=3).run()
+        )
+        await asyncio.sleep(0.1)
+        second = await scene.add_server()
+        limit = LimitState(100.0, 1)
+        scene.servers.limits.merge(scene.servers.find(second.name).incarnation, limit)
+        with pytest.raises(RequestError):
+            await task
+        assert (second.connections, permits, len(scene.notes)) == (0, [], 1)
+
+    play(work)
+
+
+def test_first_answer_after_the_break_of_a_silent_attempt_is_delivered(play):
+    async def work(scene):
+        first = await scene.add_server(break_after(0.45))
+        second = await scene.add_server()
+        turns = iter([first, second, second])
+        scene.servers.choose = lambda *arguments: scene.servers.find(next(turns).name)
+        second.default = answer_complete
+        delay_permits(scene, 0.3)
+        response = RecordedResponse()
+        await make_delivery(scene, response).run()
+        assert response.is_done and scene.retries == 9
+
+    play(work)
--- a/lavendershift/silences.py
+++ b/lavendershift/silences.py
@@ -69,10 +69,11 @@
         self._schedule()
 
     def stop(self) -> None:
-        """Stop watching."""
+        """Stop watching; a response that has ended isn't silent."""
         if self._timer is not None:
             self._timer.cancel()
         self._timer = None
+        self.is_silent = False
 
     @property
     def longest_gap(self) -> float:
