Send requests that may run once to a server 8 s after its latest silence

A server that was silent until the deadline of its request counted as silent until another response of it made progress. In a service that gets only requests that can't be repeated, none is sent there while there is another server, so it stayed unused for good. The test failed before: the server got no request.

--- a/lavendershift/platform/tests/test_attemptsbeside.py
+++ b/lavendershift/platform/tests/test_attemptsbeside.py
@@ -1,6 +1,7 @@
 """Tests of attempts that are prepared or sent beside a silent one."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -147,6 +148,27 @@
     play(work)
 
 
+def test_server_that_was_silent_once_gets_requests_that_may_run_once_again(
+    play, monkeypatch
+):
+    monkeypatch.setattr("lavendershift.silences.MAX_PRESUMPTION", 1.5 * SECOND)
+
+    async def work(scene):
+        first = await scene.add_server(keep_silent)
+        with pytest.raises(RequestError):
+            await make_delivery(
+                scene, RecordedResponse(), repeat=Repeat.NEVER, deadline=0.8
+            ).run()
+        await scene.add_server()
+        deadline = time.monotonic() + 4
+        while time.monotonic() < deadline and len(first.received) == 1:
+            await scene.deliver(request=scene.make_request(2))
+            await asyncio.sleep(0.02)
+        assert len(first.received) > 1
+
+    play(work)
+
+
 def test_first_answer_after_the_break_of_a_silent_attempt_is_delivered(play):
     async def work(scene):
         first = await scene.add_server(break_after(0.45))
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -422,11 +422,12 @@
         return True
 
     def list_silent(self, service: str) -> list[str]:
-        """Return the ids of the silent servers of a service."""
+        """Return the ids of the servers of a service that are probably silent."""
+        now = self._clock.elapsed()
         return [
             server.entry.id
             for server in self._servers.values()
-            if server.entry.service == service and server.silence.is_open
+            if server.entry.service == service and server.silence.is_presumed(now)
         ]
 
     def note_unreachable(self, server: ListedServer) -> None:
--- a/lavendershift/silences.py
+++ b/lavendershift/silences.py
@@ -25,6 +25,9 @@
 # Interval after the first silence until a server gets another request.
 FIRST_AVOIDANCE = timedelta(seconds=1)
 MAX_AVOIDANCE = timedelta(seconds=8)  # limit of the doubling at each further silence
+# Time since a server's latest silence after which requests that may run once are sent
+# there again, as there may be no others that show whether it goes on.
+MAX_PRESUMPTION = timedelta(seconds=8)
 # Time by which a timer may be late before data that arrived meanwhile is read first,
 # as after a pause of this process.
 TIMER_SLACK = 0.1
@@ -137,6 +140,11 @@
         self._heard_at = timedelta()
         self._avoided_until = timedelta()
         self._avoidance = FIRST_AVOIDANCE
+        self._presumed_until = timedelta()
+
+    def is_presumed(self, now: timedelta) -> bool:
+        """Return whether the server is probably still silent."""
+        return self.is_open and now < self._presumed_until
 
     def is_avoided(self, now: timedelta) -> bool:
         """Return whether the server should get no request while there are others."""
@@ -148,7 +156,10 @@
         ``progress_at`` is when the request was sent or last made progress. A server
         that was heard since is sound, and only this request is delayed.
         """
-        if self._heard_at > progress_at or self.is_open:
+        if self._heard_at > progress_at:
+            return False
+        self._presumed_until = now + MAX_PRESUMPTION
+        if self.is_open:
             return False
         self.is_open = True
         self._avoided_until = now + self._avoidance
