Give a silent server one request at a time also while its connection is opened

A server that drops packets is connected to for 0.3 s. Until then no request counted, so all requests of that time chose it, as it has the least load.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -229,6 +229,7 @@
             return False
         if is_beside and not self._take_retry_token(AttemptEnd.SILENT):
             return False
+        self._servers.note_selection(server)
         self._tried.add(server.entry.id)
         order = AttemptOrder(
             self._request,
--- a/lavendershift/platform/tests/test_attemptsbeside.py
+++ b/lavendershift/platform/tests/test_attemptsbeside.py
@@ -1,6 +1,8 @@
 """Tests of attempts that are prepared or sent beside a silent one."""
 
 import asyncio
+import contextlib
+import socket
 import time
 
 import pytest
@@ -182,3 +184,40 @@
         assert response.is_done and scene.retries == 9
 
     play(work)
+
+
+@contextlib.contextmanager
+def listen_without_accepting():
+    """Yield an address whose new connections get no reply."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(
+            socket.create_server(("127.0.0.1", 0), backlog=0)
+        )
+        address = listener.getsockname()
+        with contextlib.suppress(TimeoutError):
+            for _ in range(8):  # the backlog holds one or two
+                stack.enter_context(socket.create_connection(address, 0.1))
+        yield "{}:{}".format(*address)
+
+
+def test_silent_server_gets_one_request_at_a_time_while_a_connection_is_opened(play):
+    async def work(scene):
+        with listen_without_accepting() as address:
+            first, _ = [await scene.add_server() for _ in range(2)]
+            scene.list_server(first, address)
+            now = scene.clock.elapsed()
+            silence = scene.servers.find(first.name).silence
+            silence.note_silence(now - 10 * SECOND, now - 10 * SECOND)
+            requests = []
+            for number in range(20):
+                request = scene.make_request(number)
+                requests.append(
+                    asyncio.ensure_future(
+                        scene.deliver(request=request, repeat=Repeat.ALWAYS)
+                    )
+                )
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*requests)
+            assert scene.ends.count(AttemptEnd.NOT_SENT) == 1
+
+    play(work)
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -327,6 +327,10 @@
         outliers = self._outliers.get(server.entry.service)
         return outliers is not None and outliers.is_ejected(server.entry.id, now)
 
+    def note_selection(self, server: ListedServer) -> None:
+        """Record that a request was given to ``server``, and may open a connection."""
+        server.silence.note_request(self._clock.elapsed())
+
     def start(self, server: ListedServer, prompt: PromptShape) -> Assignment:
         """Count a request sent to ``server`` towards its load."""
         now = self._clock.elapsed()
@@ -336,7 +340,6 @@
         server.in_flight += 1
         server.unread_tokens += unread
         server.cache.note_used(parts)
-        server.silence.note_request(now)
         self.on_load_change(server.entry.id, parts)
         return Assignment(server, unread, now, expected)
 
