Drop the servers that are gone after a failure of one removal

A removal that failed left the server's id in the set of missing ones. Each later reading failed at it, so no server that was gone was dropped any more, however often the loop started again.

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -394,12 +394,12 @@
         self._log.write(Event.SERVER_CHANGED, server=server_id, result="missing")
 
     def _drop_missing(self) -> None:
-        for server_id in self._missing:
+        while self._missing:
+            server_id = self._missing.pop()
             entry = self._servers.remove(server_id)
             if entry is not None:
                 self._on_removed(entry)
                 self._log.write(Event.SERVER_CHANGED, server=server_id, result="gone")
-        self._missing.clear()
 
 
 def decode_key(record: Record) -> str:
--- a/lavendershift/platform/tests/test_oddfeeds.py
+++ b/lavendershift/platform/tests/test_oddfeeds.py
@@ -84,3 +84,18 @@
         Record(0, key, json.dumps(value).encode()), make_record(), is_snapshot=True
     )
     assert [entry.id for entry in scenario.servers.list_entries()] == ["i-1"]
+
+
+def test_servers_that_are_gone_are_dropped_after_a_failure_of_one_removal(scenario):
+    def fail_once(entry):
+        scenario.feed._on_removed = lambda entry: None
+        raise OSError
+
+    scenario.feed._on_removed = fail_once
+    scenario.read(*[make_record(f"i-{n}") for n in (1, 2, 3)], is_snapshot=True)
+    gone = [Record(n, f"i-{n}".encode(), b"") for n in (1, 2)]
+    with pytest.raises(OSError):
+        scenario.read(*gone)
+        scenario.read()
+    scenario.read()
+    assert [scenario.is_listed(f"i-{n}") for n in (1, 2, 3)] == [False, False, True]
