End a loop or an attempt only for its own cancellation

If something that a loop waited for was cancelled, the loop ended without a line and was never started again. An attempt that met the same ended without its delivery noticing, and the caller got 503 or 504 only at the deadline. Both tests failed before: the task was done, and deadline_unreachable after 1 s.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -36,6 +36,7 @@
 from lavendershift.serverattempts import ServerAttempt
 from lavendershift.serverresponses import ServerResponse
 from lavendershift.serverstates import NO_PROMPT, ListedServer
+from lavendershift.supervision import is_being_cancelled
 
 MAX_SENDS = 4  # servers to which one request is sent, those that refuse it included
 MAX_CONNECT_FAILURES = 6  # failed connections after which a request is given up
@@ -54,7 +55,7 @@
 
     attempt: ServerAttempt | None = None
     end: AttemptEnd | None = None
-    error: Exception | None = None
+    error: BaseException | None = None
 
 
 class Delivery:
@@ -264,7 +265,9 @@
         """Run an attempt and record how it ended, unless it was replaced."""
         try:
             end = await attempt.run()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            if isinstance(error, asyncio.CancelledError) and is_being_cancelled():
+                raise
             self._running.pop(attempt, None)
             self._changes.put_nowait(_Change(attempt, error=error))
             return
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -27,6 +27,7 @@
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
 from lavendershift.serverstates import PromptShape
+from lavendershift.supervision import is_being_cancelled
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenshortages import TokenShortage, choose_retry_delay, find_wait
 
@@ -264,12 +265,6 @@
     return False
 
 
-def is_being_cancelled() -> bool:
-    """Return whether the cancellation of the current task was requested."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer.
 
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -563,7 +563,9 @@
     def _note_dropped(self, error: Exception) -> None:
         self._skips.note_failure("datagram", error)
 
-    def _note_loop_failure(self, name: str, error: Exception, pause: timedelta) -> None:
+    def _note_loop_failure(
+        self, name: str, error: BaseException, pause: timedelta
+    ) -> None:
         """Report a failed loop; readiness doesn't change.
 
         The other VMs read the same input, so leaving the list of VMs could leave
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -29,12 +29,13 @@
 from lavendershift.connectionreports import ConnectionEnd, EndCause
 from lavendershift.decoding import MAX_INTEGER, parse_count
 from lavendershift.errors import ErrorKind, RequestError
-from lavendershift.gateway import Gateway, is_being_cancelled
+from lavendershift.gateway import Gateway
 from lavendershift.platform import names
 from lavendershift.platform.callerrequests import decode_request, measure_header
 from lavendershift.platform.callerresponses import CallerResponseWriter
 from lavendershift.platform.callerstreams import CHUNK_BYTES, CallerStream
 from lavendershift.routes import CallerLimits
+from lavendershift.supervision import is_being_cancelled
 
 # Time in which callers may not know of a shorter idle timeout yet.
 IDLE_CHANGE_TIME = timedelta(seconds=3)
--- a/lavendershift/platform/tests/test_attemptsbeside.py
+++ b/lavendershift/platform/tests/test_attemptsbeside.py
@@ -186,6 +186,19 @@
     play(work)
 
 
+def test_attempt_that_waited_for_something_cancelled_ends_its_delivery(play):
+    async def cancel(incarnation, urgency):
+        raise asyncio.CancelledError
+
+    async def work(scene):
+        await scene.add_server()
+        scene.permits.take = cancel
+        with pytest.raises(asyncio.CancelledError):
+            await make_delivery(scene, RecordedResponse(), deadline=1).run()
+
+    play(work)
+
+
 @contextlib.contextmanager
 def listen_without_accepting():
     """Yield an address whose new connections get no reply."""
--- a/lavendershift/supervision.py
+++ b/lavendershift/supervision.py
@@ -20,7 +20,7 @@
 # Time without a failure after which the pause is the shortest again.
 RESET_AFTER = timedelta(seconds=30)
 
-FailureListener = Callable[[str, Exception, timedelta], None]
+FailureListener = Callable[[str, BaseException, timedelta], None]
 
 
 class LoopSupervisor:
@@ -38,9 +38,18 @@
             try:
                 await loop()
                 return
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
+                if is_being_cancelled():
+                    raise
+                # Otherwise something that the loop waited for was cancelled.
                 if self._clock.elapsed() - started > RESET_AFTER:
                     pause = MIN_PAUSE
                 self._on_failure(name, error, pause)
             await asyncio.sleep(pause.total_seconds())
             pause = min(pause * 2, MAX_PAUSE)
+
+
+def is_being_cancelled() -> bool:
+    """Return whether the cancellation of the current task was requested."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/lavendershift/tests/test_supervision.py
+++ b/lavendershift/tests/test_supervision.py
@@ -8,9 +8,10 @@
 class FailingLoop:
     """Fails after each of ``lengths``, and then runs until it is cancelled."""
 
-    def __init__(self, clock, *lengths):
+    def __init__(self, clock, *lengths, error=OverflowError):
         self.clock = clock
         self.lengths = list(lengths)
+        self.error = error
         self.starts = []
 
     async def run(self):
@@ -18,14 +19,14 @@
         if not self.lengths:
             await asyncio.Event().wait()
         await asyncio.sleep(self.lengths.pop(0).total_seconds())
-        raise OverflowError
+        raise self.error
 
 
-def supervise(*lengths, length_s=100):
+def supervise(*lengths, length_s=100, error=OverflowError):
     """Return the failing loop, and the failures that were reported."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         clock, failures = runner.get_loop(), []
-        loop = FailingLoop(clock, *lengths)
+        loop = FailingLoop(clock, *lengths, error=error)
         supervisor = LoopSupervisor(clock, lambda *failure: failures.append(failure))
 
         async def work():
@@ -57,3 +58,9 @@
 def test_a_loop_that_ran_for_long_is_started_again_soon():
     _, failures = supervise(*[timedelta()] * 5, RESET_AFTER * 2)
     assert failures[-1][2] == MIN_PAUSE
+
+
+def test_a_loop_that_waited_for_something_cancelled_is_started_again():
+    loop, failures = supervise(timedelta(), error=asyncio.CancelledError)
+    assert loop.starts == [timedelta(), MIN_PAUSE]
+    assert len(failures) == 1
