Simulate fleets of 8 to 330 VMs whose servers fall silent and go on

The real gateways, deliveries, server lists and retry budgets run in virtual time; servers, connections and callers are modelled. One server, a tenth of them or all fall silent for 0.5 to 2 s or for good, some of them dark, beside refusals, refused connections and breaks.

Each check fails for a change that it is for: attempts that end at a silence, no token for an attempt beside, requests repeated always, attempts that are not replaced, silences that are forgotten.

--- /dev/null
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -0,0 +1,261 @@
+"""Silent servers in fleets of several sizes, under random schedules of faults.
+
+A request whose server goes on gets its whole own response, whatever is tried beside
+it, and all that is tried stays within the retry bounds of the users' pages.
+"""
+
+import functools
+import random
+
+import pytest
+
+from lavendershift.delivery import Delivery
+from lavendershift.serverattempts import ServerAttempt
+from lavendershift.silences import ServerSilence
+from lavendershift.tests.silenceservers import NEVER, make_body
+from lavendershift.tests.silencesimulation import (
+    SHARES,
+    SIZES,
+    SilenceFleet,
+    Size,
+    count_per_second,
+    find_worst_window,
+)
+
+CLOSE_S = 0.4  # time until an attempt is ended beside one that goes on
+RETURN_S = 2.0  # time until a server that goes on is used again
+# Requests of one VM to a server within seconds after the VM noted its silence.
+MOST_TRIALS = {0.9: 1, 2.9: 2, 6.9: 3}
+
+
+def find_losses(fleet):
+    """Return the requests whose server went on, and that have no whole response.
+
+    A request without a response has to be refused.
+    """
+    return [
+        f"{call.id} {call.kind} on {call.vm.number}: {call.error}"
+        for call in fleet.calls.values()
+        if not call.is_whole and (not call.error or find_sound(call))
+    ]
+
+
+def find_sound(call):
+    """Return the attempts of a request that were given up although they were sound.
+
+    One is rightly ended if another one brings an event, even if that fails later.
+    """
+    failed = [f for f in call.flights if f.end == "broken" or f.server.is_dead]
+    events = [at for flight in failed for at in flight.progress]
+    sound = [f for f in call.flights if f not in failed and f.end != "refused"]
+    return [
+        f for f in sound if not any(0 <= f.ended_at - at < CLOSE_S for at in events)
+    ]
+
+
+def find_joined(fleet):
+    """Return the requests that got something else than their own response."""
+    return [
+        call.id
+        for call in fleet.calls.values()
+        if not make_body(call.id, call.kind == "stream").startswith(call.body)
+    ]
+
+
+def find_repeated(fleet):
+    """Return the requests that may run once and were sent twice."""
+    once = [call for call in fleet.calls.values() if call.kind == "once"]
+    return [c.id for c in once if sum(f.may_have_run for f in c.flights) > 1]
+
+
+def find_late_ends(fleet):
+    """Return the requests with an attempt that went on beside one with an event."""
+    late = []
+    for call in fleet.calls.values():
+        for at in [at for flight in call.flights for at in flight.progress]:
+            going_on = [
+                flight.sent_at <= at and flight.ended_at > at + CLOSE_S
+                for flight in call.flights
+            ]
+            if sum(going_on) > (call.ended_at > at + CLOSE_S):
+                late.append(f"{call.id} {call.kind}")
+                break
+    return late
+
+
+def find_excess(fleet):
+    count, bound = find_worst_window(fleet)
+    return [f"{count} repeats of {bound:.0f}"] if count > bound else []
+
+
+def find_eager(fleet):
+    """Return the VMs that sent more to a server than finds out whether it goes on.
+
+    One more request may have been under way when the silence was noted.
+    """
+    eager = []
+    for number, (since, vm, server, is_silent) in enumerate(fleet.noted):
+        if not is_silent:
+            continue
+        ends = [n[0] for n in fleet.noted[number + 1 :] if n[1:3] == (vm, server)]
+        until = min([*ends, NEVER])
+        sent = [
+            f.sent_at - since
+            for f in fleet.addresses[f"{server}:1"].flights
+            if f.vm is vm and since < f.sent_at < until
+        ]
+        for within, most in MOST_TRIALS.items():
+            count = sum(at < within for at in sent)
+            if count > most:
+                eager.append(f"{count} of {vm.number} to {server} in {within} s")
+    return eager
+
+
+CHECKS = [find_losses, find_joined, find_repeated, find_late_ends, find_excess]
+
+
+def check(fleet):
+    """Return what is wrong, as the name of the check and its findings."""
+    assert not fleet.reports.errors
+    found = {each.__name__: each(fleet) for each in CHECKS}
+    return {name: findings for name, findings in found.items() if findings}
+
+
+def silence(fleet, at, share, for_s, is_dark=False):
+    """Return the schedule of a silence, and of the check of the servers' return."""
+    schedule = []
+    for server in fleet.servers[: SHARES[share](len(fleet.servers))]:
+        schedule.append((at, server.fall_silent, for_s, is_dark))
+        if for_s < NEVER:
+            end = at + for_s + RETURN_S
+            schedule.append((end, fleet.check_return, server, RETURN_S))
+    return schedule
+
+
+@pytest.mark.parametrize("vms", SIZES)
+def test_servers_that_fall_silent_and_go_on_cost_no_response(vms):
+    fleet = SilenceFleet(1, SIZES[vms])
+    schedule = [
+        *silence(fleet, 1.0, "one", 1.3),
+        *silence(fleet, 4.4, "a tenth", 2.0),
+        *silence(fleet, 6.5, "all", 1.5),
+    ]
+    fleet.run(8.5, schedule)
+    assert check(fleet) == {}
+    assert all(call.is_whole for call in fleet.calls.values())
+    assert fleet.still_avoided == []
+    assert fleet.reports.besides > 10
+    silent = fleet.servers[0]
+    assert max(count_per_second(silent, 1.0, 2)) <= vms
+
+
+@pytest.mark.parametrize("vms", [8, 66])
+def test_a_dead_server_is_left_and_tried_at_growing_intervals(vms):
+    fleet = SilenceFleet(2, SIZES[vms])
+    fleet.run(9.0, silence(fleet, 1.0, "one", NEVER))
+    assert check(fleet) == {}
+    assert find_eager(fleet) == []
+    usual = fleet.size.demand / len(fleet.servers)
+    active = [
+        call.ended_at - call.started
+        for call in fleet.calls.values()
+        if call.vm.is_active and call.kind != "once"
+    ]
+    assert max(active) < 2.5
+    if vms == 8:
+        late = count_per_second(fleet.servers[0], 1.0, 8)[3:]
+        assert sum(late) / len(late) < usual / 3
+
+
+def make_faults(fleet, seed):
+    """Return a random schedule of silences and other faults."""
+    rng = random.Random(f"faults/{seed}")
+    schedule = []
+    for _ in range(rng.randrange(2, 6)):
+        share = rng.choice(["one", "one", "a tenth", "all"])
+        at, for_s = rng.uniform(1.0, 5.0), rng.uniform(0.5, 2.0)
+        schedule += silence(fleet, at, share, for_s, is_dark=rng.random() < 0.3)
+    for _ in range(rng.randrange(1, 8)):
+        server = rng.choice(fleet.servers)
+        faults = [
+            (server.refuse_requests, rng.uniform(0.2, 2.0)),
+            (server.refuse_connections, rng.uniform(0.2, 2.0)),
+            (server.break_connections,),
+        ]
+        schedule.append((rng.uniform(1.0, 6.0), *rng.choice(faults)))
+    if rng.random() < 0.5:
+        schedule.append((rng.uniform(1, 6), fleet.servers[-1].fall_silent, NEVER))
+    return schedule
+
+
+def run_faults(seed, size):
+    fleet = SilenceFleet(seed, size)
+    fleet.run(7.0, make_faults(fleet, seed))
+    return check(fleet)
+
+
+@pytest.mark.parametrize("first", range(0, 9, 3))
+def test_no_schedule_of_faults_costs_a_response_whose_server_goes_on(first):
+    for seed in range(first, first + 3):
+        assert run_faults(seed, SIZES[8]) == {}, f"seed {seed}"
+
+
+@pytest.mark.parametrize("vms", [66, 195])
+def test_no_schedule_of_faults_costs_a_response_in_large_fleets(vms):
+    assert run_faults(100 + vms, SIZES[vms]) == {}
+
+
+def end_at_silence(monkeypatch):
+    note_silence = ServerAttempt._note_silence
+
+    def end(self):
+        note_silence(self)
+        self._connection.close()
+
+    monkeypatch.setattr(ServerAttempt, "_note_silence", end)
+
+
+def need_no_token(monkeypatch):
+    def find_refusal(self, attempt):
+        self._unsent.discard(attempt.server.entry.id)
+        self._sends += 1
+        self._possible_runs += 1
+
+    monkeypatch.setattr(Delivery, "find_refusal", find_refusal)
+
+
+def repeat_always(monkeypatch):
+    monkeypatch.setattr(Delivery, "_may_repeat", lambda self: True)
+    monkeypatch.setattr(Delivery, "_may_send_again", lambda self: self._sends < 4)
+
+
+def keep_all(monkeypatch):
+    monkeypatch.setattr(Delivery, "_replace", lambda self, attempts: None)
+
+
+def forget_silences(monkeypatch):
+    monkeypatch.setattr(ServerSilence, "is_avoided", lambda self, now: False)
+
+
+@functools.cache
+def run_busy(share):
+    """Run a fleet with more requests than retries while servers are silent."""
+    fleet = SilenceFleet(3, Size(8, 4, 6, 100.0))
+    fleet.run(4.0, silence(fleet, 1.5, share, 2.0))
+    return fleet
+
+
+@pytest.mark.parametrize(
+    "change, share, finds",
+    [
+        (end_at_silence, "all", find_losses),
+        (need_no_token, "all", find_excess),
+        (repeat_always, "one", find_repeated),
+        (keep_all, "one", find_late_ends),
+        (forget_silences, "one", find_eager),
+    ],
+)
+def test_the_checks_find_what_they_are_for(monkeypatch, change, share, finds):
+    assert finds(run_busy(share)) == []
+    change(monkeypatch)
+    assert finds(run_busy.__wrapped__(share)) != []
