Add a failing test of a response that ends together with a refusal beside it

A caller gets server_failed although its whole response has arrived: both attempts end in one turn of the event loop, the refusal first. The delivery takes the refusal from its queue, finds no attempt in flight and no retry token, and gives up with the end of the complete response next in the queue. With a token it starts a needless attempt.

--- a/lavendershift/tests/test_silence_schedules.py
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -12,7 +12,7 @@
 from lavendershift.delivery import Delivery
 from lavendershift.serverattempts import ServerAttempt
 from lavendershift.silences import ServerSilence
-from lavendershift.tests.silenceservers import NEVER, make_body
+from lavendershift.tests.silenceservers import NEVER, TICK_S, make_body
 from lavendershift.tests.silencesimulation import (
     SHARES,
     SIZES,
@@ -167,6 +167,20 @@
         assert sum(late) / len(late) < usual / 3
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_a_response_that_ends_together_with_a_refusal_beside_it_is_not_lost(seed):
+    """The last token of the retry budget is spent on the attempt beside."""
+    fleet = SilenceFleet(seed, Size(1, 1, 2, 0.0))
+    fleet.find_vm(0).keep_retries(1.0)
+    schedule = [(0.0, fleet.send, "safe")]
+    for number, server in enumerate(fleet.servers):
+        for_s = 1.5 + number * TICK_S / 4
+        schedule += [(0.17, server.fall_silent, for_s)]
+        schedule += [(1.0, server.refuse_requests, 1.0)]
+    fleet.run(4.0, schedule)
+    assert find_losses(fleet) == []
+
+
 def make_faults(fleet, seed):
     """Return a random schedule of silences and other faults."""
     rng = random.Random(f"faults/{seed}")
