Add a failing test of connections to a server that accepts none

When the time is over for which a silent server is avoided, all requests that a VM gets choose it until the first connection has failed: 21 connections in 300 ms at 75 requests/s, each of which costs its caller up to 300 ms. The trial is recorded when the request is sent, which at a dark server never happens.

--- a/lavendershift/tests/test_silence_schedules.py
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lavendershift.delivery import Delivery
+from lavendershift.preparations import CONNECT_TIMEOUT
 from lavendershift.serverattempts import ServerAttempt
 from lavendershift.silences import ServerSilence
 from lavendershift.tests.silenceservers import NEVER, TICK_S, make_body
@@ -23,6 +24,7 @@
 )
 
 CLOSE_S = 0.4  # time until an attempt is ended beside one that goes on
+CONNECT_S = CONNECT_TIMEOUT.total_seconds()
 RETURN_S = 2.0  # time until a server that goes on is used again
 # Requests of one VM to a server within seconds after the VM noted its silence.
 MOST_TRIALS = {0.9: 1, 2.9: 2, 6.9: 3}
@@ -181,6 +183,19 @@
     assert find_losses(fleet) == []
 
 
+@pytest.mark.parametrize("seed", [3, 6])
+def test_one_request_at_a_time_waits_for_a_connection_to_a_dark_server(seed):
+    fleet = SilenceFleet(seed, Size(2, 2, 3, 150.0))
+    server = fleet.servers[0]
+    fleet.run(3.0, [(1.0, server.fall_silent, NEVER, True)])
+    noted = {vm: at for at, vm, _, is_silent in fleet.noted if is_silent}
+    assert len(noted) == 2
+    for vm, since in noted.items():
+        connects = [at for at, by in server.connects if by is vm and at > since]
+        pairs = zip(connects, connects[1:], strict=False)
+        assert [at for before, at in pairs if at - before < CONNECT_S] == []
+
+
 def make_faults(fleet, seed):
     """Return a random schedule of silences and other faults."""
     rng = random.Random(f"faults/{seed}")
