Add a failing test of retries of VMs that stand by

A request of a VM that stands by, at a server that is dead, waits for its deadline while other servers are sound. The VM's part of the 56 retries of the fleet is 0.14 tokens with 66 VMs, and its bucket never holds a whole one, however many requests it gets. With more than 35 active VMs the same holds for these.

--- a/lavendershift/tests/test_silence_schedules.py
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -196,6 +196,17 @@
         assert [at for before, at in pairs if at - before < CONNECT_S] == []
 
 
+def test_vms_that_stand_by_try_elsewhere_beside_a_dead_server():
+    fleet = SilenceFleet(1, SIZES[66])
+    fleet.run(6.0, silence(fleet, 1.0, "one", NEVER))
+    lost = [
+        f"{call.id} {call.kind} on {call.vm.number}"
+        for call in fleet.calls.values()
+        if call.kind != "once" and not call.is_whole
+    ]
+    assert lost == []
+
+
 def make_faults(fleet, seed):
     """Return a random schedule of silences and other faults."""
     rng = random.Random(f"faults/{seed}")
