Give a VM whose part of the retries is less than one token a chance at one

In fleets of 66 VMs and more, requests at a lost server waited for it until their deadline though other servers were free: a VM's part of the fleet's slack of 56 retries is less than one token there, and its bucket never held a whole one, however many requests it got.

With the change test_retries_of_a_fleet_keep_to_its_slack_and_use_it passes at all four sizes, 20 seeds each.

Less than a token is spent as a whole for a chance of that size at one retry. The sum over all VMs is kept on average, and the fifth that VMs leave unused is well above its spread.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -247,7 +247,7 @@
         budget = self._retries.get(service)
         if budget is None:
             share = self._bounds.share * RETRY_MARGIN
-            budget = self._retries[service] = RetryBudget(share, burst)
+            budget = self._retries[service] = RetryBudget(share, burst, self._rng)
         budget.set_burst(burst)
         return budget
 
--- a/lavendershift/retries.py
+++ b/lavendershift/retries.py
@@ -83,10 +83,19 @@
 class RetryBudget:
     """Token bucket of retries, refilled by a share of the successes.
 
-    From the start on, retries are at most ``burst + share * successes``.
+    From the start on, retries are at most ``burst + share * successes``. A bucket that
+    holds less than one token, the part of one VM in a large fleet, is spent as a whole
+    for a chance of that size at one retry, so that the sum over all VMs is kept on
+    average. Needs ``rng`` for that; without it there are no such retries.
     """
 
-    def __init__(self, share: float = SUCCESS_SHARE, burst: float = BURST) -> None:
+    def __init__(
+        self,
+        share: float = SUCCESS_SHARE,
+        burst: float = BURST,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._rng = rng
         self._share = share
         self._burst = burst
         self._tokens = burst
@@ -111,10 +120,13 @@
 
     def spend(self) -> bool:
         """Take the token of one retry; return ``False`` if there is none."""
-        if not self.has_token:
+        if self.has_token:
+            self._tokens -= 1
+            return True
+        if self._rng is None or self._burst >= 1:
             return False
-        self._tokens -= 1
-        return True
+        chance, self._tokens = self._tokens, 0.0
+        return self._rng.random() < chance
 
 
 class Retries:
--- a/lavendershift/tests/test_retries.py
+++ b/lavendershift/tests/test_retries.py
@@ -99,3 +99,34 @@
         budget.set_burst(2)
         budget.set_burst(12)
     assert sum(budget.spend() for _ in range(12)) == 6
+
+
+@pytest.mark.parametrize("vms", [8, 66, 195, 330])
+def test_retries_of_a_fleet_keep_to_its_slack_and_use_it(vms):
+    """A VM's part of the slack is less than one token in a large fleet.
+
+    Each VM uses 0.8 of its part of what the fleet may use.
+    """
+    ratio, slack, requests = 0.2, 56, 20
+    counts = []
+    for seed in range(20):
+        rng = random.Random(seed)
+        burst = 0.8 * slack / vms
+        budgets = [RetryBudget(0.8 * ratio, burst, rng) for _ in range(vms)]
+        counts.append(sum(b.spend() for b in budgets for _ in range(8)))
+        for budget in budgets:
+            for _ in range(requests):
+                budget.record_success()
+                counts[-1] += budget.spend()
+        assert counts[-1] <= slack + ratio * requests * vms
+    part = 0.8 * (slack + ratio * requests * vms)
+    assert 0.85 * part < sum(counts) / len(counts) <= 1.02 * part
+
+
+def test_less_than_a_token_is_spent_as_a_whole_for_a_chance_at_one():
+    budget = RetryBudget(share=0.0, burst=0.5, rng=random.Random(1))
+    assert sum(budget.spend() for _ in range(100)) <= 1
+    retries = 0
+    for seed in range(1000):
+        retries += RetryBudget(0.0, 0.3, random.Random(seed)).spend()
+    assert 250 < retries < 350
