Send the trial of a quarantined prompt to one server while that is silent

A trial of a prompt that had crashed servers was sent to a second server as soon as the first was silent, and crashed both. The request may be lost now if its server is silent for good, as a trial is one request for one server. The test failed before with 2 runs.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -209,6 +209,8 @@
         is_silent = all(attempt.is_silent for attempt in self._running)
         if not self._running or not is_silent:
             return
+        if self.guard.trial is not None:
+            return  # its prompt may crash each server that it is sent to
         if not self._may_repeat() or not self._may_send_again():
             return
         if not self._start_attempt(is_beside=True):
--- a/lavendershift/platform/tests/test_attemptsbeside.py
+++ b/lavendershift/platform/tests/test_attemptsbeside.py
@@ -27,6 +27,9 @@
 
 def make_delivery(scene, response, repeat=Repeat.ALWAYS, deadline=4, prompt=None):
     request = scene.make_request(deadline=deadline * SECOND)._replace(prompt=prompt)
+    if prompt is not None:
+        entries = [f"{part.id}:{part.tokens}" for part in prompt.parts]
+        request.headers["X-Lavendershift-Prompt-Prefix"] = ",".join(entries)
     return scene.make_delivery(
         response, request=request, repeat=repeat, attempts=3, timeout=deadline * SECOND
     )
@@ -129,6 +132,20 @@
     play(work)
 
 
+def test_trial_of_a_quarantined_prompt_is_sent_to_one_server_while_that_is_silent(play):
+    async def work(scene):
+        servers = [await scene.add_server() for _ in range(2)]
+        for server in servers:
+            server.crash_parts, server.read_s = {"p1"}, 0.8
+        delivery = make_delivery(scene, RecordedResponse(), prompt=PROMPT)
+        delivery.guard.trial = ("p1",)
+        with pytest.raises(RequestError):
+            await delivery.run()
+        assert scene.runs == 1
+
+    play(work)
+
+
 def test_silent_request_without_a_retry_budget_uses_no_connections_and_permits(play):
     async def work(scene):
         scene.retries = 0
