Call no server silent because a request has little time left

A request with little time left is tried elsewhere after half of that time, 0.1 s for a deadline of 0.2 s. That also marked its server as silent: it was avoided for a second, or until it was heard, and its kept connections weren't used. Callers' retries late in their deadlines did this to sound servers. The test failed before. A first wait that is shorter than the usual one now says nothing about the server.

--- a/lavendershift/platform/tests/test_attemptsbeside.py
+++ b/lavendershift/platform/tests/test_attemptsbeside.py
@@ -216,6 +216,21 @@
     play(work)
 
 
+def test_server_is_not_silent_because_a_request_has_little_time_left(play):
+    async def answer_late(received, writer):
+        await asyncio.sleep(0.22)
+        await answer_complete(received, writer)
+
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = answer_late
+        with pytest.raises(RequestError):
+            await make_delivery(scene, RecordedResponse(), deadline=0.2).run()
+        assert not scene.servers.find(server.name).silence.is_open
+
+    play(work)
+
+
 @contextlib.contextmanager
 def listen_without_accepting():
     """Yield an address whose new connections get no reply."""
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -40,6 +40,7 @@
     MAX_EVENT_GAP,
     SilenceMonitor,
     find_first_byte_wait,
+    find_usual_wait,
 )
 
 # Ends of an attempt without a complete response: the connection can't be reused.
@@ -115,6 +116,7 @@
         self._assignment: Assignment | None = None
         self._is_prompt_read = False
         self._is_after_silence = False
+        self._has_short_wait = False
         self._replaced_as: AttemptEnd | None = None
         self._knowledge = ServerKnowledge()
         self._connecting: timedelta | None = None
@@ -232,9 +234,9 @@
     def _make_monitor(self) -> SilenceMonitor:
         assert self._assignment is not None
         left = self.order.deadline - self._clock.elapsed()
-        first = find_first_byte_wait(
-            self.order.route.target, self._assignment.expected, left
-        )
+        target, expected = self.order.route.target, self._assignment.expected
+        first = find_first_byte_wait(target, expected, left)
+        self._has_short_wait = first < find_usual_wait(target, expected)
         monitor = SilenceMonitor(
             asyncio.get_running_loop(),
             first.total_seconds(),
@@ -246,7 +248,9 @@
         return monitor
 
     def _note_silence(self) -> None:
-        self._servers.note_silence(self.server, self._progress_at)
+        # With little time left, the first wait is too short to tell about the server.
+        if not self._has_short_wait or self._progress_at > self._sent_at:
+            self._servers.note_silence(self.server, self._progress_at)
         self._owner.note_silence(self)
 
     def _note_progress(self) -> None:
--- a/lavendershift/silences.py
+++ b/lavendershift/silences.py
@@ -38,12 +38,19 @@
 ) -> timedelta:
     """Return the time without a first byte after which an attempt is silent.
 
+    ``left`` is the time to the deadline, of which half is kept for another attempt.
+    """
+    return min(find_usual_wait(target, expected), left / 2)
+
+
+def find_usual_wait(target: timedelta, expected: timedelta) -> timedelta:
+    """Return the time without a first byte after which a server may be silent.
+
     It grows with the ``expected`` latency, so that a server isn't taken for silent if
-    it is slow because other prompts are queued there before this request's. ``left`` is
-    the time to the deadline, of which half is kept for another attempt.
+    it is slow because other prompts are queued there before this request's.
     """
     usual = max(target * FIRST_BYTE_FACTOR, MIN_FIRST_BYTE_WAIT)
-    return min(max(usual, expected * EXPECTED_FACTOR), left / 2)
+    return max(usual, expected * EXPECTED_FACTOR)
 
 
 class SilenceMonitor:
