Import the decoding of requests from its own module in two test modules

Since requests are decoded in a module of their own, both test modules failed to be collected (ImportError: parse_deadline, choose_status), so none of their tests ran.

--- a/lavendershift/platform/tests/test_odddecoding.py
+++ b/lavendershift/platform/tests/test_odddecoding.py
@@ -12,7 +12,7 @@
 from lavendershift.connections import _parse_keep_alive
 from lavendershift.errors import DecodeError, RequestError
 from lavendershift.platform import names
-from lavendershift.platform.callers import parse_deadline, parse_prompt
+from lavendershift.platform.callerrequests import parse_deadline, parse_prompt
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.grants import decode_record
 from lavendershift.platform.leases import decode_snapshot
--- a/lavendershift/platform/tests/test_staleresponses.py
+++ b/lavendershift/platform/tests/test_staleresponses.py
@@ -11,7 +11,7 @@
 
 from lavendershift.attempts import AttemptEnd
 from lavendershift.errors import Ran, RequestError
-from lavendershift.platform.callers import choose_status
+from lavendershift.platform.callerresponses import choose_status
 from lavendershift.platform.tests.conftest import SECOND, RecordedResponse
 from lavendershift.routes import Repeat
 from lavendershift_standins.platformserver import (
