End the first of two attempts at a stream once the second has begun

Two servers worked on one resumed stream until the second one's first event, for as long as its prompt waited there: trials with a second server that sends its head at once and events after 0.6 s and 1.0 s had the first still at work 0.61 s and 1.01 s after the second got the request.

The second now replaces the first 300 ms after its head at the latest. A second server that has not begun costs the first nothing (test_silent_stream_is_kept_while_the_next_server_has_ not_begun), and plain requests are not affected.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -45,6 +45,9 @@
 RESPONSE_RESERVE = timedelta(milliseconds=20)
 # Interval at which a silent request is tried elsewhere while that is not possible.
 BESIDE_INTERVAL = timedelta(milliseconds=250)
+# Time from the head of a resumed stream until its server alone has the request, so that
+# two servers don't work on one stream for longer.
+STREAM_OVERLAP = timedelta(milliseconds=300)
 
 
 class _Change(NamedTuple):
@@ -113,6 +116,7 @@
         self._changes: asyncio.Queue[_Change] = asyncio.Queue()
         self._is_answered = False
         self._beside_timer: asyncio.TimerHandle | None = None
+        self._overlap_timer: asyncio.TimerHandle | None = None
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
         self._last_events_at: timedelta | None = None
@@ -300,8 +304,9 @@
             self._replaced.append(task)
 
     async def _cancel_attempts(self) -> None:
-        if self._beside_timer is not None:
-            self._beside_timer.cancel()
+        for timer in (self._beside_timer, self._overlap_timer):
+            if timer is not None:
+                timer.cancel()
         for task in self._running.values():
             task.cancel()
         tasks = [*self._running.values(), *self._replaced]
@@ -322,9 +327,20 @@
         return None
 
     def note_answer(self, attempt: ServerAttempt) -> None:
-        """End the other attempts, as the response of one is complete."""
+        """End the other attempts, as this one has the response."""
         self._replace(other for other in self._running if other is not attempt)
 
+    def note_begin(self, attempt: ServerAttempt) -> None:
+        """Handle the head of a stream, whose server has begun with the request."""
+        if attempt.order.is_beside and self.route.repeat is Repeat.RESUME:
+            self._overlap_timer = asyncio.get_running_loop().call_later(
+                STREAM_OVERLAP.total_seconds(), self._end_overlap, attempt
+            )
+
+    def _end_overlap(self, attempt: ServerAttempt) -> None:
+        if attempt in self._running:
+            self.note_answer(attempt)
+
     def note_silence(self, attempt: ServerAttempt) -> None:
         """Handle an attempt that falls silent."""
         self._changes.put_nowait(_Change())
