--- a/lavendershift/tests/silenceservers.py
+++ b/lavendershift/tests/silenceservers.py
@@ -93,6 +93,14 @@
         self.is_dark = is_dark
         self.silences.append((now, self.silent_until))
 
+    def measure_speech(self, flight):
+        """Return how long the server was not silent while it had a request."""
+        speech, at = 0.0, flight.sent_at
+        for since, until in [*sorted(self.silences), (NEVER, NEVER)]:
+            speech += max(min(since, flight.ended_at) - at, 0.0)
+            at = max(at, until)
+        return speech
+
     def refuse_requests(self, for_s):
         self.refuses_until = self.loop.time() + for_s
 
