--- a/lavendershift/decoding.py
+++ b/lavendershift/decoding.py
@@ -74,6 +74,8 @@
     """
     try:
         return decode()
+    except msgspec.MsgspecError as error:
+        raise DecodeError(location, str(error)[:MAX_REASON_LENGTH]) from None
     except Exception as error:
         reason = f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH]
         raise DecodeError(location, reason) from None
--- a/lavendershift/platform/leases.py
+++ b/lavendershift/platform/leases.py
@@ -25,13 +25,14 @@
 # A time in µs; the largest is below the end of the calendar.
 MAX_MICROSECONDS = 10**17
 Microseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_MICROSECONDS)]
+Offset = Annotated[int, msgspec.Meta(ge=-MAX_MICROSECONDS, le=MAX_MICROSECONDS)]
 Period = Annotated[int, msgspec.Meta(ge=1, le=MAX_MICROSECONDS)]
 
 
 class _SnapshotValue(msgspec.Struct):
     incarnation: str
     boot: str
-    at_us: Microseconds  # µs from the boot to the snapshot
+    at_us: Offset  # µs from the boot to the snapshot, by a clock with any start
     written_us: Microseconds  # Unix time of the snapshot in µs
     # Unspent tokens, burst and tokens/s of each customer.
     entries: dict[str, tuple[Count, Rate, Rate]]
