--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,12 +51,12 @@
 }
 # Requests/s of each zone's callers.
 RATES = {"rennes": 19.0, "quimper": 19.0, "brest": 10.0}
-ROLLED, GAP_S = 4, 1.0  # VMs that are restarted in a row, and the time between
+ROLLED, GAP_S = 3, 1.0  # VMs that are restarted in a row, and the time between
 PAUSE_S = 1.5
 RETURN_AFTER_S = 3.0  # from SIGTERM until a VM returns its tokens
 SLOW_AT_S = 2.7  # from the first stop to the slow time of the store
-SLOWNESS, SLOW_S = 12.0, 5.0  # factor on the store's answers, and for how long
-MAX_WINDOWS = 7  # slow times of the store in one run
+SLOWNESS, SLOW_S = 14.0, 4.0  # factor on the store's answers, and for how long
+MAX_WINDOWS = 8  # slow times of the store in one run
 DOWN_S = 0.3  # time from the kill to the start of the next process
 TOKENS = (300, 100)  # prompt and most output of a usual request
 EVENT_TOKENS = 5  # tokens of each event of the servers
@@ -86,10 +86,8 @@
         self.statuses: collections.Counter[int] = collections.Counter()
         self.addresses: dict[str, list[str]] = {}
         self.granted: dict[str, int] = {}
-        self.lost_at: dict[str, list[float]] = collections.defaultdict(list)
-        self.suspects: set[str] = set()
+        self.lost_races: collections.Counter[str] = collections.Counter()
         self.return_at: dict[str, float] = {}
-        self.written_at: dict[str, float] = {}
         self.victim: asyncio.Future[Vm] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -99,22 +97,14 @@
         """Count the lost races for lease snapshots of each VM."""
         if topic != "keyed.passbooks":
             return
-        name = records[0][0].decode()
-        self.lost_at[name].append(time.monotonic())
-        if name in self.suspects and self.victim is not None:
-            self.suspects.discard(name)
-            if not self.victim.done():
-                self.victim.set_result(self.deployment.find_vm(name))
+        self.lost_races[records[0][0].decode()] += 1
 
     def note_append(
         self, topic: str, part: int, records: list[tuple[bytes, bytes]], offset: int
     ) -> None:
         """Watch for a VM that returns tokens after five lost races."""
         if topic == "keyed.passbooks":
-            name = records[0][0].decode()
-            self.lost_at[name].clear()
-            self.written_at[name] = time.monotonic()
-            self.suspects.discard(name)
+            self.lost_races[records[0][0].decode()] = 0
         if topic != "keyed.grants":
             return
         for key, value in records:
@@ -124,16 +114,16 @@
             self.granted[customer] = quota["granted"]
             if returned >= LEAST_RETURN and self.has_lost_snapshot(name):
                 text = f"{name} returned {returned} tokens of {customer}"
-                self.record.write(f"{text} after {len(self.lost_at[name])} lost races")
-                self.suspects.add(name)
+                self.record.write(f"{text} after {self.lost_races[name]} lost races")
+                if self.victim is not None and not self.victim.done():
+                    self.victim.set_result(self.deployment.find_vm(name))
 
     def has_lost_snapshot(self, name: str) -> bool:
-        """Whether a VM that stops has written no lease snapshot since it returns."""
+        """Whether a VM that stops has lost five races for its lease snapshot."""
         return_at = self.return_at.get(name)
         if return_at is None or time.monotonic() < return_at:
             return False
-        lost = [at for at in self.lost_at[name] if at >= return_at]
-        return 5 <= len(lost) < 12 and self.written_at.get(name, 0) < return_at
+        return self.lost_races[name] >= 5
 
     async def use(
         self,
--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,135 @@
+"""Tokens are returned without a lease snapshot after the answer to one was lost."""
+
+import asyncio
+import contextlib
+import importlib
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+
+from review.standins.deployment import Record, has_trouble, stop_at_signals
+from review.standins.vms import Vm
+
+shared = importlib.import_module("review.1.case")
+
+FOLDER = Path(__file__).parent
+ZONES = {"rennes": [1, 2, 3], "quimper": [1, 2, 3], "brest": [1, 2]}
+RATES = {"rennes": 5.0, "quimper": 5.0, "brest": 5.0}
+LOST_SHARE, LOST_S = 0.35, 4.5  # share of the store's lost answers, and for how long
+MAX_STARTS = 6  # starts of all VMs in one run
+PAUSE_S = 3.0
+LEAST_RETURN = 200_000  # tokens of a return after which a VM is killed
+
+
+class LostAnswers(shared.Case):  # type: ignore[misc, name-defined]
+    """Starts all VMs while answers of the store are lost."""
+
+    def __init__(self, record: Record) -> None:
+        super().__init__(record)
+        self.deployment = shared.Deployment(record, ZONES, shared.PARTS)
+        self.unanswered: set[str] = set()
+
+    def note_lost(
+        self, topic: str, part: int, records: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Note the lost answer to a lease snapshot of a VM."""
+        if topic == "keyed.passbooks":
+            self.unanswered.add(records[0][0].decode())
+
+    def note_append(
+        self, topic: str, part: int, records: list[tuple[bytes, bytes]], offset: int
+    ) -> None:
+        """Watch for a VM that returns tokens after a snapshot without an answer."""
+        if topic == "keyed.passbooks":
+            self.unanswered.discard(records[0][0].decode())
+        if topic != "keyed.grants":
+            return
+        for key, value in records:
+            customer, quota = key.decode(), json.loads(value)
+            name = quota["change"].split("/")[0]
+            returned = self.granted.get(customer, 0) - quota["granted"]
+            self.granted[customer] = quota["granted"]
+            if returned >= LEAST_RETURN and name in self.unanswered:
+                text = f"{name} returned {returned} tokens of {customer}"
+                self.record.write(f"{text} after a lease snapshot without an answer")
+                if self.victim is not None and not self.victim.done():
+                    self.victim.set_result(self.deployment.find_vm(name))
+
+    async def play_start(self) -> None:
+        """Play the first seconds after a start, and kill a VM that returns tokens."""
+        store = self.deployment.store
+        self.victim = asyncio.get_running_loop().create_future()
+        if has_trouble():
+            store.lost_share = LOST_SHARE
+            self.record.write(f"{LOST_SHARE} of the answers to appends are lost")
+        for vm in self.deployment.vms:
+            await vm.start()
+        started = time.monotonic()
+        restart: asyncio.Future[None] | None = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOST_S):
+                victim: Vm = await self.victim
+                if has_trouble():
+                    victim.send(signal.SIGKILL)
+                    self.record.write(f"{victim.name} is killed")
+                    restart = asyncio.ensure_future(self.restart(victim))
+        await asyncio.sleep(max(started + LOST_S - time.monotonic(), 0))
+        store.lost_share = 0.0
+        self.record.write("all answers arrive")
+        if restart is not None:
+            await restart
+        for vm in self.deployment.vms:
+            await vm.wait_ready()
+        await asyncio.sleep(PAUSE_S)
+
+    async def run(self) -> int:
+        """Run the case; return the exit code."""
+        deployment = self.deployment
+        deployment.store.on_append = self.note_append
+        deployment.store.on_lost = self.note_lost
+        background = []
+        try:
+            await deployment.prepare({"pool": 3}, shared.CONFIGURATION)
+            for server in deployment.servers["pool"]:
+                server.default = shared.respond
+            for zone in ZONES:
+                for work in (self.follow_directory, self.send_requests):
+                    background.append(asyncio.ensure_future(work(zone)))
+            self.rates = RATES
+            for number in range(MAX_STARTS if has_trouble() else 2):
+                if number:
+                    self.record.write("all VMs are stopped with SIGTERM")
+                    await asyncio.gather(*(vm.stop() for vm in deployment.vms))
+                await self.play_start()
+            await self.spend_rest()
+            self.record_adoptions()
+            return self.judge()
+        finally:
+            for task in [*background, *self.tasks]:
+                task.cancel()
+            await deployment.stop()
+
+    def record_adoptions(self) -> None:
+        """Write down the adoptions that the VMs have logged."""
+        for vm in self.deployment.vms:
+            for line in vm.log.read_text().splitlines():
+                if "tokens_adopted" in line:
+                    self.record.write(f"log of {vm.name}: {line}")
+
+
+def main() -> None:
+    """Run the case and exit with its code."""
+    stop_at_signals()
+    record = Record(FOLDER)
+    try:
+        code = asyncio.run(LostAnswers(record).run())
+    except (Exception, KeyboardInterrupt) as error:
+        record.write(f"the case couldn't run: {error!r}")
+        code = 2
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
