--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import json
 import random
 import signal
@@ -56,7 +57,7 @@
 RETURN_AFTER_S = 3.0  # from SIGTERM until a VM returns its tokens
 SLOW_AT_S = 2.7  # from the first stop to the slow time of the store
 SLOWNESS, SLOW_S = 14.0, 4.0  # factor on the store's answers, and for how long
-MAX_WINDOWS = 8  # slow times of the store in one run
+WINDOWS_UNTIL_S = 78.0  # time from the start at which no slow time of the store begins
 DOWN_S = 0.3  # time from the kill to the start of the next process
 TOKENS = (300, 100)  # prompt and most output of a usual request
 EVENT_TOKENS = 5  # tokens of each event of the servers
@@ -266,10 +267,11 @@
                     background.append(asyncio.ensure_future(work(zone)))
             self.rates = RATES
             await asyncio.sleep(PAUSE_S)
-            order = deployment.vms * MAX_WINDOWS
-            for number in range(MAX_WINDOWS if has_trouble() else 2):
-                rolled = order[number * ROLLED : (number + 1) * ROLLED]
-                await self.play_window(rolled)
+            started = time.monotonic()
+            order = itertools.cycle(deployment.vms)
+            until_s = WINDOWS_UNTIL_S if has_trouble() else WINDOWS_UNTIL_S / 4
+            while time.monotonic() - started < until_s:
+                await self.play_window(list(itertools.islice(order, ROLLED)))
             await self.spend_rest()
             for vm in deployment.vms:
                 for line in vm.log.read_text().splitlines():
