--- a/review/1/case.py
+++ b/review/1/case.py
@@ -124,7 +124,7 @@
         return_at = self.return_at.get(name)
         if return_at is None or time.monotonic() < return_at:
             return False
-        return self.lost_races[name] >= 5
+        return 5 <= self.lost_races[name] < 15
 
     async def use(
         self,
@@ -191,30 +191,27 @@
         await vm.wait_ready()
 
     async def play_window(self, vms: list[Vm]) -> None:
-        """Restart VMs one after the other, and kill one that has lost a snapshot."""
+        """Restart VMs one after the other, and kill those that have lost a snapshot."""
         self.victim = asyncio.get_running_loop().create_future()
-        rolls = []
-        for number, vm in enumerate(vms):
-            work = self.roll(vm, number * GAP_S)
-            rolls.append((asyncio.ensure_future(work), vm))
+        rolls = [
+            asyncio.ensure_future(self.roll(vm, number * GAP_S))
+            for number, vm in enumerate(vms)
+        ]
         await asyncio.sleep(SLOW_AT_S)
         if has_trouble():
             self.deployment.store.slowness = SLOWNESS
             self.record.write(f"the store's answers take {SLOWNESS} times as long")
-        started = time.monotonic()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SLOW_S):
-                victim = await self.victim
-                if has_trouble():
+                while has_trouble():
+                    victim = await self.victim
+                    self.victim = asyncio.get_running_loop().create_future()
                     victim.send(signal.SIGKILL)
                     self.record.write(f"{victim.name} is killed")
-                    if all(roll.done() or vm is not victim for roll, vm in rolls):
-                        work = self.restart(victim)
-                        rolls.append((asyncio.ensure_future(work), victim))
-        await asyncio.sleep(max(started + SLOW_S - time.monotonic(), 0))
+                await asyncio.sleep(SLOW_S)
         self.deployment.store.slowness = 1.0
         self.record.write("the store's answers take their usual time")
-        await asyncio.gather(*(roll for roll, _ in rolls))
+        await asyncio.gather(*rolls)
         await asyncio.sleep(PAUSE_S)
 
     async def spend_rest(self) -> None:
