--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=.:target/deps
+exec python3 -m review.2.case
