--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import sys
+import time
 from pathlib import Path
 
 from review.standins.deployment import Record, has_trouble, stop_at_signals
@@ -23,10 +24,11 @@
 }
 ZONES = {"rennes": [1, 2, 3], "quimper": [1, 2, 3], "brest": [1, 2]}
 RATES = {"rennes": 2.0, "quimper": 2.0, "brest": 2.0}  # requests/s of callers
-LOST_SHARE, LOST_S = 0.35, 4.5  # share of the store's lost answers, and for how long
-LOST_AT_S = 0.7  # from the start of the processes
-MAX_STARTS = 6  # starts of all VMs in one run
-PAUSE_S = 3.0
+LOST_SHARE, LOST_S = 0.35, 3.2  # share of the store's lost answers, and for how long
+LOST_AT_S = 0.5  # from the start of the processes
+FIRST_PART = 4_000_000  # tokens that are used before the first trial
+STARTS_UNTIL_S = 80.0  # time from which no more starts are played
+PAUSE_S = 1.0
 LEAST_RETURN = 200_000  # tokens of a return after which a VM is killed
 
 
@@ -37,6 +39,7 @@
         super().__init__(record)
         self.deployment = shared.Deployment(record, ZONES, shared.PARTS)
         self.unanswered: set[str] = set()
+        self.has_killed = False
 
     def note_lost(
         self, topic: str, part: int, records: list[tuple[bytes, bytes]]
@@ -64,6 +67,18 @@
                 if self.victim is not None and not self.victim.done():
                     self.victim.set_result(self.deployment.find_vm(name))
 
+    async def use_first_part(self) -> None:
+        """Start all VMs, and use a part of the total without any disruption."""
+        for vm in self.deployment.vms:
+            await vm.start()
+        for vm in self.deployment.vms:
+            await vm.wait_ready()
+        addresses = [f"{vm.ip}:{vm.front}" for vm in self.deployment.vms]
+        while self.used[TENANTS[0]] < FIRST_PART:
+            status = await self.use(addresses[0], TENANTS[0], 200_000, 25)
+            await asyncio.sleep(0 if status == 200 else 0.25)
+        self.record.write(f"{self.used[TENANTS[0]]} tokens are used")
+
     async def play_start(self) -> None:
         """Play the first seconds after a start, and kill a VM that returns tokens."""
         store = self.deployment.store
@@ -90,6 +105,7 @@
             victim: Vm = await self.victim
             victim.send(signal.SIGKILL)
             self.record.write(f"{victim.name} is killed")
+            self.has_killed = True
             task = asyncio.ensure_future(self.restart(victim))
             self.tasks.add(task)
             self.victim = asyncio.get_running_loop().create_future()
@@ -107,12 +123,13 @@
             for zone in ZONES:
                 for work in (self.follow_directory, self.send_requests):
                     background.append(asyncio.ensure_future(work(zone)))
+            await self.use_first_part()
             self.rates = RATES
-            for number in range(MAX_STARTS if has_trouble() else 2):
-                if number:
-                    self.record.write("all VMs are stopped with SIGTERM")
-                    await asyncio.gather(*self.tasks, return_exceptions=True)
-                    await asyncio.gather(*(vm.stop() for vm in deployment.vms))
+            started = time.monotonic()
+            until_s = STARTS_UNTIL_S if has_trouble() else STARTS_UNTIL_S / 5
+            while time.monotonic() - started < until_s and not self.has_killed:
+                self.record.write("all VMs are stopped with SIGTERM")
+                await asyncio.gather(*(vm.stop() for vm in deployment.vms))
                 await self.play_start()
             await self.spend_rest()
             self.record_adoptions()
