--- a/review/1/case.py
+++ b/review/1/case.py
@@ -90,7 +90,7 @@
         if has_trouble():
             store.lost_share = LOST_SHARE
             self.record.write(f"{LOST_SHARE} of the answers to appends are lost")
-        watching = asyncio.ensure_future(self.kill_victims())
+        watching = asyncio.ensure_future(self.kill_victim())
         await asyncio.sleep(LOST_S)
         store.lost_share = 0.0
         self.record.write("all answers arrive")
@@ -99,16 +99,15 @@
         for vm in self.deployment.vms:
             await vm.wait_ready()
 
-    async def kill_victims(self) -> None:
-        """Kill the VMs that are found, and start their next processes."""
-        while has_trouble():
+    async def kill_victim(self) -> None:
+        """Kill the first VM that is found, and start its next process."""
+        if has_trouble():
             victim: Vm = await self.victim
             victim.send(signal.SIGKILL)
             self.record.write(f"{victim.name} is killed")
             self.has_killed = True
             task = asyncio.ensure_future(self.restart(victim))
             self.tasks.add(task)
-            self.victim = asyncio.get_running_loop().create_future()
 
     async def run(self) -> int:
         """Run the case; return the exit code."""
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -51,7 +51,7 @@
     ],
 }
 # Requests/s of each zone's callers.
-RATES = {"rennes": 19.0, "quimper": 19.0, "brest": 10.0}
+RATES = {"rennes": 19.0, "quimper": 19.0, "brest": 10}
 ROLLED, GAP_S = 3, 1.0  # VMs that are restarted in a row, and the time between
 PAUSE_S = 1.5
 RETURN_AFTER_S = 3.0  # from SIGTERM until a VM returns its tokens
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -3,7 +3,7 @@
 Answers take ``ANSWER_S``, or ``slowness`` times as long while the store is slow. An
 append is executed when it arrives, after those that wait in its partition, and its
 answer follows later. While answers are lost, ``lost_share`` of the appends are executed
-and not answered, and their connections return nothing further.
+and not answered, and their connections return nothing more.
 """
 
 import asyncio
