Judge refusals of escaped paths like the calls themselves

Callers of our own interface could read that nothing ran under their key although an earlier submission may have: whether a refused call may be repeated was decided from the escaped path, while the call is made by the unescaped one, so that POST /services/approvals/pr%6Fofs/9 counted as repeatable in its refusal only. Both use the path as tornado has unescaped it. Two of the three cases of the new test failed before.

--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -262,7 +262,8 @@
         """Return whether the call has no idempotency key or is repeatable."""
         if not self.request.headers.get("Idempotency-Key"):
             return True
-        name, _, path = self.request.path.removeprefix("/services/").partition("/")
+        # The unescaped ones, as for the call itself.
+        name, path = self.path_args
         service = self.router.configuration.services().get(name)
         method = self.request.method or "GET"
         return service is not None and service.is_repeatable(method, f"/{path}")
