Serve waiting customers in turn after virtual times were dropped

Beyond 1,024 customers the virtual times that aren't ahead of the current one are dropped. A customer that still waited counted from zero then, and was served alone until it had caught up: in the new test all of 20 turns. Customers without a stored time are at the current one, which is exact, as none that waits is behind it.

--- a/lavendershift/fairness.py
+++ b/lavendershift/fairness.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 # Number of stored virtual times above which those that are not ahead of the
-# current virtual time are dropped; their customers owe nothing.
+# current virtual time are dropped; a customer without one is at the current time.
 MAX_VIRTUAL_TIMES = 1024
 
 
@@ -24,16 +24,19 @@
 
     def activate(self, customer: str) -> None:
         """Raise a customer that has requests again to the current virtual time."""
-        self._times[customer] = max(self._times.get(customer, 0.0), self._now)
+        self._times[customer] = max(self._find_time(customer), self._now)
 
     def choose(self, customers: Iterable[str]) -> str:
         """Return the customer to serve next; ``customers`` must not be empty."""
-        return min(customers, key=lambda c: (self._times.get(c, 0.0), c))
+        return min(customers, key=lambda c: (self._find_time(c), c))
 
     def charge(self, customer: str, cost: float, weight: float) -> None:
         """Advance the virtual time of ``customer`` by a request of ``cost``."""
-        start = max(self._times.get(customer, 0.0), 0.0)
+        start = self._find_time(customer)
         self._now = max(self._now, start)
         self._times[customer] = start + cost / max(weight, 1e-9)
         if len(self._times) > MAX_VIRTUAL_TIMES:
             self._times = {c: t for c, t in self._times.items() if t > self._now}
+
+    def _find_time(self, customer: str) -> float:
+        return self._times.get(customer, self._now)
