Skip log lines without a VM in explain

`lavendershift explain` ended with a KeyError at a line that has a time and an event but no VM, as of another program in the same file. Such a line is skipped like all others that are no event; the test of skipped lines has one and failed before.

--- a/lavendershift/commands/explain.py
+++ b/lavendershift/commands/explain.py
@@ -32,6 +32,8 @@
 )
 # Values that end the state of an earlier event
 ENDED = frozenset({"unlimited", "parts_released"})
+# Fields without which a line is no event
+REQUIRED_FIELDS = frozenset({"time", "event", "vm"})
 # Fields that ``format_event`` prints without their name, or not at all
 COMMON_FIELDS = frozenset(
     {"time", "level", "event", "vm", "failure_domain", "request", "customer"}
@@ -74,7 +76,7 @@
                     line = json.loads(text[start:])
                 except ValueError:
                     continue
-                if isinstance(line, dict) and "event" in line and "time" in line:
+                if isinstance(line, dict) and line.keys() >= REQUIRED_FIELDS:
                     yield line
 
 
--- a/lavendershift/tests/test_explain.py
+++ b/lavendershift/tests/test_explain.py
@@ -65,7 +65,9 @@
 def test_lines_without_event_are_skipped(tmp_path):
     path = tmp_path / "edge-1.log"
     path.write_text(
-        "not a line\n  0.5 edge-1 " + json.dumps(LINES[3]) + '\n{"cut off\n[1]\n'
+        "not a line\n  0.5 edge-1 "
+        + json.dumps(LINES[3])
+        + '\n{"cut off\n[1]\n{"time": "05", "event": "request_refused"}\n'
     )
     assert list(read_lines([path])) == [LINES[3]]
     assert "error=budget_pending" in format_event(LINES[3])
