--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 install: $(VENV)/.installed
 
 test: install
-	$(BIN)/pytest -n 4
+	$(BIN)/pytest -n 4 -rx
 
 check: install
 	$(BIN)/ruff format --check .
