Say when to return to a router over its connection limit

The 503 response to a connection over the limit had no Retry-After, unlike every other refusal of its kind. The test of the limit checks it, and failed before.

--- a/lavendershift/callerserver.py
+++ b/lavendershift/callerserver.py
@@ -1,5 +1,7 @@
 """The HTTP server for callers, with a limit on open connections."""
 
+import math
+from datetime import timedelta
 from typing import Any
 
 import msgspec
@@ -69,8 +71,10 @@
     error = RequestError(ErrorKind.OVERLOADED, "connections")
     signals.request_refused.send(stream, context=None, error=error)
     body = msgspec.json.encode(describe_error(error))
+    retry_after = error.answer.retry_after or timedelta()
     head = (
         f"HTTP/1.1 {error.answer.status} Service Unavailable\r\n"
+        f"Retry-After: {math.ceil(retry_after.total_seconds())}\r\n"
         "Content-Type: application/json\r\n"
         f"Content-Length: {len(body)}\r\n"
         f"Ran: {error.answer.ran.value}\r\n"
--- a/lavendershift/tests/test_callers.py
+++ b/lavendershift/tests/test_callers.py
@@ -167,6 +167,7 @@
         status, headers, body = await send_request(bench, REQUEST)
         assert (status, headers["ran"]) == (503, "no")
         assert body["error"]["code"] == "overloaded"
+        assert headers["retry-after"] == "2"
         assert len(bench.engine.writers) == 3
         for _, writer in streams:
             writer.close()
