--- a/lavendershift/commands/budgets.py
+++ b/lavendershift/commands/budgets.py
@@ -163,7 +163,8 @@
 
     def __call__(self) -> int:
         """Publish the top-ups."""
-        if (self.file is None) == (self.budget is None or self.tokens is None):
+        given = [value is not None for value in (self.budget, self.tokens)]
+        if any(given) if self.file is not None else not all(given):
             print("expected either a budget and tokens, or --file", file=sys.stderr)
             return ExitCode.UNKNOWN
         if self.file is None:
