--- a/lavendershift/tests/test_commands.py
+++ b/lavendershift/tests/test_commands.py
@@ -407,6 +407,6 @@
     assert "does not answer" in err
     assert log.end("config") == 0
     assert run("budgets", "top-up")[0] == 2
-    for given in (["plume"], ["plume", 100]):
-        assert run("budgets", "top-up", *given, "--file", tree)[0] == 2
+    for words in (["plume"], ["plume", 100]):
+        assert run("budgets", "top-up", *words, "--file", tree)[0] == 2
     assert run("nonsense")[0] == 2
