Log when a stop reached each stage, and what was in flight then

A stop wrote one line at its signal, and one with a count of cut requests, so that the log could not tell whether the store held it up, nor at which stage requests were when their time was over. Each stage has a line with the time since the signal and the number of connections at each stage. No change of what a stop does.

--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -76,7 +76,9 @@
     Event.PROCESS_STARTED: EventInfo(
         "notice", "All components of the process are running."
     ),
-    Event.PROCESS_STOPPING: EventInfo("notice", "A graceful shutdown started."),
+    Event.PROCESS_STOPPING: EventInfo(
+        "notice", "A graceful shutdown started or reached its next stage."
+    ),
     Event.PROCESS_STOPPED: EventInfo(
         "notice", "All components of the process have stopped."
     ),
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -101,6 +101,7 @@
         self._instruments = Instruments()
         self._tasks: list[asyncio.Task[None]] = []
         self._is_leaving = False
+        self._stop_requested_at: timedelta | None = None
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._connections = ConnectionPool(clock)
         self._store = StoreClient(
@@ -335,24 +336,47 @@
             await asyncio.sleep(IDLE_SWEEP_INTERVAL.total_seconds())
             self._connections.drop_stale()
 
+    def request_stop(self) -> None:
+        """Ask the process to drain and stop."""
+        if self._stop_requested_at is None:
+            self._stop_requested_at = self._clock.elapsed()
+        super().request_stop()
+
     async def drain(self) -> None:
         """Leave the list of VMs, then wait until requests in flight end."""
         deadline = self._clock.elapsed() + self._settings.grace - EXIT_RESERVE
-        self._log.write(Event.PROCESS_STOPPING)
+        self._note_stop("requested")
         self._is_leaving = True
         self._vms.set_own(self._vms.own._replace(is_leaving=True))
         self._callers.announce_leaving()
         self._gossip.announce_leaving(self._vms.list_peers(self._vms.list_names()))
         with contextlib.suppress(LogUnavailableError):
-            await self._presence.renew()
+            if await self._presence.renew():
+                self._note_stop("announced")
         await asyncio.sleep(LISTEN_AFTER_STOP.total_seconds())
         self._callers.stop_listening()
+        self._note_stop("closed")
         self._draws.return_all()
         remaining = deadline - self._clock.elapsed()
-        running = await self._callers.end_connections(remaining)
+        await self._callers.end_connections(remaining)
+        self._note_stop("ended")
         await asyncio.sleep(FLUSH_TIME.total_seconds())
-        if running:
-            self._log.write(Event.PROCESS_STOPPING, reason=f"{running} requests cut")
+        self._note_stop("flushed")
+
+    def _note_stop(self, stage: str) -> None:
+        """Log a stage of the stop, and how far callers' requests have come."""
+        now = self._clock.elapsed()
+        since = now - (self._stop_requested_at or now)
+        counts = self._callers.count_stages()
+        self._log.write(
+            Event.PROCESS_STOPPING,
+            stage=stage,
+            reason=" ".join(
+                f"{request_stage.value}={count}"
+                for request_stage, count in counts.items()
+            ),
+            duration_ms=in_milliseconds(since),
+        )
 
     def reload(self, path: Path) -> None:
         """Reload the settings, except for the addresses.
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 import sys
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
@@ -26,7 +27,7 @@
 
 from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import Clock
-from lavendershift.connectionreports import ConnectionEnd, EndCause
+from lavendershift.connectionreports import ConnectionEnd, EndCause, Stage
 from lavendershift.decoding import MAX_INTEGER, parse_count
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.gateway import Gateway
@@ -261,6 +262,11 @@
             self._http.accept_pending()
             self._http.stop()
 
+    def count_stages(self) -> Counter[Stage]:
+        """Return how many connections with a request are at each stage."""
+        stages = (stream.find_stage() for stream in self._streams)
+        return Counter(stage for stage in stages if stage is not Stage.IDLE)
+
     async def end_connections(self, timeout: timedelta) -> int:
         """Wait until no connection has a request, then close them all.
 
--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -75,6 +75,12 @@
         """Return whether bytes were received that the process hasn't read."""
         return self._peek() > 0
 
+    def find_stage(self) -> Stage:
+        """Return how far the latest request has come; a closed connection is idle."""
+        if self.closed():
+            return Stage.IDLE
+        return self._find_stage(self._read_buffer_size + self._peek())
+
     def note_waiting(self) -> None:
         """Note that the connection is ready for a request."""
         self._idle_since = self._clock.elapsed()
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -19,7 +19,7 @@
 from lavendershift.logs import Event, EventLog
 from lavendershift.platform import names
 from lavendershift.platform.feeds import Feed, TopicReader
-from lavendershift.platform.store import Record, StoreClient
+from lavendershift.platform.store import AppendResult, Record, StoreClient
 from lavendershift.vmlist import VmList, VmRow
 
 RENEWAL_INTERVAL = timedelta(milliseconds=1200)  # interval between two rows of this VM
@@ -68,8 +68,11 @@
             await self.renew()
             await asyncio.sleep(RENEWAL_INTERVAL.total_seconds())
 
-    async def renew(self, is_leaving: bool = False) -> None:
-        """Write the row once; the next renewal makes up for a failed one."""
+    async def renew(self, is_leaving: bool = False) -> bool:
+        """Write the row once; return whether it is known to be stored.
+
+        The next renewal makes up for a failed one.
+        """
         own = self._vms.own
         row = own._replace(
             renewal=own.renewal + 1,
@@ -95,7 +98,8 @@
             row.is_active,
         )
         record = (row.name.encode(), msgspec.json.encode(value))
-        await self._store.append(names.VMS_TOPIC, 0, [record])
+        result, _ = await self._store.append(names.VMS_TOPIC, 0, [record])
+        return result is AppendResult.DONE
 
 
 class PresenceFeed(Feed):
