Measure the pauses of the event loop, and the cost of a new table

Nothing told whether requests that were cut together, or a version of the configuration that came late, were due to an event loop that stood still. A meter now sleeps for 50 ms again and again and takes its lateness for a pause: a histogram, the longest one as a gauge, and at most ten log lines in 10 s of pauses over 100 ms, with the processor time used meanwhile and the longest part that was being applied. The line of a new configuration has its routes, its bytes, the time it took to arrive and the time from then until it was in force.

The limit on log lines was part of the reports of skipped input, and is a class of its own now. No change of logic; tests in virtual time.

--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -95,6 +95,9 @@
     "vms": Instrument("VMs known, this one included."),
     "vms_active": Instrument("VMs that callers are sent to."),
     "belief_age": Instrument("Seconds since a feed was last read.", ("feed",)),
+    "longest_loop_pause": Instrument(
+        "Seconds of the longest time in which the event loop handled nothing."
+    ),
 }
 
 HISTOGRAMS: dict[str, Instrument] = {
@@ -103,6 +106,7 @@
     "event_gap": Instrument("Longest pause in seconds between events of a stream."),
     "token_wait": Instrument("Seconds that a request waited for tokens."),
     "store_call": Instrument("Seconds of a call to the store.", ("call",)),
+    "loop_pause": Instrument("Seconds in which the event loop handled nothing."),
 }
 
 
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -61,6 +61,7 @@
     LOG_LOST = "log_lost"
     LOG_FOUND = "log_found"
     LOOP_FAILED = "loop_failed"
+    LOOP_PAUSED = "loop_paused"
     INTERNAL_ERROR = "internal_error"
     LIBRARY_MESSAGE = "library_message"
 
@@ -135,6 +136,9 @@
     Event.LOOP_FAILED: EventInfo(
         "error", "A background loop failed, and starts again after a pause."
     ),
+    Event.LOOP_PAUSED: EventInfo(
+        "warning", "The event loop handled nothing for a while."
+    ),
     Event.INTERNAL_ERROR: EventInfo("error", "An unexpected exception occurred."),
     Event.LIBRARY_MESSAGE: EventInfo("warning", "A library logged a message."),
 }
@@ -147,6 +151,8 @@
     attempt: str
     belief_ms: int
     budget: str
+    build_ms: int
+    bytes: int
     cause: str
     config_offset: int
     connect_ms: int
@@ -169,11 +175,14 @@
     partial_bytes: int
     parts: str
     place: str
+    processor_ms: int
     ran: str
+    read_ms: int
     reason: str
     result: str
     resumed_after: str
     route: str
+    routes: int
     served: int
     server: str
     silent_ms: int
@@ -184,6 +193,7 @@
     unread_bytes: int
     version: int
     waited_ms: int
+    work_ms: int
 
 
 FIELD_NAMES = frozenset(EventFields.__annotations__)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -37,6 +37,11 @@
     format_traceback,
     in_milliseconds,
 )
+from lavendershift.looppauses import (
+    PauseMeter,
+    PauseReports,
+    read_processor_time,
+)
 from lavendershift.permits import Permits
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import SyncHttpServer, VmDirectory
@@ -239,6 +244,8 @@
         )
         self._readiness_server = SyncHttpServer(self._handle_readiness)
         self._metrics_server = SyncHttpServer(self._handle_metrics, METRICS_TYPE)
+        pause_reports = PauseReports(clock, log, self._instruments)
+        self._pauses = PauseMeter(clock, read_processor_time, pause_reports.report)
         self._configuration = ConfigurationFeed(
             clock, self._store, log, self._accept_table, settings.stable_window
         )
@@ -257,6 +264,7 @@
         )
         for feed in (self._configuration, self._server_feed, self._presence_feed):
             feed.skips.on_skipped = self._note_skipped
+            feed.measure = self._pauses.measure
         self._presence = PresenceWriter(
             self._store,
             self._vms,
@@ -302,6 +310,7 @@
             "gossip": self._gossip.run,
             "facts": self._fact_gossip.run,
             "connections": self._close_stale_connections,
+            "pauses": self._pauses.run,
         }
         supervisor = LoopSupervisor(self._clock, self._note_loop_failure)
         self._tasks = [
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -107,7 +108,8 @@
     """A loop that follows a topic and survives outages of the store.
 
     ``read_at`` is the time of the last reading, ``recovered_at`` the end of the last
-    outage, and ``outage`` its duration. ``kind`` names one record in log lines.
+    outage, and ``outage`` its duration. ``kind`` names one record in log lines, and
+    ``measure`` measures the time in which records are applied.
     """
 
     name = ""
@@ -122,6 +124,8 @@
         self.recovered_at = timedelta()
         self.outage = timedelta()
         self.read_at: timedelta | None = None
+        self.measure: Callable[[str], AbstractContextManager[object]] = nullcontext
+        self._receiving_since = timedelta()
         self._progressing: asyncio.Task[ReadResult] | None = None
 
     async def run(self) -> None:
@@ -159,6 +163,7 @@
         def note_progress() -> None:
             if self._progressing is None:
                 self._progressing = call
+                self._receiving_since = self._clock.elapsed()
 
         fetching = self._reader.fetch(note_progress, is_hedge)
         call: asyncio.Task[ReadResult] = asyncio.ensure_future(fetching)
@@ -227,7 +232,8 @@
             self.recovered_at = now
             self.outage = now - self.read_at if self.read_at else timedelta()
         self.read_at = now
-        self.apply_records(batch.records, is_snapshot)
+        with self.measure(self.name):
+            self.apply_records(batch.records, is_snapshot)
         if was_unreachable:
             outage_ms = in_milliseconds(self.outage)
             self._log.write(Event.DEPENDENCY_FOUND, name=self.name, outage_ms=outage_ms)
@@ -280,6 +286,7 @@
                 return
 
     def _activate(self, record: Record) -> bool:
+        began = self._clock.elapsed()
         try:
             decoded = decode_configuration(record.value)
             table = decoded.table
@@ -293,7 +300,13 @@
             self.skips.note(self.kind, reason)
         self._version = table.version
         self._log.write(
-            Event.CONFIGURATION_CHANGED, version=table.version, offset=record.offset
+            Event.CONFIGURATION_CHANGED,
+            version=table.version,
+            offset=record.offset,
+            routes=table.count_routes(),
+            bytes=len(record.value),
+            read_ms=in_milliseconds(began - self._receiving_since),
+            build_ms=in_milliseconds(self._clock.elapsed() - began),
         )
         return True
 
--- a/lavendershift/routes.py
+++ b/lavendershift/routes.py
@@ -109,6 +109,10 @@
                 urgencies.append(route.urgency)
         self._most_urgent = min(urgencies, default=0)
 
+    def count_routes(self) -> int:
+        """Return the number of routes."""
+        return sum(len(prefixes) for prefixes in self._hosts.values())
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``."""
         prefixes = self._hosts.get(host)
--- a/lavendershift/skips.py
+++ b/lavendershift/skips.py
@@ -13,6 +13,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import DecodeError
+from lavendershift.linelimits import LineLimit
 from lavendershift.logs import Event, EventFields, EventLog
 
 PERIOD = timedelta(seconds=10)
@@ -26,10 +27,8 @@
     """
 
     def __init__(self, clock: Clock, log: EventLog) -> None:
-        self._clock = clock
         self._log = log
-        self._lines = 0
-        self._period_ends = timedelta()
+        self._lines = LineLimit(clock, MAX_LINES, PERIOD)
         self.on_skipped: Callable[[str], None] = lambda kind: None
 
     def note(
@@ -41,7 +40,7 @@
     ) -> None:
         """Report one input of ``kind``; ``fields`` say which one it is."""
         self.on_skipped(kind)
-        if self._takes_line():
+        if self._lines.take():
             fields["name"], fields["reason"] = kind, fault
             self._log.write(Event.ENTRY_SKIPPED, customer=customer, **fields)
 
@@ -51,15 +50,7 @@
             self.note(kind, error.reason)
             return
         self.on_skipped(kind)
-        if self._takes_line():
+        if self._lines.take():
             self._log.write_error(error)
             reason = f"failed with {type(error).__name__}"
             self._log.write(Event.ENTRY_SKIPPED, name=kind, reason=reason)
-
-    def _takes_line(self) -> bool:
-        now = self._clock.elapsed()
-        if now >= self._period_ends:
-            self._period_ends = now + PERIOD
-            self._lines = 0
-        self._lines += 1
-        return self._lines <= MAX_LINES
