Say why a request at a server ended, and how much of its time it had used

The reasons are a closed enum, EndReason. One method of Delivery ends attempts, with the reason as its argument. Lines and counters (requests_ended, attempts_ended) carry it, with the time that was allowed, the version at admission and the one in force, and the successor of a replaced attempt and what had come from it. No change of which attempts are ended, nor when.

The mutation keep_all in test_silence_schedules puts its change in the place of the method that replaces attempts now; what it does and what has to find it are the same.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -12,6 +12,7 @@
 
 from lavendershift.connections import ServerRequest
 from lavendershift.errors import RequestError
+from lavendershift.requestends import AttemptEnding
 from lavendershift.serversignals import ServerSignal
 from lavendershift.serverstates import PromptShape, ServerKnowledge
 
@@ -161,7 +162,7 @@
     the request, ``named_limit`` the one in the response; ``None`` if there is none.
     ``parts`` are the ids of the prompt's parts. ``silence`` is the longest time without
     progress, ``None`` if the attempt never fell silent. ``is_beside`` is set if it was
-    started while another attempt was silent.
+    started while another attempt was silent. ``ending`` is set if this VM ended it.
     """
 
     server: str
@@ -178,3 +179,4 @@
     parts: tuple[str, ...] = ()
     silence: timedelta | None = None
     is_beside: bool = False
+    ending: AttemptEnding | None = None
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -14,7 +14,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -29,9 +29,16 @@
 from lavendershift.clocks import Clock
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventstreams import EventPosition, read_position
+from lavendershift.outgoingresponses import OutgoingResponse
 from lavendershift.preparations import AttemptOrder, Backends
 from lavendershift.promptguards import PromptGuard
 from lavendershift.quarantine import make_quarantine_error
+from lavendershift.requestends import (
+    AttemptEnding,
+    EndReason,
+    Progress,
+    RequestEnding,
+)
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serverattempts import ServerAttempt
 from lavendershift.serverresponses import ServerResponse
@@ -87,13 +94,12 @@
         self.position = EventPosition()
         if route.repeat is Repeat.RESUME:
             self.position = read_position(request.resumed_after)
-        self.first_status = 0
         self._clock = clock
         self._request = request
         self._service = service
         self._backends = backends
         self._servers = backends.servers
-        self._response = response
+        self._response = OutgoingResponse(clock, response, backends.wire)
         self._spend_retry = spend_retry
         self._on_attempt = on_attempt
         self._customer = customer
@@ -112,14 +118,12 @@
             backends.quarantine,
         )
         self._running: dict[ServerAttempt, asyncio.Task[None]] = {}
-        self._replaced: list[asyncio.Task[None]] = []
+        self._ended: list[asyncio.Task[None]] = []
         self._changes: asyncio.Queue[_Change] = asyncio.Queue()
         self._is_answered = False
         self._beside_timer: asyncio.TimerHandle | None = None
         self._overlap_timer: asyncio.TimerHandle | None = None
-        self.first_event_at: timedelta | None = None
-        self.longest_gap: timedelta | None = None
-        self._last_events_at: timedelta | None = None
+        self._end_reason: EndReason | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -131,6 +135,29 @@
         """Upper bound of the output tokens in the events forwarded so far."""
         return self.position.events * self._service.tokens_per_event
 
+    @property
+    def first_status(self) -> int:
+        """The status already sent to the caller, 0 if there is none."""
+        return self._response.first_status
+
+    @property
+    def first_event_at(self) -> timedelta | None:
+        """When the first event was forwarded."""
+        return self._response.first_event_at
+
+    @property
+    def longest_gap(self) -> timedelta | None:
+        """The longest time between two writes of events."""
+        return self._response.longest_gap
+
+    @property
+    def ending(self) -> RequestEnding | None:
+        """How the request ended, ``None`` while it goes on or if it was answered."""
+        if self._end_reason is None:
+            return None
+        allowed = self._deadline - self._request.received
+        return RequestEnding(self._end_reason, allowed, self._sends > 0)
+
     async def run(self) -> None:
         """Deliver the complete response; raises ``RequestError``."""
         try:
@@ -138,31 +165,46 @@
             async with asyncio.timeout(max(timeout.total_seconds(), 0)):
                 await self._run_attempts()
         except TimeoutError:
-            if self._send_server_error():
-                return
-            if self._possible_runs:
-                raise RequestError(ErrorKind.DEADLINE_EXCEEDED) from None
-            raise RequestError(ErrorKind.DEADLINE_UNREACHABLE) from None
+            self._end_reason = EndReason.TIME_OVER
+        except asyncio.CancelledError:
+            is_gone = is_being_cancelled()
+            self._end_reason = EndReason.CALLER_GONE if is_gone else EndReason.INTERNAL
+            raise
+        except RequestError:
+            self._end_reason = EndReason.SERVER_FAILED
+            raise
+        except BaseException:
+            self._end_reason = EndReason.INTERNAL
+            raise
+        finally:
+            await self._end_all()
+        if self._end_reason is not None:
+            self._respond_at_end()
+
+    def _respond_at_end(self) -> None:
+        """Forward a server's own error response, or raise ``RequestError``."""
+        if self._send_server_error():
+            return
+        if self._possible_runs:
+            raise RequestError(ErrorKind.DEADLINE_EXCEEDED)
+        raise RequestError(ErrorKind.DEADLINE_UNREACHABLE)
 
     async def _run_attempts(self) -> None:
         end = AttemptEnd.NOT_SENT
-        try:
-            is_possible = self._start_attempt()
-            while is_possible:
-                change = await self._changes.get()
-                if change.error is not None:
-                    raise change.error
-                if change.attempt is None or change.end is None:
-                    self._start_beside()
-                    continue
-                if change.end is AttemptEnd.ANSWERED:
-                    await self._finish(change.attempt)
-                    return
-                end = change.end
-                is_possible = self._go_on(end)
-            self._give_up(end)
-        finally:
-            await self._cancel_attempts()
+        is_possible = self._start_attempt()
+        while is_possible:
+            change = await self._changes.get()
+            if change.error is not None:
+                raise change.error
+            if change.attempt is None or change.end is None:
+                self._start_beside()
+                continue
+            if change.end is AttemptEnd.ANSWERED:
+                await self._finish(change.attempt)
+                return
+            end = change.end
+            is_possible = self._go_on(end)
+        self._give_up(end)
 
     def _go_on(self, end: AttemptEnd) -> bool:
         """Start another attempt if needed; return false if no response can come."""
@@ -295,22 +337,30 @@
         if not attempt.was_sent:
             self._unsent.add(attempt.server.entry.id)
 
-    def _replace(self, attempts: Iterable[ServerAttempt]) -> None:
-        """End attempts in flight, as another one goes on in their place."""
-        for attempt in list(attempts):
-            attempt.replace()
-            task = self._running.pop(attempt)
-            task.cancel()
-            self._replaced.append(task)
-
-    async def _cancel_attempts(self) -> None:
+    def _end(self, attempt: ServerAttempt, ending: AttemptEnding) -> None:
+        """End an attempt in flight; the only place that does."""
+        attempt.end(ending)
+        task = self._running.pop(attempt)
+        task.cancel()
+        self._ended.append(task)
+
+    def _replace_others(self, successor: ServerAttempt, progress: Progress) -> None:
+        """End all attempts but one, which goes on in their place."""
+        name = successor.server.entry.id
+        ending = AttemptEnding(EndReason.REPLACED, name, progress)
+        for attempt in list(self._running):
+            if attempt is not successor:
+                self._end(attempt, ending)
+
+    async def _end_all(self) -> None:
+        """End all attempts, and wait for their tasks."""
         for timer in (self._beside_timer, self._overlap_timer):
             if timer is not None:
                 timer.cancel()
-        for task in self._running.values():
-            task.cancel()
-        tasks = [*self._running.values(), *self._replaced]
-        await asyncio.gather(*tasks, return_exceptions=True)
+        ending = AttemptEnding(self._end_reason or EndReason.REPLACED)
+        for attempt in list(self._running):
+            self._end(attempt, ending)
+        await asyncio.gather(*self._ended, return_exceptions=True)
 
     def find_refusal(self, attempt: ServerAttempt) -> AttemptEnd | None:
         """Return why a prepared attempt may not be sent; count it if it may be."""
@@ -328,7 +378,7 @@
 
     def note_answer(self, attempt: ServerAttempt) -> None:
         """End the other attempts, as this one has the response."""
-        self._replace(other for other in self._running if other is not attempt)
+        self._replace_others(attempt, Progress.RESPONSE)
 
     def note_begin(self, attempt: ServerAttempt) -> None:
         """Handle the head of a stream, whose server has begun with the request."""
@@ -339,7 +389,7 @@
 
     def _end_overlap(self, attempt: ServerAttempt) -> None:
         if attempt in self._running:
-            self.note_answer(attempt)
+            self._replace_others(attempt, Progress.HEAD)
 
     def note_silence(self, attempt: ServerAttempt) -> None:
         """Handle an attempt that falls silent."""
@@ -362,58 +412,37 @@
         as comments, wait for it if another attempt may still go on.
         """
         position = attempt.events_position
-        others = [other for other in self._running if other is not attempt]
+        has_others = self._running.keys() > {attempt}
         if position.events > self.position.events:
-            self._replace(others)
-        elif others and not attempt.has_forwarded:
+            self._replace_others(attempt, Progress.EVENT)
+        elif has_others and not attempt.has_forwarded:
             attempt.held += events
             return
         attempt.has_forwarded = True
         self.position = position
-        if not self._response.has_started:
-            self._start_response(attempt)
-        self._update_longest_gap()
+        self._start_response(attempt)
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
-            await self._response.write(attempt.take_held() + events)
+            await self._response.write_events(attempt.take_held() + events)
 
     async def _finish(self, attempt: ServerAttempt) -> None:
         """Forward the end of a complete response."""
         if attempt.response is not None:
-            self._send(attempt.response)
+            self._response.send(attempt.response)
             return
         self.position = attempt.events_position
-        if not self._response.has_started:
-            self._start_response(attempt)
-        remainder = attempt.take_held() + attempt.remainder
-        if remainder:
-            await self._response.write(remainder)
-        self._response.finish()
-
-    def _send(self, response: ServerResponse) -> None:
-        headers = self._backends.wire.select_response_headers(response.headers)
-        self._response.send(response.status, headers, response.body)
+        self._start_response(attempt)
+        await self._response.finish(attempt.take_held() + attempt.remainder)
 
     def _start_response(self, attempt: ServerAttempt) -> None:
         assert attempt.reader is not None
-        self.first_event_at = self._clock.elapsed()
-        headers = self._backends.wire.select_response_headers(attempt.reader.headers)
-        self.first_status = attempt.reader.status
-        self._response.start(self.first_status, headers)
-
-    def _update_longest_gap(self) -> None:
-        """Update the longest time between two writes of events."""
-        now = self._clock.elapsed()
-        if self._last_events_at is not None:
-            gap = now - self._last_events_at
-            self.longest_gap = max(self.longest_gap or gap, gap)
-        self._last_events_at = now
+        self._response.start(attempt.reader.status, attempt.reader.headers)
 
     def _send_server_error(self) -> bool:
         """Forward a server's own error response; return false if there is none."""
         if self._server_error is None or self._response.has_started:
             return False
-        self._send(self._server_error)
+        self._response.send(self._server_error)
         return True
 
     def _give_up(self, end: AttemptEnd) -> None:
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -130,13 +130,17 @@
         trial = await self._check_quarantine(request.prompt)
         delivery = self._make_delivery(request, writer, route, service, customer)
         delivery.guard.trial = trial
-        if customer is None or customer.prepaid is None or request.prompt is None:
-            await delivery.run()
-        else:
-            is_urgent = table.is_urgent(route)
-            await self._run_prepaid(
-                trace, delivery, route, customer, request.prompt, is_urgent
-            )
+        try:
+            if customer is None or customer.prepaid is None or request.prompt is None:
+                await delivery.run()
+            else:
+                is_urgent = table.is_urgent(route)
+                await self._run_prepaid(
+                    trace, delivery, route, customer, request.prompt, is_urgent
+                )
+        finally:
+            trace.ending = delivery.ending
+            trace.current_version = self.table.version if self.table else 0
 
     async def _check_quarantine(self, prompt: PromptShape | None) -> Parts | None:
         """Return the quarantined parts of which a request is a trial, if any.
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -47,6 +47,14 @@
         ("cause",),
     ),
     "attempts": Instrument("Attempts at servers, by how they ended.", ("end",)),
+    "requests_ended": Instrument(
+        "Requests that were sent to a server and ended without a complete response, "
+        "by reason.",
+        ("reason",),
+    ),
+    "attempts_ended": Instrument(
+        "Attempts at servers that this VM ended, by reason.", ("reason",)
+    ),
     "limited_attempts": Instrument(
         "Attempts at servers whose limit the VM knew, by how they ended.", ("end",)
     ),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -148,6 +148,7 @@
     """Optional fields of a log line, in addition to those of every line."""
 
     age_ms: int
+    allowed_ms: int
     attempt: str
     belief_ms: int
     budget: str
@@ -156,7 +157,9 @@
     cause: str
     config_offset: int
     connect_ms: int
+    current_version: int
     duration_ms: int
+    ended_for: str
     entry: str
     error: str
     events: int
@@ -176,6 +179,7 @@
     parts: str
     place: str
     processor_ms: int
+    progress: str
     ran: str
     read_ms: int
     reason: str
@@ -189,6 +193,7 @@
     stage: str
     status: int
     stream: str
+    successor: str
     tokens: int
     unread_bytes: int
     version: int
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -18,20 +18,23 @@
 from lavendershift.errors import RequestError
 from lavendershift.instruments import Instruments
 from lavendershift.logs import Event, EventFields, EventLog, in_milliseconds
+from lavendershift.requestends import RequestEnding
 
 
 class RequestTrace:
     """Data of one request that its last log line reports.
 
     ``version`` is the version of the configuration it was admitted under,
-    ``waited`` the time it waited for tokens.
+    ``current_version`` the one in force when it ended, ``waited`` the time it waited
+    for tokens. ``ending`` is set if it ended without a complete response.
     """
 
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
         self.customer = ""
         self.route = ""
-        self.version = 0
+        self.version = self.current_version = 0
+        self.ending: RequestEnding | None = None
         self.used_tokens = 0
         self.waited = timedelta()
         self.first_event_at: timedelta | None = None
@@ -72,13 +75,11 @@
         answer = error.answer
         self._instruments.count("refusals", error.kind.value)
         self._measure_tokens(trace)
-        self._write(
-            Event.REQUEST_REFUSED,
-            trace,
-            error=error.kind.value,
-            reason=error.detail,
-            ran=answer.ran.value,
-        )
+        fields = self._describe_ending(trace)
+        fields["error"] = error.kind.value
+        fields["reason"] = error.detail
+        fields["ran"] = answer.ran.value
+        self._write(Event.REQUEST_REFUSED, trace, **fields)
 
     def report_rejected(self, request_id: str, error: RequestError) -> None:
         """Report a request that was refused before it was routed."""
@@ -95,7 +96,19 @@
         """Report a request that its caller or a shutdown cancelled."""
         self._instruments.count("abandoned")
         self._measure_tokens(trace)
-        self._write(Event.REQUEST_ABANDONED, trace)
+        fields = self._describe_ending(trace)
+        self._write(Event.REQUEST_ABANDONED, trace, **fields)
+
+    def _describe_ending(self, trace: RequestTrace) -> EventFields:
+        """Count a request that ended without a complete response; return its fields."""
+        fields = EventFields(current_version=trace.current_version)
+        ending = trace.ending
+        if ending is not None:
+            if ending.was_sent:
+                self._instruments.count("requests_ended", ending.reason.value)
+            fields["ended_for"] = ending.reason.value
+            fields["allowed_ms"] = in_milliseconds(ending.allowed)
+        return fields
 
     def report_attempt(self, request: CallerRequest, attempt: AttemptReport) -> None:
         """Report an attempt at a server after its end."""
@@ -124,6 +137,13 @@
         if attempt.is_beside:
             self._instruments.count("attempts_beside", attempt.end.value)
             fields["place"] = "beside"
+        if attempt.ending is not None:
+            ending = attempt.ending
+            self._instruments.count("attempts_ended", ending.reason.value)
+            fields["ended_for"] = ending.reason.value
+            if ending.progress is not None:
+                fields["successor"] = ending.successor
+                fields["progress"] = ending.progress.value
         if attempt.parts and event is Event.REQUEST_ATTEMPTED:
             fields["parts"] = ",".join(attempt.parts)
         if attempt.stream is not None:
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -3,7 +3,7 @@
 An attempt reports how it ended, but decides nothing about the request: its delivery
 may run several, one after the other or beside each other. A silence of the server
 doesn't end an attempt. It ends with its response, with its connection, or when its
-delivery replaces it by another that goes on.
+delivery ends it for one of the reasons of ``EndReason``.
 """
 
 import asyncio
@@ -33,6 +33,7 @@
     UnsentError,
 )
 from lavendershift.promptguards import PromptGuard
+from lavendershift.requestends import AttemptEnding, EndReason
 from lavendershift.serverlist import Assignment
 from lavendershift.serverresponses import (
     SERVER_ERRORS,
@@ -62,9 +63,13 @@
 class AttemptOwner(Protocol):
     """The delivery that an attempt belongs to."""
 
-    first_status: int
     guard: PromptGuard
 
+    @property
+    def first_status(self) -> int:
+        """The status already sent to the caller, 0 if there is none."""
+        ...
+
     def find_refusal(self, attempt: "ServerAttempt") -> AttemptEnd | None:
         """Return why a prepared attempt may not be sent; count it if it may be."""
         ...
@@ -126,7 +131,8 @@
         self._is_prompt_read = False
         self._is_after_silence = False
         self._has_short_wait = False
-        self._replaced_as: AttemptEnd | None = None
+        self._ended_as: AttemptEnd | None = None
+        self._ending: AttemptEnding | None = None
         self._knowledge = ServerKnowledge()
         self._connecting: timedelta | None = None
         self._started = clock.elapsed()
@@ -184,19 +190,24 @@
             self._report(error.end, error.reason)
             return error.end
         except asyncio.CancelledError:
-            if self._replaced_as is None:
+            if self._ended_as is None:
                 raise
-            return self._replaced_as
+            return self._ended_as
         self._connection = connection
         return await self._send(connection)
 
-    def replace(self) -> None:
-        """End the attempt, as another one goes on; nothing more is forwarded."""
-        was_silent = self._monitor is not None and self._monitor.is_silent
-        self._replaced_as = AttemptEnd.SILENT if was_silent else AttemptEnd.REPLACED
+    def end(self, ending: AttemptEnding) -> None:
+        """End the attempt; nothing more is forwarded. Its task is then cancelled."""
+        self._ending = ending
+        self._ended_as = AttemptEnd.GIVEN_UP
+        if ending.reason is EndReason.REPLACED:
+            self._ended_as = AttemptEnd.REPLACED
+            if self.is_silent:
+                self._ended_as = AttemptEnd.SILENT
         if self.reader is not None:
-            self.reader.refused = self._replaced_as
-        self._report(self._replaced_as, "")
+            self.reader.refused = self._ended_as
+        if self.was_sent or ending.reason is EndReason.REPLACED:
+            self._report(self._ended_as, "")
 
     async def _send(self, connection: Connection) -> AttemptEnd:
         """Send the request on ``connection`` and read the response."""
@@ -212,16 +223,16 @@
         reader.monitor = self._monitor = self._make_monitor()
         try:
             end, reason = await self._exchange(connection, reader)
-            if self._replaced_as is not None:
-                end, reason = self._replaced_as, ""
+            if self._ended_as is not None:
+                end, reason = self._ended_as, ""
             elif end is AttemptEnd.ANSWERED:
                 self._owner.note_answer(self)
-            is_reusable = end not in UNFINISHED and self._replaced_as is None
+            is_reusable = end not in UNFINISHED and self._ended_as is None
         except asyncio.CancelledError:
-            if self._replaced_as is None:
+            if self._ended_as is None:
                 self._report(AttemptEnd.GIVEN_UP, "")
                 raise
-            end, reason = self._replaced_as, ""
+            end, reason = self._ended_as, ""
         finally:
             self._monitor.stop()
             self._guard.end_exposure(self._exposure)
@@ -236,7 +247,7 @@
             await self._guard.inspect_break(self.server, self._exposure, has_begun)
         if not self._exposure.was_stopped:
             self._update_server_state(end)
-        if self._replaced_as is None:
+        if self._ended_as is None:
             self._report(end, reason)
         return end
 
@@ -401,6 +412,12 @@
         waited = asyncio.get_running_loop().time() - since
         return self._connection.received_at - since > waited / 2
 
+    def _find_ending(self) -> AttemptEnding | None:
+        """Return how this VM ended the attempt, ``None`` if its server did."""
+        if self._exposure is not None and self._exposure.was_stopped:
+            return AttemptEnding(EndReason.QUARANTINED)
+        return self._ending
+
     def _report(self, end: AttemptEnd, reason: str) -> None:
         reader = self.reader
         monitor = self._monitor
@@ -423,5 +440,6 @@
                 self._guard.parts,
                 silence,
                 self.order.is_beside,
+                self._find_ending(),
             )
         )
--- a/lavendershift/tests/test_requestreports.py
+++ b/lavendershift/tests/test_requestreports.py
@@ -11,9 +11,16 @@
     StreamReport,
 )
 from lavendershift.clocks import ManualClock
+from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.instruments import Instruments
 from lavendershift.logs import EventLog, make_handler
-from lavendershift.requestreports import RequestReports
+from lavendershift.requestends import (
+    AttemptEnding,
+    EndReason,
+    Progress,
+    RequestEnding,
+)
+from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.serverstates import ServerKnowledge
 from lavendershift.settings_sections import LoggingSection
 
@@ -91,3 +98,34 @@
     line, metrics = report_attempt(AttemptEnd.ANSWERED, None)
     assert not {"known_limit", "named_limit"} & line.keys()
     assert "lavendershift_limited_attempts_total{" not in metrics
+
+
+def test_ended_attempt_names_the_reason_and_what_replaced_it(report_attempt):
+    ending = AttemptEnding(EndReason.REPLACED, "i-2", Progress.EVENT)
+    line, metrics = report_attempt(AttemptEnd.SILENT, None, ending=ending)
+    assert line["ended_for"] == "replaced"
+    assert (line["successor"], line["progress"]) == ("i-2", "event")
+    assert 'lavendershift_attempts_ended_total{reason="replaced"} 1.0' in metrics
+
+
+@pytest.mark.parametrize("reason", EndReason)
+def test_request_without_a_complete_response_names_reason_time_and_versions(
+    tmp_path, reason
+):
+    path = tmp_path / "log"
+    log = EventLog(
+        make_handler(LoggingSection(path, "info")), "edge-1", "rennes", ManualClock()
+    )
+    instruments = Instruments()
+    trace = RequestTrace(REQUEST)
+    trace.version, trace.current_version = 3, 7
+    trace.ending = RequestEnding(reason, timedelta(seconds=1), was_sent=True)
+    reports = RequestReports(ManualClock(), log, instruments)
+    reports.report_refused(trace, RequestError(ErrorKind.DEADLINE_EXCEEDED))
+    reports.report_abandoned(trace)
+    for line in [json.loads(line) for line in path.read_text().splitlines()]:
+        assert (line["request"], line["ended_for"]) == ("r1", reason.value)
+        assert (line["allowed_ms"], line["duration_ms"]) == (1000, 0)
+        assert (line["version"], line["current_version"]) == (3, 7)
+    counted = f'lavendershift_requests_ended_total{{reason="{reason.value}"}} 2.0'
+    assert counted in instruments.render().decode()
--- a/lavendershift/tests/test_silence_schedules.py
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -273,7 +273,9 @@
 
 
 def keep_all(monkeypatch):
-    monkeypatch.setattr(Delivery, "_replace", lambda self, attempts: None)
+    monkeypatch.setattr(
+        Delivery, "_replace_others", lambda self, successor, progress: None
+    )
 
 
 def forget_silences(monkeypatch):
