End requests in flight at the end of a stop with a definite answer

Gateway.end_requests() ends each request that is in flight when the grace time of a stop is over, through Delivery.end(reason): as not run if it was not sent to a server, with an error that leaves it open if its response has not begun, by a reset if it has. Waits for trials and tokens belong to the delivery's time now, so that they end in the same place. Nothing calls it yet; until now these requests ended with their process, without an answer.

Tokens are reserved in one step and settled in another, for every end alike.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -14,7 +14,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -124,6 +124,7 @@
         self._beside_timer: asyncio.TimerHandle | None = None
         self._overlap_timer: asyncio.TimerHandle | None = None
         self._end_reason: EndReason | None = None
+        self._timeout: asyncio.Timeout | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -158,14 +159,21 @@
         allowed = self._deadline - self._request.received
         return RequestEnding(self._end_reason, allowed, self._sends > 0)
 
-    async def run(self) -> None:
-        """Deliver the complete response; raises ``RequestError``."""
+    async def run(self, prepare: Callable[[], Awaitable[None]] | None = None) -> None:
+        """Deliver the complete response; raises ``RequestError``.
+
+        ``prepare`` is awaited first, within the request's time.
+        """
         try:
             timeout = self._deadline - RESPONSE_RESERVE - self._clock.elapsed()
-            async with asyncio.timeout(max(timeout.total_seconds(), 0)):
+            async with asyncio.timeout(
+                max(timeout.total_seconds(), 0)
+            ) as self._timeout:
+                if prepare is not None:
+                    await prepare()
                 await self._run_attempts()
         except TimeoutError:
-            self._end_reason = EndReason.TIME_OVER
+            self._end_reason = self._end_reason or EndReason.TIME_OVER
         except asyncio.CancelledError:
             is_gone = is_being_cancelled()
             self._end_reason = EndReason.CALLER_GONE if is_gone else EndReason.INTERNAL
@@ -177,18 +185,37 @@
             self._end_reason = EndReason.INTERNAL
             raise
         finally:
+            self._timeout = None
             await self._end_all()
         if self._end_reason is not None:
-            self._respond_at_end()
+            self._respond_at_end(self._end_reason)
+
+    def end(self, reason: EndReason) -> None:
+        """Let ``run`` end the request, unless it has ended."""
+        if self._end_reason is None and self._timeout is not None:
+            self._end_reason = reason
+            self._timeout.reschedule(asyncio.get_running_loop().time())
 
-    def _respond_at_end(self) -> None:
+    def _respond_at_end(self, reason: EndReason) -> None:
         """Forward a server's own error response, or raise ``RequestError``."""
         if self._send_server_error():
             return
+        if reason is EndReason.STOPPED:
+            raise self._make_stop_error()
         if self._possible_runs:
             raise RequestError(ErrorKind.DEADLINE_EXCEEDED)
         raise RequestError(ErrorKind.DEADLINE_UNREACHABLE)
 
+    def _make_stop_error(self) -> RequestError:
+        """Return the error of a request that the end of the process cuts."""
+        if self._response.has_started:
+            return RequestError(ErrorKind.ANSWER_TRUNCATED, "stopping")
+        if not self._possible_runs:
+            return RequestError(ErrorKind.STOPPING)
+        if self.route.repeat is Repeat.NEVER:
+            return RequestError(ErrorKind.OUTCOME_UNKNOWN, "stopping")
+        return RequestError(ErrorKind.SERVER_FAILED, "stopping")
+
     async def _run_attempts(self) -> None:
         end = AttemptEnd.NOT_SENT
         is_possible = self._start_attempt()
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from typing import NamedTuple
 
 from lavendershift.attempts import (
@@ -23,6 +24,7 @@
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.preparations import Backends
 from lavendershift.quarantine import Parts, make_quarantine_error
+from lavendershift.requestends import EndReason
 from lavendershift.requestreports import RequestReports, RequestTrace
 from lavendershift.retries import RetryBudget
 from lavendershift.routes import CallerLimits, Customer, Route, RoutingTable, Service
@@ -73,6 +75,7 @@
         self._bounds = retry_bounds
         self._find_retry_part = find_retry_part
         self._retries: dict[str, RetryBudget] = {}
+        self._deliveries: set[Delivery] = set()
         self.table: RoutingTable | None = None
         # Set once a new request could not complete before the process stops.
         self.is_stopping = False
@@ -88,6 +91,18 @@
         """Change the fleet-wide bounds on retries."""
         self._bounds = bounds
 
+    def end_requests(self) -> int:
+        """End all requests in flight, as the process ends; return their number.
+
+        Each is answered within the next turns of the event loop: as not run if it was
+        not sent to a server, with an error that leaves it open if the response has not
+        begun, and else by a reset, so that the response doesn't look complete.
+        """
+        self.is_stopping = True
+        for delivery in list(self._deliveries):
+            delivery.end(EndReason.STOPPED)
+        return len(self._deliveries)
+
     async def serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
         """Serve one request and send its response or an error."""
         trace = RequestTrace(request)
@@ -127,20 +142,20 @@
         trace.version = table.version
         trace.customer = customer.name if customer else ""
         service = self._choose_service(table, route)
-        trial = await self._check_quarantine(request.prompt)
         delivery = self._make_delivery(request, writer, route, service, customer)
-        delivery.guard.trial = trial
+        is_urgent = table.is_urgent(route)
+
+        async def prepare() -> None:
+            delivery.guard.trial = await self._check_quarantine(request.prompt)
+            if customer is not None and customer.prepaid is not None:
+                await self._reserve_tokens(trace, route.target, is_urgent)
+
+        self._deliveries.add(delivery)
         try:
-            if customer is None or customer.prepaid is None or request.prompt is None:
-                await delivery.run()
-            else:
-                is_urgent = table.is_urgent(route)
-                await self._run_prepaid(
-                    trace, delivery, route, customer, request.prompt, is_urgent
-                )
+            await delivery.run(prepare)
         finally:
-            trace.ending = delivery.ending
-            trace.current_version = self.table.version if self.table else 0
+            self._deliveries.discard(delivery)
+            self._settle(trace, delivery)
 
     async def _check_quarantine(self, prompt: PromptShape | None) -> Parts | None:
         """Return the quarantined parts of which a request is a trial, if any.
@@ -154,36 +169,37 @@
             return block.parts
         raise make_quarantine_error(block)
 
-    async def _run_prepaid(
-        self,
-        trace: RequestTrace,
-        delivery: Delivery,
-        route: Route,
-        customer: Customer,
-        prompt: PromptShape,
-        is_urgent: bool,
+    async def _reserve_tokens(
+        self, trace: RequestTrace, target: timedelta, is_urgent: bool
     ) -> None:
-        """Deliver a request with tokens reserved, then settle the tokens used."""
-        request = trace.request
+        """Reserve the most tokens that a request may use; raises ``RequestError``."""
+        request, prompt = trace.request, trace.request.prompt
+        if prompt is None:
+            return
         tokens = prompt.input_tokens + prompt.max_output_tokens
-        account = self._draws.find_account(customer.name)
-        account.note_demand(tokens, self._clock.elapsed())
         started = self._clock.elapsed()
-        wait = min(find_wait(route.target), request.deadline - started)
-        token_request = TokenRequest(customer.name, tokens, is_urgent)
+        self._draws.find_account(trace.customer).note_demand(tokens, started)
+        wait = min(find_wait(target), request.deadline - started)
+        token_request = TokenRequest(trace.customer, tokens, is_urgent)
         is_granted = await self._draws.wait_for(token_request, wait)
         trace.waited = self._clock.elapsed() - started
         if not is_granted:
             raise self._make_shortage_error(token_request)
-        try:
-            await delivery.run()
-        finally:
-            trace.first_event_at = delivery.first_event_at
-            trace.longest_gap = delivery.longest_gap
-            if delivery.may_have_run:
-                used = prompt.input_tokens + delivery.delivered_tokens
-                trace.used_tokens = min(used, tokens)
-            account.settle(tokens, trace.used_tokens)
+        trace.reserved_tokens = tokens
+
+    def _settle(self, trace: RequestTrace, delivery: Delivery) -> None:
+        """Settle the tokens of a request that has ended, and note how it ended."""
+        trace.first_event_at = delivery.first_event_at
+        trace.longest_gap = delivery.longest_gap
+        trace.ending = delivery.ending
+        trace.current_version = self.table.version if self.table else 0
+        reserved, prompt = trace.reserved_tokens, trace.request.prompt
+        if not reserved or prompt is None:
+            return
+        if delivery.may_have_run:
+            used = prompt.input_tokens + delivery.delivered_tokens
+            trace.used_tokens = min(used, reserved)
+        self._draws.find_account(trace.customer).settle(reserved, trace.used_tokens)
 
     def _make_shortage_error(self, token_request: TokenRequest) -> RequestError:
         """Return the error for a request whose budget lacks tokens at this time."""
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -35,7 +35,7 @@
         self.route = ""
         self.version = self.current_version = 0
         self.ending: RequestEnding | None = None
-        self.used_tokens = 0
+        self.reserved_tokens = self.used_tokens = 0
         self.waited = timedelta()
         self.first_event_at: timedelta | None = None
         self.longest_gap: timedelta | None = None
