--- a/lavendershift_standins/platformstore.py
+++ b/lavendershift_standins/platformstore.py
@@ -2,8 +2,9 @@
 
 ``StoreState`` holds the logs alone, for tests in virtual time. ``StoreServer``
 serves it over HTTP, with faults: ``is_unavailable`` rejects all calls with 503,
-``is_silent`` leaves them without a response, and ``lost_response_share`` is the
-share of appends that take effect but get no response.
+``is_silent`` leaves them without a response, ``delay_s`` is the time that each waits
+before, and ``lost_response_share`` is the share of appends that take effect but get no
+response.
 """
 
 import asyncio
@@ -91,6 +92,7 @@
         self.state = StoreState()
         self.is_unavailable = False
         self.is_silent = False
+        self.delay_s = 0.0
         self.lost_response_share = 0.0
         self.calls: dict[str, int] = {}
         self._rng = rng
@@ -118,6 +120,8 @@
         self.calls[url.path] = self.calls.get(url.path, 0) + 1
         if self.is_silent:
             return
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         if self.is_unavailable:
             self._send(request, 503, b"")
         elif url.path == "/log-append":
