Test that a version is in force in time on a congested link

Callers of one VM of 66 got 404 for a route that the store had acknowledged 5.3 s before: the version came into force 6.5 s after it, and 4.9 s after the servers were read again at the end of an outage. Around it, packets waited 0.5 to 0.95 s at the VM's link (the time that short streams were silent in its log), and the reason of each lost dependency was a connection that had not been made within 600 ms.

The test plays three feeds, the client of the store and a simulated store in virtual time: a link of 5 or 10 Mbit/s, an outage of 11 s, and a record of 256 KiB.

--- /dev/null
+++ b/lavendershift/platform/tests/test_feed_schedules.py
@@ -0,0 +1,120 @@
+"""Feeds beside outages of the store and over slow links, in virtual time."""
+
+import asyncio
+import itertools
+import json
+from datetime import timedelta
+
+import logbook
+import pytest
+
+from lavendershift.logs import EventLog
+from lavendershift.platform import names
+from lavendershift.platform.feeds import ConfigurationFeed, Feed, TopicReader
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.tests.conftest import make_configuration
+from lavendershift.platform.tests.storelinks import Link, LinkedPool, LinkedStore
+from lavendershift.tests.virtualloop import VirtualLoop
+
+CONFIG_APPLY_S = 3.0
+STABLE_WINDOW_S = 4.0
+OUTAGE = (15.0, 26.0)
+MAX_ROUTES = 1200  # routes in a record of 256 KiB
+
+
+def make_version(version, routes=20):
+    """Return a configuration with ``routes`` routes."""
+    template = json.loads(make_configuration())["routes"][0]
+    many = [
+        template | {"name": f"r-{n}", "path_prefix": f"/{n}/"} for n in range(routes)
+    ]
+    return make_configuration(version=version, routes=many)
+
+
+class OtherFeed(Feed):
+    """A feed of records that VMs or servers write all the time."""
+
+    def __init__(self, clock, store, topic, log):
+        super().__init__(clock, TopicReader(store, topic, timedelta()), log)
+        self.name = topic
+
+    async def pause(self):
+        await asyncio.sleep(0.6)
+
+
+class FeedWorld:
+    """The feeds of one VM in virtual time; ``versions`` are those in force."""
+
+    def __init__(self, mbps, round_trip, outages=(OUTAGE,)):
+        self.mbps = mbps
+        self.round_trip = round_trip
+        self.outages = outages
+        self.versions = {}
+        self.appended = {}
+        self.lines = []
+
+    def play(self, versions, length_s=40.0):
+        """Run the feeds; ``versions`` are times, versions and numbers of routes."""
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            self.loop = runner.get_loop()
+            runner.run(self._play(versions, length_s))
+        return self
+
+    async def _play(self, versions, length_s):
+        self.link = Link(self.loop, self.mbps, self.round_trip, self.outages)
+        self.store = LinkedStore(self.link)
+        self.pool = LinkedPool(self.loop, self.store)
+        client = StoreClient("store:1", self.pool, self.loop)
+        handler = logbook.TestHandler()
+        log = EventLog(handler, "edge-1", "rennes", self.loop)
+        window = timedelta(seconds=STABLE_WINDOW_S)
+        feeds = [
+            ConfigurationFeed(self.loop, client, log, self._accept, window),
+            OtherFeed(self.loop, client, names.SERVERS_TOPIC, log),
+            OtherFeed(self.loop, client, names.VMS_TOPIC, log),
+        ]
+        running = [asyncio.ensure_future(feed.run()) for feed in feeds]
+        running.append(asyncio.ensure_future(self._write_entries()))
+        for at, version, routes in versions:
+            await asyncio.sleep(max(at - self.loop.time(), 0.0))
+            self.appended[version] = self.loop.time()
+            value = make_version(version, routes)
+            self.store.append(names.OPERATOR_TOPIC, names.CONFIGURATION_KEY, value)
+        await asyncio.sleep(length_s - self.loop.time())
+        for task in running:
+            task.cancel()
+        await asyncio.wait(running)
+        self.lines = [record.extra["line"] for record in handler.records]
+
+    def _accept(self, table):
+        self.versions[table.version] = self.loop.time()
+
+    async def _write_entries(self):
+        number = 0
+        while True:
+            await asyncio.sleep(0.1)
+            for topic in (names.SERVERS_TOPIC, names.VMS_TOPIC):
+                for key in range(number, number + 10):
+                    self.store.append(topic, b"i-%d" % (key % 140), b"x" * 200)
+            number += 10
+
+    def find_lateness(self, version):
+        """Return by how many seconds a version came after the time it was due."""
+        due = self.appended[version] + CONFIG_APPLY_S
+        for _, end in self.outages:
+            due = max(due, end + STABLE_WINDOW_S)
+        in_force = [at for v, at in self.versions.items() if v >= version]
+        return min(in_force, default=float("inf")) - due
+
+
+@pytest.mark.parametrize("round_trip_s", [0.01, 0.4, 0.7, 0.95])
+def test_version_is_in_force_in_time_after_an_outage_on_a_congested_link(
+    round_trip_s,
+):
+    """Connections that took over 600 ms were given up, and a version was late."""
+    lateness = {}
+    for mbps, at in itertools.product((5, 10), (14.5, 25.0, 26.5)):
+        world = FeedWorld(mbps, lambda now: round_trip_s if now > 12 else 0.01)
+        world.play([(1, 1, 20), (at, 51, MAX_ROUTES)])
+        lateness[mbps, at] = world.find_lateness(51)
+    assert all(late <= 0 for late in lateness.values()), lateness
