Keep slow connections to the store beside new attempts

Callers of a VM behind a congested link got 404 for a route 5.3 s after the store had acknowledged its version. The request itself was refused 3 to 4 ms after it was read, so no table was being built: the version was missing. Each connection to the store was given up after 600 ms and the next one began from nothing 250 ms later. Packets waited 0.5 to 0.95 s at the link, so that hardly any connection was made in time; which feed came back first was luck, and the configuration came back last.

- Connections are opened by attempts 600 ms apart, up to 2.4 s in all (1.2 s for appends, for which requests may wait); the first one made is used.
A lost packet delays its attempt alone, and a slow path has time.
- The calls of a reading follow one schedule, a pure type with the clock passed in: no call beside one that connects or receives, and a call hangs only after the delay of its path and 400 ms.
Before, each response slower than 400 ms was hedged, on the link that was already full.
- During an outage no call waits for a change, as a silent connection would be noticed only after the wait.
- A call on a new connection may take the time of connecting longer.

The scripted stores of test_servers take the new argument and report that they are connected, as the client does; what they check is unchanged.

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -18,6 +18,7 @@
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.store import Batch, Record, StoreClient
+from lavendershift.readschedules import ReadSchedule
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ServerEntry
@@ -30,11 +31,6 @@
 # Readings within the drain time, in which a leaving server may still get requests.
 READS_PER_DRAIN = 5
 STANDBY_READS_PER_DRAIN = 3  # number of readings within the drain time on a standby VM
-# Interval between a failed call and the next.
-RETRY_INTERVAL = timedelta(milliseconds=250)
-# Time without a byte after which a call is hedged; calls take a hundredth of it.
-PROGRESS_TIMEOUT = timedelta(milliseconds=400)
-MAX_CONCURRENT_CALLS = 4  # maximum number of calls in one reading, hedges included
 
 
 class ReadResult(NamedTuple):
@@ -58,11 +54,15 @@
         self._snapshot_offsets: dict[bytes, int] = {}
 
     async def fetch(
-        self, on_bytes: Callable[[], None] = lambda: None, is_hedge: bool = False
+        self,
+        on_bytes: Callable[[], None] = lambda: None,
+        is_hedge: bool = False,
+        on_connect: Callable[[], None] = lambda: None,
     ) -> ReadResult:
         """Read new records; raises ``LogUnavailableError``.
 
-        ``on_bytes`` is called whenever bytes arrive. A hedge is a call made beside
+        ``on_connect`` is called once there is a connection, ``on_bytes`` whenever bytes
+        arrive. A hedge is a call made beside
         one that hangs: it does not wait for a change, and uses a new connection.
         """
         offset = self._offset
@@ -70,12 +70,14 @@
             wait = timedelta() if is_hedge else self.wait
             try:
                 batch = await self._store.read(
-                    self.topic, 0, offset, wait, on_bytes, is_hedge
+                    self.topic, 0, offset, wait, on_bytes, is_hedge, on_connect
                 )
                 return ReadResult(batch, False)
             except RecordsExpiredError:
                 pass  # a snapshot still holds the newest record of each key
-        batch = await self._store.read_newest(self.topic, 0, on_bytes, is_hedge)
+        batch = await self._store.read_newest(
+            self.topic, 0, on_bytes, is_hedge, on_connect
+        )
         return ReadResult(batch, True)
 
     def accept(self, result: ReadResult) -> Batch:
@@ -126,7 +128,8 @@
         self.read_at: timedelta | None = None
         self.measure: Callable[[str], AbstractContextManager[object]] = nullcontext
         self._receiving_since = timedelta()
-        self._progressing: asyncio.Task[ReadResult] | None = None
+        self._schedule = ReadSchedule()
+        self._calls: dict[asyncio.Task[ReadResult], int] = {}
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -142,65 +145,66 @@
         silent. The limits on how late a change takes effect count from the write of
         the record, and leave no time for a call to time out.
         """
-        calls: set[asyncio.Task[ReadResult]] = set()
-        timeout = PROGRESS_TIMEOUT + self._reader.wait
+        calls = self._calls
         try:
             while True:
-                if self._progressing not in calls and len(calls) < MAX_CONCURRENT_CALLS:
-                    calls.add(self._start_call(is_hedge=bool(calls)))
-                calls, result = await self._await_calls(calls, timeout)
-                if result is not None:
-                    return result
-                timeout = PROGRESS_TIMEOUT
+                plan = self._schedule.plan(self._clock.elapsed())
+                if plan.starts_call:
+                    self._start_call()
+                elif not calls and plan.check_after is not None:
+                    await asyncio.sleep(plan.check_after.total_seconds())
+                else:
+                    result = await self._await_calls(plan.check_after)
+                    if result is not None:
+                        return result
         finally:
-            self._progressing = None
-            for task in calls:
+            self._schedule.clear()
+            for task in list(calls):
                 task.cancel()
+            calls.clear()
 
-    def _start_call(self, is_hedge: bool) -> "asyncio.Task[ReadResult]":
-        """Start a call; the first one that receives bytes is kept."""
-
-        def note_progress() -> None:
-            if self._progressing is None:
-                self._progressing = call
-                self._receiving_since = self._clock.elapsed()
-
-        fetching = self._reader.fetch(note_progress, is_hedge)
-        call: asyncio.Task[ReadResult] = asyncio.ensure_future(fetching)
-        return call
-
-    async def _await_calls(
-        self, calls: set[asyncio.Task[ReadResult]], timeout: timedelta
-    ) -> tuple[set[asyncio.Task[ReadResult]], ReadResult | None]:
-        """Wait up to ``timeout`` for a call to end.
+    def _start_call(self) -> None:
+        """Start a call; the first one that receives bytes is kept.
 
-        Returns the calls that remain in flight, and a result if there is one. Once a
-        call receives bytes, the others are cancelled.
+        During an outage, a call that waits for a change would hide that it hangs.
         """
-        done, calls = await asyncio.wait(
-            calls,
-            timeout=timeout.total_seconds(),
+        is_hedge = bool(self._calls) or self._unreachable_since is not None
+        schedule, clock = self._schedule, self._clock
+        wait = timedelta() if is_hedge else self._reader.wait
+        number = schedule.start(clock.elapsed(), wait)
+
+        def note_connected() -> None:
+            schedule.note_connected(number, clock.elapsed())
+
+        def note_bytes() -> None:
+            if schedule.note_bytes(number, clock.elapsed()):
+                self._receiving_since = clock.elapsed()
+                for task, other in list(self._calls.items()):
+                    if other != number:
+                        task.cancel()
+                        del self._calls[task]
+
+        fetching = self._reader.fetch(note_bytes, is_hedge, note_connected)
+        self._calls[asyncio.ensure_future(fetching)] = number
+
+    async def _await_calls(self, timeout: timedelta | None) -> ReadResult | None:
+        """Wait up to ``timeout`` for a call to end, and return its result if any."""
+        done, _ = await asyncio.wait(
+            self._calls,
+            timeout=None if timeout is None else timeout.total_seconds(),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if self._progressing in calls:
-            for call in calls - {self._progressing}:
-                call.cancel()
-            calls = {self._progressing}
-        if not done:
-            return calls, None
-        if self._progressing in done:
-            self._progressing = None
-        failed = [call for call in done if call.exception() is not None]
-        for call in done:
-            if call not in failed:
-                return calls, call.result()
-        for call in failed:
+        ended = {task: self._calls.pop(task) for task in done if task in self._calls}
+        failed = {task for task in ended if task.exception() is not None}
+        for task in ended.keys() - failed:
+            return task.result()
+        for task in failed:
+            self._schedule.note_failed(ended[task], self._clock.elapsed())
             try:
-                call.result()
+                task.result()
             except LogUnavailableError as error:
                 self.note_failure(error)
-        await asyncio.sleep(RETRY_INTERVAL.total_seconds())
-        return calls, None
+        return None
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Apply records; with ``is_snapshot``, keys without a record don't exist."""
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -33,8 +33,12 @@
     RecordsExpiredError,
 )
 
-# Timeout of connecting, which takes milliseconds on a working path.
-CONNECT_TIMEOUT = timedelta(milliseconds=600)
+# Interval between attempts to connect, as the kernel repeats a lost packet after 1 s.
+CONNECT_INTERVAL = timedelta(milliseconds=600)
+# Timeout of connecting for a reading; packets may wait for long at a congested link.
+CONNECT_TIMEOUT = timedelta(milliseconds=2400)
+# Timeout of connecting for an append, for which a request may wait.
+APPEND_CONNECT_TIMEOUT = timedelta(milliseconds=1200)
 # Timeout of a call that receives no bytes: calls take 4 ms, slow ones 100 times that.
 CALL_TIMEOUT = timedelta(milliseconds=1500)
 # Longest duration of a call that keeps receiving bytes: a record may have 256 KiB.
@@ -149,11 +153,12 @@
         wait: timedelta = timedelta(),
         on_bytes: ByteListener = lambda: None,
         is_hedge: bool = False,
+        on_connect: ByteListener = lambda: None,
     ) -> Batch:
         """Return the records from ``offset`` on, waiting up to ``wait`` for one.
 
-        ``on_bytes`` is called whenever bytes arrive. A hedge of a call that hangs is
-        made on a new connection.
+        ``on_connect`` is called once there is a connection, ``on_bytes`` whenever bytes
+        arrive. A hedge of a call that hangs is made on a new connection.
 
         Raises ``RecordsExpiredError`` if records at ``offset`` were deleted by the
         store's retention, and ``LogUnavailableError``.
@@ -162,7 +167,7 @@
         if wait:
             query["wait_ms"] = wait // timedelta(milliseconds=1)
         response = await self._call(
-            "GET", "/log-read", query, b"", wait, on_bytes, is_hedge
+            "GET", "/log-read", query, b"", wait, on_bytes, is_hedge, on_connect
         )
         if response.status == 410:
             raise RecordsExpiredError(topic, offset)
@@ -175,6 +180,7 @@
         partition: int,
         on_bytes: ByteListener = lambda: None,
         is_hedge: bool = False,
+        on_connect: ByteListener = lambda: None,
     ) -> Batch:
         """Return the newest record of each key; ``read`` explains ``is_hedge``.
 
@@ -196,6 +202,7 @@
                 query,
                 on_bytes=on_bytes,
                 is_hedge=is_hedge and not seen,
+                on_connect=on_connect,
             )
             self._require_ok(response)
             try:
@@ -262,6 +269,7 @@
         wait: timedelta = timedelta(),
         on_bytes: ByteListener = lambda: None,
         is_hedge: bool = False,
+        on_connect: ByteListener = lambda: None,
     ) -> _Response:
         """Make one call; raises ``LogUnavailableError``.
 
@@ -279,14 +287,18 @@
             if not is_hedge:
                 connection = self._connections.take(self._address)
             if connection is None:
-                connection = await self._connections.connect(
-                    self._address, CONNECT_TIMEOUT
+                connection = await self._connections.connect_staggered(
+                    self._address,
+                    APPEND_CONNECT_TIMEOUT if method == "POST" else CONNECT_TIMEOUT,
+                    CONNECT_INTERVAL,
                 )
         except ConnectError as error:
             self._on_call(call, "unreachable", self._clock.elapsed() - started)
             raise StoreUnreachableError(str(error)) from None
+        on_connect()
+        delay = self._clock.elapsed() - started
         response = await self._exchange(
-            connection, request, CALL_TIMEOUT + wait, on_bytes
+            connection, request, CALL_TIMEOUT + delay + wait, on_bytes
         )
         outcome = str(response.status) if response else "no answer"
         self._on_call(call, outcome, self._clock.elapsed() - started - wait)
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -339,8 +339,11 @@
     async def read_newest(self, topic, partition, *options):
         return Batch([], 0, 0)
 
-    async def read(self, topic, partition, offset, wait, on_bytes=None, is_hedge=False):
+    async def read(
+        self, topic, partition, offset, wait, on_bytes, is_hedge, on_connect
+    ):
         self.calls += 1
+        on_connect()
         if self.calls > self.hanging:
             return Batch([Record(0, b"i-1", b"")], 1, 1)
         try:
@@ -399,9 +402,10 @@
 
     class LateStore(HangingStore):
         async def read(
-            self, topic, partition, offset, wait, on_bytes=None, is_hedge=False
+            self, topic, partition, offset, wait, on_bytes, is_hedge, on_connect
         ):
             self.calls += 1
+            on_connect()
             try:
                 await asyncio.sleep(0.6)
                 on_bytes()
