--- a/lavendershift/tests/prepaid_simulation.py
+++ b/lavendershift/tests/prepaid_simulation.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from datetime import UTC, datetime, timedelta
+from enum import Enum
 
 import msgspec
 
@@ -35,6 +36,16 @@
 CLOCK_READ_TIME = timedelta(microseconds=200)
 
 
+class Fault(Enum):
+    """What happens to an append."""
+
+    NONE = "none"
+    LATE = "late"  # append without an answer that is executed later, if at all
+    LOST = "lost"  # append that is executed, but whose answer is lost
+    REFUSED = "refused"
+    RACE = "race"  # append after that of another VM
+
+
 class SimulatedClock:
     """The simulated time as seen by a VM; each reading of it takes some time."""
 
@@ -73,19 +84,19 @@
         simulation = self._simulation
         if self._vm.is_cut or simulation.is_unavailable:
             return self._refused
-        kind = simulation.rng.random()
-        if kind < simulation.late_share:
+        fault = simulation.choose_fault(topic)
+        if fault is Fault.REFUSED:
+            return self._refused
+        if fault is Fault.LATE:
             simulation.late_appends.append((topic, partition, records, end))
             return "unknown"
+        if fault is Fault.RACE:
+            simulation.append_of_another(topic, partition)
         try:
             simulation.state.append(topic, partition, records, end)
         except EndMismatchError:
             return "moved"
-        return (
-            "unknown"
-            if kind < simulation.late_share + simulation.lost_share
-            else "done"
-        )
+        return "unknown" if fault is Fault.LOST else "done"
 
 
 class FaultyQuotaLog(StoreConnection):
@@ -290,6 +301,7 @@
         self.late_datagrams = []
         self.borrowed = 0
         self.late_share = self.lost_share = (0.05, 0.15, 0.3)[seed // 3 % 3]
+        self.faults = {GRANTS: [], LEASES: []}  # faults of the next appends
         self.is_unavailable = False
         self.prepaid = {customer: 60_000 for customer in CUSTOMERS}
         self.consumed = Counter()
@@ -359,6 +371,21 @@
             held = self.consumed[customer] + running + sum(free)
             assert held <= self.find_granted(customer), customer
 
+    def choose_fault(self, topic):
+        if self.faults[topic]:
+            return self.faults[topic].pop(0)
+        kind = self.rng.random()
+        if kind < self.late_share:
+            return Fault.LATE
+        if kind < self.late_share + self.lost_share:
+            return Fault.LOST
+        return Fault.NONE
+
+    def append_of_another(self, topic, partition):
+        """Append a record of a VM or a customer that is not part of the simulation."""
+        value = b'{"granted": 0, "change": "other/1"}' if topic == GRANTS else b""
+        self.state.append(topic, partition, [(b"other", value)])
+
     def deliver(self, message, sender, receiver):
         """Deliver a datagram to the process that now has the receiver's address."""
         vm = next(vm for vm in self.vms if vm.name == receiver)
