--- a/lavendershift/leases.py
+++ b/lavendershift/leases.py
@@ -7,8 +7,13 @@
 allow it to commit by then. That clock runs through suspensions and restarts with the
 VM, and the boot id tells a restart of the VM from a restart of the process. After a
 power loss nothing is adopted, as it is unknown how long the previous process ran.
+
+Tokens are returned only once a snapshot without them is known to be stored, see
+``tokenreturns``.
 """
 
+import asyncio
+import random
 from collections.abc import Callable, Mapping
 from datetime import datetime, timedelta
 from enum import Enum
@@ -23,6 +28,7 @@
     PrepaidAccount,
     SpendingLimit,
 )
+from lavendershift.tokenreturns import ReleasedTokens, SnapshotHistory
 
 BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
 # Time between snapshots while tokens are held.
@@ -40,6 +46,10 @@
 # set.
 CLOCK_TOLERANCE = timedelta(seconds=1)
 MAX_ATTEMPTS = 5  # attempts at one append, as other VMs append to the partition too
+# Snapshots written for one return, each with all its attempts, and the longest pause
+# between two of them.
+MAX_RELEASE_SNAPSHOTS = 4
+MAX_RELEASE_PAUSE = timedelta(milliseconds=40)
 
 
 class LeaseEntry(NamedTuple):
@@ -159,7 +169,9 @@
         self._on_adopt = on_adopt
         self._started_since_boot, self._started_at = clock.since_boot(), clock.now()
         self._end: int | None = None
-        self._is_empty = False  # whether the newest snapshot has no tokens
+        self._history = SnapshotHistory()
+        self._lock = asyncio.Lock()
+        self._rng = random.Random(incarnation)
 
     async def adopt(self, find_account: Callable[[str], PrepaidAccount]) -> None:
         """Adopt the tokens of the previous process; call before any are held.
@@ -172,6 +184,7 @@
             if old is not None and old.incarnation == self._incarnation:
                 # An earlier append that got no response took effect.
                 adopted = {c: e.unspent for c, e in old.entries.items()}
+                self._history.confirm(self._history.begin(adopted))
                 self._end = end
             else:
                 # The previous process ended before this one started.
@@ -195,6 +208,7 @@
             raise LogUnavailableError(f"append of a lease snapshot: {result.value}")
         if result is SnapshotResult.MOVED:
             return False
+        self._history.confirm(self._history.begin(adopted))
         self._end = new_end
         return True
 
@@ -203,12 +217,50 @@
     ) -> None:
         """Write a snapshot of ``accounts``; raises ``LogUnavailableError``.
 
-        Nothing is written while no tokens are held and the newest snapshot has none.
-        The snapshot counts the ``wanted`` tokens as spent, because waiting requests
-        commit them as soon as it is written.
+        Nothing is written while no tokens are held and no snapshot that may be the
+        newest has any. A snapshot that loses its races is left out, as a newer one
+        follows. The snapshot counts the ``wanted`` tokens as spent, because waiting
+        requests commit them as soon as it is written.
         """
-        if self._is_empty and not any(a.free or a.reserved for a in accounts.values()):
-            return
+        async with self._lock:
+            is_held = any(a.free or a.reserved for a in accounts.values())
+            if is_held or self._history.counts_tokens:
+                await self._store(accounts, wanted)
+
+    async def release(
+        self,
+        tokens: Mapping[str, int],
+        accounts: Mapping[str, PrepaidAccount],
+        wanted: Mapping[str, int],
+    ) -> ReleasedTokens:
+        """Debit ``tokens``, and write a snapshot without them if one may count them.
+
+        Raises ``LogUnavailableError`` if none is known to be stored, or
+        ``SnapshotNotStoredError`` if that is because of lost races; ``accounts`` are
+        as before then.
+        """
+        for customer, count in tokens.items():
+            accounts[customer].credit(-count)
+        debit = self._history.debit(tokens)
+        try:
+            async with self._lock:
+                for attempt in range(MAX_RELEASE_SNAPSHOTS):
+                    if not self._history.may_count(debit):
+                        break
+                    if attempt:
+                        pause = MAX_RELEASE_PAUSE * self._rng.random()
+                        await asyncio.sleep(pause.total_seconds())
+                    await self._store(accounts, wanted)
+                return ReleasedTokens(self._history, debit)
+        except LogUnavailableError:
+            for customer, count in tokens.items():
+                accounts[customer].credit(count)
+            raise
+
+    async def _store(
+        self, accounts: Mapping[str, PrepaidAccount], wanted: Mapping[str, int]
+    ) -> None:
+        """Write a snapshot; raises ``LogUnavailableError``, but not for lost races."""
         now = self._clock.elapsed()
         at = self._clock.since_boot()
         entries, limits = {}, {}
@@ -220,17 +272,19 @@
             terms = LeaseTerms(burst + ahead, rate, unspent, UNLOCK_DELAY)
             limits[customer] = SpendingLimit(at, terms)
         snapshot = self._make_snapshot(entries, at)
+        number = self._history.begin({c: e.unspent for c, e in entries.items()})
         for customer, limit in limits.items():
             accounts[customer].limits.append(limit)
         result = await self._write(snapshot)
         if result is SnapshotResult.UNKNOWN:
             raise LogUnavailableError("no response to the append of a lease snapshot")
         if result is SnapshotResult.DONE:
+            self._history.confirm(number)
             for customer, limit in limits.items():
                 accounts[customer].limits = [limit]
-            self._is_empty = not any(entry.unspent for entry in entries.values())
             return
         # Nothing was appended, so the limits of this snapshot do not apply.
+        self._history.discard(number)
         for customer, limit in limits.items():
             accounts[customer].limits.remove(limit)
         if result is SnapshotResult.REFUSED:
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -7,10 +7,10 @@
 succeeds, and each change is based on the newest records.
 
 Drawn tokens are spent only after the change that granted them was acknowledged or
-read back; returned tokens are debited before the change is sent. A change that got
-no response may still be appended later, so its outcome is read from the log: once
-its offset holds a record, that is either this change or another one, and in the
-latter case this change can no longer be appended.
+read back. Tokens are returned only if no lease snapshot can count them any more. A
+change that got no response may still be appended later, so its outcome is read from
+the log: once its offset holds a record, that is either this change or another one, and
+in the latter case this change can no longer be appended.
 
 If another program has written a record without a valid number of grants, nothing is
 drawn or returned for its customer until an operator has written a valid one: the
@@ -18,7 +18,7 @@
 customers of the partition aren't affected.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple, Protocol
@@ -26,6 +26,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.prepaid import PrepaidAccount
+from lavendershift.tokenreturns import ReleasedTokens, SnapshotNotStoredError
 
 
 class DrawRefusedError(LogUnavailableError):
@@ -73,12 +74,28 @@
         ...
 
 
+# Debits tokens that may then be returned; raises ``LogUnavailableError`` if it can't.
+Release = Callable[[Mapping[str, int]], Awaitable[ReleasedTokens]]
+
+
+class _Change(NamedTuple):
+    """Tokens to draw, and tokens to return."""
+
+    draws: Mapping[str, int]
+    returns: ReleasedTokens | None
+
+    def list_deltas(self) -> dict[str, int]:
+        """Return the changes of the numbers of grants."""
+        returned = self.returns.tokens if self.returns else {}
+        return {**self.draws, **{c: -tokens for c, tokens in returned.items()}}
+
+
 class _PendingChange(NamedTuple):
     """A change that was sent for ``offset``, with an unknown outcome."""
 
     offset: int
     change_id: str
-    deltas: dict[str, int]
+    change: _Change
 
 
 class QuotaRecords:
@@ -141,15 +158,13 @@
         self._end += len(records)
         self.read_at = started
 
-    async def change(
-        self, deltas: dict[str, int], write_snapshot: Callable[[], Awaitable[None]]
-    ) -> bool:
+    async def change(self, deltas: Mapping[str, int], release: Release) -> bool:
         """Append changes; return false if another VM's append came first.
 
-        ``write_snapshot`` writes a lease snapshot. It is awaited before tokens are
-        returned, because the next process must not adopt them afterwards.
-        Raises ``LogUnavailableError``, or ``DrawRefusedError`` if the store refuses
-        the append.
+        ``release`` debits the tokens to return. While other VMs win the races for the
+        lease snapshots, tokens are drawn but not returned. Raises
+        ``LogUnavailableError``, or ``DrawRefusedError`` if the store refuses the
+        append.
         """
         assert self._end is not None
         deltas = self._bound_returns(deltas)
@@ -158,27 +173,19 @@
         end, started = self._end, self._clock.elapsed()
         self._change_count += 1
         change_id = f"{self._name}/{self._change_count}"
+        change = await self._prepare(deltas, release)
         records = [
             QuotaRecord(customer, self.granted.get(customer, 0) + delta, change_id)
-            for customer, delta in deltas.items()
+            for customer, delta in change.list_deltas().items()
         ]
-        for customer, delta in deltas.items():
-            if delta < 0:
-                self._find_account(customer).credit(delta)
-        if any(delta < 0 for delta in deltas.values()):
-            try:
-                await write_snapshot()
-            except LogUnavailableError:
-                self._undo(deltas)
-                raise
-        pending = _PendingChange(end, change_id, deltas)
+        pending = _PendingChange(end, change_id, change)
         self._pending.append(pending)
         result = await self._log.swap(end, records)
         if result is SwapResult.UNKNOWN:
             raise LogUnavailableError("no response to the append of quota records")
         self._pending.remove(pending)
         if result is not SwapResult.DONE:
-            self._undo(deltas)
+            self._undo(change)
             if result is SwapResult.REFUSED:
                 raise DrawRefusedError("the store refused an append of quota records")
             return False
@@ -186,31 +193,56 @@
             self._apply(offset, record)
         self._end = end + len(records)
         self.read_at = started
-        self._credit(deltas)
+        self._credit(change)
         return True
 
-    def _bound_returns(self, deltas: dict[str, int]) -> dict[str, int]:
-        """Return ``deltas`` with returns limited to the tokens that are still free.
+    async def _prepare(self, deltas: Mapping[str, int], release: Release) -> _Change:
+        draws = {customer: delta for customer, delta in deltas.items() if delta > 0}
+        returns = {customer: -delta for customer, delta in deltas.items() if delta < 0}
+        if not returns:
+            return _Change(draws, None)
+        try:
+            return _Change(draws, await release(returns))
+        except SnapshotNotStoredError:
+            if not draws:
+                raise
+            return _Change(draws, None)  # returns are planned again
+
+    def exceeds_grants(self, deltas: Mapping[str, int]) -> bool:
+        """Return whether ``deltas`` return more tokens than are granted.
 
-        Requests may have reserved tokens since the change was planned.
+        The records are outdated then, as loans of newer grants were returned, or
+        wrong.
         """
-        bounded = {
-            customer: max(delta, -self._find_account(customer).free)
-            for customer, delta in deltas.items()
-        }
-        return {customer: delta for customer, delta in bounded.items() if delta}
+        return any(self.granted.get(c, 0) + delta < 0 for c, delta in deltas.items())
 
-    def _undo(self, deltas: dict[str, int]) -> None:
+    def _bound_returns(self, deltas: Mapping[str, int]) -> dict[str, int]:
+        """Return ``deltas`` with returns limited to the tokens that are still free.
+
+        Requests may have reserved tokens since the change was planned. Tokens beyond
+        those granted aren't returned: the record is too low already, and one below
+        zero can't be decoded.
+        """
+        bounded = {}
+        for customer, planned in deltas.items():
+            delta = max(planned, -self._find_account(customer).free)
+            if self.exceeds_grants({customer: delta}):
+                self._on_invalid(customer, "fewer tokens are granted than held")
+            elif delta:
+                bounded[customer] = delta
+        return bounded
+
+    def _undo(self, change: _Change) -> None:
         """Credit the tokens of returns that were not appended."""
-        for customer, delta in deltas.items():
-            if delta < 0:
-                self._find_account(customer).credit(-delta)
+        if change.returns is not None:
+            for customer, tokens in change.returns.tokens.items():
+                self._find_account(customer).credit(tokens)
 
-    def _credit(self, deltas: dict[str, int]) -> None:
+    def _credit(self, change: _Change) -> None:
         """Credit draws that were appended; returns were debited before."""
-        for customer, delta in deltas.items():
-            if delta > 0:
-                self._find_account(customer).credit_drawn(delta)
+        for customer, tokens in change.draws.items():
+            self._find_account(customer).credit_drawn(tokens)
+        for customer, delta in change.list_deltas().items():
             self._on_draw(customer, delta, self.granted.get(customer, 0))
 
     def _apply(self, offset: int, record: QuotaRecord) -> None:
@@ -219,9 +251,9 @@
         for pending in [p for p in self._pending if p.offset == offset]:
             self._pending.remove(pending)
             if record.change_id == pending.change_id:
-                self._credit(pending.deltas)
+                self._credit(pending.change)
             else:
-                self._undo(pending.deltas)
+                self._undo(pending.change)
 
     def _store_quota(self, record: QuotaRecord) -> None:
         if record.granted is None:
--- a/lavendershift/tests/test_tokendraws.py
+++ b/lavendershift/tests/test_tokendraws.py
@@ -6,6 +6,7 @@
 
 from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.leases import LeaseBook, SnapshotResult
 from lavendershift.partitions import find_partition
 from lavendershift.pendingtokens import URGENT_MEMORY, PendingTokens, TokenRequest
 from lavendershift.prepaid import URGENT_RESERVE_FRACTION
@@ -58,20 +59,22 @@
             raise LogUnavailableError("unavailable")
 
 
-class FailingLeaseBook:
+class FailingLeaseLog:
     """Fails to write snapshots while ``is_unavailable``."""
 
     def __init__(self):
         self.is_unavailable = False
         self.snapshots = []
 
-    async def adopt(self, find_account):
-        return
+    async def read(self):
+        return None, 0
 
-    async def record(self, accounts, wanted):
+    async def write(self, end, snapshot):
         if self.is_unavailable:
             raise LogUnavailableError("unavailable")
-        self.snapshots.append({name: a.free for name, a in accounts.items()})
+        unspent = {name: e.unspent for name, e in snapshot.entries.items()}
+        self.snapshots.append(unspent)
+        return SnapshotResult.DONE, end + 1
 
 
 def make_draws(quota_log, clock=None, lease_book=None, name="vm/1"):
@@ -146,20 +149,29 @@
 
 
 def test_tokens_are_returned_only_after_a_snapshot_without_them():
-    quota_log, lease_book = MemoryQuotaLog(), FailingLeaseBook()
-    draws = make_draws(quota_log, lease_book=lease_book)
+    quota_log, lease_log, clock = MemoryQuotaLog(), FailingLeaseLog(), ManualClock()
+    lease_book = LeaseBook(clock, lease_log, "vm/1", "boot")
+    draws = make_draws(quota_log, clock, lease_book)
     run_round(draws)
+    assert lease_log.snapshots[-1]["plume"] == draws.find_account("plume").free
     held, count = draws.find_account("plume").free, len(quota_log.records)
     draws.return_all()
-    lease_book.is_unavailable = True
+    lease_log.is_unavailable = True
     with pytest.raises(LogUnavailableError):
         run_round(draws)
     assert len(quota_log.records) == count
     assert draws.find_account("plume").free == held
-    lease_book.is_unavailable = False
+    lease_log.is_unavailable = False
+    swap, stored = quota_log.swap, []
+
+    async def note_snapshot(end, records):
+        stored.append(lease_log.snapshots[-1]["plume"])
+        return await swap(end, records)
+
+    quota_log.swap = note_snapshot
     run_round(draws)
     assert quota_log.records[-1].granted == 0
-    assert lease_book.snapshots[-2]["plume"] == 0
+    assert stored == [0]
 
 
 def test_a_request_is_refused_at_once_while_the_store_is_unreachable():
--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -182,7 +182,7 @@
         assert borrower.account.reserve(4000, now)
         shared = borrower.draws._records[0]
         await shared.sync()
-        await shared.change(deltas, borrower.draws._write_snapshot)
+        await shared.change(deltas, borrower.draws._release)
         return borrower.account.free, quota_log.records[-1].granted
 
     assert run_nodes(work) == (0, 4000)
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -32,6 +32,11 @@
     plan_draw,
 )
 from lavendershift.quotarecords import DrawRefusedError, QuotaLog, QuotaRecords
+from lavendershift.tokenreturns import (
+    ReleasedTokens,
+    SnapshotHistory,
+    SnapshotNotStoredError,
+)
 
 ROUND_INTERVAL = timedelta(seconds=1)  # time between full rounds of a small fleet
 # Round interval per VM of a large fleet, which keeps conflicts of rounds rare.
@@ -130,7 +135,6 @@
         self.pending = PendingTokens(clock.elapsed())
         self._rebalancing: dict[int, asyncio.Task[bool]] = {}
         self._locks = [asyncio.Lock() for _ in logs]
-        self._snapshot_lock = asyncio.Lock()
         self._responded_at = timedelta()
         self._call_starts: list[timedelta] = []
         self._wake = asyncio.Event()
@@ -470,12 +474,13 @@
             await records.sync()
         for _ in range(MAX_CONFLICTS):
             deltas = await self._borrow_planned(self._plan(records, is_urgent))
-            if self._leaves_missing(records, deltas) and records.is_older_than(
-                MAX_AGE_TO_REFUSE
+            if records.exceeds_grants(deltas) or (
+                self._leaves_missing(records, deltas)
+                and records.is_older_than(MAX_AGE_TO_REFUSE)
             ):
                 await records.sync()
                 deltas = await self._borrow_planned(self._plan(records, is_urgent))
-            if not deltas or await records.change(deltas, self._write_snapshot):
+            if not deltas or await records.change(deltas, self._release):
                 break
             await records.sync()
 
@@ -483,13 +488,14 @@
     def _watch_store(self) -> Iterator[None]:
         """Record whether the store responded to the calls in this context.
 
-        A call without a response does not count while others get responses.
+        A call without a response does not count while others get responses. Refused
+        draws and lost races are responses.
         """
         started = self._clock.elapsed()
         self._call_starts.append(started)
         try:
             yield
-        except DrawRefusedError:
+        except (DrawRefusedError, SnapshotNotStoredError):
             raise
         except LogUnavailableError as error:
             if self._responded_at <= started:
@@ -534,8 +540,18 @@
     async def _write_snapshot(self) -> None:
         """Write a lease snapshot of the accounts."""
         if self._lease_book is not None:
-            async with self._snapshot_lock:
-                await self._lease_book.record(self.accounts, self.pending.all)
+            await self._lease_book.record(self.accounts, self.pending.all)
+
+    async def _release(self, tokens: Mapping[str, int]) -> ReleasedTokens:
+        """Debit ``tokens`` so that they can be returned."""
+        if self._lease_book is not None:
+            return await self._lease_book.release(
+                tokens, self.accounts, self.pending.all
+            )
+        for customer, count in tokens.items():
+            self.find_account(customer).credit(-count)
+        history = SnapshotHistory()
+        return ReleasedTokens(history, history.debit(tokens))
 
     def _set_store_reachable(self, is_reachable: bool, reason: str) -> None:
         if is_reachable != self.is_store_reachable:
