Let bytes that arrived in a pause of the loop be read before a timeout

After a pause of the event loop, a timer that ended in it runs in the same turn as the handlers of the bytes that arrived in it, before the task that waits for them: an append to the store whose response was there became one without a response, a permit's reply was lost, and a connection counted as not made.

Timeout does what asyncio.timeout does, but a timer that runs over 10 ms late waits 20 ms longer, five times at most while the loop stays late. The client of the store, the connections to servers and the replies of other VMs use it. The idle and header timers of callers look for unread bytes, and the timer of silences waits once more; both were right and stay.

In virtual time, with pauses of 0.5 and 2 s. With asyncio.timeout in connections and datagrams, the test of a reply fails, the test of a connection passes (the connect ends before the timer's turn); without the longer wait the tests of bytes read in one or three steps fail.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -30,6 +30,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.decoding import parse_count
+from lavendershift.timeouts import Timeout
 
 IDLE_TIMEOUT = timedelta(seconds=4)  # idle limit if a server sends no Keep-Alive
 IDLE_MARGIN = timedelta(seconds=1)  # margin below the server's own idle timeout
@@ -306,7 +307,7 @@
             )
         stream = ServerStream(endpoint)
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with Timeout(timeout.total_seconds()):
                 await stream.connect((host, int(port)))
         except (TimeoutError, OSError, StreamClosedError, ValueError) as error:
             stream.close()
--- a/lavendershift/datagrams.py
+++ b/lavendershift/datagrams.py
@@ -26,6 +26,7 @@
 import msgspec
 
 from lavendershift.decoding import is_endpoint, run_decoder
+from lavendershift.timeouts import Timeout
 
 MESSAGES: list[type[msgspec.Struct]] = []
 Peer = tuple[str, int]  # host and port of a UDP socket
@@ -56,7 +57,7 @@
         reply: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
         self._pending[number] = reply
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with Timeout(timeout.total_seconds()):
                 send(number)
                 return await reply
         finally:
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -33,6 +33,7 @@
     LogUnavailableError,
     RecordsExpiredError,
 )
+from lavendershift.timeouts import Timeout
 
 # Interval between attempts to connect, as the kernel repeats a lost packet after 1 s.
 CONNECT_INTERVAL = timedelta(milliseconds=600)
@@ -327,13 +328,10 @@
         def note_progress() -> None:
             on_bytes()
             extended = loop.time() + CALL_TIMEOUT.total_seconds()
-            if not watchdog.expired():
-                watchdog.reschedule(
-                    min(max(extended, watchdog.when() or 0.0), latest_end)
-                )
+            watchdog.extend(min(extended, latest_end))
 
         try:
-            async with asyncio.timeout(timeout.total_seconds()) as watchdog:
+            async with Timeout(timeout.total_seconds()) as watchdog:
                 collector.on_bytes = note_progress
                 exchange = await connection.exchange(request, collector)
         except TimeoutError:
