Measure all times of a stop from its signal

Callers saw streams cut at the end of a stop that they had sent over 3 s after its signal. The stop first waited for the store to take the row that says that the VM leaves, up to 2.1 s with a silent store, and took requests for 3 s after that; its grace had no part in how long they were taken, so that 2 s of grace were exceeded by 1.3 to 2.8 s.

The times of a stop are a pure type now, planned from the moment of the signal and the grace: until when requests are taken, when those in flight end, and when responses are flushed. The row is written beside, and again until it is stored.

The tests' streams had a kind of route that isn't known, so that they were forwarded whole; they are forwarded by event now.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -1,7 +1,6 @@
 """Router process on a VM of the platform: builds and runs its components."""
 
 import asyncio
-import contextlib
 import logging
 import random
 import secrets
@@ -20,7 +19,6 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
-from lavendershift.errors import LogUnavailableError
 from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
@@ -65,6 +63,7 @@
 from lavendershift.serversignals import Incarnation
 from lavendershift.serverstates import ServerEntry
 from lavendershift.skips import SkipReports
+from lavendershift.stops import plan_stop
 from lavendershift.supervision import LoopSupervisor
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
@@ -72,12 +71,7 @@
 from lavendershift.vmlist import VmList, VmRow
 from lavendershift.workingset import Activity, WorkingSet, estimate_capacity
 
-# Time after the stop signal in which connections are still accepted, as callers may
-# use cached addresses for as long.
-LISTEN_AFTER_STOP = timedelta(seconds=3)
-# Part of the grace time reserved for the last steps of a stop.
-EXIT_RESERVE = timedelta(milliseconds=500)
-# Time for responses in the sockets' buffers to be sent.
+# Time for responses in the sockets' buffers to be sent, if there is that much.
 FLUSH_TIME = timedelta(milliseconds=200)
 # Smallest number of VMs among which retries are divided, as a VM that starts doesn't
 # know the others yet.
@@ -105,6 +99,7 @@
         self._log = log
         self._instruments = Instruments()
         self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = LoopSupervisor(clock, self._note_loop_failure)
         self._is_leaving = False
         self._stop_requested_at: timedelta | None = None
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
@@ -312,11 +307,12 @@
             "connections": self._close_stale_connections,
             "pauses": self._pauses.run,
         }
-        supervisor = LoopSupervisor(self._clock, self._note_loop_failure)
-        self._tasks = [
-            asyncio.ensure_future(supervisor.run(name, loop))
-            for name, loop in loops.items()
-        ]
+        for name, loop in loops.items():
+            self._start_loop(name, loop)
+
+    def _start_loop(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
+        running = self._supervisor.run(name, loop)
+        self._tasks.append(asyncio.ensure_future(running))
 
     async def _stop_loops(self) -> None:
         for task in self._tasks:
@@ -353,25 +349,31 @@
 
     async def drain(self) -> None:
         """Leave the list of VMs, then wait until requests in flight end."""
-        deadline = self._clock.elapsed() + self._settings.grace - EXIT_RESERVE
+        requested = self._stop_requested_at or self._clock.elapsed()
+        times = plan_stop(requested, self._settings.grace)
         self._note_stop("requested")
         self._is_leaving = True
         self._vms.set_own(self._vms.own._replace(is_leaving=True))
         self._callers.announce_leaving()
         self._gossip.announce_leaving(self._vms.list_peers(self._vms.list_names()))
-        with contextlib.suppress(LogUnavailableError):
-            if await self._presence.renew():
-                self._note_stop("announced")
-        await asyncio.sleep(LISTEN_AFTER_STOP.total_seconds())
+        self._start_loop("leaving", self._announce_leaving)
+        await self._sleep_until(times.closing)
         self._callers.stop_listening()
-        self._note_stop("closed")
         self._draws.return_all()
-        remaining = deadline - self._clock.elapsed()
-        await self._callers.end_connections(remaining)
+        self._note_stop("closed")
+        await self._callers.end_connections(times.ending - self._clock.elapsed())
         self._note_stop("ended")
-        await asyncio.sleep(FLUSH_TIME.total_seconds())
+        await self._sleep_until(min(self._clock.elapsed() + FLUSH_TIME, times.flushed))
         self._note_stop("flushed")
 
+    async def _announce_leaving(self) -> None:
+        await self._presence.announce()
+        self._note_stop("announced")
+
+    async def _sleep_until(self, time: timedelta) -> None:
+        delay = time - self._clock.elapsed()
+        await asyncio.sleep(max(delay.total_seconds(), 0))
+
     def _note_stop(self, stage: str) -> None:
         """Log a stage of the stop, and how far callers' requests have come."""
         now = self._clock.elapsed()
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -23,6 +23,8 @@
 from lavendershift.vmlist import VmList, VmRow
 
 RENEWAL_INTERVAL = timedelta(milliseconds=1200)  # interval between two rows of this VM
+# Time until a change of the row that wasn't stored is written again.
+ANNOUNCE_INTERVAL = timedelta(milliseconds=300)
 # Smallest reported demand in tokens/s, as leaving out smaller ones saves bytes.
 MIN_REPORTED_DEMAND = 1.0
 READ_INTERVAL = timedelta(milliseconds=600)  # interval between readings on an active VM
@@ -68,6 +70,11 @@
             await self.renew()
             await asyncio.sleep(RENEWAL_INTERVAL.total_seconds())
 
+    async def announce(self) -> None:
+        """Write the row until it is known to be stored."""
+        while not await self.renew():
+            await asyncio.sleep(ANNOUNCE_INTERVAL.total_seconds())
+
     async def renew(self, is_leaving: bool = False) -> bool:
         """Write the row once; return whether it is known to be stored.
 
--- a/lavendershift/platform/tests/test_stops.py
+++ b/lavendershift/platform/tests/test_stops.py
@@ -123,7 +123,7 @@
                 "resumable": False,
             }
             for name, kind, service in (
-                ("index", "stream", "pool"),
+                ("index", "streaming", "pool"),
                 ("record", "unsafe", "ledger"),
                 ("read", "safe", "ledger"),
             )
