--- a/lavendershift/platform/tests/test_silentservers.py
+++ b/lavendershift/platform/tests/test_silentservers.py
@@ -261,6 +261,42 @@
     play(work)
 
 
+def send_head(then):
+    """Send the head of a stream at once, and go on as ``then``."""
+
+    async def behave(received, writer):
+        writer.write(make_head(received, 200, STREAM_HEADERS))
+        await writer.drain()
+        await then(received, writer)
+
+    return behave
+
+
+async def queue(received, writer):
+    await asyncio.sleep(2.0)
+    first = int(received.headers.get("last-event-id", "0"))
+    write_chunk(writer, b"".join(EVENTS[first:]))
+    writer.write(b"0\r\n\r\n")
+
+
+async def break_off(received, writer):
+    await asyncio.sleep(0.6)
+    await reset(received, writer)
+
+
+@pytest.mark.parametrize("then", [queue, keep_silent, break_off])
+@pytest.mark.parametrize("moment", STREAMS)
+def test_silent_stream_is_not_given_up_for_the_head_of_another(play, moment, then):
+    async def work(scene):
+        await add_servers(scene, STREAMS[moment], send_head(then))
+        started = scene.clock.elapsed()
+        await deliver(scene, is_stream=True, attempts=2)
+        assert scene.runs == 2
+        assert scene.clock.elapsed() - started < 2 * SECOND
+
+    play(work)
+
+
 def test_silent_stream_is_kept_while_the_next_server_has_not_begun(play):
     async def work(scene):
         first = await scene.add_server()
--- a/lavendershift/tests/silenceservers.py
+++ b/lavendershift/tests/silenceservers.py
@@ -45,13 +45,15 @@
 class Flight:
     """One request that a server got.
 
+    ``told_s`` is the time to the deadline that the server was told.
     ``progress`` holds when complete events, or a complete plain response, arrived.
     ``end`` is "answered", "refused", "broken" by the server, or "closed" by the VM.
     """
 
-    def __init__(self, request_id, is_stream, after, server, vm, sent_at):
+    def __init__(self, request_id, is_stream, after, server, vm, sent_at, told_s):
         self.request_id, self.is_stream, self.after = request_id, is_stream, after
         self.server, self.vm, self.sent_at = server, vm, sent_at
+        self.told_s = told_s
         self.progress = []
         self.end, self.ended_at = "", NEVER
 
@@ -190,6 +192,7 @@
             server,
             self.vm,
             server.loop.time(),
+            float(headers["Left"]),
         )
         server.flights.append(self._flight)
         self.vm.fleet.note_flight(self._flight)
@@ -264,6 +267,7 @@
         headers = HTTPHeaders(request.headers)
         headers["Id"] = request.id
         headers["After"] = attempt.resume_after or "0"
+        headers["Left"] = str((attempt.deadline - now).total_seconds())
         return ServerRequest(request.method, request.target, headers, b"")
 
     def classify(self, request, status, headers, is_fresh):
--- a/lavendershift/tests/silencesimulation.py
+++ b/lavendershift/tests/silencesimulation.py
@@ -71,7 +71,7 @@
 }
 
 
-def make_table():
+def make_table(version=1, timeout=DEADLINE):
     """Return the routes: one for each kind of request."""
     routes = [
         Route(
@@ -81,14 +81,14 @@
             (ServiceShare(SERVICE, 1.0),),
             repeat,
             kind == "stream",
-            DEADLINE,
+            timeout,
             TARGET,
             max_attempts=attempts,
         )
         for kind, (repeat, attempts) in KINDS.items()
     ]
     services = [Service(SERVICE, is_engine=True)]
-    return RoutingTable(1, routes, services, [], CallerLimits())
+    return RoutingTable(version, routes, services, [], CallerLimits())
 
 
 class Call:
--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -1,9 +1,27 @@
-"""Tests of how requests end that have no complete response, in virtual time."""
+"""Tests of what ends requests that are at servers, in virtual time."""
+
+import asyncio
+from datetime import timedelta
 
 import pytest
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.serverresponses import EVENT_STREAM
+from lavendershift.tests.silenceservers import (
+    EVENTS,
+    NEVER,
+    SimulatedConnection,
+    make_body,
+    make_event,
+)
+from lavendershift.tests.silencesimulation import (
+    DEADLINE,
+    SilenceFleet,
+    Size,
+    make_table,
+)
 
-from lavendershift.tests.silenceservers import NEVER
-from lavendershift.tests.silencesimulation import SilenceFleet, Size
+DEADLINE_S = DEADLINE.total_seconds()
 
 
 def make_fleet(seed=1, vms=1, servers=1):
@@ -51,3 +69,140 @@
     fleet.run(0.3, [(0.0, fleet.send, "stream"), (0.1, end_requests, fleet)])
     [call] = fleet.calls.values()
     assert (call.error, call.flights) == ("STOPPING", [])
+
+
+def respond_until(server, end_s):
+    """Let a server send the last event, or a whole plain response, at a given time."""
+
+    async def respond(flight, connection, reader):
+        until = min(end_s, flight.sent_at + flight.told_s)
+        if flight.is_stream:
+            headers = {"Content-Type": EVENT_STREAM, "Transfer-Encoding": "chunked"}
+            reader.start(200, HTTPHeaders(headers))
+            for number in range(flight.after + 1, EVENTS):
+                await server._send(
+                    connection, reader, make_event(flight.request_id, number)
+                )
+        await asyncio.sleep(until - server.loop.time())
+        if until < end_s:
+            flight.finish("broken", server.loop.time())  # past the deadline it was told
+            return
+        if flight.is_stream:
+            await server._send(
+                connection, reader, make_event(flight.request_id, EVENTS)
+            )
+        else:
+            body = make_body(flight.request_id, False)
+            reader.start(200, HTTPHeaders({"Content-Length": str(len(body))}))
+            await server._send(connection, reader, body)
+        flight.finish("answered", server.loop.time())
+
+    server.respond = respond
+
+
+def set_timeout(fleet, seconds):
+    fleet.version = getattr(fleet, "version", 0) + 1
+    table = make_table(fleet.version, timedelta(seconds=seconds))
+    fleet.find_vm(0).gateway.table = table
+
+
+def test_stream_that_ends_just_before_its_time_is_not_cut():
+    fleet = make_fleet()
+    respond_until(fleet.servers[0], DEADLINE_S - 0.01)
+    fleet.run(DEADLINE_S + 1, [(0.0, fleet.send, "stream")])
+    [call] = fleet.calls.values()
+    assert call.is_whole, call.error
+
+
+@pytest.mark.parametrize("kind", ["stream", "safe", "once"])
+@pytest.mark.parametrize(
+    "timeouts, end_s",
+    [
+        ([2, 5], 3.5),
+        ([2, 5], 4.9),
+        ([5, 1], 4.5),
+        ([3, 1, 5], 4.5),
+        ([3, 1, 2], 2.9),
+    ],
+)
+def test_request_in_flight_has_the_longest_timeout_that_was_in_force(
+    kind, timeouts, end_s
+):
+    """It ended at the timeout of its admission, though a later version allowed more."""
+    fleet = make_fleet()
+    respond_until(fleet.servers[0], end_s)
+    set_timeout(fleet, timeouts[0])
+    changes = [
+        (0.5 * number, set_timeout, fleet, timeout)
+        for number, timeout in enumerate(timeouts[1:], start=1)
+    ]
+    fleet.run(DEADLINE_S, [(0.0, fleet.send, kind), *changes])
+    [call] = fleet.calls.values()
+    assert call.is_whole, (call.error, call.ended_at)
+    assert len(call.flights) == 1
+
+
+def test_lowered_timeout_applies_to_new_requests():
+    fleet = make_fleet()
+    respond_until(fleet.servers[0], 4.0)
+    set_timeout(fleet, 5)
+    schedule = [(0.5, set_timeout, fleet, 1), (0.6, fleet.send, "once")]
+    fleet.run(DEADLINE_S, schedule)
+    [call] = fleet.calls.values()
+    assert call.error == "DEADLINE_EXCEEDED"
+    assert call.ended_at == pytest.approx(1.6, abs=0.05)
+
+
+def fail(flight, connection, reader):
+    raise RuntimeError("odd response")
+
+
+@pytest.mark.parametrize("kind", ["stream", "safe"])
+def test_exception_in_one_attempt_lets_another_server_answer(kind):
+    fleet = make_fleet(servers=2)
+    failing, _ = fleet.servers
+    failing.respond = fail
+    for number in range(8):
+        fleet.loop.call_later(0.01 * number, fleet.send, kind)
+    fleet.run(2.0)
+    assert failing.flights
+    assert all(call.is_whole for call in fleet.calls.values())
+    assert len(fleet.reports.errors) == len(failing.flights)
+
+
+@pytest.mark.parametrize("kind", ["stream", "safe"])
+def test_exception_in_an_attempt_beside_a_silent_one_costs_no_response(kind):
+    fleet = make_fleet(servers=2)
+    fleet.run(
+        4.0,
+        [
+            (0.0, fleet.send, kind),
+            *[(0.15, server.fall_silent, 1.5) for server in fleet.servers],
+            *[(0.16, setattr, server, "respond", fail) for server in fleet.servers],
+        ],
+    )
+    [call] = fleet.calls.values()
+    assert len(call.flights) == 2 and len(fleet.reports.errors) == 1
+    assert call.is_whole, call.error
+
+
+@pytest.mark.parametrize("kind", ["stream", "safe"])
+def test_exception_in_a_replaced_attempt_costs_no_response(monkeypatch, kind):
+    fleet = make_fleet(servers=2)
+    close = SimulatedConnection.close
+
+    def fail_to_close(connection):
+        close(connection)
+        raise RuntimeError("odd close")
+
+    monkeypatch.setattr(SimulatedConnection, "close", fail_to_close)
+
+    def silence_used():
+        for server in fleet.servers:
+            if server.flights:
+                server.fall_silent(3.0)
+
+    fleet.run(4.0, [(0.0, fleet.send, kind), (0.15, silence_used)])
+    [call] = fleet.calls.values()
+    assert len(call.flights) == 2 and len(fleet.reports.errors) == 1
+    assert call.is_whole, call.error
