Let an attempt replace another at its first event, not at its head

Callers of a resumable stream whose server was silent for 1.3 s lost it though the server went on: 300 ms after the head of a second attempt the first one was ended. A head says little.

The first event that the caller doesn't have, or a complete response, replaces the other attempts, as for streams that can't be resumed. Both rules of the users' pages are kept: nothing in hand is given up for something not delivered, and from the first event on, with which a request starts to run, one server has it.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -52,9 +52,6 @@
 RESPONSE_RESERVE = timedelta(milliseconds=20)
 # Interval at which a silent request is tried elsewhere while that is not possible.
 BESIDE_INTERVAL = timedelta(milliseconds=250)
-# Time from the head of a resumed stream until its server alone has the request, so that
-# two servers don't work on one stream for longer.
-STREAM_OVERLAP = timedelta(milliseconds=300)
 
 
 class _Change(NamedTuple):
@@ -122,7 +119,6 @@
         self._changes: asyncio.Queue[_Change] = asyncio.Queue()
         self._is_answered = False
         self._beside_timer: asyncio.TimerHandle | None = None
-        self._overlap_timer: asyncio.TimerHandle | None = None
         self._end_reason: EndReason | None = None
         self._timeout: asyncio.Timeout | None = None
 
@@ -381,9 +377,8 @@
 
     async def _end_all(self) -> None:
         """End all attempts, and wait for their tasks."""
-        for timer in (self._beside_timer, self._overlap_timer):
-            if timer is not None:
-                timer.cancel()
+        if self._beside_timer is not None:
+            self._beside_timer.cancel()
         ending = AttemptEnding(self._end_reason or EndReason.REPLACED)
         for attempt in list(self._running):
             self._end(attempt, ending)
@@ -407,17 +402,6 @@
         """End the other attempts, as this one has the response."""
         self._replace_others(attempt, Progress.RESPONSE)
 
-    def note_begin(self, attempt: ServerAttempt) -> None:
-        """Handle the head of a stream, whose server has begun with the request."""
-        if attempt.order.is_beside and self.route.repeat is Repeat.RESUME:
-            self._overlap_timer = asyncio.get_running_loop().call_later(
-                STREAM_OVERLAP.total_seconds(), self._end_overlap, attempt
-            )
-
-    def _end_overlap(self, attempt: ServerAttempt) -> None:
-        if attempt in self._running:
-            self._replace_others(attempt, Progress.HEAD)
-
     def note_silence(self, attempt: ServerAttempt) -> None:
         """Handle an attempt that falls silent."""
         self._changes.put_nowait(_Change())
--- a/lavendershift/requestends.py
+++ b/lavendershift/requestends.py
@@ -27,7 +27,6 @@
 class Progress(Enum):
     """What an attempt had received when it replaced others."""
 
-    HEAD = "head"
     EVENT = "event"  # of a stream, one that the caller doesn't have
     RESPONSE = "response"  # a complete one
 
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -37,7 +37,6 @@
 from lavendershift.serverlist import Assignment
 from lavendershift.serverresponses import (
     SERVER_ERRORS,
-    SUCCESSES,
     AttemptReader,
     ServerResponse,
 )
@@ -82,10 +81,6 @@
         """Forward complete events to the caller."""
         ...
 
-    def note_begin(self, attempt: "ServerAttempt") -> None:
-        """Handle the head of a stream."""
-        ...
-
     def note_silence(self, attempt: "ServerAttempt") -> None:
         """Handle an attempt that falls silent."""
         ...
@@ -359,9 +354,6 @@
             sent_at = self._sent_at if is_current else None
             self._servers.note_signal(self.server, signal, sent_at)
             self._named_limit = signal.limit
-        is_own_stream = kind is ResponseKind.OWN and self.order.route.is_stream
-        if is_own_stream and status in SUCCESSES:
-            self._owner.note_begin(self)
         return kind
 
     async def forward(self, reader: AttemptReader, events: bytes) -> None:
