Decode valid configurations at once

Each entry was decoded by itself, and the nesting of the whole text was measured once more than needed. Now all entries are decoded in one call, and one by one only if that fails, to skip the invalid ones; the nesting is measured once.

--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -5,7 +5,7 @@
 the skipped entries are returned, to be logged.
 """
 
-from collections.abc import Callable
+import contextlib
 from datetime import timedelta
 from typing import NamedTuple, TypeVar
 
@@ -18,6 +18,7 @@
     decode_json,
     make_duration,
     prune_depth,
+    run_decoder,
 )
 from lavendershift.errors import DecodeError
 from lavendershift.routes import (
@@ -90,6 +91,8 @@
 
 
 class _Config(msgspec.Struct):
+    """A configuration whose entries are decoded one by one."""
+
     version: Count
     routes: list[msgspec.Raw] = []
     services: list[msgspec.Raw] = []
@@ -97,8 +100,17 @@
     limits: msgspec.Raw = msgspec.Raw(b"{}")
 
 
+class _ValidConfig(msgspec.Struct):
+    """A configuration whose entries are all valid, which takes less time to decode."""
+
+    version: Count
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
+
+
 Wire = TypeVar("Wire")
-Item = TypeVar("Item")
 
 
 def decode_configuration(value: bytes) -> Decoded:
@@ -107,29 +119,45 @@
     pruned = prune_depth(value)
     if pruned is not value:
         skipped.append(f"values nested more than {MAX_DEPTH} levels deep")
-    config = decode_json(pruned, _Config, "configuration", MAX_CONFIGURATION_BYTES)
+    config = _decode_valid(pruned, skipped)
     table = RoutingTable(
         config.version,
-        _decode_all(config.routes, _Route, _make_route, "route", skipped),
-        _decode_all(config.services, _Service, _make_service, "service", skipped),
-        _decode_all(config.tenants, _Tenant, _make_customer, "customer", skipped),
+        map(_make_route, config.routes),
+        map(_make_service, config.services),
+        map(_make_customer, config.tenants),
         _make_limits(_decode_limits(config.limits, skipped)),
     )
     return Decoded(table, skipped)
 
 
+def _decode_valid(data: bytes, skipped: list[str]) -> _ValidConfig:
+    """Decode a configuration, nested as deep as allowed, without invalid entries."""
+    if len(data) <= MAX_CONFIGURATION_BYTES:
+        with contextlib.suppress(DecodeError):  # of an invalid entry, found below
+            return run_decoder(
+                lambda: msgspec.json.decode(data, type=_ValidConfig), "configuration"
+            )
+    config = decode_json(data, _Config, "configuration", MAX_CONFIGURATION_BYTES)
+    return _ValidConfig(
+        config.version,
+        _decode_all(config.routes, _Route, "route", skipped),
+        _decode_all(config.services, _Service, "service", skipped),
+        _decode_all(config.tenants, _Tenant, "customer", skipped),
+        config.limits,
+    )
+
+
 def _decode_all(
     raws: list[msgspec.Raw],
     wire: type[Wire],
-    make: Callable[[Wire], Item],
     noun: str,
     skipped: list[str],
-) -> list[Item]:
+) -> list[Wire]:
     """Return the valid entries; descriptions of the others go to ``skipped``."""
     items = []
     for number, raw in enumerate(raws):
         try:
-            items.append(make(decode_json(raw, wire, f"{noun} {number}")))
+            items.append(decode_json(raw, wire, f"{noun} {number}"))
         except DecodeError as error:
             skipped.append(str(error))
     return items
