Test the other loops that call the store after an outage

The same cause acted on all loops that call the store: on a link where packets wait 0.7 s or more, a VM's row and the quota records never crossed it, as their connections were given up after 600 ms.

--- a/lavendershift/platform/tests/storelinks.py
+++ b/lavendershift/platform/tests/storelinks.py
@@ -13,7 +13,11 @@
 from tornado.httputil import HTTPHeaders
 
 from lavendershift.connections import ConnectError, ConnectionPool, Exchange
-from lavendershift.platform.store import READ_HEADER, encode_record
+from lavendershift.platform.store import (
+    READ_HEADER,
+    decode_batch,
+    encode_record,
+)
 
 # Times of a SYN and of its retransmissions by the kernel, in seconds.
 SYN_TIMES = (0.0, 1.0, 3.0, 7.0)
@@ -64,12 +68,16 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def answer(self, target):
+    async def answer(self, target, body):
         """Return the body of the response to a call."""
         url = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         records = self.topics.setdefault(query["topic"], [])
         self.calls.append((url.path, query["topic"], self.link.loop.time()))
+        if url.path == "/log-append":
+            (record,) = decode_batch(READ_HEADER.pack(0, 0) + body, 0).records
+            self.append(query["topic"], record.key, record.value)
+            return json.dumps({"end": len(records)}).encode()
         if url.path == "/log-newest":
             return self._render_newest(records)
         offset = int(query["from"])
@@ -111,7 +119,7 @@
 
     async def exchange(self, request, reader):
         await self._carry()
-        body = await self.store.answer(request.target)
+        body = await self.store.answer(request.target, request.body)
         await self._carry()
         reader.start(200, HTTPHeaders())
         for begin in range(0, len(body), WINDOW_BYTES):
--- a/lavendershift/platform/tests/test_feed_schedules.py
+++ b/lavendershift/platform/tests/test_feed_schedules.py
@@ -8,13 +8,17 @@
 import logbook
 import pytest
 
+from lavendershift.errors import LogUnavailableError
 from lavendershift.logs import EventLog
 from lavendershift.platform import names
 from lavendershift.platform.feeds import ConfigurationFeed, Feed, TopicReader
+from lavendershift.platform.presence import PresenceWriter
 from lavendershift.platform.store import StoreClient
 from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.platform.tests.storelinks import Link, LinkedPool, LinkedStore
 from lavendershift.tests.virtualloop import VirtualLoop
+from lavendershift.tokendraws import OUTAGE_RETRY_INTERVAL
+from lavendershift.vmlist import ROW_EXPIRY, VmList, VmRow
 
 CONFIG_APPLY_S = 3.0
 STABLE_WINDOW_S = 4.0
@@ -149,3 +153,53 @@
     world.play([(1, 1, 20)])
     newest = [at for path, _, at in world.store.calls if path == "/log-newest"]
     assert max(newest) < 15.0
+
+
+def play_calls(work, round_trip_s, outage):
+    """Run ``work`` with a client over a congested link; return when calls arrived."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        loop = runner.get_loop()
+        link = Link(loop, 10, lambda now: round_trip_s if now > 12 else 0.01, [outage])
+        store = LinkedStore(link)
+        client = StoreClient("store:1", LinkedPool(loop, store), loop)
+
+        async def run():
+            running = asyncio.ensure_future(work(client, loop))
+            await asyncio.sleep(outage[1] + 10)
+            running.cancel()
+
+        runner.run(run())
+        return [at for _, _, at in store.calls]
+
+
+async def renew_row(client, loop):
+    vms = VmList(loop, VmRow("edge-1", "", "rennes", "i-1", 0, False))
+    await PresenceWriter(client, vms, dict, lambda: 0.0, lambda: True).run()
+
+
+async def read_quotas(client, loop):
+    """Read a partition again and again, as the loop of draws does."""
+    while True:
+        try:
+            await client.read(names.GRANTS_TOPIC, 0, 0)
+        except LogUnavailableError:
+            await asyncio.sleep(OUTAGE_RETRY_INTERVAL.total_seconds())
+        else:
+            await asyncio.sleep(0.3)
+
+
+@pytest.mark.parametrize("round_trip_s", [0.01, 0.95])
+@pytest.mark.parametrize(
+    ("work", "limit_s"),
+    [(renew_row, ROW_EXPIRY.total_seconds()), (read_quotas, STABLE_WINDOW_S)],
+)
+def test_other_loops_reach_the_store_soon_after_an_outage(work, limit_s, round_trip_s):
+    """Rows and quota records never crossed a link on which packets waited 0.7 s."""
+    delays = {}
+    for step in range(30):
+        end = OUTAGE[1] + step / 10
+        arrived = [
+            at for at in play_calls(work, round_trip_s, (OUTAGE[0], end)) if at >= end
+        ]
+        delays[end] = min(arrived, default=float("inf")) - end
+    assert max(delays.values()) < limit_s, delays
