Test the header timer of callers beside a pause of the loop

Headers whose rest arrives while the loop stands still for 0.5 or 2 s, past the header timeout, are read and answered, for one caller and for 20. The test passed at once: the timer looks for unread bytes. The idle timer had such a test already.

--- a/lavendershift/platform/tests/test_callertimeouts.py
+++ b/lavendershift/platform/tests/test_callertimeouts.py
@@ -24,6 +24,23 @@
     play(work)
 
 
+@pytest.mark.parametrize("pause_s", [0.5, 2.0])
+@pytest.mark.parametrize("callers", [1, 20])
+def test_headers_that_arrive_in_a_pause_of_the_loop_are_read(pause_s, callers):
+    async def work(listener):
+        waiting = [listener.connect() for _ in range(callers)]
+        for caller in waiting:
+            caller.send(HALF)
+        await asyncio.sleep(0.1)
+        for caller in waiting:
+            caller.send(REQUEST[len(HALF) :])
+        time.sleep(pause_s)  # the loop is busy until after the header timeout
+        for caller in waiting:
+            await caller.read_until(b"done r1")
+
+    play(work)
+
+
 def test_a_longer_idle_timeout_applies_to_idle_connections():
     async def work(listener):
         caller = listener.connect()
