Don't report a failed attempt to connect as lost at the end of a process

An attempt that failed within 0.6 s of the end of the loop, with no caller waiting for it, was reported as an exception that was never retrieved. The test failed before with that report.

--- a/lavendershift/connectors.py
+++ b/lavendershift/connectors.py
@@ -84,11 +84,12 @@
 
     def _close_later(self, attempt: asyncio.Task[Connection]) -> None:
         """Close the connection of ``attempt`` unless a caller takes it soon."""
+        was_made = not attempt.cancelled() and attempt.exception() is None
 
         def close() -> None:
             if attempt in self._attempts:
                 self._attempts.remove(attempt)
-                if not attempt.cancelled() and attempt.exception() is None:
+                if was_made:
                     attempt.result().close()
 
         asyncio.get_running_loop().call_later(self._interval, close)
--- a/lavendershift/tests/test_connectors.py
+++ b/lavendershift/tests/test_connectors.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -132,3 +133,25 @@
     assert len({id(connection) for connection in found}) == 5
     assert not any(connection.closed for connection in found)
     assert took == pytest.approx(0.01)
+
+
+def fail_late(reported):
+    """End a loop just after an attempt failed that no caller waited for."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        loop = runner.get_loop()
+        loop.set_exception_handler(lambda loop, context: reported.append(context))
+        connector = Connector(ScriptedPool(loop, None), "store:1", INTERVAL, LIFETIME)
+
+        async def work():
+            with pytest.raises(ConnectError):
+                await connector.connect(timedelta(seconds=0.3))
+            await asyncio.sleep(2.15)
+
+        runner.run(work())
+
+
+def test_a_failed_attempt_is_not_reported_as_lost_at_the_end_of_a_process():
+    reported = []
+    fail_late(reported)
+    gc.collect()
+    assert reported == []
