Answer what is on a connection at the end of a stop

Callers got a reset in place of an answer for whatever was on a connection at the end of a VM's stop: requests at servers, also those that may run once, bodies and headers that were arriving, and responses that weren't read. The process just ended, with a count of the requests that it cut.

At the end of their time, requests in flight end through the gateway with a definite answer, bodies and headers that are still arriving get 503, and the responses are flushed for a third of the reserve; the rest is for the process to end. Only a begun stream, or a response that isn't read in that time, is reset, and has a line with the cause stop.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -361,10 +361,13 @@
         self._callers.stop_listening()
         self._draws.return_all()
         self._note_stop("closed")
-        await self._callers.end_connections(times.ending - self._clock.elapsed())
+        await self._callers.wait_idle(times.ending)
+        self._callers.end_requests()
         self._note_stop("ended")
-        await self._sleep_until(min(self._clock.elapsed() + FLUSH_TIME, times.flushed))
+        await self._callers.wait_idle(times.flushed)
+        self._callers.close_connections()
         self._note_stop("flushed")
+        await self._sleep_until(min(self._clock.elapsed() + FLUSH_TIME, times.flushed))
 
     async def _announce_leaving(self) -> None:
         await self._presence.announce()
--- a/lavendershift/platform/callerresponses.py
+++ b/lavendershift/platform/callerresponses.py
@@ -82,8 +82,10 @@
         self.is_done = True
         stream = self._stream
         if stream is not None and not stream.closed():
-            is_cancelled = is_being_cancelled()
-            stream.set_cause(EndCause.CANCELLED if is_cancelled else EndCause.TRUNCATED)
+            if stream.cause is not EndCause.STOP:
+                is_cancelled = is_being_cancelled()
+                cause = EndCause.CANCELLED if is_cancelled else EndCause.TRUNCATED
+                stream.set_cause(cause)
             reset_stream(stream)
 
     def refuse(self, error: RequestError) -> None:
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -28,6 +28,7 @@
 from lavendershift.attempts import CallerRequest
 from lavendershift.clocks import Clock
 from lavendershift.connectionreports import ConnectionEnd, EndCause, Stage
+from lavendershift.connections import reset_stream
 from lavendershift.decoding import MAX_INTEGER, parse_count
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.gateway import Gateway
@@ -41,6 +42,10 @@
 # Time in which callers may not know of a shorter idle timeout yet.
 IDLE_CHANGE_TIME = timedelta(seconds=3)
 STOP_POLL_S = 0.02  # interval between checks for connections with requests
+STOPPING_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+    b"Content-Length: 0\r\nRetry-After: 0.05\r\n\r\n"
+)
 # Size up to which headers are read, so that those above the limit are refused, and so
 # that a higher limit applies to connections that are idle when it is set.
 MAX_HEADER_READ = 1_048_576
@@ -58,6 +63,7 @@
         self._size = 0
         self._limit = 0
         self._is_refused = False
+        self._is_read = False
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -102,6 +108,7 @@
     def finish(self) -> None:
         if self._is_refused or self._start_line is None:
             return
+        self._is_read = True
         if self.stream is None or self.stream.closed():
             # A pipelined request is still read from the buffer of a closed
             # connection, but its response could not be delivered.
@@ -125,6 +132,11 @@
     def on_connection_close(self) -> None:
         self._chunks.clear()
 
+    def refuse_remainder(self) -> None:
+        """Refuse a request whose body isn't complete, as the process stops."""
+        if not self._is_read and self.stream is not None and not self.stream.closed():
+            self._refuse(ErrorKind.STOPPING)
+
     def _refuse(self, kind: ErrorKind) -> None:
         if not self._is_refused and self._start_line is not None:
             self._is_refused = True
@@ -147,6 +159,7 @@
         self._longer_until = clock.elapsed()
         self._active: set[asyncio.Task[None]] = set()
         self._streams: WeakSet[CallerStream] = WeakSet()
+        self._readers: WeakSet[_RequestReader] = WeakSet()
 
     def listen(self, address: str) -> None:
         """Listen on ``address``."""
@@ -185,7 +198,9 @@
         """Return the reader of a request."""
         stream: CallerStream = request_conn.stream  # type: ignore[attr-defined]
         stream.note_waiting()
-        return _RequestReader(self, request_conn)
+        reader = _RequestReader(self, request_conn)
+        self._readers.add(reader)
+        return reader
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing, as each request has its own callback for a close."""
@@ -267,21 +282,44 @@
         stages = (stream.find_stage() for stream in self._streams)
         return Counter(stage for stage in stages if stage is not Stage.IDLE)
 
-    async def end_connections(self, timeout: timedelta) -> int:
-        """Wait until no connection has a request, then close them all.
+    async def wait_idle(self, until: timedelta) -> None:
+        """Wait until no connection has a request, or until the time ``until``.
 
-        A request may arrive on an idle connection until it is closed, so the last
-        check and the closing are done in one turn of the event loop. Returns the
-        number of requests that are still in flight after ``timeout``.
+        A request may arrive on an idle connection until it is closed, so that
+        ``close_connections`` has to be called in the same turn of the event loop.
         """
-        deadline = self.clock.elapsed() + timeout
-        while self._has_requests() and self.clock.elapsed() < deadline:
+        while self._has_requests() and self.clock.elapsed() < until:
             await asyncio.sleep(STOP_POLL_S)
-        for stream in list(self._streams):
-            if stream.is_waiting:
+
+    def end_requests(self) -> None:
+        """End all requests with a response, or a reset where one has begun.
+
+        Those that were not read completely are refused.
+        """
+        streams = [stream for stream in self._streams if not stream.closed()]
+        for stream in streams:
+            if stream.find_stage() is Stage.IN_FLIGHT:
                 stream.set_cause(EndCause.STOP)
+        self._gateway.end_requests()
+        for reader in list(self._readers):
+            reader.refuse_remainder()
+        for stream in streams:
+            if stream.find_stage() is Stage.HEADER:
+                stream.refuse_header(EndCause.STOP, STOPPING_RESPONSE)
+
+    def close_connections(self) -> None:
+        """Close all connections; a response that isn't sent completely is reset."""
+        for stream in list(self._streams):
+            if stream.closed():
+                continue
+            stage = stream.find_stage()
+            stream.set_cause(EndCause.STOP)
+            if stage is Stage.IDLE:
                 stream.close()
-        return len(self._active)
+            elif stage in (Stage.UNREAD, Stage.HEADER):
+                stream.refuse_header(EndCause.STOP, STOPPING_RESPONSE)
+            else:
+                reset_stream(stream)
 
     def _has_requests(self) -> bool:
         """Whether any connection has a request, unread bytes or an unsent response."""
--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -30,7 +30,6 @@
 LINGERING_CAUSES = frozenset(
     {
         EndCause.RESPONSE,
-        EndCause.HEADER_TIMER,
         EndCause.LARGE_HEADER,
         EndCause.MALFORMED,
     }
@@ -61,11 +60,17 @@
         self._was_ended_by_caller = False
         self._cause: EndCause | None = None
         self._is_waiting = False
+        self._has_refused = False
         self._timed_since = self._opened
         # Limit of the header timeout or the idle timeout, if one of them is running.
         self._time_limit: timedelta | None = None
         self._timer = self._schedule(MIN_CHECK_INTERVAL)
 
+    @property
+    def cause(self) -> EndCause | None:
+        """Why the connection is about to be closed, if that is known."""
+        return self._cause
+
     @property
     def is_waiting(self) -> bool:
         """Whether nothing was read since the latest response was sent."""
@@ -139,7 +144,7 @@
 
     def close_fd(self) -> None:
         """Close the socket, after the caller if it may have to read a response."""
-        if self._cause in LINGERING_CAUSES:
+        if self._cause in LINGERING_CAUSES or self._has_refused:
             endpoint, self.socket = self.socket, None  # type: ignore[assignment]
             discard_remainder(endpoint)
         else:
@@ -177,10 +182,16 @@
         """Close the connection, after a refusal if a part of a header was read."""
         if self._is_waiting:
             self.set_cause(EndCause.IDLE_TIMER)
+            self.close()
         else:
-            self.set_cause(EndCause.HEADER_TIMER)
-            with contextlib.suppress(StreamClosedError):  # the caller disconnected
-                self.write(HEADER_TIMEOUT_RESPONSE)
+            self.refuse_header(EndCause.HEADER_TIMER, HEADER_TIMEOUT_RESPONSE)
+
+    def refuse_header(self, cause: EndCause, response: bytes) -> None:
+        """Send a refusal in place of reading a request's header, and close."""
+        self.set_cause(cause)
+        self._has_refused = True
+        with contextlib.suppress(StreamClosedError):  # the caller disconnected
+            self.write(response)
         self.close()
 
     def _report(self, cause: EndCause, error: BaseException | None) -> None:
--- a/lavendershift/platform/tests/listeners.py
+++ b/lavendershift/platform/tests/listeners.py
@@ -33,6 +33,9 @@
     def find_limits(self):
         return self.limits
 
+    def end_requests(self):
+        self.is_stopping = True
+
     async def serve(self, request, writer):
         if self.is_stopping:
             writer.refuse(RequestError(ErrorKind.STOPPING))
@@ -135,6 +138,16 @@
         self.gateway.limits = self.gateway.limits._replace(**changes)
         self.server.update_limits(self.gateway.limits)
 
+    async def end_connections(self, timeout):
+        """End all connections like a stop; return how many requests weren't done."""
+        now = self.server.clock.elapsed()
+        await self.server.wait_idle(now + timeout)
+        stages = self.server.count_stages()
+        self.server.end_requests()
+        await self.server.wait_idle(now + timeout + timedelta(seconds=0.3))
+        self.server.close_connections()
+        return stages.total()
+
     async def wait_end(self):
         async with asyncio.timeout(5):
             while not self.ends:
--- a/lavendershift/stops.py
+++ b/lavendershift/stops.py
@@ -22,6 +22,7 @@
 MAX_RESERVE = timedelta(seconds=1)
 # Largest part reserved of a short grace time.
 MAX_RESERVE_PART = 1 / 6
+FLUSH_PART = 1 / 3  # part of the reserve for the last responses
 
 
 class StopTimes(NamedTuple):
@@ -49,5 +50,5 @@
         requested,
         requested + min(MAX_ADMISSION, grace * ADMISSION_PART),
         requested + grace - reserve,
-        requested + grace - reserve / 2,
+        requested + grace - reserve * (1 - FLUSH_PART),
     )
