End the loop of draws also if it is woken in the turn of its cancellation

A process whose loop of draws was woken in the turn in which the loop was cancelled didn't end, and waited for the kill at the end of its grace: asyncio.wait_for of Python 3.11 returns the result of what is done and loses the cancellation. The test failed before (the loop still ran after 1 s); no other code of the project uses asyncio.wait_for.

Whether test_a_stop_during_the_start_ends_a_process_cleanly was this isn't shown.

--- a/lavendershift/tests/test_tokendraws.py
+++ b/lavendershift/tests/test_tokendraws.py
@@ -463,3 +463,19 @@
     assert draws.find_account("other").free == 0
     assert [r.customer for r in quota_log.records] == ["other", "plume"]
     assert draws.has_synced
+
+
+def test_a_wake_in_the_turn_of_the_cancellation_does_not_keep_the_loop_running():
+    """A process didn't end, as its loop of draws went on after its cancellation."""
+
+    async def work():
+        draws = make_draws(MemoryQuotaLog(), SystemClock())
+        draws.mark_totals_known()
+        running = asyncio.ensure_future(draws.run())
+        await asyncio.sleep(0.1)
+        draws.return_all()
+        running.cancel()
+        done, _ = await asyncio.wait([running], timeout=1)
+        assert done
+
+    asyncio.run(work())
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -341,7 +341,9 @@
                     else STANDBY_RETRY_INTERVAL
                 )
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), interval.total_seconds())
+                # ``asyncio.wait_for`` loses a cancellation in the turn of the wake.
+                async with asyncio.timeout(interval.total_seconds()):
+                    await self._wake.wait()
             self._wake.clear()
 
     async def run_snapshots(self) -> None:
