Refuse what isn't sent yet when a stop takes no more requests

A request that waited for tokens, a trial, a permit or a connection when a stop took no more requests was sent to a server after that, up to 0.25 s later for tokens alone, and had less of the grace left than the stop counts on. It is refused as not run in that moment, like one that comes later. The test in virtual time failed before: a stream that waited 0.3 s was sent 0.2 s after the end of admission. One that is at a server goes on, also to another one.

The gateway's stand-ins in tests have the new method.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -91,6 +91,13 @@
         """Change the fleet-wide bounds on retries."""
         self._bounds = bounds
 
+    def stop_admission(self) -> None:
+        """Refuse new requests from now on, and those that no server can have run."""
+        self.is_stopping = True
+        for delivery in list(self._deliveries):
+            if not delivery.may_have_run:
+                delivery.end(EndReason.STOPPED)
+
     def end_requests(self) -> int:
         """End all requests in flight, as the process ends; return their number.
 
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -272,7 +272,7 @@
 
         Callers may use an idle connection until the process has ended.
         """
-        self._gateway.is_stopping = True
+        self._gateway.stop_admission()
         if self._http is not None:
             self._http.accept_pending()
             self._http.stop()
--- a/lavendershift/platform/tests/listeners.py
+++ b/lavendershift/platform/tests/listeners.py
@@ -33,9 +33,12 @@
     def find_limits(self):
         return self.limits
 
-    def end_requests(self):
+    def stop_admission(self):
         self.is_stopping = True
 
+    def end_requests(self):
+        self.stop_admission()
+
     async def serve(self, request, writer):
         if self.is_stopping:
             writer.refuse(RequestError(ErrorKind.STOPPING))
--- a/lavendershift/platform/tests/test_callerrefusals.py
+++ b/lavendershift/platform/tests/test_callerrefusals.py
@@ -205,6 +205,7 @@
 
     def __init__(self, gateway, failure):
         self.find_limits = gateway.find_limits
+        self.stop_admission = gateway.stop_admission
         self._failure = failure
 
     async def serve(self, request, writer):
--- a/lavendershift/platform/tests/test_callers.py
+++ b/lavendershift/platform/tests/test_callers.py
@@ -136,6 +136,9 @@
     def find_limits(self):
         return CallerLimits(body_bytes=BODY_LIMIT)
 
+    def stop_admission(self):
+        pass
+
     async def serve(self, request, writer):
         self.served.append(request.id)
         self.bodies.append(request.body)
--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -71,6 +71,34 @@
     assert (call.error, call.flights) == ("STOPPING", [])
 
 
+def stop_admission(fleet):
+    fleet.find_vm(0).gateway.stop_admission()
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 0.05, 0.3])
+def test_request_that_was_not_sent_in_time_is_not_begun_in_a_stop(wait_s):
+    """One that waited for tokens was sent late, and cut at the end."""
+    fleet = make_fleet()
+    gateway = fleet.find_vm(0).gateway
+
+    async def wait_for_trial(parts):
+        await asyncio.sleep(wait_s)
+
+    gateway._check_quarantine = wait_for_trial
+    schedule = [
+        (0.001, fleet.send, "stream"),
+        (0.1, gateway.stop_admission),
+        (0.2, fleet.send, "once"),
+    ]
+    fleet.run(2.0, schedule)
+    early, late = fleet.calls.values()
+    assert (late.error, late.flights) == ("STOPPING", [])
+    if wait_s < 0.1:
+        assert early.is_done
+    else:
+        assert (early.error, early.flights) == ("STOPPING", [])
+
+
 def respond_until(server, end_s):
     """Let a server send the last event, or a whole plain response, at a given time."""
 
