Give a request all of the time that was in force while it was served

Callers of requests in flight got an error, or a stream that was cut, though they had time: a response that had begun was ended 20 ms early, when nothing could be gained by it, and the timeout was that of the version at admission, also after a later version had raised it. Servers were told the old timeout too and may have ended by themselves.

How long a request has is answered by one type, RequestTime: until the longest timeout in force while it was served, or the caller's deadline; a response that has begun to the end, an error 20 ms before it. Gateway extends requests in flight when its table changes. Servers are told the caller's own deadline, which BUDGET allows, and the timeout is kept by closing the connection.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -38,7 +38,7 @@
 
 
 class Attempt(NamedTuple):
-    """One attempt to send a request to a server."""
+    """One attempt to send a request to a server, which is told the ``deadline``."""
 
     server: str
     customer: str
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -39,6 +39,7 @@
     Progress,
     RequestEnding,
 )
+from lavendershift.requesttimes import RESPONSE_RESERVE, RequestTime
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serverattempts import ServerAttempt
 from lavendershift.serverresponses import ServerResponse
@@ -48,8 +49,6 @@
 MAX_SENDS = 4  # servers to which one request is sent, those that refuse it included
 MAX_CONNECT_FAILURES = 6  # failed connections after which a request is given up
 RETRY_RESERVE = timedelta(milliseconds=60)  # least time to the deadline for a retry
-# Part of the timeout kept free, so that the last response reaches the caller in time.
-RESPONSE_RESERVE = timedelta(milliseconds=20)
 # Interval at which a silent request is tried elsewhere while that is not possible.
 BESIDE_INTERVAL = timedelta(milliseconds=250)
 
@@ -92,7 +91,7 @@
         if route.repeat is Repeat.RESUME:
             self.position = read_position(request.resumed_after)
         self._clock = clock
-        self._request = request
+        self.request = request
         self._service = service
         self._backends = backends
         self._servers = backends.servers
@@ -101,7 +100,7 @@
         self._on_attempt = on_attempt
         self._customer = customer
         self._urgency = urgency
-        self._deadline = min(request.deadline, request.received + route.timeout)
+        self._time = RequestTime(request.received, request.deadline, route.timeout)
         self._tried: set[str] = set()
         self._unsent: set[str] = set()
         self._sends = 0
@@ -121,6 +120,7 @@
         self._beside_timer: asyncio.TimerHandle | None = None
         self._end_reason: EndReason | None = None
         self._timeout: asyncio.Timeout | None = None
+        self._end_timer: asyncio.TimerHandle | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -152,8 +152,7 @@
         """How the request ended, ``None`` while it goes on or if it was answered."""
         if self._end_reason is None:
             return None
-        allowed = self._deadline - self._request.received
-        return RequestEnding(self._end_reason, allowed, self._sends > 0)
+        return RequestEnding(self._end_reason, self._time.allowed, self._sends > 0)
 
     async def run(self, prepare: Callable[[], Awaitable[None]] | None = None) -> None:
         """Deliver the complete response; raises ``RequestError``.
@@ -161,13 +160,12 @@
         ``prepare`` is awaited first, within the request's time.
         """
         try:
-            timeout = self._deadline - RESPONSE_RESERVE - self._clock.elapsed()
-            async with asyncio.timeout(
-                max(timeout.total_seconds(), 0)
-            ) as self._timeout:
-                if prepare is not None:
-                    await prepare()
-                await self._run_attempts()
+            async with asyncio.timeout(None) as self._timeout:
+                self._check_time()
+                if self._end_reason is None:
+                    if prepare is not None:
+                        await prepare()
+                    await self._run_attempts()
         except TimeoutError:
             self._end_reason = self._end_reason or EndReason.TIME_OVER
         except asyncio.CancelledError:
@@ -183,7 +181,7 @@
         finally:
             self._timeout = None
             await self._end_all()
-        if self._end_reason is not None:
+        if self._end_reason is not None and not await self._finish_complete():
             self._respond_at_end(self._end_reason)
 
     def end(self, reason: EndReason) -> None:
@@ -192,6 +190,37 @@
             self._end_reason = reason
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
+    def extend(self, timeout: timedelta) -> None:
+        """Apply a timeout of the route that has come into force."""
+        if self._time.extend(timeout) and self._timeout is not None:
+            self._check_time()
+            self._changes.put_nowait(_Change())
+
+    def _check_time(self) -> None:
+        """End the request if its time is over, or else check again then."""
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+        now, has_begun = self._clock.elapsed(), self._response.has_started
+        left = self._time.find_left(now, has_begun).total_seconds()
+        if left <= 0:
+            self.end(EndReason.TIME_OVER)
+        else:
+            loop = asyncio.get_running_loop()
+            self._end_timer = loop.call_later(left, self._check_time)
+
+    async def _finish_complete(self) -> bool:
+        """Forward a response that was complete when the request was ended, if any."""
+        while not self._changes.empty():
+            change = self._changes.get_nowait()
+            if change.attempt is None or change.end is not AttemptEnd.ANSWERED:
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RESPONSE_RESERVE.total_seconds()):
+                    await self._finish(change.attempt)
+                    self._end_reason = None
+                    return True
+        return False
+
     def _respond_at_end(self, reason: EndReason) -> None:
         """Forward a server's own error response, or raise ``RequestError``."""
         if self._send_server_error():
@@ -271,7 +300,7 @@
             return False
         if self._sends >= MAX_SENDS or self._possible_runs >= self.route.max_attempts:
             return False
-        return self._deadline - self._clock.elapsed() >= RETRY_RESERVE
+        return self._time.end - self._clock.elapsed() >= RETRY_RESERVE
 
     def _start_beside(self) -> None:
         """Start an attempt if all that are in flight are silent."""
@@ -304,12 +333,12 @@
         self._servers.note_selection(server)
         self._tried.add(server.entry.id)
         order = AttemptOrder(
-            self._request,
+            self.request,
             self.route,
             server,
             self._customer,
             self._urgency,
-            self._deadline,
+            self._time,
             self.position._replace(has_partial_event=self.has_partial_event()),
             is_beside,
         )
@@ -324,7 +353,7 @@
         server goes on, unless there is no other.
         """
         choose, service = self._servers.choose, self._service.name
-        prompt = self._request.prompt or NO_PROMPT
+        prompt = self.request.prompt or NO_PROMPT
         if self.route.repeat is Repeat.NEVER:
             heard = self._tried.union(self._servers.list_silent(service))
             server = choose(service, prompt, heard, self._urgency)
@@ -377,8 +406,9 @@
 
     async def _end_all(self) -> None:
         """End all attempts, and wait for their tasks."""
-        if self._beside_timer is not None:
-            self._beside_timer.cancel()
+        for timer in (self._beside_timer, self._end_timer):
+            if timer is not None:
+                timer.cancel()
         ending = AttemptEnding(self._end_reason or EndReason.REPLACED)
         for attempt in list(self._running):
             self._end(attempt, ending)
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -76,13 +76,28 @@
         self._find_retry_part = find_retry_part
         self._retries: dict[str, RetryBudget] = {}
         self._deliveries: set[Delivery] = set()
-        self.table: RoutingTable | None = None
+        self._table: RoutingTable | None = None
         # Set once a new request could not complete before the process stops.
         self.is_stopping = False
         self.on_arrival: Callable[[], None] = lambda: None
         self.estimate_peer_tokens: Callable[[str], int | None] = lambda customer: None
         self.take_trial: Callable[[Parts], Awaitable[bool]] = _refuse_trial
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force; a change extends requests in flight."""
+        return self._table
+
+    @table.setter
+    def table(self, table: RoutingTable | None) -> None:
+        self._table = table
+        if table is None:
+            return
+        for delivery in self._deliveries:
+            route = find_route(table, delivery.request)
+            if route is not None and route.name == delivery.route.name:
+                delivery.extend(route.timeout)
+
     def find_limits(self) -> CallerLimits:
         """Return the size limits and timeouts that apply to callers."""
         return self.table.limits if self.table else CallerLimits()
@@ -292,14 +307,18 @@
     return False
 
 
+def find_route(table: RoutingTable, request: CallerRequest) -> Route | None:
+    """Return the route that a request matches."""
+    return table.find_route(request.host, request.target.partition("?")[0])
+
+
 def admit(table: RoutingTable, request: CallerRequest) -> tuple[Route, Customer | None]:
     """Return a request's route and customer.
 
     Raises ``RequestError`` when no route matches, or when the route needs an API
     key and the request's key belongs to no customer.
     """
-    path = request.target.partition("?")[0]
-    route = table.find_route(request.host, path)
+    route = find_route(table, request)
     if route is None:
         raise RequestError(ErrorKind.UNKNOWN_ROUTE)
     customer = table.find_customer(request.key) if request.key else None
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -19,6 +19,7 @@
 from lavendershift.permits import Permits
 from lavendershift.promptguards import PromptGuard
 from lavendershift.quarantine import Quarantine
+from lavendershift.requesttimes import RequestTime
 from lavendershift.routes import Route
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ListedServer
@@ -50,7 +51,7 @@
     server: ListedServer
     customer: str
     urgency: int
-    deadline: timedelta
+    time: RequestTime
     position: EventPosition
     is_beside: bool = False
 
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -248,7 +248,7 @@
 
     def _make_monitor(self) -> SilenceMonitor:
         assert self._assignment is not None
-        left = self.order.deadline - self._clock.elapsed()
+        left = self.order.time.end - self._clock.elapsed()
         target, expected = self.order.route.target, self._assignment.expected
         first = find_first_byte_wait(target, expected, left)
         self._has_short_wait = first < find_usual_wait(target, expected)
@@ -297,7 +297,7 @@
             server=self.server.entry.id,
             customer=order.customer,
             urgency=order.urgency,
-            deadline=order.deadline,
+            deadline=order.time.deadline,
             resume_after=order.position.last_id,
         )
         now = self._clock.elapsed()
--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -234,3 +234,16 @@
     [call] = fleet.calls.values()
     assert len(call.flights) == 2 and len(fleet.reports.errors) == 1
     assert call.is_whole, call.error
+
+
+def test_request_without_time_is_refused_and_not_sent():
+    fleet = make_fleet()
+    schedule = [
+        (0.0, fleet.send, "safe"),
+        (1.0, set_timeout, fleet, 0.01),
+        (1.1, fleet.send, "safe"),
+    ]
+    fleet.run(2.0, schedule)
+    answered, refused = fleet.calls.values()
+    assert answered.is_whole
+    assert (refused.error, refused.flights) == ("DEADLINE_UNREACHABLE", [])
