End only the attempt that an unexpected exception is in

An exception in one attempt at a server ended the whole request with 502, also while another attempt was in flight or could be made, and also if the attempt had been replaced already; beside a complete response it was not logged at all.

An exception is logged with the request's id and ends its attempt as internal_error, after which the request goes on as after a broken response. A TimeoutError of an attempt was taken for the end of the request's time; that has its own reason now.

The platform's deliveries in tests fail on an exception that none of them expects, as they did while it ended the request.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -54,14 +54,10 @@
 
 
 class _Change(NamedTuple):
-    """Something that a delivery reacts to: an attempt's end, or else a silence.
-
-    ``error`` is an unexpected exception that ended the attempt.
-    """
+    """Something that a delivery reacts to: an attempt's end, or else a silence."""
 
     attempt: ServerAttempt | None = None
     end: AttemptEnd | None = None
-    error: BaseException | None = None
 
 
 class Delivery:
@@ -70,7 +66,8 @@
     ``spend_retry`` is called before another attempt with the end of the previous one.
     It takes a token of the retry budget, and returns false if there is none. The token
     covers the next request that is sent, whichever attempt sends it.
-    ``on_attempt`` is called with the report of each attempt.
+    ``on_attempt`` is called with the report of each attempt, ``on_error`` with an
+    unexpected exception of one.
     """
 
     def __init__(
@@ -83,6 +80,7 @@
         response: ResponseWriter,
         spend_retry: Callable[[AttemptEnd], bool],
         on_attempt: Callable[[AttemptReport], None],
+        on_error: Callable[[BaseException], None],
         customer: str = "",
         urgency: int = 5,
     ) -> None:
@@ -98,6 +96,7 @@
         self._response = OutgoingResponse(clock, response, backends.wire)
         self._spend_retry = spend_retry
         self._on_attempt = on_attempt
+        self._on_error = on_error
         self._customer = customer
         self._urgency = urgency
         self._time = RequestTime(request.received, request.deadline, route.timeout)
@@ -167,13 +166,16 @@
                         await prepare()
                     await self._run_attempts()
         except TimeoutError:
-            self._end_reason = self._end_reason or EndReason.TIME_OVER
+            if self._end_reason is None:  # not this one's
+                self._end_reason = EndReason.INTERNAL
+                raise
         except asyncio.CancelledError:
             is_gone = is_being_cancelled()
             self._end_reason = EndReason.CALLER_GONE if is_gone else EndReason.INTERNAL
             raise
         except RequestError:
-            self._end_reason = EndReason.SERVER_FAILED
+            if self._sends:
+                self._end_reason = EndReason.SERVER_FAILED
             raise
         except BaseException:
             self._end_reason = EndReason.INTERNAL
@@ -246,8 +248,6 @@
         is_possible = self._start_attempt()
         while is_possible:
             change = await self._changes.get()
-            if change.error is not None:
-                raise change.error
             if change.attempt is None or change.end is None:
                 self._start_beside()
                 continue
@@ -362,15 +362,17 @@
         return choose(service, prompt, self._tried, self._urgency)
 
     async def _run_attempt(self, attempt: ServerAttempt) -> None:
-        """Run an attempt and record how it ended, unless it was replaced."""
+        """Run an attempt and record how it ended, unless it was replaced.
+
+        An unexpected exception ends the attempt, and nothing else.
+        """
         try:
             end = await attempt.run()
         except (Exception, asyncio.CancelledError) as error:
             if isinstance(error, asyncio.CancelledError) and is_being_cancelled():
                 raise
-            self._running.pop(attempt, None)
-            self._changes.put_nowait(_Change(attempt, error=error))
-            return
+            self._on_error(error)
+            end = AttemptEnd.INTERNAL_ERROR
         if attempt not in self._running:
             return
         if attempt.is_inside_event:
@@ -503,6 +505,8 @@
             kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
             after = self._servers.find_retry_delay(self._service.name)
             raise RequestError(kind, retry_after=after)
+        if end is AttemptEnd.INTERNAL_ERROR:
+            raise RequestError(ErrorKind.INTERNAL)
         if self.route.repeat is Repeat.NEVER:
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
         raise RequestError(ErrorKind.SERVER_FAILED)
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -164,7 +164,7 @@
         trace.version = table.version
         trace.customer = customer.name if customer else ""
         service = self._choose_service(table, route)
-        delivery = self._make_delivery(request, writer, route, service, customer)
+        delivery = self._make_delivery(trace, writer, route, service, customer)
         is_urgent = table.is_urgent(route)
 
         async def prepare() -> None:
@@ -240,7 +240,7 @@
 
     def _make_delivery(
         self,
-        request: CallerRequest,
+        trace: RequestTrace,
         writer: ResponseWriter,
         route: Route,
         service: Service,
@@ -259,17 +259,21 @@
             return True
 
         def report_attempt(attempt: AttemptReport) -> None:
-            self._reports.report_attempt(request, attempt)
+            self._reports.report_attempt(trace.request, attempt)
+
+        def report_error(error: BaseException) -> None:
+            self._reports.report_error(trace, error)
 
         return Delivery(
             self._clock,
-            request,
+            trace.request,
             route,
             service,
             self._backends,
             writer,
             take_retry,
             report_attempt,
+            report_error,
             customer.name if customer else "",
             urgency,
         )
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -178,6 +178,14 @@
 
     async def run(self) -> AttemptEnd:
         """Run the attempt and return how it ended."""
+        try:
+            return await self._run()
+        except (Exception, asyncio.CancelledError) as error:
+            if self._ended_as is None:
+                self._report(AttemptEnd.INTERNAL_ERROR, type(error).__name__)
+            raise
+
+    async def _run(self) -> AttemptEnd:
         self._knowledge = self._servers.get_knowledge(self.server)
         try:
             connection = await self._preparation.run()
@@ -225,7 +233,6 @@
             is_reusable = end not in UNFINISHED and self._ended_as is None
         except asyncio.CancelledError:
             if self._ended_as is None:
-                self._report(AttemptEnd.GIVEN_UP, "")
                 raise
             end, reason = self._ended_as, ""
         finally:
