Check in the simulation that nothing else ends a request at a sound server

Each request that a VM ends at a server is justified from what callers and servers saw: another server had just brought an event, or its time was over by the longest timeout in force; and each has a reason of the closed list that may happen there. Servers that send a head and let the request wait, responses that raise an exception and changes of timeouts join the random faults, and servers end requests at the deadline they were told.

Changes of find_losses: the time that a server queues a request after its head, which is new, doesn't count as time in which it could have responded; and an attempt may also have been ended for an event of an attempt that was itself ended rightly later (before, only of one that failed). If that one was ended wrongly, it is found instead. Unexpected exceptions still fail the check, but for the injected kind.

--- a/lavendershift/tests/silenceservers.py
+++ b/lavendershift/tests/silenceservers.py
@@ -42,18 +42,25 @@
     return b"".join(make_event(request_id, n) for n in range(1, EVENTS + 1))
 
 
+class OddResponseError(Exception):
+    """An exception that the VMs don't expect."""
+
+
 class Flight:
     """One request that a server got.
 
-    ``told_s`` is the time to the deadline that the server was told.
+    ``told_s`` is the time to the deadline that the server was told, ``queued_s`` the
+    time that the request waited there after the head of its response.
     ``progress`` holds when complete events, or a complete plain response, arrived.
-    ``end`` is "answered", "refused", "broken" by the server, or "closed" by the VM.
+    ``end`` is "answered", "refused", "broken" by the server, "closed" by the VM, or
+    "late" if the server ended it at the deadline that it was told.
     """
 
     def __init__(self, request_id, is_stream, after, server, vm, sent_at, told_s):
         self.request_id, self.is_stream, self.after = request_id, is_stream, after
         self.server, self.vm, self.sent_at = server, vm, sent_at
         self.told_s = told_s
+        self.queued_s = 0.0
         self.progress = []
         self.end, self.ended_at = "", NEVER
 
@@ -76,7 +83,7 @@
         self.silences = []
         self.silent_until = self.refuses_until = self.unreachable_until = 0.0
         self.is_dark = False
-        self.queues_until = self.queue_s = 0.0
+        self.queues_until = self.queue_s = self.is_odd_until = 0.0
         self.flights = []
         self.connections = {}
         self.connects = []
@@ -115,6 +122,9 @@
         self.queues_until = self.loop.time() + for_s
         self.queue_s = queue_s
 
+    def send_odd_responses(self, for_s):
+        self.is_odd_until = self.loop.time() + for_s
+
     def break_connections(self):
         """Break off all responses."""
         for connection in list(self.connections):
@@ -147,6 +157,9 @@
             reader.start(503, HTTPHeaders({"Content-Length": "0", "Not-Run": "1"}))
             flight.finish("refused", self.loop.time())
             return
+        if self.loop.time() < self.is_odd_until:
+            flight.finish("broken", self.loop.time())
+            raise OddResponseError
         if flight.is_stream:
             await self._stream(flight, connection, reader, is_queued)
         else:
@@ -162,6 +175,7 @@
         headers = {"Content-Type": EVENT_STREAM, "Transfer-Encoding": "chunked"}
         reader.start(200, HTTPHeaders(headers))
         if is_queued:
+            flight.queued_s = self.queue_s
             await self._work(self.queue_s)
         for number in range(flight.after + 1, EVENTS + 1):
             event = make_event(flight.request_id, number)
@@ -209,7 +223,10 @@
         self._responding = asyncio.ensure_future(
             server.respond(self._flight, self, reader)
         )
-        await asyncio.wait([self._responding])
+        await asyncio.wait([self._responding], timeout=self._flight.told_s)
+        if self._responding.cancel():
+            self._flight.finish("late", server.loop.time())
+            await asyncio.wait([self._responding])
         server.connections.pop(self, None)
         self.is_fresh = False
         if not self._responding.cancelled():
--- a/lavendershift/tests/silencesimulation.py
+++ b/lavendershift/tests/silencesimulation.py
@@ -22,6 +22,7 @@
 from lavendershift.platform.application import ACTIVE_RETRY_SHARE, MIN_RETRY_SHARERS
 from lavendershift.preparations import Backends
 from lavendershift.quarantine import Quarantine
+from lavendershift.requesttimes import RESPONSE_RESERVE
 from lavendershift.routes import (
     CallerLimits,
     Repeat,
@@ -134,6 +135,7 @@
         self.besides = 0
         self.ends = Counter()
         self.errors = []
+        self.endings = []
 
     def count_received(self):
         pass
@@ -142,7 +144,7 @@
         pass
 
     def report_refused(self, trace, error):
-        pass
+        self.endings.append((trace.request.id, trace.ending))
 
     def report_error(self, trace, error):
         self.errors.append(error)
@@ -152,6 +154,8 @@
 
     def report_attempt(self, request, report):
         self.ends[report.end] += 1
+        if report.ending is not None:
+            self.endings.append((request.id, report.ending))
         self.besides += report.is_beside and report.connecting is not None
 
 
@@ -217,6 +221,7 @@
         ]
         self.addresses = {server.entry.address: server for server in self.servers}
         self.table = make_table()
+        self.timeouts = [(0.0, DEADLINE.total_seconds())]
         self.reports = Reports()
         self.calls = {}
         self.vms = {}
@@ -231,6 +236,26 @@
             self.vms[number] = SilenceVm(self, number)
         return self.vms[number]
 
+    def set_timeout(self, seconds):
+        """Put a version with another timeout of all routes into force on all VMs."""
+        self.timeouts.append((self.loop.time(), seconds))
+        self.table = make_table(len(self.timeouts), timedelta(seconds=seconds))
+        for vm in self.vms.values():
+            vm.gateway.table = self.table
+
+    def find_end(self, call):
+        """Return when a call may be ended, by the longest timeout in force until then.
+
+        The error of one whose response has not begun may be sent a little earlier.
+        """
+        reserve = 0.0 if call.has_started else RESPONSE_RESERVE.total_seconds()
+        longest = DEADLINE.total_seconds()
+        allowed = min([t for at, t in self.timeouts if at <= call.started][-1], longest)
+        for at, timeout in self.timeouts:
+            if call.started < at < call.started + allowed - reserve:
+                allowed = max(allowed, min(timeout, longest))
+        return call.started + allowed - reserve
+
     def note_flight(self, flight):
         self.calls[flight.request_id].flights.append(flight)
 
--- a/lavendershift/tests/test_silence_schedules.py
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -9,13 +9,20 @@
 
 import pytest
 
+from lavendershift.attempts import AttemptEnd
 from lavendershift.delivery import Delivery
 from lavendershift.preparations import CONNECT_TIMEOUT
+from lavendershift.requestends import EndReason, Progress
+from lavendershift.requesttimes import RESPONSE_RESERVE, RequestTime
 from lavendershift.serverattempts import ServerAttempt
 from lavendershift.silences import ServerSilence
-from lavendershift.tests.silenceservers import NEVER, TICK_S, make_body
+from lavendershift.tests.silenceservers import (
+    NEVER,
+    TICK_S,
+    OddResponseError,
+    make_body,
+)
 from lavendershift.tests.silencesimulation import (
-    DEADLINE,
     SHARES,
     SIZES,
     SilenceFleet,
@@ -27,7 +34,9 @@
 CLOSE_S = 0.4  # time until an attempt is ended beside one that goes on
 CONNECT_S = CONNECT_TIMEOUT.total_seconds()
 RESPONSE_S = 1.2  # longest time of a response without a silence
-DEADLINE_S = DEADLINE.total_seconds()
+CLOCK_S = 0.001  # resolution of requests' times
+# Reasons for which a request may end without a disruption on its VM.
+REASONS = {EndReason.TIME_OVER, EndReason.SERVER_FAILED, EndReason.REPLACED}
 RETURN_S = 2.0  # time until a server that goes on is used again
 # Requests of one VM to a server within seconds after the VM noted its silence.
 MOST_TRIALS = {0.9: 1, 2.9: 2, 6.9: 3}
@@ -48,19 +57,29 @@
 def find_sound(call):
     """Return the attempts of a request that were given up although they were sound.
 
-    One is rightly ended if another one brings an event, even if that fails later, or at
-    the deadline if its server was silent for all but a short part of the time.
+    One is rightly ended if another one brings an event, even if that fails later or is
+    rightly ended itself, or at the deadline if its server was silent or queued it for
+    all but a short part of the time.
     """
-    if call.ended_at > call.started + DEADLINE_S - 0.1:
-        flights = [f for f in call.flights if f.server.measure_speech(f) > RESPONSE_S]
+    if call.ended_at > call.vm.fleet.find_end(call) - 0.1:
+        flights = [
+            f
+            for f in call.flights
+            if f.server.measure_speech(f) > RESPONSE_S + f.queued_s
+        ]
     else:
         flights = call.flights
     failed = [f for f in call.flights if f.end == "broken" or f.server.is_dead]
-    events = [at for flight in failed for at in flight.progress]
     sound = [f for f in flights if f not in failed and f.end != "refused"]
-    return [
-        f for f in sound if not any(0 <= f.ended_at - at < CLOSE_S for at in events)
+    return [f for f in sound if not is_replaced(f, call)]
+
+
+def is_replaced(flight, call):
+    """Return whether an attempt ended as another one brought an event."""
+    events = [
+        at for other in call.flights if other is not flight for at in other.progress
     ]
+    return any(0 <= flight.ended_at - at < CLOSE_S for at in events)
 
 
 def find_joined(fleet):
@@ -121,12 +140,47 @@
     return eager
 
 
-CHECKS = [find_losses, find_joined, find_repeated, find_late_ends, find_excess]
+def find_early_ends(fleet):
+    """Return the requests that were ended at sound servers before their time.
+
+    A request may end there once another server has delivered, or at the end of its
+    time, a little earlier if its response has not begun.
+    """
+    early = []
+    for call in fleet.calls.values():
+        end = fleet.find_end(call) - CLOCK_S
+        for flight in call.flights:
+            if flight.end not in ("closed", "late") or flight.ended_at >= end:
+                continue
+            if not is_replaced(flight, call):
+                early.append(f"{call.id} {call.kind} {flight.end} {flight.ended_at}")
+    return early
+
+
+def find_odd_reasons(fleet):
+    """Return the requests that ended for another reason than may happen here."""
+    return [
+        f"{request} {ending}"
+        for request, ending in fleet.reports.endings
+        if ending is not None and ending.reason not in REASONS
+    ]
+
+
+CHECKS = [
+    find_losses,
+    find_joined,
+    find_repeated,
+    find_late_ends,
+    find_excess,
+    find_early_ends,
+    find_odd_reasons,
+]
 
 
 def check(fleet):
     """Return what is wrong, as the name of the check and its findings."""
-    assert not fleet.reports.errors
+    errors = fleet.reports.errors
+    assert all(isinstance(error, OddResponseError) for error in errors)
     found = {each.__name__: each(fleet) for each in CHECKS}
     return {name: findings for name, findings in found.items() if findings}
 
@@ -229,8 +283,12 @@
             (server.refuse_requests, rng.uniform(0.2, 2.0)),
             (server.refuse_connections, rng.uniform(0.2, 2.0)),
             (server.break_connections,),
+            (server.queue_requests, rng.uniform(0.5, 2.0), rng.uniform(0.3, 1.5)),
+            (server.send_odd_responses, rng.uniform(0.1, 0.5)),
         ]
         schedule.append((rng.uniform(1.0, 6.0), *rng.choice(faults)))
+    for _ in range(rng.randrange(4)):
+        schedule.append((rng.uniform(0.0, 6.0), fleet.set_timeout, rng.uniform(1, 6)))
     if rng.random() < 0.5:
         schedule.append((rng.uniform(1, 6), fleet.servers[-1].fall_silent, NEVER))
     return schedule
@@ -304,3 +362,82 @@
     assert finds(run_busy(share)) == []
     change(monkeypatch)
     assert finds(run_busy.__wrapped__(share)) != []
+
+
+def replace_at_head(monkeypatch):
+    classify = ServerAttempt.classify
+
+    def replace(self, *arguments):
+        kind = classify(self, *arguments)
+        if self.order.is_beside and self in self._owner._running:
+            self._owner._replace_others(self, Progress.EVENT)
+        return kind
+
+    monkeypatch.setattr(ServerAttempt, "classify", replace)
+
+
+def end_early(monkeypatch):
+    monkeypatch.setattr(
+        RequestTime,
+        "find_left",
+        lambda self, now, has_begun: self.end - RESPONSE_RESERVE - now,
+    )
+
+
+def keep_first_timeout(monkeypatch):
+    monkeypatch.setattr(RequestTime, "extend", lambda self, timeout: False)
+
+
+def tell_first_timeout(monkeypatch):
+    make = RequestTime.__init__
+
+    def make_with_timeout(self, received, deadline, timeout):
+        make(self, received, deadline, timeout)
+        self.deadline = self.end
+
+    monkeypatch.setattr(RequestTime, "__init__", make_with_timeout)
+
+
+def fail_at_exception(monkeypatch):
+    go_on = Delivery._go_on
+
+    def fail(self, end):
+        if end is AttemptEnd.INTERNAL_ERROR:
+            raise OddResponseError
+        return go_on(self, end)
+
+    monkeypatch.setattr(Delivery, "_go_on", fail)
+
+
+@functools.cache
+def run_changes():
+    """Run a fleet with all faults that may end a request too early."""
+    fleet = SilenceFleet(4, Size(8, 4, 6, 60.0))
+    schedule = [
+        *silence(fleet, 1.2, "a tenth", 1.3),
+        *silence(fleet, 2.5, "all", 2.2),
+        (0.0, fleet.set_timeout, 1.5),
+        (3.0, fleet.set_timeout, 3.5),
+    ]
+    for server in fleet.servers:
+        schedule.append((1.3, server.queue_requests, 1.0, 1.0))
+    for server in fleet.servers[:3]:
+        schedule.append((2.0, server.send_odd_responses, 0.4))
+    fleet.run(6.0, schedule)
+    return fleet
+
+
+@pytest.mark.parametrize(
+    "change, finds",
+    [
+        (replace_at_head, find_early_ends),
+        (end_early, find_early_ends),
+        (keep_first_timeout, find_early_ends),
+        (tell_first_timeout, find_early_ends),
+        (fail_at_exception, find_odd_reasons),
+    ],
+)
+def test_the_checks_find_each_cause_of_an_early_end(monkeypatch, change, finds):
+    assert check(run_changes()) == {}
+    change(monkeypatch)
+    assert finds(run_changes.__wrapped__()) != []
