Don't repeat refused attempts to connect to the store without a pause

With several callers that wait, an attempt that was refused beside one that hangs was dropped without an error, and as fewer attempts than callers were in flight, the next one began at once. Until the time of the hanging one ended, new connections were attempted as fast as the store refused them, as after a restart of the store during which a SYN was lost.

A failed attempt now ends the wait of one caller, unless those in flight are enough for all others; callers already pause after an error. A caller that waits alone goes on as before, with one attempt in each interval.

--- a/lavendershift/connectors.py
+++ b/lavendershift/connectors.py
@@ -38,7 +38,8 @@
     async def connect(self, timeout: timedelta) -> Connection:
         """Open a connection.
 
-        Raises ``ConnectError`` once an attempt fails, or after ``timeout``.
+        Raises ``ConnectError`` once an attempt fails and the others are fewer than the
+        callers that wait, or after ``timeout``.
         """
         loop = asyncio.get_running_loop()
         ends = loop.time() + timeout.total_seconds()
@@ -68,18 +69,25 @@
         self._next_at = loop.time() + self._interval
 
     def _take(self) -> Connection | None:
-        """Return a connection that was made; raises the error of a failed attempt."""
-        failure: ConnectError | None = None
-        for attempt in [attempt for attempt in self._attempts if attempt.done()]:
-            self._attempts.remove(attempt)
+        """Return a connection that was made; raises the error of a failed attempt.
+
+        Each failed attempt ends one caller's wait, unless those left are enough.
+        """
+        ended = [attempt for attempt in self._attempts if attempt.done()]
+        failed = []
+        for attempt in ended:
             if attempt.cancelled():
-                continue
-            try:
+                self._attempts.remove(attempt)
+            elif attempt.exception() is None:
+                self._attempts.remove(attempt)
                 return attempt.result()
-            except ConnectError as error:
-                failure = error
-        if failure is not None and not self._attempts:
-            raise failure
+            else:
+                failed.append(attempt)
+        for attempt in failed:
+            self._attempts.remove(attempt)
+            is_expected = isinstance(attempt.exception(), ConnectError)
+            if not is_expected or len(self._attempts) < self._waiting:
+                attempt.result()
         return None
 
     def _close_later(self, attempt: asyncio.Task[Connection]) -> None:
--- a/lavendershift/tests/test_connectors.py
+++ b/lavendershift/tests/test_connectors.py
@@ -124,6 +124,20 @@
     assert len(pool.attempts) == 3 + 3
 
 
+def test_refused_attempts_beside_a_lost_packet_are_not_repeated_without_a_pause():
+    """Attempts began as fast as they were refused until the lost one's time ended."""
+    refused = ConnectError("refused", was_refused=True)
+
+    async def work(pool, connector, loop):
+        waits = [connector.connect(LIFETIME) for _ in range(3)]
+        failures = await asyncio.gather(*waits, return_exceptions=True)
+        return pool, failures
+
+    pool, failures = play(work, None, *[0.001] * 20, error=refused)
+    assert all(isinstance(failure, ConnectError) for failure in failures)
+    assert pool.attempts == pytest.approx([0.0] * 3 + [0.6, 1.2, 1.8], abs=0.01)
+
+
 def test_each_caller_gets_a_connection_of_its_own_at_once():
     async def work(pool, connector, loop):
         found = await asyncio.gather(*[connector.connect(LIFETIME) for _ in range(5)])
