Let the server of an attempt that was not sent be tried later

Callers saw streams cut, and repeatable requests failed, though a sound server was there that had never been sent the request. While an attempt was silent, another one was prepared: it waited for a connection or a permit. If the silent one went on meanwhile, the prepared one was given up, but its server stayed in the list of those that were tried. When the first server broke off later, no server was left.

Both new tests failed before, with two servers: a stream ended aborted, a plain request with SERVER_FAILED. Only servers that were sent the request, or failed to connect, count as tried now.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -388,12 +388,16 @@
             self._server_error = attempt.response
         if end is AttemptEnd.ANSWERED:
             self._is_answered = True
-        if not attempt.was_sent:
+        if end is AttemptEnd.REPLACED:
+            self._tried.discard(attempt.server.entry.id)
+        elif not attempt.was_sent:
             self._unsent.add(attempt.server.entry.id)
 
     def _end(self, attempt: ServerAttempt, ending: AttemptEnding) -> None:
         """End an attempt in flight; the only place that does."""
         attempt.end(ending)
+        if not attempt.was_sent:
+            self._tried.discard(attempt.server.entry.id)
         task = self._running.pop(attempt)
         task.cancel()
         self._ended.append(task)
--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -247,3 +247,36 @@
     answered, refused = fleet.calls.values()
     assert answered.is_whole
     assert (refused.error, refused.flights) == ("DEADLINE_UNREACHABLE", [])
+
+
+@pytest.mark.parametrize("kind", ["stream", "safe"])
+def test_server_of_an_attempt_that_was_not_sent_can_be_tried_later(kind):
+    """A silence that ended had cost a server, and a failure then left none."""
+    fleet = make_fleet(servers=2)
+
+    def find_servers():
+        [call] = fleet.calls.values()
+        first = call.flights[0].server
+        [other] = [server for server in fleet.servers if server is not first]
+        return first, other
+
+    def fall_silent():
+        first, other = find_servers()
+        first.fall_silent(1.0)
+        accept = other.accept
+
+        async def accept_late(vm, timeout_s):
+            await asyncio.sleep(0.15)
+            await accept(vm, timeout_s)
+
+        other.accept = accept_late
+
+    def break_off():
+        first, other = find_servers()
+        assert len(other.connects) == (kind == "safe") and not other.flights
+        first.break_connections()
+
+    fleet.run(3.0, [(0.0, fleet.send, kind), (0.05, fall_silent), (1.12, break_off)])
+    [call] = fleet.calls.values()
+    assert call.is_whole, call.error
+    assert len(call.flights) == 2
