Let the end of a stop pass over requests whose time is over

Ending the requests in flight raised a RuntimeError if the time of one of them ended in the same turn of the event loop, as a timeout that has expired can't be moved. The others were not ended then, and the stop would have ended with the exception, so that they got a reset. The new test failed before with "Cannot change state of expiring Timeout", in virtual time with a timer 0.5 ns after the timeout's.

Such a request ends by itself within the turn, as its time is over.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -187,10 +187,11 @@
             self._respond_at_end(self._end_reason)
 
     def end(self, reason: EndReason) -> None:
-        """Let ``run`` end the request, unless it has ended."""
-        if self._end_reason is None and self._timeout is not None:
+        """Let ``run`` end the request, unless it has ended or its time is over."""
+        timeout = self._timeout
+        if self._end_reason is None and timeout is not None and not timeout.expired():
             self._end_reason = reason
-            self._timeout.reschedule(asyncio.get_running_loop().time())
+            timeout.reschedule(asyncio.get_running_loop().time())
 
     def extend(self, timeout: timedelta) -> None:
         """Apply a timeout of the route that has come into force."""
--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -6,10 +6,12 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from lavendershift.delivery import RESPONSE_RESERVE
 from lavendershift.serverresponses import EVENT_STREAM
 from lavendershift.tests.silenceservers import (
     EVENTS,
     NEVER,
+    TICK_S,
     SimulatedConnection,
     make_body,
     make_event,
@@ -57,6 +59,26 @@
     assert [flight.end for flight in call.flights] == ["closed"] * was_sent
 
 
+@pytest.mark.parametrize("left_s", [RESPONSE_RESERVE.total_seconds(), 0.0])
+def test_request_whose_time_ends_with_a_stop_does_not_cut_the_others(left_s):
+    """An exception ended the stop, and with it all other requests."""
+    fleet = make_fleet()
+    fleet.servers[0].fall_silent(NEVER)
+    ended = []
+
+    def end_all():
+        ended.append(fleet.find_vm(0).gateway.end_requests())
+
+    # The loop runs timers that are this near in the same turn, in their order.
+    end_s = DEADLINE_S - left_s + TICK_S / 2
+    others = [(1.0, fleet.send, kind) for kind in ("safe", "once", "stream")]
+    fleet.run(DEADLINE_S, [(0.0, fleet.send, "safe"), *others, (end_s, end_all)])
+    first, *others = fleet.calls.values()
+    assert first.error == "DEADLINE_EXCEEDED"
+    assert len(ended) == 1 and ended[0] >= len(others)
+    assert [call.ended_at for call in others] == pytest.approx([end_s] * 3)
+
+
 def test_request_that_waits_for_tokens_at_the_end_of_a_stop_is_refused():
     """Nothing was sent for it, so that it may say so."""
     fleet = make_fleet()
