Test that a complete response in the turn of its request's end is forwarded

A request was answered with an error, or its stream reset, although its whole response had been read, if its time or the stop ended in the same turn of the event loop.

--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -6,7 +6,9 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from lavendershift.attempts import AttemptEnd
 from lavendershift.delivery import RESPONSE_RESERVE
+from lavendershift.requestends import EndReason
 from lavendershift.serverresponses import EVENT_STREAM
 from lavendershift.tests.silenceservers import (
     EVENTS,
@@ -59,6 +61,26 @@
     assert [flight.end for flight in call.flights] == ["closed"] * was_sent
 
 
+@pytest.mark.parametrize("kind", ["stream", "safe", "once"])
+@pytest.mark.parametrize("reason", [EndReason.STOPPED, EndReason.TIME_OVER])
+def test_complete_response_in_the_turn_of_an_end_is_not_lost(kind, reason):
+    """The caller got an error although the whole response had been read."""
+    fleet = make_fleet()
+    gateway = fleet.find_vm(0).gateway
+    report = fleet.reports.report_attempt
+
+    def report_attempt(request, attempt):
+        report(request, attempt)
+        for delivery in gateway._deliveries:
+            delivery.end(reason)
+
+    fleet.reports.report_attempt = report_attempt
+    fleet.run(DEADLINE_S, [(0.0, fleet.send, kind)])
+    [call] = fleet.calls.values()
+    assert fleet.reports.ends == {AttemptEnd.ANSWERED: 1}
+    assert call.is_whole and call.error is None
+
+
 @pytest.mark.parametrize("left_s", [RESPONSE_RESERVE.total_seconds(), 0.0])
 def test_request_whose_time_ends_with_a_stop_does_not_cut_the_others(left_s):
     """An exception ended the stop, and with it all other requests."""
