Show that a response of a request is lost in a pause of the event loop

The timer of a request's time runs in the same turn as the handlers of what arrived in a pause of the loop. A response that came 0.1 s before the end of its time ends as DEADLINE_EXCEEDED, and a stream is reset, after a pause of 0.3 s beside it. Connections, calls of the store and replies of other VMs use Timeout since, which lets such bytes be read first; the delivery of a request doesn't.

--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -214,6 +214,20 @@
     assert len(call.flights) == 1
 
 
+@pytest.mark.parametrize("kind", ["stream", "safe", "once"])
+def test_response_that_came_in_a_pause_of_the_loop_is_not_too_late(kind):
+    """The timer of the request's time ran before the response was read."""
+    fleet = make_fleet()
+    respond_until(fleet.servers[0], DEADLINE_S - 0.1)
+
+    def pause():
+        fleet.loop.selector.now += 0.3
+
+    fleet.run(DEADLINE_S, [(0.0, fleet.send, kind), (DEADLINE_S - 0.15, pause)])
+    [call] = fleet.calls.values()
+    assert call.is_whole, call.error
+
+
 def test_lowered_timeout_applies_to_new_requests():
     fleet = make_fleet()
     respond_until(fleet.servers[0], 4.0)
