Send no request in the turn in which it is ended

A request whose connection was made in the turn of the event loop in which a stop took no more requests was sent to a server, and cut in the next turn: a request that may run once got a 502 and may have run, where a refusal was due. The three new tests failed before with OUTCOME_UNKNOWN or SERVER_FAILED, in virtual time.

The last check before a request is sent now asks whether its end was decided, for a stop or as its time is over.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -188,10 +188,15 @@
 
     def end(self, reason: EndReason) -> None:
         """Let ``run`` end the request, unless it has ended or its time is over."""
-        timeout = self._timeout
-        if self._end_reason is None and timeout is not None and not timeout.expired():
+        if self._timeout is not None and not self._is_ending:
             self._end_reason = reason
-            timeout.reschedule(asyncio.get_running_loop().time())
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    @property
+    def _is_ending(self) -> bool:
+        """Whether the request has ended, or does in this turn of the event loop."""
+        is_time_over = self._timeout is not None and self._timeout.expired()
+        return is_time_over or self._end_reason is not None
 
     def extend(self, timeout: timedelta) -> None:
         """Apply a timeout of the route that has come into force."""
@@ -423,6 +428,8 @@
 
     def find_refusal(self, attempt: ServerAttempt) -> AttemptEnd | None:
         """Return why a prepared attempt may not be sent; count it if it may be."""
+        if self._is_ending:
+            return AttemptEnd.GIVEN_UP
         if attempt.order.is_beside:
             others = [other for other in self._running if other is not attempt]
             if not all(other.is_silent for other in others):
--- a/lavendershift/tests/test_requestends.py
+++ b/lavendershift/tests/test_requestends.py
@@ -143,6 +143,23 @@
         assert (early.error, early.flights) == ("STOPPING", [])
 
 
+@pytest.mark.parametrize("kind", ["stream", "safe", "once"])
+def test_request_is_not_sent_in_the_turn_in_which_a_stop_refuses_it(kind):
+    """It was sent to a server and cut in the next turn."""
+    fleet = make_fleet()
+    [server] = fleet.servers
+    accept = server.accept
+
+    async def accept_in_stop(vm, timeout_s):
+        await accept(vm, timeout_s)
+        stop_admission(fleet)
+
+    server.accept = accept_in_stop
+    fleet.run(1.0, [(0.0, fleet.send, kind)])
+    [call] = fleet.calls.values()
+    assert (call.error, call.flights) == ("STOPPING", [])
+
+
 def respond_until(server, end_s):
     """Let a server send the last event, or a whole plain response, at a given time."""
 
