Let responses of long polls lower the delay that a read schedule assumes

The feed of the configuration makes calls that wait for a change, and only calls without a wait lowered the delay of the path. One slow connect, of 2 s as on a congested link, therefore stayed its delay until the next outage, and a connection that fell silent much later was detected 3.6 s after its call and not 1.8 s after its wait, which has to fit in the stable window. The new test failed before with another 0.6 s to wait.

The response time of a long poll is an upper bound of the delay, so that it lowers it.

--- a/lavendershift/readschedules.py
+++ b/lavendershift/readschedules.py
@@ -80,8 +80,12 @@
         if call is None or self.receiving is not None:
             return False
         self.receiving = number
-        if call.connected_at is not None and not call.wait:
-            self._note_delay(now - call.connected_at)
+        if call.connected_at is not None:
+            response_time = now - call.connected_at
+            # With a wait, the response time is an upper bound of the delay.
+            self._note_delay(
+                min(response_time, self._delay) if call.wait else response_time
+            )
         self._calls = {number: call}
         return True
 
--- a/lavendershift/tests/test_readschedules.py
+++ b/lavendershift/tests/test_readschedules.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lavendershift.platform.feeds import DETECTION_TIME, MIN_LONG_POLL
 from lavendershift.readschedules import (
     MAX_CONCURRENT_CALLS,
     MAX_DELAY,
@@ -62,6 +63,18 @@
     assert schedule.plan(5 * SECOND + delay + PROGRESS_TIMEOUT).starts_call
 
 
+def test_one_slow_connect_does_not_delay_later_detection(schedule):
+    """A silent connection was detected 2 s later ever after."""
+    wait = MIN_LONG_POLL
+    call = schedule.start(SECOND, wait)
+    schedule.note_connected(call, 3 * SECOND)
+    schedule.note_bytes(call, 3 * SECOND + wait)
+    schedule.clear()
+    call = schedule.start(60 * SECOND, wait)  # on the connection that was kept
+    schedule.note_connected(call, 60 * SECOND)
+    assert schedule.plan(60 * SECOND + wait + DETECTION_TIME).starts_call
+
+
 def test_the_next_call_after_a_failure_starts_after_an_interval(schedule):
     call = schedule.start(SECOND, NO_WAIT)
     schedule.note_failed(call, 2 * SECOND)
