--- a/lavendershift/tests/prepaid_simulation.py
+++ b/lavendershift/tests/prepaid_simulation.py
@@ -14,13 +14,13 @@
 
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.leases import LeaseBook, SnapshotResult
-from lavendershift.partitions import find_partition
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.platform.grants import decode_record
 from lavendershift.platform.leases import EPOCH, decode_snapshot
 from lavendershift.platform.store import Record
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.tests.virtualloop import VirtualLoop
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift_standins.platformstore import (
@@ -31,6 +31,8 @@
 
 CUSTOMERS = ("plume", "encre", "sable")
 PARTITIONS = 2  # number of partitions, of which plume and encre share one
+VMS_PER_LEASE_PARTITION = 8  # VMs whose lease snapshots share a partition
+MAX_SPENDERS = 16  # VMs that spend the remainder at the end
 GRANTS, LEASES = "grants", "leases"
 # Time that each clock reading takes, so that deadlines expire during calls.
 CLOCK_READ_TIME = timedelta(microseconds=200)
@@ -132,14 +134,17 @@
     async def read(self):
         self._check()
         state = self._simulation.state
-        own = [v for k, v, _ in state.list_newest(LEASES, 0) if k == self._vm.key]
-        return (decode_snapshot(own[0]) if own else None), state.end(LEASES, 0)
+        partition = self._vm.lease_partition
+        newest = state.list_newest(LEASES, partition)
+        own = [value for key, value, _ in newest if key == self._vm.key]
+        return (decode_snapshot(own[0]) if own else None), state.end(LEASES, partition)
 
     async def write(self, end, snapshot):
         await asyncio.sleep(0)
         records = [(self._vm.key, encode_snapshot(snapshot))]
-        result = SnapshotResult(self._append(LEASES, 0, records, end))
-        return result, self._simulation.state.end(LEASES, 0)
+        partition = self._vm.lease_partition
+        result = SnapshotResult(self._append(LEASES, partition, records, end))
+        return result, self._simulation.state.end(LEASES, partition)
 
 
 class FaultyDatagrams:
@@ -189,8 +194,9 @@
 class Vm:
     """A VM, its process and the requests it runs."""
 
-    def __init__(self, simulation, name):
+    def __init__(self, simulation, name, lease_partition):
         self.simulation = simulation
+        self.lease_partition = lease_partition
         self.key = name.encode()
         self.name = name
         self.is_cut = False
@@ -238,7 +244,10 @@
         names = [vm.name for vm in self.simulation.vms if vm is not self]
         rng = self.simulation.rng
         stocks = [None, None, 0, 300, 3000]
-        return [Lender(name, rng.choice(stocks)) for name in rng.sample(names, 3)]
+        return [
+            Lender(name, rng.choice(stocks))
+            for name in rng.sample(names, min(3, len(names)))
+        ]
 
     def end_process(self, loses_power):
         """End the process; tokens its requests may still use count as consumed."""
@@ -292,7 +301,7 @@
 class PrepaidSimulation:
     """Some VMs and a store, driven by random steps."""
 
-    def __init__(self, seed, vms=4):
+    def __init__(self, seed, vms=4, customers=CUSTOMERS):
         self.seed = seed
         self.rng = random.Random(seed)
         self.now = timedelta(seconds=1)
@@ -301,19 +310,25 @@
         self.late_datagrams = []
         self.borrowed = 0
         self.late_share = self.lost_share = (0.05, 0.15, 0.3)[seed // 3 % 3]
+        self.refused_share = self.race_share = 0.05
         self.faults = {GRANTS: [], LEASES: []}  # faults of the next appends
         self.is_unavailable = False
-        self.prepaid = {customer: 60_000 for customer in CUSTOMERS}
+        self.customers = customers
+        self.prepaid = {customer: 15_000 * max(vms, 4) for customer in customers}
         self.consumed = Counter()
+        self.granted = Counter()  # of the records read so far in each partition
+        self.records_read = Counter()
         self.served = 0
         # Half of the simulations report a large fleet, so that lenders draw.
-        self.fleet = LARGE_FLEET if seed % 2 else vms
+        self.fleet = max(LARGE_FLEET, vms) if seed % 2 else vms
         self.vms = []
         for number in range(vms):
-            self.vms.append(Vm(self, f"vm-{number}"))
+            partition = number // VMS_PER_LEASE_PARTITION
+            self.vms.append(Vm(self, f"vm-{number}", partition))
 
     def run(self, steps):
-        asyncio.run(self._run(steps))
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(self._run(steps))
 
     async def _run(self, steps):
         actions = [self.step_round] * 30 + [self.step_request] * 60
@@ -323,7 +338,8 @@
         actions += [self.step_top_up, self.step_expire, self.step_return]
         actions += [self.step_rounds] * 10 + [self.step_spend_and_kill] * 4
         actions += [self.step_borrow] * 8 + [self.step_late_datagram] * 8
-        actions += [self.step_busy_round] * 10
+        actions += [self.step_busy_round] * 10 + [self.step_lost_races] * 3
+        actions += [self.step_return_and_kill] * 6 + [self.step_kill_in_round] * 6
         actions += [self.step_idle] * 3 + [self.step_power] * (self.seed % 3 == 0)
         for _ in range(steps):
             vm = self.rng.choice(self.vms)
@@ -336,13 +352,16 @@
     async def exhaust(self):
         """Spend all tokens, so that duplicated ones exceed the total."""
         self.late_share = self.lost_share = 0.0
+        self.refused_share = self.race_share = 0.0
+        self.faults = {GRANTS: [], LEASES: []}
         while self.late_datagrams:
             self.deliver(*self.late_datagrams.pop())
         self.step_restore(self.vms[0])
         self.now += timedelta(seconds=5)
+        spenders = self.rng.sample(self.vms, min(len(self.vms), MAX_SPENDERS))
         for _ in range(3):
-            for vm in self.vms:
-                for customer in CUSTOMERS:
+            for vm in spenders:
+                for customer in self.customers:
                     await self.exhaust_account(vm, customer)
 
     async def exhaust_account(self, vm, customer):
@@ -379,6 +398,11 @@
             return Fault.LATE
         if kind < self.late_share + self.lost_share:
             return Fault.LOST
+        kind -= self.late_share + self.lost_share
+        if kind < self.refused_share:
+            return Fault.REFUSED
+        if kind < self.refused_share + self.race_share:
+            return Fault.RACE
         return Fault.NONE
 
     def append_of_another(self, topic, partition):
@@ -393,7 +417,7 @@
             vm.datagrams.handlers[type(message)](message, sender)
 
     async def step_borrow(self, vm):
-        customer, least = self.rng.choice(CUSTOMERS), self.rng.randint(1, 3000)
+        customer, least = self.rng.choice(self.customers), self.rng.randint(1, 3000)
         request = TokenRequest(customer, least, self.rng.random() < 0.3)
         self.borrowed += await vm.loans.borrow(request, least * 2)
 
@@ -441,14 +465,15 @@
 
     def find_granted(self, customer):
         """Return the granted tokens in a customer's newest quota record."""
-        partition = find_partition(customer, PARTITIONS)
-        for key, value, _ in self.state.list_newest(GRANTS, partition):
-            if key == customer.encode():
-                return msgspec.json.decode(value)["granted"]
-        return 0
+        for partition in range(PARTITIONS):
+            records = self.state.logs.get((GRANTS, partition), [])
+            for key, value in records[self.records_read[partition] :]:
+                self.granted[key.decode()] = msgspec.json.decode(value)["granted"]
+            self.records_read[partition] = len(records)
+        return self.granted[customer]
 
     def step_request(self, vm):
-        customer, tokens = self.rng.choice(CUSTOMERS), self.rng.randint(1, 1200)
+        customer, tokens = self.rng.choice(self.customers), self.rng.randint(1, 1200)
         if vm.start_request(customer, tokens):
             self.served += 1
         else:
@@ -470,6 +495,35 @@
     def step_kill(self, vm):
         vm.end_process(loses_power=False)
 
+    async def step_lost_races(self, vm):
+        """Let a VM lose races for its lease snapshots, and end its process after it."""
+        await vm.run_round()
+        self.faults[LEASES] = [Fault.RACE] * self.rng.choice([5, 10, 15, 40])
+        await self.step_return_and_kill(vm)
+
+    async def step_return_and_kill(self, vm):
+        """Return all tokens, then end the process."""
+        if self.rng.random() < 0.5:
+            # Snapshots of waiting requests, and of tokens that are held ahead.
+            self.now += timedelta(seconds=self.rng.choice([0, 3]))
+            self.step_request(vm)
+            await vm.run_round()
+        await self.step_return(vm)
+        vm.end_process(loses_power=False)
+        self.faults[LEASES].clear()
+        await vm.run_round()
+
+    async def step_kill_in_round(self, vm):
+        """End the process while a round waits for responses."""
+        if self.rng.random() < 0.5:
+            vm.draws.return_all()
+        task = asyncio.ensure_future(vm.run_round())
+        for _ in range(self.rng.randint(0, 25)):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait({task})
+        vm.end_process(loses_power=False)
+
     def step_power(self, vm):
         for each in self.vms if self.rng.random() < 0.3 else [vm]:
             each.end_process(loses_power=True)
@@ -486,7 +540,7 @@
         self.is_unavailable = True
 
     def step_top_up(self, vm):
-        customer = self.rng.choice(CUSTOMERS)
+        customer = self.rng.choice(self.customers)
         self.prepaid = self.prepaid | {customer: self.prepaid[customer] + 5000}
 
     def step_idle(self, vm):
