Answer requests of our own interface at the end of a shutdown

Callers of a router got no response, or a stream without its end, where their request was still in flight when shutdown.drain_s was over: the connections were just closed. They get the error for an unknown outcome now, and a begun stream its error event, as it can't be told here whether a server has run them.

--- a/lavendershift/handlers.py
+++ b/lavendershift/handlers.py
@@ -157,6 +157,7 @@
         Events of a stream are small writes that must not be delayed.
         """
         self.sink = HandlerSink(self)
+        self.context: RequestContext | None = None
         connection = self.request.connection
         if isinstance(connection, HTTP1Connection):
             connection.stream.set_nodelay(True)
@@ -178,6 +179,8 @@
         context = None
         try:
             context = router.admission.admit(self.request.headers)
+            self.context = context
+            router.handlers.add(self)
             signals.request_admitted.send(self, context=context)
             await work(context)
             signals.request_answered.send(self, context=context)
@@ -194,9 +197,16 @@
             router.report_fault(error)
             self.sink.fail(RequestError(ErrorKind.INTERNAL))
         finally:
+            router.handlers.discard(self)
             if context is not None:
                 router.admission.release(context)
 
+    def end_request(self, error: RequestError) -> None:
+        """End a request in flight with ``error``; what comes later is dropped."""
+        signals.request_refused.send(self, context=self.context, error=error)
+        self.sink.fail(error)
+        self.sink.closed = True
+
 
 class CompletionHandler(AdmittedHandler):
     """``POST /v1/completions`` and ``POST /v1/chat/completions``."""
--- a/lavendershift/router.py
+++ b/lavendershift/router.py
@@ -24,9 +24,9 @@
 from lavendershift.demands import DemandTracker
 from lavendershift.discovery import RouterList, find_limit_share, list_routers
 from lavendershift.dispatch import CompletionDispatcher, DispatchSettings
-from lavendershift.errors import ErrorKind
+from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.eventreports import open_reporter
-from lavendershift.handlers import make_web_application
+from lavendershift.handlers import AdmittedHandler, make_web_application
 from lavendershift.ledgersessions import (
     LedgerSession,
     SessionSettings,
@@ -99,6 +99,7 @@
         self._stopping = False
         self._leaving = False
         self._attempt_count = 0
+        self.handlers: set[AdmittedHandler] = set()  # of requests in flight
         self.incarnation = make_incarnation(settings.vm.name, clock, rng)
         self._min_shares: dict[str, float] = {}
         self._model_names: list[str] = []
@@ -195,6 +196,10 @@
         deadline = self._clock.elapsed() + self.settings.shutdown.drain
         while self._has_work_in_flight() and self._clock.elapsed() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL.total_seconds())
+        for handler in list(self.handlers):
+            # Some may not have run, but only their servers know.
+            error = RequestError(ErrorKind.OUTCOME_UNKNOWN, "shutting down")
+            handler.end_request(error)
         if not self._has_work_in_flight():
             await asyncio.gather(*(s.close(CLOSE_TIMEOUT) for s in self.sessions))
 
--- a/lavendershift/tests/test_failures.py
+++ b/lavendershift/tests/test_failures.py
@@ -441,6 +441,25 @@
         assert len(fleet.list_records("join", f"ledger-{shard}")) == 2
 
 
+def test_requests_at_the_end_of_a_shutdown_get_an_error(make_fleet):
+    """Their connections were closed without a response."""
+    fleet = make_fleet(
+        sections={"shutdown": {"drain_s": 1.0}}, engine_options={"step_ms": 10.0}
+    )
+    stream = fleet.open_stream("r1", "long", "long", 2000).begin()
+    stream.read_some()
+    for name in fleet.engine_names:
+        fleet.add_fault(name, "hang", when={"path": "/v1/"})
+    silent = fleet.open_stream("r1", "silent", "silent", 400)
+    time.sleep(0.3)
+    fleet.processes["r1"].send(signal.SIGTERM)
+    reply = silent.begin().finish()
+    assert reply.status == 504
+    assert b"outcome_unknown" in reply.body
+    assert b"outcome_unknown" in stream.finish().body
+    assert fleet.processes["r1"].wait() == 0
+
+
 def test_shutdown_waits_for_attempts_of_disconnected_callers(make_fleet):
     fleet = make_fleet(engine_options={"step_ms": 10.0})
     observer = Observer(fleet)
