Move limits, timer and errors of deliveries into modules of their own

AttemptLimits counts the attempts and tells whether another is allowed, RequestTimer ends a request when its time is over, deliveryerrors chooses the error. No change of what they decide. Two mutations in test_silence_schedules put their change where the methods are now.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -20,6 +20,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from lavendershift.attemptlimits import AttemptLimits
 from lavendershift.attempts import (
     AttemptEnd,
     AttemptReport,
@@ -27,7 +28,13 @@
     ResponseWriter,
 )
 from lavendershift.clocks import Clock
-from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.deliveryerrors import (
+    DeliveryProgress,
+    make_end_error,
+    make_failure,
+    make_refusal,
+)
+from lavendershift.errors import RequestError
 from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.outgoingresponses import OutgoingResponse
 from lavendershift.preparations import AttemptOrder, Backends
@@ -39,6 +46,7 @@
     Progress,
     RequestEnding,
 )
+from lavendershift.requesttimers import RequestTimer
 from lavendershift.requesttimes import RESPONSE_RESERVE, RequestTime
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serverattempts import ServerAttempt
@@ -46,9 +54,6 @@
 from lavendershift.serverstates import NO_PROMPT, ListedServer
 from lavendershift.supervision import is_being_cancelled
 
-MAX_SENDS = 4  # servers to which one request is sent, those that refuse it included
-MAX_CONNECT_FAILURES = 6  # failed connections after which a request is given up
-RETRY_RESERVE = timedelta(milliseconds=60)  # least time to the deadline for a retry
 # Interval at which a silent request is tried elsewhere while that is not possible.
 BESIDE_INTERVAL = timedelta(milliseconds=250)
 
@@ -64,8 +69,6 @@
     """Delivers one request in one or more attempts.
 
     ``spend_retry`` is called before another attempt with the end of the previous one.
-    It takes a token of the retry budget, and returns false if there is none. The token
-    covers the next request that is sent, whichever attempt sends it.
     ``on_attempt`` is called with the report of each attempt, ``on_error`` with an
     unexpected exception of one.
     """
@@ -93,38 +96,35 @@
         self._service = service
         self._backends = backends
         self._servers = backends.servers
-        self._response = OutgoingResponse(clock, response, backends.wire)
-        self._spend_retry = spend_retry
-        self._on_attempt = on_attempt
+        self.response = OutgoingResponse(clock, response, backends.wire)
+        self.report = on_attempt
         self._on_error = on_error
         self._customer = customer
         self._urgency = urgency
-        self._time = RequestTime(request.received, request.deadline, route.timeout)
+        time = RequestTime(request.received, request.deadline, route.timeout)
+        self._timer = RequestTimer(clock, time, lambda: self.response.has_started)
         self._tried: set[str] = set()
         self._unsent: set[str] = set()
-        self._sends = 0
-        self._has_retry_token = False
-        self._possible_runs = 0
-        self._connect_failures = 0
         self._server_error: ServerResponse | None = None
         self.guard = PromptGuard(
             (request.prompt or NO_PROMPT).part_ids,
             backends.crashes,
             backends.quarantine,
         )
+        self._limits = AttemptLimits(
+            clock, time, self.guard, route.max_attempts, spend_retry
+        )
         self._running: dict[ServerAttempt, asyncio.Task[None]] = {}
         self._ended: list[asyncio.Task[None]] = []
         self._changes: asyncio.Queue[_Change] = asyncio.Queue()
         self._is_answered = False
         self._beside_timer: asyncio.TimerHandle | None = None
         self._end_reason: EndReason | None = None
-        self._timeout: asyncio.Timeout | None = None
-        self._end_timer: asyncio.TimerHandle | None = None
 
     @property
     def may_have_run(self) -> bool:
         """Whether a server may have started to execute the request."""
-        return self._possible_runs > 0
+        return self._limits.possible_runs > 0
 
     @property
     def delivered_tokens(self) -> int:
@@ -134,24 +134,16 @@
     @property
     def first_status(self) -> int:
         """The status already sent to the caller, 0 if there is none."""
-        return self._response.first_status
-
-    @property
-    def first_event_at(self) -> timedelta | None:
-        """When the first event was forwarded."""
-        return self._response.first_event_at
-
-    @property
-    def longest_gap(self) -> timedelta | None:
-        """The longest time between two writes of events."""
-        return self._response.longest_gap
+        return self.response.first_status
 
     @property
     def ending(self) -> RequestEnding | None:
         """How the request ended, ``None`` while it goes on or if it was answered."""
         if self._end_reason is None:
             return None
-        return RequestEnding(self._end_reason, self._time.allowed, self._sends > 0)
+        return RequestEnding(
+            self._end_reason, self._timer.time.allowed, self._limits.sends > 0
+        )
 
     async def run(self, prepare: Callable[[], Awaitable[None]] | None = None) -> None:
         """Deliver the complete response; raises ``RequestError``.
@@ -159,63 +151,33 @@
         ``prepare`` is awaited first, within the request's time.
         """
         try:
-            async with asyncio.timeout(None) as self._timeout:
-                self._check_time()
-                if self._end_reason is None:
-                    if prepare is not None:
-                        await prepare()
-                    await self._run_attempts()
-        except TimeoutError:
-            if self._end_reason is None:  # not this one's
-                self._end_reason = EndReason.INTERNAL
-                raise
+            await self._timer.run(lambda: self._deliver(prepare))
+            self._end_reason = self._timer.reason
         except asyncio.CancelledError:
             is_gone = is_being_cancelled()
             self._end_reason = EndReason.CALLER_GONE if is_gone else EndReason.INTERNAL
             raise
         except RequestError:
-            if self._sends:
+            if self._limits.sends:
                 self._end_reason = EndReason.SERVER_FAILED
             raise
         except BaseException:
             self._end_reason = EndReason.INTERNAL
             raise
         finally:
-            self._timeout = None
-            await self._end_all()
+            await self._end_all(self._end_reason)
         if self._end_reason is not None and not await self._finish_complete():
             self._respond_at_end(self._end_reason)
 
     def end(self, reason: EndReason) -> None:
         """Let ``run`` end the request, unless it has ended or its time is over."""
-        if self._timeout is not None and not self._is_ending:
-            self._end_reason = reason
-            self._timeout.reschedule(asyncio.get_running_loop().time())
-
-    @property
-    def _is_ending(self) -> bool:
-        """Whether the request has ended, or does in this turn of the event loop."""
-        is_time_over = self._timeout is not None and self._timeout.expired()
-        return is_time_over or self._end_reason is not None
+        self._timer.end(reason)
 
     def extend(self, timeout: timedelta) -> None:
         """Apply a timeout of the route that has come into force."""
-        if self._time.extend(timeout) and self._timeout is not None:
-            self._check_time()
+        if self._timer.extend(timeout):
             self._changes.put_nowait(_Change())
 
-    def _check_time(self) -> None:
-        """End the request if its time is over, or else check again then."""
-        if self._end_timer is not None:
-            self._end_timer.cancel()
-        now, has_begun = self._clock.elapsed(), self._response.has_started
-        left = self._time.find_left(now, has_begun).total_seconds()
-        if left <= 0:
-            self.end(EndReason.TIME_OVER)
-        else:
-            loop = asyncio.get_running_loop()
-            self._end_timer = loop.call_later(left, self._check_time)
-
     async def _finish_complete(self) -> bool:
         """Forward a response that was complete when the request was ended, if any."""
         while not self._changes.empty():
@@ -231,25 +193,18 @@
 
     def _respond_at_end(self, reason: EndReason) -> None:
         """Forward a server's own error response, or raise ``RequestError``."""
-        if self._send_server_error():
-            return
-        if reason is EndReason.STOPPED:
-            raise self._make_stop_error()
-        if self._possible_runs:
-            raise RequestError(ErrorKind.DEADLINE_EXCEEDED)
-        raise RequestError(ErrorKind.DEADLINE_UNREACHABLE)
-
-    def _make_stop_error(self) -> RequestError:
-        """Return the error of a request that the end of the process cuts."""
-        if self._response.has_started:
-            return RequestError(ErrorKind.ANSWER_TRUNCATED, "stopping")
-        if not self._possible_runs:
-            return RequestError(ErrorKind.STOPPING)
-        if self.route.repeat is Repeat.NEVER:
-            return RequestError(ErrorKind.OUTCOME_UNKNOWN, "stopping")
-        return RequestError(ErrorKind.SERVER_FAILED, "stopping")
+        if not self._send_server_error():
+            raise make_end_error(reason, self._progress)
 
-    async def _run_attempts(self) -> None:
+    @property
+    def _progress(self) -> DeliveryProgress:
+        return DeliveryProgress(
+            self.route.repeat, self.may_have_run, self.response.has_started
+        )
+
+    async def _deliver(self, prepare: Callable[[], Awaitable[None]] | None) -> None:
+        if prepare is not None:
+            await prepare()
         end = AttemptEnd.NOT_SENT
         is_possible = self._start_attempt()
         while is_possible:
@@ -266,48 +221,22 @@
 
     def _go_on(self, end: AttemptEnd) -> bool:
         """Start another attempt if needed; return false if no response can come."""
-        if end is AttemptEnd.NOT_SENT:
-            self._connect_failures += 1
         if self._running:
             self._start_beside()
             return True
         if self._is_answered:
             return True  # the complete response of another attempt is the next change
-        return self._may_try_next(end) and self._start_attempt()
-
-    def _may_try_next(self, end: AttemptEnd) -> bool:
-        """Return whether another attempt is allowed after one ended with ``end``."""
-        if end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PERMIT):
-            if self._connect_failures >= MAX_CONNECT_FAILURES:
-                return False
-            if not self._possible_runs:
-                return True
-        if self._possible_runs and not self._may_repeat():
-            return False
-        return self._may_send_again() and self._take_retry_token(end)
-
-    def _take_retry_token(self, end: AttemptEnd) -> bool:
-        """Take a token for the next request, unless an unsent one has left its own."""
-        if not self._has_retry_token:
-            self._has_retry_token = self._spend_retry(end)
-        return self._has_retry_token
+        may_try = self._limits.may_try_next(end, self._may_repeat())
+        return may_try and self._start_attempt()
 
     def _may_repeat(self) -> bool:
         """Return whether the request may be sent again although it may have run."""
         if self.route.repeat is Repeat.ALWAYS:
-            return not self._response.has_started
+            return not self.response.has_started
         if self.route.repeat is Repeat.RESUME:
-            return not self._response.has_started or self.position.can_resume
+            return not self.response.has_started or self.position.can_resume
         return False
 
-    def _may_send_again(self) -> bool:
-        """Return whether limits, the prompt and the deadline allow another attempt."""
-        if self.guard.is_suspicious or self.guard.find_block() is not None:
-            return False
-        if self._sends >= MAX_SENDS or self._possible_runs >= self.route.max_attempts:
-            return False
-        return self._time.end - self._clock.elapsed() >= RETRY_RESERVE
-
     def _start_beside(self) -> None:
         """Start an attempt if all that are in flight are silent."""
         is_silent = all(attempt.is_silent for attempt in self._running)
@@ -315,10 +244,10 @@
             return
         if self.guard.trial is not None:
             return  # its prompt may crash each server that it is sent to
-        if not self._may_repeat() or not self._may_send_again():
+        if not self._may_repeat() or not self._limits.may_send_again():
             return
         if not self._start_attempt(is_beside=True):
-            if self._connect_failures < MAX_CONNECT_FAILURES:
+            if self._limits.may_connect:
                 self._tried -= self._unsent
             self._schedule_beside()
 
@@ -331,7 +260,7 @@
 
     def _start_attempt(self, is_beside: bool = False) -> bool:
         """Start an attempt; return false if it lacks a retry token or a server."""
-        if is_beside and not self._take_retry_token(AttemptEnd.SILENT):
+        if is_beside and not self._limits.take_retry_token(AttemptEnd.SILENT):
             return False
         server = self._choose_server()
         if server is None:
@@ -344,7 +273,7 @@
             server,
             self._customer,
             self._urgency,
-            self._time,
+            self._timer.time,
             self.position._replace(has_partial_event=self.has_partial_event()),
             is_beside,
         )
@@ -388,8 +317,7 @@
         self._changes.put_nowait(_Change(attempt, end))
 
     def _note_end(self, attempt: ServerAttempt, end: AttemptEnd) -> None:
-        if end.did_not_run and attempt.was_sent:
-            self._possible_runs -= 1
+        self._limits.note_end(end, attempt.was_sent)
         if end is AttemptEnd.SERVER_ERROR:
             self._server_error = attempt.response
         if end is AttemptEnd.ANSWERED:
@@ -416,30 +344,27 @@
             if attempt is not successor:
                 self._end(attempt, ending)
 
-    async def _end_all(self) -> None:
+    async def _end_all(self, reason: EndReason | None) -> None:
         """End all attempts, and wait for their tasks."""
-        for timer in (self._beside_timer, self._end_timer):
-            if timer is not None:
-                timer.cancel()
-        ending = AttemptEnding(self._end_reason or EndReason.REPLACED)
+        if self._beside_timer is not None:
+            self._beside_timer.cancel()
+        ending = AttemptEnding(reason or EndReason.REPLACED)
         for attempt in list(self._running):
             self._end(attempt, ending)
         await asyncio.gather(*self._ended, return_exceptions=True)
 
     def find_refusal(self, attempt: ServerAttempt) -> AttemptEnd | None:
         """Return why a prepared attempt may not be sent; count it if it may be."""
-        if self._is_ending:
+        if self._timer.reason is not None:
             return AttemptEnd.GIVEN_UP
         if attempt.order.is_beside:
             others = [other for other in self._running if other is not attempt]
             if not all(other.is_silent for other in others):
                 return AttemptEnd.REPLACED
-            if not self._may_repeat() or not self._may_send_again():
+            if not self._may_repeat() or not self._limits.may_send_again():
                 return AttemptEnd.REPLACED
-        self._has_retry_token = False
         self._unsent.discard(attempt.server.entry.id)
-        self._sends += 1
-        self._possible_runs += 1
+        self._limits.note_send()
         return None
 
     def note_answer(self, attempt: ServerAttempt) -> None:
@@ -456,10 +381,6 @@
             attempt.is_inside_event for attempt in self._running
         )
 
-    def report(self, report: AttemptReport) -> None:
-        """Handle the report of an attempt that ended."""
-        self._on_attempt(report)
-
     async def forward(self, attempt: ServerAttempt, events: bytes) -> None:
         """Forward complete events to the caller.
 
@@ -478,47 +399,40 @@
         self._start_response(attempt)
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
-            await self._response.write_events(attempt.take_held() + events)
+            await self.response.write_events(attempt.take_held() + events)
 
     async def _finish(self, attempt: ServerAttempt) -> None:
         """Forward the end of a complete response."""
         if attempt.response is not None:
-            self._response.send(attempt.response)
+            self.response.send(attempt.response)
             return
         self.position = attempt.events_position
         self._start_response(attempt)
-        await self._response.finish(attempt.take_held() + attempt.remainder)
+        await self.response.finish(attempt.take_held() + attempt.remainder)
 
     def _start_response(self, attempt: ServerAttempt) -> None:
         assert attempt.reader is not None
-        self._response.start(attempt.reader.status, attempt.reader.headers)
+        self.response.start(attempt.reader.status, attempt.reader.headers)
 
     def _send_server_error(self) -> bool:
         """Forward a server's own error response; return false if there is none."""
-        if self._server_error is None or self._response.has_started:
+        if self._server_error is None or self.response.has_started:
             return False
-        self._response.send(self._server_error)
+        self.response.send(self._server_error)
         return True
 
     def _give_up(self, end: AttemptEnd) -> None:
         """Forward a server's own error response, or raise ``RequestError``."""
-        if self._response.has_started:
-            raise RequestError(ErrorKind.ANSWER_TRUNCATED)
         if self._send_server_error():
             return
-        if self._possible_runs == 0:
-            block = self.guard.find_block()
-            if block is not None:
-                raise make_quarantine_error(block)
-            delay = self._servers.find_permit_delay(self._service.name, self._urgency)
-            if delay is not None:
-                raise RequestError(ErrorKind.OVERLOADED, "limits of servers", delay)
-            refused = end in (AttemptEnd.NOT_RUN, AttemptEnd.WRONG_SERVER)
-            kind = ErrorKind.SERVER_REFUSED if refused else ErrorKind.NO_SERVER
-            after = self._servers.find_retry_delay(self._service.name)
-            raise RequestError(kind, retry_after=after)
-        if end is AttemptEnd.INTERNAL_ERROR:
-            raise RequestError(ErrorKind.INTERNAL)
-        if self.route.repeat is Repeat.NEVER:
-            raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
-        raise RequestError(ErrorKind.SERVER_FAILED)
+        if self.may_have_run:
+            raise make_failure(end, self._progress)
+        block = self.guard.find_block()
+        if block is not None:
+            raise make_quarantine_error(block)
+        service = self._service.name
+        raise make_refusal(
+            end,
+            self._servers.find_permit_delay(service, self._urgency),
+            self._servers.find_retry_delay(service),
+        )
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -211,8 +211,8 @@
 
     def _settle(self, trace: RequestTrace, delivery: Delivery) -> None:
         """Settle the tokens of a request that has ended, and note how it ended."""
-        trace.first_event_at = delivery.first_event_at
-        trace.longest_gap = delivery.longest_gap
+        trace.first_event_at = delivery.response.first_event_at
+        trace.longest_gap = delivery.response.longest_gap
         trace.ending = delivery.ending
         trace.current_version = self.table.version if self.table else 0
         reserved, prompt = trace.reserved_tokens, trace.request.prompt
--- a/lavendershift/tests/test_silence_schedules.py
+++ b/lavendershift/tests/test_silence_schedules.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lavendershift.attemptlimits import AttemptLimits
 from lavendershift.attempts import AttemptEnd
 from lavendershift.delivery import Delivery
 from lavendershift.preparations import CONNECT_TIMEOUT
@@ -322,12 +323,12 @@
 
 
 def need_no_token(monkeypatch):
-    monkeypatch.setattr(Delivery, "_take_retry_token", lambda self, end: True)
+    monkeypatch.setattr(AttemptLimits, "take_retry_token", lambda self, end: True)
 
 
 def repeat_always(monkeypatch):
     monkeypatch.setattr(Delivery, "_may_repeat", lambda self: True)
-    monkeypatch.setattr(Delivery, "_may_send_again", lambda self: self._sends < 4)
+    monkeypatch.setattr(AttemptLimits, "may_send_again", lambda self: self.sends < 4)
 
 
 def keep_all(monkeypatch):
