Let one timer wait for what arrived in a pause of the event loop

A request's time and the timeouts of connections, calls of the store and replies each had their own copy of the wait after a late timer, written beside each other.

--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -1,6 +1,7 @@
 """Tests of deliveries over real connections to scripted servers."""
 
 import asyncio
+import time
 from datetime import timedelta
 
 import pytest
@@ -206,6 +207,33 @@
     play(work)
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+@pytest.mark.parametrize("pause_s", [0.2, 0.6])
+def test_response_before_a_pause_of_the_loop_is_not_too_late(play, is_stream, pause_s):
+    """The timer of the request's time ran before the response was read."""
+
+    async def answer_before_pause(received, writer):
+        await asyncio.sleep(0.4)
+        headers = {"Transfer-Encoding": "chunked"}
+        if is_stream:
+            headers["Content-Type"] = "text/event-stream"
+        chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENTS), EVENTS)
+        writer.write(make_head(received, 200, headers) + chunks)
+        time.sleep(pause_s)
+
+    async def work(scene):
+        await scene.add_server(answer_before_pause)
+        request = scene.make_request(deadline=SECOND / 2)
+        response = await scene.deliver(
+            request=request,
+            is_stream=is_stream,
+            repeat=Repeat.RESUME if is_stream else Repeat.ALWAYS,
+        )
+        assert (response.is_done, response.body) == (True, EVENTS)
+
+    play(work)
+
+
 def test_server_busy_with_queued_prompts_is_not_timed_out(play):
     """Guards against retries of every prompt under load, which add to the load."""
 
--- a/lavendershift/requesttimers.py
+++ b/lavendershift/requesttimers.py
@@ -7,7 +7,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.requestends import EndReason
 from lavendershift.requesttimes import RequestTime
-from lavendershift.timeouts import LATE_AFTER, LATE_WAIT, MAX_LATE_WAITS
+from lavendershift.timeouts import DeferredTimer
 
 
 class RequestTimer:
@@ -25,7 +25,7 @@
         self._clock = clock
         self._has_begun = has_begun
         self._timeout: asyncio.Timeout | None = None
-        self._handle: asyncio.TimerHandle | None = None
+        self._timer = DeferredTimer(self._check)
 
     async def run(self, work: Callable[[], Awaitable[None]]) -> None:
         """Run ``work``; return early, with ``reason`` set, if it is ended."""
@@ -39,8 +39,7 @@
                 raise
         finally:
             self._timeout = None
-            if self._handle is not None:
-                self._handle.cancel()
+            self._timer.cancel()
 
     def end(self, reason: EndReason) -> None:
         """End the work, unless it has ended."""
@@ -55,24 +54,11 @@
             self._check()
         return is_extended
 
-    def _check(self, due: float | None = None, late_waits: int = 0) -> None:
-        """End the work if its time is over, or else check again then.
-
-        A check that runs later than ``due`` waits, so that what arrived meanwhile is
-        read first.
-        """
-        if self._handle is not None:
-            self._handle.cancel()
-        now = asyncio.get_running_loop().time()
+    def _check(self) -> None:
+        """End the work if its time is over, or else check again then."""
         left = self.time.find_left(self._clock.elapsed(), self._has_begun())
-        is_late = due is not None and now - due > LATE_AFTER
         if left > timedelta():
-            self._schedule(now + left.total_seconds())
-        elif is_late and late_waits < MAX_LATE_WAITS:
-            self._schedule(now + LATE_WAIT, late_waits + 1)
+            now = asyncio.get_running_loop().time()
+            self._timer.start(now + left.total_seconds())
         else:
             self.end(EndReason.TIME_OVER)
-
-    def _schedule(self, due: float, late_waits: int = 0) -> None:
-        loop = asyncio.get_running_loop()
-        self._handle = loop.call_at(due, self._check, due, late_waits)
--- a/lavendershift/timeouts.py
+++ b/lavendershift/timeouts.py
@@ -7,10 +7,12 @@
     async with Timeout(1.5) as timeout:
         await read_response()
 
-It raises ``TimeoutError`` as ``asyncio.timeout`` does.
+It raises ``TimeoutError`` as ``asyncio.timeout`` does. ``DeferredTimer`` is the same
+for a callback.
 """
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
@@ -19,14 +21,48 @@
 MAX_LATE_WAITS = 5  # as a response is read in several steps
 
 
+class DeferredTimer:
+    """Calls ``on_end`` once ``deadline`` has passed, which may be moved meanwhile.
+
+    Times are seconds on the clock of the running event loop.
+    """
+
+    def __init__(self, on_end: Callable[[], None]) -> None:
+        self.deadline = 0.0
+        self._on_end = on_end
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self, deadline: float) -> None:
+        """Begin to wait until ``deadline``, in place of an earlier one."""
+        self.cancel()
+        self.deadline = deadline
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_at(deadline, self._check, deadline)
+
+    def cancel(self) -> None:
+        """Stop waiting."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _check(self, due: float, late_waits: int = 0) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if now < self.deadline:
+            self._handle = loop.call_at(self.deadline, self._check, self.deadline)
+        elif now - max(due, self.deadline) > LATE_AFTER and late_waits < MAX_LATE_WAITS:
+            due = now + LATE_WAIT
+            self._handle = loop.call_at(due, self._check, due, late_waits + 1)
+        else:
+            self._on_end()
+
+
 class Timeout:
     """Ends the wait of the current task after a delay in seconds."""
 
     def __init__(self, delay: float) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._deadline = self._loop.time() + delay
+        self._deadline = asyncio.get_running_loop().time() + delay
         self._inner = asyncio.timeout(None)
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = DeferredTimer(self._end)
 
     @property
     def deadline(self) -> float:
@@ -36,10 +72,11 @@
     def extend(self, deadline: float) -> None:
         """Move the deadline to a later time."""
         self._deadline = max(self._deadline, deadline)
+        self._timer.deadline = self._deadline
 
     async def __aenter__(self) -> Self:
         await self._inner.__aenter__()
-        self._timer = self._loop.call_at(self._deadline, self._check)
+        self._timer.start(self._deadline)
         return self
 
     async def __aexit__(
@@ -48,17 +85,8 @@
         error: BaseException | None,
         place: TracebackType | None,
     ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         await self._inner.__aexit__(kind, error, place)
 
-    def _check(self, due: float | None = None, late_waits: int = 0) -> None:
-        now = self._loop.time()
-        lateness = now - (self._deadline if due is None else due)
-        if now < self._deadline:
-            self._timer = self._loop.call_at(self._deadline, self._check)
-        elif lateness > LATE_AFTER and late_waits < MAX_LATE_WAITS:
-            due = now + LATE_WAIT
-            self._timer = self._loop.call_at(due, self._check, due, late_waits + 1)
-        else:
-            self._inner.reschedule(now)
+    def _end(self) -> None:
+        self._inner.reschedule(asyncio.get_running_loop().time())
