Let the soak's checks of ends allow what a trace shows to be allowed

- Another attempt that resumes a stream after its last event delivers its end and no event.
- A version that was replaced up to 0.1 s before a request was sent counted.
Versions count from 0.1 s after the whole request was sent.
- A process that starts within 8 s of a stop was taken for the stopping one; this is stricter too, as the end of a stop excuses no request of the next process.

--- a/lavendershift/platform/tests/soak/endings.py
+++ b/lavendershift/platform/tests/soak/endings.py
@@ -105,10 +105,11 @@
 
 
 def find_stop(world, call, at):
-    """Return the time of the SIGTERM whose grace period a time is in."""
-    last_s = world.grace_s + SCHEDULING_S
-    stops = [t for name, t in world.stops if name == call.node and 0 < at - t < last_s]
-    return max(stops, default=None)
+    """Return the time of the SIGTERM to the process that is stopping at a time."""
+    stops = [t for name, t in world.stops if name == call.node and t < at]
+    launches = [t for name, t in world.launches if name == call.node and t < at]
+    stop = max(stops, default=None)
+    return None if stop is None or max(launches) > stop else stop
 
 
 def goes_on(world, call, server, handled, attempts):
@@ -165,9 +166,13 @@
                 changes.append((at - world.clock_offset, line["version"]))
 
     def find(self, call, at):
-        """Return the time that a request has, by the longest timeout until ``at``."""
+        """Return the time that a request has, by the longest timeout until ``at``.
+
+        Versions count from the time at which the whole request was sent.
+        """
         changes = self._changes[call.node]
-        first = bisect_right(changes, (call.sent_at - SCHEDULING_S, float("inf"))) - 1
+        received_at = (call.whole_at or call.sent_at) + SCHEDULING_S
+        first = bisect_right(changes, (received_at, float("inf"))) - 1
         last = bisect_right(changes, (at - SCHEDULING_S, float("inf")))
         longest = max(
             self._world.timeouts[version][call.kind]
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -58,6 +58,7 @@
         self.crashes = []
         self.kills = []
         self.stops = []
+        self.launches = []
         self.operations = []
         self.endings = Counter()
         self.clock_offset = time.time() - time.monotonic()
@@ -281,6 +282,7 @@
             node.launch()
             node.is_running = True
             node.launched_at = time.monotonic()
+            self.launches.append((node.name, node.launched_at))
 
     def kill(self, node):
         self._check_not_exited(node)
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -21,6 +21,7 @@
 
 ATTEMPT_ID_HEADER = "x-lavendershift-attempt-id"
 PROMPT_HEADER = "x-lavendershift-prompt-prefix"
+LAST_CHUNK = b"0\r\n\r\n"
 MAX_SILENCE_S = 3600.0  # the event loop takes no infinite delay
 
 
@@ -56,10 +57,10 @@
     """A request, its behaviour, and the monotonic times of what happened to it.
 
     ``sent_at`` is the time of the first byte of the response, ``delivered_at`` that of
-    its first event, or of the first byte of another body, ``ended_at`` that of its end,
-    and ``closed_at`` that of the end of the connection, if it was the last there. With
-    ``was_left``, the client closed the connection before; with ``was_cut``, it did so
-    while the server was still responding.
+    its first event, or its end, or of the first byte of another body, ``ended_at`` that
+    of its end, and ``closed_at`` that of the end of the connection, if it was the last
+    there. With ``was_left``, the client closed the connection before; with ``was_cut``,
+    it did so while the server was still responding.
     """
 
     def __init__(self, received: ReceivedRequest, behaviour: "Behaviour") -> None:
@@ -81,9 +82,11 @@
             return
         self._written += data
         head, _, body = self._written.partition(b"\r\n\r\n")
-        is_stream = b"text/event-stream" in head
-        is_success = head.startswith(b"HTTP/1.1 2")
-        if is_success and (b"\n\n" in body if is_stream else body):
+        if b"text/event-stream" in head:
+            has_delivered = b"\n\n" in body or body.endswith(LAST_CHUNK)
+        else:
+            has_delivered = bool(body)
+        if has_delivered and head.startswith(b"HTTP/1.1 2"):
             self.delivered_at = now
 
 
@@ -424,7 +427,7 @@
     received: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     """Send the last chunk of a chunked body."""
-    writer.write(b"0\r\n\r\n")
+    writer.write(LAST_CHUNK)
 
 
 def answer_with_media_type(status: int, media_type: str) -> Behaviour:
--- a/lavendershift_standins/silences.py
+++ b/lavendershift_standins/silences.py
@@ -11,13 +11,13 @@
 
 from lavendershift_standins.heldwriters import InterruptedWriter, SilencePoint
 from lavendershift_standins.platformserver import (
+    LAST_CHUNK,
     Behaviour,
     ReceivedRequest,
     answer_complete,
 )
 
 HEAD_END = b"\r\n\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
 
 
 def fall_silent(
