--- a/lavendershift/tests/test_quarantine.py
+++ b/lavendershift/tests/test_quarantine.py
@@ -169,6 +169,14 @@
     assert play.find("victim,sound,7") is None
 
 
+def test_a_sound_prompt_beside_a_deadly_one_does_not_stop_their_shared_part(play):
+    """All VMs have restarted, so that none knows the shared part to be sound."""
+    play.crash("a,dead,1")
+    play.crash("a,dead,2", "a,3")
+    assert play.find("a,dead,4") == "a,dead"
+    assert play.find("a,5") is None
+
+
 def test_two_deadly_parts_at_once_are_both_found(play):
     play.crash("dead1,a")
     play.crash("dead2,b")
