Don't stop a shared part beside the deadly one that it came with

Each prompt was judged by itself. The prompts of a crash are judged together now: parts that are stopped together with others, in another prompt of the crash or by a quarantine in force, aren't stopped alone as long as these others were suspects of the same crashes, since they may have caused them all. If the shared part is the cause, the next crash without the other one tells them apart, as the design has it for parts in other company.

--- a/lavendershift/quarantine.py
+++ b/lavendershift/quarantine.py
@@ -179,20 +179,41 @@
                 if part in answered or self.was_answered(part):
                     evidence.was_answered = True
         _drop_oldest(self._evidence, MAX_SUSPECTED)
-        for parts in prompts:
-            self._judge(parts, is_own)
+        found = [self._find_guilty(parts) for parts in prompts]
+        for parts, guilty in zip(prompts, found, strict=True):
+            if guilty and not self._is_explained(guilty, [*found, *self.list_active()]):
+                self._stop(parts, guilty, is_own)
 
-    def _judge(self, parts: Parts, is_own: bool) -> None:
-        """Put those parts of a prompt into quarantine that have the most evidence."""
+    def _find_guilty(self, parts: Parts) -> Parts:
+        """Return those parts of a prompt that have the most evidence, if any."""
         weights = {
             part: self._evidence[part].weigh()
             for part in parts
             if part in self._evidence and self._evidence[part].is_guilty
         }
-        if not weights:
-            return
-        most = max(weights.values())
-        guilty = tuple(part for part in parts if weights.get(part) == most)
+        most = max(weights.values(), default=0.0)
+        return tuple(part for part in parts if weights.get(part) == most)
+
+    def _is_explained(self, guilty: Parts, found: Iterable[Parts]) -> bool:
+        """Return whether other parts may have caused all crashes of ``guilty``.
+
+        These are parts that are stopped together with them in another prompt, and were
+        suspects of the same crashes.
+        """
+        crashes = {i for part in guilty for i in self._evidence[part].crashes}
+
+        def was_in_all(part: str) -> bool:
+            evidence = self._evidence.get(part)
+            return evidence is not None and crashes <= evidence.crashes.keys()
+
+        return any(
+            set(guilty) < set(larger)
+            and all(was_in_all(part) for part in set(larger).difference(guilty))
+            for larger in found
+        )
+
+    def _stop(self, parts: Parts, guilty: Parts, is_own: bool) -> None:
+        """Put the ``guilty`` parts of a prompt into quarantine."""
         now = self._clock.elapsed()
         blocking = self._list_blocking(parts)
         if any(now - self._since[each] < SETTLING_TIME for each in blocking):
