Count the end of a stream without an event as its delivery in the soak

The check is as strict as before for a head alone and for a part of an event, with a test of both; only the last chunk counts too.

--- a/lavendershift_standins/tests/test_silences.py
+++ b/lavendershift_standins/tests/test_silences.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lavendershift_standins.platformserver import (
+    HandledRequest,
     PlatformServer,
     answer_complete,
     answer_unframed,
@@ -134,6 +135,20 @@
     assert whole.ended_at - whole.sent_at > SILENCE_S - 0.01
 
 
+def test_a_stream_is_delivered_by_its_end_or_its_first_event_but_not_by_its_head():
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    for data, is_delivered in [
+        (b"", False),
+        (b"5\r\nid: 9", False),
+        (b"0\r\n\r\n", True),
+        (b"9\r\ndata: a\n\n\r\n", True),
+    ]:
+        handled = HandledRequest(None, None)
+        handled.note_written(head)
+        handled.note_written(data)
+        assert (handled.delivered_at is not None) == is_delivered
+
+
 def test_a_silence_without_end_lasts_until_it_is_ended():
     async def run():
         server = PlatformServer("i-1")
