--- a/lavendershift/prefixes.py
+++ b/lavendershift/prefixes.py
@@ -110,6 +110,8 @@
         return len(hashes)
 
     def _expire_unconfirmed(self) -> None:
+        if not self._gaps:
+            return
         gap_at: timedelta | None = None
         trusted_from = self._clock.elapsed() - GAP_VALIDITY
         while self._gaps and self._gaps[0] <= trusted_from:
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -16,6 +16,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
+from functools import lru_cache
 from typing import NamedTuple
 
 import xxhash
@@ -45,6 +46,8 @@
 LATENCY_WEIGHT = 0.05  # weight of the newest response in a service's mean latency
 RETRY_SPREAD = 0.25  # largest random addition to a retry delay, as a share of it
 MAX_REMOVED = 1000  # removed servers of which the version of the last entry is kept
+# Hashes that are kept: those of 60 servers for 130 shared parts, in about 2 MB.
+MAX_RANKS = 8192
 NO_VERSION = (-1, -1)  # (start, sequence) that is older than any entry
 
 
@@ -217,9 +220,10 @@
         if prompt.parts:
             # A server with a limit can't take all prompts with some shared part.
             unlimited = [s for s in candidates if self.find_limit(s) is None]
+            affinity_key = prompt.affinity_key
             affinity_server = max(
                 unlimited or candidates,
-                key=lambda s: rank_server(prompt.affinity_key, s.entry.id),
+                key=lambda s: rank_server(affinity_key, s.entry.id),
             )
             return min(
                 candidates,
@@ -466,10 +470,9 @@
     """
     load = server.sum_load(now)
     unread = server.count_unread(prompt)
+    own = prompt.input_tokens - prompt.shared_tokens
     if is_affinity_server:
-        shared = sum(part.tokens for part in prompt.shared_parts)
-        unread = min(unread, max(prompt.input_tokens - shared, 0))
-    own = prompt.input_tokens - sum(part.tokens for part in prompt.shared_parts)
+        unread = min(unread, max(own, 0))
     reread = max(unread - own, 0) * REREAD_WEIGHT
     slots = max(server.entry.slots, 1)
     waiting = max(load.in_flight + 1 - slots, 0)
@@ -478,6 +481,7 @@
     return load.unread_tokens + unread + reread + queued + running
 
 
+@lru_cache(maxsize=MAX_RANKS)
 def rank_server(key: str, server: str) -> int:
     """Return a server's rendezvous hash for a prompt part, the same on all VMs."""
     return xxhash.xxh3_64_intdigest(f"{key}/{server}".encode())
--- a/lavendershift/serverstates.py
+++ b/lavendershift/serverstates.py
@@ -36,10 +36,18 @@
         """The parts that other requests may share: all but the last."""
         return self.parts[:-1] or self.parts
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the shared parts."""
+        total = 0
+        for part in self.shared_parts:
+            total += part.tokens
+        return total
+
     @property
     def part_ids(self) -> tuple[str, ...]:
         """The ids of all parts."""
-        return tuple(part.id for part in self.parts)
+        return tuple([part.id for part in self.parts])
 
     @property
     def affinity_key(self) -> str:
@@ -122,19 +130,18 @@
 
     def sum_load(self, now: timedelta) -> ServerLoad:
         """Return the load of all VMs, without expired reports."""
-        loads = [
-            report.load
-            for report in self.peer_loads.values()
-            if now - report.received_at <= LOAD_EXPIRY
-        ]
-        return ServerLoad(
-            self.in_flight + sum(load.in_flight for load in loads),
-            self.unread_tokens + sum(load.unread_tokens for load in loads),
-        )
+        in_flight, unread_tokens = self.in_flight, self.unread_tokens
+        oldest = now - LOAD_EXPIRY
+        for load, received_at in self.peer_loads.values():
+            if received_at >= oldest:
+                in_flight += load.in_flight
+                unread_tokens += load.unread_tokens
+        return ServerLoad(in_flight, unread_tokens)
 
     def count_unread(self, prompt: PromptShape) -> int:
         """Return the tokens of ``prompt`` that the server does not have cached."""
-        cached = self.cache.count_cached([part.id for part in prompt.parts])
-        return max(
-            prompt.input_tokens - sum(part.tokens for part in prompt.parts[:cached]), 0
-        )
+        unread = prompt.input_tokens
+        cached = self.cache.count_cached(prompt.part_ids)
+        for part in prompt.parts[:cached]:
+            unread -= part.tokens
+        return max(unread, 0)
