Forward an event without changing what the event loop watches

tornado stopped watching a server's socket whenever a read left bytes in the buffer, as each chunk of a stream does, and began again at the next read: two system calls and a dozen calls of functions for each event. The socket is now watched until bytes arrive that nobody reads. Reads take buffers of 16 KB instead of 64 KB, which tornado clears for each read. Whether a response is streamed is decided once, at its head, and checks for other attempts are made only where there are any. What is sent, its order and its flushes are unchanged.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -17,7 +17,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -26,7 +26,8 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from lavendershift.clocks import Clock
 from lavendershift.decoding import parse_count
@@ -44,6 +45,8 @@
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses accepted before the final one
 # Time that a body which isn't needed may take, so that its connection can be kept.
 UNNEEDED_BODY_TIMEOUT = timedelta(milliseconds=100)
+# Size of one read. tornado clears a buffer of this size for each; events are short.
+READ_BYTES = 16_384
 STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}\b")
 
 
@@ -104,6 +107,18 @@
 
     received_at = 0.0
 
+    def _handle_events(self, fd: int | Any, events: int) -> None:
+        # tornado stops watching the socket whenever a read leaves bytes in the buffer,
+        # and starts again at the next read: two system calls for each event of a
+        # stream. Here it is watched until bytes arrive that nobody reads.
+        if events != IOLoop.READ or not self.reading() or self.writing():
+            super()._handle_events(fd, events)
+            return
+        try:
+            self._handle_read()
+        except UnsatisfiableReadError as error:
+            self.close(exc_info=error)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket."""
         size = super().read_from_fd(buf)
@@ -305,7 +320,7 @@
             endpoint.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
             )
-        stream = ServerStream(endpoint)
+        stream = ServerStream(endpoint, read_chunk_size=READ_BYTES)
         try:
             async with Timeout(timeout.total_seconds()):
                 await stream.connect((host, int(port)))
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -338,11 +338,10 @@
 
     def _replace_others(self, successor: ServerAttempt, progress: Progress) -> None:
         """End all attempts but one, which goes on in their place."""
-        name = successor.server.entry.id
-        ending = AttemptEnding(EndReason.REPLACED, name, progress)
-        for attempt in list(self._running):
-            if attempt is not successor:
-                self._end(attempt, ending)
+        others = [attempt for attempt in self._running if attempt is not successor]
+        for attempt in others:
+            name = successor.server.entry.id
+            self._end(attempt, AttemptEnding(EndReason.REPLACED, name, progress))
 
     async def _end_all(self, reason: EndReason | None) -> None:
         """End all attempts, and wait for their tasks."""
@@ -388,18 +387,20 @@
         as comments, wait for it if another attempt may still go on.
         """
         position = attempt.events_position
-        has_others = self._running.keys() > {attempt}
         if position.events > self.position.events:
             self._replace_others(attempt, Progress.EVENT)
-        elif has_others and not attempt.has_forwarded:
+        elif not attempt.has_forwarded and self._running.keys() > {attempt}:
             attempt.held += events
             return
         attempt.has_forwarded = True
         self.position = position
-        self._start_response(attempt)
+        if not self.response.has_started:
+            self._start_response(attempt)
+        if attempt.held:
+            events = attempt.take_held() + events
         # The disconnect of a caller cancels the delivery by itself.
         with contextlib.suppress(StreamClosedError):
-            await self.response.write_events(attempt.take_held() + events)
+            await self.response.write_events(events)
 
     async def _finish(self, attempt: ServerAttempt) -> None:
         """Forward the end of a complete response."""
--- a/lavendershift/eventstreams.py
+++ b/lavendershift/eventstreams.py
@@ -56,9 +56,11 @@
     def advance(self, event_id: str, has_data: bool = True) -> "EventPosition":
         """Return the position after an event or other block with ``event_id``."""
         events = self.events + has_data
-        if _read_number(event_id) is None:
+        number = _read_number(event_id)
+        if number is None:
             return EventPosition(events, is_ambiguous=True)
-        step = _find_step(self.last_id, event_id)
+        before = _read_number(self.last_id)
+        step = None if before is None else number - before
         # Ids are consecutive from a first id of 0 or 1, or from a step of 1 between the
         # first two events, as long as each further step is 1.
         starts_count = not self.last_id and event_id in ("0", "1")
@@ -177,9 +179,8 @@
 
 
 def _read_number(event_id: str) -> int | None:
-    if len(event_id) > MAX_ID_DIGITS or not event_id.isascii():
-        return None
-    return int(event_id) if event_id.isdecimal() else None
+    is_number = event_id.isdecimal() and event_id.isascii()
+    return int(event_id) if is_number and len(event_id) <= MAX_ID_DIGITS else None
 
 
 def _find_step(before: str, after: str) -> int | None:
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -65,7 +65,8 @@
     ``is_fresh`` is set if the connection carried no request before. ``monitor`` records
     the progress of the response. ``refused`` is set once the response can't be the
     continuation of the stream, or exceeds a limit without an end; ``stop`` is then
-    called to close the connection.
+    called to close the connection. ``is_streamed`` is set from the head on if the
+    response is forwarded as it arrives.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.kind = ResponseKind.FOREIGN
         self.status = 0
         self.headers = HTTPHeaders()
+        self.is_streamed = False
         is_continuation = receiver.first_status > 0 or bool(receiver.position.last_id)
         self.events = EventReader(receiver.position, is_continuation)
         self._receiver = receiver
@@ -97,6 +99,12 @@
         self._body, self._size = bytearray(), 0
         self.status, self.headers = status, headers
         self.kind = self._receiver.classify(status, headers, self._is_fresh)
+        self.is_streamed = (
+            self.kind is ResponseKind.OWN
+            and self._is_stream
+            and status in SUCCESSES
+            and is_event_stream(self.media_type)
+        )
         self._is_fresh = False
         if self.kind is ResponseKind.FOREIGN:
             self._skip()
@@ -123,16 +131,6 @@
         """Whether the head leaves anything open; that of a refusal doesn't."""
         return self.kind not in (ResponseKind.NOT_RUN, ResponseKind.WRONG_SERVER)
 
-    @property
-    def is_streamed(self) -> bool:
-        """Whether the response is forwarded as it arrives."""
-        return (
-            self.kind is ResponseKind.OWN
-            and self._is_stream
-            and self.status in SUCCESSES
-            and is_event_stream(self.media_type)
-        )
-
     @property
     def has_event(self) -> bool:
         """Whether the response has a complete event."""
--- a/lavendershift/silences.py
+++ b/lavendershift/silences.py
@@ -92,9 +92,10 @@
 
     def note_progress(self) -> None:
         """Record progress of the response."""
-        self._longest_gap = self.longest_gap
-        self.progress_at = self._loop.time()
-        self._timeout.note_progress(self.progress_at)
+        now = self._loop.time()
+        self._longest_gap = max(self._longest_gap, now - self.progress_at)
+        self.progress_at = now
+        self._timeout.note_progress(now)
         self._end_silence()
         self.on_progress()
 
--- a/lavendershift/tests/test_connections.py
+++ b/lavendershift/tests/test_connections.py
@@ -3,10 +3,11 @@
 
 import pytest
 from tornado.httputil import HTTPHeaders
+from tornado.ioloop import IOLoop
 
 from lavendershift.clocks import SystemClock
-from lavendershift.connections import ConnectionPool, ServerRequest
-from lavendershift_standins.platformserver import PlatformServer
+from lavendershift.connections import READ_BYTES, ConnectionPool, ServerRequest
+from lavendershift_standins.platformserver import PlatformServer, stream
 
 SECOND = timedelta(seconds=1)
 HEAD = b"HTTP/1.1 200 -\r\nContent-Length: 12\r\n\r\n"
@@ -142,3 +143,54 @@
         assert connections.take(server.address) is None
 
     play(work)
+
+
+def test_events_of_a_stream_dont_stop_the_watch_of_its_socket(play, monkeypatch):
+    # Guards against two system calls to watch the socket for each event.
+    changes = []
+
+    async def work(connections, server):
+        connection = await connections.connect(server.address, SECOND)
+        loop = IOLoop.current()
+        update_handler = loop.update_handler
+        monkeypatch.setattr(
+            loop,
+            "update_handler",
+            lambda fd, events: (changes.append(events), update_handler(fd, events)),
+        )
+        reader = Reader()
+        exchange = await connection.exchange(make_request(), reader)
+        assert exchange.is_complete
+        assert len(reader.parts) == 1 + 30
+
+    play(work, stream(30, pause_s=0.005))
+    assert len(changes) <= 4
+
+
+def test_a_stream_that_nobody_reads_is_not_read_further(play):
+    # Guards against a socket that is watched in vain, and against unbounded buffers.
+    async def work(connections, server):
+        connection = await connections.connect(server.address, SECOND)
+        handled = []
+        handle = connection._stream._handle_events
+        connection._stream._handle_events = lambda fd, events: (
+            handled.append(events),
+            handle(fd, events),
+        )
+        exchange = asyncio.ensure_future(
+            connection.exchange(make_request(), Reader(pause_s=0.5))
+        )
+        await asyncio.sleep(0.4)
+        assert len(handled) <= 6
+        assert connection._stream._read_buffer_size <= 4 * READ_BYTES
+        exchange.cancel()
+        connection.close()
+
+    async def send_much(received, writer):
+        head = b"HTTP/1.1 200 -\r\nContent-Length: 9000000\r\n\r\n"
+        for _ in range(60):
+            writer.write(head + b"x" * 50_000)
+            head = b""
+            await asyncio.sleep(0.004)
+
+    play(work, send_much)
