Choose servers by estimates of their speed

Servers were chosen by load alone, as if all were equally fast: a server that refuses each request in 2 ms never seemed busy and got 44 % of the requests.

Each server now has medians of measured times in slots of 500 ms, compared with those of its peers, a limit of requests in flight that falls when only this server slows down, and a share of failures. The costs in ServerList.choose are weighted by them. Differences under 25 % count as none, so that equal servers are chosen as before. Errors are no longer measured as fast work. serverlist.py and serverattempts.py are split; the sum of the peers' loads is kept, as each choice added 80 reports for each server.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -140,6 +140,16 @@
             AttemptEnd.WRONG_SERVER,
         )
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether there is no complete response: the connection can't be reused."""
+        return self in (
+            AttemptEnd.BROKEN,
+            AttemptEnd.INSIDE_EVENT,
+            AttemptEnd.OTHER_KIND,
+            AttemptEnd.OUT_OF_PLACE,
+        )
+
 
 class StreamReport(NamedTuple):
     """Report of the stream read by an attempt.
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -8,10 +8,10 @@
 
 import asyncio
 from datetime import timedelta
-from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
 
+from lavendershift.attemptowners import AttemptOwner
 from lavendershift.attempts import (
     Attempt,
     AttemptEnd,
@@ -32,15 +32,14 @@
     Preparation,
     UnsentError,
 )
-from lavendershift.promptguards import PromptGuard
 from lavendershift.requestends import AttemptEnding, EndReason
-from lavendershift.serverlist import Assignment
 from lavendershift.serverresponses import (
     SERVER_ERRORS,
     AttemptReader,
     ServerResponse,
 )
 from lavendershift.serverstates import NO_PROMPT, ServerKnowledge
+from lavendershift.serverusage import ServerUsage
 from lavendershift.silences import (
     MAX_EVENT_GAP,
     SilenceMonitor,
@@ -48,51 +47,6 @@
     find_usual_wait,
 )
 
-# Ends of an attempt without a complete response: the connection can't be reused.
-UNFINISHED = frozenset(
-    {
-        AttemptEnd.BROKEN,
-        AttemptEnd.INSIDE_EVENT,
-        AttemptEnd.OTHER_KIND,
-        AttemptEnd.OUT_OF_PLACE,
-    }
-)
-
-
-class AttemptOwner(Protocol):
-    """The delivery that an attempt belongs to."""
-
-    guard: PromptGuard
-
-    @property
-    def first_status(self) -> int:
-        """The status already sent to the caller, 0 if there is none."""
-        ...
-
-    def find_refusal(self, attempt: "ServerAttempt") -> AttemptEnd | None:
-        """Return why a prepared attempt may not be sent; count it if it may be."""
-        ...
-
-    def note_answer(self, attempt: "ServerAttempt") -> None:
-        """Handle a complete response, which no other attempt can replace."""
-        ...
-
-    async def forward(self, attempt: "ServerAttempt", events: bytes) -> None:
-        """Forward complete events to the caller."""
-        ...
-
-    def note_silence(self, attempt: "ServerAttempt") -> None:
-        """Handle an attempt that falls silent."""
-        ...
-
-    def has_partial_event(self) -> bool:
-        """Whether an attempt has received a part of the next event."""
-        ...
-
-    def report(self, report: AttemptReport) -> None:
-        """Handle the report of an attempt that ended."""
-        ...
-
 
 class ServerAttempt:
     """Sends a request to one server and reads the response.
@@ -122,8 +76,7 @@
         self._monitor: SilenceMonitor | None = None
         self._connection: Connection | None = None
         self._exposure: Exposure | None = None
-        self._assignment: Assignment | None = None
-        self._is_prompt_read = False
+        self._usage: ServerUsage | None = None
         self._is_after_silence = False
         self._has_short_wait = False
         self._ended_as: AttemptEnd | None = None
@@ -140,7 +93,7 @@
     @property
     def was_sent(self) -> bool:
         """Whether the request was sent to the server."""
-        return self._assignment is not None
+        return self._usage is not None
 
     @property
     def is_silent(self) -> bool:
@@ -217,7 +170,7 @@
         self._sent_at = self._progress_at = self._clock.elapsed()
         self._connecting = self._sent_at - self._started
         self._is_after_silence = self.server.silence.is_open
-        self._assignment = self._servers.start(self.server, self._prompt)
+        self._usage = ServerUsage(self._clock, self._servers, self.server, self._prompt)
         is_reusable = False
         self._exposure = self._guard.expose(connection.close)
         reader = self.reader = AttemptReader(
@@ -230,7 +183,7 @@
                 end, reason = self._ended_as, ""
             elif end is AttemptEnd.ANSWERED:
                 self._owner.note_answer(self)
-            is_reusable = end not in UNFINISHED and self._ended_as is None
+            is_reusable = not end.is_unfinished and self._ended_as is None
         except asyncio.CancelledError:
             if self._ended_as is None:
                 raise
@@ -238,8 +191,7 @@
         finally:
             self._monitor.stop()
             self._guard.end_exposure(self._exposure)
-            self._note_prompt_read()
-            self._servers.finish(self._assignment)
+            self._usage.finish()
             if is_reusable and self._servers.is_usable(self.server):
                 self._connections.give_back(connection)
             else:
@@ -254,9 +206,9 @@
         return end
 
     def _make_monitor(self) -> SilenceMonitor:
-        assert self._assignment is not None
+        assert self._usage is not None
         left = self.order.time.end - self._clock.elapsed()
-        target, expected = self.order.route.target, self._assignment.expected
+        target, expected = self.order.route.target, self._usage.expected
         first = find_first_byte_wait(target, expected, left)
         self._has_short_wait = first < find_usual_wait(target, expected)
         monitor = SilenceMonitor(
@@ -333,8 +285,8 @@
         self.response = reader.collect()
         if self.response.status in SERVER_ERRORS:
             return AttemptEnd.SERVER_ERROR
-        if self._assignment is not None and not self.order.route.is_stream:
-            self._record_latency(self._assignment)
+        if self._usage is not None and not self.order.route.is_stream:
+            self._usage.note_response(self.response.status, self._was_silent)
         return AttemptEnd.ANSWERED
 
     def _finish_stream(self, reader: AttemptReader) -> AttemptEnd:
@@ -347,6 +299,9 @@
         if remainder is None or reader.refused is not None:
             return reader.refused or AttemptEnd.BROKEN
         self._note_response()
+        report = reader.describe()
+        if self._usage is not None and report is not None:
+            self._usage.note_stream_end(report.events, self._was_silent)
         self.remainder = remainder
         return AttemptEnd.ANSWERED
 
@@ -366,9 +321,8 @@
     async def forward(self, reader: AttemptReader, events: bytes) -> None:
         """Forward complete events to the caller."""
         if reader.has_event:
-            if self._assignment is not None and not self._is_prompt_read:
-                self._record_latency(self._assignment)
-                self._note_prompt_read()
+            if self._usage is not None:
+                self._usage.note_first_event(self._was_silent)
             self._note_response()
         await self._owner.forward(self, events)
 
@@ -376,15 +330,9 @@
         if self._exposure is not None:
             self._guard.note_response(self._exposure)
 
-    def _record_latency(self, assignment: Assignment) -> None:
-        """Record how fast the server is, unless it was not slow but silent."""
-        if self._monitor is None or not self._monitor.was_silent:
-            self._servers.record_latency(assignment)
-
-    def _note_prompt_read(self) -> None:
-        if not self._is_prompt_read and self._assignment is not None:
-            self._is_prompt_read = True
-            self._servers.record_prompt_read(self._assignment)
+    @property
+    def _was_silent(self) -> bool:
+        return self._monitor is not None and self._monitor.was_silent
 
     def _update_server_state(self, end: AttemptEnd) -> None:
         if end is AttemptEnd.ANSWERED:
@@ -392,12 +340,14 @@
         elif end is AttemptEnd.OUT_OF_PLACE and not self._owner.first_status:
             pass  # the caller may have sent a Last-Event-ID that never existed
         elif (
-            end in UNFINISHED
+            end.is_unfinished
             or end is AttemptEnd.SERVER_ERROR
             or end is AttemptEnd.SILENT
             and self._received_without_progress()
         ):
             self._servers.note_failure(self.server)
+        elif end is AttemptEnd.NOT_RUN:
+            self._servers.note_rejection(self.server)
         elif end is AttemptEnd.WRONG_SERVER:
             self._servers.note_unreachable(self.server)
         if end is AttemptEnd.BROKEN:
@@ -430,7 +380,7 @@
                 reason,
                 reader.status if reader else 0,
                 self._clock.elapsed() - self._started,
-                self._assignment.expected if self._assignment else timedelta(),
+                self._usage.expected if self._usage else timedelta(),
                 reader.describe() if reader else None,
                 self._knowledge,
                 self._connecting,
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -13,55 +13,31 @@
 """
 
 import random
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
-from functools import lru_cache
-from typing import NamedTuple
-
-import xxhash
 
 from lavendershift.clocks import Clock
-from lavendershift.ejection import OutlierDetector
+from lavendershift.entryversions import EntryVersions
 from lavendershift.expiries import needs_missing
+from lavendershift.servercosts import (
+    choose_for_prompt,
+    estimate_plain_cost,
+)
 from lavendershift.serverlimits import MIN_RATE, ServerLimits
 from lavendershift.serversignals import ServerSignal, ServerSignals
+from lavendershift.serverspeeds import Assignment, ServerSpeeds
 from lavendershift.serverstates import (
     CONNECT_BACKOFF,
     ListedServer,
-    PeerLoad,
     PromptShape,
     ServerEntry,
     ServerKnowledge,
     ServerLoad,
 )
+from lavendershift.serviceoutliers import ServiceOutliers
 
 MAX_CONNECT_BACKOFF = timedelta(seconds=3)  # limit of the doubling at each failure
-IN_FLIGHT_COST = 60  # cost of a running request, in prompt tokens read in the same time
-STREAM_DURATION = timedelta(seconds=2)  # usual time until a stream frees its slot
-REREAD_WEIGHT = 3.0  # cost factor of shared prompt tokens that are read once more
-PREFILL_RATE = 50_000.0  # prompt tokens/s that an engine is estimated to read
-# Time to the first event of an idle engine.
-UNLOADED_LATENCY = timedelta(milliseconds=40)
-LATENCY_WEIGHT = 0.05  # weight of the newest response in a service's mean latency
 RETRY_SPREAD = 0.25  # largest random addition to a retry delay, as a share of it
-MAX_REMOVED = 1000  # removed servers of which the version of the last entry is kept
-# Hashes that are kept: those of 60 servers for 130 shared parts, in about 2 MB.
-MAX_RANKS = 8192
-NO_VERSION = (-1, -1)  # (start, sequence) that is older than any entry
-
-
-class Assignment(NamedTuple):
-    """A request that counts towards a server's load until it has finished.
-
-    ``unread_tokens`` is the part of its prompt that the server has yet to read, and
-    ``expected`` the estimated time to its first event.
-    """
-
-    server: ListedServer
-    unread_tokens: int
-    started: timedelta
-    expected: timedelta
 
 
 class ServerList:
@@ -80,17 +56,16 @@
         self._rng = rng
         self._domain = domain
         self._servers: dict[str, ListedServer] = {}
-        self._outliers: dict[str, OutlierDetector] = {}
-        self._mean_latency: dict[str, timedelta] = {}
-        self._removed: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        self._outliers = ServiceOutliers(rng)
+        self.speeds = ServerSpeeds(clock)
+        self._versions = EntryVersions()
         self._entries_read_at: timedelta | None = None
-        self._disputed: dict[str, ServerEntry] = {}
         self._signals = ServerSignals(clock)
         self.limits = ServerLimits(clock)
         self.count_vms: Callable[[], int] = lambda: 1
         self.on_invalid_limit: Callable[[ServerEntry], None] = lambda entry: None
         self.on_leaving: Callable[[ServerEntry], None] = lambda entry: None
-        self.on_silence: Callable[[ServerEntry, bool], None] = _ignore_silence
+        self.on_silence: Callable[[ServerEntry, bool], None] = lambda *args: None
         self.on_load_change: Callable[[str, Sequence[str]], None] = (
             lambda server, parts: None
         )
@@ -102,6 +77,10 @@
         """Return the entries of all servers."""
         return [server.entry for server in self._servers.values()]
 
+    def list_servers(self) -> list[ListedServer]:
+        """Return all servers."""
+        return list(self._servers.values())
+
     def note_reading(self) -> None:
         """Record that the entries were read just now."""
         self._entries_read_at = self._clock.elapsed()
@@ -122,7 +101,7 @@
         """
         known = self._servers.get(entry.id)
         if known is None:
-            if (entry.born, entry.sequence) <= self._removed.get(entry.id, NO_VERSION):
+            if self._versions.is_removed(entry):
                 return False
             self._servers[entry.id] = ListedServer(entry, self._clock)
             self._update_outliers(entry.service)
@@ -130,33 +109,20 @@
         old = known.entry
         if (entry.born, entry.sequence) < (old.born, old.sequence):
             return False
-        if old.born == entry.born != 0 and self._is_conflicting(old, entry):
+        if old.born == entry.born != 0 and self._versions.is_conflicting(old, entry):
             return False
         if entry.born != old.born or entry.address != old.address:
             # Requests in flight at the previous incarnation keep its own record.
             self._servers[entry.id] = ListedServer(entry, self._clock)
-            self._outliers[old.service].reset(entry.id)
+            self._outliers.reset(entry)
         else:
             known.entry = entry
+            known.capacity.set_slots(entry.slots)
         if old.service != entry.service:
             self._update_outliers(old.service)
             self._update_outliers(entry.service)
         return True
 
-    def _is_conflicting(self, old: ServerEntry, entry: ServerEntry) -> bool:
-        """Whether another server may have written ``entry`` under the same id.
-
-        An incarnation never changes its service or address. Such an entry is accepted
-        once it is written a second time, as ``old`` may be the wrong one.
-        """
-        location = (entry.service, entry.address)
-        if location == (old.service, old.address):
-            self._disputed.pop(entry.id, None)
-            return False
-        before = self._disputed.get(entry.id)
-        self._disputed[entry.id] = entry
-        return before is None or (before.service, before.address) != location
-
     def mark_missing(self, server_id: str, until: timedelta) -> None:
         """Mark a server's entry as missing, the server as usable before ``until``.
 
@@ -179,10 +145,7 @@
         server = self._servers.pop(server_id, None)
         if server is None:
             return None
-        self._disputed.pop(server_id, None)
-        self._removed[server_id] = (server.entry.born, server.entry.sequence)
-        if len(self._removed) > MAX_REMOVED:
-            self._removed.popitem(last=False)
+        self._versions.note_removed(server.entry)
         self._update_outliers(server.entry.service)
         return server.entry
 
@@ -201,14 +164,18 @@
 
         A prompt goes to the server that has to read the fewest prompt tokens before
         the first event, including the prompts of all VMs that are queued there. Other
-        requests go to the server with the smallest share of its slots in use. Servers
-        that failed recently are used only if there is no other. A server with a limit
-        is left out while no permit is due for a request of this ``urgency``.
+        requests go to the server with the smallest share of its slots in use. Both are
+        weighted by how fast the servers are, see ``capacity``. Servers that failed
+        recently are used only if there is no other. A server with a limit is left out
+        while no permit is due for a request of this ``urgency``.
         """
         tried = set(excluded)
+        now = self._clock.elapsed()
+        available = self._list_available(service)
+        self.speeds.refresh(service, available, now)
         usable = [
             server
-            for server in self._list_available(service)
+            for server in available
             if server.entry.id not in tried
             and not self.limits.find_wait(server.incarnation, urgency)
         ]
@@ -216,28 +183,13 @@
             return None
         healthy = [server for server in usable if not self._is_avoided(server)]
         candidates = healthy or usable
-        now = self._clock.elapsed()
         if prompt.parts:
             # A server with a limit can't take all prompts with some shared part.
             unlimited = [s for s in candidates if self.find_limit(s) is None]
-            affinity_key = prompt.affinity_key
-            affinity_server = max(
-                unlimited or candidates,
-                key=lambda s: rank_server(affinity_key, s.entry.id),
-            )
-            return min(
-                candidates,
-                key=lambda s: (
-                    estimate_cost(s, prompt, s is affinity_server, now),
-                    s is not affinity_server,
-                ),
-            )
+            return choose_for_prompt(candidates, unlimited or candidates, prompt, now)
         return min(
             candidates,
-            key=lambda s: (
-                s.sum_load(now).in_flight / max(s.entry.slots, 1),
-                self._rng.random(),
-            ),
+            key=lambda s: (estimate_plain_cost(s, now), self._rng.random()),
         )
 
     def _list_available(self, service: str) -> list[ListedServer]:
@@ -255,8 +207,7 @@
 
     def is_usable(self, server: ListedServer) -> bool:
         """Whether a server that was selected earlier may still be sent a request."""
-        is_listed = self._servers.get(server.entry.id) is server
-        return is_listed and self._accepts(server)
+        return self._is_current(server) and self._accepts(server)
 
     def is_leaving(self, server: ListedServer) -> bool:
         """Whether a server's entry or one of its responses announced that it drains."""
@@ -328,8 +279,7 @@
         now = self._clock.elapsed()
         if server.avoided_until > now or server.silence.is_avoided(now):
             return True
-        outliers = self._outliers.get(server.entry.service)
-        return outliers is not None and outliers.is_ejected(server.entry.id, now)
+        return self._outliers.is_ejected(server.entry, now)
 
     def note_selection(self, server: ListedServer) -> None:
         """Record that a request was given to ``server``, and may open a connection."""
@@ -337,23 +287,13 @@
 
     def start(self, server: ListedServer, prompt: PromptShape) -> Assignment:
         """Count a request sent to ``server`` towards its load."""
-        now = self._clock.elapsed()
-        unread = server.count_unread(prompt)
-        expected = self._estimate_latency(server, unread, now)
+        assignment = self.speeds.make_assignment(server, prompt)
         parts = [part.id for part in prompt.parts]
         server.in_flight += 1
-        server.unread_tokens += unread
+        server.unread_tokens += assignment.unread_tokens
         server.cache.note_used(parts)
         self.on_load_change(server.entry.id, parts)
-        return Assignment(server, unread, now, expected)
-
-    def _estimate_latency(
-        self, server: ListedServer, unread: int, now: timedelta
-    ) -> timedelta:
-        if not unread:
-            return self._mean_latency.get(server.entry.service, timedelta())
-        ahead = server.sum_load(now).unread_tokens + unread
-        return UNLOADED_LATENCY + timedelta(seconds=ahead / PREFILL_RATE)
+        return assignment
 
     def record_prompt_read(self, assignment: Assignment) -> None:
         """Record the first event of a response: its prompt has been read."""
@@ -383,7 +323,7 @@
         server = self._servers.get(server_id)
         if server is None:
             return
-        server.peer_loads[vm] = PeerLoad(load, self._clock.elapsed())
+        server.record_peer_load(vm, load, self._clock.elapsed())
         if parts:
             server.cache.note_used(parts)
 
@@ -391,30 +331,33 @@
         """Record the time to a first event or a response; may eject an outlier."""
         now = self._clock.elapsed()
         waited = now - assignment.started
-        service = assignment.server.entry.service
-        if assignment.expected:
-            outliers = self._find_current_outliers(assignment.server)
+        if assignment.expected and self._is_current(assignment.server):
             ratio = waited / assignment.expected
-            if outliers is not None:
-                outliers.record_slowness(
-                    assignment.server.entry.id, ratio, now, assignment.started
-                )
-        if not assignment.unread_tokens:
-            mean = self._mean_latency.get(service, waited)
-            self._mean_latency[service] = mean + (waited - mean) * LATENCY_WEIGHT
+            self._outliers.note_slowness(
+                assignment.server.entry, ratio, now, assignment.started
+            )
+        self.speeds.note_latency(assignment, waited)
 
     def note_success(self, server: ListedServer) -> None:
         """Record a successful response."""
         server.connect_backoff = CONNECT_BACKOFF
-        outliers = self._find_current_outliers(server)
-        if outliers is not None:
-            outliers.record_success(server.entry.id)
+        self.speeds.note_outcome(server, is_failure=False)
+        if self._is_current(server):
+            self._outliers.note_success(server.entry)
 
     def note_failure(self, server: ListedServer) -> None:
         """Record a failed response; consecutive ones eject the server."""
-        outliers = self._find_current_outliers(server)
-        if outliers is not None:
-            outliers.record_failure(server.entry.id, self._clock.elapsed())
+        self.speeds.note_outcome(server, is_failure=True)
+        if self._is_current(server):
+            self._outliers.note_failure(server.entry, self._clock.elapsed())
+
+    def note_rejection(self, server: ListedServer) -> None:
+        """Record that a server refused a request without running it.
+
+        Limits of servers and pauses are obeyed anyway, and tell nothing about speed.
+        """
+        if self.find_limit(server) is None:
+            self.speeds.note_rejection(server)
 
     def note_silence(self, server: ListedServer, progress_at: timedelta) -> None:
         """Record that a request makes no progress since ``progress_at``."""
@@ -442,46 +385,12 @@
         server.avoided_until = self._clock.elapsed() + server.connect_backoff
         server.connect_backoff = min(server.connect_backoff * 2, MAX_CONNECT_BACKOFF)
 
-    def _find_current_outliers(self, server: ListedServer) -> OutlierDetector | None:
-        """Return a server's outlier detector, ``None`` for a previous incarnation."""
-        if self._servers.get(server.entry.id) is not server:
-            return None
-        return self._outliers.get(server.entry.service)
+    def _is_current(self, server: ListedServer) -> bool:
+        """Whether a server is listed, and no previous incarnation."""
+        return self._servers.get(server.entry.id) is server
 
     def _update_outliers(self, service: str) -> None:
-        outliers = self._outliers.setdefault(service, OutlierDetector(self._rng))
-        outliers.update_servers(
-            {s.entry.id for s in self._servers.values() if s.entry.service == service}
+        self._outliers.update_servers(
+            service,
+            {s.entry.id for s in self._servers.values() if s.entry.service == service},
         )
-
-
-def _ignore_silence(entry: ServerEntry, is_silent: bool) -> None:
-    """Do nothing."""
-
-
-def estimate_cost(
-    server: ListedServer, prompt: PromptShape, is_affinity_server: bool, now: timedelta
-) -> float:
-    """Return the prompt tokens that are read before the prompt's first event.
-
-    The affinity server of a prompt counts as having its shared parts cached. All VMs
-    derive it from a hash, without a message, so that a shared part is read by one
-    server even if VMs can't reach each other.
-    """
-    load = server.sum_load(now)
-    unread = server.count_unread(prompt)
-    own = prompt.input_tokens - prompt.shared_tokens
-    if is_affinity_server:
-        unread = min(unread, max(own, 0))
-    reread = max(unread - own, 0) * REREAD_WEIGHT
-    slots = max(server.entry.slots, 1)
-    waiting = max(load.in_flight + 1 - slots, 0)
-    queued = waiting * STREAM_DURATION.total_seconds() / slots * PREFILL_RATE
-    running = load.in_flight * IN_FLIGHT_COST
-    return load.unread_tokens + unread + reread + queued + running
-
-
-@lru_cache(maxsize=MAX_RANKS)
-def rank_server(key: str, server: str) -> int:
-    """Return a server's rendezvous hash for a prompt part, the same on all VMs."""
-    return xxhash.xxh3_64_intdigest(f"{key}/{server}".encode())
--- a/lavendershift/serverstates.py
+++ b/lavendershift/serverstates.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from lavendershift.capacity.servercapacity import ServerCapacity
 from lavendershift.clocks import Clock
 from lavendershift.prefixes import PrefixIndex
 from lavendershift.serversignals import Incarnation
@@ -116,7 +117,10 @@
         self.silence = ServerSilence()
         self.usable_until: timedelta | None = None
         self.cache = PrefixIndex(clock)
-        self.peer_loads: dict[str, PeerLoad] = {}
+        self.capacity = ServerCapacity(entry.slots)
+        self._peer_loads: dict[str, PeerLoad] = {}
+        self._peer_sum = ServerLoad(0, 0)
+        self._peer_sum_until = timedelta.max
 
     @property
     def incarnation(self) -> Incarnation:
@@ -128,15 +132,50 @@
         """Whether the server's entry is missing, perhaps only because it expired."""
         return self.usable_until is not None
 
+    def record_peer_load(self, vm: str, load: ServerLoad, now: timedelta) -> None:
+        """Record the load that another VM reports."""
+        known = self._peer_loads.get(vm)
+        old = known.load if known else ServerLoad(0, 0)
+        self._peer_loads[vm] = PeerLoad(load, now)
+        self._peer_sum = ServerLoad(
+            self._peer_sum.in_flight + load.in_flight - old.in_flight,
+            self._peer_sum.unread_tokens + load.unread_tokens - old.unread_tokens,
+        )
+        self._peer_sum_until = min(self._peer_sum_until, now + LOAD_EXPIRY)
+
     def sum_load(self, now: timedelta) -> ServerLoad:
-        """Return the load of all VMs, without expired reports."""
-        in_flight, unread_tokens = self.in_flight, self.unread_tokens
-        oldest = now - LOAD_EXPIRY
-        for load, received_at in self.peer_loads.values():
-            if received_at >= oldest:
-                in_flight += load.in_flight
-                unread_tokens += load.unread_tokens
-        return ServerLoad(in_flight, unread_tokens)
+        """Return the load of all VMs, without expired reports.
+
+        The sum is kept, as a choice needs it of all servers, with a report of each VM.
+        """
+        if now > self._peer_sum_until:
+            self._drop_expired(now)
+        peers = self._peer_sum
+        return ServerLoad(
+            self.in_flight + peers.in_flight, self.unread_tokens + peers.unread_tokens
+        )
+
+    def _drop_expired(self, now: timedelta) -> None:
+        reports = {
+            vm: report
+            for vm, report in self._peer_loads.items()
+            if now - report.received_at <= LOAD_EXPIRY
+        }
+        loads = [report.load for report in reports.values()]
+        self._peer_loads = reports
+        self._peer_sum = ServerLoad(
+            sum(load.in_flight for load in loads),
+            sum(load.unread_tokens for load in loads),
+        )
+        oldest = min(
+            (report.received_at for report in reports.values()),
+            default=timedelta.max - LOAD_EXPIRY,
+        )
+        self._peer_sum_until = oldest + LOAD_EXPIRY
+
+    def count_in_flight(self, now: timedelta) -> int:
+        """Return the requests in flight of all VMs."""
+        return self.sum_load(now).in_flight
 
     def count_unread(self, prompt: PromptShape) -> int:
         """Return the tokens of ``prompt`` that the server does not have cached."""
