Send measured speeds of servers to the other VMs

A VM of 80 sees about one request to each server in 25 s, too few to estimate its speed.

LoadUpdate gets two lists after its last field: new measurements with their age, in the summaries each 500 ms, also to standby VMs; and all estimates, which about three VMs send to one that has just started. They are used only where it has no measurements. Earlier versions ignore both lists, and their datagrams are read as before.

--- a/lavendershift/gossip.py
+++ b/lavendershift/gossip.py
@@ -21,6 +21,7 @@
 from datetime import timedelta
 
 import msgspec
+import xxhash
 
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, register_message
@@ -28,6 +29,7 @@
 from lavendershift.serverlist import ServerList
 from lavendershift.serversignals import ServerSignal
 from lavendershift.serverstates import ServerEntry, ServerLoad
+from lavendershift.speedrecords import SpeedRecord
 
 # Interval of heartbeats and of full summaries.
 SUMMARY_INTERVAL = timedelta(milliseconds=500)
@@ -39,6 +41,10 @@
 MAX_PARTS = 40  # most prompt parts in one load change
 # Time for which a VM that reported load is sent the load of this one.
 REPORTER_EXPIRY = timedelta(seconds=2)
+SPEED_BYTES = 56  # usual size of one measurement in a datagram
+MAX_SPEEDS = MAX_DATAGRAM_BYTES // SPEED_BYTES
+# VMs that send their estimates to one that has just started; one datagram may be lost.
+INFORMING_VMS = 3
 
 
 class _LoadChange(msgspec.Struct, array_like=True):
@@ -52,12 +58,19 @@
 
 @register_message
 class LoadUpdate(msgspec.Struct, array_like=True, tag="news"):
-    """The load of one VM; ``number`` increases within the sender's incarnation."""
+    """The load of one VM; ``number`` increases within the sender's incarnation.
+
+    ``speeds`` are what the sender measured since its last update of this kind, and
+    ``estimates`` what it knows from all VMs. VMs of earlier versions send neither, and
+    ignore both.
+    """
 
     vm: str
     incarnation: str
     number: Count
     changes: list[_LoadChange]
+    speeds: list[SpeedRecord] = []
+    estimates: list[SpeedRecord] = []
 
 
 @register_message
@@ -159,17 +172,22 @@
                 summarized_at = now
                 for server in self._servers.list_in_use():
                     self._changed.setdefault(server, [])
-                informed = peers if self._changed else []
-                self._send_batch(
-                    [],
-                    [
-                        peer
-                        for peer in self._list_heartbeat_peers()
-                        if peer not in informed
-                    ],
-                )
-            if self._changed:
-                self._send(peers)
+                self._send_summary(peers)
+            elif self._changed:
+                self._send(peers, [])
+
+    def _send_summary(self, peers: Sequence[Peer]) -> None:
+        """Send loads and new measurements to the peers, and heartbeats to the others.
+
+        Measurements are for standby VMs too, which may be sent callers at any time.
+        """
+        speeds = [SpeedRecord.make(m) for m in self._servers.speeds.take_unsent()]
+        informed = peers if self._changed or speeds else []
+        others = [p for p in self._list_heartbeat_peers() if p not in informed]
+        for batch in split_speeds(speeds) or [[]]:
+            self._send_batch([], others, batch)
+        if self._changed or speeds:
+            self._send(peers, speeds)
 
     def _find_peers(self) -> list[Peer]:
         """Return the active VMs and those that recently reported load."""
@@ -181,7 +199,7 @@
         }
         return list({*self._list_peers(), *self._reporters})
 
-    def _send(self, peers: Sequence[Peer]) -> None:
+    def _send(self, peers: Sequence[Peer], speeds: list[SpeedRecord]) -> None:
         changes = [
             self._measure_change(server, parts)
             for server, parts in self._changed.items()
@@ -196,7 +214,12 @@
                 batch, size = [], 0
             batch.append(change)
             size += length
+        if size + len(speeds) * SPEED_BYTES <= MAX_DATAGRAM_BYTES:
+            self._send_batch(batch, peers, speeds)
+            return
         self._send_batch(batch, peers)
+        for part in split_speeds(speeds):
+            self._send_batch([], peers, part)
 
     def _measure_change(self, server: str, parts: Sequence[str]) -> _LoadChange:
         load = self._servers.measure_own_load(server)
@@ -204,20 +227,67 @@
             server, load.in_flight, load.unread_tokens, list(parts[-MAX_PARTS:])
         )
 
-    def _send_batch(self, batch: list[_LoadChange], peers: Sequence[Peer]) -> None:
+    def _send_batch(
+        self,
+        batch: list[_LoadChange],
+        peers: Sequence[Peer],
+        speeds: list[SpeedRecord] | None = None,
+        estimates: list[SpeedRecord] | None = None,
+    ) -> None:
         self._number += 1
-        update = LoadUpdate(self._vm, self._incarnation, self._number, batch)
+        update = LoadUpdate(
+            self._vm,
+            self._incarnation,
+            self._number,
+            batch,
+            speeds or [],
+            estimates or [],
+        )
         self._datagrams.send(update, peers)
 
+    def _send_estimates(self, update: LoadUpdate, peer: Peer) -> None:
+        """Send all estimates to a VM that has just started, if it is this VM's turn.
+
+        About ``INFORMING_VMS`` of its peers do so, whichever they are.
+        """
+        rank = xxhash.xxh3_64_intdigest(f"{update.incarnation}/{self._vm}".encode())
+        count = max(len(self._newest_numbers), 1)
+        if rank % count >= INFORMING_VMS:
+            return
+        records = [
+            SpeedRecord.make(m)
+            for m in self._servers.speeds.list_estimates(self._servers.list_servers())
+        ]
+        for batch in split_speeds(records):
+            self._send_batch([], [peer], estimates=batch)
+
     def _apply_update(self, update: LoadUpdate, sender: Peer) -> None:
         """Apply another VM's load, unless a newer update has been applied."""
         incarnation, number = self._newest_numbers.get(update.vm, ("", 0))
         if update.incarnation == incarnation and update.number <= number:
             return
         self._newest_numbers[update.vm] = (update.incarnation, update.number)
+        if update.incarnation != incarnation:
+            self._send_estimates(update, sender)
         self._received_at[update.vm] = self._clock.elapsed()
         if update.changes:
             self._reporters[sender] = self._clock.elapsed()
         for change in update.changes:
             load = ServerLoad(max(change.in_flight, 0), max(change.unread_tokens, 0))
             self._servers.record_peer_load(update.vm, change.server, load, change.parts)
+        for record in update.speeds:
+            server = self._servers.find(record.server)
+            if server is not None and (speed := record.read()) is not None:
+                self._servers.speeds.merge(server, speed)
+        for record in update.estimates:
+            server = self._servers.find(record.server)
+            if server is not None and (speed := record.read()) is not None:
+                self._servers.speeds.adopt(server, speed)
+
+
+def split_speeds(records: Sequence[SpeedRecord]) -> list[list[SpeedRecord]]:
+    """Return measurements in parts of which each fits into a datagram."""
+    return [
+        list(records[start : start + MAX_SPEEDS])
+        for start in range(0, len(records), MAX_SPEEDS)
+    ]
