Show operators which servers are slow

Estimates of speed decide where requests go, and nothing told an operator of them.

server_changed has the results failing, slow, restricted and usual, with the estimates as reason; servers_by_speed and server_speed_changes count them.

--- a/lavendershift/capacity/estimates.py
+++ b/lavendershift/capacity/estimates.py
@@ -121,11 +121,11 @@
 
     def refresh(
         self, service: str, servers: Sequence[MeasuredServer], now: timedelta
-    ) -> None:
-        """Calculate the factors of a service's servers, if it is time to."""
+    ) -> bool:
+        """Calculate the factors of a service's servers; return whether it was due."""
         last = self._refreshed_at.get(service)
         if last is not None and now - last < REFRESH_INTERVAL:
-            return
+            return False
         self._refreshed_at[service] = now
         excesses: list[list[float]] = [[] for _ in servers]
         for size in SPEED_SIZES:
@@ -135,6 +135,7 @@
                 in_flight = server.count_in_flight(now)
                 server.capacity.limit.update(max(excess), in_flight, now)
         compare_failures([server.capacity for server in servers], now)
+        return True
 
     def _compare_speeds(
         self,
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -90,6 +90,10 @@
         "Failures of background loops, which start again.", ("loop",)
     ),
     "skipped_entries": Instrument("Entries that could not be read.", ("kind",)),
+    "server_speed_changes": Instrument(
+        "Changes of servers' speeds compared with their peers, by the new state.",
+        ("state",),
+    ),
 }
 
 GAUGES: dict[str, Instrument] = {
@@ -106,6 +110,9 @@
     "longest_loop_pause": Instrument(
         "Seconds of the longest time in which the event loop handled nothing."
     ),
+    "servers_by_speed": Instrument(
+        "Backend servers that fail or are slow compared with their peers.", ("state",)
+    ),
 }
 
 HISTOGRAMS: dict[str, Instrument] = {
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import sys
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import partial
@@ -14,6 +15,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from lavendershift.applications import Application
+from lavendershift.capacity.states import STATES
 from lavendershift.clocks import BootClock
 from lavendershift.connectionreports import ConnectionReports
 from lavendershift.connections import ConnectionPool
@@ -139,6 +141,7 @@
         self._servers.on_leaving = self._note_server_leaving
         self._servers.on_invalid_limit = self._note_invalid_limit
         self._servers.on_silence = self._note_silence
+        self._servers.speeds.on_change = self._note_speed
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
         self._crash_control = CrashControl(
@@ -425,6 +428,9 @@
         instruments.set_gauge("servers", len(self._servers))
         limited = self._servers.limits.list_limited()
         instruments.set_gauge("servers_limited", len(limited))
+        states = Counter(server.speed_state for server in self._servers.list_servers())
+        for state in STATES:
+            instruments.set_gauge("servers_by_speed", states[state], state)
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
         instruments.set_gauge("vms", self._vms.count())
@@ -492,6 +498,13 @@
         self._instruments.count("server_silences", change)
         self._log.write(Event.SERVER_CHANGED, server=entry.id, result=change)
 
+    def _note_speed(self, entry: ServerEntry, state: str, estimates: str) -> None:
+        """Report that a server became slower or faster than its peers."""
+        self._instruments.count("server_speed_changes", state)
+        self._log.write(
+            Event.SERVER_CHANGED, server=entry.id, result=state, reason=estimates
+        )
+
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
         self._skips.note("limit", "", server=entry.id)
 
--- a/lavendershift/serverspeeds.py
+++ b/lavendershift/serverspeeds.py
@@ -1,18 +1,21 @@
 """Measurements of how fast the listed servers are, from their responses."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
 from lavendershift.capacity.estimates import Capacities, Measurement
 from lavendershift.capacity.servercapacity import MAX_VALUE, SPEED_SIZES, Size
+from lavendershift.capacity.states import describe, find_state
 from lavendershift.capacity.windows import Estimate
 from lavendershift.clocks import Clock
 from lavendershift.servercosts import PREFILL_RATE, UNLOADED_LATENCY
-from lavendershift.serverstates import ListedServer, PromptShape
+from lavendershift.serverstates import ListedServer, PromptShape, ServerEntry
 
 LATENCY_WEIGHT = 0.05  # weight of the newest response in a service's mean latency
+# Least time between two reports on one server, as noise may change its state often.
+REPORT_INTERVAL = timedelta(seconds=5)
 MIN_TIME_S = 1e-4  # shortest time that is measured, as timers are no more precise
 
 
@@ -33,18 +36,30 @@
 
 
 class ServerSpeeds:
-    """Estimates times of requests, and measures servers by the actual ones."""
+    """Estimates times of requests, and measures servers by the actual ones.
+
+    ``on_change`` is called with a server's entry, the new state of its speed, and its
+    estimates as a text.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._mean_latency: dict[str, timedelta] = {}
         self._capacities = Capacities()
+        self.on_change: Callable[[ServerEntry, str, str], None] = lambda *args: None
 
     def refresh(
         self, service: str, servers: Sequence[ListedServer], now: timedelta
     ) -> None:
         """Bring the factors of a service's servers up to date."""
-        self._capacities.refresh(service, servers, now)
+        if not self._capacities.refresh(service, servers, now):
+            return
+        for server in servers:
+            state = find_state(server.capacity)
+            if state != server.speed_state and now >= server.speed_reported_at:
+                server.speed_state = state
+                server.speed_reported_at = now + REPORT_INTERVAL
+                self.on_change(server.entry, state, describe(server.capacity))
 
     def make_assignment(self, server: ListedServer, prompt: PromptShape) -> Assignment:
         """Return a request that is sent now, before it counts towards the load."""
--- a/lavendershift/serverstates.py
+++ b/lavendershift/serverstates.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from lavendershift.capacity.servercapacity import ServerCapacity
+from lavendershift.capacity.states import USUAL
 from lavendershift.clocks import Clock
 from lavendershift.prefixes import PrefixIndex
 from lavendershift.serversignals import Incarnation
@@ -118,6 +119,8 @@
         self.usable_until: timedelta | None = None
         self.cache = PrefixIndex(clock)
         self.capacity = ServerCapacity(entry.slots)
+        self.speed_state = USUAL
+        self.speed_reported_at = timedelta()
         self._peer_loads: dict[str, PeerLoad] = {}
         self._peer_sum = ServerLoad(0, 0)
         self._peer_sum_until = timedelta.max
--- a/lavendershift/tests/test_capacityreplay.py
+++ b/lavendershift/tests/test_capacityreplay.py
@@ -133,3 +133,20 @@
         results.append((replay.find_mean(SETTLED_S), replay.rejections))
     assert results[0][0] < 0.8 * results[1][0]
     assert results[0][1] < 0.3 * results[1][1]
+
+
+def test_an_operator_is_told_when_a_server_becomes_slow_and_when_it_recovers():
+    engines = make_engines(noise=False)
+    replay = Replay(engines, 1)
+    changes = []
+    replay.list.speeds.on_change = lambda entry, state, text: changes.append(
+        (entry.id, state, text)
+    )
+    replay.at(8, lambda e=engines[0]: setattr(e, "factor", 4.0))
+    replay.at(16, lambda e=engines[0]: setattr(e, "factor", 1.0))
+    replay.run(PROMPTS, 30)
+    states = [state for name, state, _ in changes if name == "s0"]
+    assert states[0] == "slow"
+    assert states[-1] == "usual"
+    assert "prompt" in changes[0][2] and "/64" in changes[0][2]
+    assert {name for name, _, _ in changes} == {"s0"}
