Share the places at plain servers with few slots over the fleet

VMs learn each other's load after 320 ms in a fleet of 80, so that a burst goes to one of the servers with 6 slots, which refuses what its queue doesn't hold.

One VM, the keeper of the service, grants places. Requests wait there in order of urgency and of the time left to their target, and are refused at once, with a spread delay, if they can't finish in time. Without a reply VMs choose as before. The choice among servers that were not tried moves to serverselections.py.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -50,8 +50,10 @@
 from lavendershift.requesttimes import RESPONSE_RESERVE, RequestTime
 from lavendershift.routes import Repeat, Route, Service
 from lavendershift.serverattempts import ServerAttempt
+from lavendershift.serverplaces import NO_PLACE
 from lavendershift.serverresponses import ServerResponse
-from lavendershift.serverstates import NO_PROMPT, ListedServer
+from lavendershift.serverselections import ServerSelection
+from lavendershift.serverstates import NO_PROMPT
 from lavendershift.supervision import is_being_cancelled
 
 # Interval at which a silent request is tried elsewhere while that is not possible.
@@ -96,15 +98,21 @@
         self._service = service
         self._backends = backends
         self._servers = backends.servers
+        self.place = NO_PLACE
         self.response = OutgoingResponse(clock, response, backends.wire)
         self.report = on_attempt
         self._on_error = on_error
         self._customer = customer
-        self._urgency = urgency
+        self.urgency = urgency
         time = RequestTime(request.received, request.deadline, route.timeout)
         self._timer = RequestTimer(clock, time, lambda: self.response.has_started)
-        self._tried: set[str] = set()
-        self._unsent: set[str] = set()
+        self.selection = ServerSelection(
+            backends.servers,
+            service.name,
+            request.prompt or NO_PROMPT,
+            route.repeat,
+            urgency,
+        )
         self._server_error: ServerResponse | None = None
         self.guard = PromptGuard(
             (request.prompt or NO_PROMPT).part_ids,
@@ -121,6 +129,11 @@
         self._beside_timer: asyncio.TimerHandle | None = None
         self._end_reason: EndReason | None = None
 
+    @property
+    def end_at(self) -> timedelta:
+        """When the request is ended without a response."""
+        return self._timer.time.end - RESPONSE_RESERVE
+
     @property
     def may_have_run(self) -> bool:
         """Whether a server may have started to execute the request."""
@@ -248,7 +261,7 @@
             return
         if not self._start_attempt(is_beside=True):
             if self._limits.may_connect:
-                self._tried -= self._unsent
+                self.selection.tried -= self.selection.unsent
             self._schedule_beside()
 
     def _schedule_beside(self) -> None:
@@ -262,17 +275,17 @@
         """Start an attempt; return false if it lacks a retry token or a server."""
         if is_beside and not self._limits.take_retry_token(AttemptEnd.SILENT):
             return False
-        server = self._choose_server()
+        server = self.selection.choose()
         if server is None:
             return False
         self._servers.note_selection(server)
-        self._tried.add(server.entry.id)
+        self.selection.tried.add(server.entry.id)
         order = AttemptOrder(
             self.request,
             self.route,
             server,
             self._customer,
-            self._urgency,
+            self.urgency,
             self._timer.time,
             self.position._replace(has_partial_event=self.has_partial_event()),
             is_beside,
@@ -281,21 +294,6 @@
         self._running[attempt] = asyncio.ensure_future(self._run_attempt(attempt))
         return True
 
-    def _choose_server(self) -> ListedServer | None:
-        """Return a server that was not tried, or ``None`` if there is none.
-
-        A request that can't be repeated is not the one to find out whether a silent
-        server goes on, unless there is no other.
-        """
-        choose, service = self._servers.choose, self._service.name
-        prompt = self.request.prompt or NO_PROMPT
-        if self.route.repeat is Repeat.NEVER:
-            heard = self._tried.union(self._servers.list_silent(service))
-            server = choose(service, prompt, heard, self._urgency)
-            if server is not None:
-                return server
-        return choose(service, prompt, self._tried, self._urgency)
-
     async def _run_attempt(self, attempt: ServerAttempt) -> None:
         """Run an attempt and record how it ended, unless it was replaced.
 
@@ -323,15 +321,15 @@
         if end is AttemptEnd.ANSWERED:
             self._is_answered = True
         if end is AttemptEnd.REPLACED:
-            self._tried.discard(attempt.server.entry.id)
+            self.selection.tried.discard(attempt.server.entry.id)
         elif not attempt.was_sent:
-            self._unsent.add(attempt.server.entry.id)
+            self.selection.unsent.add(attempt.server.entry.id)
 
     def _end(self, attempt: ServerAttempt, ending: AttemptEnding) -> None:
         """End an attempt in flight; the only place that does."""
         attempt.end(ending)
         if not attempt.was_sent:
-            self._tried.discard(attempt.server.entry.id)
+            self.selection.tried.discard(attempt.server.entry.id)
         task = self._running.pop(attempt)
         task.cancel()
         self._ended.append(task)
@@ -362,7 +360,7 @@
                 return AttemptEnd.REPLACED
             if not self._may_repeat() or not self._limits.may_send_again():
                 return AttemptEnd.REPLACED
-        self._unsent.discard(attempt.server.entry.id)
+        self.selection.unsent.discard(attempt.server.entry.id)
         self._limits.note_send()
         return None
 
@@ -434,6 +432,6 @@
         service = self._service.name
         raise make_refusal(
             end,
-            self._servers.find_permit_delay(service, self._urgency),
+            self._servers.find_permit_delay(service, self.urgency),
             self._servers.find_retry_delay(service),
         )
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -171,14 +171,28 @@
             delivery.guard.trial = await self._check_quarantine(request.prompt)
             if customer is not None and customer.prepaid is not None:
                 await self._reserve_tokens(trace, route.target, is_urgent)
+            if request.prompt is None and not route.is_stream:
+                await self._take_place(delivery, service.name)
 
         self._deliveries.add(delivery)
         try:
             await delivery.run(prepare)
         finally:
             self._deliveries.discard(delivery)
+            delivery.place.release(delivery.may_have_run)
             self._settle(trace, delivery)
 
+    async def _take_place(self, delivery: Delivery, service: str) -> None:
+        """Wait for a place at a server with few slots; raises ``RequestError``."""
+        places = self._backends.places
+        if places is None:
+            return
+        target_at = delivery.request.received + delivery.route.target
+        delivery.place = await places.take(
+            service, delivery.urgency, target_at, delivery.end_at
+        )
+        delivery.selection.placed = delivery.place.server
+
     async def _check_quarantine(self, prompt: PromptShape | None) -> Parts | None:
         """Return the quarantined parts of which a request is a trial, if any.
 
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -90,6 +90,10 @@
         "Failures of background loops, which start again.", ("loop",)
     ),
     "skipped_entries": Instrument("Entries that could not be read.", ("kind",)),
+    "places": Instrument(
+        "Places at plain servers with few slots that requests needed, by outcome.",
+        ("outcome",),
+    ),
     "server_speed_changes": Instrument(
         "Changes of servers' speeds compared with their peers, by the new state.",
         ("state",),
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -62,6 +62,7 @@
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlimits import LimitState
 from lavendershift.serverlist import ServerList
+from lavendershift.serverplaces import ServerPlaces
 from lavendershift.serversignals import Incarnation
 from lavendershift.serverstates import ServerEntry
 from lavendershift.skips import SkipReports
@@ -166,6 +167,10 @@
             clock, self._servers.limits, self._datagrams, self._find_keeper
         )
         permits.on_taken = lambda outcome: self._instruments.count("permits", outcome)
+        places = ServerPlaces(
+            clock, rng, self._servers, self._datagrams, self._find_keeper
+        )
+        places.on_taken = lambda outcome: self._instruments.count("places", outcome)
         self._vms.set_silence_lookup(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
@@ -223,6 +228,7 @@
                 self._crash_control.detector,
                 self._crash_control.quarantine,
                 PlatformServerWire(),
+                places,
             ),
             self._draws,
             reports,
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -444,3 +444,23 @@
         assert len(server.received) == 100
 
     play(work)
+
+
+def test_a_request_goes_to_the_server_of_its_place_unless_that_leaves(play):
+    """The VM that grants places may not know yet that a server drains."""
+
+    async def work(scene):
+        servers = [await scene.add_server() for _ in range(3)]
+        for number in range(12):
+            request = scene.make_request(number)
+            delivery = scene.make_delivery(RecordedResponse(), request)
+            delivery.selection.placed = "i-2"
+            await delivery.run()
+        assert [len(server.received) for server in servers] == [0, 0, 12]
+        scene.list_server(servers[2], is_leaving=True, sequence=9)
+        delivery = scene.make_delivery(RecordedResponse(), scene.make_request(50))
+        delivery.selection.placed = "i-2"
+        await delivery.run()
+        assert len(servers[2].received) == 12
+
+    play(work)
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -83,6 +83,16 @@
     assert 'lavendershift_tokens_free{customer="plume"}' in text
 
 
+def test_plain_requests_take_places_and_give_them_back(platform):
+    """A service of two servers with 8 slots has 18 places; none must stay taken."""
+    (node,) = platform.nodes
+    for number in range(40):
+        reply = node.ask(f"r{number}", path="/record/x", tokens=None)
+        assert reply.body == f"done r{number}".encode()
+    text = node.get(9464, "/metrics").body.decode()
+    assert 'lavendershift_places_total{outcome="granted"} 40.0' in text
+
+
 @pytest.mark.parametrize(
     "head",
     [
--- a/lavendershift/platform/tests/test_suspects.py
+++ b/lavendershift/platform/tests/test_suspects.py
@@ -223,7 +223,7 @@
         assert server.crashed_at is None
         # The end of the connection is not booked to the server.
         listed = scene.servers.find(server.name)
-        assert not scene.servers._is_avoided(listed)
+        assert not scene.servers.is_avoided(listed)
         assert await send(scene, 2, "a", "b", "own") is None
 
     play(work)
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -22,6 +22,7 @@
 from lavendershift.requesttimes import RequestTime
 from lavendershift.routes import Route
 from lavendershift.serverlist import ServerList
+from lavendershift.serverplaces import ServerPlaces
 from lavendershift.serverstates import ListedServer
 
 # Timeout of a connection attempt, 100 times the latency of the longest network path.
@@ -37,6 +38,7 @@
     crashes: CrashDetector
     quarantine: Quarantine
     wire: ServerWire
+    places: ServerPlaces | None = None
 
 
 class AttemptOrder(NamedTuple):
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -171,7 +171,7 @@
         """
         tried = set(excluded)
         now = self._clock.elapsed()
-        available = self._list_available(service)
+        available = self.list_available(service)
         self.speeds.refresh(service, available, now)
         usable = [
             server
@@ -181,7 +181,7 @@
         ]
         if not usable:
             return None
-        healthy = [server for server in usable if not self._is_avoided(server)]
+        healthy = [server for server in usable if not self.is_avoided(server)]
         candidates = healthy or usable
         if prompt.parts:
             # A server with a limit can't take all prompts with some shared part.
@@ -192,7 +192,7 @@
             key=lambda s: (estimate_plain_cost(s, now), self._rng.random()),
         )
 
-    def _list_available(self, service: str) -> list[ListedServer]:
+    def list_available(self, service: str) -> list[ListedServer]:
         """Return the servers of a service that can be sent requests.
 
         Servers whose entries are missing are included only if too few others remain.
@@ -250,7 +250,7 @@
         that callers are sent to share the permits of all limited servers.
         """
         waits = {}
-        for server in self._list_available(service):
+        for server in self.list_available(service):
             wait = self.limits.find_wait(server.incarnation, urgency)
             if wait:
                 waits[server.incarnation] = wait
@@ -275,7 +275,8 @@
             return None
         return min(pauses) * self._rng.uniform(1, 1 + RETRY_SPREAD)
 
-    def _is_avoided(self, server: ListedServer) -> bool:
+    def is_avoided(self, server: ListedServer) -> bool:
+        """Whether a server failed recently, or is silent."""
         now = self._clock.elapsed()
         if server.avoided_until > now or server.silence.is_avoided(now):
             return True
