--- a/lavendershift/servercosts.py
+++ b/lavendershift/servercosts.py
@@ -4,9 +4,11 @@
 capacity are 1 unless it is faster or slower than its peers.
 """
 
+import itertools
 from collections.abc import Sequence
 from datetime import timedelta
 from functools import lru_cache
+from typing import NamedTuple
 
 import xxhash
 
@@ -14,7 +16,7 @@
 from lavendershift.serverstates import ListedServer, PromptShape
 
 IN_FLIGHT_COST = 60  # cost of a running request, in prompt tokens read in the same time
-STREAM_DURATION = timedelta(seconds=2)  # usual time until a stream frees its slot
+STREAM_DURATION_S = 2.0  # usual time until a stream frees its slot
 REREAD_WEIGHT = 3.0  # cost factor of shared prompt tokens that are read once more
 PREFILL_RATE = 50_000.0  # prompt tokens/s that an engine is estimated to read
 # Time to the first event of an idle engine.
@@ -26,6 +28,26 @@
 IDLE_COST = UNLOADED_LATENCY.total_seconds() * PREFILL_RATE
 
 
+class PromptSizes(NamedTuple):
+    """Sums over a prompt's parts, made once for all servers.
+
+    ``cached`` holds the tokens of each number of leading parts.
+    """
+
+    part_ids: tuple[str, ...]
+    cached: tuple[int, ...]
+    input_tokens: int
+    shared_tokens: int
+
+    @classmethod
+    def make(cls, prompt: PromptShape) -> "PromptSizes":
+        """Return the sizes of ``prompt``."""
+        tokens = [part.tokens for part in prompt.parts]
+        shared = sum(part.tokens for part in prompt.shared_parts)
+        cached = tuple(itertools.accumulate(tokens, initial=0))
+        return cls(prompt.part_ids, cached, prompt.input_tokens, shared)
+
+
 def choose_for_prompt(
     candidates: Sequence[ListedServer],
     affine: Sequence[ListedServer],
@@ -35,17 +57,18 @@
     """Return the server with the least cost; ``affine`` may be affinity servers."""
     key = prompt.affinity_key
     affinity_server = max(affine, key=lambda s: rank_server(key, s.entry.id))
+    sizes = PromptSizes.make(prompt)
     return min(
         candidates,
         key=lambda s: (
-            estimate_cost(s, prompt, s is affinity_server, now),
+            estimate_cost(s, sizes, s is affinity_server, now),
             s is not affinity_server,
         ),
     )
 
 
 def estimate_cost(
-    server: ListedServer, prompt: PromptShape, is_affinity_server: bool, now: timedelta
+    server: ListedServer, sizes: PromptSizes, is_affinity_server: bool, now: timedelta
 ) -> float:
     """Return the prompt tokens that are read before the prompt's first event.
 
@@ -55,21 +78,22 @@
     reads more tokens, and one that slows down under load is full before its slots are.
     """
     load = server.sum_load(now)
-    unread = server.count_unread(prompt)
-    if is_affinity_server:
-        shared = sum(part.tokens for part in prompt.shared_parts)
-        unread = min(unread, max(prompt.input_tokens - shared, 0))
-    own = prompt.input_tokens - sum(part.tokens for part in prompt.shared_parts)
-    reread = max(unread - own, 0) * REREAD_WEIGHT
+    cached = sizes.cached[server.cache.count_cached(sizes.part_ids)]
+    if is_affinity_server and cached < sizes.shared_tokens:
+        cached = sizes.shared_tokens
+    unread = max(sizes.input_tokens - cached, 0)
+    own = sizes.input_tokens - sizes.shared_tokens
+    reading = float(load.unread_tokens + unread)
+    if unread > own:
+        reading += (unread - own) * REREAD_WEIGHT
     capacity = server.capacity
     factor, output_factor = capacity.factors[Size.PROMPT], capacity.factors[Size.OUTPUT]
     slots = capacity.limit.value
-    waiting = max(load.in_flight + 1 - slots, 0)
-    queued = waiting * STREAM_DURATION.total_seconds() / slots * PREFILL_RATE
-    running = load.in_flight * IN_FLIGHT_COST
-    reading = load.unread_tokens + unread + reread
-    idle = IDLE_COST * (factor - 1)
-    cost = reading * factor + idle + (queued + running) * output_factor
+    running = float(load.in_flight * IN_FLIGHT_COST)
+    waiting = load.in_flight + 1 - slots
+    if waiting > 0:
+        running += waiting * STREAM_DURATION_S / slots * PREFILL_RATE
+    cost = reading * factor + IDLE_COST * (factor - 1) + running * output_factor
     return cost * capacity.failure_cost
 
 
