--- a/lavendershift/tests/test_capacityreplay.py
+++ b/lavendershift/tests/test_capacityreplay.py
@@ -150,3 +150,16 @@
     assert states[-1] == "usual"
     assert "prompt" in changes[0][2] and "/64" in changes[0][2]
     assert {name for name, _, _ in changes} == {"s0"}
+
+
+def test_shared_parts_are_not_read_again_for_small_differences():
+    """Each further server that reads one of the 24 large shared parts costs time."""
+
+    def count_reads(factors, learns):
+        replay = Replay(make_engines(factors), 1, learns).run(PROMPTS, 20)
+        caches = [server.cached for server in replay.servers.values()]
+        return sum(part.startswith("large") for cache in caches for part in cache)
+
+    equal = (1.0,) * 6
+    assert count_reads(equal, True) <= 1.05 * count_reads(equal, False)
+    assert count_reads(SPEEDS, True) <= 1.3 * count_reads(SPEEDS, False)
