Unlist killed VMs within the stable window and 3 s

A standby VM reads rows every 1.2 s and dropped a row 4.5 s after it was read, at its next reading: up to 6.9 s after the kill, and 0.4 s more in the working set. Silence did not help where more than half of the active VMs were killed. A row now has a listing expiry that leaves time for these intervals, checked whenever VMs are listed, and counts no time without readings. Rows of before the start of a VM are listed for 2.6 s unless renewed. A VM that sends datagrams stays, as it may be cut off from the store alone.

Failed before: test_killed_vms_are_unlisted_in_time_by_a_standby_vm, test_a_vm_that_is_heard_stays_listed_without_renewals and test_a_vm_that_starts_alone_soon_drops_vms_of_before.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -68,7 +68,7 @@
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
-from lavendershift.vmlist import VmList, VmRow
+from lavendershift.vmlist import VmList, VmRow, find_listing_expiry
 from lavendershift.workingset import Activity, WorkingSet, estimate_capacity
 
 # Time for responses in the sockets' buffers to be sent, if there is that much.
@@ -117,7 +117,7 @@
             peer_address=f"{settings.ip}:{settings.peer_port}",
             capacity=estimate_capacity(settings.cores, settings.link_mbps),
         )
-        self._vms = VmList(clock, row)
+        self._vms = VmList(clock, row, find_listing_expiry(settings.stable_window))
         self._working_set = WorkingSet(clock, self._vms.list_serving)
         self._activity = Activity(clock, self._working_set, settings.name)
         self._servers = ServerList(clock, rng, settings.failure_domain)
--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lavendershift.clocks import ManualClock
-from lavendershift.vmlist import ROW_EXPIRY, VmList, VmRow
+from lavendershift.vmlist import ROW_EXPIRY, VmList, VmRow, find_listing_expiry
 
 
 def make_row(name, renewal=1, domain="rennes", is_leaving=False):
@@ -193,3 +193,56 @@
     assert list_serving(vms) == ["own"]
     assert vms.update(make_row("a", renewal=1)._replace(incarnation="b"))
     assert list_serving(vms) == ["a", "own"]
+
+
+def follow(vms, clock, renewing, duration, interval):
+    """Read rows every ``interval``; VMs of ``renewing`` renew theirs each time."""
+    for renewal in range(2, 2 + duration // interval):
+        clock.advance(interval)
+        for name in renewing:
+            vms.update(make_row(name, renewal=renewal))
+        vms.expire()
+
+
+def test_killed_vms_are_unlisted_in_time_by_a_standby_vm():
+    """Most VMs were killed at once, so that their silence says nothing by itself.
+
+    The last rows are read 1.2 s after they were written, and the working set is 0.4 s
+    old: 4.4 s are left of the stable window and 3 s.
+    """
+    clock = ManualClock()
+    expiry = find_listing_expiry(timedelta(seconds=3))
+    vms = VmList(clock, make_row("own"), expiry)
+    for name in "abcd":
+        vms.update(make_row(name))
+    vms.set_silence_lookup(lambda name: None if name == "d" else clock.elapsed())
+    follow(vms, clock, "d", timedelta(seconds=4.2), timedelta(seconds=1.2))
+    clock.advance(timedelta(seconds=0.6))
+    assert list_serving(vms) == ["d", "own"]
+
+
+def test_a_vm_that_is_heard_stays_listed_without_renewals():
+    """The store rejected a VM for 9 s, and its callers were sent elsewhere."""
+    clock = ManualClock()
+    vms = make_list(clock, "a", "b")
+    vms.set_silence_lookup(lambda name: timedelta(seconds=0.5) if name == "a" else None)
+    follow(vms, clock, "b", timedelta(seconds=9), timedelta(seconds=0.6))
+    assert list_serving(vms) == ["a", "b", "own"]
+
+
+def test_a_vm_that_starts_alone_soon_drops_vms_of_before():
+    clock = ManualClock()
+    vms = VmList(clock, make_row("own"))
+    vms.update(make_row("gone"), is_new=False)
+    follow(vms, clock, "", timedelta(seconds=3), timedelta(seconds=0.6))
+    assert list_serving(vms) == ["own"]
+
+
+def test_a_vm_without_readings_lists_vms_whose_rows_got_old():
+    clock = ManualClock()
+    vms = make_list(clock, "a")
+    follow(vms, clock, "a", timedelta(seconds=3), timedelta(seconds=0.6))
+    clock.advance(timedelta(seconds=8))
+    assert list_serving(vms) == ["a", "own"]
+    vms.expire()
+    assert list_serving(vms) == ["a", "own"]
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -1,8 +1,9 @@
 """List of the live VMs of the fleet.
 
 Each VM writes a row to the store and renews it periodically. A VM is listed while
-its row is renewed and not marked as leaving. While this VM can't reach the store,
-missing renewals say nothing about the other VMs, and the list stays unchanged::
+its row is renewed and not marked as leaving, or while it sends datagrams: it may be
+cut off from the store alone. While this VM can't reach the store, missing renewals say
+nothing about the other VMs, and the list stays unchanged::
 
     vms = VmList(clock, "edge-1")
     vms.update(VmRow("edge-2", "10.0.0.2:80", "rennes", "a1", 7, False))
@@ -27,6 +28,19 @@
 # Time without renewals after which a VM is dropped: three renewal intervals, and the
 # interval between two readings.
 ROW_EXPIRY = timedelta(milliseconds=4500)
+# Time between two readings that counts towards the age of rows; more is an outage.
+MAX_READING_GAP = ROW_EXPIRY / 3
+# Time that a stopped VM may be named beyond the stable window.
+DIRECTORY_ALLOWANCE = timedelta(seconds=3)
+# Part of the bound that isn't the age of a row: a reading interval of a standby VM
+# (1.2 s) until the last row is read, the lifetime of a working set (0.4 s), and 0.8 s
+# for slow calls and event loops.
+DETECTION_RESERVE = timedelta(milliseconds=2400)
+# Least age of a row after which its VM isn't listed: two renewals.
+MIN_LISTING_EXPIRY = timedelta(milliseconds=2400)
+# Time from the first reading in which each running VM renews its row, and the renewal
+# is read: 1.2 s each, and a slow call.
+UNRENEWED_EXPIRY = timedelta(milliseconds=2600)
 
 
 class VmRow(NamedTuple):
@@ -58,6 +72,15 @@
     return (host, number) if host and number and number <= MAX_PORT else None
 
 
+def find_listing_expiry(stable_window: timedelta) -> timedelta:
+    """Return the age of a VM's row after which the VM isn't listed to callers.
+
+    A VM that was killed must not be named from ``stable_window`` and 3 s on.
+    """
+    left = stable_window + DIRECTORY_ALLOWANCE - DETECTION_RESERVE
+    return min(max(left, MIN_LISTING_EXPIRY), ROW_EXPIRY)
+
+
 class _KnownVm(NamedTuple):
     """The newest row of a VM; ``has_renewed`` once a renewal of it was observed."""
 
@@ -67,10 +90,16 @@
 
 
 class VmList:
-    """The VMs known to this VM, itself included."""
+    """The VMs known to this VM, itself included.
 
-    def __init__(self, clock: Clock, own: VmRow) -> None:
+    ``listing_expiry`` is the age of its row after which a VM isn't listed.
+    """
+
+    def __init__(
+        self, clock: Clock, own: VmRow, listing_expiry: timedelta = ROW_EXPIRY
+    ) -> None:
         self._clock = clock
+        self._listing_expiry = listing_expiry
         self._find_silence: Callable[[str], timedelta | None] = lambda name: None
         self.own = own
         self._known: dict[str, _KnownVm] = {}
@@ -136,17 +165,22 @@
         """Drop VMs whose rows are no longer renewed and return their names.
 
         Called after each reading. Time in which the store could not be read does
-        not count towards the expiry of a row.
+        not count towards the expiry of a row. A VM that sends datagrams runs, and
+        stays.
         """
         now = self._clock.elapsed()
-        missed = now - self._last_expiry - ROW_EXPIRY / 3
+        missed = now - self._last_expiry - MAX_READING_GAP
         self._last_expiry = now
         if missed > timedelta():
             self._known = {
                 name: known._replace(renewed_at=known.renewed_at + missed)
                 for name, known in self._known.items()
             }
-        expired = [n for n, k in self._known.items() if now - k.renewed_at > ROW_EXPIRY]
+        expired = [
+            name
+            for name, known in self._known.items()
+            if now - known.renewed_at > ROW_EXPIRY and not self._is_heard(name)
+        ]
         for name in expired:
             del self._known[name]
         return expired
@@ -210,6 +244,10 @@
         is_silent = silence is not None and silence > MAX_LENDER_SILENCE
         return not (known.row.is_active and is_silent)
 
+    def _is_heard(self, name: str) -> bool:
+        silence = self._find_silence(name)
+        return silence is not None and silence <= MAX_PEER_SILENCE
+
     def _is_in_contact(self, name: str) -> bool:
         silence = self._find_silence(name)
         return silence is not None and silence <= MAX_LENDER_SILENCE
@@ -245,19 +283,31 @@
         """Return the VMs that recently renewed their rows or sent datagrams.
 
         While more than half of the active VMs are silent, this VM is presumed to be
-        the partitioned one, and all of them are returned.
+        the partitioned one, and all those are returned whose rows aren't too old.
         """
         now = self._clock.elapsed()
-        known = [k for k in self._known.values() if k.has_renewed]
+        listed = [k for k in self._known.values() if not self._is_overdue(k, now)]
+        known = [k for k in listed if k.has_renewed or self._is_heard(k.row.name)]
         if not known:
             # All VMs may have restarted together.
-            return list(self._known.values())
+            return listed
         silent = {k.row.name for k in known if self._is_silent(k, now)}
         active = sum(k.row.is_active for k in known)
         if not silent or len(silent) * 2 > active:
             return known
         return [k for k in known if k.row.name not in silent]
 
+    def _is_overdue(self, known: _KnownVm, now: timedelta) -> bool:
+        """Whether a VM that runs would have renewed its row, and isn't heard either.
+
+        Time since the last reading counts only as far as it is no outage.
+        """
+        age = min(now, self._last_expiry + MAX_READING_GAP) - known.renewed_at
+        limit = self._listing_expiry
+        if not known.has_renewed:
+            limit = min(limit, UNRENEWED_EXPIRY)
+        return age > limit and not self._is_heard(known.row.name)
+
     def _is_silent(self, known: _KnownVm, now: timedelta) -> bool:
         silence = self._find_silence(known.row.name)
         return (
