Send nothing to the servers of an evacuated failure domain

Records with the key evacuate/ZONE in the operator's topic had no effect. The feed of the configuration decodes them before it accepts a configuration, so that a VM that starts knows them before it serves. ServerList leaves these servers out where it leaves out draining ones: when a server is selected, and again before a request is sent. An evacuation ends with the deletion of its record, or with newest records that hold a configuration but not its key.

Before, the test with a real process got 200 instead of 503, and requests of deliveries ran on the evacuated server.

--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -106,6 +106,7 @@
     "longest_loop_pause": Instrument(
         "Seconds of the longest time in which the event loop handled nothing."
     ),
+    "domains_evacuated": Instrument("Failure domains whose servers get no requests."),
 }
 
 HISTOGRAMS: dict[str, Instrument] = {
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -64,6 +64,7 @@
     LOOP_PAUSED = "loop_paused"
     INTERNAL_ERROR = "internal_error"
     LIBRARY_MESSAGE = "library_message"
+    DOMAIN_EVACUATED = "domain_evacuated"
 
 
 class EventInfo(NamedTuple):
@@ -141,6 +142,9 @@
     ),
     Event.INTERNAL_ERROR: EventInfo("error", "An unexpected exception occurred."),
     Event.LIBRARY_MESSAGE: EventInfo("warning", "A library logged a message."),
+    Event.DOMAIN_EVACUATED: EventInfo(
+        "notice", "The evacuation of a failure domain's servers began or ended."
+    ),
 }
 
 
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -141,6 +141,7 @@
         self._servers.on_silence = self._note_silence
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
+        self._servers.evacuations.on_change = self._note_evacuation
         self._crash_control = CrashControl(
             clock,
             rng,
@@ -242,7 +243,12 @@
         pause_reports = PauseReports(clock, log, self._instruments)
         self._pauses = PauseMeter(clock, read_processor_time, pause_reports.report)
         self._configuration = ConfigurationFeed(
-            clock, self._store, log, self._accept_table, settings.stable_window
+            clock,
+            self._store,
+            log,
+            self._accept_table,
+            settings.stable_window,
+            self._servers.evacuations,
         )
         self._server_feed = ServerFeed(
             clock,
@@ -425,6 +431,8 @@
         instruments.set_gauge("servers", len(self._servers))
         limited = self._servers.limits.list_limited()
         instruments.set_gauge("servers_limited", len(limited))
+        evacuated = self._servers.evacuations.count()
+        instruments.set_gauge("domains_evacuated", evacuated)
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
         instruments.set_gauge("vms", self._vms.count())
@@ -486,6 +494,10 @@
         if is_own:
             self._fact_gossip.announce(self._limit_facts, {incarnation: state})
 
+    def _note_evacuation(self, failure_domain: str, begins: bool) -> None:
+        result = "begun" if begins else "ended"
+        self._log.write(Event.DOMAIN_EVACUATED, name=failure_domain, result=result)
+
     def _note_silence(self, entry: ServerEntry, is_silent: bool) -> None:
         """Report that a server fell silent or was heard again."""
         change = "silent" if is_silent else "heard"
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -12,10 +12,12 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import DecodeError, LogUnavailableError, RecordsExpiredError
+from lavendershift.evacuation.evacuations import Evacuations
 from lavendershift.expiries import find_grace
 from lavendershift.logs import Event, EventLog, in_milliseconds
 from lavendershift.platform import names
 from lavendershift.platform.configuration import decode_configuration
+from lavendershift.platform.evacuations import apply_evacuations
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.store import Batch, Record, StoreClient
 from lavendershift.readschedules import ReadSchedule
@@ -282,7 +284,8 @@
     """Follows the operator's configuration; its version never decreases.
 
     ``stable_window`` is the time after a connection fault in which a VM may still use
-    an old configuration.
+    an old configuration. ``evacuations`` gets the evacuations that the operator
+    requests, before a VM that starts has a configuration and serves.
     """
 
     name = kind = "configuration"
@@ -295,20 +298,26 @@
         log: EventLog,
         accept: Callable[[RoutingTable], None],
         stable_window: timedelta,
+        evacuations: Evacuations | None = None,
     ) -> None:
         wait = find_long_poll_time(stable_window)
         reader = TopicReader(store, names.OPERATOR_TOPIC, wait)
         super().__init__(clock, reader, log)
         self._accept = accept
+        self._evacuations = evacuations or Evacuations()
         self._version: int | None = None
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
-        """Activate the newest valid configuration among ``records``."""
+        """Apply evacuations, and the newest valid configuration among ``records``."""
+        apply_evacuations(self._evacuations, records, is_snapshot, self._note_odd)
         for record in reversed(records):
             is_configuration = record.key == names.CONFIGURATION_KEY
             if is_configuration and record.value and self._activate(record):
                 return
 
+    def _note_odd(self, error: DecodeError) -> None:
+        self.skips.note(error.location, error.reason)
+
     def _activate(self, record: Record) -> bool:
         began = self._clock.elapsed()
         try:
--- a/lavendershift/platform/names.py
+++ b/lavendershift/platform/names.py
@@ -78,3 +78,4 @@
 LEASES_TOPIC = "keyed.passbooks"
 VMS_TOPIC = "keyed.vms"
 CONFIGURATION_KEY = b"config"
+EVACUATION_PREFIX = b"evacuate/"  # of keys that end with a failure domain
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -107,7 +107,9 @@
                 await self._take_permit()
             self._check_quarantine()
             if not self._servers.is_usable(self._server):
-                raise UnsentError(AttemptEnd.NOT_SENT, "it left meanwhile")
+                is_evacuated = self._servers.is_evacuated(self._server)
+                reason = "evacuated meanwhile" if is_evacuated else "it left meanwhile"
+                raise UnsentError(AttemptEnd.NOT_SENT, reason)
             refusal = self._find_refusal()
             if refusal is not None:
                 raise UnsentError(refusal, "")
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -1,11 +1,10 @@
-"""Registered backend servers, and the selection of one for each request.
+"""Selection of a backend server for each request.
 
-An entry describes one incarnation of a server. Entries are ordered by the start of
-the incarnation and by their sequence number, so that an older entry that arrives late
-is ignored. A draining server gets no new request from the moment its entry or one of
-its responses announces it. Every condition that excludes a server is checked when the
-server is selected and again just before the request is sent, so that none of them
-takes effect only at the next reading of the entries::
+A draining server gets no new request from the moment its entry or one of its responses
+announces it, nor does a server of an evacuated failure domain. Every condition that
+excludes a server is checked when the server is selected and again just before the
+request is sent, so that none of them takes effect only at the next reading of the
+entries::
 
     servers = ServerList(clock, rng)
     servers.update(entry)
@@ -13,7 +12,6 @@
 """
 
 import random
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from functools import lru_cache
@@ -23,8 +21,10 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.ejection import OutlierDetector
+from lavendershift.evacuation.evacuations import EVACUATION_RETRY, Evacuations
 from lavendershift.expiries import needs_missing
 from lavendershift.serverlimits import MIN_RATE, ServerLimits
+from lavendershift.serverregistry import ServerRegistry
 from lavendershift.serversignals import ServerSignal, ServerSignals
 from lavendershift.serverstates import (
     CONNECT_BACKOFF,
@@ -32,7 +32,6 @@
     PeerLoad,
     PromptShape,
     ServerEntry,
-    ServerKnowledge,
     ServerLoad,
 )
 
@@ -45,10 +44,8 @@
 UNLOADED_LATENCY = timedelta(milliseconds=40)
 LATENCY_WEIGHT = 0.05  # weight of the newest response in a service's mean latency
 RETRY_SPREAD = 0.25  # largest random addition to a retry delay, as a share of it
-MAX_REMOVED = 1000  # removed servers of which the version of the last entry is kept
 # Hashes that are kept: those of 60 servers for 130 shared parts, in about 2 MB.
 MAX_RANKS = 8192
-NO_VERSION = (-1, -1)  # (start, sequence) that is older than any entry
 
 
 class Assignment(NamedTuple):
@@ -64,7 +61,7 @@
     expected: timedelta
 
 
-class ServerList:
+class ServerList(ServerRegistry):
     """The servers of all services that this VM knows.
 
     ``on_leaving`` is called with the entry of a server whose response announces that
@@ -76,17 +73,14 @@
     """
 
     def __init__(self, clock: Clock, rng: random.Random, domain: str = "") -> None:
-        self._clock = clock
+        super().__init__(clock)
         self._rng = rng
         self._domain = domain
-        self._servers: dict[str, ListedServer] = {}
         self._outliers: dict[str, OutlierDetector] = {}
         self._mean_latency: dict[str, timedelta] = {}
-        self._removed: OrderedDict[str, tuple[int, int]] = OrderedDict()
-        self._entries_read_at: timedelta | None = None
-        self._disputed: dict[str, ServerEntry] = {}
         self._signals = ServerSignals(clock)
         self.limits = ServerLimits(clock)
+        self.evacuations = Evacuations()
         self.count_vms: Callable[[], int] = lambda: 1
         self.on_invalid_limit: Callable[[ServerEntry], None] = lambda entry: None
         self.on_leaving: Callable[[ServerEntry], None] = lambda entry: None
@@ -95,101 +89,6 @@
             lambda server, parts: None
         )
 
-    def __len__(self) -> int:
-        return len(self._servers)
-
-    def list_entries(self) -> list[ServerEntry]:
-        """Return the entries of all servers."""
-        return [server.entry for server in self._servers.values()]
-
-    def note_reading(self) -> None:
-        """Record that the entries were read just now."""
-        self._entries_read_at = self._clock.elapsed()
-
-    def get_knowledge(self, server: ListedServer) -> ServerKnowledge:
-        """Return how recent this VM's information about ``server`` is."""
-        if self._entries_read_at is None:
-            return ServerKnowledge(None, server.is_missing)
-        return ServerKnowledge(
-            self._clock.elapsed() - self._entries_read_at, server.is_missing
-        )
-
-    def update(self, entry: ServerEntry) -> bool:
-        """Apply an entry; return false if it is outdated or conflicting.
-
-        A removed server is listed again only by a newer entry, as its last one may
-        be delivered late.
-        """
-        known = self._servers.get(entry.id)
-        if known is None:
-            if (entry.born, entry.sequence) <= self._removed.get(entry.id, NO_VERSION):
-                return False
-            self._servers[entry.id] = ListedServer(entry, self._clock)
-            self._update_outliers(entry.service)
-            return True
-        old = known.entry
-        if (entry.born, entry.sequence) < (old.born, old.sequence):
-            return False
-        if old.born == entry.born != 0 and self._is_conflicting(old, entry):
-            return False
-        if entry.born != old.born or entry.address != old.address:
-            # Requests in flight at the previous incarnation keep its own record.
-            self._servers[entry.id] = ListedServer(entry, self._clock)
-            self._outliers[old.service].reset(entry.id)
-        else:
-            known.entry = entry
-        if old.service != entry.service:
-            self._update_outliers(old.service)
-            self._update_outliers(entry.service)
-        return True
-
-    def _is_conflicting(self, old: ServerEntry, entry: ServerEntry) -> bool:
-        """Whether another server may have written ``entry`` under the same id.
-
-        An incarnation never changes its service or address. Such an entry is accepted
-        once it is written a second time, as ``old`` may be the wrong one.
-        """
-        location = (entry.service, entry.address)
-        if location == (old.service, old.address):
-            self._disputed.pop(entry.id, None)
-            return False
-        before = self._disputed.get(entry.id)
-        self._disputed[entry.id] = entry
-        return before is None or (before.service, before.address) != location
-
-    def mark_missing(self, server_id: str, until: timedelta) -> None:
-        """Mark a server's entry as missing, the server as usable before ``until``.
-
-        A later outage doesn't extend this time while the entry is still missing.
-        """
-        server = self._servers[server_id]
-        if server.usable_until is None:
-            server.usable_until = until
-
-    def mark_present(self, server_id: str) -> bool:
-        """Mark a server's entry as present; return whether it was missing."""
-        server = self._servers.get(server_id)
-        was_missing = server is not None and server.is_missing
-        if server is not None:
-            server.usable_until = None
-        return was_missing
-
-    def remove(self, server_id: str) -> ServerEntry | None:
-        """Remove a server and return its last entry."""
-        server = self._servers.pop(server_id, None)
-        if server is None:
-            return None
-        self._disputed.pop(server_id, None)
-        self._removed[server_id] = (server.entry.born, server.entry.sequence)
-        if len(self._removed) > MAX_REMOVED:
-            self._removed.popitem(last=False)
-        self._update_outliers(server.entry.service)
-        return server.entry
-
-    def find(self, server_id: str) -> ListedServer | None:
-        """Return a server by its id."""
-        return self._servers.get(server_id)
-
     def choose(
         self,
         service: str,
@@ -258,13 +157,20 @@
         is_listed = self._servers.get(server.entry.id) is server
         return is_listed and self._accepts(server)
 
+    def is_evacuated(self, server: ListedServer) -> bool:
+        """Whether a server is in a failure domain under evacuation."""
+        return self.evacuations.includes(server.entry.failure_domain)
+
     def is_leaving(self, server: ListedServer) -> bool:
         """Whether a server's entry or one of its responses announced that it drains."""
         return server.entry.is_leaving or self._signals.is_leaving(server.incarnation)
 
     def _accepts(self, server: ListedServer) -> bool:
-        """Whether a server is neither draining nor paused nor missing for too long."""
-        if self.is_leaving(server):
+        """Whether a server may be sent requests.
+
+        It may not if it is draining, evacuated, paused or missing for too long.
+        """
+        if self.is_leaving(server) or self.is_evacuated(server):
             return False
         if self._signals.find_pause(server.incarnation):
             return False
@@ -310,13 +216,15 @@
         return self.limits.schedule_return(service, min(waits.values()), part)
 
     def find_retry_delay(self, service: str) -> timedelta | None:
-        """Return the time until the first pause of a service's servers ends.
+        """Return the time until a service's first server may take requests again.
 
-        ``None`` unless all servers that don't drain asked for a pause. A random
-        addition spreads the retries of callers over time.
+        ``None`` unless all servers that don't drain asked for a pause or are evacuated.
+        A random addition spreads the retries of callers over time.
         """
         pauses = [
-            self._signals.find_pause(server.incarnation)
+            EVACUATION_RETRY
+            if self.is_evacuated(server)
+            else self._signals.find_pause(server.incarnation)
             for server in self._servers.values()
             if server.entry.service == service and not self.is_leaving(server)
         ]
@@ -448,7 +356,10 @@
             return None
         return self._outliers.get(server.entry.service)
 
-    def _update_outliers(self, service: str) -> None:
+    def _note_replaced(self, old: ServerEntry) -> None:
+        self._outliers[old.service].reset(old.id)
+
+    def _note_members(self, service: str) -> None:
         outliers = self._outliers.setdefault(service, OutlierDetector(self._rng))
         outliers.update_servers(
             {s.entry.id for s in self._servers.values() if s.entry.service == service}
--- /dev/null
+++ b/lavendershift/serverregistry.py
@@ -0,0 +1,131 @@
+"""Entries of backend servers, and how recent they are.
+
+An entry describes one incarnation of a server. Entries are ordered by the start of
+the incarnation and by their sequence number, so that an older entry that arrives late
+is ignored. ``ServerList`` selects servers among them::
+
+    servers = ServerRegistry(clock)
+    servers.update(entry)
+    servers.mark_missing(entry.id, until)
+"""
+
+from collections import OrderedDict
+from datetime import timedelta
+
+from lavendershift.clocks import Clock
+from lavendershift.serverstates import ListedServer, ServerEntry, ServerKnowledge
+
+MAX_REMOVED = 1000  # removed servers of which the version of the last entry is kept
+NO_VERSION = (-1, -1)  # (start, sequence) that is older than any entry
+
+
+class ServerRegistry:
+    """The registered servers of all services that this VM knows."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._servers: dict[str, ListedServer] = {}
+        self._removed: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        self._entries_read_at: timedelta | None = None
+        self._disputed: dict[str, ServerEntry] = {}
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    def list_entries(self) -> list[ServerEntry]:
+        """Return the entries of all servers."""
+        return [server.entry for server in self._servers.values()]
+
+    def note_reading(self) -> None:
+        """Record that the entries were read just now."""
+        self._entries_read_at = self._clock.elapsed()
+
+    def get_knowledge(self, server: ListedServer) -> ServerKnowledge:
+        """Return how recent this VM's information about ``server`` is."""
+        if self._entries_read_at is None:
+            return ServerKnowledge(None, server.is_missing)
+        return ServerKnowledge(
+            self._clock.elapsed() - self._entries_read_at, server.is_missing
+        )
+
+    def update(self, entry: ServerEntry) -> bool:
+        """Apply an entry; return false if it is outdated or conflicting.
+
+        A removed server is listed again only by a newer entry, as its last one may
+        be delivered late.
+        """
+        known = self._servers.get(entry.id)
+        if known is None:
+            if (entry.born, entry.sequence) <= self._removed.get(entry.id, NO_VERSION):
+                return False
+            self._servers[entry.id] = ListedServer(entry, self._clock)
+            self._note_members(entry.service)
+            return True
+        old = known.entry
+        if (entry.born, entry.sequence) < (old.born, old.sequence):
+            return False
+        if old.born == entry.born != 0 and self._is_conflicting(old, entry):
+            return False
+        if entry.born != old.born or entry.address != old.address:
+            # Requests in flight at the previous incarnation keep its own record.
+            self._servers[entry.id] = ListedServer(entry, self._clock)
+            self._note_replaced(old)
+        else:
+            known.entry = entry
+        if old.service != entry.service:
+            self._note_members(old.service)
+            self._note_members(entry.service)
+        return True
+
+    def _is_conflicting(self, old: ServerEntry, entry: ServerEntry) -> bool:
+        """Whether another server may have written ``entry`` under the same id.
+
+        An incarnation never changes its service or address. Such an entry is accepted
+        once it is written a second time, as ``old`` may be the wrong one.
+        """
+        location = (entry.service, entry.address)
+        if location == (old.service, old.address):
+            self._disputed.pop(entry.id, None)
+            return False
+        before = self._disputed.get(entry.id)
+        self._disputed[entry.id] = entry
+        return before is None or (before.service, before.address) != location
+
+    def mark_missing(self, server_id: str, until: timedelta) -> None:
+        """Mark a server's entry as missing, the server as usable before ``until``.
+
+        A later outage doesn't extend this time while the entry is still missing.
+        """
+        server = self._servers[server_id]
+        if server.usable_until is None:
+            server.usable_until = until
+
+    def mark_present(self, server_id: str) -> bool:
+        """Mark a server's entry as present; return whether it was missing."""
+        server = self._servers.get(server_id)
+        was_missing = server is not None and server.is_missing
+        if server is not None:
+            server.usable_until = None
+        return was_missing
+
+    def remove(self, server_id: str) -> ServerEntry | None:
+        """Remove a server and return its last entry."""
+        server = self._servers.pop(server_id, None)
+        if server is None:
+            return None
+        self._disputed.pop(server_id, None)
+        self._removed[server_id] = (server.entry.born, server.entry.sequence)
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
+        self._note_members(server.entry.service)
+        return server.entry
+
+    def find(self, server_id: str) -> ListedServer | None:
+        """Return a server by its id."""
+        return self._servers.get(server_id)
+
+    def _note_members(self, service: str) -> None:
+        """Handle a change of the servers of a service."""
+
+    def _note_replaced(self, old: ServerEntry) -> None:
+        """Handle the start of a new incarnation in place of that of ``old``."""
