Limit the requests to cold servers over all VMs

A cold server now has a limit like one that names it in its responses, and permits from one keeper. It follows from the entry's remaining time, from a new start, from a failed connection and from the end of an evacuation; the last three are presumptions that end with later entries which state otherwise. A VM that was refused a connection tells the others. A request that was refused a permit goes to servers without a limit next.

A permit of a cold server is requested by a message of its own with the rate, since the keeper may not have read the entry yet; the message for other limits keeps its bytes. Without the bounds, or with a rate of 0, nothing changes.

--- a/lavendershift/evacuation/evacuations.py
+++ b/lavendershift/evacuation/evacuations.py
@@ -22,12 +22,14 @@
 class Evacuations:
     """The failure domains under evacuation.
 
-    ``on_change`` is called with a failure domain and whether its evacuation begins.
+    ``on_change`` is called with a failure domain and whether its evacuation begins,
+    ``on_end`` with one whose evacuation ends.
     """
 
     def __init__(self) -> None:
         self._domains: set[str] = set()
         self.on_change: Callable[[str, bool], None] = lambda domain, begins: None
+        self.on_end: Callable[[str], None] = lambda domain: None
 
     def includes(self, failure_domain: str) -> bool:
         """Whether nothing is sent to the servers of a failure domain."""
@@ -47,6 +49,7 @@
         """Record that the evacuation of a failure domain was withdrawn."""
         if failure_domain in self._domains:
             self._domains.discard(failure_domain)
+            self.on_end(failure_domain)
             self.on_change(failure_domain, False)
 
     def keep_only(self, failure_domains: Iterable[str]) -> None:
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -107,6 +107,7 @@
         "Seconds of the longest time in which the event loop handled nothing."
     ),
     "domains_evacuated": Instrument("Failure domains whose servers get no requests."),
+    "servers_cold": Instrument("Backend servers that are limited as cold."),
 }
 
 HISTOGRAMS: dict[str, Instrument] = {
--- a/lavendershift/permits.py
+++ b/lavendershift/permits.py
@@ -24,7 +24,12 @@
 from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, Replies, register_message
 from lavendershift.decoding import Count, Integer, Rate, Seconds
-from lavendershift.serverlimits import MIN_RATE, LimitState, ServerLimits
+from lavendershift.serverlimits import (
+    MIN_RATE,
+    LimitState,
+    ServerLimits,
+    is_lower,
+)
 from lavendershift.serversignals import MAX_INCARNATIONS, Incarnation
 
 # Permits that are saved up for requests that arrive together.
@@ -56,6 +61,16 @@
     origin: Peer | None = None
 
 
+@register_message
+class ColdPermitRequest(PermitRequest, array_like=True, tag="cold_permit_request"):
+    """A request for a permit of a server that the sender knows to be cold.
+
+    Its keeper may not know yet. ``cold_rate`` is the server's limit while it is cold.
+    """
+
+    cold_rate: Rate = 0.0
+
+
 @register_message
 class PermitReply(msgspec.Struct, array_like=True, tag="permit"):
     """The reply to the request ``number``, with the limit that the keeper knows.
@@ -106,9 +121,16 @@
         self._limits = limits
         self._buckets: OrderedDict[Incarnation, PermitBucket] = OrderedDict()
 
-    def take(self, incarnation: Incarnation, urgency: int) -> timedelta:
-        """Take a permit; return 0, or the time until one is due."""
+    def take(
+        self, incarnation: Incarnation, urgency: int, peer_rate: float | None = None
+    ) -> timedelta:
+        """Take a permit; return 0, or the time until one is due.
+
+        ``peer_rate`` is a limit that the VM knows which asks for the permit.
+        """
         rate = self._limits.find(incarnation)
+        if is_lower(peer_rate, rate):
+            rate = peer_rate
         if rate is None:
             self._buckets.pop(incarnation, None)
             return timedelta()
@@ -142,6 +164,7 @@
         self._replies: Replies[timedelta] = Replies()
         self.on_taken: Callable[[str], None] = lambda outcome: None
         datagrams.handle(PermitRequest, self._handle_request)
+        datagrams.handle(ColdPermitRequest, self._handle_request)
         datagrams.handle(PermitReply, self._handle_reply)
 
     async def take(self, incarnation: Incarnation, urgency: int) -> bool:
@@ -169,11 +192,13 @@
     ) -> timedelta:
         """Ask the keeper for a permit; return 0, or the time until one is due."""
         state = self._limits.find_state(incarnation)
+        cold_rate = self._limits.find_cold(incarnation)
 
         def send(number: int) -> None:
-            request = PermitRequest(
-                number, *incarnation, state.rate, state.version, urgency
-            )
+            known = (number, *incarnation, state.rate, state.version, urgency)
+            request = PermitRequest(*known)
+            if cold_rate is not None:
+                request = ColdPermitRequest(*known, cold_rate=cold_rate)
             self._datagrams.send(request, [keeper])
 
         return await self._replies.wait(send, REPLY_TIMEOUT)
@@ -192,7 +217,10 @@
         incarnation = (request.server, request.born)
         self._limits.merge(incarnation, LimitState(request.rate, request.version))
         if keeper is None:
-            wait = self._buckets.take(incarnation, request.urgency)
+            cold_rate = None
+            if isinstance(request, ColdPermitRequest):
+                cold_rate = request.cold_rate
+            wait = self._buckets.take(incarnation, request.urgency, cold_rate)
         else:
             wait = NO_REPLY_DELAY
         state = self._limits.find_state(incarnation)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -19,6 +19,7 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
+from lavendershift.evacuation.coldgossip import ColdGossip
 from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
@@ -142,6 +143,8 @@
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
         self._servers.evacuations.on_change = self._note_evacuation
+        self._servers.cold.bounds = settings.cold_bounds
+        ColdGossip(self._servers, self._datagrams, self._list_all_peers)
         self._crash_control = CrashControl(
             clock,
             rng,
@@ -412,6 +415,7 @@
         self._gateway.set_retry_bounds(
             RetryBounds(settings.retry_share, settings.retry_slack)
         )
+        self._servers.cold.bounds = settings.cold_bounds
         self._log.write(Event.SETTINGS_RELOADED)
 
     def _handle_readiness(self, request: HTTPServerRequest) -> tuple[int, bytes]:
@@ -433,6 +437,7 @@
         instruments.set_gauge("servers_limited", len(limited))
         evacuated = self._servers.evacuations.count()
         instruments.set_gauge("domains_evacuated", evacuated)
+        instruments.set_gauge("servers_cold", self._servers.cold.count())
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
         instruments.set_gauge("vms", self._vms.count())
@@ -464,6 +469,9 @@
 
     def _accept_table(self, table: RoutingTable) -> None:
         self._gateway.table = table
+        self._servers.cold.services = {
+            name: service.cold for name, service in table.services.items()
+        }
         self._draws.mark_totals_known()
         self._callers.update_limits(table.limits)
 
--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -13,6 +13,7 @@
 
 from lavendershift.decoding import (
     MAX_DEPTH,
+    MAX_RATE,
     Count,
     Integer,
     decode_json,
@@ -21,6 +22,7 @@
     run_decoder,
 )
 from lavendershift.errors import DecodeError
+from lavendershift.evacuation.coldservers import ColdService
 from lavendershift.routes import (
     CallerLimits,
     Customer,
@@ -80,6 +82,8 @@
 class _Service(msgspec.Struct):
     name: str
     max_conns: Integer = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -233,8 +237,11 @@
 
 def _make_service(wire: _Service) -> Service:
     engine = wire.engine
+    cold = ColdService(
+        min(max(wire.cold_per_s, 0.0), MAX_RATE), make_duration(wire.cold_start_s)
+    )
     if engine is None:
-        return Service(wire.name, max_connections=wire.max_conns)
+        return Service(wire.name, max_connections=wire.max_conns, cold=cold)
     return Service(
         wire.name,
         is_engine=True,
@@ -242,6 +249,7 @@
         max_connections=wire.max_conns,
         tokens_per_event=max(engine.stride, 1),
         cache_tokens=engine.kv_capacity_tokens,
+        cold=cold,
     )
 
 
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -7,6 +7,7 @@
 
 from lavendershift.decoding import run_decoder
 from lavendershift.errors import DecodeError
+from lavendershift.evacuation.coldservers import ColdBounds
 from lavendershift.platform.names import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 
 
@@ -36,6 +37,8 @@
     partitions: int
     cores: float  # share of a standard core that the process gets
     link_mbps: float  # bandwidth of the VM's link, in each direction
+    # Requests/s to cold servers, ``None`` if these have no limit.
+    cold_bounds: ColdBounds | None = None
 
 
 class SettingsError(Exception):
@@ -88,4 +91,11 @@
         partitions=int(store.get("parts", 1)),
         cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1000)),
+        cold_bounds=_decode_cold_bounds(bounds),
     )
+
+
+def _decode_cold_bounds(bounds: dict[str, Any]) -> ColdBounds | None:
+    if "cold_overage" not in bounds or "cold_slack" not in bounds:
+        return None
+    return ColdBounds(float(bounds["cold_overage"]), float(bounds["cold_slack"]))
--- a/lavendershift/platform/servers.py
+++ b/lavendershift/platform/servers.py
@@ -8,6 +8,7 @@
     Count,
     decode_identifier,
     decode_json,
+    make_duration,
     parse_address,
 )
 from lavendershift.errors import DecodeError
@@ -55,4 +56,5 @@
         is_leaving=wire.state != "ready",
         born=wire.born,
         sequence=wire.sequence,
+        cold_remaining=make_duration(wire.cold_remaining_ms / 1000),
     )
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -100,7 +100,7 @@
         try:
             connection = await self._open_connection()
         except ConnectError as error:
-            self._servers.note_unreachable(self._server)
+            self._servers.note_unreachable(self._server, error.was_refused)
             raise UnsentError(AttemptEnd.NOT_SENT, str(error)) from None
         try:
             if not was_limited:
--- a/lavendershift/routes.py
+++ b/lavendershift/routes.py
@@ -13,6 +13,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from lavendershift.evacuation.coldservers import ColdService
+
 
 class Repeat(Enum):
     """Whether a request may be executed more than once."""
@@ -55,7 +57,8 @@
     """A group of backend servers.
 
     ``tokens_per_event`` is the maximum number of output tokens in an event of its
-    streams, and ``is_engine`` distinguishes model engines from plain services.
+    streams, and ``is_engine`` distinguishes model engines from plain services. ``cold``
+    is what its servers take while they are cold.
     """
 
     name: str
@@ -64,6 +67,7 @@
     max_connections: int = 0
     tokens_per_event: int = 1
     cache_tokens: int = 0
+    cold: ColdService = ColdService(0.0, timedelta())
 
 
 class Customer(NamedTuple):
--- a/lavendershift/serverlimits.py
+++ b/lavendershift/serverlimits.py
@@ -15,8 +15,10 @@
     limits.note_response(("i-7f3a91c2", 1_700_000_000_000), 1.2, sent_at)
     limits.find(("i-7f3a91c2", 1_700_000_000_000))  # 1.2
 
-A limited server may be sent a request only with a permit, see ``permits``. A VM that
-was refused one doesn't choose the server again before the next permit is due.
+A cold server has a limit too, which each VM derives from the server's entries, see
+``coldservers``. The lower of the two applies. A limited server may be sent a request
+only with a permit, see ``permits``. A VM that was refused one doesn't choose the server
+again before the next permit is due.
 """
 
 from collections import OrderedDict
@@ -78,6 +80,7 @@
         self._known: OrderedDict[Incarnation, _KnownLimit] = OrderedDict()
         self._refusals: dict[Incarnation, _Refusal] = {}
         self._returns: dict[str, timedelta] = {}
+        self.find_cold: Callable[[Incarnation], float | None] = lambda incarnation: None
         self.on_change: Callable[[Incarnation, LimitState, bool], None] = (
             lambda incarnation, state, is_own: None
         )
@@ -117,7 +120,8 @@
 
     def find(self, incarnation: Incarnation) -> float | None:
         """Return the limit of an incarnation, ``None`` if it has none."""
-        return self.find_state(incarnation).rate
+        rate, cold = self.find_state(incarnation).rate, self.find_cold(incarnation)
+        return cold if is_lower(cold, rate) else rate
 
     def find_state(self, incarnation: Incarnation) -> LimitState:
         """Return the limit of an incarnation with its version."""
@@ -151,6 +155,8 @@
         refusal = self._refusals.get(incarnation)
         if refusal is None or urgency < refusal.urgency:
             return timedelta()
+        if self.find(incarnation) is None:
+            return timedelta()  # a cold server has become warm
         return max(refusal.until - self._clock.elapsed(), timedelta())
 
     def schedule_return(
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -29,10 +29,8 @@
 from lavendershift.serverstates import (
     CONNECT_BACKOFF,
     ListedServer,
-    PeerLoad,
     PromptShape,
     ServerEntry,
-    ServerLoad,
 )
 
 MAX_CONNECT_BACKOFF = timedelta(seconds=3)  # limit of the doubling at each failure
@@ -80,7 +78,9 @@
         self._mean_latency: dict[str, timedelta] = {}
         self._signals = ServerSignals(clock)
         self.limits = ServerLimits(clock)
+        self.limits.find_cold = self.cold.find_rate
         self.evacuations = Evacuations()
+        self.evacuations.on_end = self._presume_cold
         self.count_vms: Callable[[], int] = lambda: 1
         self.on_invalid_limit: Callable[[ServerEntry], None] = lambda entry: None
         self.on_leaving: Callable[[ServerEntry], None] = lambda entry: None
@@ -111,6 +111,9 @@
             if server.entry.id not in tried
             and not self.limits.find_wait(server.incarnation, urgency)
         ]
+        if any(self._was_refused(name, urgency) for name in tried):
+            # Each further limited server costs the request a round trip to a keeper.
+            usable = [s for s in usable if self.find_limit(s) is None] or usable
         if not usable:
             return None
         healthy = [server for server in usable if not self._is_avoided(server)]
@@ -139,6 +142,12 @@
             ),
         )
 
+    def _was_refused(self, server_id: str, urgency: int) -> bool:
+        server = self._servers.get(server_id)
+        if server is None:
+            return False
+        return bool(self.limits.find_wait(server.incarnation, urgency))
+
     def _list_available(self, service: str) -> list[ListedServer]:
         """Return the servers of a service that can be sent requests.
 
@@ -161,6 +170,12 @@
         """Whether a server is in a failure domain under evacuation."""
         return self.evacuations.includes(server.entry.failure_domain)
 
+    def _presume_cold(self, failure_domain: str) -> None:
+        """Presume servers cold whose evacuation ended, as they may have restarted."""
+        for server in self._servers.values():
+            if server.entry.failure_domain == failure_domain:
+                self.cold.presume(server.entry, is_certain=False)
+
     def is_leaving(self, server: ListedServer) -> bool:
         """Whether a server's entry or one of its responses announced that it drains."""
         return server.entry.is_leaving or self._signals.is_leaving(server.incarnation)
@@ -273,28 +288,6 @@
         assignment.server.in_flight -= 1
         self.on_load_change(assignment.server.entry.id, ())
 
-    def measure_own_load(self, server_id: str) -> ServerLoad:
-        """Return this VM's load on a server."""
-        server = self._servers.get(server_id)
-        if server is None:
-            return ServerLoad(0, 0)
-        return ServerLoad(server.in_flight, server.unread_tokens)
-
-    def list_in_use(self) -> list[str]:
-        """Return the ids of the servers at which this VM has requests in flight."""
-        return [name for name, s in self._servers.items() if s.in_flight]
-
-    def record_peer_load(
-        self, vm: str, server_id: str, load: ServerLoad, parts: Sequence[str]
-    ) -> None:
-        """Record another VM's load on a server, and the prompt parts it sent there."""
-        server = self._servers.get(server_id)
-        if server is None:
-            return
-        server.peer_loads[vm] = PeerLoad(load, self._clock.elapsed())
-        if parts:
-            server.cache.note_used(parts)
-
     def record_latency(self, assignment: Assignment) -> None:
         """Record the time to a first event or a response; may eject an outlier."""
         now = self._clock.elapsed()
@@ -345,8 +338,12 @@
             if server.entry.service == service and server.silence.is_presumed(now)
         ]
 
-    def note_unreachable(self, server: ListedServer) -> None:
-        """Record a failed connection attempt, and back off from the server."""
+    def note_unreachable(self, server: ListedServer, is_refused: bool = False) -> None:
+        """Record a failed connection attempt, and back off from the server.
+
+        It may restart. ``is_refused`` is set if its machine refused the connection.
+        """
+        self.cold.presume(server.entry, is_certain=is_refused)
         server.avoided_until = self._clock.elapsed() + server.connect_backoff
         server.connect_backoff = min(server.connect_backoff * 2, MAX_CONNECT_BACKOFF)
 
--- a/lavendershift/serverregistry.py
+++ b/lavendershift/serverregistry.py
@@ -10,10 +10,18 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from datetime import timedelta
 
 from lavendershift.clocks import Clock
-from lavendershift.serverstates import ListedServer, ServerEntry, ServerKnowledge
+from lavendershift.evacuation.coldservers import ColdServers
+from lavendershift.serverstates import (
+    ListedServer,
+    PeerLoad,
+    ServerEntry,
+    ServerKnowledge,
+    ServerLoad,
+)
 
 MAX_REMOVED = 1000  # removed servers of which the version of the last entry is kept
 NO_VERSION = (-1, -1)  # (start, sequence) that is older than any entry
@@ -28,6 +36,7 @@
         self._removed: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self._entries_read_at: timedelta | None = None
         self._disputed: dict[str, ServerEntry] = {}
+        self.cold = ColdServers(clock)
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -56,10 +65,14 @@
         """
         known = self._servers.get(entry.id)
         if known is None:
-            if (entry.born, entry.sequence) <= self._removed.get(entry.id, NO_VERSION):
+            removed = self._removed.get(entry.id, NO_VERSION)
+            if (entry.born, entry.sequence) <= removed:
                 return False
             self._servers[entry.id] = ListedServer(entry, self._clock)
             self._note_members(entry.service)
+            # What the first reading lists may have started long ago.
+            has_read = self._entries_read_at is not None
+            self.cold.note_entry(entry, has_read and entry.born != removed[0])
             return True
         old = known.entry
         if (entry.born, entry.sequence) < (old.born, old.sequence):
@@ -75,6 +88,7 @@
         if old.service != entry.service:
             self._note_members(old.service)
             self._note_members(entry.service)
+        self.cold.note_entry(entry, entry.born != old.born)
         return True
 
     def _is_conflicting(self, old: ServerEntry, entry: ServerEntry) -> bool:
@@ -124,6 +138,28 @@
         """Return a server by its id."""
         return self._servers.get(server_id)
 
+    def measure_own_load(self, server_id: str) -> ServerLoad:
+        """Return this VM's load on a server."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return ServerLoad(0, 0)
+        return ServerLoad(server.in_flight, server.unread_tokens)
+
+    def list_in_use(self) -> list[str]:
+        """Return the ids of the servers at which this VM has requests in flight."""
+        return [name for name, s in self._servers.items() if s.in_flight]
+
+    def record_peer_load(
+        self, vm: str, server_id: str, load: ServerLoad, parts: Sequence[str]
+    ) -> None:
+        """Record another VM's load on a server, and the prompt parts it sent there."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return
+        server.peer_loads[vm] = PeerLoad(load, self._clock.elapsed())
+        if parts:
+            server.cache.note_used(parts)
+
     def _note_members(self, service: str) -> None:
         """Handle a change of the servers of a service."""
 
--- a/lavendershift/serverstates.py
+++ b/lavendershift/serverstates.py
@@ -70,7 +70,8 @@
     """A server's registration.
 
     ``born`` is the start of its incarnation in ms since the epoch, 0 if it is not
-    stated; ``sequence`` counts the entries of the incarnation.
+    stated; ``sequence`` counts the entries of the incarnation. ``cold_remaining`` is
+    how long it stays cold.
     """
 
     id: str
@@ -81,6 +82,7 @@
     is_leaving: bool
     born: int = 0
     sequence: int = 0
+    cold_remaining: timedelta = timedelta()
 
 
 class ServerKnowledge(NamedTuple):
--- a/lavendershift/tests/test_storedformats.py
+++ b/lavendershift/tests/test_storedformats.py
@@ -21,6 +21,7 @@
     decode_state,
 )
 from lavendershift.datagrams import Datagrams
+from lavendershift.evacuation.coldgossip import ServerCold
 from lavendershift.gossip import LoadUpdate, ServerLeaving, VmLeaving
 from lavendershift.incarnations import IncarnationState, Membership
 from lavendershift.ledger import Ledger
@@ -43,7 +44,7 @@
     decode_message,
     encode_message,
 )
-from lavendershift.permits import PermitReply, PermitRequest
+from lavendershift.permits import ColdPermitRequest, PermitReply, PermitRequest
 from lavendershift.quarantinegossip import (
     AnsweredParts,
     CrashReport,
@@ -439,6 +440,15 @@
         "97a67065726d697404a3692d31cf0000018bcfe56800c004cb3fd0000000000000",
         PermitReply(4, "i-1", 1700000000000, None, 4, 0.25),
     ),
+    (
+        "99b3636f6c645f7065726d69745f7265717565737404a3692d31cf0000018bcfe56800"
+        "c00005c0cb4008000000000000",
+        ColdPermitRequest(4, "i-1", 1700000000000, None, 0, 5, cold_rate=3.0),
+    ),
+    (
+        "93a4636f6c64a3692d31cf0000018bcfe56800",
+        ServerCold("i-1", 1700000000000),
+    ),
 ]
 
 
