Restrict requests to the regions of their routes and customers

allowed_regions of routes and tenants had no effect: of 8 requests of a route with a home, 6 went to a server of the other region, and the directory named the VMs of all regions (test_homes with real processes). Servers outside of the homes are excluded when one is selected, and checked again before a request is sent; the homes of the route and of the customer both bind. For hosts whose requests may have homes, the directory names VMs of the caller's region, else VMs in all the homes. Settings name the regions of failure domains in [zones].

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -35,6 +35,7 @@
     make_refusal,
 )
 from lavendershift.errors import RequestError
+from lavendershift.evacuation.homes import Homes
 from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.outgoingresponses import OutgoingResponse
 from lavendershift.preparations import AttemptOrder, Backends
@@ -86,6 +87,7 @@
         on_error: Callable[[BaseException], None],
         customer: str = "",
         urgency: int = 5,
+        homes: Homes | None = None,
     ) -> None:
         self.route = route
         self.position = EventPosition()
@@ -101,6 +103,7 @@
         self._on_error = on_error
         self._customer = customer
         self._urgency = urgency
+        self._homes = homes
         time = RequestTime(request.received, request.deadline, route.timeout)
         self._timer = RequestTimer(clock, time, lambda: self.response.has_started)
         self._tried: set[str] = set()
@@ -289,12 +292,13 @@
         """
         choose, service = self._servers.choose, self._service.name
         prompt = self.request.prompt or NO_PROMPT
+        excluded = self._tried.union(self._servers.list_outside(service, self._homes))
         if self.route.repeat is Repeat.NEVER:
-            heard = self._tried.union(self._servers.list_silent(service))
+            heard = excluded.union(self._servers.list_silent(service))
             server = choose(service, prompt, heard, self._urgency)
             if server is not None:
                 return server
-        return choose(service, prompt, self._tried, self._urgency)
+        return choose(service, prompt, excluded, self._urgency)
 
     async def _run_attempt(self, attempt: ServerAttempt) -> None:
         """Run an attempt and record how it ended, unless it was replaced.
@@ -362,6 +366,9 @@
                 return AttemptEnd.REPLACED
             if not self._may_repeat() or not self._limits.may_send_again():
                 return AttemptEnd.REPLACED
+        domain = attempt.server.entry.failure_domain
+        if not self._servers.regions.allows(self._homes, domain):
+            return AttemptEnd.NOT_SENT  # the server has moved meanwhile
         self._unsent.discard(attempt.server.entry.id)
         self._limits.note_send()
         return None
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -21,6 +21,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.delivery import Delivery
 from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.evacuation.homes import find_homes
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.preparations import Backends
 from lavendershift.quarantine import Parts, make_quarantine_error
@@ -276,6 +277,7 @@
             report_error,
             customer.name if customer else "",
             urgency,
+            find_homes(route, customer),
         )
 
     def _choose_service(self, table: RoutingTable, route: Route) -> Service:
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -20,6 +20,7 @@
 from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
 from lavendershift.evacuation.coldgossip import ColdGossip
+from lavendershift.evacuation.homes import Regions
 from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
@@ -238,9 +239,11 @@
         self._callers.on_connection_end = ConnectionReports(
             log, self._instruments, self._find_version
         ).report
-        self._directory_server = SyncHttpServer(
-            VmDirectory(self._vms, self._working_set, settings.resolve_ttl).handle
+        self._directory = VmDirectory(
+            self._vms, self._working_set, settings.resolve_ttl
         )
+        self._directory.regions = self._servers.regions = Regions(settings.regions)
+        self._directory_server = SyncHttpServer(self._directory.handle)
         self._readiness_server = SyncHttpServer(self._handle_readiness)
         self._metrics_server = SyncHttpServer(self._handle_metrics, METRICS_TYPE)
         pause_reports = PauseReports(clock, log, self._instruments)
@@ -468,7 +471,7 @@
         }
 
     def _accept_table(self, table: RoutingTable) -> None:
-        self._gateway.table = table
+        self._gateway.table = self._directory.table = table
         self._servers.cold.services = {
             name: service.cold for name, service in table.services.items()
         }
--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -71,6 +71,7 @@
     max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
+    allowed_regions: list[str] = []
 
 
 class _Engine(msgspec.Struct):
@@ -92,6 +93,7 @@
     api_keys: list[str] = []
     priority: Integer | None = None
     prepaid: Integer | None = None
+    allowed_regions: list[str] = []
 
 
 class _Config(msgspec.Struct):
@@ -223,6 +225,7 @@
         urgency=wire.priority,
         max_attempts=max(wire.max_attempts, 1),
         is_public=wire.public,
+        homes=frozenset(wire.allowed_regions),
     )
 
 
@@ -254,4 +257,10 @@
 
 
 def _make_customer(wire: _Tenant) -> Customer:
-    return Customer(wire.name, frozenset(wire.api_keys), wire.prepaid, wire.priority)
+    return Customer(
+        wire.name,
+        frozenset(wire.api_keys),
+        wire.prepaid,
+        wire.priority,
+        frozenset(wire.allowed_regions),
+    )
--- a/lavendershift/platform/directory.py
+++ b/lavendershift/platform/directory.py
@@ -8,6 +8,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from lavendershift.evacuation.homes import Regions
+from lavendershift.routes import RoutingTable
 from lavendershift.vmlist import VmList
 from lavendershift.workingset import WorkingSet
 
@@ -55,6 +57,8 @@
     def __init__(
         self, vms: VmList, working_set: WorkingSet, max_ttl: timedelta
     ) -> None:
+        self.regions = Regions({})
+        self.table: RoutingTable | None = None
         self._vms = vms
         self._working_set = working_set
         self._ttl = min(MAX_RESOLVE_TTL, max_ttl)
@@ -64,10 +68,21 @@
         url = urlsplit(request.uri or "")
         if url.path != "/resolve":
             return 404, b"{}"
-        domain = parse_qs(url.query).get("zone", [""])[0]
-        names = self._working_set.list_for(domain)[:MAX_ADDRESSES]
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        names = self._list_names(query)[:MAX_ADDRESSES]
         addresses = self._vms.list_addresses(names)
         if not addresses:
             return 503, b"{}"
         response = {"addresses": addresses, "ttl_s": self._ttl.total_seconds()}
         return 200, msgspec.json.encode(response)
+
+    def _list_names(self, query: dict[str, str]) -> list[str]:
+        """Return the active VMs for a caller, in regions where its body may go."""
+        domain = query.get("zone", "")
+        homes = self.table.list_homes(query.get("name", "")) if self.table else []
+        region = query.get("region") or self.regions.by_domain.get(domain, "")
+        if not homes:
+            return self._working_set.list_for(domain)
+        active = self._working_set.find_active()
+        allowed = self.regions.choose_domains(active, region, homes)
+        return self._working_set.list_for(domain, allowed)
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -1,6 +1,7 @@
 """Decoding of the settings file that the platform provides to a process."""
 
 import tomllib
+from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -39,6 +40,7 @@
     link_mbps: float  # bandwidth of the VM's link, in each direction
     # Requests/s to cold servers, ``None`` if these have no limit.
     cold_bounds: ColdBounds | None = None
+    regions: Mapping[str, str] = {}  # region of each failure domain
 
 
 class SettingsError(Exception):
@@ -92,6 +94,7 @@
         cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1000)),
         cold_bounds=_decode_cold_bounds(bounds),
+        regions=_decode_regions(data),
     )
 
 
@@ -99,3 +102,15 @@
     if "cold_overage" not in bounds or "cold_slack" not in bounds:
         return None
     return ColdBounds(float(bounds["cold_overage"]), float(bounds["cold_slack"]))
+
+
+def _decode_regions(data: dict[str, Any]) -> dict[str, str]:
+    """Return the region of each failure domain, that of the own VM included.
+
+    A domain is a name of its region, or a table that holds it.
+    """
+    regions = {
+        str(domain): str(value["region"] if isinstance(value, dict) else value)
+        for domain, value in data.get("zones", {}).items()
+    }
+    return {str(data["zone"]): str(data["region"])} | regions
--- a/lavendershift/routes.py
+++ b/lavendershift/routes.py
@@ -37,7 +37,8 @@
     ``timeout`` limits how long a caller waits. ``target`` is the latency that counts as
     good service: that of the complete response, or of the first event of a stream.
     ``urgency`` is a rank, 0 is the most urgent. ``max_attempts`` is the number of
-    servers that may execute one request.
+    servers that may execute one request. ``homes`` are the regions whose servers may
+    get it, all if there are none.
     """
 
     name: str
@@ -51,6 +52,7 @@
     urgency: int = 0
     max_attempts: int = 1
     is_public: bool = False
+    homes: frozenset[str] = frozenset()
 
 
 class Service(NamedTuple):
@@ -71,12 +73,16 @@
 
 
 class Customer(NamedTuple):
-    """A customer; ``prepaid`` is its token budget, ``None`` if it has none."""
+    """A customer; ``prepaid`` is its token budget, ``None`` if it has none.
+
+    ``homes`` are the regions whose servers may get its requests, all if there are none.
+    """
 
     name: str
     keys: frozenset[str]
     prepaid: int | None = None
     urgency: int | None = None
+    homes: frozenset[str] = frozenset()
 
 
 class CallerLimits(NamedTuple):
@@ -111,12 +117,22 @@
             self._hosts.setdefault(route.host, {})[route.prefix] = route
             if any(self._is_engine(share.service) for share in route.shares):
                 urgencies.append(route.urgency)
+        # Homes of the routes of each host, and of customers, whose hosts are unknown.
+        self._homes: dict[str, list[frozenset[str]]] = {
+            host: [route.homes for route in prefixes.values() if route.homes]
+            for host, prefixes in self._hosts.items()
+        }
+        self._customer_homes = [c.homes for c in self.customers.values() if c.homes]
         self._most_urgent = min(urgencies, default=0)
 
     def count_routes(self) -> int:
         """Return the number of routes."""
         return sum(len(prefixes) for prefixes in self._hosts.values())
 
+    def list_homes(self, host: str) -> list[frozenset[str]]:
+        """Return the homes that requests for ``host`` may have."""
+        return self._homes.get(host, []) + self._customer_homes
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``."""
         prefixes = self._hosts.get(host)
--- a/lavendershift/serverregistry.py
+++ b/lavendershift/serverregistry.py
@@ -15,6 +15,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.evacuation.coldservers import ColdServers
+from lavendershift.evacuation.homes import Homes, Regions
 from lavendershift.serverstates import (
     ListedServer,
     PeerLoad,
@@ -37,6 +38,7 @@
         self._entries_read_at: timedelta | None = None
         self._disputed: dict[str, ServerEntry] = {}
         self.cold = ColdServers(clock)
+        self.regions = Regions({})
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -134,6 +136,17 @@
         self._note_members(server.entry.service)
         return server.entry
 
+    def list_outside(self, service: str, homes: Homes | None) -> list[str]:
+        """Return the ids of a service's servers in other regions than ``homes``."""
+        if homes is None:
+            return []
+        return [
+            server.entry.id
+            for server in self._servers.values()
+            if server.entry.service == service
+            and not self.regions.allows(homes, server.entry.failure_domain)
+        ]
+
     def find(self, server_id: str) -> ListedServer | None:
         """Return a server by its id."""
         return self._servers.get(server_id)
--- a/lavendershift/workingset.py
+++ b/lavendershift/workingset.py
@@ -16,7 +16,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from datetime import timedelta
 from typing import Protocol
 
@@ -121,13 +121,18 @@
         """Return the number of active VMs, at least 1."""
         return max(sum(len(names) for names in self.find_active().values()), 1)
 
-    def list_for(self, failure_domain: str) -> list[str]:
+    def list_for(
+        self, failure_domain: str, allowed: Container[str] | None = None
+    ) -> list[str]:
         """Return the active VMs for the callers of a failure domain.
 
         All active VMs of the domain itself are listed, as some customers have callers
         in one domain only, and one of each further domain up to ``MIN_LISTED`` VMs.
+        ``allowed`` are the failure domains that may be listed, ``None`` for all.
         """
         active = self.find_active()
+        if allowed is not None:
+            active = {d: names for d, names in active.items() if d in allowed}
         names = list(active.get(failure_domain, ()))
         others = [domain for domain in active if domain != failure_domain]
         for domain in rank_by_hash(others, failure_domain):
