Evacuate a failure domain in the soak test

One server of each service is in a failure domain of its own, which a third schedule evacuates in the planned phase; the schedules of all seeds stay as they are.

--- a/lavendershift/platform/tests/soak/profiles.py
+++ b/lavendershift/platform/tests/soak/profiles.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from lavendershift.platform.tests.soak.callers import Caller
+from lavendershift.platform.tests.soak.evacuations import EVACUATIONS
 from lavendershift.platform.tests.soak.faults import FAULTS, PLANNED
 from lavendershift.platform.tests.soak.oddentries import ODD_ENTRIES
 from lavendershift.platform.tests.soak.schedules import run_phase
@@ -37,7 +38,7 @@
     starts = [time.monotonic()]
     time.sleep(0.5)
     beside = SILENCES | ODD_ENTRIES
-    run_phase(world, [PLANNED, beside], planned_s, gap_s=(0.3, 1.2))
+    run_phase(world, [PLANNED, beside, EVACUATIONS], planned_s, gap_s=(0.3, 1.2))
     time.sleep(0.5)
     starts.append(time.monotonic())
     beside |= LONG_SILENCES
--- a/lavendershift/platform/tests/soak/schedules.py
+++ b/lavendershift/platform/tests/soak/schedules.py
@@ -8,17 +8,21 @@
 
 
 def run_phase(world, kinds, length_s, gap_s):
-    """Run two schedules at once, one of each registry of kinds.
+    """Run two or three schedules at once, one of each registry of kinds.
 
-    They have a random generator each: another kind in the second registry leaves the
-    first schedule of all seeds as it is.
+    They have a random generator each: another kind in a later registry leaves the
+    earlier schedules of all seeds as they are.
     """
-    first, second = kinds
-    args = (world, world.rng_beside, second, length_s, BESIDE_GAP_S)
-    with ThreadPoolExecutor(1) as pool:
-        beside = pool.submit(run_schedule, *args)
+    first, *others = kinds
+    rngs = (world.rng_beside, world.rng_domains)
+    with ThreadPoolExecutor(len(rngs)) as pool:
+        beside = [
+            pool.submit(run_schedule, world, rng, other, length_s, BESIDE_GAP_S)
+            for rng, other in zip(rngs, others, strict=False)
+        ]
         run_schedule(world, world.rng, first, length_s, gap_s)
-        beside.result()
+        for running in beside:
+            running.result()
 
 
 def run_schedule(world, rng, kinds, length_s, gap_s):
--- a/lavendershift/platform/tests/soak/violations.py
+++ b/lavendershift/platform/tests/soak/violations.py
@@ -11,6 +11,7 @@
     is_time_over,
     was_silenced,
 )
+from lavendershift.platform.tests.soak.evacuations import check_evacuations
 from lavendershift.tests.limitbounds import STABLE_WINDOW_S, find_excess
 from lavendershift_standins.platformserver import make_event
 
@@ -53,6 +54,7 @@
     violations += check_endings(world, calls)
     violations += check_planned_phase(world, calls, runs, starts)
     violations += check_drains(world, calls, starts)
+    violations += check_evacuations(world, calls, starts)
     violations += check_departures(world, calls)
     violations += check_pauses(world, calls)
     violations += check_limits(world, calls)
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -12,6 +12,7 @@
 from lavendershift.platform import names
 from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.platform.tests.live_nodes import Platform
+from lavendershift.platform.tests.soak.evacuations import DOMAIN, is_evacuable
 from lavendershift.platform.tests.soak.faults import WHOLE_STREAM
 from lavendershift.platform.tests.soak.links import FaultyLink
 from lavendershift_standins.platformserver import (
@@ -42,6 +43,8 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.rng_beside = random.Random(f"{seed}/beside")
+        self.rng_domains = random.Random(f"{seed}/domains")
+        self.evacuations, self.evacuated_since = [], None
         self.violations = []
         self.drained = {}
         self.drains = []
@@ -151,7 +154,7 @@
         return {
             "service": "pool" if server in self.servers["pool"] else "ledger",
             "address": f"127.0.0.1:{self.server_links[server.name].port}",
-            "zone": "rennes",
+            "zone": DOMAIN if is_evacuable(self, server) else "rennes",
             "version": "v1",
             "slots": 8,
             "cold_remaining_ms": 0,
@@ -249,8 +252,10 @@
             self.limits.append(limited)
 
     def list_unusable(self, service):
-        """Return the servers of a service that drain, leave or have a limit."""
+        """Return a service's servers that drain, leave, are limited or evacuated."""
         unusable = {*self.drained, *self.leaving, *self.limiting}
+        if self.evacuated_since is not None:
+            unusable.add(self.servers[service][-1].name)
         return [s for s in self.servers[service] if s.name in unusable]
 
     def record_disturbance(self, node):
