Accept a null list of regions

A route or customer whose allowed_regions are null would be skipped with all of its requests; it has no homes. A failure domain without a region in the settings doesn't keep a process from starting. The test failed before with a skipped route.

--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -71,7 +71,7 @@
     max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
-    allowed_regions: list[str] = []
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -93,7 +93,7 @@
     api_keys: list[str] = []
     priority: Integer | None = None
     prepaid: Integer | None = None
-    allowed_regions: list[str] = []
+    allowed_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -225,7 +225,7 @@
         urgency=wire.priority,
         max_attempts=max(wire.max_attempts, 1),
         is_public=wire.public,
-        homes=frozenset(wire.allowed_regions),
+        homes=frozenset(wire.allowed_regions or ()),
     )
 
 
@@ -262,5 +262,5 @@
         frozenset(wire.api_keys),
         wire.prepaid,
         wire.priority,
-        frozenset(wire.allowed_regions),
+        frozenset(wire.allowed_regions or ()),
     )
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -110,7 +110,7 @@
     A domain is a name of its region, or a table that holds it.
     """
     regions = {
-        str(domain): str(value["region"] if isinstance(value, dict) else value)
+        str(domain): str(value.get("region", "") if isinstance(value, dict) else value)
         for domain, value in data.get("zones", {}).items()
     }
     return {str(data["zone"]): str(data["region"])} | regions
--- a/lavendershift/platform/tests/test_configuration.py
+++ b/lavendershift/platform/tests/test_configuration.py
@@ -1,3 +1,4 @@
+import json
 from datetime import timedelta
 
 import msgspec
@@ -66,3 +67,18 @@
 def test_a_malformed_configuration_is_rejected(value):
     with pytest.raises(DecodeError):
         decode_configuration(value)
+
+
+def test_a_route_without_homes_may_say_so():
+    """A route whose list of regions is null was skipped, and its callers got 404."""
+    config = json.loads(make_configuration())
+    config["routes"][0]["allowed_regions"] = None
+    config["routes"][1]["allowed_regions"] = ["nord"]
+    config["tenants"][0]["allowed_regions"] = ["nord", "sud"]
+    config["services"][0] |= {"cold_per_s": 9.3, "cold_start_s": 9}
+    table = decode_configuration(json.dumps(config).encode()).table
+    assert table.find_route("books.example", "/index/a").homes == frozenset()
+    assert table.find_route("books.example", "/record/a").homes == {"nord"}
+    assert table.customers["plume"].homes == {"nord", "sud"}
+    assert table.services["pool"].cold == (9.3, timedelta(seconds=9))
+    assert table.services["ledger"].cold.rate == 0
