Leave servers of other regions out of promised permits

A request with homes whose own servers were gone was refused for the limits of servers that it may not use, with the time of their next permit. test_coldservers has the case (find_permit_delay had no way to leave servers out).

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -439,8 +439,9 @@
         if block is not None:
             raise make_quarantine_error(block)
         service = self._service.name
+        outside = self._servers.list_outside(service, self._homes)
         raise make_refusal(
             end,
-            self._servers.find_permit_delay(service, self._urgency),
+            self._servers.find_permit_delay(service, self._urgency, outside),
             self._servers.find_retry_delay(service),
         )
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -12,7 +12,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from datetime import timedelta
 from functools import lru_cache
 from typing import NamedTuple
@@ -213,7 +213,9 @@
         """Return the requests/s that ``server`` takes, ``None`` without a limit."""
         return self.limits.find(server.incarnation)
 
-    def find_permit_delay(self, service: str, urgency: int) -> timedelta | None:
+    def find_permit_delay(
+        self, service: str, urgency: int, excluded: Container[str] = ()
+    ) -> timedelta | None:
         """Return the time after which a caller without a permit should return.
 
         ``None`` unless a server of the service could be used but for its limit. VMs
@@ -222,7 +224,7 @@
         waits = {}
         for server in self._list_available(service):
             wait = self.limits.find_wait(server.incarnation, urgency)
-            if wait:
+            if wait and server.entry.id not in excluded:
                 waits[server.incarnation] = wait
         if not waits:
             return None
--- a/lavendershift/tests/test_coldservers.py
+++ b/lavendershift/tests/test_coldservers.py
@@ -169,3 +169,12 @@
     gossip._apply(messages[0], ("10.0.0.8", 1))
     assert find_rate(others) == 3.0
     assert len(messages) == 1
+
+
+def test_permits_of_servers_in_other_regions_promise_nothing(clock):
+    """A caller was told to return to servers that its request may not use."""
+    servers = make_servers(clock)
+    servers.limits.note_response(("i-0", 1000), 1.0, None)
+    servers.limits.note_refusal(("i-0", 1000), 0, SECOND)
+    assert servers.find_permit_delay("index", 0) is not None
+    assert servers.find_permit_delay("index", 0, ["i-0"]) is None
