--- a/lavendershift/capacity/places.py
+++ b/lavendershift/capacity/places.py
@@ -159,11 +159,15 @@
     def _find_server(self) -> str | None:
         """Return the server with a free place where work is done first."""
         free = [
-            ((self._used.get(name, 0) + 1) * server.factor / server.places, name)
+            (self._find_use(name, server), self._rng.random(), name)
             for name, server in self._servers.items()
             if self._used.get(name, 0) < server.places
         ]
-        return min(free)[1] if free else None
+        return min(free)[2] if free else None
+
+    def _find_use(self, name: str, server: PlaceServer) -> float:
+        """Return the share of a server's places in use with one more, by its speed."""
+        return (self._used.get(name, 0) + 1) * server.factor / server.places
 
     def _grant(self, ticket: Ticket, now: timedelta) -> Decision:
         name = self._find_server()
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -35,6 +35,7 @@
     make_refusal,
 )
 from lavendershift.errors import RequestError
+from lavendershift.evacuation.homes import Homes
 from lavendershift.eventstreams import EventPosition, read_position
 from lavendershift.outgoingresponses import OutgoingResponse
 from lavendershift.preparations import AttemptOrder, Backends
@@ -88,6 +89,7 @@
         on_error: Callable[[BaseException], None],
         customer: str = "",
         urgency: int = 5,
+        homes: Homes | None = None,
     ) -> None:
         self.route = route
         self.position = EventPosition()
@@ -104,6 +106,7 @@
         self._on_error = on_error
         self._customer = customer
         self.urgency = urgency
+        self.homes = homes
         time = RequestTime(request.received, request.deadline, route.timeout)
         self._timer = RequestTimer(clock, time, lambda: self.response.has_started)
         self.selection = ServerSelection(
@@ -112,6 +115,7 @@
             request.prompt or NO_PROMPT,
             route.repeat,
             urgency,
+            homes,
         )
         self._server_error: ServerResponse | None = None
         self.guard = PromptGuard(
@@ -360,6 +364,9 @@
                 return AttemptEnd.REPLACED
             if not self._may_repeat() or not self._limits.may_send_again():
                 return AttemptEnd.REPLACED
+        domain = attempt.server.entry.failure_domain
+        if not self._servers.regions.allows(self.homes, domain):
+            return AttemptEnd.NOT_SENT  # the server has moved meanwhile
         self.selection.unsent.discard(attempt.server.entry.id)
         self._limits.note_send()
         return None
@@ -430,8 +437,9 @@
         if block is not None:
             raise make_quarantine_error(block)
         service = self._service.name
+        outside = self._servers.list_outside(service, self.homes)
         raise make_refusal(
             end,
-            self._servers.find_permit_delay(service, self.urgency),
+            self._servers.find_permit_delay(service, self.urgency, outside),
             self._servers.find_retry_delay(service),
         )
--- a/lavendershift/entryversions.py
+++ b/lavendershift/entryversions.py
@@ -20,6 +20,10 @@
         last = self._removed.get(entry.id, NO_VERSION)
         return (entry.born, entry.sequence) <= last
 
+    def is_same_start(self, entry: ServerEntry) -> bool:
+        """Whether an entry is of the incarnation that was removed."""
+        return self._removed.get(entry.id, NO_VERSION)[0] == entry.born
+
     def note_removed(self, entry: ServerEntry) -> None:
         """Record the last entry of a server that is removed."""
         self._disputed.pop(entry.id, None)
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -21,6 +21,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.delivery import Delivery
 from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.evacuation.homes import find_homes
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.preparations import Backends
 from lavendershift.quarantine import Parts, make_quarantine_error
@@ -185,7 +186,8 @@
     async def _take_place(self, delivery: Delivery, service: str) -> None:
         """Wait for a place at a server with few slots; raises ``RequestError``."""
         places = self._backends.places
-        if places is None:
+        # The keeper grants places in all regions.
+        if places is None or delivery.homes is not None:
             return
         target_at = delivery.request.received + delivery.route.target
         delivery.place = await places.take(
@@ -290,6 +292,7 @@
             report_error,
             customer.name if customer else "",
             urgency,
+            find_homes(route, customer),
         )
 
     def _choose_service(self, table: RoutingTable, route: Route) -> Service:
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -117,6 +117,8 @@
     "servers_by_speed": Instrument(
         "Backend servers that fail or are slow compared with their peers.", ("state",)
     ),
+    "domains_evacuated": Instrument("Failure domains whose servers get no requests."),
+    "servers_cold": Instrument("Backend servers that are limited as cold."),
 }
 
 HISTOGRAMS: dict[str, Instrument] = {
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -21,6 +21,8 @@
 from lavendershift.connections import ConnectionPool
 from lavendershift.crashcontrol import CrashControl
 from lavendershift.datagrams import Datagrams, Peer
+from lavendershift.evacuation.coldgossip import ColdGossip
+from lavendershift.evacuation.homes import Regions
 from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
@@ -71,7 +73,7 @@
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
-from lavendershift.vmlist import VmList, VmRow
+from lavendershift.vmlist import VmList, VmRow, find_listing_expiry
 from lavendershift.workingset import Activity, WorkingSet, estimate_capacity
 
 # Time for responses in the sockets' buffers to be sent, if there is that much.
@@ -120,7 +122,7 @@
             peer_address=f"{settings.ip}:{settings.peer_port}",
             capacity=estimate_capacity(settings.cores, settings.link_mbps),
         )
-        self._vms = VmList(clock, row)
+        self._vms = VmList(clock, row, find_listing_expiry(settings.stable_window))
         self._working_set = WorkingSet(clock, self._vms.list_serving)
         self._activity = Activity(clock, self._working_set, settings.name)
         self._servers = ServerList(clock, rng, settings.failure_domain)
@@ -145,6 +147,9 @@
         self._servers.speeds.on_change = self._note_speed
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
+        self._servers.evacuations.on_change = self._note_evacuation
+        self._servers.cold.bounds = settings.cold_bounds
+        ColdGossip(self._servers, self._datagrams, self._list_all_peers)
         self._crash_control = CrashControl(
             clock,
             rng,
@@ -243,15 +248,22 @@
         self._callers.on_connection_end = ConnectionReports(
             log, self._instruments, self._find_version
         ).report
-        self._directory_server = SyncHttpServer(
-            VmDirectory(self._vms, self._working_set, settings.resolve_ttl).handle
+        self._directory = VmDirectory(
+            self._vms, self._working_set, settings.resolve_ttl
         )
+        self._directory.regions = self._servers.regions = Regions(settings.regions)
+        self._directory_server = SyncHttpServer(self._directory.handle)
         self._readiness_server = SyncHttpServer(self._handle_readiness)
         self._metrics_server = SyncHttpServer(self._handle_metrics, METRICS_TYPE)
         pause_reports = PauseReports(clock, log, self._instruments)
         self._pauses = PauseMeter(clock, read_processor_time, pause_reports.report)
         self._configuration = ConfigurationFeed(
-            clock, self._store, log, self._accept_table, settings.stable_window
+            clock,
+            self._store,
+            log,
+            self._accept_table,
+            settings.stable_window,
+            self._servers.evacuations,
         )
         self._server_feed = ServerFeed(
             clock,
@@ -415,6 +427,7 @@
         self._gateway.set_retry_bounds(
             RetryBounds(settings.retry_share, settings.retry_slack)
         )
+        self._servers.cold.bounds = settings.cold_bounds
         self._log.write(Event.SETTINGS_RELOADED)
 
     def _handle_readiness(self, request: HTTPServerRequest) -> tuple[int, bytes]:
@@ -437,6 +450,9 @@
         states = Counter(server.speed_state for server in self._servers.list_servers())
         for state in STATES:
             instruments.set_gauge("servers_by_speed", states[state], state)
+        evacuated = self._servers.evacuations.count()
+        instruments.set_gauge("domains_evacuated", evacuated)
+        instruments.set_gauge("servers_cold", self._servers.cold.count())
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
         instruments.set_gauge("vms", self._vms.count())
@@ -467,7 +483,10 @@
         }
 
     def _accept_table(self, table: RoutingTable) -> None:
-        self._gateway.table = table
+        self._gateway.table = self._directory.table = table
+        self._servers.cold.services = {
+            name: service.cold for name, service in table.services.items()
+        }
         self._draws.mark_totals_known()
         self._callers.update_limits(table.limits)
 
@@ -498,6 +517,10 @@
         if is_own:
             self._fact_gossip.announce(self._limit_facts, {incarnation: state})
 
+    def _note_evacuation(self, failure_domain: str, begins: bool) -> None:
+        result = "begun" if begins else "ended"
+        self._log.write(Event.DOMAIN_EVACUATED, name=failure_domain, result=result)
+
     def _note_silence(self, entry: ServerEntry, is_silent: bool) -> None:
         """Report that a server fell silent or was heard again."""
         change = "silent" if is_silent else "heard"
--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -13,6 +13,7 @@
 
 from lavendershift.decoding import (
     MAX_DEPTH,
+    MAX_RATE,
     Count,
     Integer,
     decode_json,
@@ -21,6 +22,7 @@
     run_decoder,
 )
 from lavendershift.errors import DecodeError
+from lavendershift.evacuation.coldservers import ColdService
 from lavendershift.routes import (
     CallerLimits,
     Customer,
@@ -69,6 +71,7 @@
     max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -80,6 +83,8 @@
 class _Service(msgspec.Struct):
     name: str
     max_conns: Integer = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
 
@@ -88,6 +93,7 @@
     api_keys: list[str] = []
     priority: Integer | None = None
     prepaid: Integer | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -219,6 +225,7 @@
         urgency=wire.priority,
         max_attempts=max(wire.max_attempts, 1),
         is_public=wire.public,
+        homes=frozenset(wire.allowed_regions or ()),
     )
 
 
@@ -233,8 +240,11 @@
 
 def _make_service(wire: _Service) -> Service:
     engine = wire.engine
+    cold = ColdService(
+        min(max(wire.cold_per_s, 0.0), MAX_RATE), make_duration(wire.cold_start_s)
+    )
     if engine is None:
-        return Service(wire.name, max_connections=wire.max_conns)
+        return Service(wire.name, max_connections=wire.max_conns, cold=cold)
     return Service(
         wire.name,
         is_engine=True,
@@ -242,8 +252,15 @@
         max_connections=wire.max_conns,
         tokens_per_event=max(engine.stride, 1),
         cache_tokens=engine.kv_capacity_tokens,
+        cold=cold,
     )
 
 
 def _make_customer(wire: _Tenant) -> Customer:
-    return Customer(wire.name, frozenset(wire.api_keys), wire.prepaid, wire.priority)
+    return Customer(
+        wire.name,
+        frozenset(wire.api_keys),
+        wire.prepaid,
+        wire.priority,
+        frozenset(wire.allowed_regions or ()),
+    )
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -1,12 +1,14 @@
 """Decoding of the settings file that the platform provides to a process."""
 
 import tomllib
+from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from lavendershift.decoding import run_decoder
 from lavendershift.errors import DecodeError
+from lavendershift.evacuation.coldservers import ColdBounds
 from lavendershift.platform.names import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 
 
@@ -36,6 +38,9 @@
     partitions: int
     cores: float  # share of a standard core that the process gets
     link_mbps: float  # bandwidth of the VM's link, in each direction
+    # Requests/s to cold servers, ``None`` if these have no limit.
+    cold_bounds: ColdBounds | None = None
+    regions: Mapping[str, str] = {}  # region of each failure domain
 
 
 class SettingsError(Exception):
@@ -88,4 +93,24 @@
         partitions=int(store.get("parts", 1)),
         cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1000)),
+        cold_bounds=_decode_cold_bounds(bounds),
+        regions=_decode_regions(data),
     )
+
+
+def _decode_cold_bounds(bounds: dict[str, Any]) -> ColdBounds | None:
+    if "cold_overage" not in bounds or "cold_slack" not in bounds:
+        return None
+    return ColdBounds(float(bounds["cold_overage"]), float(bounds["cold_slack"]))
+
+
+def _decode_regions(data: dict[str, Any]) -> dict[str, str]:
+    """Return the region of each failure domain, that of the own VM included.
+
+    A domain is a name of its region, or a table that holds it.
+    """
+    regions = {
+        str(domain): str(value.get("region", "") if isinstance(value, dict) else value)
+        for domain, value in data.get("zones", {}).items()
+    }
+    return {str(data["zone"]): str(data["region"])} | regions
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -102,14 +102,16 @@
         try:
             connection = await self._open_connection()
         except ConnectError as error:
-            self._servers.note_unreachable(self._server)
+            self._servers.note_unreachable(self._server, error.was_refused)
             raise UnsentError(AttemptEnd.NOT_SENT, str(error)) from None
         try:
             if not was_limited:
                 await self._take_permit()
             self._check_quarantine()
             if not self._servers.is_usable(self._server):
-                raise UnsentError(AttemptEnd.NOT_SENT, "it left meanwhile")
+                is_evacuated = self._servers.is_evacuated(self._server)
+                reason = "evacuated meanwhile" if is_evacuated else "it left meanwhile"
+                raise UnsentError(AttemptEnd.NOT_SENT, reason)
             refusal = self._find_refusal()
             if refusal is not None:
                 raise UnsentError(refusal, "")
--- a/lavendershift/serverlist.py
+++ b/lavendershift/serverlist.py
@@ -1,11 +1,10 @@
-"""Registered backend servers, and the selection of one for each request.
+"""Selection of a backend server for each request.
 
-An entry describes one incarnation of a server. Entries are ordered by the start of
-the incarnation and by their sequence number, so that an older entry that arrives late
-is ignored. A draining server gets no new request from the moment its entry or one of
-its responses announces it. Every condition that excludes a server is checked when the
-server is selected and again just before the request is sent, so that none of them
-takes effect only at the next reading of the entries::
+A draining server gets no new request from the moment its entry or one of its responses
+announces it, nor does a server of an evacuated failure domain. Every condition that
+excludes a server is checked when the server is selected and again just before the
+request is sent, so that none of them takes effect only at the next reading of the
+entries::
 
     servers = ServerList(clock, rng)
     servers.update(entry)
@@ -13,17 +12,18 @@
 """
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from datetime import timedelta
 
 from lavendershift.clocks import Clock
-from lavendershift.entryversions import EntryVersions
+from lavendershift.evacuation.evacuations import EVACUATION_RETRY, Evacuations
 from lavendershift.expiries import needs_missing
 from lavendershift.servercosts import (
     choose_for_prompt,
     estimate_plain_cost,
 )
 from lavendershift.serverlimits import MIN_RATE, ServerLimits
+from lavendershift.serverregistry import ServerRegistry
 from lavendershift.serversignals import ServerSignal, ServerSignals
 from lavendershift.serverspeeds import Assignment, ServerSpeeds
 from lavendershift.serverstates import (
@@ -31,8 +31,6 @@
     ListedServer,
     PromptShape,
     ServerEntry,
-    ServerKnowledge,
-    ServerLoad,
 )
 from lavendershift.serviceoutliers import ServiceOutliers
 
@@ -40,7 +38,7 @@
 RETRY_SPREAD = 0.25  # largest random addition to a retry delay, as a share of it
 
 
-class ServerList:
+class ServerList(ServerRegistry):
     """The servers of all services that this VM knows.
 
     ``on_leaving`` is called with the entry of a server whose response announces that
@@ -52,16 +50,16 @@
     """
 
     def __init__(self, clock: Clock, rng: random.Random, domain: str = "") -> None:
-        self._clock = clock
+        super().__init__(clock)
         self._rng = rng
         self._domain = domain
-        self._servers: dict[str, ListedServer] = {}
         self._outliers = ServiceOutliers(rng)
         self.speeds = ServerSpeeds(clock)
-        self._versions = EntryVersions()
-        self._entries_read_at: timedelta | None = None
         self._signals = ServerSignals(clock)
         self.limits = ServerLimits(clock)
+        self.limits.find_cold = self.cold.find_rate
+        self.evacuations = Evacuations()
+        self.evacuations.on_end = self._presume_cold
         self.count_vms: Callable[[], int] = lambda: 1
         self.on_invalid_limit: Callable[[ServerEntry], None] = lambda entry: None
         self.on_leaving: Callable[[ServerEntry], None] = lambda entry: None
@@ -70,89 +68,6 @@
             lambda server, parts: None
         )
 
-    def __len__(self) -> int:
-        return len(self._servers)
-
-    def list_entries(self) -> list[ServerEntry]:
-        """Return the entries of all servers."""
-        return [server.entry for server in self._servers.values()]
-
-    def list_servers(self) -> list[ListedServer]:
-        """Return all servers."""
-        return list(self._servers.values())
-
-    def note_reading(self) -> None:
-        """Record that the entries were read just now."""
-        self._entries_read_at = self._clock.elapsed()
-
-    def get_knowledge(self, server: ListedServer) -> ServerKnowledge:
-        """Return how recent this VM's information about ``server`` is."""
-        if self._entries_read_at is None:
-            return ServerKnowledge(None, server.is_missing)
-        return ServerKnowledge(
-            self._clock.elapsed() - self._entries_read_at, server.is_missing
-        )
-
-    def update(self, entry: ServerEntry) -> bool:
-        """Apply an entry; return false if it is outdated or conflicting.
-
-        A removed server is listed again only by a newer entry, as its last one may
-        be delivered late.
-        """
-        known = self._servers.get(entry.id)
-        if known is None:
-            if self._versions.is_removed(entry):
-                return False
-            self._servers[entry.id] = ListedServer(entry, self._clock)
-            self._update_outliers(entry.service)
-            return True
-        old = known.entry
-        if (entry.born, entry.sequence) < (old.born, old.sequence):
-            return False
-        if old.born == entry.born != 0 and self._versions.is_conflicting(old, entry):
-            return False
-        if entry.born != old.born or entry.address != old.address:
-            # Requests in flight at the previous incarnation keep its own record.
-            self._servers[entry.id] = ListedServer(entry, self._clock)
-            self._outliers.reset(entry)
-        else:
-            known.entry = entry
-            known.capacity.set_slots(entry.slots)
-        if old.service != entry.service:
-            self._update_outliers(old.service)
-            self._update_outliers(entry.service)
-        return True
-
-    def mark_missing(self, server_id: str, until: timedelta) -> None:
-        """Mark a server's entry as missing, the server as usable before ``until``.
-
-        A later outage doesn't extend this time while the entry is still missing.
-        """
-        server = self._servers[server_id]
-        if server.usable_until is None:
-            server.usable_until = until
-
-    def mark_present(self, server_id: str) -> bool:
-        """Mark a server's entry as present; return whether it was missing."""
-        server = self._servers.get(server_id)
-        was_missing = server is not None and server.is_missing
-        if server is not None:
-            server.usable_until = None
-        return was_missing
-
-    def remove(self, server_id: str) -> ServerEntry | None:
-        """Remove a server and return its last entry."""
-        server = self._servers.pop(server_id, None)
-        if server is None:
-            return None
-        self._versions.note_removed(server.entry)
-        self._update_outliers(server.entry.service)
-        return server.entry
-
-    def find(self, server_id: str) -> ListedServer | None:
-        """Return a server by its id."""
-        return self._servers.get(server_id)
-
     def choose(
         self,
         service: str,
@@ -179,6 +94,9 @@
             if server.entry.id not in tried
             and not self.limits.find_wait(server.incarnation, urgency)
         ]
+        if any(self._was_refused(name, urgency) for name in tried):
+            # Each further limited server costs the request a round trip to a keeper.
+            usable = [s for s in usable if self.find_limit(s) is None] or usable
         if not usable:
             return None
         healthy = [server for server in usable if not self.is_avoided(server)]
@@ -192,6 +110,12 @@
             key=lambda s: (estimate_plain_cost(s, now), self._rng.random()),
         )
 
+    def _was_refused(self, server_id: str, urgency: int) -> bool:
+        server = self._servers.get(server_id)
+        if server is None:
+            return False
+        return bool(self.limits.find_wait(server.incarnation, urgency))
+
     def list_available(self, service: str) -> list[ListedServer]:
         """Return the servers of a service that can be sent requests.
 
@@ -209,13 +133,26 @@
         """Whether a server that was selected earlier may still be sent a request."""
         return self._is_current(server) and self._accepts(server)
 
+    def is_evacuated(self, server: ListedServer) -> bool:
+        """Whether a server is in a failure domain under evacuation."""
+        return self.evacuations.includes(server.entry.failure_domain)
+
+    def _presume_cold(self, failure_domain: str) -> None:
+        """Presume servers cold whose evacuation ended, as they may have restarted."""
+        for server in self._servers.values():
+            if server.entry.failure_domain == failure_domain:
+                self.cold.presume(server.entry, is_certain=False)
+
     def is_leaving(self, server: ListedServer) -> bool:
         """Whether a server's entry or one of its responses announced that it drains."""
         return server.entry.is_leaving or self._signals.is_leaving(server.incarnation)
 
     def _accepts(self, server: ListedServer) -> bool:
-        """Whether a server is neither draining nor paused nor missing for too long."""
-        if self.is_leaving(server):
+        """Whether a server may be sent requests.
+
+        It may not if it is draining, evacuated, paused or missing for too long.
+        """
+        if self.is_leaving(server) or self.is_evacuated(server):
             return False
         if self._signals.find_pause(server.incarnation):
             return False
@@ -243,7 +180,9 @@
         """Return the requests/s that ``server`` takes, ``None`` without a limit."""
         return self.limits.find(server.incarnation)
 
-    def find_permit_delay(self, service: str, urgency: int) -> timedelta | None:
+    def find_permit_delay(
+        self, service: str, urgency: int, excluded: Container[str] = ()
+    ) -> timedelta | None:
         """Return the time after which a caller without a permit should return.
 
         ``None`` unless a server of the service could be used but for its limit. VMs
@@ -252,7 +191,7 @@
         waits = {}
         for server in self.list_available(service):
             wait = self.limits.find_wait(server.incarnation, urgency)
-            if wait:
+            if wait and server.entry.id not in excluded:
                 waits[server.incarnation] = wait
         if not waits:
             return None
@@ -261,13 +200,15 @@
         return self.limits.schedule_return(service, min(waits.values()), part)
 
     def find_retry_delay(self, service: str) -> timedelta | None:
-        """Return the time until the first pause of a service's servers ends.
+        """Return the time until a service's first server may take requests again.
 
-        ``None`` unless all servers that don't drain asked for a pause. A random
-        addition spreads the retries of callers over time.
+        ``None`` unless all servers that don't drain asked for a pause or are evacuated.
+        A random addition spreads the retries of callers over time.
         """
         pauses = [
-            self._signals.find_pause(server.incarnation)
+            EVACUATION_RETRY
+            if self.is_evacuated(server)
+            else self._signals.find_pause(server.incarnation)
             for server in self._servers.values()
             if server.entry.service == service and not self.is_leaving(server)
         ]
@@ -306,28 +247,6 @@
         assignment.server.in_flight -= 1
         self.on_load_change(assignment.server.entry.id, ())
 
-    def measure_own_load(self, server_id: str) -> ServerLoad:
-        """Return this VM's load on a server."""
-        server = self._servers.get(server_id)
-        if server is None:
-            return ServerLoad(0, 0)
-        return ServerLoad(server.in_flight, server.unread_tokens)
-
-    def list_in_use(self) -> list[str]:
-        """Return the ids of the servers at which this VM has requests in flight."""
-        return [name for name, s in self._servers.items() if s.in_flight]
-
-    def record_peer_load(
-        self, vm: str, server_id: str, load: ServerLoad, parts: Sequence[str]
-    ) -> None:
-        """Record another VM's load on a server, and the prompt parts it sent there."""
-        server = self._servers.get(server_id)
-        if server is None:
-            return
-        server.record_peer_load(vm, load, self._clock.elapsed())
-        if parts:
-            server.cache.note_used(parts)
-
     def record_latency(self, assignment: Assignment) -> None:
         """Record the time to a first event or a response; may eject an outlier."""
         now = self._clock.elapsed()
@@ -381,8 +300,12 @@
             if server.entry.service == service and server.silence.is_presumed(now)
         ]
 
-    def note_unreachable(self, server: ListedServer) -> None:
-        """Record a failed connection attempt, and back off from the server."""
+    def note_unreachable(self, server: ListedServer, is_refused: bool = False) -> None:
+        """Record a failed connection attempt, and back off from the server.
+
+        It may restart. ``is_refused`` is set if its machine refused the connection.
+        """
+        self.cold.presume(server.entry, is_certain=is_refused)
         server.avoided_until = self._clock.elapsed() + server.connect_backoff
         server.connect_backoff = min(server.connect_backoff * 2, MAX_CONNECT_BACKOFF)
 
@@ -390,7 +313,10 @@
         """Whether a server is listed, and no previous incarnation."""
         return self._servers.get(server.entry.id) is server
 
-    def _update_outliers(self, service: str) -> None:
+    def _note_replaced(self, entry: ServerEntry) -> None:
+        self._outliers.reset(entry)
+
+    def _note_members(self, service: str) -> None:
         self._outliers.update_servers(
             service,
             {s.entry.id for s in self._servers.values() if s.entry.service == service},
--- a/lavendershift/serverplaces.py
+++ b/lavendershift/serverplaces.py
@@ -154,7 +154,7 @@
 
         Raises ``RequestError`` if the request can't finish in its time.
         """
-        if not self._has_few_slots(service):
+        if not self._needs_places(service):
             return NO_PLACE
         keeper = self._find_keeper(f"places/{service}")
         now = self._clock.elapsed()
@@ -229,9 +229,18 @@
 
         return release
 
-    def _has_few_slots(self, service: str) -> bool:
+    def _needs_places(self, service: str) -> bool:
+        """Whether all servers of a service have few slots, and none has a limit.
+
+        Permits bound what a limited or cold server gets. A keeper that granted places
+        at the others only would leave it without requests.
+        """
         servers = self._servers.list_available(service)
-        return bool(servers) and all(s.entry.slots <= MAX_FEW_SLOTS for s in servers)
+        return bool(servers) and all(
+            server.entry.slots <= MAX_FEW_SLOTS
+            and self._servers.find_limit(server) is None
+            for server in servers
+        )
 
     def _find_queue(self, service: str) -> PlaceQueue:
         """Return the queue of a service, with the servers that are usable now."""
@@ -241,10 +250,7 @@
         servers = self._servers.list_available(service)
         self._servers.speeds.refresh(service, servers, self._clock.elapsed())
         preferred = [
-            server
-            for server in servers
-            if not self._servers.is_avoided(server)
-            and self._servers.find_limit(server) is None
+            server for server in servers if not self._servers.is_avoided(server)
         ]
         queue.set_servers(
             {
--- a/lavendershift/serverselections.py
+++ b/lavendershift/serverselections.py
@@ -1,5 +1,6 @@
 """The servers that a request was sent to, and the choice of the next one."""
 
+from lavendershift.evacuation.homes import Homes
 from lavendershift.routes import Repeat
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ListedServer, PromptShape
@@ -8,7 +9,8 @@
 class ServerSelection:
     """Chooses servers for the attempts at one request.
 
-    ``placed`` is the server at which the request has a place, ``None`` without one.
+    ``homes`` are the regions that may serve the request, ``None`` for all. ``placed``
+    is the server at which the request has a place, ``None`` without one.
     Servers that are ``tried`` are not chosen again; the request was not sent to those
     that are ``unsent``.
     """
@@ -20,6 +22,7 @@
         prompt: PromptShape,
         repeat: Repeat,
         urgency: int,
+        homes: Homes | None = None,
     ) -> None:
         self.placed: str | None = None
         self.tried: set[str] = set()
@@ -29,6 +32,7 @@
         self._prompt = prompt
         self._repeat = repeat
         self._urgency = urgency
+        self._homes = homes
 
     def choose(self) -> ListedServer | None:
         """Return a server that was not tried, or ``None`` if there is none.
@@ -40,12 +44,13 @@
         if placed is not None:
             return placed
         choose, service = self._servers.choose, self._service
+        excluded = self.tried.union(self._servers.list_outside(service, self._homes))
         if self._repeat is Repeat.NEVER:
-            heard = self.tried.union(self._servers.list_silent(service))
+            heard = excluded.union(self._servers.list_silent(service))
             server = choose(service, self._prompt, heard, self._urgency)
             if server is not None:
                 return server
-        return choose(service, self._prompt, self.tried, self._urgency)
+        return choose(service, self._prompt, excluded, self._urgency)
 
     def _find_placed(self) -> ListedServer | None:
         """Return the server of the request's place, if it may still be used.
@@ -57,4 +62,6 @@
         server = self._servers.find(self.placed)
         if server is None or not self._servers.is_usable(server):
             return None
+        if not self._servers.regions.allows(self._homes, server.entry.failure_domain):
+            return None
         return None if self._servers.is_avoided(server) else server
