--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -69,7 +69,7 @@
 from lavendershift.stops import plan_stop
 from lavendershift.supervision import LoopSupervisor
 from lavendershift.tokendraws import TokenDraws
-from lavendershift.tokenloans import Lender, TokenLoans
+from lavendershift.tokenloans import MAX_STANDBY_LENDERS, Lender, TokenLoans
 from lavendershift.tokenstocks import TokenStocks
 from lavendershift.vmlist import VmList, VmRow
 from lavendershift.workingset import Activity, WorkingSet, estimate_capacity
@@ -568,17 +568,24 @@
     def _find_lenders(self, customer: str) -> list[Lender]:
         """Return the other VMs to borrow a customer's tokens from, the best first.
 
-        In a large fleet, the VM that comes first draws tokens for the others.
+        In a large fleet, the VM that comes first draws tokens for the others. Without
+        contact with the store, standby VMs that may reach it come last.
         """
-        rows = self._vms.rank_lenders(customer, self._working_set.list_names())
+        active = self._working_set.list_names()
+        rows = self._vms.rank_lenders(customer, active)
         names = [row.name for row in rows if row.name != self._vms.own.name]
         if self._working_set.count() < LARGE_FLEET:
             names = self._stocks.rank_holders(customer, names)
-        return [
+        lenders = [
             Lender(peer, self._stocks.find_stock(name, customer))
             for name in names
             for peer in self._vms.list_peers([name])
         ]
+        if not self._draws.is_store_reachable:
+            standby = [r.name for r in self._vms.rank_standby(customer, active)]
+            peers = self._vms.list_peers(standby[:MAX_STANDBY_LENDERS])
+            lenders += [Lender(peer, is_standby=True) for peer in peers]
+        return lenders
 
     def _find_rank(self, customer: str) -> int:
         """Return this VM's rank among the active VMs by a customer's demand."""
--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -223,10 +223,10 @@
         self.tokens += tokens
 
 
-def borrow_from(stocks, announced, tokens):
+def borrow_from(stocks, announced, tokens, standby=""):
     async def work():
         wire, credited = LenderDatagrams(dict(stocks)), CreditedTokens()
-        lenders = [Lender(peer, announced.get(peer)) for peer in stocks]
+        lenders = [Lender(p, announced.get(p), p in standby) for p in stocks]
         loans = TokenLoans("vm-1/1", credited, wire, lambda customer: lenders)
         borrowed = await loans.borrow(TokenRequest("plume", tokens), tokens)
         assert borrowed == credited.tokens
--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -193,3 +193,13 @@
     assert list_serving(vms) == ["own"]
     assert vms.update(make_row("a", renewal=1)._replace(incarnation="b"))
     assert list_serving(vms) == ["a", "own"]
+
+
+def test_standby_vms_that_may_lend_are_not_active_and_not_leaving():
+    """In an outage of its own, a VM asked only active VMs, which had nothing left."""
+    vms = make_list(ManualClock(), "a", "b", "c")
+    for name in "abc":
+        vms.update(
+            make_row(name, 2, is_leaving=name == "c")._replace(peer_address=f"{name}:9")
+        )
+    assert [row.name for row in vms.rank_standby("plume", ["a"])] == ["b"]
--- a/lavendershift/tokenwaits.py
+++ b/lavendershift/tokenwaits.py
@@ -33,6 +33,10 @@
 LOAN_DRAW_TIMEOUT = timedelta(milliseconds=100)  # timeout of a draw that serves a loan
 # Time of a VM's own demand that the tokens not lent to others cover.
 RETAINED_TIME = timedelta(milliseconds=500)
+# The same during a store outage: longer than ``OUTAGE_EARLY_TIME``, so that two VMs
+# with demand don't lend the same tokens to each other in turn.
+OUTAGE_RETAINED_TIME = timedelta(seconds=1)
+OUTAGE_EARLY_TIME = timedelta(milliseconds=500)
 # Time of a VM's demand that a loan covers during a store outage.
 OUTAGE_LOAN_TIME = timedelta(seconds=2)
 # Time of a VM's demand below which its free tokens are replenished at once: a few times
@@ -163,14 +167,15 @@
     def _replenish(self, customer: str, now: timedelta) -> None:
         """Draw, or borrow without the store, before requests have to wait."""
         account = self._find_account(customer)
-        rate = account.find_rate(now)
-        if account.free >= rate * EARLY_TIME.total_seconds():
+        is_reachable = self._source.is_store_reachable
+        early = EARLY_TIME if is_reachable else OUTAGE_EARLY_TIME
+        if account.free >= account.find_rate(now) * early.total_seconds():
             return
         last = self._early_at.get(customer)
         if last is not None and now - last < EARLY_INTERVAL:
             return
         self._early_at[customer] = now
-        if not self._source.is_store_reachable:
+        if not is_reachable:
             self._start_loan(TokenRequest(customer, account.free + 1, is_urgent=False))
         elif plan_draw(self._plans.make_view(customer, now)) > 0:
             self._source.start_rebalancing(customer)
@@ -253,6 +258,8 @@
         if free >= tokens:
             is_queued = not self._pending.can_take(request, free)
             return WaitResult.QUEUED if is_queued else WaitResult.LEASE_BOUND
+        if self._source.has_conflicts(customer):
+            return WaitResult.CONFLICT
         if self._source.find_rebalancing(customer) or (loan and not loan.done()):
             return WaitResult.IN_FLIGHT
         if not self._source.is_store_reachable:
@@ -267,8 +274,6 @@
             records = self._plans.find_records(customer)
             is_old = records.is_older_than(MAX_AGE_TO_REFUSE)
             return WaitResult.OUTDATED if is_old else WaitResult.EXHAUSTED
-        if self._source.has_conflicts(customer):
-            return WaitResult.CONFLICT
         return WaitResult.QUEUED
 
     async def lend(self, request: TokenRequest, most: int) -> int:
@@ -297,8 +302,14 @@
         return request.tokens + self._lend_free(request.customer, extra)
 
     def _count_lendable(self, customer: str) -> int:
+        """Return the free tokens beyond those for this VM's imminent demand."""
         account = self._find_account(customer)
-        return count_lendable(account, self._clock.elapsed(), self._clock.since_boot())
+        is_reachable = self._source.is_store_reachable
+        retained_s = (
+            RETAINED_TIME if is_reachable else OUTAGE_RETAINED_TIME
+        ).total_seconds()
+        retained = int(account.find_rate(self._clock.elapsed()) * retained_s)
+        return max(account.count_spendable(self._clock.since_boot()) - retained, 0)
 
     def _lend_free(self, customer: str, most: int) -> int:
         """Debit up to ``most`` of the tokens that can be lent; return how many."""
@@ -307,11 +318,3 @@
             return 0
         account = self._find_account(customer)
         return tokens if account.lend(tokens, self._clock.since_boot()) else 0
-
-
-def count_lendable(
-    account: PrepaidAccount, now: timedelta, since_boot: timedelta
-) -> int:
-    """Return the tokens that can be lent, beyond those for a VM's imminent demand."""
-    retained = int(account.find_rate(now) * RETAINED_TIME.total_seconds())
-    return max(account.count_spendable(since_boot) - retained, 0)
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -10,7 +10,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -184,6 +184,20 @@
         by_name = {row.name: row for row in [*rows, self.own]}
         return [by_name[name] for name in rank_by_hash(list(by_name), customer)]
 
+    def rank_standby(self, customer: str, active: Container[str]) -> list[VmRow]:
+        """Return the VMs besides the ``active`` ones to borrow from, the best first.
+
+        They send no datagrams by themselves, so that nothing is known of their store.
+        """
+        rows = {
+            known.row.name: known.row
+            for known in self._known.values()
+            if known.row.name not in active
+            and not known.row.is_leaving
+            and self._is_reachable(known.row.name)
+        }
+        return [rows[name] for name in rank_by_hash(list(rows), customer)]
+
     def choose_keeper(self, key: str, candidates: Iterable[Sequence[str]]) -> str:
         """Return the name of the VM that keeps a server's permits or another fact.
 
