Tell refused callers when the next draw or return is expected

The retry delay for conflicting draws was 200 ms on every VM. It follows from the measured duration of draws now: 50 ms on a VM with fast calls, 600 ms where a draw takes 300 ms. When the total is granted, the delay is at least the mean time to the next round of a VM that may return tokens.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -259,6 +259,8 @@
             ),
             self._draws.is_store_responsive,
             self.estimate_peer_tokens(token_request.customer),
+            self._draws.draw_time,
+            self._draws.estimate_return_time(),
         )
         detail = (
             f"need {token_request.tokens} free {shortage.free} left {shortage.left} "
--- a/lavendershift/tests/test_tokenshortages.py
+++ b/lavendershift/tests/test_tokenshortages.py
@@ -126,3 +126,22 @@
     target = timedelta(milliseconds=400)
     assert find_wait(target) <= target / 8
     assert timedelta() < find_wait(timedelta()) < timedelta(seconds=1)
+
+
+def test_a_retry_comes_when_the_next_draw_or_return_is_expected():
+    """On a slow VM, draws took longer than the delay told to refused callers."""
+    rng = random.Random(1)
+    conflict = TokenShortage(1000, 0, 50_000, is_store_reachable=True)
+    for draw_ms, least_ms, most_ms in [
+        (8, 50, 80),
+        (300, 600, 960),
+        (9000, 3000, 4800),
+    ]:
+        draw_time = timedelta(milliseconds=draw_ms)
+        delay = choose_retry_delay(conflict._replace(draw_time=draw_time), rng)
+        assert timedelta(milliseconds=least_ms) <= delay
+        assert delay <= timedelta(milliseconds=most_ms)
+    granted = TokenShortage(1000, 0, 0, is_store_reachable=True)
+    late = granted._replace(return_time=timedelta(seconds=2.5))
+    assert choose_retry_delay(late, rng) >= timedelta(seconds=2.5)
+    assert choose_retry_delay(late, rng) <= MAX_RETRY_DELAY
--- a/lavendershift/tests/test_tokenwaits.py
+++ b/lavendershift/tests/test_tokenwaits.py
@@ -214,3 +214,15 @@
     borrowed, asked = borrow_from(stocks, announced, 900, standby="bcd")
     assert (borrowed, asked) == (900, [("b", 900)])
     assert borrow_from(stocks, {"a": 0}, 900, standby="cd")[1] == [("b", 900)]
+
+
+def test_the_duration_of_draws_is_measured():
+    async def work():
+        quota_log = MemoryQuotaLog()
+        draws = make_draws(quota_log, SystemClock())
+        await draws.run_round()
+        quota_log.delay_s = 0.1
+        await draws.wait_for(TokenRequest("plume", 90_000), LONG)
+        return draws.draw_time
+
+    assert SHORT < asyncio.run(work()) < LONG
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -39,6 +39,7 @@
 # Time between two rounds during a store outage, on VMs that draw ahead and on others.
 OUTAGE_RETRY_INTERVAL = timedelta(milliseconds=400)
 STANDBY_RETRY_INTERVAL = timedelta(seconds=1)
+DRAW_TIME_WEIGHT = 0.3  # weight of the newest draw in the mean duration
 MAX_CONFLICTS = 6  # lost races for the quota records, after which a round ends
 
 
@@ -66,7 +67,7 @@
     decoded and the reason; nothing is drawn or returned for that customer.
     ``has_synced`` is set once a full round has succeeded: from then on
     requests that wait for tokens can get them. ``mark_totals_known`` lets the rounds
-    begin.
+    begin. ``draw_time`` is the mean duration of recent draws for waiting requests.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self._rebalancing: dict[int, asyncio.Task[bool]] = {}
         self._locks = [asyncio.Lock() for _ in logs]
         self._conflicts: set[int] = set()
+        self.draw_time: timedelta | None = None
         self._wake = asyncio.Event()
         self._totals_known = asyncio.Event()
 
@@ -160,6 +162,10 @@
         """Return the tokens of the total that are not granted to any VM."""
         return self.plans.count_left(customer)
 
+    def estimate_return_time(self) -> timedelta:
+        """Return the mean time until the next round of a VM that may return tokens."""
+        return find_round_interval(self._fleet.vms()) / 2
+
     def return_all(self) -> None:
         """Return all free tokens from the next round on; this VM is leaving."""
         self.plans.returns_all = True
@@ -311,6 +317,7 @@
 
         Returns false if the store failed or refused a call.
         """
+        started = self._clock.elapsed()
         try:
             await self._rebalance(partition, is_urgent=True)
             if self.plans.is_bound_by_lease(partition):
@@ -318,6 +325,9 @@
                     await self._write_snapshot()
         except LogUnavailableError:  # recorded by StoreWatch
             return False
+        duration = self._clock.elapsed() - started
+        last = duration if self.draw_time is None else self.draw_time
+        self.draw_time = last + (duration - last) * DRAW_TIME_WEIGHT
         return True
 
     async def _rebalance(self, partition: int, is_urgent: bool = False) -> None:
--- a/lavendershift/tokenshortages.py
+++ b/lavendershift/tokenshortages.py
@@ -33,8 +33,13 @@
 # in flight. A refused caller often returns to the same VM, which costs more than that.
 LONGEST_WAIT_DIVISOR = 2
 OTHER_VM_DELAY = timedelta(milliseconds=50)  # time to connect to another VM
-# Retry delay until conflicting draws are done.
+# Retry delay until conflicting draws are done, if nothing is known of their duration.
 DRAW_CONFLICT_DELAY = timedelta(milliseconds=200)
+# Draws until a refused request gets its tokens: the one in flight and the next.
+DRAWS_TO_WAIT_FOR = 2
+# Longest delay that follows from a measured draw or an expected return, as callers
+# accept 5 s with jitter.
+MAX_SUPPLY_DELAY = timedelta(seconds=3)
 # Time for a round of returns, in which most running streams end as well.
 SETTLEMENT_DELAY = timedelta(milliseconds=1500)
 # Retry delay in a store outage, as most outages end within seconds.
@@ -50,7 +55,9 @@
     still be drawn from the total, as of the newest quota records.
     ``is_store_reachable`` is whether the store responds. ``held_elsewhere`` is the
     largest number of tokens that one of the VMs to which callers are sent holds,
-    ``None`` if there is no known limit.
+    ``None`` if there is no known limit. ``draw_time`` is the recent duration of a draw
+    and ``return_time`` the time in which other VMs are expected to return tokens, both
+    ``None`` if unknown.
     """
 
     needed: int
@@ -58,6 +65,8 @@
     left: int
     is_store_reachable: bool
     held_elsewhere: int | None = None
+    draw_time: timedelta | None = None
+    return_time: timedelta | None = None
 
 
 def find_wait(target: timedelta) -> timedelta:
@@ -83,6 +92,9 @@
         return OUTAGE_DELAY * rng.uniform(1, 1 + OUTAGE_JITTER)
     if shortage.left + shortage.free >= shortage.needed:
         base = DRAW_CONFLICT_DELAY
+        if shortage.draw_time is not None:
+            base = max(shortage.draw_time * DRAWS_TO_WAIT_FOR, OTHER_VM_DELAY)
     else:
-        base = SETTLEMENT_DELAY
+        base = max(SETTLEMENT_DELAY, shortage.return_time or timedelta())
+    base = min(base, MAX_SUPPLY_DELAY)
     return base * rng.uniform(1, 1 + JITTER)
