--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -160,6 +160,10 @@
     started = time.monotonic()
     assert node.ask("too-large", tokens=(90_000, 10)).status == 429
     assert time.monotonic() - started < 0.2
+    (refusal,) = node.find_log_lines("request_refused", error="budget_pending")
+    assert refusal["reason"].endswith("cause store_unreachable")
+    cause = 'token_shortages_total{cause="store_unreachable"} 1.0'
+    assert cause in node.get(9464, "/metrics").body.decode()
     platform.store.is_unavailable = False
 
 
--- a/lavendershift/tokenloans.py
+++ b/lavendershift/tokenloans.py
@@ -147,7 +147,7 @@
             standby = [lender for lender in lenders if lender.is_standby]
             standby = standby[:MAX_STANDBY_LENDERS]
             borrowed = await self._borrow_from(standby, request, most)
-        if borrowed < request.tokens:
+        if lenders and borrowed < request.tokens:
             self._failures.setdefault(request.customer, LoanFailure.EMPTY)
         return borrowed
 
