Hold more where few VMs have the demand, and draw early only there

What idle VMs don't hold is now held by those with demand, also by several, and the threshold of early draws follows the fraction of idle VMs.

--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -46,6 +46,9 @@
 LOW_WATER = 0.8  # fraction of the target below which tokens are drawn
 HIGH_WATER = 1.5  # fraction of the target above which tokens are returned
 MANY_HOLDERS = 6  # VMs from which on each keeps a surplus of up to one large request
+# Part of what idle VMs would hold that several VMs with demand hold instead. With more,
+# the VMs hold more of a total for 20 s than of one for 30 s, as HOLD_AHEAD bounds that.
+CEDED_FRACTION = 0.8
 # Fraction of an even share of the demand below which a VM holds nothing ahead.
 IDLE_SHARE = 0.05
 LARGE_FLEET = 24  # VMs from which on changes of the same quota records often conflict
@@ -217,9 +220,9 @@
 
 def find_share(view: DrawView) -> float:
     """Return this VM's fraction of the tokens that all VMs may hold."""
-    equal = 1 / max(view.vms, 1)
     if view.fleet_rate <= 0:
-        return equal
+        return 1 / max(view.vms, 1)
+    equal = 1 / max(view.vms * (1 - find_idle_fraction(view)), 1)
     by_demand = min(view.rate / max(view.fleet_rate, view.rate), 1.0)
     return EQUAL_SHARE_FRACTION * equal + (1 - EQUAL_SHARE_FRACTION) * by_demand
 
@@ -279,20 +282,33 @@
     supply_s = left / view.fleet_rate
     fraction = MAX_HELD_FRACTION * supply_s / ABUNDANT_SUPPLY.total_seconds()
     fraction = min(max(fraction, MIN_HELD_FRACTION), MAX_HELD_FRACTION)
-    ceded = INITIAL_HELD_FRACTION * find_concentration(view)
+    ceded = INITIAL_HELD_FRACTION * find_ceded_fraction(view)
     return min(fraction + ceded, MAX_HELD_FRACTION)
 
 
-def find_concentration(view: DrawView) -> float:
-    """Return how far the demand is concentrated on this VM.
+def find_ceded_fraction(view: DrawView) -> float:
+    """Return how much of what idle VMs would hold the VMs with demand hold instead.
 
-    0 is an even share or less, 1 all of the demand. A VM with the demand also holds
-    what idle VMs don't, so that the sum over all VMs stays about the same.
+    0 is for an even demand, 1 if all of it is on this VM. The sum over all VMs stays
+    about the same, so that a power loss destroys no more.
     """
-    if view.vms <= 1:
+    if view.vms <= 1 or view.rate <= 0:
         return 0.0
-    by_demand = min(view.rate / max(view.fleet_rate, view.rate), 1.0)
-    return max(by_demand * view.vms - 1, 0.0) / (view.vms - 1)
+    by_demand = view.rate / max(view.fleet_rate, view.rate)
+    alone = max(by_demand * view.vms - 1, 0.0) / (view.vms - 1)
+    idle = max(1 - (1 / by_demand - 1) / (view.vms - 1), 0.0)
+    return max(alone, CEDED_FRACTION * idle)
+
+
+def find_idle_fraction(view: DrawView) -> float:
+    """Return the fraction of the VMs without demand, judged by this VM's part of it.
+
+    The demand seems spread over as many VMs as this part fits into all of it.
+    """
+    if view.rate <= 0:
+        return 0.0
+    busy = max(view.fleet_rate, view.rate) / view.rate
+    return max(1 - busy / max(view.vms, 1), 0.0)
 
 
 def find_urgent_reserve(prepaid: int) -> int:
--- a/lavendershift/tokenwaits.py
+++ b/lavendershift/tokenwaits.py
@@ -23,7 +23,12 @@
 from lavendershift.clocks import BootClock
 from lavendershift.drawplans import MAX_AGE_TO_REFUSE, DrawPlans
 from lavendershift.pendingtokens import PendingTokens, TokenRequest
-from lavendershift.prepaid import PrepaidAccount, plan_draw
+from lavendershift.prepaid import (
+    PrepaidAccount,
+    find_idle_fraction,
+    find_target,
+    plan_draw,
+)
 from lavendershift.timeouts import Timeout
 from lavendershift.tokenloans import LoanFailure
 
@@ -42,6 +47,9 @@
 # Time of a VM's demand below which its free tokens are replenished at once: a few times
 # the duration of a draw on a VM whose event loop pauses for 100 to 300 ms.
 EARLY_TIME = timedelta(seconds=1)
+# Fraction of the target below which tokens are replenished early. It is the lower, the
+# more VMs have demand, as their draws compete.
+MIN_EARLY_FRACTION, MAX_EARLY_FRACTION = 0.1, 0.9
 # Time between two early draws for a customer; with scarce tokens, each request would
 # cause one.
 EARLY_INTERVAL = timedelta(milliseconds=200)
@@ -177,7 +185,12 @@
         self._early_at[customer] = now
         if not is_reachable:
             self._start_loan(TokenRequest(customer, account.free + 1, is_urgent=False))
-        elif plan_draw(self._plans.make_view(customer, now)) > 0:
+            return
+        view = self._plans.make_view(customer, now)
+        fraction = max(
+            MIN_EARLY_FRACTION, MAX_EARLY_FRACTION * find_idle_fraction(view)
+        )
+        if account.free < find_target(view) * fraction and plan_draw(view) > 0:
             self._source.start_rebalancing(customer)
 
     async def _borrow_for(self, request: TokenRequest, wait: _Wait) -> bool:
