--- a/lavendershift/capacity/places.py
+++ b/lavendershift/capacity/places.py
@@ -75,6 +75,9 @@
         self._rng = rng
         self._servers: Mapping[str, PlaceServer] = {}
         self._used: dict[str, int] = {}
+        # Numbers of the newest grants, so that idle servers take turns.
+        self._turns: dict[str, int] = {}
+        self._grants_made = 0
         self._grants: dict[Holder, _Grant] = {}
         self._waiting: dict[Holder, Ticket] = {}
         self._work = self._least_work = INITIAL_WORK
@@ -159,12 +162,16 @@
     def _find_server(self) -> str | None:
         """Return the server with a free place where work is done first."""
         free = [
-            (self._find_use(name, server), self._rng.random(), name)
+            (self._find_use(name, server), self._find_turn(name), name)
             for name, server in self._servers.items()
             if self._used.get(name, 0) < server.places
         ]
         return min(free)[2] if free else None
 
+    def _find_turn(self, name: str) -> int:
+        """Return the number of a server's newest grant, 0 unless all are idle."""
+        return 0 if self._grants else self._turns.get(name, 0)
+
     def _find_use(self, name: str, server: PlaceServer) -> float:
         """Return the share of a server's places in use with one more, by its speed."""
         return (self._used.get(name, 0) + 1) * server.factor / server.places
@@ -174,6 +181,8 @@
         assert name is not None
         self._grants[ticket.holder] = _Grant(name, now)
         self._used[name] = self._used.get(name, 0) + 1
+        self._grants_made += 1
+        self._turns[name] = self._grants_made
         return Decision(ticket.holder, name)
 
     def _refuse(self, ticket: Ticket, late_by: timedelta) -> Decision:
--- a/lavendershift/prepaid.py
+++ b/lavendershift/prepaid.py
@@ -46,6 +46,11 @@
 LOW_WATER = 0.8  # fraction of the target below which tokens are drawn
 HIGH_WATER = 1.5  # fraction of the target above which tokens are returned
 MANY_HOLDERS = 6  # VMs from which on each keeps a surplus of up to one large request
+# Part of what idle VMs would hold that several VMs with demand hold instead. With more,
+# the VMs hold more of a total for 20 s than of one for 30 s, as HOLD_AHEAD bounds that.
+CEDED_FRACTION = 0.8
+# Fraction of an even share of the demand below which a VM holds nothing ahead.
+IDLE_SHARE = 0.05
 LARGE_FLEET = 24  # VMs from which on changes of the same quota records often conflict
 
 
@@ -95,6 +100,11 @@
         allowance = self._terms.find_allowance(now - self._since)
         return self.committed + tokens <= allowance + self._drawn
 
+    def count_left(self, now: timedelta) -> int:
+        """Return how many tokens more may be committed."""
+        allowance = self._terms.find_allowance(now - self._since)
+        return math.floor(allowance + self._drawn - self.committed)
+
 
 class PrepaidAccount:
     """One customer's tokens on this VM: free, reserved and spent.
@@ -138,6 +148,11 @@
         self.reserved += tokens
         return True
 
+    def count_spendable(self, now: timedelta) -> int:
+        """Return the free tokens that the lease terms allow to be reserved."""
+        left = [limit.count_left(now) for limit in self.limits]
+        return max(min([self.free, *left]), 0)
+
     def lend(self, tokens: int, now: timedelta) -> bool:
         """Debit ``tokens`` that are lent to another VM; they count as spent."""
         if not self.reserve(tokens, now):
@@ -205,15 +220,26 @@
 
 def find_share(view: DrawView) -> float:
     """Return this VM's fraction of the tokens that all VMs may hold."""
-    equal = 1 / max(view.vms, 1)
     if view.fleet_rate <= 0:
-        return equal
+        return 1 / max(view.vms, 1)
+    equal = 1 / max(view.vms * (1 - find_idle_fraction(view)), 1)
     by_demand = min(view.rate / max(view.fleet_rate, view.rate), 1.0)
     return EQUAL_SHARE_FRACTION * equal + (1 - EQUAL_SHARE_FRACTION) * by_demand
 
 
+def is_idle(view: DrawView) -> bool:
+    """Return whether this VM has nearly no demand while other VMs have some.
+
+    Tokens held by such VMs are lacking where the demand is, and their draws and returns
+    make the draws there lose races.
+    """
+    return view.rate * view.vms < view.fleet_rate * IDLE_SHARE
+
+
 def find_target(view: DrawView) -> int:
     """Return how many free tokens this VM should hold."""
+    if is_idle(view):
+        return view.loan_reserve
     return int(round_target(find_even_target(view), view)) + view.loan_reserve
 
 
@@ -255,7 +281,34 @@
         return INITIAL_HELD_FRACTION
     supply_s = left / view.fleet_rate
     fraction = MAX_HELD_FRACTION * supply_s / ABUNDANT_SUPPLY.total_seconds()
-    return min(max(fraction, MIN_HELD_FRACTION), MAX_HELD_FRACTION)
+    fraction = min(max(fraction, MIN_HELD_FRACTION), MAX_HELD_FRACTION)
+    ceded = INITIAL_HELD_FRACTION * find_ceded_fraction(view)
+    return min(fraction + ceded, MAX_HELD_FRACTION)
+
+
+def find_ceded_fraction(view: DrawView) -> float:
+    """Return how much of what idle VMs would hold the VMs with demand hold instead.
+
+    0 is for an even demand, 1 if all of it is on this VM. The sum over all VMs stays
+    about the same, so that a power loss destroys no more.
+    """
+    if view.vms <= 1 or view.rate <= 0:
+        return 0.0
+    by_demand = view.rate / max(view.fleet_rate, view.rate)
+    alone = max(by_demand * view.vms - 1, 0.0) / (view.vms - 1)
+    idle = max(1 - (1 / by_demand - 1) / (view.vms - 1), 0.0)
+    return max(alone, CEDED_FRACTION * idle)
+
+
+def find_idle_fraction(view: DrawView) -> float:
+    """Return the fraction of the VMs without demand, judged by this VM's part of it.
+
+    The demand seems spread over as many VMs as this part fits into all of it.
+    """
+    if view.rate <= 0:
+        return 0.0
+    busy = max(view.fleet_rate, view.rate) / view.rate
+    return max(1 - busy / max(view.vms, 1), 0.0)
 
 
 def find_urgent_reserve(prepaid: int) -> int:
