Restore the stand-in store from a copy

Deployments restore their store from a copy that is some seconds old, and the stand-in couldn't. It now sends Store-Era in all responses, answers 410 to a read above its end, and StoreServer.restore puts back a copy and raises the era by one. Offsets go back and are assigned again. has_era=False is a store of an older version.

--- a/lavendershift/platform/tests/live_nodes.py
+++ b/lavendershift/platform/tests/live_nodes.py
@@ -17,7 +17,7 @@
 from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.tests.processes import LoopThread, find_port
 from lavendershift_standins.platformserver import PlatformServer, stream
-from lavendershift_standins.platformstore import StoreServer
+from lavendershift_standins.platformstore import StoreServer, StoreState
 
 ROOT = Path(lavendershift.__file__).parents[1]
 TIMEOUT_S = 15.0
@@ -100,6 +100,9 @@
     def signal(self, number):
         os.kill(self.process.pid, number)
 
+    def reload(self):
+        self.signal(signal.SIGHUP)
+
     def handles(self, number):
         """Whether the process has installed a handler for a signal or ignores it."""
         masks = {"SigIgn": 0, "SigCgt": 0}
@@ -178,12 +181,25 @@
             self.configure()
         self.write_server_entries()
 
+    def make_configuration(self, **changes):
+        return make_configuration(**changes)
+
+    def empty_copy(self):
+        """Return a copy of the store that holds the configuration alone."""
+        copy = StoreState()
+        record = (names.CONFIGURATION_KEY, make_configuration())
+        copy.append(names.OPERATOR_TOPIC, 0, [record])
+        return copy
+
     def configure(self, **changes):
         record = (names.CONFIGURATION_KEY, make_configuration(**changes))
         self.append(names.OPERATOR_TOPIC, [record])
 
     def write_server_entries(self, **states):
         """Write an entry of each server; ``states`` maps names to states."""
+        self.append(names.SERVERS_TOPIC, self.make_server_entries(**states))
+
+    def make_server_entries(self, **states):
         self.sequence += 1
         records = []
         for service, servers in self.servers.items():
@@ -200,7 +216,7 @@
                     "born": 1,
                 }
                 records.append((server.name.encode(), msgspec.json.encode(entry)))
-        self.append(names.SERVERS_TOPIC, records)
+        return records
 
     def replace_server(self, server, name):
         """Start the successor of a server under another id, and remove its entry."""
--- a/lavendershift_standins/platformstore.py
+++ b/lavendershift_standins/platformstore.py
@@ -4,7 +4,10 @@
 serves it over HTTP, with faults: ``is_unavailable`` rejects all calls with 503,
 ``is_silent`` leaves them without a response, ``delay_s`` is the time that each waits
 before, and ``lost_response_share`` is the share of appends that take effect but get no
-response.
+response. ``restore`` puts back a copy of the state, as an operator does after a loss::
+
+    copy = server.state.copy()
+    server.restore(copy)  # raises the era by one
 """
 
 import asyncio
@@ -30,15 +33,34 @@
     """Records from the requested offset on were deleted."""
 
 
+class AheadError(Exception):
+    """The partition ends before the requested offset."""
+
+
 class StoreState:
     """Partitions of records, each a key and a value.
 
     ``first`` holds the first readable offset of partitions with expired records.
+    ``era`` rises by one with each restore of a copy.
     """
 
     def __init__(self) -> None:
         self.logs: dict[tuple[str, int], list[tuple[bytes, bytes]]] = {}
         self.first: dict[tuple[str, int], int] = {}
+        self.era = 1
+
+    def copy(self) -> "StoreState":
+        """Return a copy of the records, to be put back by ``restore``."""
+        copied = StoreState()
+        copied.logs = {key: list(log) for key, log in self.logs.items()}
+        copied.first = dict(self.first)
+        return copied
+
+    def restore(self, copy: "StoreState") -> None:
+        """Put back the records of ``copy``, and begin a new era."""
+        restored = copy.copy()
+        self.logs, self.first = restored.logs, restored.first
+        self.era += 1
 
     def append(
         self,
@@ -62,9 +84,15 @@
         return len(self.logs.get((topic, part), []))
 
     def read(self, topic: str, part: int, offset: int) -> list[tuple[bytes, bytes]]:
-        """Return the records from ``offset`` on; raise ``ExpiredError`` if deleted."""
+        """Return the records from ``offset`` on.
+
+        Raises ``ExpiredError`` if they were deleted, and ``AheadError`` for an offset
+        above the end.
+        """
         if offset < self.first.get((topic, part), 0):
             raise ExpiredError
+        if offset > self.end(topic, part):
+            raise AheadError
         return self.logs.get((topic, part), [])[offset:]
 
     def list_newest(self, topic: str, part: int) -> list[tuple[bytes, bytes, int]]:
@@ -86,7 +114,11 @@
 
 
 class StoreServer:
-    """Serves a ``StoreState`` over HTTP; ``calls`` counts requests by path."""
+    """Serves a ``StoreState`` over HTTP; ``calls`` counts requests by path.
+
+    Responses have a ``Store-Era`` header unless ``has_era`` is false, as with a store
+    of an older version.
+    """
 
     def __init__(self, rng: random.Random) -> None:
         self.state = StoreState()
@@ -94,8 +126,9 @@
         self.is_silent = False
         self.delay_s = 0.0
         self.lost_response_share = 0.0
+        self.has_era = True
         self.calls: dict[str, int] = {}
-        self._rng = rng
+        self.rng = rng
         self._http = HTTPServer(self._serve)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -109,6 +142,10 @@
         for task in self._tasks:
             task.cancel()
 
+    def restore(self, copy: StoreState) -> None:
+        """Put back a copy of the state; reads that wait answer from it."""
+        self.state.restore(copy)
+
     def _serve(self, request: HTTPServerRequest) -> None:
         task = asyncio.ensure_future(self._respond(request))
         self._tasks.add(task)
@@ -143,7 +180,7 @@
             end = self.state.end(topic, part)
             self._send(request, 412, json.dumps({"end": end}).encode())
             return
-        if self._rng.random() < self.lost_response_share:
+        if self.rng.random() < self.lost_response_share:
             return
         self._send(request, 200, json.dumps({"offset": offset, "end": end}).encode())
 
@@ -156,7 +193,7 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
                 remaining_s -= POLL_INTERVAL_S
                 records = self.state.read(topic, part, offset)
-        except ExpiredError:
+        except (ExpiredError, AheadError):
             self._send(request, 410, b'{"first":0}')
             return
         body = READ_HEADER.pack(self.state.end(topic, part), 0)
@@ -183,6 +220,8 @@
         connection = request.connection
         assert connection is not None
         headers = HTTPHeaders({"Content-Length": str(len(body))})
+        if self.has_era:
+            headers["Store-Era"] = str(self.state.era)
         connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, "-"), headers, body
         )
