Begin a new history when the store is restored

A restored store assigns its offsets again. Readers went on from their old offset and never saw what was written below it, and grants that the copy lacked could be drawn twice. The client reports the history (moves of its address, era) of each response and drops those of older ones; feeds read the newest records again, and servers that the copy lacks are kept for RENEWAL_TIME. A conditional append is tied to the history of its condition: it isn't sent in another one, and its result is unknown if the response has a newer one. VMs write lost grants again, by the largest number that one of them knows, and draw nothing for CONFIRMATION_TIME.

--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -79,6 +79,7 @@
     ),
     "retries": Instrument("Further attempts, by how the one before ended.", ("end",)),
     "store_calls": Instrument("Calls to the store.", ("call", "outcome")),
+    "store_histories": Instrument("Restores and new addresses of the store.", ()),
     "tokens_drawn": Instrument("Tokens drawn from a total.", ("customer",)),
     "tokens_returned": Instrument("Tokens given back to a total.", ("customer",)),
     "tokens_adopted": Instrument("Tokens of the VM's last process.", ("customer",)),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -55,6 +55,7 @@
     SETTINGS_RELOADED = "settings_reloaded"
     DEPENDENCY_LOST = "dependency_lost"
     DEPENDENCY_FOUND = "dependency_found"
+    STORE_RESTORED = "store_restored"
     CONFIGURATION_CHANGED = "configuration_changed"
     RECORD_REJECTED = "record_rejected"
     SERVER_EJECTED = "server_ejected"
@@ -124,6 +125,9 @@
     Event.SETTINGS_RELOADED: EventInfo("notice", "The settings were reloaded."),
     Event.DEPENDENCY_LOST: EventInfo("warning", "A service stopped responding."),
     Event.DEPENDENCY_FOUND: EventInfo("notice", "A service responds again."),
+    Event.STORE_RESTORED: EventInfo(
+        "warning", "The store was restored from a copy, or has another address."
+    ),
     Event.CONFIGURATION_CHANGED: EventInfo(
         "info", "The configuration was replayed up to an offset."
     ),
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -67,6 +67,7 @@
 from lavendershift.serverstates import ServerEntry
 from lavendershift.skips import SkipReports
 from lavendershift.stops import plan_stop
+from lavendershift.storehistories import History
 from lavendershift.supervision import LoopSupervisor
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
@@ -200,6 +201,7 @@
             self._find_rank,
             lambda customer, reason: self._skips.note("quota", reason, customer),
         )
+        self._store.on_history = self._note_history
         self._stocks = TokenStocks(
             clock,
             settings.name,
@@ -456,6 +458,10 @@
         self._instruments.count("store_calls", call, outcome)
         self._instruments.observe("store_call", max(duration, timedelta()), call)
 
+    def _note_history(self, history: History) -> None:
+        self._instruments.count("store_histories")
+        self._draws.note_restore()
+
     def _list_prepaid(self) -> dict[str, int]:
         table = self._gateway.table
         if table is None:
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -8,21 +8,23 @@
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from datetime import timedelta
-from typing import NamedTuple
 
 from lavendershift.clocks import Clock
-from lavendershift.errors import DecodeError, LogUnavailableError, RecordsExpiredError
-from lavendershift.expiries import find_grace
+from lavendershift.errors import DecodeError, LogUnavailableError
+from lavendershift.expiries import RENEWAL_TIME, find_grace
 from lavendershift.logs import Event, EventLog, in_milliseconds
 from lavendershift.platform import names
 from lavendershift.platform.configuration import decode_configuration
 from lavendershift.platform.servers import decode_entry
-from lavendershift.platform.store import Batch, Record, StoreClient
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.storerecords import Batch, Record
+from lavendershift.platform.topicreaders import ReadResult, TopicReader
 from lavendershift.readschedules import ReadSchedule
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ServerEntry
 from lavendershift.skips import SkipReports
+from lavendershift.storehistories import History
 
 MIN_LONG_POLL = timedelta(milliseconds=1200)  # shortest wait for a new configuration
 MAX_LONG_POLL = timedelta(seconds=3)  # longest wait for a new configuration
@@ -35,89 +37,15 @@
 MIN_SNAPSHOT_AGE = timedelta(seconds=3)
 
 
-class ReadResult(NamedTuple):
-    """The records of one call; ``is_snapshot`` if they are the newest of all keys."""
-
-    batch: Batch
-    is_snapshot: bool
-
-
-class TopicReader:
-    """Reads partition 0 of a keyed topic: a snapshot, then the records after it.
-
-    Several calls may be in flight; ``accept`` continues from the result of one.
-    """
-
-    def __init__(self, store: StoreClient, topic: str, wait: timedelta) -> None:
-        self.topic = topic
-        self.wait = wait
-        self._store = store
-        self._offset: int | None = None
-        self._snapshot_offsets: dict[bytes, int] = {}
-
-    async def fetch(
-        self,
-        on_bytes: Callable[[], None] = lambda: None,
-        is_hedge: bool = False,
-        on_connect: Callable[[], None] = lambda: None,
-        newest_only: bool = False,
-    ) -> ReadResult:
-        """Read new records; raises ``LogUnavailableError``.
-
-        ``on_connect`` is called once there is a connection, ``on_bytes`` whenever bytes
-        arrive. A hedge is a call made beside
-        one that hangs: it does not wait for a change, and uses a new connection. With
-        ``newest_only``, older records of each key aren't read.
-        """
-        offset = None if newest_only else self._offset
-        if offset is not None:
-            wait = timedelta() if is_hedge else self.wait
-            try:
-                batch = await self._store.read(
-                    self.topic, 0, offset, wait, on_bytes, is_hedge, on_connect
-                )
-                return ReadResult(batch, False)
-            except RecordsExpiredError:
-                pass  # a snapshot still holds the newest record of each key
-        batch = await self._store.read_newest(
-            self.topic, 0, on_bytes, is_hedge, on_connect
-        )
-        return ReadResult(batch, True)
-
-    def accept(self, result: ReadResult) -> Batch:
-        """Continue from the end of ``result``; return its records that are new."""
-        batch = result.batch
-        self._offset = batch.next_offset
-        if not result.is_snapshot:
-            return self._drop_stale(batch)
-        # A snapshot may hold records from beyond the offset that is read next.
-        self._snapshot_offsets = {
-            record.key: record.offset
-            for record in batch.records
-            if record.offset >= batch.next_offset
-        }
-        return batch
-
-    def _drop_stale(self, batch: Batch) -> Batch:
-        """Return ``batch`` without records older than those of the snapshot."""
-        if not self._snapshot_offsets:
-            return batch
-        records = [
-            r for r in batch.records if r.offset > self._snapshot_offsets.get(r.key, -1)
-        ]
-        if batch.next_offset > max(self._snapshot_offsets.values()):
-            self._snapshot_offsets = {}
-        return batch._replace(records=records)
-
-
 class Feed:
     """A loop that follows a topic and survives outages of the store.
 
     ``read_at`` is the time of the last reading, ``recovered_at`` the end of the last
-    outage, and ``outage`` its duration. ``kind`` names one record in log lines, and
-    ``measure`` measures the time in which records are applied. With
-    ``has_newest_only``, a key's older records have no meaning, and aren't read after an
-    outage.
+    outage, and ``outage`` its duration. ``restored_at`` is the time of the first
+    reading since the store was last restored, ``None`` if it wasn't. ``kind`` names one
+    record in log lines, and ``measure`` measures the time in which records are applied.
+    With ``has_newest_only``, a key's older records have no meaning, and aren't read
+    after an outage.
     """
 
     name = ""
@@ -133,6 +61,8 @@
         self.recovered_at = timedelta()
         self.outage = timedelta()
         self.read_at: timedelta | None = None
+        self.restored_at: timedelta | None = None
+        self._history: History | None = None
         self.measure: Callable[[str], AbstractContextManager[object]] = nullcontext
         self._receiving_since = timedelta()
         self._schedule = ReadSchedule()
@@ -255,6 +185,12 @@
             self.recovered_at = now
             self.outage = now - self.read_at if self.read_at else timedelta()
         self.read_at = now
+        if self._history not in (None, batch.history):
+            self.restored_at = now
+            self._log.write(
+                Event.STORE_RESTORED, name=self.name, version=batch.history.era
+            )
+        self._history = batch.history
         with self.measure(self.name):
             self.apply_records(batch.records, is_snapshot)
         if was_unreachable:
@@ -339,7 +275,8 @@
     """Follows the entries of backend servers.
 
     An entry that is missing after an outage may have expired although its server
-    still runs. Its server is kept for the time that ``find_grace`` returns, by when
+    still runs, and one that is missing after a restore of the store may be newer than
+    the copy. Its server is kept for the time that ``find_grace`` returns, by when
     running servers have renewed their entries, and gets requests only while too few
     other servers are listed.
     """
@@ -387,6 +324,8 @@
         if self.recovered_at == self.read_at:
             grace = find_grace(self.outage, self._heartbeat_interval)
             self._grace_ends = self.recovered_at + grace
+        if self.restored_at is not None and self.restored_at == self.read_at:
+            self._grace_ends = self.restored_at + RENEWAL_TIME
         for server_id in self._missing:
             self._servers.mark_missing(server_id, self._grace_ends)
         if self._clock.elapsed() >= self._grace_ends:
--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -5,8 +5,10 @@
 from lavendershift.decoding import Count, decode_json
 from lavendershift.errors import DecodeError, LogUnavailableError
 from lavendershift.platform import names
-from lavendershift.platform.store import AppendResult, Record, StoreClient
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.storerecords import AppendResult, Record
 from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.storehistories import StoreRestoredError
 
 RESULTS = {
     AppendResult.DONE: SwapResult.DONE,
@@ -19,6 +21,8 @@
 class _QuotaValue(msgspec.Struct):
     granted: Count
     change: str
+    era: Count | msgspec.UnsetType = msgspec.UNSET
+    settled: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class StoreQuotaLog:
@@ -27,22 +31,34 @@
     def __init__(self, store: StoreClient, partition: int = 0) -> None:
         self._store = store
         self._partition = partition
+        self.history = store.history
+
+    @property
+    def is_restored(self) -> bool:
+        """Whether the store has another history than that of the last reading."""
+        return self._store.history != self.history
 
     async def read_newest(self) -> tuple[list[QuotaRecord], int]:
         """Return each customer's newest record and an offset to read on from."""
         batch = await self._store.read_newest(names.GRANTS_TOPIC, self._partition)
+        self.history = batch.history
         return [decode_record(record) for record in batch.records], batch.next_offset
 
     async def read_records(self, offset: int) -> list[QuotaRecord]:
         """Return the records from ``offset`` to the end of the log.
 
-        Raises ``LogUnavailableError`` if the store does not send all of them.
+        Raises ``LogUnavailableError`` if the store does not send all of them, and
+        ``StoreRestoredError`` if it was restored since ``read_newest``.
         """
+        if self.is_restored:
+            raise StoreRestoredError("the offset is from before a restore")
         quota_records: list[QuotaRecord] = []
         while True:
             batch = await self._store.read(
                 names.GRANTS_TOPIC, self._partition, offset + len(quota_records)
             )
+            if batch.history != self.history:
+                raise StoreRestoredError("the offset is from before a restore")
             quota_records += [decode_record(record) for record in batch.records]
             if batch.next_offset >= batch.end:
                 return quota_records
@@ -56,17 +72,25 @@
         records = [
             (
                 quota.customer.encode(),
-                msgspec.json.encode(_QuotaValue(quota.granted, quota.change_id)),
+                encode_value(quota, quota.granted),
             )
             for quota in quota_records
             if quota.granted is not None
         ]
         result, _ = await self._store.append(
-            names.GRANTS_TOPIC, self._partition, records, end
+            names.GRANTS_TOPIC, self._partition, records, end, self.history
         )
         return RESULTS[result]
 
 
+def encode_value(quota: QuotaRecord, granted: int) -> bytes:
+    """Encode a quota record; one of a store without eras has none."""
+    value = _QuotaValue(granted, quota.change_id)
+    if quota.era:
+        value.era, value.settled = quota.era, quota.is_settled
+    return msgspec.json.encode(value)
+
+
 def decode_record(record: Record) -> QuotaRecord:
     """Decode a quota record; one that is malformed has no number of grants.
 
@@ -80,4 +104,10 @@
         quota = decode_json(record.value, _QuotaValue, "quota")
     except DecodeError as error:
         return QuotaRecord(customer, None, "", error.reason)
-    return QuotaRecord(customer, quota.granted, quota.change)
+    return QuotaRecord(
+        customer,
+        quota.granted,
+        quota.change,
+        era=quota.era or 0,
+        is_settled=quota.settled is not False,
+    )
--- a/lavendershift/platform/leases.py
+++ b/lavendershift/platform/leases.py
@@ -11,7 +11,9 @@
 from lavendershift.errors import DecodeError
 from lavendershift.leases import LeaseEntry, LeaseSnapshot, SnapshotResult
 from lavendershift.platform import names
-from lavendershift.platform.store import AppendResult, StoreClient
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.storerecords import AppendResult
+from lavendershift.storehistories import StoreRestoredError
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 RESULTS = {
@@ -38,12 +40,15 @@
     entries: dict[str, tuple[Count, Rate, Rate]]
     opens_us: Microseconds = 0  # delay in µs from the snapshot to the unlock period
     opening_us: Period = 5_000_000  # duration of the unlock period in µs
+    era: Count | msgspec.UnsetType = msgspec.UNSET  # era of the store when written
 
 
 class StoreLeaseLog:
     """The lease snapshots of one VM, in a partition that VMs may share.
 
-    ``on_skipped`` is called with the reason why a snapshot can't be decoded.
+    ``on_skipped`` is called with the reason why a snapshot can't be decoded. After a
+    restore of the store, the newest snapshot there may be an older one, whose tokens
+    are spent; so one of an earlier era counts no tokens.
     """
 
     def __init__(
@@ -57,6 +62,8 @@
         self._store = store
         self._key = vm.encode()
         self._partition = xxhash.xxh3_64_intdigest(self._key) % max(partitions, 1)
+        self._history = store.history
+        self._restored_end: int | None = None
 
     async def read(self) -> tuple[LeaseSnapshot | None, int]:
         """Return this VM's newest snapshot and the end of its partition.
@@ -65,20 +72,24 @@
         unused, and the next snapshot replaces it.
         """
         newest = await self._store.read_newest(names.LEASES_TOPIC, self._partition)
+        history = newest.history
         records = list(newest.records)
         end = newest.next_offset
         while True:
             batch = await self._store.read(names.LEASES_TOPIC, self._partition, end)
+            if batch.history != history:
+                raise StoreRestoredError("lease snapshots of two histories")
             records += batch.records
             end = batch.next_offset
             if not batch.records or end >= batch.end:
                 break
+        self._history, self._restored_end = history, None
         own = [r.value for r in records if r.key == self._key and r.value]
         return (self._decode(own[-1]) if own else None), end
 
     def _decode(self, value: bytes) -> LeaseSnapshot | None:
         try:
-            return decode_snapshot(value)
+            return decode_snapshot(value, self._history.era)
         except DecodeError as error:
             self._on_skipped(error.reason)
             return None
@@ -86,7 +97,18 @@
     async def write(
         self, end: int, snapshot: LeaseSnapshot
     ) -> tuple[SnapshotResult, int]:
-        """Append a snapshot if the partition ends at ``end``; return its end."""
+        """Append a snapshot if the partition ends at ``end``; return its end.
+
+        If the store was restored since ``end`` was read, the new end is read for the
+        next call and ``StoreRestoredError`` is raised, as the caller may have to record
+        lost grants before.
+        """
+        if self._store.history != self._history:
+            _, self._restored_end = await self.read()
+            raise StoreRestoredError("the end is from before a restore")
+        if self._restored_end is not None:
+            end, self._restored_end = self._restored_end, None
+        era = self._history.era or msgspec.UNSET
         value = msgspec.json.encode(
             _SnapshotValue(
                 snapshot.incarnation,
@@ -96,18 +118,28 @@
                 {c: (e.unspent, e.burst, e.rate) for c, e in snapshot.entries.items()},
                 snapshot.unlock_delay // timedelta(microseconds=1),
                 snapshot.unlock_period // timedelta(microseconds=1),
+                era,
             )
         )
         result, new_end = await self._store.append(
-            names.LEASES_TOPIC, self._partition, [(self._key, value)], end
+            names.LEASES_TOPIC,
+            self._partition,
+            [(self._key, value)],
+            end,
+            self._history,
         )
         return RESULTS[result], end if new_end is None else new_end
 
 
-def decode_snapshot(value: bytes) -> LeaseSnapshot:
-    """Decode a snapshot; raises ``DecodeError``."""
+def decode_snapshot(value: bytes, era: int = 0) -> LeaseSnapshot:
+    """Decode a snapshot; raises ``DecodeError``.
+
+    One that was written in another era than ``era`` has no entries.
+    """
     wire = decode_json(value, _SnapshotValue, "lease snapshot")
     entries = {customer: LeaseEntry(*entry) for customer, entry in wire.entries.items()}
+    if (wire.era or 0) != era:
+        entries = {}
     return LeaseSnapshot(
         wire.incarnation,
         wire.boot,
--- a/lavendershift/platform/names.py
+++ b/lavendershift/platform/names.py
@@ -22,6 +22,7 @@
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"  # header of all responses of a leaving server
 LIMIT = "Server-Limit"  # requests/s that a server takes from all VMs together
+STORE_ERA = "Store-Era"  # header with the number of the store's last restore
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "bearer"
 
--- a/lavendershift/platform/presence.py
+++ b/lavendershift/platform/presence.py
@@ -18,8 +18,10 @@
 from lavendershift.errors import DecodeError
 from lavendershift.logs import Event, EventLog
 from lavendershift.platform import names
-from lavendershift.platform.feeds import Feed, TopicReader
-from lavendershift.platform.store import AppendResult, Record, StoreClient
+from lavendershift.platform.feeds import Feed
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.storerecords import AppendResult, Record
+from lavendershift.platform.topicreaders import TopicReader
 from lavendershift.vmlist import VmList, VmRow
 
 RENEWAL_INTERVAL = timedelta(milliseconds=1200)  # interval between two rows of this VM
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -8,15 +8,11 @@
 """
 
 import asyncio
-import base64
-import struct
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
-from enum import Enum
 from typing import NamedTuple
 from urllib.parse import urlencode
 
-import msgspec
 from tornado.httputil import HTTPHeaders
 
 from lavendershift.clocks import Clock
@@ -27,12 +23,19 @@
     ServerRequest,
 )
 from lavendershift.connectors import Connector
-from lavendershift.decoding import Count, decode_json
-from lavendershift.errors import (
-    DecodeError,
-    LogUnavailableError,
-    RecordsExpiredError,
+from lavendershift.decoding import parse_count
+from lavendershift.errors import LogUnavailableError, RecordsExpiredError
+from lavendershift.platform import names
+from lavendershift.platform.storerecords import (
+    AppendResult,
+    Batch,
+    Record,
+    decode_append_response,
+    decode_batch,
+    decode_page,
+    encode_record,
 )
+from lavendershift.storehistories import History, StoreRestoredError
 from lavendershift.timeouts import Timeout
 
 # Interval between attempts to connect, as the kernel repeats a lost packet after 1 s.
@@ -45,82 +48,42 @@
 CALL_TIMEOUT = timedelta(milliseconds=1500)
 # Longest duration of a call that keeps receiving bytes: a record may have 256 KiB.
 MAX_CALL_DURATION = timedelta(seconds=15)
-MAX_PAGE_BYTES = 67_108_864  # longest page of newest records
+MAX_ERA = 2**53  # bound on the number of the store's last restore
 # Response statuses of calls that were not executed.
 REJECTED_STATUSES = frozenset({400, 403, 404, 409, 413, 429, 503, 507})
-READ_HEADER = struct.Struct(">QQ")  # the partition's end and its first retained offset
-RECORD_LENGTH = struct.Struct(">I")  # number of bytes of the record that follows
 
 
 class StoreUnreachableError(LogUnavailableError):
     """No connection to the store could be made, so the call was not executed."""
 
 
-class Record(NamedTuple):
-    """A record of a keyed topic; an empty value deletes its key."""
-
-    offset: int
-    key: bytes
-    value: bytes
-
-
-class Batch(NamedTuple):
-    """Records that were read, the offset to read next, and the partition's end."""
-
-    records: list[Record]
-    next_offset: int
-    end: int
-
-
-class AppendResult(Enum):
-    """Outcome of an append, which may be conditional on the partition's end."""
-
-    DONE = "done"
-    MOVED = "moved"  # append that was not done, as the partition ends elsewhere
-    NOT_DONE = "not_done"
-    UNKNOWN = "unknown"  # append that may have been executed, or may still be
-
-
 class _Response(NamedTuple):
-    """A complete response of the store."""
+    """A complete response of the store, and the history from which it comes."""
 
     status: int
     body: bytes
-
-
-class _AppendResponse(msgspec.Struct):
-    end: Count
-    offset: Count | None = None  # offset of the first record that was appended
-
-
-class _NewestItem(msgspec.Struct):
-    key: str
-    value: str
-    offset: Count
-
-
-class _NewestPage(msgspec.Struct):
-    """A page of the newest records; ``truncated`` if more pages follow."""
-
-    items: list[_NewestItem]
-    end: Count
-    truncated: bool = False
+    history: History
 
 
 ByteListener = Callable[[], None]
 
 
 class _ResponseCollector:
-    """Collects the status and body of a response, and reports progress."""
+    """Collects status, era and body of a response, and reports progress.
+
+    ``era`` is ``None`` if the response names none.
+    """
 
     def __init__(self, on_bytes: ByteListener) -> None:
         self.needs_body = True
         self.status = 0
+        self.era: int | None = None
         self.chunks: list[bytes] = []
         self.on_bytes = on_bytes
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         self.status = status
+        self.era = parse_count(headers.get(names.STORE_ERA, ""), MAX_ERA)
         self.on_bytes()
 
     def add(self, chunk: bytes) -> Awaitable[None] | None:
@@ -133,7 +96,11 @@
 
 
 class StoreClient:
-    """Calls the store; ``on_call`` gets the name, outcome and duration of each call."""
+    """Calls the store; ``on_call`` gets the name, outcome and duration of each call.
+
+    ``history`` is the newest one of any response, and ``on_history`` is called when it
+    changes. Responses of an older history are dropped, as they may arrive late.
+    """
 
     def __init__(
         self,
@@ -146,10 +113,45 @@
         self._connections = connections
         self._clock = clock
         self._on_call = on_call
-        self._connector = Connector(
-            connections, address, CONNECT_INTERVAL, CONNECT_TIMEOUT
+        self.history = History()
+        self.on_history: Callable[[History], None] = lambda history: None
+        self._connector = self._make_connector()
+
+    def _make_connector(self) -> Connector:
+        return Connector(
+            self._connections, self._address, CONNECT_INTERVAL, CONNECT_TIMEOUT
         )
 
+    def follow(self, address: str) -> None:
+        """Call the store at ``address`` from now on, if it is another one.
+
+        What was read at the previous address is of another history.
+        """
+        if address == self._address:
+            return
+        self._connections.drop(self._address)
+        self._address = address
+        self._connector = self._make_connector()
+        self._set_history(History(self.history.moves + 1))
+
+    def _set_history(self, history: History) -> None:
+        self.history = history
+        self.on_history(history)
+
+    def _note_response(self, moves: int, era: int | None) -> History:
+        """Return the history of a response to a call made after ``moves`` moves.
+
+        Raises ``StoreRestoredError`` if it is older than that of another response. One
+        without an era is taken as one of the newest history.
+        """
+        newest = self.history
+        history = History(moves, newest.era if era is None else era)
+        if history < newest:
+            raise StoreRestoredError("the response is from before a restore")
+        if history > newest:
+            self._set_history(history)
+        return history
+
     async def read(
         self,
         topic: str,
@@ -177,7 +179,8 @@
         if response.status == 410:
             raise RecordsExpiredError(topic, offset)
         self._require_ok(response)
-        return decode_batch(response.body, offset)
+        batch = decode_batch(response.body, offset)
+        return batch._replace(history=response.history)
 
     async def read_newest(
         self,
@@ -191,9 +194,11 @@
 
         ``next_offset`` is the partition's end from before the first page was made:
         records from there on may be newer than those returned, and later pages may
-        already hold some of them. Raises ``LogUnavailableError``.
+        already hold some of them. Raises ``LogUnavailableError``, also if the store is
+        restored between two pages.
         """
         records: list[Record] = []
+        history: History | None = None
         end_before: int | None = None
         after = ""
         seen: set[str] = set()
@@ -210,18 +215,15 @@
                 on_connect=on_connect,
             )
             self._require_ok(response)
-            try:
-                page = decode_json(response.body, _NewestPage, topic, MAX_PAGE_BYTES)
-                records += [
-                    Record(i.offset, i.key.encode(), base64.b64decode(i.value))
-                    for i in page.items
-                ]
-            except ValueError as error:  # DecodeError is one
-                raise LogUnavailableError(f"{topic}: {error}") from None
+            if history not in (None, response.history):
+                raise StoreRestoredError(f"{topic}: restored between two pages")
+            history = response.history
+            found, page = decode_page(response.body, topic)
+            records += found
             if end_before is None:
                 end_before = page.end
             if not page.truncated:
-                return Batch(records, end_before, page.end)
+                return Batch(records, end_before, page.end, history)
             if not page.items:
                 raise LogUnavailableError(f"{topic}: an empty page marked as truncated")
             seen.add(after)
@@ -237,13 +239,20 @@
         partition: int,
         records: Sequence[tuple[bytes, bytes]],
         end: int | None = None,
+        history: History | None = None,
     ) -> tuple[AppendResult, int | None]:
         """Append keyed records; with ``end``, only if the partition ends there.
 
         An append without a response is ``UNKNOWN``, as the store may still execute
         it, and so is one whose response names another offset than ``end``. Returns
         the result and the partition's end, if the response holds it.
+
+        ``history`` is that in which ``end`` was read. In another one the append isn't
+        sent, as the partition may end there by chance, and if the store was restored
+        meanwhile the result is ``UNKNOWN``.
         """
+        if history is not None and history != self.history:
+            return AppendResult.MOVED, None
         query: dict[str, object] = {"topic": topic, "part": partition}
         if end is not None:
             query["at"] = end
@@ -254,6 +263,8 @@
             return AppendResult.NOT_DONE, None
         except LogUnavailableError:
             return AppendResult.UNKNOWN, None
+        if history is not None and response.history != history:
+            return AppendResult.UNKNOWN, None
         written = decode_append_response(response.body)
         if response.status == 200:
             if end is not None and (written is None or written.offset != end):
@@ -282,7 +293,8 @@
         the timeout of the call.
         """
         call = path.strip("/")
-        headers = HTTPHeaders({"Host": self._address})
+        address, connector, moves = self._address, self._connector, self.history.moves
+        headers = HTTPHeaders({"Host": address})
         if method == "POST":
             headers["Content-Length"] = str(len(body))
         request = ServerRequest(method, f"{path}?{urlencode(query)}", headers, body)
@@ -290,9 +302,9 @@
         try:
             connection = None
             if not is_hedge:
-                connection = self._connections.take(self._address)
+                connection = self._connections.take(address)
             if connection is None:
-                connection = await self._connector.connect(
+                connection = await connector.connect(
                     APPEND_CONNECT_TIMEOUT if method == "POST" else CONNECT_TIMEOUT
                 )
         except ConnectError as error:
@@ -307,7 +319,8 @@
         self._on_call(call, outcome, self._clock.elapsed() - started - wait)
         if response is None:
             raise LogUnavailableError(f"{call}: no answer")
-        return response
+        history = self._note_response(moves, response.era)
+        return _Response(response.status, b"".join(response.chunks), history)
 
     async def _exchange(
         self,
@@ -315,7 +328,7 @@
         request: ServerRequest,
         timeout: timedelta,
         on_bytes: ByteListener,
-    ) -> _Response | None:
+    ) -> _ResponseCollector | None:
         """Return the response, or ``None`` if it is missing or incomplete.
 
         Progress extends the timeout: a large response on a saturated link takes long,
@@ -337,64 +350,19 @@
         except TimeoutError:
             connection.close()
             # Idle connections to the store may have fallen silent as well.
-            self._connections.drop(self._address)
+            self._connections.drop(connection.address)
             return None
         except BaseException:
             connection.close()
             if not collector.status:
-                self._connections.drop(self._address)
+                self._connections.drop(connection.address)
             raise
         if not exchange.is_complete:
             connection.close()
             return None
         self._connections.give_back(connection)
-        return _Response(collector.status, b"".join(collector.chunks))
+        return collector
 
     def _require_ok(self, response: _Response) -> None:
         if response.status != 200:
             raise LogUnavailableError(f"status {response.status}")
-
-
-def decode_append_response(body: bytes) -> _AppendResponse | None:
-    """Decode the response to an append; ``None`` if it is malformed."""
-    try:
-        return decode_json(body, _AppendResponse, "append")
-    except DecodeError:
-        return None
-
-
-def encode_record(key: bytes, value: bytes) -> bytes:
-    """Encode a record of a keyed topic for an append."""
-    return (
-        RECORD_LENGTH.pack(1 + len(key) + len(value)) + bytes([len(key)]) + key + value
-    )
-
-
-def decode_batch(body: bytes, offset: int) -> Batch:
-    """Decode the response to a read that began at ``offset``.
-
-    A record whose key can't be decoded gets an empty key. Raises
-    ``LogUnavailableError`` for a truncated body.
-    """
-    if len(body) < READ_HEADER.size:
-        raise LogUnavailableError("a read that ends within its 16-byte header")
-    end, _ = READ_HEADER.unpack_from(body)
-    records: list[Record] = []
-    position = READ_HEADER.size
-    while position < len(body):
-        if position + RECORD_LENGTH.size > len(body):
-            raise LogUnavailableError("a read that ends within a record's length")
-        (length,) = RECORD_LENGTH.unpack_from(body, position)
-        position += RECORD_LENGTH.size
-        data = body[position : position + length]
-        if len(data) < length:
-            raise LogUnavailableError("a read that ends within a record")
-        position += length
-        records.append(Record(offset + len(records), *_split_record(data)))
-    return Batch(records, offset + len(records), end)
-
-
-def _split_record(data: bytes) -> tuple[bytes, bytes]:
-    if not data or len(data) < 1 + data[0]:
-        return b"", b""
-    return data[1 : 1 + data[0]], data[1 + data[0] :]
--- a/lavendershift/platform/tests/storelinks.py
+++ b/lavendershift/platform/tests/storelinks.py
@@ -13,7 +13,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lavendershift.connections import ConnectError, ConnectionPool, Exchange
-from lavendershift.platform.store import (
+from lavendershift.platform.storerecords import (
     READ_HEADER,
     decode_batch,
     encode_record,
--- a/lavendershift/platform/tests/test_odddecoding.py
+++ b/lavendershift/platform/tests/test_odddecoding.py
@@ -20,7 +20,7 @@
 from lavendershift.platform.presence import decode_row
 from lavendershift.platform.servers import decode_entry
 from lavendershift.platform.serverwire import PlatformServerWire
-from lavendershift.platform.store import Record, decode_append_response
+from lavendershift.platform.storerecords import Record, decode_append_response
 from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.platform.tests.test_oddrecords import (
     ENTRY,
--- a/lavendershift/platform/tests/test_oddfeeds.py
+++ b/lavendershift/platform/tests/test_oddfeeds.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lavendershift.platform.store import Record
+from lavendershift.platform.storerecords import Record
 from lavendershift.platform.tests.test_oddrecords import NESTED, ODD_ENTRIES
 from lavendershift.platform.tests.test_servers import (
     FeedScenario,
--- a/lavendershift/platform/tests/test_server_schedules.py
+++ b/lavendershift/platform/tests/test_server_schedules.py
@@ -16,7 +16,7 @@
 from lavendershift.errors import LogUnavailableError
 from lavendershift.logs import EventLog
 from lavendershift.platform.feeds import ServerFeed
-from lavendershift.platform.store import Batch, Record
+from lavendershift.platform.storerecords import Batch, Record
 from lavendershift.serverlist import ServerList
 from lavendershift.serversignals import ServerSignal
 from lavendershift.serverstates import NO_PROMPT
--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -11,7 +11,7 @@
 from lavendershift.logs import EventLog
 from lavendershift.platform.feeds import Feed, ServerFeed, TopicReader
 from lavendershift.platform.servers import decode_entry
-from lavendershift.platform.store import Batch, Record
+from lavendershift.platform.storerecords import Batch, Record
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import NO_PROMPT
 
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -9,9 +9,9 @@
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.platform import store as store_module
 from lavendershift.platform.grants import StoreQuotaLog
-from lavendershift.platform.store import (
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.storerecords import (
     AppendResult,
-    StoreClient,
     decode_batch,
     encode_record,
 )
--- a/lavendershift/platform/tests/test_storedformats.py
+++ b/lavendershift/platform/tests/test_storedformats.py
@@ -17,8 +17,9 @@
 from lavendershift.platform.grants import StoreQuotaLog
 from lavendershift.platform.leases import StoreLeaseLog
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
-from lavendershift.platform.store import AppendResult, Batch, Record
+from lavendershift.platform.storerecords import AppendResult, Batch, Record
 from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.storehistories import History
 from lavendershift.vmlist import VmRow
 
 LEASE_VALUE = (
@@ -38,6 +39,8 @@
 class FakeStore:
     """Records appends, and holds one record that was stored before."""
 
+    history = History()
+
     def __init__(self, topic, partition, key, value):
         self.place = (topic, partition)
         self.batch = Batch([Record(0, key, value)], next_offset=1, end=1)
@@ -50,7 +53,7 @@
     async def read(self, topic, partition, offset):
         return Batch([], next_offset=offset, end=1)
 
-    async def append(self, topic, partition, records, end=None):
+    async def append(self, topic, partition, records, end=None, history=None):
         assert (topic, partition) == self.place
         self.appends += records
         return AppendResult.DONE, 2
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -26,8 +26,15 @@
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.prepaid import PrepaidAccount
+from lavendershift.restoredgrants import KnownGrants
+from lavendershift.storehistories import History, StoreRestoredError
 from lavendershift.tokenreturns import ReleasedTokens, SnapshotNotStoredError
 
+# Grants that a restore has lost are written again in appends of this many records, so
+# that those of 95,000 budgets don't exceed the store's limit on an append.
+MAX_LOST_RECORDS = 500
+MAX_REPAIRS = 40  # appends of lost grants, won or lost, after which a round ends
+
 
 class DrawRefusedError(LogUnavailableError):
     """The store refused a change, as it does above its rate limit."""
@@ -37,13 +44,17 @@
     """One customer's quota, as stored in the log.
 
     ``granted`` is the new total of grants, ``None`` if the record can't be decoded for
-    the reason ``fault``. ``change_id`` identifies the change that wrote it.
+    the reason ``fault``. ``change_id`` identifies the change that wrote it and ``era``
+    the store's era at that time. With ``is_settled``, grants that were lost in the
+    era's restore had been written again.
     """
 
     customer: str
     granted: int | None
     change_id: str
     fault: str = ""
+    era: int = 0
+    is_settled: bool = True
 
 
 class SwapResult(Enum):
@@ -56,7 +67,22 @@
 
 
 class QuotaLog(Protocol):
-    """One partition of the quota records; calls raise ``LogUnavailableError``."""
+    """One partition of the quota records; calls raise ``LogUnavailableError``.
+
+    Offsets are those of the ``history`` in which ``read_newest`` was last called. Once
+    ``is_restored``, the store has another one: reads raise ``StoreRestoredError``, and
+    no change succeeds, until ``read_newest`` is called again.
+    """
+
+    @property
+    def history(self) -> History:
+        """The history of the store in which the records were read."""
+        ...
+
+    @property
+    def is_restored(self) -> bool:
+        """Whether the store has another history by now."""
+        ...
 
     async def read_newest(self) -> tuple[list[QuotaRecord], int]:
         """Return each customer's newest record and the offset from which to read on.
@@ -123,7 +149,8 @@
         self._on_draw = on_draw
         self._on_invalid = on_invalid
         self.invalid: set[str] = set()
-        self.granted: dict[str, int] = {}
+        self._grants = KnownGrants(clock)
+        self.granted = self._grants.granted
         self.read_at: timedelta | None = None
         self._end: int | None = None
         self._change_count = 0
@@ -134,15 +161,57 @@
 
         While the outcome of a change is unknown they always count as older.
         """
-        if self.read_at is None or self._pending:
+        if self.read_at is None or self._pending or self.has_lost_grants:
             return True
         return self._clock.elapsed() - self.read_at > age
 
+    @property
+    def has_lost_grants(self) -> bool:
+        """Whether a restored store may lack grants that are known here."""
+        is_restored = self._log.is_restored and self.read_at is not None
+        return is_restored or bool(self._grants.lost)
+
     async def sync(self) -> None:
-        """Read the records up to the end of the log."""
+        """Read the records up to the end of the log, and write lost ones again."""
+        await self._read()
+        for _ in range(MAX_REPAIRS):
+            if not self._grants.lost:
+                return
+            await self._write_lost()
+        raise LogUnavailableError("other changes won the races for lost grants")
+
+    async def _write_lost(self) -> None:
+        """Write grants again that a restore of the store has lost."""
+        assert self._end is not None
+        lost = list(self._grants.lost.items())[:MAX_LOST_RECORDS]
+        self._change_count += 1
+        change_id = f"{self._name}/{self._change_count}"
+        records = [
+            QuotaRecord(
+                customer, granted, change_id, era=self._grants.era, is_settled=False
+            )
+            for customer, granted in lost
+        ]
+        result = await self._log.swap(self._end, records)
+        if result is SwapResult.REFUSED:
+            raise DrawRefusedError("the store refused an append of lost grants")
+        if result is SwapResult.UNKNOWN:
+            raise LogUnavailableError("no response to the append of lost grants")
+        await self._read()
+
+    async def _read(self) -> None:
+        try:
+            await self._read_records()
+        except StoreRestoredError:
+            await self._read_records()
+
+    async def _read_records(self) -> None:
         started = self._clock.elapsed()
+        if self._log.is_restored:
+            self._reset()
         if self._end is None:
             records, end = await self._log.read_newest()
+            self._grants.begin(self._log.history)
             for record in records:
                 self._store_quota(record)
             self._end = end
@@ -162,20 +231,26 @@
         """Append changes; return false if another VM's append came first.
 
         ``release`` debits the tokens to return. While other VMs win the races for the
-        lease snapshots, tokens are drawn but not returned. Raises
+        lease snapshots, tokens are drawn but not returned. Nothing is changed while
+        grants that a restore has lost may be unrecorded. Raises
         ``LogUnavailableError``, or ``DrawRefusedError`` if the store refuses the
         append.
         """
         assert self._end is not None
         deltas = self._bound_returns(deltas)
-        if not deltas:
+        if not deltas or not self._grants.is_settled:
             return True
         end, started = self._end, self._clock.elapsed()
         self._change_count += 1
         change_id = f"{self._name}/{self._change_count}"
         change = await self._prepare(deltas, release)
         records = [
-            QuotaRecord(customer, self.granted.get(customer, 0) + delta, change_id)
+            QuotaRecord(
+                customer,
+                self.granted.get(customer, 0) + delta,
+                change_id,
+                era=self._grants.era,
+            )
             for customer, delta in change.list_deltas().items()
         ]
         pending = _PendingChange(end, change_id, change)
@@ -261,13 +336,16 @@
             self._on_invalid(record.customer, record.fault)
             return
         self.invalid.discard(record.customer)
-        self.granted[record.customer] = record.granted
+        self._grants.note(
+            record.customer, record.granted, record.era, record.is_settled
+        )
 
     def _reset(self) -> None:
         """Forget the offset, so that the newest records are read next.
 
-        The outcomes of changes sent for expired offsets can no longer be read; their
-        tokens count as granted but are not credited.
+        The outcomes of changes sent for expired offsets, or before a restore of the
+        store, can no longer be read; their tokens count as granted but are not
+        credited.
         """
         self._end = None
         self.read_at = None
--- /dev/null
+++ b/lavendershift/restoredgrants.py
@@ -0,0 +1,97 @@
+"""Grants of prepaid tokens that a restored store has lost.
+
+A copy of the store lacks the grants made after it, but the tokens may be spent. Each VM
+knows the newest number of grants that it has read or written; after a restore it writes
+the number again if the store's record is lower, so that the record rises to the largest
+number that any VM knows. Nothing is drawn until each VM in contact had the time to do
+so::
+
+    grants = KnownGrants(clock)
+    grants.begin(History(0, 4))
+    grants.note("plume", 5000, era=4, is_settled=True)
+    grants.begin(History(0, 5))
+    grants.note("plume", 3000, era=4, is_settled=True)
+    grants.lost  # {"plume": 5000}, to be written again
+
+The larger number is kept where two VMs know different ones, also if the smaller one is
+newer: tokens returned since then stay granted, which never overspends a total.
+"""
+
+from datetime import timedelta
+
+from lavendershift.clocks import Clock
+from lavendershift.storehistories import History
+
+# Time from the first reading after a restore until tokens are drawn. VMs read some
+# topic of the store every 0.4 to 1.2 s, and then write lost grants at once.
+CONFIRMATION_TIME = timedelta(seconds=2)
+# The era of a store that was never restored, if it counts from 1.
+FIRST_ERA = 1
+
+
+class KnownGrants:
+    """The numbers of grants in one partition of the quota records.
+
+    ``granted`` holds the number for each customer, and ``lost`` the numbers that the
+    store's records lack.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.granted: dict[str, int] = {}
+        self.lost: dict[str, int] = {}
+        self._history: History | None = None
+        self._began_at = timedelta()
+        self._has_changed = False
+        self._has_older_records = False
+        self._is_confirmed = False
+
+    @property
+    def era(self) -> int:
+        """The era of the store, 0 if it is unknown."""
+        return self._history.era if self._history else 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether lost grants were written again, so that tokens may be drawn.
+
+        A process that has just started doesn't know when the store was restored, and
+        waits unless a record shows that another VM has waited. At a store that was
+        never restored all records are of its first era.
+        """
+        if self.lost:
+            return False
+        is_first = not self._has_changed and self.era <= FIRST_ERA
+        if self._is_confirmed or (is_first and not self._has_older_records):
+            return True
+        return self._clock.elapsed() - self._began_at >= CONFIRMATION_TIME
+
+    def begin(self, history: History) -> None:
+        """Begin with the records of ``history``; all that is known may be lost."""
+        if history == self._history:
+            return
+        if self._history is not None:
+            self._has_changed = True
+            self.lost = dict(self.granted)
+        self._history = history
+        self._began_at = self._clock.elapsed()
+        self._has_older_records = self._is_confirmed = False
+
+    def note(self, customer: str, granted: int, era: int, is_settled: bool) -> None:
+        """Note a record that was written in ``era``.
+
+        A lower number than the known one from an earlier era is part of the copy, or an
+        append from before the restore that the store executed late.
+        """
+        known = self.granted.get(customer, 0)
+        if era < self.era:
+            self._has_older_records = True
+            if granted < known:
+                self.lost[customer] = known
+                return
+        elif is_settled and era > 0:
+            self._is_confirmed = True
+        if granted < self.lost.get(customer, 0):
+            return
+        self.lost.pop(customer, None)
+        self.granted[customer] = granted
--- a/lavendershift/tests/prepaid_simulation.py
+++ b/lavendershift/tests/prepaid_simulation.py
@@ -15,11 +15,12 @@
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.leases import LeaseBook, SnapshotResult
 from lavendershift.pendingtokens import TokenRequest
-from lavendershift.platform.grants import decode_record
+from lavendershift.platform.grants import decode_record, encode_value
 from lavendershift.platform.leases import EPOCH, decode_snapshot
-from lavendershift.platform.store import Record
+from lavendershift.platform.storerecords import Record
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.storehistories import History, StoreRestoredError
 from lavendershift.tests.virtualloop import VirtualLoop
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
@@ -105,10 +106,20 @@
     def __init__(self, simulation, vm, partition):
         super().__init__(simulation, vm)
         self._partition = partition
+        self.history = History()
+
+    @property
+    def is_restored(self):
+        """Whether this VM has seen another era since it last read the newest records.
+
+        A VM that reaches the store learns the era from any response.
+        """
+        return self._vm.find_history() != self.history
 
     async def read_newest(self):
         self._check()
         state = self._simulation.state
+        self.history = self._vm.find_history()
         quota_records = [
             decode_record(Record(at, key, value))
             for key, value, at in state.list_newest(GRANTS, self._partition)
@@ -118,6 +129,8 @@
     async def read_records(self, offset):
         self._check()
         await asyncio.sleep(0)
+        if self.is_restored:
+            raise StoreRestoredError("restored")
         try:
             records = self._simulation.state.read(GRANTS, self._partition, offset)
         except ExpiredError:
@@ -126,24 +139,42 @@
 
     async def swap(self, end, quota_records):
         records = [encode_quota_record(quota_record) for quota_record in quota_records]
+        era = self.history.era
+        if self.is_restored:
+            return SwapResult.MOVED
         await asyncio.sleep(0)
-        return SwapResult(self._append(GRANTS, self._partition, records, end))
+        result = SwapResult(self._append(GRANTS, self._partition, records, end))
+        return SwapResult.UNKNOWN if era != self._simulation.state.era else result
 
 
 class FaultyLeaseLog(StoreConnection):
+    era = None
+    restored_end = None
+
     async def read(self):
         self._check()
+        self.era, self.restored_end = self._simulation.state.era, None
         state = self._simulation.state
         partition = self._vm.lease_partition
         newest = state.list_newest(LEASES, partition)
         own = [value for key, value, _ in newest if key == self._vm.key]
-        return (decode_snapshot(own[0]) if own else None), state.end(LEASES, partition)
+        era = self.era
+        return (decode_snapshot(own[0], era) if own else None), state.end(
+            LEASES, partition
+        )
 
     async def write(self, end, snapshot):
+        if self.era != self._vm.find_history().era:
+            _, self.restored_end = await self.read()
+            raise StoreRestoredError("restored")
+        if self.restored_end is not None:
+            end, self.restored_end = self.restored_end, None
         await asyncio.sleep(0)
-        records = [(self._vm.key, encode_snapshot(snapshot))]
+        records = [(self._vm.key, encode_snapshot(snapshot, self.era))]
         partition = self._vm.lease_partition
         result = SnapshotResult(self._append(LEASES, partition, records, end))
+        if self.era != self._simulation.state.era:
+            return SnapshotResult.UNKNOWN, end
         return result, self._simulation.state.end(LEASES, partition)
 
 
@@ -173,11 +204,12 @@
 
 
 def encode_quota_record(quota_record: QuotaRecord):
-    value = {"granted": quota_record.granted, "change": quota_record.change_id}
-    return quota_record.customer.encode(), msgspec.json.encode(value)
+    return quota_record.customer.encode(), encode_value(
+        quota_record, quota_record.granted
+    )
 
 
-def encode_snapshot(snapshot):
+def encode_snapshot(snapshot, era):
     return msgspec.json.encode(
         {
             "incarnation": snapshot.incarnation,
@@ -187,6 +219,7 @@
             "entries": {c: tuple(e) for c, e in snapshot.entries.items()},
             "opens_us": snapshot.unlock_delay // timedelta(microseconds=1),
             "opening_us": snapshot.unlock_period // timedelta(microseconds=1),
+            "era": era,
         }
     )
 
@@ -200,6 +233,7 @@
         self.key = name.encode()
         self.name = name
         self.is_cut = False
+        self.history = History()
         self.boots = 0
         self.starts = 0
         self.clock = SimulatedClock(simulation)
@@ -240,6 +274,12 @@
             self.loans.borrow, lambda customer: lenders[customer] == self.name
         )
 
+    def find_history(self):
+        """Return the newest history of the store that this VM has seen."""
+        if not (self.is_cut or self.simulation.is_unavailable):
+            self.history = History(0, self.simulation.state.era)
+        return self.history
+
     def find_lenders(self, customer):
         names = [vm.name for vm in self.simulation.vms if vm is not self]
         rng = self.simulation.rng
--- a/lavendershift/tests/test_tokendraws.py
+++ b/lavendershift/tests/test_tokendraws.py
@@ -11,6 +11,7 @@
 from lavendershift.pendingtokens import URGENT_MEMORY, PendingTokens, TokenRequest
 from lavendershift.prepaid import URGENT_RESERVE_FRACTION
 from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.storehistories import History
 from lavendershift.tokendraws import (
     MAX_AGE_TO_PLAN,
     ROUND_INTERVAL,
@@ -26,6 +27,9 @@
 class MemoryQuotaLog:
     """The quota records of one partition; ``results`` are those of the next changes."""
 
+    history = History()
+    is_restored = False
+
     def __init__(self):
         self.records = []
         self.first = 0
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -306,6 +306,10 @@
             return True
         return self._find_records(request.customer).is_older_than(MAX_AGE_TO_REFUSE)
 
+    def note_restore(self) -> None:
+        """Begin a round, as the store was restored and may lack grants."""
+        self._wake.set()
+
     def return_all(self) -> None:
         """Return all free tokens from the next round on; this VM is leaving."""
         self._returns_all = True
@@ -397,7 +401,8 @@
         if not self._draws_ahead() and self.is_store_reachable:
             held = [c for c, account in self.accounts.items() if account.free]
             used &= {self._find_partition(customer) for customer in held}
-        return sorted(used)
+        lost = {n for n, r in enumerate(self._records) if r.has_lost_grants}
+        return sorted(used | lost)
 
     async def _rebalance_all(
         self, partitions: Sequence[int]
@@ -540,7 +545,13 @@
         )
 
     async def _write_snapshot(self) -> None:
-        """Write a lease snapshot of the accounts."""
+        """Write a lease snapshot of the accounts.
+
+        None is written while a restored store lacks grants, as the next process would
+        adopt tokens that can be drawn again.
+        """
+        if any(records.has_lost_grants for records in self._records):
+            return
         if self._lease_book is not None:
             await self._lease_book.record(self.accounts, self.pending.all)
 
