Follow the store's address in the settings

reload kept the address with which the process had started, so routers called the old store for good. StoreClient.follow replaces address and connector and begins a new history. Both cases of test_the_new_address_of_the_store_is_followed failed before.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -55,6 +55,7 @@
 )
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.serverwire import PlatformServerWire
+from lavendershift.platform.settingswatch import watch_file
 from lavendershift.platform.store import StoreClient
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.preparations import Backends
@@ -404,7 +405,7 @@
         )
 
     def reload(self, path: Path) -> None:
-        """Reload the settings, except for the addresses.
+        """Reload the settings, except for the addresses of this VM.
 
         If the file can't be read, the active settings stay.
         """
@@ -414,6 +415,7 @@
             self._skips.note("settings", str(error))
             return
         self._settings = settings
+        self._store.follow(settings.store_address)
         self._gateway.set_retry_bounds(
             RetryBounds(settings.retry_share, settings.retry_slack)
         )
@@ -664,4 +666,8 @@
     application = NodeApplication(settings, clock, rng, log)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, application.reload, path)
-    await application.run()
+    watching = asyncio.ensure_future(watch_file(path, application.reload))
+    try:
+        await application.run()
+    finally:
+        watching.cancel()
--- a/lavendershift/platform/tests/test_storerestores.py
+++ b/lavendershift/platform/tests/test_storerestores.py
@@ -6,6 +6,8 @@
 
 from lavendershift.platform import names
 from lavendershift.platform.tests.live_nodes import Platform, wait_for
+from lavendershift.tests.processes import find_port
+from lavendershift_standins.platformstore import StoreServer
 
 GROWTH = 30  # records by which the restored log outgrows the offsets of its readers
 
@@ -126,3 +128,19 @@
     platform.store.has_era = False
     platform.configure(version=9)
     wait_for(lambda: 9 in list_versions(platform), "version 9")
+
+
+@pytest.mark.parametrize("is_signalled", [True, False])
+def test_the_new_address_of_the_store_is_followed(platform, is_signalled):
+    node = platform.nodes[0]
+    moved, port = StoreServer(platform.store.rng), find_port()
+    moved.state = platform.store.state.copy()
+    platform.thread.call(moved.listen, port)
+    platform.thread.call(platform.store.stop)
+    platform.store = moved
+    settings = node.settings.read_text()
+    node.settings.write_text(settings.replace(str(platform.store_port), str(port)))
+    if is_signalled:
+        node.reload()
+    platform.configure(version=9)
+    wait_for(lambda: 9 in list_versions(platform), "version 9 at the new address")
