--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -26,6 +26,7 @@
 from lavendershift.factgossip import FactGossip
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.gossip import Gossip
+from lavendershift.grantnotices import GrantNotices
 from lavendershift.instruments import Instruments
 from lavendershift.leases import LeaseBook, read_boot_id
 from lavendershift.limitgossip import LimitFacts
@@ -57,6 +58,7 @@
 )
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.serverwire import PlatformServerWire
+from lavendershift.platform.settingswatch import watch_file
 from lavendershift.platform.store import StoreClient
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.preparations import Backends
@@ -69,6 +71,7 @@
 from lavendershift.serverstates import ServerEntry
 from lavendershift.skips import SkipReports
 from lavendershift.stops import plan_stop
+from lavendershift.storehistories import History
 from lavendershift.supervision import LoopSupervisor
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import MAX_STANDBY_LENDERS, Lender, TokenLoans
@@ -205,6 +208,10 @@
             self._find_rank,
             lambda customer, reason: self._skips.note("quota", reason, customer),
         )
+        self._store.on_history = self._note_history
+        self._grant_notices = GrantNotices(
+            rng, self._datagrams, self._list_active_peers, self._draws.note_told
+        )
         self._stocks = TokenStocks(
             clock,
             settings.name,
@@ -414,7 +421,7 @@
         )
 
     def reload(self, path: Path) -> None:
-        """Reload the settings, except for the addresses.
+        """Reload the settings, except for the addresses of this VM.
 
         If the file can't be read, the active settings stay.
         """
@@ -424,6 +431,7 @@
             self._skips.note("settings", str(error))
             return
         self._settings = settings
+        self._store.follow(settings.store_address)
         self._gateway.set_retry_bounds(
             RetryBounds(settings.retry_share, settings.retry_slack)
         )
@@ -472,6 +480,10 @@
         self._instruments.count("store_calls", call, outcome)
         self._instruments.observe("store_call", max(duration, timedelta()), call)
 
+    def _note_history(self, history: History) -> None:
+        self._instruments.count("store_histories")
+        self._draws.note_restore()
+
     def _list_prepaid(self) -> dict[str, int]:
         table = self._gateway.table
         if table is None:
@@ -555,6 +567,9 @@
 
     def _note_draw(self, customer: str, tokens: int, granted: int) -> None:
         account = self._draws.find_account(customer)
+        if tokens > 0:
+            era = self._draws.find_era(customer)
+            self._grant_notices.tell(customer, granted, era)
         name = "tokens_drawn" if tokens > 0 else "tokens_returned"
         self._instruments.count(name, customer, amount=abs(tokens))
         self._log.write(
@@ -688,4 +703,8 @@
     application = NodeApplication(settings, clock, rng, log)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, application.reload, path)
-    await application.run()
+    watching = asyncio.ensure_future(watch_file(path, application.reload))
+    try:
+        await application.run()
+    finally:
+        watching.cancel()
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -166,6 +166,18 @@
         """Return the mean time until the next round of a VM that may return tokens."""
         return find_round_interval(self._fleet.vms()) / 2
 
+    def note_told(self, customer: str, granted: int, era: int) -> None:
+        """Note the grants after a draw of another VM, in case a restore loses it."""
+        self.plans.find_records(customer).note_told(customer, granted, era)
+
+    def find_era(self, customer: str) -> int:
+        """Return the store's era of a customer's quota record."""
+        return self.plans.find_records(customer).era
+
+    def note_restore(self) -> None:
+        """Begin a round, as the store was restored and may lack grants."""
+        self._wake.set()
+
     def return_all(self) -> None:
         """Return all free tokens from the next round on; this VM is leaving."""
         self.plans.returns_all = True
@@ -270,7 +282,8 @@
         if not self._fleet.draws_ahead() and self.is_store_reachable:
             held = [c for c, account in self.accounts.items() if account.free]
             used &= {self.plans.find_partition(customer) for customer in held}
-        return sorted(used)
+        lost = {n for n, r in enumerate(self._records) if r.has_lost_grants}
+        return sorted(used | lost)
 
     async def _rebalance_all(
         self, partitions: Sequence[int]
@@ -381,7 +394,13 @@
         return {c: d for c, d in deltas.items() if c not in found}
 
     async def _write_snapshot(self) -> None:
-        """Write a lease snapshot of the accounts."""
+        """Write a lease snapshot of the accounts.
+
+        None is written while a restored store lacks grants, as the next process would
+        adopt tokens that can be drawn again.
+        """
+        if any(records.has_lost_grants for records in self._records):
+            return
         if self._lease_book is not None:
             await self._lease_book.record(self.accounts, self.pending.all)
 
