Take no early end or malformed status for a complete response

A response without a length ends with its connection. If the connection ended cleanly while the request was still being sent, a part of the response passed as the whole; it now counts as broken, at the node by the bytes that the stream has not sent, and with curl by the bytes of the body it has uploaded. Statuses outside 100 to 599, and 1xx as a final one, are no responses.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -11,43 +11,39 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
-    HTTPMessageDelegate,
     RequestStartLine,
-    ResponseStartLine,
 )
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from lavendershift.clocks import Clock
 from lavendershift.decoding import parse_count
+from lavendershift.responsedelegates import (
+    MAX_RESPONSE_BYTES,
+    ResponseDelegate,
+    ResponseReader,
+    is_delimited,
+)
 from lavendershift.timeouts import Timeout
 
 IDLE_TIMEOUT = timedelta(seconds=4)  # idle limit if a server sends no Keep-Alive
 IDLE_MARGIN = timedelta(seconds=1)  # margin below the server's own idle timeout
 MAX_IDLE_CONNECTIONS = 16  # idle connections to one address
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # size at which a response is cut off
 # Timeout of a connection that only tells whether a process listens.
 PROBE_TIMEOUT = timedelta(milliseconds=100)
 MAX_KEEP_ALIVE_S = 86_400  # largest idle timeout that a server may name
 TCP_USER_TIMEOUT_MS = 4000  # time without an ACK until the kernel drops a connection
-LAST_INFORMATIONAL_STATUS = 199
-MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses accepted before the final one
-# Time that a body which isn't needed may take, so that its connection can be kept.
-UNNEEDED_BODY_TIMEOUT = timedelta(milliseconds=100)
 # Size of one read. tornado clears a buffer of this size for each; events are short.
 READ_BYTES = 16_384
-STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}\b")
 
 
 class ConnectError(Exception):
@@ -70,23 +66,6 @@
     body: bytes
 
 
-class ResponseReader(Protocol):
-    """Processes a response as it arrives."""
-
-    @property
-    def needs_body(self) -> bool:
-        """Whether the caller of the exchange has to wait for the body."""
-        ...
-
-    def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Process the status and the headers."""
-        ...
-
-    def add(self, chunk: bytes) -> Awaitable[None] | None:
-        """Process a chunk of the body; reading continues once the awaitable is done."""
-        ...
-
-
 class Exchange(NamedTuple):
     """Result of a request that was sent.
 
@@ -126,6 +105,12 @@
             self.received_at = asyncio.get_running_loop().time()
         return size
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of what was written is not sent; it holds after a close."""
+        # tornado has no public way to tell.
+        return self._total_write_done_index < self._total_write_index
+
     def has_unread(self) -> bool:
         """Return whether the peer sent bytes after the response or closed."""
         if self._read_buffer_size:
@@ -139,72 +124,6 @@
         return True
 
 
-class _Delegate(HTTPMessageDelegate):
-    """Forwards one response to its reader, and resolves ``ended`` at its end."""
-
-    def __init__(
-        self,
-        reader: ResponseReader,
-        ended: asyncio.Future[bool],
-        stop: Callable[[], None],
-    ) -> None:
-        self._reader = reader
-        self._ended = ended
-        self._stop = stop
-        self._informational = 0
-        self._size = 0
-        self.status = 0
-        self.headers = HTTPHeaders()
-        self.closes = False
-        self.reason = ""
-        self._timeout: asyncio.TimerHandle | None = None
-
-    def headers_received(
-        self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
-    ) -> Awaitable[None] | None:
-        assert isinstance(start_line, ResponseStartLine)
-        if has_second_head(start_line.reason, headers):
-            self._fail("two joined heads")
-            return None
-        if start_line.code > LAST_INFORMATIONAL_STATUS:
-            self.status, self.headers = start_line.code, headers
-            self.closes = start_line.version == "HTTP/1.0" or _asks_to_close(headers)
-            self._reader.start(start_line.code, headers)
-            if not self._reader.needs_body:
-                self._timeout = asyncio.get_running_loop().call_later(
-                    UNNEEDED_BODY_TIMEOUT.total_seconds(), self._fail, "body too late"
-                )
-            return None
-        self._informational += 1
-        if self._informational > MAX_INFORMATIONAL_RESPONSES:
-            self._fail("too many informational responses")
-        return None
-
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        self._size += len(chunk)
-        if self._size > MAX_RESPONSE_BYTES:
-            self._fail("response too long")
-            return None
-        return self._reader.add(chunk)
-
-    def _fail(self, reason: str) -> None:
-        self.reason = reason
-        self._end(False)
-        self._stop()
-
-    def _end(self, is_complete: bool) -> None:
-        if self._timeout is not None:
-            self._timeout.cancel()
-        if not self._ended.done():
-            self._ended.set_result(is_complete)
-
-    def finish(self) -> None:
-        self._end(True)
-
-    def on_connection_close(self) -> None:
-        self._end(False)
-
-
 class Connection:
     """A connection that carries one request at a time."""
 
@@ -250,7 +169,7 @@
 
     async def _read(self, http: HTTP1Connection, reader: ResponseReader) -> Exchange:
         ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        delegate = _Delegate(reader, ended, self._stream.close)
+        delegate = ResponseDelegate(reader, ended, self._stream.close)
         self._reading = asyncio.ensure_future(http.read_response(delegate))
         self._reading.add_done_callback(lambda task: _finish_reading(task, ended))
         is_complete = await ended
@@ -258,8 +177,10 @@
         if (
             is_complete
             and not is_delimited(delegate.status, delegate.headers)
-            and self._stream.error is not None
+            and (self._stream.error is not None or self._stream.has_unsent)
         ):
+            # The end of a connection that stops reading the request is no proof that
+            # the response is complete.
             return Exchange(False, True, "reset before the end")
         if not is_complete:
             error = self._stream.error
@@ -267,7 +188,7 @@
         self._note_response(delegate)
         return Exchange(True, True)
 
-    def _note_response(self, delegate: _Delegate) -> None:
+    def _note_response(self, delegate: ResponseDelegate) -> None:
         headers = delegate.headers
         has_end = is_delimited(delegate.status, headers)
         self._may_reuse = has_end and not delegate.closes
@@ -398,30 +319,6 @@
         ended.set_result(False)
 
 
-def has_second_head(reason: str, headers: HTTPHeaders) -> bool:
-    """Return whether a head contains the status line of another response.
-
-    A server that breaks off a response within its head and sends the next one on the
-    same connection joins both heads. The status is then that of the first response,
-    and the request's id that of the second one.
-    """
-    texts = [reason, *(value for _, value in headers.get_all())]
-    return any(STATUS_LINE.search(text) for text in texts)
-
-
-def is_delimited(status: int, headers: HTTPHeaders) -> bool:
-    """Return whether a response can end without the end of its connection."""
-    if "Content-Length" in headers or status in (204, 304):
-        return True
-    return "chunked" in headers.get("Transfer-Encoding", "").lower()
-
-
-def _asks_to_close(headers: HTTPHeaders) -> bool:
-    """Return whether the Connection header contains ``close``."""
-    options = headers.get("Connection", "").lower().split(",")
-    return "close" in [option.strip() for option in options]
-
-
 def _parse_keep_alive(value: str) -> timedelta | None:
     """Return the timeout of a ``Keep-Alive`` header, ``None`` if it has none."""
     for part in value.split(","):
--- a/lavendershift/httpclients.py
+++ b/lavendershift/httpclients.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
+UPLOADED = "uploaded"  # key of the bytes of the body sent, beside the timings
 TRANSFER_FAILED_STATUS = 599  # status that tornado sets for a failed transfer
 
 
@@ -24,6 +26,23 @@
 
         super().fetch_impl(request, report)
 
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        # The handle may serve another request once the response is passed on.
+        uploaded = curl.getinfo(pycurl.SIZE_UPLOAD)
+        report = curl.info["callback"]
+
+        def add_uploaded(response: HTTPResponse) -> None:
+            response.time_info[UPLOADED] = uploaded
+            report(response)
+
+        curl.info["callback"] = add_uploaded
+        super()._finish(curl, curl_error, curl_message)
+
     def close(self) -> None:
         """Close all connections, and remove the timer that closing them sets."""
         super().close()
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -18,9 +18,11 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
-from lavendershift.httpclients import TRANSFER_FAILED_STATUS, HttpClient
+from lavendershift.httpclients import TRANSFER_FAILED_STATUS, UPLOADED, HttpClient
+from lavendershift.responsedelegates import is_delimited
 
 MAX_CLIENTS = 2000
+FINAL_STATUSES = range(200, 600)
 NOT_RUN_HEADER = "Not-Run"
 
 
@@ -253,6 +255,12 @@
             if not _may_have_sent(response):
                 return Delivery.NOT_SENT
             return Delivery.UNKNOWN
+        if self._status not in FINAL_STATUSES:
+            return Delivery.UNKNOWN
+        if not is_delimited(self._status, self._headers) and _has_unsent(response):
+            # The end of a connection on which the server stops reading the request is
+            # no proof that the response is complete.
+            return Delivery.UNKNOWN
         if not self._head_ended:  # curl reports a truncated head as an empty response
             return Delivery.UNKNOWN
         refused = response.code in (409, 429, 503)
@@ -261,6 +269,11 @@
         return Delivery.ANSWERED
 
 
+def _has_unsent(response: HTTPResponse) -> bool:
+    """Return whether a part of the request's body was not sent."""
+    return response.time_info.get(UPLOADED, 0) < len(response.request.body or b"")
+
+
 def _has_timed_out(response: HTTPResponse) -> bool:
     error = response.error
     return isinstance(error, CurlError) and error.errno == pycurl.E_OPERATION_TIMEDOUT
