Bound what a node holds for callers and servers by its VM's memory

Bodies, heads, pipelined requests and unread responses had no limit but that of one request, and connections none at all, so that clients which stop short of the end could exhaust a VM's memory or its descriptors.

One budget, from [limits] memory_mb, now counts all of it. Bodies wait unread for room, at most 3 s and at most their deadline, and are then refused with 503 as not run; slow callers are ended, by age times size. Callers' connections are limited by max_fds; readiness, directory and metrics have small limits of their own. A request in progress is not read ahead of by more than 4 KiB. Bodies and unread responses without progress end after 30 s. Plain responses that are collected from servers count too.

--- a/lavendershift/connectionreports.py
+++ b/lavendershift/connectionreports.py
@@ -24,6 +24,9 @@
     RESPONSE = "response"  # the response had ``Connection: close``
     TRUNCATED = "truncated"  # reset, as the response couldn't be completed
     CANCELLED = "cancelled"  # reset, as the process ended the request's task
+    BODY_TIMER = "body_timer"
+    MEMORY = "memory"  # refused, as there was no room for the request
+    UNREAD = "unread"  # reset, as the caller didn't read the response
     STOP = "stop"
     FAILED = "failed"  # an exception, which ``error`` names
 
@@ -42,8 +45,15 @@
 ORDINARY_CAUSES = frozenset(
     {EndCause.CALLER, EndCause.IDLE_TIMER, EndCause.RESPONSE, EndCause.STOP}
 )
-# Causes with a refusal, 400 or 408.
-REFUSING_CAUSES = frozenset({EndCause.MALFORMED, EndCause.HEADER_TIMER})
+# Causes with a refusal, 400, 408 or 503.
+REFUSING_CAUSES = frozenset(
+    {
+        EndCause.MALFORMED,
+        EndCause.HEADER_TIMER,
+        EndCause.BODY_TIMER,
+        EndCause.MEMORY,
+    }
+)
 CUT_STAGES = frozenset({Stage.HEADER, Stage.BODY, Stage.IN_FLIGHT, Stage.SENDING})
 
 
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -102,6 +102,11 @@
         """Return the size limits and timeouts that apply to callers."""
         return self.table.limits if self.table else CallerLimits()
 
+    def find_customer(self, key: str) -> str:
+        """Return the name of the customer with an API key, empty if there is none."""
+        customer = self.table.find_customer(key) if self.table else None
+        return customer.name if customer else ""
+
     def set_retry_bounds(self, bounds: RetryBounds) -> None:
         """Change the fleet-wide bounds on retries."""
         self._bounds = bounds
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -98,9 +98,13 @@
         "Changes of servers' speeds compared with their peers, by the new state.",
         ("state",),
     ),
+    "connections_refused": Instrument(
+        "Connections from callers refused for lack of file descriptors."
+    ),
 }
 
 GAUGES: dict[str, Instrument] = {
+    "held_bytes": Instrument("Bytes held for callers and servers, as counted."),
     "tokens_free": Instrument("Tokens held and unreserved.", ("customer",)),
     "tokens_reserved": Instrument("Tokens set aside for requests.", ("customer",)),
     "tokens_left": Instrument("Tokens of a total granted to no VM.", ("customer",)),
--- /dev/null
+++ b/lavendershift/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of what a process holds for callers and servers: decisions without I/O."""
--- /dev/null
+++ b/lavendershift/memory/budgets.py
@@ -0,0 +1,201 @@
+"""Budget of the bytes that a process holds for callers and servers.
+
+Each connection has a holding, whose size is what the process holds for it. A holding
+that grows asks first whether there is room. If there isn't, its client isn't read until
+others end, and slow ones are ended, the oldest and largest first::
+
+    budget = MemoryBudget(clock, limits.held_bytes)
+    holding = budget.open(("10.0.0.9",), end_connection)
+    if budget.has_room(holding, length):
+        holding.resize(holding.size + length)
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+
+from lavendershift.clocks import Clock
+
+# Size up to which a holding counts as small. A part of the budget is kept for these,
+# so that large bodies leave room for ordinary requests.
+SMALL_BYTES = 131_072
+LARGE_SHARE = 0.75  # part of the budget that large holdings may fill
+OWNER_SHARE = 0.5  # part of the budget that one address or customer may fill
+# Time without progress after which a holding may be ended if there is no room.
+STALL_TIME = timedelta(seconds=1)
+# Interval between two searches for slow holdings, which look at all of them.
+SEARCH_INTERVAL = timedelta(milliseconds=50)
+# Rate below which a holding is slow if there is no room: the largest body takes 4 s.
+MIN_BYTES_PER_S = 1_048_576
+
+
+class Phase(Enum):
+    """What a holding waits for."""
+
+    IDLE = "idle"  # a request
+    READING = "reading"  # bytes of its client
+    WAITING = "waiting"  # room in the budget
+    RUNNING = "running"  # the response to its request
+    SENDING = "sending"  # its client, which has to read a response
+
+
+class Holding:
+    """What the process holds for one connection.
+
+    ``owners`` are the address and, once it is known, the customer. ``evict`` ends the
+    request that is read, or the response that isn't read by the client.
+    """
+
+    __slots__ = (
+        "_budget",
+        "evict",
+        "is_open",
+        "owners",
+        "phase",
+        "progress_at",
+        "since",
+        "size",
+    )
+
+    def __init__(
+        self, budget: "MemoryBudget", owners: tuple[str, ...], evict: Callable[[], None]
+    ) -> None:
+        self._budget = budget
+        self.owners = owners
+        self.evict = evict
+        self.size = 0
+        self.phase = Phase.READING
+        self.since = self.progress_at = budget.clock.elapsed()
+        self.is_open = True
+
+    def resize(self, size: int) -> None:
+        """Set how many bytes are held."""
+        if self.is_open and size != self.size:
+            self._budget.change(self, size - self.size)
+            self.size = size
+
+    def begin(self, phase: Phase) -> None:
+        """Note that a phase begins."""
+        self.phase = phase
+        self.since = self.progress_at = self._budget.clock.elapsed()
+
+    def note_progress(self) -> None:
+        """Note that bytes were received or sent."""
+        self.progress_at = self._budget.clock.elapsed()
+
+    def close(self) -> None:
+        """Return all that is held."""
+        self.resize(0)
+        self.is_open = False
+        self._budget.forget(self)
+
+
+class MemoryBudget:
+    """Sums up what is held; ``total`` is the number of bytes that may be."""
+
+    def __init__(self, clock: Clock, total: int) -> None:
+        self.clock = clock
+        self.total = total
+        self.used = 0
+        self._by_owner: Counter[str] = Counter()
+        self._holdings: dict[Holding, None] = {}
+        self._large = 0  # number of holdings of more than ``SMALL_BYTES``
+        self._searched_at = clock.elapsed() - SEARCH_INTERVAL
+
+    def open(self, owners: tuple[str, ...], evict: Callable[[], None]) -> Holding:
+        """Return the holding of a new connection."""
+        holding = Holding(self, owners, evict)
+        self._holdings[holding] = None
+        return holding
+
+    def change(self, holding: Holding, difference: int) -> None:
+        """Count a change of a holding's size."""
+        self.used += difference
+        size = holding.size
+        self._large += (size + difference > SMALL_BYTES) - (size > SMALL_BYTES)
+        for owner in holding.owners:
+            self._by_owner[owner] += difference
+
+    def add_owner(self, holding: Holding, owner: str) -> None:
+        """Count a holding for one more owner too."""
+        if owner and owner not in holding.owners:
+            holding.owners += (owner,)
+            self._by_owner[owner] += holding.size
+
+    def drop_owners(self, holding: Holding, owners: tuple[str, ...]) -> None:
+        """Count a holding for ``owners`` only, as its request has ended."""
+        for owner in holding.owners:
+            if owner not in owners:
+                self._by_owner[owner] -= holding.size
+                if not self._by_owner[owner]:
+                    del self._by_owner[owner]
+        holding.owners = owners
+
+    def forget(self, holding: Holding) -> None:
+        """Remove a holding of size 0."""
+        self._holdings.pop(holding, None)
+        for owner in holding.owners:
+            if not self._by_owner[owner]:
+                del self._by_owner[owner]
+
+    def has_room(self, holding: Holding, extra: int) -> bool:
+        """Return whether a holding may grow by ``extra`` bytes.
+
+        A large one may always grow if there is no other large one, so that the largest
+        request within the limits of the configuration is served in calm conditions.
+        """
+        used = self.used + extra
+        if holding.size + extra <= SMALL_BYTES:
+            return used <= self.total
+        if used > self.total * LARGE_SHARE or self._exceeds_share(holding, extra):
+            return self._large == (holding.size > SMALL_BYTES)
+        return True
+
+    def _exceeds_share(self, holding: Holding, extra: int) -> bool:
+        most = self.total * OWNER_SHARE
+        return any(self._by_owner[owner] + extra > most for owner in holding.owners)
+
+    def find_slow(self) -> list[Holding]:
+        """Return the holdings that may be ended for lack of room, the first first.
+
+        A slow one has made no progress for ``STALL_TIME``, or is behind the rate of
+        ``MIN_BYTES_PER_S``. The product of age and size gives the order.
+        """
+        now = self.clock.elapsed()
+        slow = [holding for holding in self._holdings if _is_slow(holding, now)]
+        slow.sort(key=lambda holding: (now - holding.since) * holding.size)
+        return slow[::-1]
+
+    def find_longest_idle(self) -> Holding | None:
+        """Return the connection that has been idle for longest, if for long enough."""
+        now = self.clock.elapsed()
+        idle = [
+            holding
+            for holding in self._holdings
+            if holding.phase is Phase.IDLE and now - holding.since > STALL_TIME
+        ]
+        return min(idle, key=lambda holding: holding.since, default=None)
+
+    def evict_slow(self, holding: Holding, extra: int) -> int:
+        """End slow holdings until another one may grow; return how many were ended."""
+        now, ended = self.clock.elapsed(), 0
+        if now - self._searched_at < SEARCH_INTERVAL:
+            return 0
+        self._searched_at = now
+        for victim in self.find_slow():
+            if self.has_room(holding, extra):
+                break
+            if victim is not holding:
+                victim.evict()
+                ended += 1
+        return ended
+
+
+def _is_slow(holding: Holding, now: timedelta) -> bool:
+    if holding.phase not in (Phase.READING, Phase.SENDING) or not holding.size:
+        return False
+    if now - holding.progress_at > STALL_TIME:
+        return True
+    allowed = STALL_TIME + timedelta(seconds=holding.size / MIN_BYTES_PER_S)
+    return now - holding.since > allowed
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -42,6 +42,12 @@
     PauseReports,
     read_processor_time,
 )
+from lavendershift.memory.budgets import MemoryBudget
+from lavendershift.memory.limits import (
+    METRICS_CONNECTIONS,
+    READINESS_CONNECTIONS,
+    derive_limits,
+)
 from lavendershift.permits import Permits
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import SyncHttpServer, VmDirectory
@@ -106,6 +112,8 @@
         self._is_leaving = False
         self._stop_requested_at: timedelta | None = None
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
+        memory = derive_limits(settings.memory_mb, settings.max_fds)
+        self._budget = MemoryBudget(clock, memory.held_bytes)
         self._connections = ConnectionPool(clock)
         self._store = StoreClient(
             settings.store_address, self._connections, clock, self._note_call
@@ -229,6 +237,7 @@
                 self._crash_control.quarantine,
                 PlatformServerWire(),
                 places,
+                self._budget,
             ),
             self._draws,
             reports,
@@ -238,16 +247,25 @@
         self._gateway.take_trial = self._crash_control.trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
-        self._callers = CallerServer(clock, self._gateway)
+        self._callers = CallerServer(clock, self._gateway, memory, self._budget)
+        self._callers.find_customer = self._gateway.find_customer
+        self._callers.on_connection_refused = lambda: self._instruments.count(
+            "connections_refused"
+        )
         self._callers.on_refusal = reports.report_rejected
         self._callers.on_connection_end = ConnectionReports(
             log, self._instruments, self._find_version
         ).report
         self._directory_server = SyncHttpServer(
-            VmDirectory(self._vms, self._working_set, settings.resolve_ttl).handle
+            VmDirectory(self._vms, self._working_set, settings.resolve_ttl).handle,
+            max_connections=memory.directory_connections,
+        )
+        self._readiness_server = SyncHttpServer(
+            self._handle_readiness, max_connections=READINESS_CONNECTIONS
+        )
+        self._metrics_server = SyncHttpServer(
+            self._handle_metrics, METRICS_TYPE, METRICS_CONNECTIONS
         )
-        self._readiness_server = SyncHttpServer(self._handle_readiness)
-        self._metrics_server = SyncHttpServer(self._handle_metrics, METRICS_TYPE)
         pause_reports = PauseReports(clock, log, self._instruments)
         self._pauses = PauseMeter(clock, read_processor_time, pause_reports.report)
         self._configuration = ConfigurationFeed(
@@ -439,6 +457,7 @@
             instruments.set_gauge("servers_by_speed", states[state], state)
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
+        instruments.set_gauge("held_bytes", self._budget.used)
         instruments.set_gauge("vms", self._vms.count())
         instruments.set_gauge("vms_active", self._working_set.count())
         now = self._clock.elapsed()
--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -15,6 +15,9 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.connectionreports import ConnectionEnd, EndCause, Stage
+from lavendershift.connections import reset_stream
+from lavendershift.lingering import LingeringSockets
+from lavendershift.memory.budgets import MemoryBudget, Phase
 from lavendershift.routes import CallerLimits
 
 CHUNK_BYTES = 65_536  # maximum size of one read from a caller
@@ -23,6 +26,16 @@
 # Time until a timeout is checked again, for bytes that arrived at its end to be read.
 RECHECK_TIME = timedelta(milliseconds=20)
 MIN_CHECK_INTERVAL = timedelta(milliseconds=100)
+# Bytes of one read while a header is expected, and while a request is in progress:
+# a caller that doesn't wait for responses, or for room, is not read far ahead.
+HEADER_CHUNK_BYTES = 16_384
+AHEAD_BYTES = 4096
+CONNECTION_BYTES = 16_384  # what the objects of a connection take
+# Times without progress after which a body, or a response, is given up. Callers that
+# send or read anything in this time are not affected.
+BODY_TIMEOUT = timedelta(seconds=30)
+UNREAD_TIMEOUT = timedelta(seconds=30)
+RETRY_STEPS = 8  # number of different retry delays, 1 to 2 s, of refusals for memory
 HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
@@ -34,9 +47,6 @@
         EndCause.MALFORMED,
     }
 )
-# Time in which bytes are still received after a response that closes, see RFC 9112,
-# section 9.6.
-LINGER_TIME = timedelta(seconds=3)
 
 
 class CallerStream(IOStream):
@@ -48,8 +58,16 @@
         clock: Clock,
         find_limits: Callable[[], CallerLimits],
         on_end: Callable[[ConnectionEnd], None],
+        budget: MemoryBudget,
+        lingering: LingeringSockets,
     ) -> None:
         super().__init__(endpoint, read_chunk_size=CHUNK_BYTES)
+        self._budget = budget
+        self._lingering = lingering
+        self.address = _find_address(endpoint)
+        self.holding = budget.open((self.address,), self.end_slow)
+        self.holding.begin(Phase.IDLE)
+        self._request_bytes = 0
         self._clock = clock
         self._find_limits = find_limits
         self._on_end = on_end
@@ -94,6 +112,8 @@
         else:
             self._is_waiting = True
             self._start_timer(self._find_limits().idle_timeout)
+            self.holding.begin(Phase.IDLE)
+        self._count()
 
     def note_header(self, request_id: str) -> None:
         """Note that a request's header was read."""
@@ -104,12 +124,28 @@
     def note_request(self) -> None:
         """Note that a request was read completely."""
         self._stage = Stage.IN_FLIGHT
+        self.holding.begin(Phase.RUNNING)
+        self._count()
 
     def note_response(self) -> None:
         """Note that a request's complete response, or its refusal, was written."""
         self._stage = Stage.IDLE
         self._served += 1
         self._idle_since = self._clock.elapsed()
+        self._request_bytes = 0
+        self._budget.drop_owners(self.holding, (self.address,))
+        self._count()
+
+    def hold(self, size: int) -> None:
+        """Count bytes of a request, until its response is complete."""
+        self._request_bytes += size
+        self._count()
+
+    def _count(self, received: int = 0) -> None:
+        """Update how many bytes are held for the connection."""
+        if not self.closed():
+            buffered = self._read_buffer_size + len(self._write_buffer) + received
+            self.holding.resize(CONNECTION_BYTES + buffered + self._request_bytes)
 
     def raise_limits(self, limits: CallerLimits) -> None:
         """Extend the timeout that is running, as callers rely on the longer one."""
@@ -123,6 +159,10 @@
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket, and note whether the caller closed or reset it."""
+        if self._stage is Stage.IDLE:
+            buf = memoryview(buf)[:HEADER_CHUNK_BYTES]
+        elif self._stage is Stage.IN_FLIGHT:
+            buf = memoryview(buf)[:AHEAD_BYTES]
         try:
             received = super().read_from_fd(buf)
         except OSError:
@@ -131,8 +171,62 @@
         self._was_ended_by_caller = received == 0
         if received and self._is_waiting:
             self._begin_header()
+        if received:
+            self._note_received(received)
         return received
 
+    def _note_received(self, received: int) -> None:
+        self.holding.note_progress()
+        self._count(received)
+        is_header = self._stage is Stage.IDLE and not self._has_refused
+        if is_header and not self._budget.has_room(self.holding, 0):
+            # The stream can't be closed while it reads.
+            asyncio.get_running_loop().call_soon(self._check_room)
+
+    def _check_room(self) -> None:
+        """Refuse the header that is read if there is no room for it."""
+        self._budget.evict_slow(self.holding, 0)
+        has_room = self._budget.has_room(self.holding, 0)
+        if not has_room and not self.closed() and self._stage is Stage.IDLE:
+            self.refuse_for_memory()
+
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """Write to the caller, and count what it doesn't read at once."""
+        if not self.writing() and self.holding.phase is Phase.SENDING:
+            self.holding.begin(Phase.RUNNING)
+        future = super().write(data)
+        if self.writing() and self.holding.phase is not Phase.SENDING:
+            self.holding.begin(Phase.SENDING)
+        self._count()
+        return future
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the socket, and note that the caller reads."""
+        sent = super().write_to_fd(data)
+        if sent:
+            self.holding.note_progress()
+        return sent
+
+    def refuse_for_memory(self) -> None:
+        """Refuse a request that isn't read completely, as there is no room for it."""
+        self.refuse_header(EndCause.MEMORY, make_memory_response(self.socket.fileno()))
+
+    def end_slow(self) -> None:
+        """Make room: refuse the request that is read, or end the unread response."""
+        if self.closed():
+            return
+        stage = self.find_stage()
+        if self.writing():
+            self.set_cause(EndCause.UNREAD)
+            reset_stream(self)
+        elif stage in (Stage.HEADER, Stage.BODY):
+            self.refuse_for_memory()
+        elif stage is Stage.IDLE:
+            self.set_cause(EndCause.IDLE_TIMER)
+            self.close()
+        else:
+            self.holding.begin(Phase.RUNNING)
+
     def close(self, exc_info: Any = False) -> None:
         """Close the connection, and report its end."""
         if not self.closed():
@@ -140,19 +234,21 @@
             error = exc_info if isinstance(exc_info, BaseException) else self.error
             self._cause = self._find_cause(error)
             self._report(self._cause, error)
+            self.holding.close()
         super().close(exc_info)
 
     def close_fd(self) -> None:
         """Close the socket, after the caller if it may have to read a response."""
         if self._cause in LINGERING_CAUSES or self._has_refused:
             endpoint, self.socket = self.socket, None  # type: ignore[assignment]
-            discard_remainder(endpoint)
+            self._lingering.discard_remainder(endpoint)
         else:
             super().close_fd()
 
     def _begin_header(self) -> None:
         self._is_waiting = False
         self._start_timer(self._find_limits().header_timeout)
+        self.holding.begin(Phase.READING)
 
     def _start_timer(self, limit: timedelta) -> None:
         self._timed_since, self._time_limit = self._clock.elapsed(), limit
@@ -168,6 +264,8 @@
         need no timers of their own.
         """
         interval = max(self._find_limits().header_timeout, MIN_CHECK_INTERVAL)
+        if self._has_stalled():
+            return
         if self._time_limit is not None and self.reading():
             remaining = self._time_limit - (self._clock.elapsed() - self._timed_since)
             if remaining <= timedelta():
@@ -178,6 +276,21 @@
             interval = min(interval, remaining)
         self._timer = self._schedule(interval)
 
+    def _has_stalled(self) -> bool:
+        """End a body or a response without progress; return whether it was."""
+        idle = self._clock.elapsed() - self.holding.progress_at
+        if self.writing() and idle > UNREAD_TIMEOUT:
+            self.set_cause(EndCause.UNREAD)
+            reset_stream(self)
+            return True
+        is_reading = self.holding.phase is Phase.READING
+        if self._stage is Stage.BODY and is_reading and idle > BODY_TIMEOUT:
+            if self.has_unread():
+                return False
+            self.refuse_header(EndCause.BODY_TIMER, HEADER_TIMEOUT_RESPONSE)
+            return True
+        return False
+
     def _close_late(self) -> None:
         """Close the connection, after a refusal if a part of a header was read."""
         if self._is_waiting:
@@ -243,33 +356,17 @@
             return 0
 
 
-def discard_remainder(endpoint: socket.socket) -> None:
-    """Send the end of a connection, and close it once the peer has ended it too.
-
-    Closing a socket with unread bytes resets the connection, and the peer may then lose
-    the response that was sent before.
-    """
-    loop = asyncio.get_running_loop()
-
-    def discard() -> None:
-        try:
-            if endpoint.recv(CHUNK_BYTES):
-                return
-        except BlockingIOError:
-            return
-        except OSError:
-            pass  # the peer reset the connection
-        end()
+def make_memory_response(number: int) -> bytes:
+    """Return a refusal as not run; ``number`` spreads the retry delays."""
+    delay = 1 + number % RETRY_STEPS / RETRY_STEPS
+    return (
+        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+        f"Content-Length: 0\r\nRetry-After: {delay:.2f}\r\n\r\n"
+    ).encode()
 
-    def end() -> None:
-        loop.remove_reader(endpoint)
-        timer.cancel()
-        endpoint.close()
 
+def _find_address(endpoint: socket.socket) -> str:
     try:
-        endpoint.shutdown(socket.SHUT_WR)
-    except OSError:  # the peer reset the connection
-        endpoint.close()
-        return
-    timer = loop.call_later(LINGER_TIME.total_seconds(), end)
-    loop.add_reader(endpoint, discard)
+        return str(endpoint.getpeername()[0])
+    except (OSError, IndexError):  # the peer has already closed
+        return ""
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -7,6 +7,7 @@
 
 from lavendershift.decoding import run_decoder
 from lavendershift.errors import DecodeError
+from lavendershift.memory.limits import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from lavendershift.platform.names import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 
 
@@ -36,6 +37,8 @@
     partitions: int
     cores: float  # share of a standard core that the process gets
     link_mbps: float  # bandwidth of the VM's link, in each direction
+    memory_mb: float = DEFAULT_MEMORY_MB  # memory of the VM
+    max_fds: int = DEFAULT_MAX_FDS  # file descriptors that the process may open
 
 
 class SettingsError(Exception):
@@ -88,4 +91,6 @@
         partitions=int(store.get("parts", 1)),
         cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", 1000)),
+        memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
+        max_fds=int(limits.get("max_fds", DEFAULT_MAX_FDS)),
     )
--- /dev/null
+++ b/lavendershift/platform/tests/test_slowcallers.py
@@ -0,0 +1,88 @@
+"""Callers that stop sending a body or reading a response, and more than are accepted.
+
+Guards against connections that are held for ever, and against a bound in time that
+meets callers which go on.
+"""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lavendershift.connectionreports import EndCause, Stage
+from lavendershift.memory.limits import MemoryLimits
+from lavendershift.platform import callerstreams
+from lavendershift.platform.tests.listeners import play
+from lavendershift.platform.tests.test_callerconnections import start_request
+from lavendershift.platform.tests.test_callers import make_request
+
+
+@pytest.fixture(autouse=True)
+def short_timeouts(monkeypatch):
+    timeout = timedelta(seconds=0.5)
+    monkeypatch.setattr(callerstreams, "BODY_TIMEOUT", timeout)
+    monkeypatch.setattr(callerstreams, "UNREAD_TIMEOUT", timeout)
+
+
+def test_a_body_without_progress_is_refused_as_not_run():
+    async def work(listener):
+        caller = listener.connect()
+        await caller.send_all(start_request("r1", 9))
+        received, was_reset = await caller.read_all(3)
+        return received, was_reset, await listener.wait_end(), listener.gateway.served
+
+    received, was_reset, end, served = play(work)
+    assert received.startswith(b"HTTP/1.1 408")
+    assert not was_reset
+    assert (end.cause, end.stage) == (EndCause.BODY_TIMER, Stage.BODY)
+    assert served == []
+
+
+def test_a_body_that_arrives_slowly_is_served():
+    async def work(listener):
+        caller = listener.connect()
+        await caller.send_all(start_request("r1", 9))
+        for _ in range(9):
+            await asyncio.sleep(0.2)
+            await caller.send_all(b"x")
+        await caller.read_until(b"done r1")
+
+    play(work)
+
+
+def test_a_response_that_nobody_reads_is_reset():
+    async def work(listener):
+        async def respond(request, writer):
+            writer.start(200, HTTPHeaders())
+            while True:
+                await writer.write(b"x" * 1_000_000)
+
+        listener.gateway._respond = respond
+        caller = listener.connect()
+        caller.send(make_request("r1"))
+        end = await listener.wait_end()
+        caller.close()
+        return end
+
+    end = play(work)
+    assert (end.cause, end.stage) == (EndCause.UNREAD, Stage.IN_FLIGHT)
+
+
+def test_a_connection_beyond_the_limit_takes_the_place_of_a_slow_one():
+    async def work(listener):
+        listener.server._limits = MemoryLimits(10**8, 2, 2)
+        slow, idle = listener.connect(), listener.connect()
+        await slow.send_all(start_request("r1", 9))
+        await asyncio.sleep(0.1)
+        refused = listener.connect()
+        received, _ = await refused.read_all(0.5)
+        assert received.startswith(b"HTTP/1.1 503")
+        await asyncio.sleep(0.9)
+        caller = listener.connect()
+        await caller.send_all(make_request("r2"))
+        await caller.read_until(b"done r2")
+        idle.close()
+        return received
+
+    assert b"Retry-After" in play(work)
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -16,6 +16,7 @@
 from lavendershift.connections import ConnectError, Connection, ConnectionPool
 from lavendershift.crashes import CrashDetector
 from lavendershift.eventstreams import EventPosition
+from lavendershift.memory.budgets import MemoryBudget
 from lavendershift.permits import Permits
 from lavendershift.promptguards import PromptGuard
 from lavendershift.quarantine import Quarantine
@@ -39,6 +40,7 @@
     quarantine: Quarantine
     wire: ServerWire
     places: ServerPlaces | None = None
+    memory: MemoryBudget | None = None  # without one, responses aren't counted
 
 
 class AttemptOrder(NamedTuple):
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -70,6 +70,7 @@
         self._servers = backends.servers
         self._connections = backends.connections
         self._wire = backends.wire
+        self._memory = backends.memory
         self._owner = owner
         self._guard = owner.guard
         self._prompt = order.request.prompt or NO_PROMPT
@@ -176,6 +177,8 @@
         reader = self.reader = AttemptReader(
             self, self.order.route.is_stream, connection.is_fresh, connection.close
         )
+        if self._memory is not None:
+            reader.count_in(self._memory)
         reader.monitor = self._monitor = self._make_monitor()
         try:
             end, reason = await self._exchange(connection, reader)
@@ -190,6 +193,7 @@
             end, reason = self._ended_as, ""
         finally:
             self._monitor.stop()
+            reader.release()
             self._guard.end_exposure(self._exposure)
             self._usage.finish()
             if is_reusable and self._servers.is_usable(self.server):
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -18,12 +18,16 @@
     EventPosition,
     EventReader,
 )
+from lavendershift.memory.budgets import Holding, MemoryBudget, Phase
+from lavendershift.memory.waits import wait_for_room
 from lavendershift.progresstimeouts import NullMonitor, ProgressMonitor
 
 SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 EVENT_STREAM = "text/event-stream"  # media type of server-sent events, HTML standard
 MAX_UNSIZED_BYTES = 1_048_576  # limit for a plain body without a Content-Length
+# What a body takes for each of its bytes: as collected, and as sent to the caller.
+BODY_COPIES = 2
 MAX_SKIPPED_RESPONSES = 8  # responses to other requests before the attempt's own
 
 
@@ -93,10 +97,24 @@
         self._body = bytearray()
         self._size = 0
         self._skipped = 0
+        self._memory: MemoryBudget | None = None
+        self._holding: Holding | None = None
+        self._counted = 0
+
+    def count_in(self, memory: MemoryBudget) -> None:
+        """Count what is collected of the response in a budget."""
+        self._memory = memory
+        self._holding = memory.open((), lambda: None)
+        self._holding.begin(Phase.RUNNING)
+
+    def release(self) -> None:
+        """Count nothing any more, as the attempt has ended."""
+        if self._holding is not None:
+            self._holding.close()
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Process a response head; one for an earlier request may come first."""
-        self._body, self._size = bytearray(), 0
+        self._body, self._size, self._counted = bytearray(), 0, 0
         self.status, self.headers = status, headers
         self.kind = self._receiver.classify(status, headers, self._is_fresh)
         self.is_streamed = (
@@ -157,7 +175,7 @@
             return None
         if not self.is_streamed:
             self._collect(chunk)
-            return None
+            return self._hold_body()
         before = self.events.position.events
         try:
             data = self.events.feed(chunk)
@@ -184,6 +202,29 @@
         elif self.kind is ResponseKind.OWN:
             self.monitor.note_bytes()
 
+    def _hold_body(self) -> Awaitable[None] | None:
+        """Count the collected body; the server isn't read until there is room."""
+        uncounted = len(self._body) - self._counted
+        if self._holding is None or self._memory is None or uncounted <= 0:
+            return None
+        self._counted = len(self._body)
+        size = uncounted * BODY_COPIES
+        if self._memory.has_room(self._holding, size):
+            self._holding.resize(self._holding.size + size)
+            return None
+        return self._wait_for_room(self._memory, self._holding, size)
+
+    async def _wait_for_room(
+        self, memory: MemoryBudget, holding: Holding, size: int
+    ) -> None:
+        self.monitor.suspend()
+        if await wait_for_room(memory, holding, size, lambda: not holding.is_open):
+            holding.resize(holding.size + size)
+        elif self.refused is None:
+            self._body.clear()
+            self._refuse(AttemptEnd.BROKEN, "no room for the response")
+        self.monitor.resume()
+
     async def _forward(self, data: bytes) -> None:
         self.monitor.suspend()
         await self._receiver.forward(self, data)
