Let the soak's clients misbehave, on VMs with 160 MB

Groups of up to 16 clients send nearly whole bodies, heads of many fields, parts of heads or pipelined requests to the ports of callers, readiness and directory while other faults happen.

--- a/lavendershift/platform/tests/soak/profiles.py
+++ b/lavendershift/platform/tests/soak/profiles.py
@@ -7,6 +7,7 @@
 
 from lavendershift.platform.tests.soak.callers import Caller
 from lavendershift.platform.tests.soak.faults import FAULTS, PLANNED
+from lavendershift.platform.tests.soak.misbehaviours import MISBEHAVIOURS
 from lavendershift.platform.tests.soak.oddentries import ODD_ENTRIES
 from lavendershift.platform.tests.soak.schedules import run_phase
 from lavendershift.platform.tests.soak.silences import LONG_SILENCES, SILENCES
@@ -36,7 +37,7 @@
     """Run planned operations, then faults of all kinds."""
     starts = [time.monotonic()]
     time.sleep(0.5)
-    beside = SILENCES | ODD_ENTRIES
+    beside = SILENCES | ODD_ENTRIES | MISBEHAVIOURS
     run_phase(world, [PLANNED, beside], planned_s, gap_s=(0.3, 1.2))
     time.sleep(0.5)
     starts.append(time.monotonic())
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -21,6 +21,7 @@
 )
 
 HEARTBEAT_S = 1.0
+SMALL_VM = "[limits]\nmemory_mb = 160\nmax_fds = 1638\n"
 SMALL_BUDGET, LARGE_BUDGET = 60_000, 50_000_000  # sizes of the budgets in tokens
 DEFAULT_ROUTES = msgspec.json.decode(make_configuration())["routes"]
 GRACE_S = 8.0
@@ -83,9 +84,8 @@
             link = self._start_link(self.store_port)
             self.store_links.append(link)
             text = node.settings.read_text()
-            node.settings.write_text(
-                text.replace(f":{self.store_port}", f":{link.port}")
-            )
+            text = text.replace(f":{self.store_port}", f":{link.port}")
+            node.settings.write_text(text + SMALL_VM)
             node.is_running, node.stopping, node.launched_at = False, None, 0.0
             node.launching = threading.Lock()
         for server in self.servers["pool"]:
