--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -9,6 +9,7 @@
 from lavendershift.decoding import run_decoder
 from lavendershift.errors import DecodeError
 from lavendershift.evacuation.coldservers import ColdBounds
+from lavendershift.memory.limits import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from lavendershift.platform.names import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 
 
@@ -41,6 +42,8 @@
     # Requests/s to cold servers, ``None`` if these have no limit.
     cold_bounds: ColdBounds | None = None
     regions: Mapping[str, str] = {}  # region of each failure domain
+    memory_mb: float = DEFAULT_MEMORY_MB  # memory of the VM
+    max_fds: int = DEFAULT_MAX_FDS  # file descriptors that the process may open
 
 
 class SettingsError(Exception):
@@ -95,6 +98,8 @@
         link_mbps=float(limits.get("link_mbps", 1000)),
         cold_bounds=_decode_cold_bounds(bounds),
         regions=_decode_regions(data),
+        memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
+        max_fds=int(limits.get("max_fds", DEFAULT_MAX_FDS)),
     )
 
 
--- a/lavendershift/tests/tokenload.py
+++ b/lavendershift/tests/tokenload.py
@@ -14,6 +14,7 @@
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.quotarecords import SwapResult
+from lavendershift.storehistories import History
 from lavendershift.tests.virtualloop import VirtualLoop
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, TokenLoans
@@ -43,6 +44,9 @@
 class VmQuotaLog:
     """A VM's view of the shared quota records; its calls take ``call_s``."""
 
+    history = History()
+    is_restored = False
+
     def __init__(self, fleet, call_s):
         self._fleet = fleet
         self._call_s = call_s
