Fix findings of the review of memory and places

One customer above its share ended slow callers of all others; a keeper without servers held requests until their deadline; a lack of memory here counted as a failure of the server; a refused pipelined request cut the unsent response before it. The test of the share fails without the change. Waiting requests aren't compared once no place is free.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -126,6 +126,7 @@
     INSIDE_EVENT = "inside_event"  # clean end of the response within an event
     OTHER_KIND = "other_kind"  # another status or media type than the stream's
     OUT_OF_PLACE = "out_of_place"  # events that don't follow the forwarded ones
+    NO_ROOM = "no_room"  # this VM has no memory for the response
     INTERNAL_ERROR = "internal_error"  # an exception that nothing handles
     GIVEN_UP = "given_up"  # disconnected caller or passed deadline
 
@@ -148,6 +149,7 @@
             AttemptEnd.INSIDE_EVENT,
             AttemptEnd.OTHER_KIND,
             AttemptEnd.OUT_OF_PLACE,
+            AttemptEnd.NO_ROOM,
         )
 
 
--- a/lavendershift/capacity/places.py
+++ b/lavendershift/capacity/places.py
@@ -128,6 +128,7 @@
         """Decide on the requests that wait, as far as possible now."""
         self._expire(now)
         decisions = []
+        has_place = self._find_server() is not None
         for ticket in sorted(
             self._waiting.values(), key=lambda t: self._make_rank(t, now)
         ):
@@ -135,9 +136,10 @@
                 del self._waiting[ticket.holder]
                 late_by = now + self._least_work - ticket.end_at
                 decisions.append(self._refuse(ticket, late_by))
-            elif self._find_server() is not None:
+            elif has_place:
                 del self._waiting[ticket.holder]
                 decisions.append(self._grant(ticket, now))
+                has_place = self._find_server() is not None
         return decisions
 
     def _estimate_wait(self, ticket: Ticket, now: timedelta) -> timedelta:
--- a/lavendershift/memory/budgets.py
+++ b/lavendershift/memory/budgets.py
@@ -152,6 +152,21 @@
             return self._large == (holding.size > SMALL_BYTES)
         return True
 
+    def _helps(self, victim: Holding, holding: Holding, extra: int) -> bool:
+        """Whether the end of ``victim`` may let another holding grow.
+
+        If only an owner of the holding has too much, other owners' don't help.
+        """
+        used = self.used + extra
+        if used > self.total * LARGE_SHARE:
+            return True
+        most = self.total * OWNER_SHARE
+        return any(
+            owner in victim.owners
+            for owner in holding.owners
+            if self._by_owner[owner] + extra > most
+        )
+
     def _exceeds_share(self, holding: Holding, extra: int) -> bool:
         most = self.total * OWNER_SHARE
         return any(self._by_owner[owner] + extra > most for owner in holding.owners)
@@ -186,7 +201,7 @@
         for victim in self.find_slow():
             if self.has_room(holding, extra):
                 break
-            if victim is not holding:
+            if victim is not holding and self._helps(victim, holding, extra):
                 victim.evict()
                 ended += 1
         return ended
--- a/lavendershift/platform/callerstreams.py
+++ b/lavendershift/platform/callerstreams.py
@@ -178,13 +178,18 @@
     def _note_received(self, received: int) -> None:
         self.holding.note_progress()
         self._count(received)
-        is_header = self._stage is Stage.IDLE and not self._has_refused
+        # A refusal while the last response is unsent would cut that response.
+        is_header = (
+            self._stage is Stage.IDLE and not self._has_refused and not self.writing()
+        )
         if is_header and not self._budget.has_room(self.holding, 0):
             # The stream can't be closed while it reads.
             asyncio.get_running_loop().call_soon(self._check_room)
 
     def _check_room(self) -> None:
         """Refuse the header that is read if there is no room for it."""
+        if self.writing():
+            return
         self._budget.evict_slow(self.holding, 0)
         has_room = self._budget.has_room(self.holding, 0)
         if not has_room and not self.closed() and self._stage is Stage.IDLE:
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -341,6 +341,8 @@
     def _update_server_state(self, end: AttemptEnd) -> None:
         if end is AttemptEnd.ANSWERED:
             self._servers.note_success(self.server)
+        elif end is AttemptEnd.NO_ROOM:
+            pass  # a lack of memory here says nothing about the server
         elif end is AttemptEnd.OUT_OF_PLACE and not self._owner.first_status:
             pass  # the caller may have sent a Last-Event-ID that never existed
         elif (
--- a/lavendershift/serverplaces.py
+++ b/lavendershift/serverplaces.py
@@ -312,6 +312,8 @@
         self._datagrams.send(reply, [peer])
 
     def _handle_request(self, request: PlaceRequest, sender: Peer) -> None:
+        if not self._needs_places(request.service):
+            return  # the VM that asks knows servers that this one doesn't
         now = self._clock.elapsed()
         ticket = Ticket(
             (sender, request.number),
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -222,7 +222,7 @@
             holding.resize(holding.size + size)
         elif self.refused is None:
             self._body.clear()
-            self._refuse(AttemptEnd.BROKEN, "no room for the response")
+            self._refuse(AttemptEnd.NO_ROOM, "no room for the response")
         self.monitor.resume()
 
     async def _forward(self, data: bytes) -> None:
--- a/lavendershift/tests/test_memory.py
+++ b/lavendershift/tests/test_memory.py
@@ -139,3 +139,16 @@
     world.clock.now += 2 * SECOND
     world.open("b", KILOBYTE, phase=Phase.IDLE)
     assert world.budget.find_longest_idle() is first
+
+
+def test_a_customer_over_its_share_ends_no_one_elses_slow_callers():
+    """One customer's fifth large body ended all callers that paused for a second."""
+    world = World(100 * MEGABYTE)
+    for number in range(3):
+        world.open(f"paused-{number}", MEGABYTE, phase=Phase.SENDING)
+    world.open("large", 45 * MEGABYTE, owner="big", phase=Phase.RUNNING)
+    new = world.open("new", owner="big")
+    world.clock.now += 2 * SECOND
+    assert not world.budget.has_room(new, 10 * MEGABYTE)
+    assert world.budget.evict_slow(new, 10 * MEGABYTE) == 0
+    assert not world.evicted
