--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -117,6 +117,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._supervisor = LoopSupervisor(clock, self._note_loop_failure)
         self._is_leaving = False
+        self._prepaid: dict[str, int] = {}
         self._stop_requested_at: timedelta | None = None
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         memory = derive_limits(settings.memory_mb, settings.max_fds)
@@ -510,17 +511,15 @@
         self._draws.note_restore()
 
     def _list_prepaid(self) -> dict[str, int]:
-        table = self._gateway.table
-        if table is None:
-            return {}
-        return {
+        return self._prepaid
+
+    def _accept_table(self, table: RoutingTable) -> None:
+        self._gateway.table = self._directory.table = table
+        self._prepaid = {
             customer.name: customer.prepaid
             for customer in table.customers.values()
             if customer.prepaid is not None
         }
-
-    def _accept_table(self, table: RoutingTable) -> None:
-        self._gateway.table = self._directory.table = table
         self._servers.cold.services = {
             name: service.cold for name, service in table.services.items()
         }
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -149,6 +149,7 @@
         self._on_draw = on_draw
         self._on_invalid = on_invalid
         self.invalid: set[str] = set()
+        self._was_read = False
         self._grants = KnownGrants(clock)
         self.granted = self._grants.granted
         self.read_at: timedelta | None = None
@@ -168,7 +169,7 @@
     @property
     def has_lost_grants(self) -> bool:
         """Whether a restored store may lack grants that are known here."""
-        is_restored = self._log.is_restored and self.read_at is not None
+        is_restored = self._log.is_restored and self._was_read
         return is_restored or bool(self._grants.lost)
 
     async def sync(self) -> None:
@@ -236,6 +237,7 @@
         self._end += len(records)
         self.read_at = started
         self._grants.note_reading(started)
+        self._was_read = True
 
     async def change(self, deltas: Mapping[str, int], release: Release) -> bool:
         """Append changes; return false if another VM's append came first.
@@ -344,6 +346,7 @@
     def _store_quota(self, record: QuotaRecord) -> None:
         if record.granted is None:
             self.invalid.add(record.customer)
+            self._grants.forget(record.customer)
             self._on_invalid(record.customer, record.fault)
             return
         self.invalid.discard(record.customer)
--- a/lavendershift/restoredgrants.py
+++ b/lavendershift/restoredgrants.py
@@ -45,7 +45,7 @@
         self.lost: dict[str, int] = {}
         self._history: History | None = None
         self._began_at = timedelta()
-        self._has_changed = False
+        self._has_changed = self._has_moved = False
         self._has_older_records = False
         # Customers whose newest record was written after lost grants were.
         self._confirmed: set[str] = set()
@@ -67,7 +67,9 @@
         if self.lost:
             return False
         is_first = not self._has_changed and self.era <= FIRST_ERA
-        if customer in self._confirmed or (is_first and not self._has_older_records):
+        # Records of a copy at another address may have been confirmed at the old one.
+        is_confirmed = customer in self._confirmed and not self._has_moved
+        if is_confirmed or (is_first and not self._has_older_records):
             return True
         return self._clock.elapsed() - self._began_at >= CONFIRMATION_TIME
 
@@ -77,6 +79,7 @@
             return
         if self._history is not None:
             self._has_changed = True
+            self._has_moved = history.moves != self._history.moves
             for customer, (granted, _) in self._told.items():
                 self._raise(customer, granted)
             self.lost = dict(self.granted)
@@ -86,6 +89,10 @@
         self._has_older_records = False
         self._confirmed.clear()
 
+    def forget(self, customer: str) -> None:
+        """Write no number again for a customer whose newest record is malformed."""
+        self.lost.pop(customer, None)
+
     def _raise(self, customer: str, granted: int) -> None:
         self.granted[customer] = max(granted, self.granted.get(customer, 0))
 
--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -1,8 +1,12 @@
+import asyncio
 from datetime import timedelta
 
 import pytest
 
 from lavendershift.clocks import ManualClock
+from lavendershift.errors import LogUnavailableError
+from lavendershift.prepaid import PrepaidAccount
+from lavendershift.quotarecords import QuotaRecord, QuotaRecords
 from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
 from lavendershift.storehistories import History
 
@@ -96,3 +100,56 @@
         grants.begin(History(0, era))
         grants.note("plume", 1000, 3, True)
     assert grants.lost == {"plume": 5000}
+
+
+def test_a_move_to_a_copy_of_the_store_is_waited_for(grants, clock):
+    """Records that were confirmed at the old address say nothing at the new one.
+
+    A VM that had drawn at the old address wrote its grants again too late.
+    """
+    grants.begin(History(1, 4))
+    grants.note("plume", 5000, 4, True)
+    assert not grants.is_settled("plume")
+    clock.advance(CONFIRMATION_TIME)
+    assert grants.is_settled("plume")
+
+
+def test_a_malformed_record_is_not_replaced_after_a_restore(grants):
+    """Only an operator may repair it, as the number known before is a guess."""
+    grants.begin(History(0, 5))
+    grants.forget("plume")
+    assert not grants.lost
+
+
+class RestoredLog:
+    """Quota records in a store that was restored; the next reading fails."""
+
+    def __init__(self):
+        self.history = self.newest = History(0, 4)
+        self.failures = 0
+
+    @property
+    def is_restored(self):
+        return self.history != self.newest
+
+    async def read_newest(self):
+        if self.failures:
+            self.failures -= 1
+            raise LogUnavailableError("status 429")
+        self.history = self.newest
+        return [QuotaRecord("plume", 5000, "a/1", era=4)], 1
+
+    async def read_records(self, offset):
+        return []
+
+
+def test_grants_may_be_lost_until_a_restored_store_was_read(clock):
+    """After one refused reading, a standby VM never read the partition again."""
+    log = RestoredLog()
+    records = QuotaRecords(clock, log, "a", PrepaidAccount)
+    asyncio.run(records.sync())
+    assert not records.has_lost_grants
+    log.newest, log.failures = History(0, 5), 1
+    with pytest.raises(LogUnavailableError):
+        asyncio.run(records.sync())
+    assert records.has_lost_grants
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -26,7 +26,11 @@
 from lavendershift.quotarecords import QuotaLog, QuotaRecords
 from lavendershift.storewatch import StoreWatch
 from lavendershift.tokenloans import LoanFailure
-from lavendershift.tokenreturns import ReleasedTokens, SnapshotHistory
+from lavendershift.tokenreturns import (
+    ReleasedTokens,
+    SnapshotHistory,
+    SnapshotNotStoredError,
+)
 from lavendershift.tokenwaits import Borrow, TokenWaits, WaitResult
 
 ROUND_INTERVAL = timedelta(seconds=1)  # time between full rounds of a small fleet
@@ -220,6 +224,9 @@
             interval = self._choose_interval()
             try:
                 await self.run_round()
+                if self._may_lack_grants():
+                    # Other VMs draw soon, also those that don't know the lost grants.
+                    interval = OUTAGE_RETRY_INTERVAL
             except LogUnavailableError:
                 interval = (
                     OUTAGE_RETRY_INTERVAL
@@ -396,19 +403,25 @@
         found = {c for c, tokens in zip(borrowed, results, strict=True) if tokens}
         return {c: d for c, d in deltas.items() if c not in found}
 
+    def _may_lack_grants(self) -> bool:
+        """Whether a restored store may lack grants that are known here."""
+        return any(records.has_lost_grants for records in self._records)
+
     async def _write_snapshot(self) -> None:
         """Write a lease snapshot of the accounts.
 
         None is written while a restored store lacks grants, as the next process would
         adopt tokens that can be drawn again.
         """
-        if any(records.has_lost_grants for records in self._records):
+        if self._may_lack_grants():
             return
         if self._lease_book is not None:
             await self._lease_book.record(self.accounts, self.pending.all)
 
     async def _release(self, tokens: Mapping[str, int]) -> ReleasedTokens:
         """Debit ``tokens`` so that they can be returned."""
+        if self._may_lack_grants():
+            raise SnapshotNotStoredError("a restored store may lack grants")
         if self._lease_book is not None:
             return await self._lease_book.release(
                 tokens, self.accounts, self.pending.all
