--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -146,7 +146,7 @@
 def test_grants_may_be_lost_until_a_restored_store_was_read(clock):
     """After one refused reading, a standby VM never read the partition again."""
     log = RestoredLog()
-    records = QuotaRecords(clock, log, "a", PrepaidAccount)
+    records = QuotaRecords(clock, log, "a", PrepaidAccount, lambda *args: None)
     asyncio.run(records.sync())
     assert not records.has_lost_grants
     log.newest, log.failures = History(0, 5), 1
