Keep evacuations that a restored store lacks until their time to be written is over

A VM that read a copy without the record ended the evacuation at once. The test fails without the change, as there was nothing that noted a restore.

--- a/lavendershift/evacuation/evacuations.py
+++ b/lavendershift/evacuation/evacuations.py
@@ -28,6 +28,8 @@
 
     def __init__(self) -> None:
         self._domains: set[str] = set()
+        # Evacuations that the operator hasn't written again since a restore.
+        self._unconfirmed: set[str] = set()
         self.on_change: Callable[[str, bool], None] = lambda domain, begins: None
         self.on_end: Callable[[str], None] = lambda domain: None
 
@@ -41,17 +43,28 @@
 
     def begin(self, failure_domain: str) -> None:
         """Record that a failure domain is under evacuation."""
+        self._unconfirmed.discard(failure_domain)
         if failure_domain not in self._domains:
             self._domains.add(failure_domain)
             self.on_change(failure_domain, True)
 
     def end(self, failure_domain: str) -> None:
         """Record that the evacuation of a failure domain was withdrawn."""
+        self._unconfirmed.discard(failure_domain)
         if failure_domain in self._domains:
             self._domains.discard(failure_domain)
             self.on_end(failure_domain)
             self.on_change(failure_domain, False)
 
+    def note_restore(self) -> None:
+        """Note that the store was restored from a copy that may lack evacuations."""
+        self._unconfirmed = set(self._domains)
+
+    def end_unconfirmed(self) -> None:
+        """End the evacuations that were not written again since the last restore."""
+        for domain in sorted(self._unconfirmed):
+            self.end(domain)
+
     def keep_only(self, failure_domains: Iterable[str]) -> None:
         """End the evacuations of all other failure domains."""
         for domain in sorted(self._domains.difference(failure_domains)):
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -245,12 +245,24 @@
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Apply evacuations, and the newest valid configuration among ``records``."""
-        apply_evacuations(self._evacuations, records, is_snapshot, self._note_odd)
+        self._apply_evacuations(records, is_snapshot)
         for record in reversed(records):
             is_configuration = record.key == names.CONFIGURATION_KEY
             if is_configuration and record.value and self._activate(record):
                 return
 
+    def _apply_evacuations(self, records: list[Record], is_snapshot: bool) -> None:
+        """Apply evacuations; the operator has some time to write those a copy lacks."""
+        restored_at, is_complete = self.restored_at, is_snapshot
+        if restored_at is not None:
+            is_renewed = self._clock.elapsed() - restored_at >= RENEWAL_TIME
+            if is_snapshot and not is_renewed:
+                self._evacuations.note_restore()
+                is_complete = False
+            if is_renewed:
+                self._evacuations.end_unconfirmed()
+        apply_evacuations(self._evacuations, records, is_complete, self._note_odd)
+
     def _note_odd(self, error: DecodeError) -> None:
         self.skips.note(error.location, error.reason)
 
