--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -33,11 +33,9 @@
 from lavendershift.logoutput import StandardOutputHandler
 from lavendershift.logs import (
     Event,
-    EventFields,
     EventLog,
     LibraryHandler,
     format_line,
-    format_traceback,
     in_milliseconds,
 )
 from lavendershift.looppauses import (
@@ -57,6 +55,7 @@
 from lavendershift.platform.feeds import ConfigurationFeed, ServerFeed
 from lavendershift.platform.grants import StoreQuotaLog
 from lavendershift.platform.leases import StoreLeaseLog
+from lavendershift.platform.nodereports import NodeReports
 from lavendershift.platform.nodesettings import (
     NodeSettings,
     SettingsError,
@@ -114,8 +113,9 @@
         self._clock = clock
         self._log = log
         self._instruments = Instruments()
+        self._reports = NodeReports(log, self._instruments)
         self._tasks: list[asyncio.Task[None]] = []
-        self._supervisor = LoopSupervisor(clock, self._note_loop_failure)
+        self._supervisor = LoopSupervisor(clock, self._reports.report_loop_failure)
         self._is_leaving = False
         self._prepaid: dict[str, int] = {}
         self._stop_requested_at: timedelta | None = None
@@ -124,7 +124,7 @@
         self._budget = MemoryBudget(clock, memory.held_bytes)
         self._connections = ConnectionPool(clock)
         self._store = StoreClient(
-            settings.store_address, self._connections, clock, self._note_call
+            settings.store_address, self._connections, clock, self._reports.report_call
         )
         row = VmRow(
             settings.name,
@@ -157,11 +157,11 @@
         self._servers.on_load_change = self._gossip.note_change
         self._servers.on_leaving = self._note_server_leaving
         self._servers.on_invalid_limit = self._note_invalid_limit
-        self._servers.on_silence = self._note_silence
-        self._servers.speeds.on_change = self._note_speed
+        self._servers.on_silence = self._reports.report_silence
+        self._servers.speeds.on_change = self._reports.report_speed
         self._servers.count_vms = self._working_set.count
         self._servers.limits.on_change = self._note_limit
-        self._servers.evacuations.on_change = self._note_evacuation
+        self._servers.evacuations.on_change = self._reports.report_evacuation
         self._servers.cold.bounds = settings.cold_bounds
         ColdGossip(self._servers, self._datagrams, self._list_all_peers)
         self._crash_control = CrashControl(
@@ -211,11 +211,11 @@
                 ),
                 incarnation,
                 read_boot_id(),
-                self._note_adopted,
+                self._reports.report_adopted,
                 self._note_tokens_lost,
             ),
             self._note_draw,
-            self._note_grants_reached,
+            self._reports.report_grants_reached,
             self._activity.is_active,
             self._find_rank,
             lambda customer, reason: self._skips.note("quota", reason, customer),
@@ -502,10 +502,6 @@
         table = self._gateway.table
         return table.version if table else 0
 
-    def _note_call(self, call: str, outcome: str, duration: timedelta) -> None:
-        self._instruments.count("store_calls", call, outcome)
-        self._instruments.observe("store_call", max(duration, timedelta()), call)
-
     def _note_history(self, history: History) -> None:
         self._instruments.count("store_histories")
         self._draws.note_restore()
@@ -532,44 +528,17 @@
     def _note_server_leaving(self, entry: ServerEntry) -> None:
         """Handle a server's shutdown, announced in a response or by another VM."""
         self._connections.drop(entry.address)
-        self._log.write(
-            Event.SERVER_CHANGED, server=entry.id, result="leaving", reason="answer"
-        )
+        self._reports.report_leaving(entry)
         self._gossip.announce_server_leaving(entry)
 
     def _note_limit(
         self, incarnation: Incarnation, state: LimitState, is_own: bool
     ) -> None:
         """Handle a server's new limit, named in a response or by another VM."""
-        fields = EventFields(
-            server=incarnation[0],
-            version=state.version,
-            result="unlimited" if state.rate is None else "limited",
-            reason="answer" if is_own else "vm",
-        )
-        if state.rate is not None:
-            fields["known_limit"] = state.rate
-        self._log.write(Event.SERVER_LIMITED, **fields)
+        self._reports.report_limit(incarnation, state, is_own)
         if is_own:
             self._fact_gossip.announce(self._limit_facts, {incarnation: state})
 
-    def _note_evacuation(self, failure_domain: str, begins: bool) -> None:
-        result = "begun" if begins else "ended"
-        self._log.write(Event.DOMAIN_EVACUATED, name=failure_domain, result=result)
-
-    def _note_silence(self, entry: ServerEntry, is_silent: bool) -> None:
-        """Report that a server fell silent or was heard again."""
-        change = "silent" if is_silent else "heard"
-        self._instruments.count("server_silences", change)
-        self._log.write(Event.SERVER_CHANGED, server=entry.id, result=change)
-
-    def _note_speed(self, entry: ServerEntry, state: str, estimates: str) -> None:
-        """Report that a server became slower or faster than its peers."""
-        self._instruments.count("server_speed_changes", state)
-        self._log.write(
-            Event.SERVER_CHANGED, server=entry.id, result=state, reason=estimates
-        )
-
     def _note_invalid_limit(self, entry: ServerEntry) -> None:
         self._skips.note("limit", "", server=entry.id)
 
@@ -594,15 +563,7 @@
         if tokens > 0:
             era = self._draws.find_era(customer)
             self._grant_notices.tell(customer, granted, era)
-        name = "tokens_drawn" if tokens > 0 else "tokens_returned"
-        self._instruments.count(name, customer, amount=abs(tokens))
-        self._log.write(
-            Event.TOKENS_DRAWN,
-            customer=customer,
-            tokens=tokens,
-            granted_tokens=granted,
-            free_tokens=account.free,
-        )
+        self._reports.report_draw(customer, tokens, granted, account.free)
 
     def _find_retry_share(self) -> float:
         """Return this VM's share of the fleet's retries."""
@@ -672,21 +633,12 @@
         return ranked[0].name == self._vms.own.name
 
     def _note_loan(self, customer: str, tokens: int) -> None:
-        name = "tokens_borrowed" if tokens > 0 else "tokens_lent"
-        self._instruments.count(name, customer, amount=abs(tokens))
         free = self._draws.find_account(customer).free
-        self._log.write(
-            Event.TOKENS_LENT, customer=customer, tokens=tokens, free_tokens=free
-        )
-
-    def _note_adopted(self, customer: str, tokens: int) -> None:
-        self._instruments.count("tokens_adopted", customer, amount=tokens)
-        self._log.write(Event.TOKENS_ADOPTED, customer=customer, tokens=tokens)
+        self._reports.report_loan(customer, tokens, free)
 
     def _note_tokens_lost(self, tokens: int) -> None:
         """Report tokens lost with the VM's power; its row says so for a while."""
-        self._instruments.count("tokens_lost", amount=tokens)
-        self._log.write(Event.TOKENS_LOST, tokens=tokens)
+        self._reports.report_lost(tokens)
         self._vms.set_own(self._vms.own._replace(has_lost_tokens=True))
         asyncio.get_running_loop().call_later(
             LOSS_MEMORY.total_seconds(),
@@ -699,28 +651,6 @@
     def _note_dropped(self, error: Exception) -> None:
         self._skips.note_failure("datagram", error)
 
-    def _note_loop_failure(
-        self, name: str, error: BaseException, pause: timedelta
-    ) -> None:
-        """Report a failed loop; readiness doesn't change.
-
-        The other VMs read the same input, so leaving the list of VMs could leave
-        none for callers. What a loop maintains gets old instead: a VM that can't renew
-        its row is dropped by the others, and ``belief_age`` grows.
-        """
-        self._instruments.count("loop_failures", name)
-        self._log.write(
-            Event.LOOP_FAILED,
-            name=name,
-            error=type(error).__name__,
-            place=format_traceback(error),
-            waited_ms=in_milliseconds(pause),
-        )
-
-    def _note_grants_reached(self, reached: bool, reason: str) -> None:
-        event = Event.DEPENDENCY_FOUND if reached else Event.DEPENDENCY_LOST
-        self._log.write(event, name="grants", reason=reason)
-
 
 def make_log(settings: NodeSettings, clock: BootClock) -> EventLog:
     """Return the event log of the process, which writes to standard output."""
