--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -186,10 +186,7 @@
             clock, self._servers.limits, self._datagrams, self._find_keeper
         )
         permits.on_taken = lambda outcome: self._instruments.count("permits", outcome)
-        places = ServerPlaces(
-            clock, rng, self._servers, self._datagrams, self._find_keeper
-        )
-        places.on_taken = lambda outcome: self._instruments.count("places", outcome)
+        places = self._make_places(rng) if settings.shares_places else None
         self._vms.set_silence_lookup(self._gossip.find_silence)
         self._draws = TokenDraws(
             clock,
@@ -321,6 +318,13 @@
             self._activity.is_active,
         )
 
+    def _make_places(self, rng: random.Random) -> ServerPlaces:
+        places = ServerPlaces(
+            self._clock, rng, self._servers, self._datagrams, self._find_keeper
+        )
+        places.on_taken = lambda outcome: self._instruments.count("places", outcome)
+        return places
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may be directed to this VM."""
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -44,6 +44,8 @@
     regions: Mapping[str, str] = {}  # region of each failure domain
     memory_mb: float = DEFAULT_MEMORY_MB  # memory of the VM
     max_fds: int = DEFAULT_MAX_FDS  # file descriptors that the process may open
+    # Whether places at plain servers with few slots are granted by one VM.
+    shares_places: bool = False
 
 
 class SettingsError(Exception):
@@ -100,6 +102,7 @@
         regions=_decode_regions(data),
         memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         max_fds=int(limits.get("max_fds", DEFAULT_MAX_FDS)),
+        shares_places=bool(data.get("servers", {}).get("shares_places", False)),
     )
 
 
