Check a configuration before it is sent

The routers skip invalid entries and use the rest, so that a mistake showed only in the requests that it affected. `lavendershift check configuration` names errors, entries that can never match, limits that contradict each other, and the differences from the configuration in force. The checks work on the decoded entries, with a registry; values that the decoding replaces are checked in the adapter.

--- a/lavendershift/commands/check.py
+++ b/lavendershift/commands/check.py
@@ -1,15 +1,21 @@
 """``lavendershift check``: offline validation of settings and tree files."""
 
+import sys
+from collections.abc import Sequence
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, NamedTuple
 
 import cappa
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lavendershift.commands.output import ExitCode, print_faults
+from lavendershift.commands.output import ExitCode, print_faults, print_json
 from lavendershift.commands.treefiles import FileFault, load_top_ups, load_tree_file
 from lavendershift.configuration import Configuration
+from lavendershift.configurationchecks import Draft, Finding, Severity
+from lavendershift.configurationdiffs import Difference, compare
+from lavendershift.errors import DecodeError
+from lavendershift.platform.configuration import check_draft, decode_draft
 from lavendershift.records import Change
 from lavendershift.settings import load_settings
 from lavendershift.settings_table import Program
@@ -24,10 +30,16 @@
     Example: `lavendershift check router r1.toml r2.toml`
 
     Example: `lavendershift check tree --whole tree.toml`
+
+    A configuration of the platform is also checked for entries that never match and
+    limits that contradict each other, and compared with the one in force.
+
+    Example: `lavendershift check configuration --in-force old.json new.json`
     """
 
     kind: Annotated[
-        Literal["router", "relay", "tree", "top-ups"], cappa.Arg(help="Kind of file")
+        Literal["router", "relay", "tree", "top-ups", "configuration"],
+        cappa.Arg(help="Kind of file"),
     ]
     files: Annotated[list[Path], cappa.Arg(num_args=-1, help="Files to check")]
     whole: Annotated[
@@ -36,10 +48,18 @@
             long=True, help="Validate a tree file as the first change of an empty tree"
         ),
     ] = False
+    in_force: Annotated[
+        Path | None,
+        cappa.Arg(long=True, help="The configuration that a new one will replace"),
+    ] = None
     json: Annotated[bool, cappa.Arg(long=True, help="Print JSON")] = False
 
     def __call__(self) -> int:
         """Validate all files and return 1 if any has an error."""
+        if self.kind == "configuration":
+            reports = [review_file(path, self.in_force) for path in self.files]
+            print_reports(reports, self.json)
+            return ExitCode.REFUSED if any(map(has_errors, reports)) else ExitCode.DONE
         faults: list[Any] = []
         for path in self.files:
             faults += check_file(self.kind, path, self.whole)
@@ -51,6 +71,54 @@
         return ExitCode.DONE
 
 
+class ConfigurationReport(NamedTuple):
+    """Findings in a configuration file, and how it differs from the one in force."""
+
+    file: str
+    findings: list[Finding]
+    differences: list[Difference]
+
+
+def review_file(path: Path, in_force: Path | None) -> ConfigurationReport:
+    """Check a configuration file, and compare it with the one in force."""
+    current: Draft | None = None
+    try:
+        if in_force is not None:
+            current, _ = decode_draft(in_force.read_bytes())
+        draft, findings = check_draft(path.read_bytes(), current)
+    except (OSError, DecodeError) as error:
+        found = Finding(Severity.ERROR, "file", str(error))
+        return ConfigurationReport(str(path), [found], [])
+    differences = [] if current is None else list(compare(current, draft))
+    return ConfigurationReport(str(path), findings, differences)
+
+
+def has_errors(report: ConfigurationReport) -> bool:
+    """Return whether a configuration has errors and not only warnings."""
+    return any(finding.severity is Severity.ERROR for finding in report.findings)
+
+
+def print_reports(reports: Sequence[ConfigurationReport], as_json: bool) -> None:
+    """Print findings to standard error and differences to standard output."""
+    if as_json:
+        print_json(
+            [
+                {
+                    "file": report.file,
+                    "findings": [finding._asdict() for finding in report.findings],
+                    "differences": [each._asdict() for each in report.differences],
+                }
+                for report in reports
+            ]
+        )
+        return
+    for report in reports:
+        for finding in report.findings:
+            print(f"{report.file}: {finding}", file=sys.stderr)
+        for difference in report.differences:
+            print(f"{report.file}: {difference}")
+
+
 def check_file(kind: str, path: Path, whole: bool) -> list[Any]:
     """Return the errors in one file."""
     if kind == "tree":
--- a/lavendershift/platform/configuration.py
+++ b/lavendershift/platform/configuration.py
@@ -6,11 +6,18 @@
 """
 
 import contextlib
+from collections.abc import Iterator
 from datetime import timedelta
 from typing import NamedTuple, TypeVar
 
 import msgspec
 
+from lavendershift.configurationchecks import (
+    Draft,
+    Finding,
+    Severity,
+    check_configuration,
+)
 from lavendershift.decoding import (
     MAX_DEPTH,
     MAX_RATE,
@@ -35,6 +42,7 @@
 
 STREAMING = "streaming"
 SAFE = "safe"
+KINDS = frozenset({STREAMING, SAFE, "unsafe"})
 MAX_WEIGHT = 1e9  # largest weight of a service, so that their sum is finite
 MAX_CONFIGURATION_BYTES = 4_194_304
 
@@ -121,19 +129,25 @@
 
 def decode_configuration(value: bytes) -> Decoded:
     """Decode a configuration; raises ``DecodeError`` if malformed."""
+    draft, skipped = decode_draft(value)
+    return Decoded(RoutingTable(*draft), skipped)
+
+
+def decode_draft(value: bytes) -> tuple[Draft, list[str]]:
+    """Return the valid entries, and descriptions of the others, which are skipped."""
     skipped: list[str] = []
     pruned = prune_depth(value)
     if pruned is not value:
         skipped.append(f"values nested more than {MAX_DEPTH} levels deep")
     config = _decode_valid(pruned, skipped)
-    table = RoutingTable(
+    draft = Draft(
         config.version,
-        map(_make_route, config.routes),
-        map(_make_service, config.services),
-        map(_make_customer, config.tenants),
+        [_make_route(route) for route in config.routes],
+        [_make_service(service) for service in config.services],
+        [_make_customer(customer) for customer in config.tenants],
         _make_limits(_decode_limits(config.limits, skipped)),
     )
-    return Decoded(table, skipped)
+    return draft, skipped
 
 
 def _decode_valid(data: bytes, skipped: list[str]) -> _ValidConfig:
@@ -229,6 +243,36 @@
     )
 
 
+def check_draft(value: bytes, in_force: Draft | None) -> tuple[Draft, list[Finding]]:
+    """Check a configuration; raises ``DecodeError`` if nothing of it can be used."""
+    draft, skipped = decode_draft(value)
+    findings = [
+        Finding(Severity.ERROR, "configuration", f"{text}; the entry is skipped")
+        for text in skipped
+    ]
+    for route in _decode_valid(prune_depth(value), []).routes:
+        findings += _check_route(route)
+    return draft, findings + check_configuration(draft, in_force)
+
+
+def _check_route(wire: _Route) -> Iterator[Finding]:
+    """Find values of a route that are replaced, or have no effect."""
+    place = f"route {wire.name}"
+    if wire.kind not in KINDS:
+        text = f"the kind {wire.kind!r} is unknown, so its requests are never repeated"
+        yield Finding(Severity.ERROR, place, text)
+    if wire.resumable and wire.kind != STREAMING:
+        text = "resumable has no effect on a route that doesn't stream"
+        yield Finding(Severity.WARNING, place, text)
+    if wire.max_attempts < 1:
+        yield Finding(Severity.WARNING, place, "max_attempts below 1 counts as 1")
+    if wire.service and wire.traffic_split:
+        text = f"service {wire.service!r} has no effect beside traffic_split"
+        yield Finding(Severity.WARNING, place, text)
+    if any(share.weight < 0 for share in wire.traffic_split):
+        yield Finding(Severity.ERROR, place, "a weight is negative and counts as 0")
+
+
 def _find_repeat(wire: _Route) -> Repeat:
     """Return how a route's requests may be retried; never for an unknown kind."""
     if wire.kind == SAFE:
