--- a/lavendershift/platform/tests/test_soak.py
+++ b/lavendershift/platform/tests/test_soak.py
@@ -17,7 +17,8 @@
 
 
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
-def test_short_soak_finds_no_violations(seed):
-    violations, endings = run_seed(seed, "brief")
+def test_short_soak_finds_no_violations(seed, tmp_path):
+    # pytest keeps the folder, with the logs and records of the run.
+    violations, endings = run_seed(seed, "brief", tmp_path)
     assert violations == []
     assert endings.total() > 100
