Wake requests that wait for room in the memory budget

They checked every 20 ms; 800 of them used half a core. Now one waiter is woken when the bytes that it lacks may have become free, and only the first one searches for slow holdings.

--- a/lavendershift/memory/budgets.py
+++ b/lavendershift/memory/budgets.py
@@ -16,6 +16,7 @@
 from enum import Enum
 
 from lavendershift.clocks import Clock
+from lavendershift.memory.roomqueues import Obstacle, RoomQueue
 
 # Size up to which a holding counts as small. A part of the budget is kept for these,
 # so that large bodies leave room for ordinary requests.
@@ -72,8 +73,11 @@
     def resize(self, size: int) -> None:
         """Set how many bytes are held."""
         if self.is_open and size != self.size:
-            self._budget.change(self, size - self.size)
+            difference = size - self.size
+            self._budget.change(self, difference)
             self.size = size
+            if difference < 0:
+                self._budget.waiting.note_freed(self.owners)
 
     def begin(self, phase: Phase) -> None:
         """Note that a phase begins."""
@@ -100,6 +104,7 @@
         self.used = 0
         self._by_owner: Counter[str] = Counter()
         self._holdings: dict[Holding, None] = {}
+        self.waiting = RoomQueue(self)
         self._large = 0  # number of holdings of more than ``SMALL_BYTES``
         self._searched_at = clock.elapsed() - SEARCH_INTERVAL
 
@@ -113,9 +118,12 @@
         """Count a change of a holding's size."""
         self.used += difference
         size = holding.size
-        self._large += (size + difference > SMALL_BYTES) - (size > SMALL_BYTES)
         for owner in holding.owners:
             self._by_owner[owner] += difference
+        more = (size + difference > SMALL_BYTES) - (size > SMALL_BYTES)
+        self._large += more
+        if more < 0 and self._large <= 1:
+            self.waiting.note_last_large()
 
     def add_owner(self, holding: Holding, owner: str) -> None:
         """Count a holding for one more owner too."""
@@ -130,11 +138,14 @@
                 self._by_owner[owner] -= holding.size
                 if not self._by_owner[owner]:
                     del self._by_owner[owner]
-        holding.owners = owners
+        dropped, holding.owners = holding.owners, owners
+        if dropped != owners:
+            self.waiting.note_freed(dropped)
 
     def forget(self, holding: Holding) -> None:
         """Remove a holding of size 0."""
         self._holdings.pop(holding, None)
+        self.waiting.recheck(holding)
         for owner in holding.owners:
             if not self._by_owner[owner]:
                 del self._by_owner[owner]
@@ -145,32 +156,47 @@
         A large one may always grow if there is no other large one, so that the largest
         request within the limits of the configuration is served in calm conditions.
         """
-        used = self.used + extra
+        return self.find_obstacle(holding, extra) is None
+
+    def find_obstacle(self, holding: Holding, extra: int) -> Obstacle | None:
+        """Return why a holding may not grow by ``extra`` bytes, ``None`` if it may."""
         if holding.size + extra <= SMALL_BYTES:
-            return used <= self.total
-        if used > self.total * LARGE_SHARE or self._exceeds_share(holding, extra):
-            return self._large == (holding.size > SMALL_BYTES)
-        return True
+            level: float = self.total - extra
+            return None if self.used <= level else Obstacle(None, level)
+        obstacle = None
+        level, owner_level = self._find_large_levels(extra)
+        if self.used > level:
+            obstacle = Obstacle(None, level)
+        else:
+            for owner in holding.owners:
+                if self._by_owner[owner] > owner_level:
+                    obstacle = Obstacle(owner, owner_level)
+        if obstacle is None or self._large == (holding.size > SMALL_BYTES):
+            return None
+        return obstacle
+
+    def _find_large_levels(self, extra: int) -> tuple[float, float]:
+        """Return the use by all, and by one owner, beside ``extra`` bytes."""
+        return self.total * LARGE_SHARE - extra, self.total * OWNER_SHARE - extra
+
+    def measure_use(self, owner: str | None) -> int:
+        """Return the bytes held for an owner, or for all if it is ``None``."""
+        return self.used if owner is None else self._by_owner[owner]
 
     def _helps(self, victim: Holding, holding: Holding, extra: int) -> bool:
         """Whether the end of ``victim`` may let another holding grow.
 
         If only an owner of the holding has too much, other owners' don't help.
         """
-        used = self.used + extra
-        if used > self.total * LARGE_SHARE:
+        level, owner_level = self._find_large_levels(extra)
+        if self.used > level:
             return True
-        most = self.total * OWNER_SHARE
         return any(
             owner in victim.owners
             for owner in holding.owners
-            if self._by_owner[owner] + extra > most
+            if self._by_owner[owner] > owner_level
         )
 
-    def _exceeds_share(self, holding: Holding, extra: int) -> bool:
-        most = self.total * OWNER_SHARE
-        return any(self._by_owner[owner] + extra > most for owner in holding.owners)
-
     def find_slow(self) -> list[Holding]:
         """Return the holdings that may be ended for lack of room, the first first.
 
--- a/lavendershift/platform/requestreaders.py
+++ b/lavendershift/platform/requestreaders.py
@@ -192,6 +192,8 @@
     def _refuse(self, kind: ErrorKind) -> None:
         if not self._is_refused and self._start_line is not None:
             self._is_refused = True
+            if self.stream is not None:
+                self._server.budget.waiting.recheck(self.stream.holding)
             method = self._start_line.method
             writer = self._server.make_writer(self._connection, method)
             self._server.refuse(writer, self._request_id, RequestError(kind))
