Limit connections to servers by the free descriptors

They counted against no limit. EMFILE on connecting was no ConnectError, so that the request ended as an internal error. Now it is refused as not run, and the server isn't avoided for it. The store has a pool of its own among the reserved descriptors.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -11,9 +11,12 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
+import sys
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -44,17 +47,25 @@
 TCP_USER_TIMEOUT_MS = 4000  # time without an ACK until the kernel drops a connection
 # Size of one read. tornado clears a buffer of this size for each; events are short.
 READ_BYTES = 16_384
+# Errors of a process, or a system, that has no descriptor or buffer left.
+LOCAL_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
 
 
 class ConnectError(Exception):
     """The connection could not be opened, so nothing was sent.
 
-    ``was_refused`` is set if the host responded that nothing listens on the port.
+    ``was_refused`` is set if the host responded that nothing listens on the port, and
+    ``is_local`` if this process lacks a descriptor, which says nothing about the host.
     """
 
-    def __init__(self, message: str, was_refused: bool = False) -> None:
+    def __init__(
+        self, message: str, was_refused: bool = False, is_local: bool = False
+    ) -> None:
         super().__init__(message)
         self.was_refused = was_refused
+        self.is_local = is_local
 
 
 class ServerRequest(NamedTuple):
@@ -82,9 +93,16 @@
     """A stream that can be checked for received but unread bytes.
 
     ``received_at`` is the time on the event loop's clock at which bytes last arrived.
+    ``on_descriptor_closed`` is called once its socket is closed.
     """
 
     received_at = 0.0
+    on_descriptor_closed: Callable[[], None] = staticmethod(lambda: None)
+
+    def close_fd(self) -> None:
+        """Close the socket."""
+        super().close_fd()
+        self.on_descriptor_closed()
 
     def _handle_events(self, fd: int | Any, events: int) -> None:
         # tornado stops watching the socket whenever a read leaves bytes in the buffer,
@@ -214,12 +232,18 @@
 
 
 class ConnectionPool:
-    """Opens connections and keeps the reusable ones."""
+    """Opens connections and keeps the reusable ones.
+
+    ``open_count`` is the number of open ones, and ``find_limit`` returns how many may
+    be. Beyond that, a new one takes the place of the one that is idle for longest.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, deque[Connection]] = {}
         self.opened = 0
+        self.open_count = 0
+        self.find_limit: Callable[[], int] = lambda: sys.maxsize
 
     def take(self, address: str) -> Connection | None:
         """Return the most recently used idle connection to ``address``."""
@@ -235,13 +259,20 @@
     async def connect(self, address: str, timeout: timedelta) -> Connection:
         """Open a connection; raises ``ConnectError``."""
         host, _, port = address.rpartition(":")
-        endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if not self._make_room():
+            raise ConnectError(f"{address}: too many connections", is_local=True)
+        try:
+            endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            raise ConnectError(f"{address}: {error.strerror}", is_local=True) from None
         endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with contextlib.suppress(OSError):
             endpoint.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
             )
         stream = ServerStream(endpoint, read_chunk_size=READ_BYTES)
+        self.open_count += 1
+        stream.on_descriptor_closed = self._note_closed
         try:
             async with Timeout(timeout.total_seconds()):
                 await stream.connect((host, int(port)))
@@ -249,13 +280,32 @@
             stream.close()
             reason = _describe(error)
             was_refused = reason == ConnectionRefusedError.__name__
-            raise ConnectError(f"{address}: {reason}", was_refused) from None
+            raise ConnectError(
+                f"{address}: {reason}", was_refused, _is_local(error)
+            ) from None
         except BaseException:
             stream.close()
             raise
         self.opened += 1
         return Connection(stream, address)
 
+    def _make_room(self) -> bool:
+        """Return whether a connection may be opened; an idle one may be closed."""
+        limit = self.find_limit()
+        while self.open_count >= limit:
+            oldest = min(
+                (idle for idle in self._idle.values() if idle),
+                key=lambda idle: idle[0].idle_since,
+                default=None,
+            )
+            if oldest is None:
+                return False
+            oldest.popleft().close()
+        return True
+
+    def _note_closed(self) -> None:
+        self.open_count -= 1
+
     async def is_refused(self, address: str) -> bool:
         """Return whether connections to ``address`` are refused."""
         try:
@@ -329,6 +379,13 @@
     return None
 
 
+def _is_local(error: BaseException | None) -> bool:
+    """Whether an error on connecting is a lack of this process or this system."""
+    if isinstance(error, StreamClosedError):
+        return _is_local(error.real_error)
+    return isinstance(error, OSError) and error.errno in LOCAL_ERRORS
+
+
 def _describe(error: BaseException | None) -> str:
     """Return the name of an error's type for log lines."""
     if error is None:
--- a/lavendershift/lingering.py
+++ b/lavendershift/lingering.py
@@ -21,6 +21,11 @@
         self._limit = limit
         self._count = 0
 
+    @property
+    def count(self) -> int:
+        """The number of sockets that linger."""
+        return self._count
+
     def discard_remainder(self, endpoint: socket.socket) -> None:
         """Send the end of a connection, and close it once the peer has ended it too.
 
--- a/lavendershift/memory/limits.py
+++ b/lavendershift/memory/limits.py
@@ -24,6 +24,8 @@
 DIRECTORY_FD_SHARE = 1 / 16
 READINESS_CONNECTIONS = 32  # probes use one connection at a time
 METRICS_CONNECTIONS = 16
+# Connections to servers that may be open on any VM, however many callers there are.
+MIN_SERVER_CONNECTIONS = 16
 MIN_CONNECTIONS = 16  # connections from callers that are accepted on any VM
 
 
@@ -33,6 +35,8 @@
     held_bytes: int
     caller_connections: int
     directory_connections: int
+    # Descriptors for connections from callers, open or lingering, and to servers.
+    shared_descriptors: int = DEFAULT_MAX_FDS
 
 
 def derive_limits(memory_mb: float, max_fds: int) -> MemoryLimits:
@@ -40,8 +44,16 @@
     memory = int(memory_mb * MEGABYTE)
     held = max((memory - PROCESS_BYTES) * HELD_SHARE, memory * MIN_HELD_SHARE)
     descriptors = max(max_fds - RESERVED_FDS, 0)
+    directory = max(int(descriptors * DIRECTORY_FD_SHARE), MIN_CONNECTIONS)
+    status = directory + READINESS_CONNECTIONS + METRICS_CONNECTIONS
     return MemoryLimits(
         int(held),
         max(int(descriptors * CALLER_FD_SHARE), MIN_CONNECTIONS),
-        max(int(descriptors * DIRECTORY_FD_SHARE), MIN_CONNECTIONS),
+        directory,
+        descriptors - status,
     )
+
+
+def count_server_connections(limits: MemoryLimits, caller_descriptors: int) -> int:
+    """Return how many connections to servers may be open beside callers'."""
+    return max(limits.shared_descriptors - caller_descriptors, MIN_SERVER_CONNECTIONS)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -47,6 +47,7 @@
 from lavendershift.memory.limits import (
     METRICS_CONNECTIONS,
     READINESS_CONNECTIONS,
+    count_server_connections,
     derive_limits,
 )
 from lavendershift.permits import Permits
@@ -123,8 +124,13 @@
         memory = derive_limits(settings.memory_mb, settings.max_fds)
         self._budget = MemoryBudget(clock, memory.held_bytes)
         self._connections = ConnectionPool(clock)
+        # The store's connections are among the reserved descriptors.
+        self._store_connections = ConnectionPool(clock)
         self._store = StoreClient(
-            settings.store_address, self._connections, clock, self._reports.report_call
+            settings.store_address,
+            self._store_connections,
+            clock,
+            self._reports.report_call,
         )
         row = VmRow(
             settings.name,
@@ -262,6 +268,9 @@
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
         self._callers = CallerServer(clock, self._gateway, memory, self._budget)
+        self._connections.find_limit = lambda: count_server_connections(
+            memory, self._callers.count_descriptors()
+        )
         self._callers.find_customer = self._gateway.find_customer
         self._callers.on_connection_refused = lambda: self._instruments.count(
             "connections_refused"
@@ -377,6 +386,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._datagrams.close()
         self._connections.close()
+        self._store_connections.close()
 
     async def _log_start(self) -> None:
         self._log.write(Event.PROCESS_STARTED)
@@ -397,6 +407,7 @@
         while True:
             await asyncio.sleep(IDLE_SWEEP_INTERVAL.total_seconds())
             self._connections.drop_stale()
+            self._store_connections.drop_stale()
 
     def request_stop(self) -> None:
         """Ask the process to drain and stop."""
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -175,6 +175,10 @@
         self._open -= 1
         self.on_connection_end(end)
 
+    def count_descriptors(self) -> int:
+        """Return how many descriptors connections have, open or lingering."""
+        return self._open + self._lingering.count
+
     def may_accept(self) -> bool:
         """Return whether there is a descriptor for one more connection.
 
--- a/lavendershift/platform/tests/test_deliveries.py
+++ b/lavendershift/platform/tests/test_deliveries.py
@@ -1,13 +1,15 @@
 """Tests of deliveries over real connections to scripted servers."""
 
 import asyncio
+import errno
+import socket
 import time
 from datetime import timedelta
 
 import pytest
 
 from lavendershift.attempts import AttemptEnd, StreamReport
-from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.errors import ErrorKind, Ran, RequestError
 from lavendershift.platform.tests.conftest import SECOND, RecordedResponse
 from lavendershift.routes import Repeat
 from lavendershift.serverstates import PromptPart, PromptShape, ServerLoad
@@ -464,3 +466,31 @@
         assert len(servers[2].received) == 12
 
     play(work)
+
+
+def test_request_is_refused_as_not_run_while_no_descriptor_is_free(play, monkeypatch):
+    """``EMFILE`` ended it as an internal error, and kept others from the servers."""
+
+    async def work(scene):
+        await scene.add_server()
+        await scene.add_server()
+
+        def fail(*_):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", fail)
+            with pytest.raises(RequestError) as raised:
+                await scene.deliver()
+        assert raised.value.answer.ran is Ran.NO
+        assert raised.value.answer.status == 503
+        assert scene.runs == 0
+        assert set(scene.ends) == {AttemptEnd.NOT_SENT}
+        # The lack says nothing about the servers.
+        now = scene.clock.elapsed()
+        for backend in scene.backends:
+            assert scene.servers.find(backend.name).avoided_until <= now
+        answer = await scene.deliver()
+        assert answer.status == 200
+
+    play(work)
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -104,7 +104,8 @@
         try:
             connection = await self._open_connection()
         except ConnectError as error:
-            self._servers.note_unreachable(self._server, error.was_refused)
+            if not error.is_local:
+                self._servers.note_unreachable(self._server, error.was_refused)
             raise UnsentError(AttemptEnd.NOT_SENT, str(error)) from None
         try:
             if not was_limited:
--- a/lavendershift/tests/test_connections.py
+++ b/lavendershift/tests/test_connections.py
@@ -1,4 +1,7 @@
 import asyncio
+import errno
+import os
+import socket
 from datetime import timedelta
 
 import pytest
@@ -6,7 +9,12 @@
 from tornado.ioloop import IOLoop
 
 from lavendershift.clocks import SystemClock
-from lavendershift.connections import READ_BYTES, ConnectionPool, ServerRequest
+from lavendershift.connections import (
+    READ_BYTES,
+    ConnectError,
+    ConnectionPool,
+    ServerRequest,
+)
 from lavendershift_standins.platformserver import PlatformServer, stream
 
 SECOND = timedelta(seconds=1)
@@ -194,3 +202,79 @@
             await asyncio.sleep(0.004)
 
     play(work, send_much)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE])
+def test_a_lack_of_descriptors_is_a_connect_error(play, monkeypatch, number):
+    """It was an ``OSError``, which ended the request as an internal error."""
+
+    async def work(connections, server):
+        def fail(*_):
+            raise OSError(number, os.strerror(number))
+
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", fail)
+            with pytest.raises(ConnectError) as raised:
+                await connections.connect(server.address, SECOND)
+        assert raised.value.is_local
+        assert not raised.value.was_refused
+
+    play(work)
+
+
+def test_a_refused_connection_is_no_lack_of_this_process(play):
+    async def work(connections, server):
+        await server.stop()
+        with pytest.raises(ConnectError) as raised:
+            await connections.connect(server.address, SECOND)
+        assert raised.value.was_refused
+        assert not raised.value.is_local
+        assert connections.open_count == 0
+
+    play(work)
+
+
+def test_connections_beyond_the_limit_are_not_opened(play):
+    """Connections to servers could take descriptors of callers and of the store."""
+
+    async def work(connections, server):
+        connections.find_limit = lambda: 2
+        first = await connections.connect(server.address, SECOND)
+        await connections.connect(server.address, SECOND)
+        with pytest.raises(ConnectError) as raised:
+            await connections.connect(server.address, SECOND)
+        assert raised.value.is_local
+        first.close()
+        first.close()
+        await connections.connect(server.address, SECOND)
+        assert connections.open_count == 2
+
+    play(work)
+
+
+def test_the_connection_idle_for_longest_makes_room_for_another(play):
+    async def work(connections, server):
+        connections.find_limit = lambda: 2
+        used = [await connections.connect(server.address, SECOND) for _ in range(2)]
+        for connection in used:
+            await connection.exchange(make_request(), Reader())
+            connections.give_back(connection)
+            await asyncio.sleep(0.01)
+        await connections.connect("127.0.0.1:" + server.address.split(":")[1], SECOND)
+        assert used[0]._stream.closed()
+        assert connections.take(server.address) is used[1]
+
+    play(work)
+
+
+def test_connections_that_servers_close_are_not_counted(play):
+    async def work(connections, server):
+        connection = await connections.connect(server.address, SECOND)
+        await connection.exchange(make_request(), Reader())
+        connections.give_back(connection)
+        server.crash()
+        await asyncio.sleep(0.1)
+        connections.drop_stale()
+        assert connections.open_count == 0
+
+    play(work)
--- a/lavendershift/tests/test_memory.py
+++ b/lavendershift/tests/test_memory.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lavendershift.memory.budgets import MemoryBudget, Phase
-from lavendershift.memory.limits import derive_limits
+from lavendershift.memory.limits import count_server_connections, derive_limits
 
 KILOBYTE, MEGABYTE = 1024, 1024 * 1024
 LARGEST = 8 * MEGABYTE  # what the largest body within the default limits takes
@@ -57,6 +57,18 @@
         assert connections < (max_fds - 200) * 0.7
 
 
+@pytest.mark.parametrize("max_fds", [1000, 1638, 10250])
+def test_connections_to_servers_leave_the_reserved_descriptors(max_fds):
+    """They were not limited, so that the store or a listener could find none."""
+    limits = derive_limits(160, max_fds)
+    most_of_callers = int(limits.caller_connections * 1.25)  # open and lingering
+    status = limits.directory_connections + 32 + 16
+    for callers in (0, limits.caller_connections, most_of_callers):
+        to_servers = count_server_connections(limits, callers)
+        assert 0 < to_servers <= max_fds - 200 - status - callers
+    assert count_server_connections(limits, 10**6) > 0
+
+
 def test_the_largest_request_fits_on_the_smallest_vm():
     world = World(derive_limits(160, 1638).held_bytes)
     assert world.has_room("a", LARGEST)
