Hold a collected response once

A response of 60 MiB to a caller that doesn't read took up to 228 MB on a VM with 160 MB: a growing buffer, a copy of it, and one behind the head. Its pieces are now sent as they are, and dropped when they are sent.

--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -4,6 +4,7 @@
 ``ServerWire``, which encodes requests to servers and decodes their responses.
 """
 
+from collections.abc import Sequence
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple, Protocol
@@ -65,6 +66,12 @@
         """Send a complete response."""
         ...
 
+    def send_pieces(
+        self, status: int, headers: HTTPHeaders, pieces: Sequence[bytearray]
+    ) -> None:
+        """Send a complete response with a long body; ``pieces`` must not change."""
+        ...
+
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start a response whose body follows in chunks."""
         ...
--- a/lavendershift/outgoingresponses.py
+++ b/lavendershift/outgoingresponses.py
@@ -30,9 +30,13 @@
         return self._writer.has_started
 
     def send(self, response: ServerResponse) -> None:
-        """Send a complete response."""
+        """Send a complete response, whose body is dropped."""
         headers = self._wire.select_response_headers(response.headers)
-        self._writer.send(response.status, headers, response.body)
+        pieces = response.body.take()
+        if len(pieces) > 1:
+            self._writer.send_pieces(response.status, headers, pieces)
+        else:
+            self._writer.send(response.status, headers, b"".join(pieces))
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Start a stream, unless it has begun."""
--- a/lavendershift/platform/callerresponses.py
+++ b/lavendershift/platform/callerresponses.py
@@ -1,7 +1,7 @@
 """Encoding of responses to callers."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from tornado.httputil import (
@@ -52,6 +52,20 @@
         self.is_done = self.has_started = True
         self._end_response()
 
+    def send_pieces(
+        self, status: int, headers: HTTPHeaders, pieces: Sequence[bytearray]
+    ) -> None:
+        """Send a complete response with a long body, without copying it."""
+        if self.is_done:
+            return
+        headers["Content-Length"] = str(sum(map(len, pieces)))
+        self._write_head(status, headers, None)
+        if self._has_body and not self.is_closed:
+            for piece in pieces:
+                self._connection.write(piece)
+        self.is_done = self.has_started = True
+        self._end_response()
+
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Begin a response whose body follows in chunks."""
         self.has_started = True
--- a/lavendershift/platform/tests/conftest.py
+++ b/lavendershift/platform/tests/conftest.py
@@ -42,6 +42,9 @@
         self.has_started = self.is_done = True
         self.status, self.headers, self.body = status, headers, body
 
+    def send_pieces(self, status, headers, pieces):
+        self.send(status, headers, b"".join(pieces))
+
     def start(self, status, headers):
         self.has_started = True
         self.status, self.headers = status, headers
--- a/lavendershift/platform/tests/test_misbehavingclients.py
+++ b/lavendershift/platform/tests/test_misbehavingclients.py
@@ -5,6 +5,9 @@
 """
 
 import fcntl
+import http.client
+import socket
+import threading
 
 import pytest
 
@@ -126,3 +129,35 @@
         server.default = answer_long
     (part,) = ask_without_reading("/read/x")
     check_group(node, node.callers, [[part.replace(b"POST", b"PUT", 1)]] * 60)
+
+
+@pytest.mark.parametrize("reads", [False, True])
+def test_the_longest_response_fits_into_the_smallest_vm(platform, reads):
+    """A response of 60 MiB was held three times, and sent from a further copy."""
+    (node,) = platform.nodes
+    size = 60 * 1024 * 1024
+    sent = threading.Event()
+
+    async def answer_long(received, writer):
+        length = size if received.method == "PUT" else 4
+        writer.write(make_answer_head(received, 200, {"Content-Length": str(length)}))
+        for at in range(0, length, 1024 * 1024):
+            writer.write(b"x" * min(1024 * 1024, length - at))
+            await writer.drain()
+        if received.method == "PUT":
+            sent.set()
+
+    for server in platform.servers["ledger"]:
+        server.default = answer_long
+    (part,) = ask_without_reading("/record/x")
+    part = part.replace(b"POST", b"PUT", 1)
+    with socket.create_connection((node.ip, node.callers), timeout=10) as caller:
+        for _ in range(3 if reads else 1):
+            caller.sendall(part)
+            wait_for(sent.is_set, "the response of the server")
+            if reads:
+                response = http.client.HTTPResponse(caller)
+                response.begin()
+                assert len(response.read()) == size
+        wait_for(lambda: is_served(node, "r0"), "an ordinary response")
+        check_group(node, node.callers, [])
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lavendershift.attempts import AttemptEnd, ResponseKind, StreamReport
+from lavendershift.collectedbodies import CollectedBody
 from lavendershift.eventstreams import (
     EventLimitError,
     EventOrderError,
@@ -26,8 +27,6 @@
 SERVER_ERRORS = range(500, 600)
 EVENT_STREAM = "text/event-stream"  # media type of server-sent events, HTML standard
 MAX_UNSIZED_BYTES = 1_048_576  # limit for a plain body without a Content-Length
-# What a body takes for each of its bytes: as collected, and as sent to the caller.
-BODY_COPIES = 2
 MAX_SKIPPED_RESPONSES = 8  # responses to other requests before the attempt's own
 
 
@@ -36,7 +35,7 @@
 
     status: int
     headers: HTTPHeaders
-    body: bytes
+    body: CollectedBody
 
 
 class EventReceiver(Protocol):
@@ -94,7 +93,7 @@
         self._is_fresh = is_fresh
         self._stop = stop
         self._initial_position = receiver.position
-        self._body = bytearray()
+        self._body = CollectedBody()
         self._size = 0
         self._skipped = 0
         self._memory: MemoryBudget | None = None
@@ -114,7 +113,7 @@
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Process a response head; one for an earlier request may come first."""
-        self._body, self._size, self._counted = bytearray(), 0, 0
+        self._body, self._size, self._counted = CollectedBody(), 0, 0
         self.status, self.headers = status, headers
         self.kind = self._receiver.classify(status, headers, self._is_fresh)
         self.is_streamed = (
@@ -192,7 +191,7 @@
     def _collect(self, chunk: bytes) -> None:
         """Buffer a chunk of a plain body, or skip it if it isn't the request's."""
         if self.kind is ResponseKind.OWN:
-            self._body += chunk
+            self._body.add(chunk)
         self._size += len(chunk)
         if "Content-Length" in self.headers:
             if self.kind is ResponseKind.OWN:
@@ -208,11 +207,10 @@
         if self._holding is None or self._memory is None or uncounted <= 0:
             return None
         self._counted = len(self._body)
-        size = uncounted * BODY_COPIES
-        if self._memory.has_room(self._holding, size):
-            self._holding.resize(self._holding.size + size)
+        if self._memory.has_room(self._holding, uncounted):
+            self._holding.resize(self._holding.size + uncounted)
             return None
-        return self._wait_for_room(self._memory, self._holding, size)
+        return self._wait_for_room(self._memory, self._holding, uncounted)
 
     async def _wait_for_room(
         self, memory: MemoryBudget, holding: Holding, size: int
@@ -246,8 +244,9 @@
             return None
 
     def collect(self) -> ServerResponse:
-        """Return the complete response."""
-        return ServerResponse(self.status, self.headers, bytes(self._body))
+        """Return the complete response, whose body isn't copied."""
+        body, self._body = self._body, CollectedBody()
+        return ServerResponse(self.status, self.headers, body)
 
     def describe(self) -> StreamReport | None:
         """Return the report of a stream for the log."""
