--- a/lavendershift/memory/budgets.py
+++ b/lavendershift/memory/budgets.py
@@ -106,6 +106,7 @@
         self._holdings: dict[Holding, None] = {}
         self.waiting = RoomQueue(self)
         self._large = 0  # number of holdings of more than ``SMALL_BYTES``
+        self.small_used = 0  # bytes of the others
         self._searched_at = clock.elapsed() - SEARCH_INTERVAL
 
     def open(self, owners: tuple[str, ...], evict: Callable[[], None]) -> Holding:
@@ -120,7 +121,9 @@
         size = holding.size
         for owner in holding.owners:
             self._by_owner[owner] += difference
-        more = (size + difference > SMALL_BYTES) - (size > SMALL_BYTES)
+        after = size + difference
+        self.small_used += _count_small(after) - _count_small(size)
+        more = (after > SMALL_BYTES) - (size > SMALL_BYTES)
         self._large += more
         if more < 0 and self._large <= 1:
             self.waiting.note_last_large()
@@ -155,14 +158,18 @@
 
         A large one may always grow if there is no other large one, so that the largest
         request within the limits of the configuration is served in calm conditions.
+        Small ones always have the part of the budget that is kept for them.
         """
         return self.find_obstacle(holding, extra) is None
 
     def find_obstacle(self, holding: Holding, extra: int) -> Obstacle | None:
         """Return why a holding may not grow by ``extra`` bytes, ``None`` if it may."""
         if holding.size + extra <= SMALL_BYTES:
-            level: float = self.total - extra
-            return None if self.used <= level else Obstacle(None, level)
+            # One large holding may exceed the budget.
+            small_level = self.total * (1 - LARGE_SHARE) - extra
+            if self.small_used <= small_level or self.used + extra <= self.total:
+                return None
+            return Obstacle(None, self.total - extra, small_level)
         obstacle = None
         level, owner_level = self._find_large_levels(extra)
         if self.used > level:
@@ -233,6 +240,10 @@
         return ended
 
 
+def _count_small(size: int) -> int:
+    return size if size <= SMALL_BYTES else 0
+
+
 def _is_slow(holding: Holding, now: timedelta) -> bool:
     if holding.phase not in (Phase.READING, Phase.SENDING) or not holding.size:
         return False
--- a/lavendershift/memory/roomqueues.py
+++ b/lavendershift/memory/roomqueues.py
@@ -18,11 +18,13 @@
 class Obstacle(NamedTuple):
     """What is used too much, and the level down to which its use has to fall.
 
-    ``owner`` is ``None`` for the use by all owners.
+    ``owner`` is ``None`` for the use by all owners. A small holding finds room, too, if
+    the use by small ones falls to ``small_level``.
     """
 
     owner: str | None
     level: float
+    small_level: float = -1
 
 
 class _Waiter(NamedTuple):
@@ -39,6 +41,7 @@
         self._woken: Holding | None = None
         # Levels at which the next waiter may find room, by what they lack.
         self._levels: dict[str | None, float] = {}
+        self._small_level = -1.0
         # The first waiter for each of these, for which slow holdings are ended in turn.
         self._firsts: list[tuple[Holding, int]] = []
         self._turn = 0
@@ -89,6 +92,9 @@
         """Note that bytes of owners became free."""
         if not self._waiters or self._woken is not None:
             return
+        if self._budget.small_used <= self._small_level:
+            self._wake_next()
+            return
         for owner in (None, *owners):
             level = self._levels.get(owner)
             if level is not None and self._budget.measure_use(owner) <= level:
@@ -108,6 +114,7 @@
 
     def _wake_next(self) -> None:
         self._levels.clear()
+        self._small_level = -1.0
         self._firsts.clear()
         for holding, waiter in self._waiters.items():
             obstacle = self._budget.find_obstacle(holding, waiter.extra)
@@ -120,7 +127,8 @@
     def _note_obstacle(
         self, holding: "Holding", extra: int, obstacle: Obstacle
     ) -> None:
-        owner, level = obstacle
+        owner, level, small_level = obstacle
+        self._small_level = max(small_level, self._small_level)
         if owner not in self._levels:
             self._firsts.append((holding, extra))
         self._levels[owner] = max(level, self._levels.get(owner, level))
--- a/lavendershift/tests/test_memory.py
+++ b/lavendershift/tests/test_memory.py
@@ -164,3 +164,32 @@
     assert not world.budget.has_room(new, 10 * MEGABYTE)
     assert world.budget.evict_slow(new, 10 * MEGABYTE) == 0
     assert not world.evicted
+
+
+def test_small_requests_fit_beside_a_large_one_that_exceeds_the_budget():
+    """All of them were refused until a response of 100 MB had been read."""
+    world = World()  # 64 MB
+    holding = world.open("large", 200 * MEGABYTE, phase=Phase.SENDING)
+    for number in range(160):  # 16 MB are kept for them
+        assert world.has_room(f"test-{number}", 100 * KILOBYTE)
+        world.open(str(number), 100 * KILOBYTE)
+    while world.has_room("test", 100 * KILOBYTE):
+        number += 1
+        world.open(str(number), 100 * KILOBYTE)
+        assert number < 200
+    assert not world.has_room("b", MEGABYTE)
+    holding.close()
+    assert world.has_room("small", 100 * KILOBYTE)
+
+
+def test_a_holding_that_becomes_small_or_large_is_counted_where_it_belongs():
+    world = World(16 * MEGABYTE)
+    world.open("large", 200 * MEGABYTE)
+    grown = [world.open(str(n), 100 * KILOBYTE) for n in range(40)]
+    assert not world.has_room("test", 100 * KILOBYTE)
+    grown[0].resize(MEGABYTE)
+    assert world.has_room("test", 100 * KILOBYTE)
+    grown[0].resize(100 * KILOBYTE)
+    assert not world.has_room("test", 100 * KILOBYTE)
+    grown[0].close()
+    assert world.has_room("test", 100 * KILOBYTE)
--- a/lavendershift/tests/test_memorywaits.py
+++ b/lavendershift/tests/test_memorywaits.py
@@ -108,6 +108,20 @@
     assert play(work) == {"a": pytest.approx(0.507, abs=1e-6)}
 
 
+def test_a_small_waiter_is_woken_beside_a_large_one_that_exceeds_the_budget():
+    async def work(room):
+        room.hold(200 * MEGABYTE)
+        busy = [room.hold(128 * 1024, str(n)) for n in range(128)]
+        _, task = room.start("a", 100_000)
+        await asyncio.sleep(0.507)
+        assert not task.done()
+        busy[0].close()
+        await asyncio.wait([task], timeout=0.001)
+        return room.served
+
+    assert play(work) == {"a": pytest.approx(0.507, abs=1e-6)}
+
+
 def test_room_is_given_to_as_many_as_it_suffices_for_in_their_order():
     async def work(room):
         busy = room.hold(48 * MEGABYTE)
@@ -210,7 +224,7 @@
         tasks = []
         for name in range(150):
             owner = rng.choice("abc")
-            size = rng.choice([1_000, 100_000, 1_000_000, 9_000_000, 40_000_000])
+            size = rng.choice([1_000, 100_000, 1_000_000, 9_000_000, 90_000_000])
             tasks.append(asyncio.ensure_future(wait(name, size, owner)))
             await asyncio.sleep(rng.uniform(0, 0.03))
             for _ in range(600):  # turns of the loop, one for each that is woken
