Refuse connections without blocking

Accepted sockets block, so that the refusal of a connection for lack of descriptors could stop the event loop while its caller doesn't read.

--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -198,6 +198,7 @@
     def refuse_connection(self, endpoint: socket.socket) -> None:
         """Refuse what a new connection may request, for lack of descriptors."""
         self.on_connection_refused()
+        endpoint.setblocking(False)
         with contextlib.suppress(OSError):  # the caller disconnected
             endpoint.send(make_memory_response(endpoint.fileno()))
         self._lingering.discard_remainder(endpoint)
--- a/lavendershift/platform/tests/test_slowcallers.py
+++ b/lavendershift/platform/tests/test_slowcallers.py
@@ -5,6 +5,10 @@
 """
 
 import asyncio
+import contextlib
+import socket
+import threading
+import time
 from datetime import timedelta
 
 import pytest
@@ -126,3 +130,25 @@
     for response in received[2:]:
         assert response.startswith(b"HTTP/1.1 503")
         assert b"Retry-After" in response
+
+
+def test_the_refusal_of_a_connection_does_not_wait_for_its_caller():
+    """Accepted sockets block, so that one write could stop the event loop."""
+
+    async def work(listener):
+        endpoint, peer = socket.socketpair()
+        endpoint.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                endpoint.send(b"x" * 65_536)
+        endpoint.setblocking(True)
+        released = threading.Timer(2, peer.close)
+        released.start()
+        started = time.monotonic()
+        listener.server.refuse_connection(endpoint)
+        took = time.monotonic() - started
+        released.cancel()
+        peer.close()
+        return took
+
+    assert play(work) < 1.5
