--- a/lavendershift/serverplaces.py
+++ b/lavendershift/serverplaces.py
@@ -31,6 +31,7 @@
 from lavendershift.datagrams import Datagrams, Peer, register_message
 from lavendershift.decoding import Count, Integer, Seconds
 from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.placefallbacks import PlaceFallbacks
 from lavendershift.serverlist import ServerList
 
 # Servers with more slots are shared well enough by the loads that VMs report.
@@ -43,8 +44,8 @@
 MAX_UNHEARD = 2
 # The same for a request that waits; only a lost reply makes the keeper's next one late.
 REPEAT_INTERVAL = timedelta(milliseconds=200)
-# Time in which a keeper without a reply isn't asked again.
-FALLBACK_TIME = timedelta(seconds=2)
+# Time that a question only for a reply says to have left; it is released at once.
+PROBE_TIME = timedelta(seconds=1)
 MAX_FIRST_NUMBER = 2**40
 TICK = timedelta(milliseconds=20)  # interval at which waiting requests are looked at
 
@@ -140,7 +141,7 @@
         self._waits: dict[int, _Wait] = {}
         # A VM that restarts must not use the numbers of its last process.
         self._number = rng.randrange(MAX_FIRST_NUMBER)
-        self._no_reply_until: dict[Peer, timedelta] = {}
+        self._fallbacks = PlaceFallbacks(clock, self._send_probe, ASK_INTERVAL)
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self.on_taken: Callable[[str], None] = lambda outcome: None
         datagrams.handle(PlaceRequest, self._handle_request)
@@ -158,7 +159,7 @@
             return NO_PLACE
         keeper = self._find_keeper(f"places/{service}")
         now = self._clock.elapsed()
-        if keeper and now < self._no_reply_until.get(keeper, timedelta()):
+        if keeper and self._fallbacks.is_away(keeper):
             return NO_PLACE
         self._number += 1
         ticket = Ticket((None, self._number), urgency, target_at, end_at)
@@ -214,9 +215,19 @@
                 await wait.wait_until(min(REPEAT_INTERVAL, left))
             unheard = 0 if wait.is_heard else unheard + 1
             if unheard == MAX_UNHEARD:
-                self._no_reply_until[keeper] = self._clock.elapsed() + FALLBACK_TIME
+                self._fallbacks.begin(keeper, service)
                 return
 
+    def _send_probe(self, keeper: Peer, service: str) -> int:
+        """Request a place only for the reply, and release it at once."""
+        self._number += 1
+        left = PROBE_TIME.total_seconds()
+        request = PlaceRequest(self._number, service, 0, left, left)
+        self._datagrams.send(request, [keeper])
+        release = PlaceRelease(self._number, service, False)
+        self._datagrams.send(release, [keeper])
+        return self._number
+
     def _make_release(
         self, keeper: Peer | None, service: str, number: int
     ) -> Callable[[bool], None]:
@@ -327,6 +338,7 @@
         self._release_here(release.service, (sender, release.number), release.has_run)
 
     def _handle_reply(self, reply: PlaceReply, sender: Peer) -> None:
+        self._fallbacks.note_reply(sender, reply.number)
         wait = self._waits.get(reply.number)
         if wait is None:
             if reply.server:  # the request ended while the place was granted
--- a/lavendershift/tests/placereplay.py
+++ b/lavendershift/tests/placereplay.py
@@ -55,11 +55,15 @@
 
 
 class PlaceVm:
-    """One VM; ``is_cut`` is set while no datagram reaches or leaves it."""
+    """One VM; ``is_cut`` is set while no datagram reaches or leaves it.
+
+    While ``paused`` is a list, it collects the datagrams that arrive.
+    """
 
     def __init__(self, fleet, number):
         self.fleet, self.number = fleet, number
         self.is_cut = False
+        self.paused = None
         self.servers = ServerList(fleet.loop, random.Random(number))
         for server in fleet.servers:
             self.servers.update(
@@ -83,7 +87,18 @@
         for _, number in peers:
             self.fleet.deliver(self, number, type(message), data)
 
+    def pause(self):
+        self.paused = []
+
+    def resume(self):
+        arrived, self.paused = self.paused, None
+        for datagram in arrived:
+            self.receive(*datagram)
+
     def receive(self, kind, data, sender):
+        if self.paused is not None:
+            self.paused.append((kind, data, sender))
+            return
         message = msgspec.msgpack.decode(data, type=kind)
         self.datagrams._handlers[kind](message, ("vm", sender))
 
@@ -123,6 +138,8 @@
                     ((loop.elapsed() - started).total_seconds(), error.retry_after)
                 )
                 return "refused"
+        if place is NO_PLACE:
+            self.fleet.without_place.append((loop.time(), self.number))
         try:
             return await self._deliver(place, started)
         finally:
@@ -165,6 +182,7 @@
         self.datagrams, self.outcomes = Counter(), Counter()
         self.by_urgency = {0: Counter(), 5: Counter()}
         self.refusals, self.waits = [], []
+        self.without_place = []  # times and VMs of requests that had none
         self.vms = [PlaceVm(self, number) for number in range(vms)]
         self.weights = [self.rng.paretovariate(1.2) for _ in self.vms]
 
--- a/lavendershift/tests/test_places.py
+++ b/lavendershift/tests/test_places.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from datetime import timedelta
 
+import pytest
+
 from lavendershift.capacity.places import PlaceQueue, PlaceServer, Ticket
 from lavendershift.tests.placereplay import DEADLINE_S, PlaceFleet
 
@@ -140,3 +142,38 @@
     fleet.run(demand=60.0, schedule=[(5.5, setattr, fleet, "keeper", 11)])
     assert fleet.outcomes["in_time"] > 0.98 * fleet.outcomes.total()
     assert fleet.wasted < 0.02
+
+
+@pytest.mark.parametrize("fault", ["pause", "cut"])
+def test_a_short_pause_of_the_keeper_is_no_reason_to_go_on_without_it(fault):
+    """All VMs went on without places for 2 s after a pause of 0.3 s."""
+    fleet = PlaceFleet(1)
+    keeper = fleet.vms[fleet.keeper]
+    if fault == "pause":
+        schedule = [(6.0, keeper.pause), (6.3, keeper.resume)]
+    else:
+        schedule = [
+            (6.0, setattr, keeper, "is_cut", True),
+            (6.3, setattr, keeper, "is_cut", False),
+        ]
+    fleet.run(demand=100.0, schedule=schedule)
+    times = [at for at, _ in fleet.without_place]
+    assert min(times) > 6.1
+    # Requests that were sent before the end of the pause go on for 0.12 s at most.
+    assert max(times) < (6.43 if fault == "pause" else 6.53)
+
+
+def test_a_slow_keeper_does_not_delay_each_request():
+    """Its replies come, but only after the time for which requests wait for them."""
+    fleet = PlaceFleet(1)
+    keeper = fleet.vms[fleet.keeper]
+    send = keeper._send
+    keeper.datagrams.send = lambda message, peers: fleet.loop.call_later(
+        0.15, send, message, peers
+    )
+    taken = []
+    for vm in fleet.vms:
+        vm.places.on_taken = taken.append
+    fleet.run(demand=60.0)
+    # Only the first requests of a VM in each 2 s wait in vain.
+    assert len(fleet.without_place) > 3 * taken.count("no_reply")
