--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -175,6 +175,10 @@
         self._open -= 1
         self.on_connection_end(end)
 
+    def count_descriptors(self) -> int:
+        """Return how many descriptors connections have, open or lingering."""
+        return self._open + self._lingering.count
+
     def may_accept(self) -> bool:
         """Return whether there is a descriptor for one more connection.
 
@@ -194,6 +198,7 @@
     def refuse_connection(self, endpoint: socket.socket) -> None:
         """Refuse what a new connection may request, for lack of descriptors."""
         self.on_connection_refused()
+        endpoint.setblocking(False)
         with contextlib.suppress(OSError):  # the caller disconnected
             endpoint.send(make_memory_response(endpoint.fileno()))
         self._lingering.discard_remainder(endpoint)
--- a/lavendershift/platform/requestreaders.py
+++ b/lavendershift/platform/requestreaders.py
@@ -28,7 +28,7 @@
     parse_api_key,
     parse_deadline,
 )
-from lavendershift.platform.callerstreams import CallerStream
+from lavendershift.platform.callerstreams import FIELD_BYTES, CallerStream
 
 if TYPE_CHECKING:
     from lavendershift.platform.callers import CallerServer
@@ -38,7 +38,6 @@
 UNSIZED_BYTES = 65_536
 # What a body takes for each of its bytes: its pieces, and the whole that is sent.
 BODY_COPIES = 2
-FIELD_BYTES = 800  # what the objects of a header's field take, as read and as forwarded
 
 
 class RequestReader(HTTPMessageDelegate):
@@ -192,6 +191,8 @@
     def _refuse(self, kind: ErrorKind) -> None:
         if not self._is_refused and self._start_line is not None:
             self._is_refused = True
+            if self.stream is not None:
+                self._server.budget.waiting.recheck(self.stream.holding)
             method = self._start_line.method
             writer = self._server.make_writer(self._connection, method)
             self._server.refuse(writer, self._request_id, RequestError(kind))
