Use permits whose replies come late

With the processor shared by other processes, event loops pause for 100 to 600 ms. The keeper's reply then came after the 100 ms that a request waits, and its permit was lost: in one trace of eight routers, eight requests for permits in a row got no reply, one of them a granted permit. A late permit is now kept for the next request to the server, for at most 500 ms from the request for it, and a late refusal replaces the fixed delay after a lost reply. A permit that a VM reads after a pause of more than 500 ms is no longer used.

test_permits_in_late_replies_are_used fails without the change (no request reaches the server). The schedules of faults run with pausing event loops too; these hold before and after the change.

--- a/lavendershift/permits.py
+++ b/lavendershift/permits.py
@@ -5,7 +5,11 @@
 before each request to the server. A VM without a reply sends nothing there, so lost
 datagrams and VMs that are stopped or cut off can only lower the rate. While VMs
 disagree on the keeper there may be two of them for a moment, each of which grants no
-more than the limit::
+more than the limit.
+
+A permit whose reply comes after the request for it has ended is kept for the next
+request, until it is ``PERMIT_VALIDITY`` old. Older ones are never used, so that permits
+of more than that time don't add up within the period of a bound::
 
     permits = Permits(clock, limits, datagrams, find_keeper)
     if await permits.take(("i-7f3a91c2", 1_700_000_000_000), urgency=1):
@@ -15,9 +19,11 @@
 that the keeper knows, so the newer of the two applies to both.
 """
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 import msgspec
 
@@ -42,6 +48,11 @@
 REPLY_TIMEOUT = timedelta(milliseconds=100)
 # Time without further requests for permits after a lost one.
 NO_REPLY_DELAY = timedelta(milliseconds=200)
+# Longest time from the request for a permit to its use. Within a second, a cold server
+# may get 1.5 times its rate and 5 requests, and the saved permits take 3 of them: 0.5 s
+# of further permits fit in at any rate.
+PERMIT_VALIDITY = timedelta(milliseconds=500)
+MAX_UNANSWERED = 1000  # requests for permits whose late replies are recognized
 
 
 @register_message
@@ -142,6 +153,65 @@
         return bucket.take(rate, urgency, now)
 
 
+class _Unanswered(NamedTuple):
+    """A request for a permit that ended without a reply."""
+
+    incarnation: Incarnation
+    urgency: int
+    asked_at: timedelta
+
+
+class LatePermits:
+    """Permits whose replies came after the requests for them had ended.
+
+    Load pattern: busy VMs whose event loops pause for 100 to 500 ms. Without the late
+    permits, much of a limit would remain unused.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._unanswered: OrderedDict[int, _Unanswered] = OrderedDict()
+        self._granted: list[_Unanswered] = []
+
+    def note_unanswered(
+        self, number: int, incarnation: Incarnation, urgency: int, asked_at: timedelta
+    ) -> None:
+        """Record that the request ``number`` ended without a reply."""
+        self._unanswered[number] = _Unanswered(incarnation, urgency, asked_at)
+        if len(self._unanswered) > MAX_UNANSWERED:
+            self._unanswered.popitem(last=False)
+
+    def note_reply(self, reply: PermitReply) -> int | None:
+        """Keep the permit in a late reply.
+
+        Returns the urgency of its request, ``None`` unless the reply is a late one that
+        is still of use. A repeated reply is ignored.
+        """
+        request = self._unanswered.get(reply.number)
+        if request is None or request.incarnation != (reply.server, reply.born):
+            return None
+        del self._unanswered[reply.number]
+        if self._is_expired(request):
+            return None
+        if not reply.wait_s:
+            self._granted.append(request)
+        return request.urgency
+
+    def take(self, incarnation: Incarnation, urgency: int) -> bool:
+        """Take a kept permit that was requested at this rank or a less urgent one."""
+        if not self._granted:
+            return False
+        self._granted = [each for each in self._granted if not self._is_expired(each)]
+        for each in self._granted:
+            if each.incarnation == incarnation and urgency <= each.urgency:
+                self._granted.remove(each)
+                return True
+        return False
+
+    def _is_expired(self, request: _Unanswered) -> bool:
+        return self._clock.elapsed() - request.asked_at > PERMIT_VALIDITY
+
+
 class Permits:
     """Gets permits from keepers, and grants those of the servers that this VM keeps.
 
@@ -157,8 +227,10 @@
         datagrams: Datagrams,
         find_keeper: Callable[[str], Peer | None],
     ) -> None:
+        self._clock = clock
         self._limits = limits
         self._buckets = PermitBuckets(clock, limits)
+        self._late = LatePermits(clock)
         self._datagrams = datagrams
         self._find_keeper = find_keeper
         self._replies: Replies[timedelta] = Replies()
@@ -171,6 +243,9 @@
         """Return whether a request may be sent to a server now."""
         if self._limits.find(incarnation) is None:
             return True
+        if self._late.take(incarnation, urgency):
+            self.on_taken("granted")
+            return True
         keeper = self._find_keeper(incarnation[0])
         outcome = "refused"
         if keeper is None:
@@ -180,6 +255,8 @@
                 wait = await self._ask(keeper, incarnation, urgency)
             except TimeoutError:
                 wait, outcome = NO_REPLY_DELAY, "no_reply"
+        if wait and self._late.take(incarnation, urgency):
+            wait = timedelta()  # the reply to an earlier request came meanwhile
         if not wait:
             self.on_taken("granted")
             return True
@@ -190,18 +267,33 @@
     async def _ask(
         self, keeper: Peer, incarnation: Incarnation, urgency: int
     ) -> timedelta:
-        """Ask the keeper for a permit; return 0, or the time until one is due."""
+        """Ask the keeper for a permit; return 0, or the time until one is due.
+
+        Raises ``TimeoutError``, also for a permit that is too old: this VM may have
+        been paused when the reply came.
+        """
+        asked_at = self._clock.elapsed()
+        numbers = []
         state = self._limits.find_state(incarnation)
         cold_rate = self._limits.find_cold(incarnation)
 
         def send(number: int) -> None:
+            numbers.append(number)
             known = (number, *incarnation, state.rate, state.version, urgency)
             request = PermitRequest(*known)
             if cold_rate is not None:
                 request = ColdPermitRequest(*known, cold_rate=cold_rate)
             self._datagrams.send(request, [keeper])
 
-        return await self._replies.wait(send, REPLY_TIMEOUT)
+        try:
+            wait = await self._replies.wait(send, REPLY_TIMEOUT)
+        except (TimeoutError, asyncio.CancelledError):
+            for number in numbers:
+                self._late.note_unanswered(number, incarnation, urgency, asked_at)
+            raise
+        if not wait and self._clock.elapsed() - asked_at > PERMIT_VALIDITY:
+            raise TimeoutError
+        return wait
 
     def _handle_request(self, request: PermitRequest, sender: Peer) -> None:
         """Grant or refuse a permit, or forward the request to the server's keeper.
@@ -236,4 +328,9 @@
     def _handle_reply(self, reply: PermitReply, sender: Peer) -> None:
         incarnation = (reply.server, reply.born)
         self._limits.merge(incarnation, LimitState(reply.rate, reply.version))
-        self._replies.resolve(reply.number, timedelta(seconds=reply.wait_s))
+        wait = timedelta(seconds=reply.wait_s)
+        self._replies.resolve(reply.number, wait)
+        urgency = self._late.note_reply(reply)
+        if urgency is not None:
+            # In place of the delay after a lost reply.
+            self._limits.note_refusal(incarnation, urgency, wait)
--- a/lavendershift/tests/limitsimulation.py
+++ b/lavendershift/tests/limitsimulation.py
@@ -62,14 +62,17 @@
 
 
 class SimulatedVm:
-    """One VM; ``is_down`` is set while it is frozen or stopped."""
+    """One VM; ``is_down`` is set while it is frozen or stopped.
+
+    ``paused_until`` is the end of the last pause of its event loop.
+    """
 
     def __init__(self, fleet, number):
         self.fleet, self.number = fleet, number
         self.name = f"edge-{number}"
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.is_down = False
-        self.cut_until = -1.0
+        self.cut_until = self.paused_until = -1.0
         self.faults = []
         self.starts = 0
         self.start()
@@ -148,7 +151,10 @@
             self.fleet.deliver(self, port - 1, type(message), data)
 
     def receive(self, kind, data, sender):
-        if not self.is_down:
+        loop = self.fleet.loop
+        if loop.time() < self.paused_until:
+            loop.call_at(self.paused_until, self.receive, kind, data, sender)
+        elif not self.is_down:
             message = msgspec.msgpack.decode(data, type=kind)
             address = (f"10.0.0.{sender.number}", sender.number + 1)
             self.datagrams._handlers[kind](message, address)
@@ -168,7 +174,9 @@
                 return
             tried.append(chosen.entry.id)
             starts = self.starts
-            if await self.permits.take(chosen.incarnation, 0):
+            is_granted = await self.permits.take(chosen.incarnation, 0)
+            await asyncio.sleep(max(self.paused_until - fleet.loop.time(), 0))
+            if is_granted:
                 break
         if self.is_down or starts != self.starts:
             return
@@ -194,16 +202,27 @@
     """VMs, servers and network of one simulation.
 
     ``loss`` is the share of datagrams that are lost, ``demand`` the requests/s of all
-    callers, ``response_s`` the mean time of a response.
+    callers, ``response_s`` the mean time of a response. The event loop of each VM
+    pauses about once a second, for at most ``pause_s``.
     """
 
     vm_type = SimulatedVm
 
-    def __init__(self, seed, vms, servers=3, demand=40.0, loss=0.0, response_s=0.05):
+    def __init__(
+        self,
+        seed,
+        vms,
+        servers=3,
+        demand=40.0,
+        loss=0.0,
+        response_s=0.05,
+        pause_s=0.0,
+    ):
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
         self.servers = [LimitingServer(f"i-{number}") for number in range(servers)]
         self.demand, self.loss, self.response_s = demand, loss, response_s
+        self.pause_s = pause_s
         self.is_store_down = False
         self.refused = 0
         self.datagrams = Counter()
@@ -296,6 +315,15 @@
                 if not vm.is_down:
                     vm.gossip.repeat()
 
+    async def _pause_vms(self):
+        """Pause event loops, as on a machine that other processes keep busy."""
+        rng = random.Random(f"pauses/{len(self.vms)}")
+        while self.pause_s:
+            await asyncio.sleep(rng.expovariate(len(self.vms)))
+            end = self.loop.time() + rng.uniform(0, self.pause_s)
+            vm = rng.choice(self.vms)
+            vm.paused_until = max(vm.paused_until, end)
+
     async def _send_requests(self):
         """Send callers' requests: most to active VMs, some to any VM."""
         while True:
@@ -320,6 +348,7 @@
             self._send_heartbeats,
             self._repeat_limits,
             self._send_requests,
+            self._pause_vms,
         ]
         tasks = [self.loop.create_task(each()) for each in loops]
         for at, function, *arguments in schedule:
--- a/lavendershift/tests/test_limit_schedules.py
+++ b/lavendershift/tests/test_limit_schedules.py
@@ -71,6 +71,16 @@
     assert measure_rate(server, 10, 25) >= 1.0
 
 
+@pytest.mark.parametrize("limit", [1.2, 20.0])
+def test_a_limit_is_kept_and_used_by_vms_whose_event_loops_pause(limit):
+    """On a busy machine, replies for permits come late."""
+    fleet = LimitFleet(6, 8, demand=100.0, pause_s=0.6)
+    server = fleet.servers[0]
+    fleet.run(25, [(START_S, server.set_limit, START_S, limit)])
+    assert find_violations(fleet) == []
+    assert 0.7 * limit <= measure_rate(server, 10, 25) <= limit + 0.3
+
+
 @pytest.mark.parametrize("vms", [8, 195])
 def test_the_end_of_a_limit_reaches_all_vms(vms):
     fleet = LimitFleet(4, vms, demand=100.0)
@@ -153,8 +163,8 @@
         self.fleet.is_store_down = False
 
 
-def run_schedule(seed, vms=8):
-    fleet = LimitFleet(seed, vms, demand=60.0, loss=0.03)
+def run_schedule(seed, vms=8, pause_s=0.0):
+    fleet = LimitFleet(seed, vms, demand=60.0, loss=0.03, pause_s=pause_s)
     schedule = [
         (START_S, server.set_limit, START_S, limit)
         for server, limit in zip(fleet.servers, (1.2, 4.0, None), strict=True)
@@ -170,6 +180,13 @@
         assert run_schedule(seed) == [], f"seed {seed}"
 
 
+@pytest.mark.parametrize("first", [0, 8])
+def test_no_schedule_of_faults_exceeds_a_limit_while_event_loops_pause(first):
+    """A permit in a late reply is used later than it was granted."""
+    for seed in range(first, first + 8):
+        assert run_schedule(seed, pause_s=0.8) == [], f"seed {seed}"
+
+
 @pytest.mark.parametrize("vms", SIZES[1:])
 def test_no_schedule_of_faults_exceeds_a_limit_in_large_fleets(vms):
     assert run_schedule(100 + vms, vms) == []
--- a/lavendershift/tests/test_permits.py
+++ b/lavendershift/tests/test_permits.py
@@ -5,7 +5,15 @@
 
 from lavendershift.clocks import ManualClock
 from lavendershift.datagrams import Datagrams
-from lavendershift.permits import MAX_SAVED_PERMITS, MIN_RATE, PermitBucket, Permits
+from lavendershift.permits import (
+    MAX_SAVED_PERMITS,
+    MAX_UNANSWERED,
+    MIN_RATE,
+    PERMIT_VALIDITY,
+    PermitBucket,
+    PermitReply,
+    Permits,
+)
 from lavendershift.serverlimits import LimitState, ServerLimits
 from lavendershift.tests.virtualloop import VirtualLoop
 
@@ -62,6 +70,11 @@
     assert granted == pytest.approx(60 * MIN_RATE, abs=1)
 
 
+def pause(loop, seconds):
+    """Let the event loop handle nothing for some time."""
+    loop.selector.now += seconds
+
+
 class Node:
     """Permits of one VM; messages to the others are passed to their handlers."""
 
@@ -71,6 +84,8 @@
         self.datagrams.send = self._send
         self.loop, self.nodes, self.name, self.keeper = loop, nodes, name, keeper
         self.is_silent = False
+        self.delay_s = 0.001
+        self.copies = 1
         self.outcomes = []
         self.permits = Permits(loop, self.limits, self.datagrams, self._find_keeper)
         self.permits.on_taken = self.outcomes.append
@@ -84,7 +99,8 @@
             node = self.nodes[name]
             if not node.is_silent:
                 handler = node.datagrams._handlers[type(message)]
-                self.loop.call_later(0.001, handler, message, (self.name, 1))
+                for _ in range(self.copies):
+                    self.loop.call_later(self.delay_s, handler, message, (self.name, 1))
 
     def name_limit(self, rate):
         self.limits.note_response(SERVER, rate, self.loop.elapsed())
@@ -205,3 +221,136 @@
     bucket = PermitBucket(clock.elapsed())
     granted = count_granted(bucket, 1.0, 0, 10)
     assert granted + count_granted(bucket, 1.0, 0, 10, start_ms=10_000) <= 20
+
+
+@pytest.mark.parametrize("delay_ms", [120, 250, 400])
+@pytest.mark.parametrize("rate", [1.2, 4.0])
+def test_permits_in_late_replies_are_used(play, delay_ms, rate):
+    """The keeper's event loop is behind: all replies come after their time-out.
+
+    Each permit was lost, so that nothing was sent to the server.
+    """
+
+    async def work(loop, nodes):
+        nodes["a"].name_limit(rate)
+        nodes["b"].delay_s = delay_ms / 1000
+        granted = 0
+        for _ in range(1000):
+            if not nodes["a"].limits.find_wait(SERVER, 0):
+                granted += await nodes["a"].permits.take(SERVER, 0)
+            await asyncio.sleep(0.03)
+        return granted / loop.time()
+
+    # The first permit is due 1 / rate after the start, and each waits for a request.
+    assert 0.6 * rate <= play(work, a="b", b="b") <= rate
+
+
+@pytest.mark.parametrize("copies", [2, 3])
+def test_a_repeated_late_reply_grants_one_permit(play, copies):
+    async def work(loop, nodes):
+        node, keeper = nodes["a"], nodes["b"]
+        node.name_limit(4.0)
+        await asyncio.sleep(1)
+        await node.permits.take(SERVER, 0)  # makes the keeper's bucket
+        await asyncio.sleep(1)
+        keeper.delay_s, keeper.copies = 0.15, copies
+        assert not await node.permits.take(SERVER, 0)
+        await asyncio.sleep(0.1)
+        keeper.is_silent = True
+        return [await node.permits.take(SERVER, 0) for _ in range(3)]
+
+    assert play(work, a="b", b="b") == [True, False, False]
+
+
+def test_a_late_permit_is_not_used_once_it_is_old(play):
+    """Old permits and those granted since would together exceed a limit."""
+
+    async def work(loop, nodes):
+        node, keeper = nodes["a"], nodes["b"]
+        node.name_limit(4.0)
+        await node.permits.take(SERVER, 0)
+        await asyncio.sleep(1)
+        keeper.delay_s = 0.15
+        assert not await node.permits.take(SERVER, 0)
+        await asyncio.sleep(PERMIT_VALIDITY.total_seconds())
+        keeper.is_silent = True
+        return await node.permits.take(SERVER, 0)
+
+    assert not play(work, a="b", b="b")
+
+
+def test_a_permit_that_arrived_during_a_long_pause_is_not_used(play):
+    """The VM that asked was paused, and its reply was read before its time-out ran."""
+
+    async def work(loop, nodes):
+        node = nodes["a"]
+        node.name_limit(4.0)
+        await node.permits.take(SERVER, 0)
+        await asyncio.sleep(1)
+        loop.call_later(0.0015, pause, loop, 0.6)
+        return await node.permits.take(SERVER, 0)
+
+    assert not play(work, a="b", b="b")
+
+
+def test_a_late_permit_of_a_request_that_was_cancelled_is_used(play):
+    """Its caller has left; the permit was lost with the request."""
+
+    async def work(loop, nodes):
+        node, keeper = nodes["a"], nodes["b"]
+        node.name_limit(4.0)
+        await node.permits.take(SERVER, 0)
+        await asyncio.sleep(1)
+        keeper.delay_s = 0.05
+        asking = loop.create_task(node.permits.take(SERVER, 0))
+        await asyncio.sleep(0.01)
+        asking.cancel()
+        await asyncio.sleep(0.1)
+        keeper.is_silent = True
+        return [await node.permits.take(SERVER, 0) for _ in range(2)]
+
+    assert play(work, a="b", b="b") == [True, False]
+
+
+@pytest.mark.parametrize("changes", [{"born": 999}, {"server": "i-2"}, {"number": 99}])
+def test_a_late_reply_to_another_request_grants_nothing(play, changes):
+    """It may be one to a request of the process that had this address before."""
+
+    async def work(loop, nodes):
+        node = nodes["a"]
+        node.name_limit(4.0)
+        nodes["b"].is_silent = True
+        assert not await node.permits.take(SERVER, 0)
+        fields = {"number": 1, "server": SERVER[0], "born": SERVER[1]} | changes
+        reply = PermitReply(**fields, rate=4.0, version=1, wait_s=0.0)
+        node.datagrams._handlers[PermitReply](reply, ("b", 1))
+        return await node.permits.take(SERVER, 0)
+
+    assert not play(work, a="b", b="b")
+
+
+def test_a_late_permit_of_an_urgent_request_is_left_to_urgent_ones(play):
+    async def work(loop, nodes):
+        node, keeper = nodes["a"], nodes["b"]
+        node.name_limit(4.0)
+        await node.permits.take(SERVER, 0)
+        await asyncio.sleep(1)
+        keeper.delay_s = 0.15
+        assert not await node.permits.take(SERVER, 1)
+        await asyncio.sleep(0.1)
+        keeper.is_silent = True
+        return [await node.permits.take(SERVER, rank) for rank in (2, 0)]
+
+    assert play(work, a="b", b="b") == [False, True]
+
+
+def test_unanswered_requests_are_kept_in_bounded_memory(play):
+    async def work(loop, nodes):
+        node = nodes["a"]
+        node.name_limit(4.0)
+        nodes["b"].is_silent = True
+        asking = [node.permits.take(SERVER, 0) for _ in range(MAX_UNANSWERED + 50)]
+        await asyncio.gather(*asking)
+        return len(node.permits._late._unanswered)
+
+    assert play(work, a="b", b="b") == MAX_UNANSWERED
