Judge evacuations in the soak test by when servers receive

The check used the time at which the caller sent its request. The time of receipt also finds requests that callers sent before the evacuation and that reach the server during it, which the check left out.

--- a/lavendershift/platform/tests/soak/evacuations.py
+++ b/lavendershift/platform/tests/soak/evacuations.py
@@ -34,7 +34,11 @@
 
 
 def check_evacuations(world, calls, starts):
-    """Check that in the planned phase an evacuated server gets no new request."""
+    """Check that in the planned phase an evacuated server gets no request.
+
+    The time at which the server received it counts: a request that a caller sent during
+    an evacuation may reach the server after its end, as a stream that is resumed does.
+    """
     calls_by_id = {each.id: each for each in calls}
     for servers in world.servers.values():
         for received in servers[-1].received:
@@ -42,5 +46,5 @@
             if each is None or each.sent_at >= starts[1]:
                 continue
             for start, end in world.evacuations:
-                if start + APPLY_S < each.sent_at < end:
+                if start + APPLY_S < received.at < end:
                     yield f"{each.id} at {each.node} reached an evacuated server"
