--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -291,8 +291,15 @@
 
     def _make_room(self) -> bool:
         """Return whether a connection may be opened; an idle one may be closed."""
+        return self.trim(1)
+
+    def trim(self, spare: int = 0) -> bool:
+        """Close idle connections until ``spare`` more may be open; return if they may.
+
+        Callers that connect take descriptors that idle connections had.
+        """
         limit = self.find_limit()
-        while self.open_count >= limit:
+        while self.open_count + spare > limit:
             oldest = min(
                 (idle for idle in self._idle.values() if idle),
                 key=lambda idle: idle[0].idle_since,
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -271,6 +271,7 @@
         self._connections.find_limit = lambda: count_server_connections(
             memory, self._callers.count_descriptors()
         )
+        self._callers.on_connection = self._connections.trim
         self._callers.find_customer = self._gateway.find_customer
         self._callers.on_connection_refused = lambda: self._instruments.count(
             "connections_refused"
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -79,6 +79,7 @@
         self.budget = budget or MemoryBudget(clock, limits.held_bytes)
         self.find_customer: Callable[[str], str] = lambda key: ""
         self.on_connection_refused: Callable[[], None] = lambda: None
+        self.on_connection: Callable[[], object] = lambda: None
         self._limits = limits
         self._open = 0
         self._searched_at = clock.elapsed() - SEARCH_INTERVAL
@@ -169,6 +170,7 @@
         )
         self._open += 1
         self._streams.add(stream)
+        self.on_connection()
         return stream
 
     def _note_end(self, end: ConnectionEnd) -> None:
--- a/lavendershift/platform/tests/test_slowcallers.py
+++ b/lavendershift/platform/tests/test_slowcallers.py
@@ -152,3 +152,25 @@
         return took
 
     assert play(work) < 1.5
+
+
+def test_descriptors_of_callers_are_counted_also_while_they_linger():
+    """Connections to servers have to leave descriptors for them."""
+
+    async def work(listener):
+        counts = []
+        listener.server.on_connection = lambda: counts.append(
+            listener.server.count_descriptors()
+        )
+        open_one, closing = listener.connect(), listener.connect()
+        await closing.send_all(make_request("r1", Connection="close"))
+        await closing.read_until(b"done r1")
+        await asyncio.sleep(0.1)
+        assert listener.server.count_descriptors() == 2
+        closing.close()
+        open_one.close()
+        await asyncio.sleep(0.1)
+        assert listener.server.count_descriptors() == 0
+        return counts
+
+    assert play(work) == [1, 2]
--- a/lavendershift/tests/test_connections.py
+++ b/lavendershift/tests/test_connections.py
@@ -278,3 +278,23 @@
         assert connections.open_count == 0
 
     play(work)
+
+
+def test_idle_connections_are_closed_for_callers_that_connect(play):
+    """Idle connections to servers and new callers together exceeded the descriptors."""
+
+    async def work(connections, server):
+        used = [await connections.connect(server.address, SECOND) for _ in range(4)]
+        for connection in used[:3]:
+            await connection.exchange(make_request(), Reader())
+            connections.give_back(connection)
+            await asyncio.sleep(0.01)
+        limit = 3
+        connections.find_limit = lambda: limit
+        assert connections.trim()
+        assert [c._stream.closed() for c in used] == [True, False, False, False]
+        limit = 0
+        assert not connections.trim()
+        assert [c._stream.closed() for c in used] == [True, True, True, False]
+
+    play(work)
