Let limited and cold servers of the tests work as long as real ones

Of test_serverlimits beside other load, 4 of 12 cases failed in two runs. Traces of two of them show that permits were due, and nobody asked for them: the stand-in servers answer within milliseconds, and the routers' estimates of speed took the limited server for a slower one, so that its idle peers without a limit were preferred. That is what these estimates are for. In the second run, the limited server had a factor of up to 3 and looked slower than usual at 315 of 933 choices for plain work, and never faster.

The bounds of the tests stay as they are. test_coldservers gets the same, as its servers answer as fast; its failure wasn't seen again, and isn't traced itself.

--- a/lavendershift/platform/tests/test_coldservers.py
+++ b/lavendershift/platform/tests/test_coldservers.py
@@ -9,7 +9,11 @@
 
 from lavendershift.platform import names
 from lavendershift.platform.tests.live_nodes import Platform, wait_for
+from lavendershift_standins.platformserver import work_first
 
+# Time of plain work. Without it, differences of milliseconds count as differences of
+# speed, and routers prefer the other server, whatever permits are due.
+WORK_S = 0.045
 COLD_PER_S, OVERAGE, SLACK = 3.0, 1.5, 5.0
 BOUND = COLD_PER_S * OVERAGE + SLACK
 BOUNDS = f"[bounds]\ncold_overage = {OVERAGE}\ncold_slack = {SLACK}\n"
@@ -24,6 +28,8 @@
     for node in platform.nodes:
         text = node.settings.read_text()
         node.settings.write_text(text.replace("[bounds]\n", BOUNDS))
+    for server in platform.servers["ledger"]:
+        server.default = work_first(server.default, WORK_S)
     platform.start()
     yield platform
     platform.stop()
--- a/lavendershift/platform/tests/test_serverlimits.py
+++ b/lavendershift/platform/tests/test_serverlimits.py
@@ -9,10 +9,14 @@
 from lavendershift.hashing import rank_by_hash
 from lavendershift.platform.tests.live_nodes import Platform
 from lavendershift.tests.limitbounds import find_excess
+from lavendershift_standins.platformserver import work_first
 
 NODES = 8
 REQUESTS_PER_S = 4.0  # of each node's caller
 LENGTH_S = 9.0
+# Time of plain work. Without it, differences of milliseconds count as differences of
+# speed, and routers prefer the other servers, whatever permits are due.
+WORK_S = 0.045
 
 
 class SteadyCaller(threading.Thread):
@@ -45,6 +49,9 @@
     platform = Platform(tmp_path, nodes=NODES, servers=3)
     # Without a budget, so that no request waits for tokens.
     platform.configure(version=8, tenants=[{"name": "plume", "api_keys": ["key-1"]}])
+    for servers in platform.servers.values():
+        for server in servers:
+            server.default = work_first(server.default, WORK_S)
     platform.start()
     yield platform
     platform.stop()
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -319,6 +319,16 @@
     writer.write(head + body)
 
 
+def work_first(behaviour: Behaviour, work_s: float) -> Behaviour:
+    """Respond like ``behaviour`` after some work."""
+
+    async def behave(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(work_s)
+        await behaviour(received, writer)
+
+    return behave
+
+
 async def answer_not_run(
     received: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
