Record grants again that were told before a partition was first read

A process dropped the notices of other VMs' draws when it read a partition for the first time. If the store was restored before that reading and the VM that drew had ended, nobody recorded these grants again, and their tokens could be granted twice. Notices are now kept by era, and a VM that never read a partition reads it if the copy may lack grants that it was told of.

--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -8,7 +8,7 @@
 from lavendershift.platform.store import StoreClient
 from lavendershift.platform.storerecords import AppendResult, Record
 from lavendershift.quotarecords import QuotaRecord, SwapResult
-from lavendershift.storehistories import StoreRestoredError
+from lavendershift.storehistories import History, StoreRestoredError
 
 RESULTS = {
     AppendResult.DONE: SwapResult.DONE,
@@ -33,6 +33,11 @@
         self._partition = partition
         self.history = store.history
 
+    @property
+    def newest_history(self) -> History:
+        """The newest history of the store that this VM knows of."""
+        return self._store.history
+
     @property
     def is_restored(self) -> bool:
         """Whether the store has another history than that of the last reading."""
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -79,6 +79,11 @@
         """The history of the store in which the records were read."""
         ...
 
+    @property
+    def newest_history(self) -> History:
+        """The newest history of the store that this VM knows of."""
+        ...
+
     @property
     def is_restored(self) -> bool:
         """Whether the store has another history by now."""
@@ -169,8 +174,11 @@
     @property
     def has_lost_grants(self) -> bool:
         """Whether a restored store may lack grants that are known here."""
-        is_restored = self._log.is_restored and self._was_read
-        return is_restored or bool(self._grants.lost)
+        if self._grants.lost:
+            return True
+        if not self._was_read:
+            return self._grants.has_told_before(self._log.newest_history)
+        return self._log.is_restored
 
     async def sync(self) -> None:
         """Read the records up to the end of the log, and write lost ones again."""
--- a/lavendershift/restoredgrants.py
+++ b/lavendershift/restoredgrants.py
@@ -49,8 +49,8 @@
         self._has_older_records = False
         # Customers whose newest record was written after lost grants were.
         self._confirmed: set[str] = set()
-        # Grants that other VMs have told of, and when.
-        self._told: dict[str, tuple[int, timedelta]] = {}
+        # Grants that other VMs have told of and when, by customer and era.
+        self._told: dict[tuple[str, int], tuple[int, timedelta]] = {}
 
     @property
     def era(self) -> int:
@@ -80,11 +80,14 @@
         if self._history is not None:
             self._has_changed = True
             self._has_moved = history.moves != self._history.moves
-            for customer, (granted, _) in self._told.items():
-                self._raise(customer, granted)
             self.lost = dict(self.granted)
-        self._told.clear()
         self._history = history
+        told, self._told = self._told, {}
+        for (customer, era), notice in told.items():
+            if era < history.era or self._has_moved:
+                self._raise_lost(customer, notice[0])
+            else:
+                self._told[customer, era] = notice
         self._began_at = self._clock.elapsed()
         self._has_older_records = False
         self._confirmed.clear()
@@ -93,15 +96,21 @@
         """Write no number again for a customer whose newest record is malformed."""
         self.lost.pop(customer, None)
 
-    def _raise(self, customer: str, granted: int) -> None:
-        self.granted[customer] = max(granted, self.granted.get(customer, 0))
+    def has_told_before(self, history: History) -> bool:
+        """Return whether ``history`` may lack grants that other VMs have told of."""
+        return any(era < history.era for _, era in self._told)
+
+    def _raise_lost(self, customer: str, granted: int) -> None:
+        if granted > self.granted.get(customer, 0):
+            self.granted[customer] = self.lost[customer] = granted
 
     def note_told(self, customer: str, granted: int, era: int) -> None:
         """Note the grants after a draw of another VM, which may not be read yet."""
-        told, _ = self._told.get(customer, (0, timedelta()))
-        self._told[customer] = max(told, granted), self._clock.elapsed()
-        if era < self.era and granted > self.granted.get(customer, 0):
-            self.granted[customer] = self.lost[customer] = granted
+        if era < self.era:
+            self._raise_lost(customer, granted)
+            return
+        told, _ = self._told.get((customer, era), (0, timedelta()))
+        self._told[customer, era] = max(told, granted), self._clock.elapsed()
 
     def note_reading(self, began_at: timedelta) -> None:
         """Note that all records were read that were written before ``began_at``."""
--- a/lavendershift/tests/prepaid_simulation.py
+++ b/lavendershift/tests/prepaid_simulation.py
@@ -110,6 +110,10 @@
         self._partition = partition
         self.history = History()
 
+    @property
+    def newest_history(self):
+        return self._vm.find_history()
+
     @property
     def is_restored(self):
         """Whether this VM has seen another era since it last read the newest records.
--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -6,7 +6,7 @@
 from lavendershift.clocks import ManualClock
 from lavendershift.errors import LogUnavailableError
 from lavendershift.prepaid import PrepaidAccount
-from lavendershift.quotarecords import QuotaRecord, QuotaRecords
+from lavendershift.quotarecords import QuotaRecord, QuotaRecords, SwapResult
 from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
 from lavendershift.storehistories import History
 
@@ -52,6 +52,35 @@
     assert grants.lost == {"plume": 7000}
 
 
+def test_a_notice_from_before_the_first_reading_counts(clock):
+    """A process that had not read the partition yet dropped notices at a restore.
+
+    Nobody wrote these grants again if the VM that drew them had ended.
+    """
+    grants = KnownGrants(clock)
+    grants.note_told("plume", 7000, 4)
+    assert grants.has_told_before(History(0, 5))
+    assert not grants.has_told_before(History(0, 4))
+    grants.begin(History(0, 5))
+    grants.note("plume", 3000, 4, True)
+    assert grants.granted == grants.lost == {"plume": 7000}
+
+
+def test_a_notice_of_the_era_that_is_read_first_outlives_the_reading_in_flight(
+    grants, clock
+):
+    """The grant may come after the records that were read, and be lost next."""
+    started = clock.elapsed()
+    clock.advance(timedelta(milliseconds=4))
+    grants.note_told("plume", 7000, 5)
+    grants.begin(History(0, 5))
+    grants.note("plume", 5000, 5, False)
+    grants.note_reading(started)
+    grants.begin(History(0, 6))
+    grants.note("plume", 5000, 5, False)
+    assert grants.lost == {"plume": 7000}
+
+
 def test_a_notice_from_before_a_reading_is_forgotten(grants, clock):
     """Tokens returned since then would stay granted after a restore."""
     grants.note_told("plume", 7000, 4)
@@ -125,22 +154,27 @@
     """Quota records in a store that was restored; the next reading fails."""
 
     def __init__(self):
-        self.history = self.newest = History(0, 4)
+        self.history = self.newest_history = History(0, 4)
         self.failures = 0
+        self.appended = []
 
     @property
     def is_restored(self):
-        return self.history != self.newest
+        return self.history != self.newest_history
 
     async def read_newest(self):
         if self.failures:
             self.failures -= 1
             raise LogUnavailableError("status 429")
-        self.history = self.newest
+        self.history = self.newest_history
         return [QuotaRecord("plume", 5000, "a/1", era=4)], 1
 
     async def read_records(self, offset):
-        return []
+        return self.appended[offset - 1 :]
+
+    async def swap(self, end, records):
+        self.appended += records
+        return SwapResult.DONE
 
 
 def test_grants_may_be_lost_until_a_restored_store_was_read(clock):
@@ -149,7 +183,20 @@
     records = QuotaRecords(clock, log, "a", PrepaidAccount, lambda *args: None)
     asyncio.run(records.sync())
     assert not records.has_lost_grants
-    log.newest, log.failures = History(0, 5), 1
+    log.newest_history, log.failures = History(0, 5), 1
     with pytest.raises(LogUnavailableError):
         asyncio.run(records.sync())
     assert records.has_lost_grants
+
+
+def test_a_partition_that_was_never_read_is_read_for_notices_of_lost_grants(clock):
+    """A standby VM reads no partitions, and nobody else may know the grants."""
+    log = RestoredLog()
+    records = QuotaRecords(clock, log, "a", PrepaidAccount, lambda *args: None)
+    records.note_told("plume", 7000, 4)
+    assert not records.has_lost_grants
+    log.newest_history = History(0, 5)
+    assert records.has_lost_grants
+    asyncio.run(records.sync())
+    assert log.appended == [QuotaRecord("plume", 7000, "a/1", era=5, is_settled=False)]
+    assert not records.has_lost_grants
--- a/lavendershift/tests/test_tokendraws.py
+++ b/lavendershift/tests/test_tokendraws.py
@@ -28,7 +28,7 @@
 class MemoryQuotaLog:
     """The quota records of one partition; ``results`` are those of the next changes."""
 
-    history = History()
+    history = newest_history = History()
     is_restored = False
 
     def __init__(self):
--- a/lavendershift/tests/tokenload.py
+++ b/lavendershift/tests/tokenload.py
@@ -44,7 +44,7 @@
 class VmQuotaLog:
     """A VM's view of the shared quota records; its calls take ``call_s``."""
 
-    history = History()
+    history = newest_history = History()
     is_restored = False
 
     def __init__(self, fleet, call_s):
