Check draws against restores again after returns were released

A draw was checked against a restore only before the returns of the same change were released. A notice of lost grants that arrived meanwhile raised the number to which the draw was added, beyond what had been planned with, and one that arrived during the append left the draw's tokens credited though they may be spent already. Such changes are planned again, and such draws aren't credited.

--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -122,11 +122,15 @@
 
 
 class _PendingChange(NamedTuple):
-    """A change that was sent for ``offset``, with an unknown outcome."""
+    """A change that was sent for ``offset``, with an unknown outcome.
+
+    ``granted`` holds the numbers of grants that it raises or lowers.
+    """
 
     offset: int
     change_id: str
     change: _Change
+    granted: Mapping[str, int]
 
 
 class QuotaRecords:
@@ -248,7 +252,10 @@
         self._was_read = True
 
     async def change(self, deltas: Mapping[str, int], release: Release) -> bool:
-        """Append changes; return false if another VM's append came first.
+        """Append changes; return false if they have to be planned again.
+
+        That is so if another VM's append came first, and if more grants became known,
+        or the store was restored, during ``release``.
 
         ``release`` debits the tokens to return. While other VMs win the races for the
         lease snapshots, tokens are drawn but not returned. Nothing is changed while
@@ -264,17 +271,18 @@
         end, started = self._end, self._clock.elapsed()
         self._change_count += 1
         change_id = f"{self._name}/{self._change_count}"
+        granted = {customer: self.granted.get(customer, 0) for customer in deltas}
         change = await self._prepare(deltas, release)
+        if self._log.is_restored or self._list_raised(granted):
+            self._undo(change)
+            return False
         records = [
             QuotaRecord(
-                customer,
-                self.granted.get(customer, 0) + delta,
-                change_id,
-                era=self._grants.era,
+                customer, granted[customer] + delta, change_id, era=self._grants.era
             )
             for customer, delta in change.list_deltas().items()
         ]
-        pending = _PendingChange(end, change_id, change)
+        pending = _PendingChange(end, change_id, change, granted)
         self._pending.append(pending)
         result = await self._log.swap(end, records)
         if result is SwapResult.UNKNOWN:
@@ -285,13 +293,18 @@
             if result is SwapResult.REFUSED:
                 raise DrawRefusedError("the store refused an append of quota records")
             return False
+        raised = self._list_raised(granted)
         for offset, record in enumerate(records, end):
             self._apply(offset, record)
         self._end = end + len(records)
         self.read_at = started
-        self._credit(change)
+        self._credit(change, raised)
         return True
 
+    def _list_raised(self, granted: Mapping[str, int]) -> set[str]:
+        """Return the customers with more grants than ``granted`` by now."""
+        return {c for c, number in granted.items() if self.granted.get(c, 0) > number}
+
     async def _prepare(self, deltas: Mapping[str, int], release: Release) -> _Change:
         draws = {customer: delta for customer, delta in deltas.items() if delta > 0}
         returns = {customer: -delta for customer, delta in deltas.items() if delta < 0}
@@ -334,20 +347,29 @@
             for customer, tokens in change.returns.tokens.items():
                 self._find_account(customer).credit(tokens)
 
-    def _credit(self, change: _Change) -> None:
-        """Credit draws that were appended; returns were debited before."""
-        for customer, tokens in change.draws.items():
-            self._find_account(customer).credit_drawn(tokens)
+    def _credit(self, change: _Change, raised: set[str]) -> None:
+        """Credit draws that were appended; returns were debited before.
+
+        A draw for a customer in ``raised`` isn't credited: lost grants became known
+        during its append, and its tokens may be among them.
+        """
+        uncredited = raised & change.draws.keys()
         for customer, delta in change.list_deltas().items():
+            if customer in uncredited:
+                continue
+            if delta > 0:
+                self._find_account(customer).credit_drawn(delta)
             self._on_draw(customer, delta, self.granted.get(customer, 0))
 
     def _apply(self, offset: int, record: QuotaRecord) -> None:
         """Apply a record and resolve the pending changes sent for its offset."""
+        resolved = [p for p in self._pending if p.offset == offset]
+        raised = [self._list_raised(p.granted) for p in resolved]
         self._store_quota(record)
-        for pending in [p for p in self._pending if p.offset == offset]:
+        for pending, customers in zip(resolved, raised, strict=True):
             self._pending.remove(pending)
             if record.change_id == pending.change_id:
-                self._credit(pending.change)
+                self._credit(pending.change, customers)
             else:
                 self._undo(pending.change)
 
--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -9,6 +9,7 @@
 from lavendershift.quotarecords import QuotaRecord, QuotaRecords, SwapResult
 from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
 from lavendershift.storehistories import History
+from lavendershift.tokenreturns import ReleasedTokens, SnapshotHistory
 
 
 @pytest.fixture
@@ -167,10 +168,11 @@
             self.failures -= 1
             raise LogUnavailableError("status 429")
         self.history = self.newest_history
-        return [QuotaRecord("plume", 5000, "a/1", era=4)], 1
+        granted = {"plume": 5000, "encre": 500}
+        return [QuotaRecord(c, n, "a/1", era=4) for c, n in granted.items()], 2
 
     async def read_records(self, offset):
-        return self.appended[offset - 1 :]
+        return self.appended[offset - 2 :]
 
     async def swap(self, end, records):
         self.appended += records
@@ -200,3 +202,74 @@
     asyncio.run(records.sync())
     assert log.appended == [QuotaRecord("plume", 7000, "a/1", era=5, is_settled=False)]
     assert not records.has_lost_grants
+
+
+class Draw:
+    """A VM that draws and returns while a late notice of a lost grant arrives."""
+
+    def __init__(self, clock, log):
+        self.accounts = {c: PrepaidAccount(c) for c in ("plume", "encre")}
+        self.told = []
+        self.records = QuotaRecords(
+            clock, log, "a", self.accounts.get, lambda *draw: self.told.append(draw)
+        )
+        asyncio.run(self.records.sync())
+        self.accounts["encre"].credit(500)
+
+    def receive_notice(self):
+        self.records.note_told("plume", 7000, 3)
+
+    def change(self, deltas, on_release=lambda: None):
+        async def release(tokens):
+            await asyncio.sleep(0)
+            on_release()
+            for customer, count in tokens.items():
+                self.accounts[customer].credit(-count)
+            history = SnapshotHistory()
+            return ReleasedTokens(history, history.debit(tokens))
+
+        return asyncio.run(self.records.change(deltas, release))
+
+
+@pytest.fixture
+def draw(clock):
+    draw = Draw(clock, RestoredLog())
+    clock.advance(CONFIRMATION_TIME)
+    return draw
+
+
+def test_a_draw_is_planned_again_if_grants_become_known_during_a_release(draw):
+    """A draw of what seemed left of a total was added to the number in the notice."""
+    log = draw.records._log
+    is_done = draw.change({"plume": 4000, "encre": -500}, draw.receive_notice)
+    assert not is_done
+    assert log.appended == []
+    assert draw.accounts["plume"].free == 0
+    assert draw.accounts["encre"].free == 500
+
+
+def test_a_draw_beside_a_restore_during_a_release_is_planned_again(draw):
+    log = draw.records._log
+
+    def restore():
+        log.newest_history = History(0, 5)
+
+    assert not draw.change({"plume": 4000, "encre": -500}, restore)
+    assert log.appended == []
+    assert draw.accounts["encre"].free == 500
+
+
+def test_a_draw_below_grants_that_become_known_during_its_append_is_not_spent(draw):
+    """Its tokens are among those that the notice says were granted before."""
+    log = draw.records._log
+    swap = log.swap
+
+    async def swap_late(end, records):
+        draw.receive_notice()
+        return await swap(end, records)
+
+    log.swap = swap_late
+    draw.change({"plume": 4000})
+    assert draw.accounts["plume"].free == 0
+    assert draw.told == []
+    assert draw.records.granted["plume"] == 9000
