Correct an era of the store that was read from a damaged response

A response with an absurdly high Store-Era made all later responses with the true era look old until the process ended. Two responses in a row with the same lower era, to calls that began after it, now replace it and count as a new history. Quota records with a later era than the store's confirm nothing.

--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -100,6 +100,10 @@
 
     ``history`` is the newest one of any response, and ``on_history`` is called when it
     changes. Responses of an older history are dropped, as they may arrive late.
+
+    A damaged response may name an era that the store never had. Responses to calls that
+    began after it can't be from before a restore, so two of these in a row that name
+    the same lower era replace it.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         self._clock = clock
         self._on_call = on_call
         self.history = History()
+        self._lower_era: int | None = None  # that of a response to a newer call
         self.on_history: Callable[[History], None] = lambda history: None
         self._connector = self._make_connector()
 
@@ -136,18 +141,25 @@
 
     def _set_history(self, history: History) -> None:
         self.history = history
+        self._lower_era = None
         self.on_history(history)
 
-    def _note_response(self, moves: int, era: int | None) -> History:
-        """Return the history of a response to a call made after ``moves`` moves.
+    def _note_response(self, begun_in: History, era: int | None) -> History:
+        """Return the history of a response to a call that began in ``begun_in``.
 
         Raises ``StoreRestoredError`` if it is older than that of another response. One
         without an era is taken as one of the newest history.
         """
         newest = self.history
-        history = History(moves, newest.era if era is None else era)
+        history = History(begun_in.moves, newest.era if era is None else era)
         if history < newest:
-            raise StoreRestoredError("the response is from before a restore")
+            if begun_in != newest or self._lower_era != history.era:
+                if begun_in == newest:
+                    self._lower_era = history.era
+                raise StoreRestoredError("the response is from before a restore")
+            history = History(newest.moves + 1, history.era)
+        elif era is not None:
+            self._lower_era = None
         if history > newest:
             self._set_history(history)
         return history
@@ -293,7 +305,7 @@
         the timeout of the call.
         """
         call = path.strip("/")
-        address, connector, moves = self._address, self._connector, self.history.moves
+        address, connector, begun_in = self._address, self._connector, self.history
         headers = HTTPHeaders({"Host": address})
         if method == "POST":
             headers["Content-Length"] = str(len(body))
@@ -319,7 +331,7 @@
         self._on_call(call, outcome, self._clock.elapsed() - started - wait)
         if response is None:
             raise LogUnavailableError(f"{call}: no answer")
-        history = self._note_response(moves, response.era)
+        history = self._note_response(begun_in, response.era)
         return _Response(response.status, b"".join(response.chunks), history)
 
     async def _exchange(
--- a/lavendershift/platform/tests/test_store.py
+++ b/lavendershift/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import random
+from datetime import timedelta
 
 import pytest
 
@@ -15,6 +16,7 @@
     decode_batch,
     encode_record,
 )
+from lavendershift.platform.topicreaders import ReadResult, TopicReader
 from lavendershift.tests.processes import find_port
 from lavendershift_standins.platformserver import PlatformServer
 from lavendershift_standins.platformstore import READ_HEADER, StoreServer
@@ -181,6 +183,12 @@
     return make_response(READ_HEADER.pack(end, 0) + records)
 
 
+def make_era(era):
+    """Return a response to a reading that names the store's era."""
+    head = b"Store-Era: %d\r\nContent-Length" % era
+    return send(make_read(b"1").replace(b"Content-Length", head))
+
+
 def make_page(*keys, truncated=False, end=9):
     items = [{"key": key, "value": "MQ==", "offset": 1} for key in keys]
     page = {"items": items, "truncated": truncated, "end": end}
@@ -393,8 +401,44 @@
             await client.read(TOPIC, 0, 0)
         assert (await client.read(TOPIC, 0, 0)).history.era == 5
 
-    def make(era):
-        head = b"Store-Era: %d\r\nContent-Length" % era
-        return send(make_read(b"1").replace(b"Content-Length", head))
+    play_responses(work, make_era(5), make_era(4), send(make_read(b"1")))
+
+
+def test_a_damaged_era_makes_no_later_response_look_old_forever(play_responses):
+    """All responses with the true era were dropped until the process ended."""
+
+    async def work(client, server):
+        reader = TopicReader(client, TOPIC, timedelta())
+        damaged = await client.read(TOPIC, 0, 0)
+        reader.accept(ReadResult(damaged, is_snapshot=True))
+        assert damaged.history.era == 10**12
+        with pytest.raises(LogUnavailableError):
+            await client.read(TOPIC, 0, 0)
+        batch = await client.read(TOPIC, 0, 0)
+        assert batch.history == client.history
+        assert batch.history.era == 4
+        assert batch.history > damaged.history
+        assert reader.accept(ReadResult(batch, is_snapshot=True)).records
+        assert (await client.read(TOPIC, 0, 0)).history.era == 5
+
+    play_responses(work, *map(make_era, (10**12, 4, 4, 5)))
+
+
+def test_lower_eras_that_differ_or_come_late_do_not_replace_the_newest(play_responses):
+    """Only the store's era is named by responses to calls made one after the other."""
+
+    async def work(client, server):
+        first = client.history
+        await client.read(TOPIC, 0, 0)
+        for _ in range(2):
+            with pytest.raises(LogUnavailableError):
+                await client.read(TOPIC, 0, 0)
+        await client.read(TOPIC, 0, 0)
+        for _ in range(3):
+            with pytest.raises(LogUnavailableError):
+                client._note_response(first, 2)
+        with pytest.raises(LogUnavailableError):
+            await client.read(TOPIC, 0, 0)
+        assert client.history.era == 5
 
-    play_responses(work, make(5), make(4), send(make_read(b"1")))
+    play_responses(work, *map(make_era, (5, 4, 3, 5, 3)))
--- a/lavendershift/restoredgrants.py
+++ b/lavendershift/restoredgrants.py
@@ -120,10 +120,11 @@
         """Note a record that was written in ``era``.
 
         A lower number than the known one from an earlier era is part of the copy, or an
-        append from before the restore that the store executed late.
+        append from before the restore that the store executed late. A later era than
+        the store's was read from a damaged response, or at another address.
         """
         known = self.granted.get(customer, 0)
-        if era < self.era:
+        if era != self.era:
             self._has_older_records = True
             self._confirmed.discard(customer)
             if granted < known:
--- a/lavendershift/storehistories.py
+++ b/lavendershift/storehistories.py
@@ -19,8 +19,8 @@
     """A history of the store; a later one is greater.
 
     ``moves`` counts the changes of the store's address, as the store at another address
-    may hold a copy. ``era`` is the number of the store's last restore, 0 for stores
-    that send none.
+    may hold a copy, and the corrections of eras that were read from damaged responses.
+    ``era`` is the number of the store's last restore, 0 for stores that send none.
     """
 
     moves: int = 0
--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -117,6 +117,14 @@
     assert grants.is_settled("plume") is not waits
 
 
+def test_a_record_of_an_era_that_was_damaged_confirms_nothing(clock):
+    """A process that started after a restore drew at once below lost grants."""
+    grants = KnownGrants(clock)
+    grants.begin(History(0, 5))
+    grants.note("plume", 5000, 10**12, True)
+    assert not grants.is_settled("plume")
+
+
 def test_an_append_of_an_older_era_that_is_executed_late_is_undone(grants, clock):
     grants.begin(History(0, 5))
     grants.note("plume", 8000, 5, True)
