Ask other VMs for lost grants before the first draws after a restore

A process without a history of the old era, or a VM that follows another address, drew on the restored total after 2 s although the VM that knew of the lost grants was rejected by the store, or not yet told of the restore. It now asks the active VMs by datagram and draws once they had the time to reply; this costs no calls to the store.

The types of quota records, the intervals between rounds and the access to all partitions move to modules of their own.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -220,8 +220,13 @@
         )
         self._store.on_history = self._note_history
         self._grant_notices = GrantNotices(
-            rng, self._datagrams, self._list_active_peers, self._draws.note_told
+            rng,
+            self._datagrams,
+            self._list_active_peers,
+            self._draws.grants,
+            lambda: self._store.address,
         )
+        self._draws.grants.listen(self._grant_notices.inquire)
         self._stocks = TokenStocks(
             clock,
             settings.name,
@@ -565,7 +570,7 @@
     def _note_draw(self, customer: str, tokens: int, granted: int) -> None:
         account = self._draws.find_account(customer)
         if tokens > 0:
-            era = self._draws.find_era(customer)
+            era = self._draws.grants.find_era(customer)
             self._grant_notices.tell(customer, granted, era)
         self._reports.report_draw(customer, tokens, granted, account.free)
 
--- a/lavendershift/platform/grants.py
+++ b/lavendershift/platform/grants.py
@@ -7,7 +7,7 @@
 from lavendershift.platform import names
 from lavendershift.platform.store import StoreClient
 from lavendershift.platform.storerecords import AppendResult, Record
-from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.quotalogs import QuotaRecord, SwapResult
 from lavendershift.storehistories import History, StoreRestoredError
 
 RESULTS = {
--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -96,8 +96,9 @@
 
 
 class StoreClient:
-    """Calls the store; ``on_call`` gets the name, outcome and duration of each call.
+    """Calls the store at ``address``.
 
+    ``on_call`` gets the name, outcome and duration of each call.
     ``history`` is the newest one of any response, and ``on_history`` is called when it
     changes. Responses of an older history are dropped, as they may arrive late.
 
@@ -113,7 +114,7 @@
         clock: Clock,
         on_call: CallListener = lambda call, outcome, duration: None,
     ) -> None:
-        self._address = address
+        self.address = address
         self._connections = connections
         self._clock = clock
         self._on_call = on_call
@@ -124,7 +125,7 @@
 
     def _make_connector(self) -> Connector:
         return Connector(
-            self._connections, self._address, CONNECT_INTERVAL, CONNECT_TIMEOUT
+            self._connections, self.address, CONNECT_INTERVAL, CONNECT_TIMEOUT
         )
 
     def follow(self, address: str) -> None:
@@ -132,10 +133,10 @@
 
         What was read at the previous address is of another history.
         """
-        if address == self._address:
+        if address == self.address:
             return
-        self._connections.drop(self._address)
-        self._address = address
+        self._connections.drop(self.address)
+        self.address = address
         self._connector = self._make_connector()
         self._set_history(History(self.history.moves + 1))
 
@@ -305,7 +306,7 @@
         the timeout of the call.
         """
         call = path.strip("/")
-        address, connector, begun_in = self._address, self._connector, self.history
+        address, connector, begun_in = self.address, self._connector, self.history
         headers = HTTPHeaders({"Host": address})
         if method == "POST":
             headers["Content-Length"] = str(len(body))
--- a/lavendershift/platform/tests/test_feed_schedules.py
+++ b/lavendershift/platform/tests/test_feed_schedules.py
@@ -16,8 +16,8 @@
 from lavendershift.platform.store import StoreClient
 from lavendershift.platform.tests.conftest import make_configuration
 from lavendershift.platform.tests.storelinks import Link, LinkedPool, LinkedStore
+from lavendershift.roundintervals import OUTAGE_RETRY_INTERVAL
 from lavendershift.tests.virtualloop import VirtualLoop
-from lavendershift.tokendraws import OUTAGE_RETRY_INTERVAL
 from lavendershift.vmlist import ROW_EXPIRY, VmList, VmRow
 
 CONFIG_APPLY_S = 3.0
--- a/lavendershift/platform/tests/test_storedformats.py
+++ b/lavendershift/platform/tests/test_storedformats.py
@@ -18,7 +18,7 @@
 from lavendershift.platform.leases import StoreLeaseLog
 from lavendershift.platform.presence import PresenceFeed, PresenceWriter
 from lavendershift.platform.storerecords import AppendResult, Batch, Record
-from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.quotalogs import QuotaRecord, SwapResult
 from lavendershift.storehistories import History
 from lavendershift.vmlist import VmRow
 
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -20,14 +20,14 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
-from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.prepaid import PrepaidAccount
+from lavendershift.quotalogs import DrawRefusedError, QuotaLog, QuotaRecord, SwapResult
 from lavendershift.restoredgrants import KnownGrants
-from lavendershift.storehistories import History, StoreRestoredError
+from lavendershift.storehistories import StoreRestoredError
 from lavendershift.tokenreturns import ReleasedTokens, SnapshotNotStoredError
 
 # Grants that a restore has lost are written again in appends of this many records, so
@@ -36,79 +36,14 @@
 MAX_REPAIRS = 40  # appends of lost grants, won or lost, after which a round ends
 
 
-class DrawRefusedError(LogUnavailableError):
-    """The store refused a change, as it does above its rate limit."""
-
-
-class QuotaRecord(NamedTuple):
-    """One customer's quota, as stored in the log.
-
-    ``granted`` is the new total of grants, ``None`` if the record can't be decoded for
-    the reason ``fault``. ``change_id`` identifies the change that wrote it and ``era``
-    the store's era at that time. With ``is_settled``, grants that were lost in the
-    era's restore had been written again.
-    """
-
-    customer: str
-    granted: int | None
-    change_id: str
-    fault: str = ""
-    era: int = 0
-    is_settled: bool = True
-
-
-class SwapResult(Enum):
-    """Outcome of a conditional append."""
-
-    DONE = "done"
-    MOVED = "moved"  # append at an offset other than the partition's end
-    REFUSED = "refused"  # refusal for a reason that an immediate retry would meet again
-    UNKNOWN = "unknown"
-
-
-class QuotaLog(Protocol):
-    """One partition of the quota records; calls raise ``LogUnavailableError``.
-
-    Offsets are those of the ``history`` in which ``read_newest`` was last called. Once
-    ``is_restored``, the store has another one: reads raise ``StoreRestoredError``, and
-    no change succeeds, until ``read_newest`` is called again.
-    """
-
-    @property
-    def history(self) -> History:
-        """The history of the store in which the records were read."""
-        ...
-
-    @property
-    def newest_history(self) -> History:
-        """The newest history of the store that this VM knows of."""
-        ...
-
-    @property
-    def is_restored(self) -> bool:
-        """Whether the store has another history by now."""
-        ...
-
-    async def read_newest(self) -> tuple[list[QuotaRecord], int]:
-        """Return each customer's newest record and the offset from which to read on.
-
-        The offset may lie before some of these records.
-        """
-        ...
-
-    async def read_records(self, offset: int) -> list[QuotaRecord]:
-        """Return the records from ``offset`` to the end of the log."""
-        ...
-
-    async def swap(self, end: int, quota_records: list[QuotaRecord]) -> SwapResult:
-        """Append ``quota_records`` atomically if the log ends at ``end``."""
-        ...
-
-
 # Debits tokens that may then be returned; raises ``LogUnavailableError`` if it can't.
 Release = Callable[[Mapping[str, int]], Awaitable[ReleasedTokens]]
 
 
+# Asks other VMs for grants beyond the known ones, which the store in an era may lack.
+InquiryListener = Callable[[Mapping[str, int], int], None]
+
+
 class _Change(NamedTuple):
     """Tokens to draw, and tokens to return."""
 
@@ -138,7 +73,8 @@
 
     ``on_draw`` is called with customer, tokens and the new total of grants, and
     ``on_invalid`` with customer and reason for a record that can't be decoded. The
-    newest records of the customers ``invalid`` are such records.
+    newest records of the customers ``invalid`` are such records. ``on_inquiry`` is
+    called with the known grants to ask other VMs about, and the store's era.
     ``read_at`` is the time at which the records were last known to be the newest.
     """
 
@@ -158,6 +94,7 @@
         self._on_draw = on_draw
         self._on_invalid = on_invalid
         self.invalid: set[str] = set()
+        self.on_inquiry: InquiryListener = lambda granted, era: None
         self._was_read = False
         self._grants = KnownGrants(clock)
         self.granted = self._grants.granted
@@ -216,6 +153,17 @@
         """Note the grants after a draw of another VM, in case a restore loses it."""
         self._grants.note_told(customer, granted, era)
 
+    def note_lost(self, customer: str, granted: int, era: int) -> None:
+        """Note grants that the store in ``era`` may lack, as another VM says."""
+        if era == self.era:
+            self._grants.raise_lost(customer, granted)
+
+    def find_unrecorded(self, customer: str, era: int, is_same_store: bool) -> int:
+        """Return the known grants if the store in ``era`` may lack them, or else 0."""
+        if is_same_store and era == self.era and not self._grants.lost:
+            return 0
+        return self._grants.find_known(customer)
+
     @property
     def era(self) -> int:
         """The era of the store from which the records were read."""
@@ -265,7 +213,12 @@
         """
         assert self._end is not None
         deltas = self._bound_returns(deltas)
-        deltas = {c: d for c, d in deltas.items() if self._grants.is_settled(c)}
+        self._inquire([c for c, delta in deltas.items() if delta > 0])
+        deltas = {
+            c: delta
+            for c, delta in deltas.items()
+            if self._grants.is_settled(c) and (delta < 0 or self._grants.is_answered(c))
+        }
         if not deltas:
             return True
         end, started = self._end, self._clock.elapsed()
@@ -301,6 +254,12 @@
         self._credit(change, raised)
         return True
 
+    def _inquire(self, customers: list[str]) -> None:
+        """Ask other VMs for lost grants before tokens of ``customers`` are drawn."""
+        granted = self._grants.begin_inquiry(customers)
+        if granted:
+            self.on_inquiry(granted, self._grants.era)
+
     def _list_raised(self, granted: Mapping[str, int]) -> set[str]:
         """Return the customers with more grants than ``granted`` by now."""
         return {c for c, number in granted.items() if self.granted.get(c, 0) > number}
--- a/lavendershift/restoredgrants.py
+++ b/lavendershift/restoredgrants.py
@@ -14,13 +14,20 @@
     grants.lost  # {"plume": 5000}, to be written again
 
 VMs also tell each other of their draws (``grantnotices``), so that the draw of a VM
-that has ended since is known to another one.
+that has ended since is known to another one. Before its first draw in a history, a VM
+asks the others for grants that they can't write, as the store may reject them, or
+hasn't told them of the restore::
+
+    grants.begin_inquiry(["plume"])  # {"plume": 3000}, to be sent to the others
+    grants.is_answered("plume")  # once they had the time to reply
 
 The larger number is kept where two VMs know different ones, also if the smaller one is
 newer: tokens returned since then stay granted, which never overspends a total.
 """
 
+from collections.abc import Iterable
 from datetime import timedelta
+from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 from lavendershift.storehistories import History
@@ -28,10 +35,25 @@
 # Time from the first reading after a restore until tokens are drawn. VMs read some
 # topic of the store every 0.4 to 1.2 s, and then write lost grants at once.
 CONFIRMATION_TIME = timedelta(seconds=2)
+# Time in which other VMs reply to an inquiry; event loops pause for up to 300 ms.
+ANSWER_TIME = timedelta(milliseconds=400)
+# Time from the first reading in which other VMs are asked: the store may reject a VM
+# for 9 s.
+INQUIRY_TIME = timedelta(seconds=10)
+INQUIRIES = 2  # for each customer, as datagrams get lost
+MAX_ASKED = 50  # customers in one inquiry, which goes to all active VMs
 # The era of a store that was never restored, if it counts from 1.
 FIRST_ERA = 1
 
 
+class _Inquiry(NamedTuple):
+    """When other VMs were asked about a customer first and last, and how often."""
+
+    first: timedelta
+    last: timedelta
+    number: int = 1
+
+
 class KnownGrants:
     """The numbers of grants in one partition of the quota records.
 
@@ -51,6 +73,7 @@
         self._confirmed: set[str] = set()
         # Grants that other VMs have told of and when, by customer and era.
         self._told: dict[tuple[str, int], tuple[int, timedelta]] = {}
+        self._inquiries: dict[str, _Inquiry] = {}
 
     @property
     def era(self) -> int:
@@ -66,12 +89,53 @@
         """
         if self.lost:
             return False
+        if self._is_confirmed(customer):
+            return True
+        return self._clock.elapsed() - self._began_at >= CONFIRMATION_TIME
+
+    def _is_confirmed(self, customer: str) -> bool:
         is_first = not self._has_changed and self.era <= FIRST_ERA
         # Records of a copy at another address may have been confirmed at the old one.
         is_confirmed = customer in self._confirmed and not self._has_moved
-        if is_confirmed or (is_first and not self._has_older_records):
+        return is_confirmed or (is_first and not self._has_older_records)
+
+    def is_answered(self, customer: str) -> bool:
+        """Return whether other VMs had the time to reply, if they are to be asked."""
+        now = self._clock.elapsed()
+        if now - self._began_at >= INQUIRY_TIME or self._is_confirmed(customer):
             return True
-        return self._clock.elapsed() - self._began_at >= CONFIRMATION_TIME
+        inquiry = self._inquiries.get(customer)
+        return inquiry is not None and now - inquiry.first >= ANSWER_TIME
+
+    def begin_inquiry(self, customers: Iterable[str]) -> dict[str, int]:
+        """Return the known grants of the ``customers`` to ask other VMs about now.
+
+        The others of more than ``MAX_ASKED`` are asked about the next time.
+        """
+        now = self._clock.elapsed()
+        asked: dict[str, int] = {}
+        if now - self._began_at >= INQUIRY_TIME:
+            return asked
+        for customer in customers:
+            if len(asked) == MAX_ASKED:
+                break
+            inquiry = self._inquiries.get(customer)
+            if self._is_confirmed(customer):
+                continue
+            if inquiry is None:
+                self._inquiries[customer] = _Inquiry(now, now)
+            elif inquiry.number < INQUIRIES and now - inquiry.last >= ANSWER_TIME:
+                number = inquiry.number + 1
+                self._inquiries[customer] = _Inquiry(inquiry.first, now, number)
+            else:
+                continue
+            asked[customer] = self.granted.get(customer, 0)
+        return asked
+
+    def find_known(self, customer: str) -> int:
+        """Return the largest number that was read, written or told."""
+        told = [n for (c, _), (n, _) in self._told.items() if c == customer]
+        return max([self.granted.get(customer, 0), *told])
 
     def begin(self, history: History) -> None:
         """Begin with the records of ``history``; all that is known may be lost."""
@@ -82,10 +146,11 @@
             self._has_moved = history.moves != self._history.moves
             self.lost = dict(self.granted)
         self._history = history
+        self._inquiries.clear()
         told, self._told = self._told, {}
         for (customer, era), notice in told.items():
             if era < history.era or self._has_moved:
-                self._raise_lost(customer, notice[0])
+                self.raise_lost(customer, notice[0])
             else:
                 self._told[customer, era] = notice
         self._began_at = self._clock.elapsed()
@@ -100,14 +165,15 @@
         """Return whether ``history`` may lack grants that other VMs have told of."""
         return any(era < history.era for _, era in self._told)
 
-    def _raise_lost(self, customer: str, granted: int) -> None:
+    def raise_lost(self, customer: str, granted: int) -> None:
+        """Note grants that the store's record may lack."""
         if granted > self.granted.get(customer, 0):
             self.granted[customer] = self.lost[customer] = granted
 
     def note_told(self, customer: str, granted: int, era: int) -> None:
         """Note the grants after a draw of another VM, which may not be read yet."""
         if era < self.era:
-            self._raise_lost(customer, granted)
+            self.raise_lost(customer, granted)
             return
         told, _ = self._told.get((customer, era), (0, timedelta()))
         self._told[customer, era] = max(told, granted), self._clock.elapsed()
--- a/lavendershift/storewatch.py
+++ b/lavendershift/storewatch.py
@@ -15,7 +15,7 @@
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError
-from lavendershift.quotarecords import DrawRefusedError
+from lavendershift.quotalogs import DrawRefusedError
 from lavendershift.tokenreturns import SnapshotNotStoredError
 
 # Time without a response to an operation that makes a few calls of about 4 ms each.
--- a/lavendershift/tests/prepaid_simulation.py
+++ b/lavendershift/tests/prepaid_simulation.py
@@ -19,7 +19,7 @@
 from lavendershift.platform.leases import EPOCH, decode_snapshot
 from lavendershift.platform.storerecords import Record
 from lavendershift.prepaid import LARGE_FLEET
-from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.quotalogs import QuotaRecord, SwapResult
 from lavendershift.storehistories import History, StoreRestoredError
 from lavendershift.tests.virtualloop import VirtualLoop
 from lavendershift.tokendraws import TokenDraws
@@ -296,10 +296,10 @@
     def tell(self, customer, tokens, granted):
         """Tell the other VMs of a draw, as a process does by datagrams."""
         if tokens > 0:
-            era = self.draws.find_era(customer)
+            era = self.draws.grants.find_era(customer)
             for vm in self.simulation.vms:
                 if vm is not self:
-                    vm.draws.note_told(customer, granted, era)
+                    vm.draws.grants.note_told(customer, granted, era)
 
     def find_history(self):
         """Return the newest history of the store that this VM has seen."""
--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -6,7 +6,8 @@
 from lavendershift.clocks import ManualClock
 from lavendershift.errors import LogUnavailableError
 from lavendershift.prepaid import PrepaidAccount
-from lavendershift.quotarecords import QuotaRecord, QuotaRecords, SwapResult
+from lavendershift.quotalogs import QuotaRecord, SwapResult
+from lavendershift.quotarecords import QuotaRecords
 from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
 from lavendershift.storehistories import History
 from lavendershift.tokenreturns import ReleasedTokens, SnapshotHistory
--- a/lavendershift/tests/test_storedformats.py
+++ b/lavendershift/tests/test_storedformats.py
@@ -23,7 +23,7 @@
 from lavendershift.datagrams import Datagrams
 from lavendershift.evacuation.coldgossip import ServerCold
 from lavendershift.gossip import LoadUpdate, ServerLeaving, VmLeaving
-from lavendershift.grantnotices import GrantNotice
+from lavendershift.grantnotices import GrantInquiry, GrantNotice, GrantReply
 from lavendershift.incarnations import IncarnationState, Membership
 from lavendershift.ledger import Ledger
 from lavendershift.limitgossip import Limit, LimitUpdate
@@ -351,6 +351,14 @@
         "94a76772616e746564a5706c756d65cd038404",
         GrantNotice("plume", 900, 4),
     ),
+    (
+        "94ad6772616e745f696e7175697279ad31302e302e302e393a383232330581a5706c756d65cd0384",
+        GrantInquiry("10.0.0.9:8223", 5, {"plume": 900}),
+    ),
+    (
+        "93ab6772616e745f7265706c790581a5706c756d65cd04b0",
+        GrantReply(5, {"plume": 1200}),
+    ),
     (
         "96ad706c6163655f7265717565737404a66c656467657205cb3fe0000000000000cb"
         "3ff8000000000000",
--- a/lavendershift/tests/test_tokendraws.py
+++ b/lavendershift/tests/test_tokendraws.py
@@ -11,15 +11,11 @@
 from lavendershift.partitions import find_partition
 from lavendershift.pendingtokens import URGENT_MEMORY, PendingTokens, TokenRequest
 from lavendershift.prepaid import URGENT_RESERVE_FRACTION
-from lavendershift.quotarecords import QuotaRecord, SwapResult
+from lavendershift.quotalogs import QuotaRecord, SwapResult
+from lavendershift.roundintervals import ROUND_INTERVAL, find_round_interval
 from lavendershift.storehistories import History
 from lavendershift.storewatch import UNRESPONSIVE_AFTER
-from lavendershift.tokendraws import (
-    MAX_AGE_TO_PLAN,
-    ROUND_INTERVAL,
-    TokenDraws,
-    find_round_interval,
-)
+from lavendershift.tokendraws import MAX_AGE_TO_PLAN, TokenDraws
 from lavendershift.tokenwaits import WaitResult
 
 TOTAL = {"plume": 100_000}
--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -7,7 +7,7 @@
 from lavendershift.datagrams import Datagrams
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.prepaid import LARGE_FLEET
-from lavendershift.quotarecords import QuotaRecord
+from lavendershift.quotalogs import QuotaRecord
 from lavendershift.tests.test_tokendraws import MemoryQuotaLog
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, Loan, LoanRequest, TokenLoans
--- a/lavendershift/tests/test_tokensupply.py
+++ b/lavendershift/tests/test_tokensupply.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lavendershift.prepaid import DrawView, find_target, plan_draw
-from lavendershift.quotarecords import QuotaRecord
+from lavendershift.quotalogs import QuotaRecord
 from lavendershift.tests.tokenload import run_load
 
 IDLE = DrawView(
--- a/lavendershift/tests/test_tokenwaits.py
+++ b/lavendershift/tests/test_tokenwaits.py
@@ -11,7 +11,7 @@
 from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.leases import LeaseBook
 from lavendershift.pendingtokens import TokenRequest
-from lavendershift.quotarecords import QuotaRecord
+from lavendershift.quotalogs import QuotaRecord
 from lavendershift.tests.test_tokendraws import (
     TOTAL,
     FailingLeaseLog,
--- a/lavendershift/tests/tokenload.py
+++ b/lavendershift/tests/tokenload.py
@@ -13,7 +13,7 @@
 from lavendershift.errors import LogUnavailableError
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.prepaid import LARGE_FLEET
-from lavendershift.quotarecords import SwapResult
+from lavendershift.quotalogs import SwapResult
 from lavendershift.storehistories import History
 from lavendershift.tests.virtualloop import VirtualLoop
 from lavendershift.tokendraws import TokenDraws
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -23,7 +23,15 @@
 from lavendershift.leases import SNAPSHOT_INTERVAL, LeaseBook
 from lavendershift.pendingtokens import PendingTokens, TokenRequest
 from lavendershift.prepaid import LARGE_FLEET, PrepaidAccount
-from lavendershift.quotarecords import QuotaLog, QuotaRecords
+from lavendershift.quotalogs import QuotaLog
+from lavendershift.quotapartitions import QuotaPartitions
+from lavendershift.quotarecords import QuotaRecords
+from lavendershift.roundintervals import (
+    OUTAGE_RETRY_INTERVAL,
+    STANDBY_RETRY_INTERVAL,
+    choose_interval,
+    find_round_interval,
+)
 from lavendershift.storewatch import StoreWatch
 from lavendershift.tokenloans import LoanFailure
 from lavendershift.tokenreturns import (
@@ -33,16 +41,8 @@
 )
 from lavendershift.tokenwaits import Borrow, TokenWaits, WaitResult
 
-ROUND_INTERVAL = timedelta(seconds=1)  # time between full rounds of a small fleet
-# Round interval per VM of a large fleet, which keeps conflicts of rounds rare.
-ROUND_INTERVAL_PER_VM = timedelta(milliseconds=120)
-# Jitter of rounds, as a fraction of the interval between them.
-SMALL_FLEET_JITTER, LARGE_FLEET_JITTER = 0.1, 0.5
 # Largest age of quota records to plan with; two round intervals if longer.
 MAX_AGE_TO_PLAN = timedelta(seconds=3)
-# Time between two rounds during a store outage, on VMs that draw ahead and on others.
-OUTAGE_RETRY_INTERVAL = timedelta(milliseconds=400)
-STANDBY_RETRY_INTERVAL = timedelta(seconds=1)
 DRAW_TIME_WEIGHT = 0.3  # weight of the newest draw in the mean duration
 MAX_CONFLICTS = 6  # lost races for the quota records, after which a round ends
 
@@ -50,11 +50,6 @@
 DrawListener = Callable[[str, int, int], None]
 
 
-def find_round_interval(vms: int) -> timedelta:
-    """Return the time between full rounds in a fleet of ``vms``."""
-    return max(ROUND_INTERVAL, vms * ROUND_INTERVAL_PER_VM)
-
-
 class TokenDraws:
     """Draws tokens for the accounts of this VM and returns surplus ones.
 
@@ -72,6 +67,7 @@
     ``has_synced`` is set once a full round has succeeded: from then on
     requests that wait for tokens can get them. ``mark_totals_known`` lets the rounds
     begin. ``draw_time`` is the mean duration of recent draws for waiting requests.
+    ``grants`` is what is known here of all grants.
     """
 
     def __init__(
@@ -101,7 +97,8 @@
             QuotaRecords(clock, log, name, self.find_account, on_draw, on_invalid)
             for log in logs
         ]
-        self._watch = StoreWatch(clock, self._find_read_at, on_reachability)
+        self.grants = QuotaPartitions(self._records)
+        self._watch = StoreWatch(clock, self.grants.find_read_at, on_reachability)
         self.has_synced = False
         self.pending = PendingTokens(clock.elapsed())
         self.plans = DrawPlans(
@@ -173,14 +170,6 @@
         """Return the mean time until the next round of a VM that may return tokens."""
         return find_round_interval(self._fleet.vms()) / 2
 
-    def note_told(self, customer: str, granted: int, era: int) -> None:
-        """Note the grants after a draw of another VM, in case a restore loses it."""
-        self.plans.find_records(customer).note_told(customer, granted, era)
-
-    def find_era(self, customer: str) -> int:
-        """Return the store's era of a customer's quota record."""
-        return self.plans.find_records(customer).era
-
     def note_restore(self) -> None:
         """Begin a round, as the store was restored and may lack grants."""
         self._wake.set()
@@ -208,11 +197,6 @@
         """Whether the store is reachable and no call has waited long for a response."""
         return self._watch.is_responsive
 
-    def _find_read_at(self) -> timedelta:
-        """Return when quota records were last known to be the newest."""
-        times = [r.read_at for r in self._records if r.read_at is not None]
-        return max(times, default=timedelta())
-
     def mark_totals_known(self) -> None:
         """Let the rounds begin; none is complete without the totals."""
         self._totals_known.set()
@@ -221,10 +205,10 @@
         """Draw and return tokens until cancelled."""
         await self._totals_known.wait()
         while True:
-            interval = self._choose_interval()
+            interval = choose_interval(self._fleet.vms(), self._rng)
             try:
                 await self.run_round()
-                if self._may_lack_grants():
+                if self.grants.list_lost():
                     # Other VMs draw soon, also those that don't know the lost grants.
                     interval = OUTAGE_RETRY_INTERVAL
             except LogUnavailableError:
@@ -258,16 +242,6 @@
             except LogUnavailableError:
                 continue  # recorded by StoreWatch
 
-    def _choose_interval(self) -> timedelta:
-        """Return the time to the next round.
-
-        All VMs of a fleet start at the same time; jitter keeps their rounds from
-        conflicting.
-        """
-        vms = self._fleet.vms()
-        jitter = LARGE_FLEET_JITTER if vms >= LARGE_FLEET else SMALL_FLEET_JITTER
-        return find_round_interval(vms) * self._rng.uniform(1 - jitter, 1 + jitter)
-
     async def run_round(self) -> None:
         """Move all accounts towards their targets and write a lease snapshot.
 
@@ -292,8 +266,7 @@
         if not self._fleet.draws_ahead() and self.is_store_reachable:
             held = [c for c, account in self.accounts.items() if account.free]
             used &= {self.plans.find_partition(customer) for customer in held}
-        lost = {n for n, r in enumerate(self._records) if r.has_lost_grants}
-        return sorted(used | lost)
+        return sorted(used | set(self.grants.list_lost()))
 
     async def _rebalance_all(
         self, partitions: Sequence[int]
@@ -403,24 +376,20 @@
         found = {c for c, tokens in zip(borrowed, results, strict=True) if tokens}
         return {c: d for c, d in deltas.items() if c not in found}
 
-    def _may_lack_grants(self) -> bool:
-        """Whether a restored store may lack grants that are known here."""
-        return any(records.has_lost_grants for records in self._records)
-
     async def _write_snapshot(self) -> None:
         """Write a lease snapshot of the accounts.
 
         None is written while a restored store lacks grants, as the next process would
         adopt tokens that can be drawn again.
         """
-        if self._may_lack_grants():
+        if self.grants.list_lost():
             return
         if self._lease_book is not None:
             await self._lease_book.record(self.accounts, self.pending.all)
 
     async def _release(self, tokens: Mapping[str, int]) -> ReleasedTokens:
         """Debit ``tokens`` so that they can be returned."""
-        if self._may_lack_grants():
+        if self.grants.list_lost():
             raise SnapshotNotStoredError("a restored store may lack grants")
         if self._lease_book is not None:
             return await self._lease_book.release(
