Give urgent requests loans of their own

An urgent request joined the loan in flight of one that is not urgent, and was refused with it although the reserve for urgent requests had tokens. In turn, lenders drew all that an urgent loan could use from that reserve; they now draw only what the request lacks from it.

--- a/lavendershift/tests/test_tokenwaits.py
+++ b/lavendershift/tests/test_tokenwaits.py
@@ -11,6 +11,7 @@
 from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.leases import LeaseBook
 from lavendershift.pendingtokens import TokenRequest
+from lavendershift.prepaid import find_urgent_reserve
 from lavendershift.quotalogs import QuotaRecord
 from lavendershift.tests.test_tokendraws import (
     TOTAL,
@@ -178,6 +179,47 @@
     assert loans <= 2
 
 
+def test_an_urgent_request_does_not_rely_on_a_loan_that_is_not_urgent():
+    """It was refused with that loan, although lenders could draw the urgent reserve."""
+
+    async def work():
+        draws = make_draws(MemoryQuotaLog(), SystemClock())
+        draws.is_store_reachable = False
+
+        async def borrow(request, most):
+            await asyncio.sleep(0.01)
+            if not request.is_urgent:
+                return 0
+            draws.add_loan("plume", request.tokens)
+            return request.tokens
+
+        draws.use_loans(borrow, lambda customer: True)
+        requests = [
+            TokenRequest("plume", 500, is_urgent) for is_urgent in (False, True)
+        ]
+        return await asyncio.gather(*(draws.wait_for(r, SHORT) for r in requests))
+
+    refused, granted = asyncio.run(work())
+    assert refused is not WaitResult.GRANTED
+    assert granted is WaitResult.GRANTED
+
+
+def test_a_loan_takes_no_more_of_the_urgent_reserve_than_an_urgent_request_needs():
+    """The reserve was spent on later demand that is not urgent."""
+
+    async def work(lender, borrower, quota_log):
+        reserve = find_urgent_reserve(TOTAL["plume"])
+        granted = TOTAL["plume"] - reserve
+        quota_log.records.append(QuotaRecord("plume", granted, "other/1"))
+        await asyncio.sleep(0.15)
+        lender.account.reserve(lender.account.free, timedelta())
+        lent = await lender.draws.lend(TokenRequest("plume", 800, True), 50_000)
+        return lent, quota_log.records[-1].granted - granted, reserve
+
+    lent, drawn, reserve = run_nodes(work)
+    assert lent == drawn == 800 < reserve
+
+
 def test_a_lender_gives_what_is_free_up_to_what_is_useful():
     async def work(lender, borrower, quota_log):
         lender.draws.is_store_reachable = False
--- a/lavendershift/tokenwaits.py
+++ b/lavendershift/tokenwaits.py
@@ -10,7 +10,9 @@
     if result is not WaitResult.GRANTED:
         refuse(result.value)
 
-Requests of one customer share a loan in flight.
+Requests of one customer share a loan in flight, urgent ones another than the others: a
+loan that isn't urgent may yield nothing although the last part of the total, which is
+reserved for urgent requests, has tokens.
 """
 
 import asyncio
@@ -126,7 +128,7 @@
         self._plans = plans
         self._pending = pending
         self._find_account = find_account
-        self._loans: dict[str, asyncio.Task[int]] = {}
+        self._loans: dict[tuple[str, bool], asyncio.Task[int]] = {}
         self._early_at: dict[str, timedelta] = {}
         self.borrow: Borrow = borrow_nothing
         self.find_loan_failure: Callable[[str], LoanFailure | None] = lambda c: None
@@ -204,12 +206,11 @@
         return True
 
     def _start_loan(self, request: TokenRequest) -> "asyncio.Task[int]":
-        """Return the loan in flight for the customer of ``request``, or start one."""
-        customer = request.customer
-        loan = self._loans.get(customer)
+        """Return the loan in flight that ``request`` shares, or start one."""
+        key = (request.customer, request.is_urgent)
+        loan = self._loans.get(key)
         if loan is None or loan.done():
-            loan = asyncio.ensure_future(self._borrow(request))
-            self._loans[customer] = loan
+            loan = self._loans[key] = asyncio.ensure_future(self._borrow(request))
         return loan
 
     async def _borrow(self, request: TokenRequest) -> int:
@@ -267,7 +268,7 @@
         """Return why a request got no tokens."""
         customer, tokens, _ = request
         free = self._find_account(customer).free
-        loan = self._loans.get(customer)
+        loan = self._loans.get((customer, request.is_urgent))
         if free >= tokens:
             is_queued = not self._pending.can_take(request, free)
             return WaitResult.QUEUED if is_queued else WaitResult.LEASE_BOUND
@@ -300,18 +301,21 @@
         if self._count_lendable(request.customer) >= request.tokens:
             return self._lend_free(request.customer, most)
         deadline = self._clock.elapsed() + LOAN_DRAW_TIMEOUT
-        # One draw for all that the borrower can use saves calls to the store.
-        wanted = request._replace(tokens=max(most, request.tokens))
-        self._pending.add(wanted)
+        # One draw for all that the borrower can use saves calls to the store. Only what
+        # urgent requests wait for may come from the reserve for them.
+        extra = max(most - request.tokens, 0)
+        wanted = [request, TokenRequest(request.customer, extra, is_urgent=False)]
+        for each in wanted:
+            self._pending.add(each)
         try:
             is_drawn = await self._draw_for(request, _Wait(deadline, deadline))
         finally:
-            self._pending.remove(wanted)
+            for each in wanted:
+                self._pending.remove(each)
         if not is_drawn:
             return self._lend_free(request.customer, most)
         account = self._find_account(request.customer)
         account.settle(request.tokens, used=request.tokens)
-        extra = max(most - request.tokens, 0)
         return request.tokens + self._lend_free(request.customer, extra)
 
     def _count_lendable(self, customer: str) -> int:
