State the true cause and delay of refusals after a restore of the store

For 2 s after a restore nothing is drawn, but refusals named other causes and told callers to return within that time. They now name the cause 'unconfirmed' and the rest of the wait. A call that fails because its response shows the restore no longer counts as one without a response: requests were refused as in an outage for up to 400 ms.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -268,6 +268,7 @@
             self.estimate_peer_tokens(token_request.customer),
             self._draws.draw_time,
             self._draws.estimate_return_time(),
+            self._draws.grants.find_draw_wait(token_request.customer),
         )
         detail = (
             f"need {token_request.tokens} free {shortage.free} left {shortage.left} "
--- a/lavendershift/platform/leases.py
+++ b/lavendershift/platform/leases.py
@@ -128,6 +128,8 @@
             end,
             self._history,
         )
+        if self._store.history != self._history:
+            raise StoreRestoredError("restored during the append of a lease snapshot")
         return RESULTS[result], end if new_end is None else new_end
 
 
--- a/lavendershift/quotapartitions.py
+++ b/lavendershift/quotapartitions.py
@@ -21,6 +21,10 @@
         """Return the store's era of a customer's quota record."""
         return self.find_records(customer).era
 
+    def find_draw_wait(self, customer: str) -> timedelta:
+        """Return how long nothing can be drawn for ``customer`` after a restore."""
+        return self.find_records(customer).find_draw_wait(customer)
+
     def note_told(self, customer: str, granted: int, era: int) -> None:
         """Note the grants after a draw of another VM, in case a restore loses it."""
         self.find_records(customer).note_told(customer, granted, era)
--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -26,7 +26,7 @@
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.prepaid import PrepaidAccount
 from lavendershift.quotalogs import DrawRefusedError, QuotaLog, QuotaRecord, SwapResult
-from lavendershift.restoredgrants import KnownGrants
+from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
 from lavendershift.storehistories import StoreRestoredError
 from lavendershift.tokenreturns import ReleasedTokens, SnapshotNotStoredError
 
@@ -121,6 +121,12 @@
             return self._grants.has_told_before(self._log.newest_history)
         return self._log.is_restored
 
+    def find_draw_wait(self, customer: str) -> timedelta:
+        """Return how long nothing can be drawn for ``customer`` after a restore."""
+        if self._log.is_restored and self._was_read:
+            return CONFIRMATION_TIME
+        return self._grants.find_wait(customer)
+
     async def sync(self) -> None:
         """Read the records up to the end of the log, and write lost ones again."""
         await self._read()
@@ -146,9 +152,15 @@
         if result is SwapResult.REFUSED:
             raise DrawRefusedError("the store refused an append of lost grants")
         if result is SwapResult.UNKNOWN:
-            raise LogUnavailableError("no response to the append of lost grants")
+            raise self._make_unknown_error("lost grants")
         await self._read()
 
+    def _make_unknown_error(self, records: str) -> LogUnavailableError:
+        """Return the error for an append of ``records`` with an unknown outcome."""
+        if self._log.is_restored:
+            return StoreRestoredError(f"restored during the append of {records}")
+        return LogUnavailableError(f"no response to the append of {records}")
+
     def note_told(self, customer: str, granted: int, era: int) -> None:
         """Note the grants after a draw of another VM, in case a restore loses it."""
         self._grants.note_told(customer, granted, era)
@@ -239,7 +251,7 @@
         self._pending.append(pending)
         result = await self._log.swap(end, records)
         if result is SwapResult.UNKNOWN:
-            raise LogUnavailableError("no response to the append of quota records")
+            raise self._make_unknown_error("quota records")
         self._pending.remove(pending)
         if result is not SwapResult.DONE:
             self._undo(change)
--- a/lavendershift/restoredgrants.py
+++ b/lavendershift/restoredgrants.py
@@ -107,6 +107,17 @@
         inquiry = self._inquiries.get(customer)
         return inquiry is not None and now - inquiry.first >= ANSWER_TIME
 
+    def find_wait(self, customer: str) -> timedelta:
+        """Return how long nothing can be drawn for ``customer``, as far as is known."""
+        if self._is_confirmed(customer) and not self.lost:
+            return timedelta()
+        now = self._clock.elapsed()
+        until = self._began_at + CONFIRMATION_TIME
+        if not self.is_answered(customer):
+            inquiry = self._inquiries.get(customer)
+            until = max(until, (inquiry.first if inquiry else now) + ANSWER_TIME)
+        return max(until - now, timedelta())
+
     def begin_inquiry(self, customers: Iterable[str]) -> dict[str, int]:
         """Return the known grants of the ``customers`` to ask other VMs about now.
 
--- a/lavendershift/roundintervals.py
+++ b/lavendershift/roundintervals.py
@@ -28,3 +28,8 @@
     """
     jitter = LARGE_FLEET_JITTER if vms >= LARGE_FLEET else SMALL_FLEET_JITTER
     return find_round_interval(vms) * rng.uniform(1 - jitter, 1 + jitter)
+
+
+def find_retry_interval(draws_ahead: bool) -> timedelta:
+    """Return the time to the next round after one that failed."""
+    return OUTAGE_RETRY_INTERVAL if draws_ahead else STANDBY_RETRY_INTERVAL
--- a/lavendershift/storewatch.py
+++ b/lavendershift/storewatch.py
@@ -1,7 +1,7 @@
 """Whether the store responds to this VM, judged by the calls it makes anyway.
 
-A call without a response does not count while others get responses. Refused draws and
-lost races are responses::
+A call without a response does not count while others get responses. Refused draws,
+lost races and responses that show a restore of the store are responses::
 
     watch = StoreWatch(clock, find_read_at, on_reachability)
     with watch.watch_calls():
@@ -16,6 +16,7 @@
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError
 from lavendershift.quotalogs import DrawRefusedError
+from lavendershift.storehistories import StoreRestoredError
 from lavendershift.tokenreturns import SnapshotNotStoredError
 
 # Time without a response to an operation that makes a few calls of about 4 ms each.
@@ -56,7 +57,7 @@
         self._call_starts.append(started)
         try:
             yield
-        except (DrawRefusedError, SnapshotNotStoredError):
+        except (DrawRefusedError, SnapshotNotStoredError, StoreRestoredError):
             raise
         except LogUnavailableError as error:
             if self._responded_at <= started:
--- a/lavendershift/tests/test_restoredgrants.py
+++ b/lavendershift/tests/test_restoredgrants.py
@@ -8,8 +8,9 @@
 from lavendershift.prepaid import PrepaidAccount
 from lavendershift.quotalogs import QuotaRecord, SwapResult
 from lavendershift.quotarecords import QuotaRecords
-from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
-from lavendershift.storehistories import History
+from lavendershift.restoredgrants import ANSWER_TIME, CONFIRMATION_TIME, KnownGrants
+from lavendershift.storehistories import History, StoreRestoredError
+from lavendershift.storewatch import StoreWatch
 from lavendershift.tokenreturns import ReleasedTokens, SnapshotHistory
 
 
@@ -282,3 +283,42 @@
     assert draw.accounts["plume"].free == 0
     assert draw.told == []
     assert draw.records.granted["plume"] == 9000
+
+
+@pytest.mark.parametrize("call", ["sync", "change"])
+def test_a_store_that_responds_with_a_new_era_is_reachable(draw, call):
+    """Requests were refused as in an outage until the next round, 400 ms later."""
+    log, clock = draw.records._log, draw.records._clock
+    watch = StoreWatch(clock, lambda: draw.records.read_at, lambda *change: None)
+    watch.is_reachable = True
+
+    async def swap(end, records):
+        log.newest_history = History(0, log.newest_history.era + 1)
+        return SwapResult.UNKNOWN
+
+    log.swap = swap
+    draw.receive_notice()
+    if call == "change":
+        draw.records._grants.lost.clear()
+    clock.advance(timedelta(seconds=1))
+    with pytest.raises(StoreRestoredError), watch.watch_calls():
+        if call == "change":
+            draw.change({"plume": 4000})
+        else:
+            asyncio.run(draw.records.sync())
+    assert watch.is_reachable
+
+
+def test_the_time_until_tokens_are_drawn_again_is_known(grants, clock):
+    """Refusals stated the delay of a lost race instead."""
+    assert grants.find_wait("plume") == timedelta()
+    grants.begin(History(0, 5))
+    grants.note("plume", 5000, 4, True)
+    assert grants.find_wait("plume") == CONFIRMATION_TIME
+    clock.advance(CONFIRMATION_TIME - ANSWER_TIME / 2)
+    assert grants.find_wait("plume") == ANSWER_TIME
+    grants.begin_inquiry(["plume"])
+    clock.advance(ANSWER_TIME)
+    assert grants.is_settled("plume")
+    assert grants.is_answered("plume")
+    assert grants.find_wait("plume") == timedelta()
--- a/lavendershift/tests/test_tokenshortages.py
+++ b/lavendershift/tests/test_tokenshortages.py
@@ -145,3 +145,11 @@
     late = granted._replace(return_time=timedelta(seconds=2.5))
     assert choose_retry_delay(late, rng) >= timedelta(seconds=2.5)
     assert choose_retry_delay(late, rng) <= MAX_RETRY_DELAY
+
+
+def test_callers_return_once_lost_grants_are_recorded_after_a_restore():
+    """They were told to return within the wait, and were refused again."""
+    wait = timedelta(milliseconds=1800)
+    shortage = TokenShortage(900, 0, 50_000, True, confirmation_time=wait)
+    delays = [choose_retry_delay(shortage, random.Random(n)) for n in range(20)]
+    assert all(wait <= delay <= 2 * wait for delay in delays)
--- a/lavendershift/tests/test_tokenwaits.py
+++ b/lavendershift/tests/test_tokenwaits.py
@@ -13,6 +13,7 @@
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.prepaid import find_urgent_reserve
 from lavendershift.quotalogs import QuotaRecord
+from lavendershift.storehistories import History
 from lavendershift.tests.test_tokendraws import (
     TOTAL,
     FailingLeaseLog,
@@ -64,6 +65,15 @@
     quota_log.records.append(QuotaRecord("plume", TOTAL["plume"], "other/1"))
 
 
+def restore(draws, quota_log):
+    async def read_newest():
+        quota_log.history, quota_log.is_restored = History(0, 5), False
+        return [], 0
+
+    quota_log.read_newest, quota_log.records = read_newest, []
+    quota_log.newest_history, quota_log.is_restored = History(0, 5), True
+
+
 def cut(failure=None):
     def change(draws, quota_log):
         draws.is_store_reachable = False
@@ -78,6 +88,7 @@
         (lose_races, WaitResult.CONFLICT),
         (slow_down, WaitResult.IN_FLIGHT),
         (exhaust, WaitResult.EXHAUSTED),
+        (restore, WaitResult.UNCONFIRMED),
         (cut(), WaitResult.STORE_UNREACHABLE),
         (cut(LoanFailure.NO_REPLY), WaitResult.LENDER_UNREACHABLE),
         (cut(LoanFailure.EMPTY), WaitResult.LENDER_EMPTY),
--- a/lavendershift/tokendraws.py
+++ b/lavendershift/tokendraws.py
@@ -28,10 +28,11 @@
 from lavendershift.quotarecords import QuotaRecords
 from lavendershift.roundintervals import (
     OUTAGE_RETRY_INTERVAL,
-    STANDBY_RETRY_INTERVAL,
     choose_interval,
+    find_retry_interval,
     find_round_interval,
 )
+from lavendershift.storehistories import StoreRestoredError
 from lavendershift.storewatch import StoreWatch
 from lavendershift.tokenloans import LoanFailure
 from lavendershift.tokenreturns import (
@@ -212,11 +213,7 @@
                     # Other VMs draw soon, also those that don't know the lost grants.
                     interval = OUTAGE_RETRY_INTERVAL
             except LogUnavailableError:
-                interval = (
-                    OUTAGE_RETRY_INTERVAL
-                    if self._fleet.draws_ahead()
-                    else STANDBY_RETRY_INTERVAL
-                )
+                interval = find_retry_interval(self._fleet.draws_ahead())
             with contextlib.suppress(TimeoutError):
                 # ``asyncio.wait_for`` loses a cancellation in the turn of the wake.
                 async with asyncio.timeout(interval.total_seconds()):
@@ -319,6 +316,8 @@
             if self.plans.is_bound_by_lease(partition):
                 with self._watch.watch_calls():
                     await self._write_snapshot()
+        except StoreRestoredError:
+            return True  # the next draw reads the store's new history
         except LogUnavailableError:  # recorded by StoreWatch
             return False
         duration = self._clock.elapsed() - started
--- a/lavendershift/tokenshortages.py
+++ b/lavendershift/tokenshortages.py
@@ -57,7 +57,8 @@
     largest number of tokens that one of the VMs to which callers are sent holds,
     ``None`` if there is no known limit. ``draw_time`` is the recent duration of a draw
     and ``return_time`` the time in which other VMs are expected to return tokens, both
-    ``None`` if unknown.
+    ``None`` if unknown. ``confirmation_time`` is the time until tokens are drawn
+    after a restore of the store.
     """
 
     needed: int
@@ -67,6 +68,7 @@
     held_elsewhere: int | None = None
     draw_time: timedelta | None = None
     return_time: timedelta | None = None
+    confirmation_time: timedelta = timedelta()
 
 
 def find_wait(target: timedelta) -> timedelta:
@@ -94,6 +96,7 @@
         base = DRAW_CONFLICT_DELAY
         if shortage.draw_time is not None:
             base = max(shortage.draw_time * DRAWS_TO_WAIT_FOR, OTHER_VM_DELAY)
+        base = max(base, shortage.confirmation_time)
     else:
         base = max(SETTLEMENT_DELAY, shortage.return_time or timedelta())
     base = min(base, MAX_SUPPLY_DELAY)
--- a/lavendershift/tokenwaits.py
+++ b/lavendershift/tokenwaits.py
@@ -63,6 +63,7 @@
     GRANTED = "granted"
     EXCEEDS_TOTAL = "exceeds_total"
     EXHAUSTED = "exhausted"  # too few tokens here and in the total
+    UNCONFIRMED = "unconfirmed"  # a restored store may lack grants that other VMs know
     CONFLICT = "conflict"  # draws lost their races against those of other VMs
     QUEUED = "queued"  # other waiting requests got the tokens, or have precedence
     LEASE_BOUND = "lease_bound"  # free tokens that no lease snapshot lets be spent
@@ -272,6 +273,11 @@
         if free >= tokens:
             is_queued = not self._pending.can_take(request, free)
             return WaitResult.QUEUED if is_queued else WaitResult.LEASE_BOUND
+        records = self._plans.find_records(customer)
+        usable = self._plans.count_usable(customer, request.is_urgent)
+        may_draw = self._source.is_store_reachable and usable + free >= tokens
+        if may_draw and records.find_draw_wait(customer):
+            return WaitResult.UNCONFIRMED
         if self._source.has_conflicts(customer):
             return WaitResult.CONFLICT
         if self._source.find_rebalancing(customer) or (loan and not loan.done()):
@@ -283,9 +289,7 @@
             if failure is LoanFailure.NO_REPLY:
                 return WaitResult.LENDER_UNREACHABLE
             return WaitResult.LENDER_EMPTY
-        usable = self._plans.count_usable(customer, request.is_urgent)
         if usable + free < tokens:
-            records = self._plans.find_records(customer)
             is_old = records.is_older_than(MAX_AGE_TO_REFUSE)
             return WaitResult.OUTDATED if is_old else WaitResult.EXHAUSTED
         return WaitResult.QUEUED
