Ask each lender only for the tokens that are still missing

Where one lender held too few tokens or replied late, the next one was asked for all that the borrower could use, so that several VMs gave the same tokens and the surplus remained idle.

--- a/lavendershift/tests/test_tokenloans.py
+++ b/lavendershift/tests/test_tokenloans.py
@@ -9,6 +9,7 @@
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.quotalogs import QuotaRecord
 from lavendershift.tests.test_tokendraws import MemoryQuotaLog
+from lavendershift.tests.virtualloop import VirtualLoop
 from lavendershift.tokendraws import TokenDraws
 from lavendershift.tokenloans import Lender, Loan, LoanRequest, TokenLoans
 from lavendershift.tokenwaits import WaitResult
@@ -126,6 +127,73 @@
     assert run_nodes(work, vms=LARGE_FLEET) is WaitResult.GRANTED
 
 
+def test_the_next_lender_is_asked_only_for_the_tokens_that_are_still_missing():
+    """Each lender gave all that was missing, and the surplus remained idle."""
+    stocks, announced = {"a": 500, "b": 9000, "c": 9000}, {"a": 500, "b": 9000}
+    asked = []
+
+    class Accounts:
+        def add_loan(self, customer, tokens):
+            pass
+
+    class Wire:
+        def handle(self, kind, handler):
+            if kind is Loan:
+                self.receive = handler
+
+        def send(self, request, peers):
+            (peer,) = peers
+            asked.append((peer, request.least, request.most))
+            tokens = min(stocks[peer], request.most)
+            loan = Loan("vm/1", request.number, request.customer, tokens)
+            self.receive(loan, peer)
+
+    def find_lenders(customer):
+        return [Lender(peer, stock) for peer, stock in announced.items()]
+
+    loans = TokenLoans("vm/1", Accounts(), Wire(), find_lenders)
+    borrowed = asyncio.run(loans.borrow(TokenRequest("plume", 900), 5000))
+    assert asked == [("a", 500, 5000), ("b", 400, 4500)]
+    assert borrowed == 5000
+
+
+def test_a_late_reply_counts_for_what_the_next_lenders_are_asked():
+    """A lender whose event loop paused gave the same tokens as the next one."""
+    asked = []
+
+    class Accounts:
+        def add_loan(self, customer, tokens):
+            pass
+
+    class Wire:
+        def handle(self, kind, handler):
+            if kind is Loan:
+                self.receive = handler
+
+        def send(self, request, peers):
+            asked.append((peers[0], request.most))
+            loop = asyncio.get_running_loop()
+            tokens, delay_s = {"a": (800, 0.03), "b": (50, 0.02), "c": (150, 0)}[
+                peers[0]
+            ]
+            loan = Loan("vm/1", request.number, request.customer, tokens)
+            loop.call_later(delay_s, self.receive, loan, peers[0])
+
+    def find_lenders(customer):
+        return [Lender(peer) for peer in "abc"]
+
+    async def work():
+        timeout = timedelta(milliseconds=12)
+        loans = TokenLoans(
+            "vm/1", Accounts(), Wire(), find_lenders, reply_timeout=timeout
+        )
+        return await loans.borrow(TokenRequest("plume", 1000), 1000)
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        assert runner.run(work()) == 1000
+    assert ("c", 150) in asked
+
+
 def test_a_retried_loan_request_gets_the_first_reply():
     async def work(lender, borrower, quota_log):
         lender.account.credit(5000)
--- a/lavendershift/tokenloans.py
+++ b/lavendershift/tokenloans.py
@@ -103,7 +103,8 @@
     """Lends tokens to other VMs and borrows from them.
 
     ``find_lenders`` returns the VMs to ask for tokens of a customer, the best first.
-    Each is asked for the tokens it holds, until there are enough. ``on_loan`` is
+    Each is asked for the tokens it holds, until there are enough, and for no more than
+    the earlier ones have left missing. ``on_loan`` is
     called with customer and tokens, negative if these were lent.
     """
 
@@ -158,19 +159,27 @@
     async def _borrow_from(
         self, lenders: Sequence[Lender], request: TokenRequest, most: int
     ) -> int:
-        borrowed = 0
+        """Ask lenders in turn, each for what the replies so far leave missing.
+
+        A reply may come while the next lender is asked.
+        """
+        asked: list[_PendingLoan] = []
         for lender in lenders:
+            borrowed = sum(pending.tokens for pending in asked)
             least = request.tokens - borrowed
+            if least <= 0:
+                break
             if lender.stock is not None:
                 least = min(least, lender.stock)
             if least > 0:
                 part = request._replace(tokens=least)
-                borrowed += await self._ask(lender.peer, part, max(most, least))
-            if borrowed >= request.tokens:
-                break
-        return borrowed
+                wanted = max(most - borrowed, least)
+                asked.append(await self._ask(lender.peer, part, wanted))
+        return sum(pending.tokens for pending in asked)
 
-    async def _ask(self, lender: Peer, request: TokenRequest, most: int) -> int:
+    async def _ask(
+        self, lender: Peer, request: TokenRequest, most: int
+    ) -> _PendingLoan:
         self._number += 1
         loan_request = LoanRequest(
             self._incarnation,
@@ -191,7 +200,7 @@
                     break
         if not pending.replied.is_set():
             self._failures[request.customer] = LoanFailure.NO_REPLY
-        return pending.tokens
+        return pending
 
     def _receive_loan(self, loan: Loan, sender: Peer) -> None:
         """Credit the tokens of a reply once, even if it arrives late."""
