--- a/lavendershift/quotarecords.py
+++ b/lavendershift/quotarecords.py
@@ -20,14 +20,14 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
-from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import LogUnavailableError, RecordsExpiredError
 from lavendershift.prepaid import PrepaidAccount
-from lavendershift.restoredgrants import KnownGrants
-from lavendershift.storehistories import History, StoreRestoredError
+from lavendershift.quotalogs import DrawRefusedError, QuotaLog, QuotaRecord, SwapResult
+from lavendershift.restoredgrants import CONFIRMATION_TIME, KnownGrants
+from lavendershift.storehistories import StoreRestoredError
 from lavendershift.tokenreturns import ReleasedTokens, SnapshotNotStoredError
 
 # Grants that a restore has lost are written again in appends of this many records, so
@@ -36,74 +36,14 @@
 MAX_REPAIRS = 40  # appends of lost grants, won or lost, after which a round ends
 
 
-class DrawRefusedError(LogUnavailableError):
-    """The store refused a change, as it does above its rate limit."""
-
-
-class QuotaRecord(NamedTuple):
-    """One customer's quota, as stored in the log.
-
-    ``granted`` is the new total of grants, ``None`` if the record can't be decoded for
-    the reason ``fault``. ``change_id`` identifies the change that wrote it and ``era``
-    the store's era at that time. With ``is_settled``, grants that were lost in the
-    era's restore had been written again.
-    """
-
-    customer: str
-    granted: int | None
-    change_id: str
-    fault: str = ""
-    era: int = 0
-    is_settled: bool = True
-
-
-class SwapResult(Enum):
-    """Outcome of a conditional append."""
-
-    DONE = "done"
-    MOVED = "moved"  # append at an offset other than the partition's end
-    REFUSED = "refused"  # refusal for a reason that an immediate retry would meet again
-    UNKNOWN = "unknown"
-
-
-class QuotaLog(Protocol):
-    """One partition of the quota records; calls raise ``LogUnavailableError``.
-
-    Offsets are those of the ``history`` in which ``read_newest`` was last called. Once
-    ``is_restored``, the store has another one: reads raise ``StoreRestoredError``, and
-    no change succeeds, until ``read_newest`` is called again.
-    """
-
-    @property
-    def history(self) -> History:
-        """The history of the store in which the records were read."""
-        ...
-
-    @property
-    def is_restored(self) -> bool:
-        """Whether the store has another history by now."""
-        ...
-
-    async def read_newest(self) -> tuple[list[QuotaRecord], int]:
-        """Return each customer's newest record and the offset from which to read on.
-
-        The offset may lie before some of these records.
-        """
-        ...
-
-    async def read_records(self, offset: int) -> list[QuotaRecord]:
-        """Return the records from ``offset`` to the end of the log."""
-        ...
-
-    async def swap(self, end: int, quota_records: list[QuotaRecord]) -> SwapResult:
-        """Append ``quota_records`` atomically if the log ends at ``end``."""
-        ...
-
-
 # Debits tokens that may then be returned; raises ``LogUnavailableError`` if it can't.
 Release = Callable[[Mapping[str, int]], Awaitable[ReleasedTokens]]
 
 
+# Asks other VMs for grants beyond the known ones, which the store in an era may lack.
+InquiryListener = Callable[[Mapping[str, int], int], None]
+
+
 class _Change(NamedTuple):
     """Tokens to draw, and tokens to return."""
 
@@ -117,11 +57,15 @@
 
 
 class _PendingChange(NamedTuple):
-    """A change that was sent for ``offset``, with an unknown outcome."""
+    """A change that was sent for ``offset``, with an unknown outcome.
+
+    ``granted`` holds the numbers of grants that it raises or lowers.
+    """
 
     offset: int
     change_id: str
     change: _Change
+    granted: Mapping[str, int]
 
 
 class QuotaRecords:
@@ -129,7 +73,8 @@
 
     ``on_draw`` is called with customer, tokens and the new total of grants, and
     ``on_invalid`` with customer and reason for a record that can't be decoded. The
-    newest records of the customers ``invalid`` are such records.
+    newest records of the customers ``invalid`` are such records. ``on_inquiry`` is
+    called with the known grants to ask other VMs about, and the store's era.
     ``read_at`` is the time at which the records were last known to be the newest.
     """
 
@@ -149,6 +94,7 @@
         self._on_draw = on_draw
         self._on_invalid = on_invalid
         self.invalid: set[str] = set()
+        self.on_inquiry: InquiryListener = lambda granted, era: None
         self._was_read = False
         self._grants = KnownGrants(clock)
         self.granted = self._grants.granted
@@ -169,8 +115,17 @@
     @property
     def has_lost_grants(self) -> bool:
         """Whether a restored store may lack grants that are known here."""
-        is_restored = self._log.is_restored and self._was_read
-        return is_restored or bool(self._grants.lost)
+        if self._grants.lost:
+            return True
+        if not self._was_read:
+            return self._grants.has_told_before(self._log.newest_history)
+        return self._log.is_restored
+
+    def find_draw_wait(self, customer: str) -> timedelta:
+        """Return how long nothing can be drawn for ``customer`` after a restore."""
+        if self._log.is_restored and self._was_read:
+            return CONFIRMATION_TIME
+        return self._grants.find_wait(customer)
 
     async def sync(self) -> None:
         """Read the records up to the end of the log, and write lost ones again."""
@@ -197,13 +152,30 @@
         if result is SwapResult.REFUSED:
             raise DrawRefusedError("the store refused an append of lost grants")
         if result is SwapResult.UNKNOWN:
-            raise LogUnavailableError("no response to the append of lost grants")
+            raise self._make_unknown_error("lost grants")
         await self._read()
 
+    def _make_unknown_error(self, records: str) -> LogUnavailableError:
+        """Return the error for an append of ``records`` with an unknown outcome."""
+        if self._log.is_restored:
+            return StoreRestoredError(f"restored during the append of {records}")
+        return LogUnavailableError(f"no response to the append of {records}")
+
     def note_told(self, customer: str, granted: int, era: int) -> None:
         """Note the grants after a draw of another VM, in case a restore loses it."""
         self._grants.note_told(customer, granted, era)
 
+    def note_lost(self, customer: str, granted: int, era: int) -> None:
+        """Note grants that the store in ``era`` may lack, as another VM says."""
+        if era == self.era:
+            self._grants.raise_lost(customer, granted)
+
+    def find_unrecorded(self, customer: str, era: int, is_same_store: bool) -> int:
+        """Return the known grants if the store in ``era`` may lack them, or else 0."""
+        if is_same_store and era == self.era and not self._grants.lost:
+            return 0
+        return self._grants.find_known(customer)
+
     @property
     def era(self) -> int:
         """The era of the store from which the records were read."""
@@ -240,7 +212,10 @@
         self._was_read = True
 
     async def change(self, deltas: Mapping[str, int], release: Release) -> bool:
-        """Append changes; return false if another VM's append came first.
+        """Append changes; return false if they have to be planned again.
+
+        That is so if another VM's append came first, and if more grants became known,
+        or the store was restored, during ``release``.
 
         ``release`` debits the tokens to return. While other VMs win the races for the
         lease snapshots, tokens are drawn but not returned. Nothing is changed while
@@ -250,40 +225,57 @@
         """
         assert self._end is not None
         deltas = self._bound_returns(deltas)
-        deltas = {c: d for c, d in deltas.items() if self._grants.is_settled(c)}
+        self._inquire([c for c, delta in deltas.items() if delta > 0])
+        deltas = {
+            c: delta
+            for c, delta in deltas.items()
+            if self._grants.is_settled(c) and (delta < 0 or self._grants.is_answered(c))
+        }
         if not deltas:
             return True
         end, started = self._end, self._clock.elapsed()
         self._change_count += 1
         change_id = f"{self._name}/{self._change_count}"
+        granted = {customer: self.granted.get(customer, 0) for customer in deltas}
         change = await self._prepare(deltas, release)
+        if self._log.is_restored or self._list_raised(granted):
+            self._undo(change)
+            return False
         records = [
             QuotaRecord(
-                customer,
-                self.granted.get(customer, 0) + delta,
-                change_id,
-                era=self._grants.era,
+                customer, granted[customer] + delta, change_id, era=self._grants.era
             )
             for customer, delta in change.list_deltas().items()
         ]
-        pending = _PendingChange(end, change_id, change)
+        pending = _PendingChange(end, change_id, change, granted)
         self._pending.append(pending)
         result = await self._log.swap(end, records)
         if result is SwapResult.UNKNOWN:
-            raise LogUnavailableError("no response to the append of quota records")
+            raise self._make_unknown_error("quota records")
         self._pending.remove(pending)
         if result is not SwapResult.DONE:
             self._undo(change)
             if result is SwapResult.REFUSED:
                 raise DrawRefusedError("the store refused an append of quota records")
             return False
+        raised = self._list_raised(granted)
         for offset, record in enumerate(records, end):
             self._apply(offset, record)
         self._end = end + len(records)
         self.read_at = started
-        self._credit(change)
+        self._credit(change, raised)
         return True
 
+    def _inquire(self, customers: list[str]) -> None:
+        """Ask other VMs for lost grants before tokens of ``customers`` are drawn."""
+        granted = self._grants.begin_inquiry(customers)
+        if granted:
+            self.on_inquiry(granted, self._grants.era)
+
+    def _list_raised(self, granted: Mapping[str, int]) -> set[str]:
+        """Return the customers with more grants than ``granted`` by now."""
+        return {c for c, number in granted.items() if self.granted.get(c, 0) > number}
+
     async def _prepare(self, deltas: Mapping[str, int], release: Release) -> _Change:
         draws = {customer: delta for customer, delta in deltas.items() if delta > 0}
         returns = {customer: -delta for customer, delta in deltas.items() if delta < 0}
@@ -326,20 +318,29 @@
             for customer, tokens in change.returns.tokens.items():
                 self._find_account(customer).credit(tokens)
 
-    def _credit(self, change: _Change) -> None:
-        """Credit draws that were appended; returns were debited before."""
-        for customer, tokens in change.draws.items():
-            self._find_account(customer).credit_drawn(tokens)
+    def _credit(self, change: _Change, raised: set[str]) -> None:
+        """Credit draws that were appended; returns were debited before.
+
+        A draw for a customer in ``raised`` isn't credited: lost grants became known
+        during its append, and its tokens may be among them.
+        """
+        uncredited = raised & change.draws.keys()
         for customer, delta in change.list_deltas().items():
+            if customer in uncredited:
+                continue
+            if delta > 0:
+                self._find_account(customer).credit_drawn(delta)
             self._on_draw(customer, delta, self.granted.get(customer, 0))
 
     def _apply(self, offset: int, record: QuotaRecord) -> None:
         """Apply a record and resolve the pending changes sent for its offset."""
+        resolved = [p for p in self._pending if p.offset == offset]
+        raised = [self._list_raised(p.granted) for p in resolved]
         self._store_quota(record)
-        for pending in [p for p in self._pending if p.offset == offset]:
+        for pending, customers in zip(resolved, raised, strict=True):
             self._pending.remove(pending)
             if record.change_id == pending.change_id:
-                self._credit(pending.change)
+                self._credit(pending.change, customers)
             else:
                 self._undo(pending.change)
 
