Give up saved permits when another VM is the keeper

A VM that became the keeper of a server again granted the permits that it had saved up before, although another keeper had granted all permits meanwhile. On a busy machine, VMs miss each other for moments and the keeper changes often: each of three VMs could add three saved permits within a few seconds. The bucket is dropped once the VM sees another keeper, and starts empty as that of a new keeper does.

--- a/lavendershift/permits.py
+++ b/lavendershift/permits.py
@@ -100,7 +100,8 @@
 class PermitBucket:
     """Token bucket with the permits of one server.
 
-    It starts empty, as another VM may have granted permits just before.
+    It starts empty, as another VM may have granted permits just before. A VM that sees
+    another keeper gives up its bucket for the same reason.
     """
 
     def __init__(self, now: timedelta) -> None:
@@ -152,6 +153,10 @@
             self._buckets.popitem(last=False)
         return bucket.take(rate, urgency, now)
 
+    def drop(self, incarnation: Incarnation) -> None:
+        """Give up the saved permits of a server that another VM keeps."""
+        self._buckets.pop(incarnation, None)
+
 
 class _Unanswered(NamedTuple):
     """A request for a permit that ended without a reply."""
@@ -251,6 +256,7 @@
         if keeper is None:
             wait = self._buckets.take(incarnation, urgency)
         else:
+            self._buckets.drop(incarnation)
             try:
                 wait = await self._ask(keeper, incarnation, urgency)
             except TimeoutError:
@@ -302,6 +308,8 @@
         forwarded once only.
         """
         keeper = self._find_keeper(request.server)
+        if keeper is not None:
+            self._buckets.drop((request.server, request.born))
         if keeper is not None and request.origin is None:
             request.origin = sender
             self._datagrams.send(request, [keeper])
--- a/lavendershift/tests/test_permits.py
+++ b/lavendershift/tests/test_permits.py
@@ -354,3 +354,25 @@
         return len(node.permits._late._unanswered)
 
     assert play(work, a="b", b="b") == MAX_UNANSWERED
+
+
+def test_a_vm_that_is_the_keeper_again_starts_without_permits(play):
+    """Its saved permits would add to those that another keeper granted meanwhile.
+
+    On a busy machine, VMs miss each other for moments, and the keeper changes often.
+    """
+
+    async def work(loop, nodes):
+        node, other = nodes["a"], nodes["b"]
+        node.name_limit(1.0)
+        node.keeper = other.keeper = "a"
+        await node.permits.take(SERVER, 0)
+        node.keeper = other.keeper = "b"
+        await node.permits.take(SERVER, 0)
+        await asyncio.sleep(4)
+        granted = [await node.permits.take(SERVER, 0) for _ in range(4)]
+        node.keeper = other.keeper = "a"
+        return granted + [await node.permits.take(SERVER, 0) for _ in range(4)]
+
+    granted = play(work, a="a", b="b")
+    assert sum(granted) == MAX_SAVED_PERMITS
