--- a/lavendershift/looppauses.py
+++ b/lavendershift/looppauses.py
@@ -58,11 +58,11 @@
         self,
         clock: Clock,
         read_processor: Callable[[], timedelta],
-        on_pause: PauseListener,
+        *listeners: PauseListener,
     ) -> None:
         self._clock = clock
         self._read_processor = read_processor
-        self._on_pause = on_pause
+        self._listeners = listeners
         self._work = NO_WORK
         self._work_time = timedelta()
 
@@ -74,14 +74,14 @@
             await asyncio.sleep(INTERVAL.total_seconds())
             length = self._clock.elapsed() - began - INTERVAL
             processor_time = self._read_processor() - used
-            self._on_pause(
-                Pause(
-                    max(length, timedelta()),
-                    processor_time,
-                    self._work,
-                    self._work_time,
-                )
+            pause = Pause(
+                max(length, timedelta()),
+                processor_time,
+                self._work,
+                self._work_time,
             )
+            for listener in self._listeners:
+                listener(pause)
 
     @contextmanager
     def measure(self, work: str) -> Iterator[None]:
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -49,6 +49,7 @@
     READINESS_CONNECTIONS,
     derive_limits,
 )
+from lavendershift.overload.meters import OverloadMeter
 from lavendershift.permits import Permits
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import SyncHttpServer, VmDirectory
@@ -285,7 +286,13 @@
             self._handle_metrics, METRICS_TYPE, METRICS_CONNECTIONS
         )
         pause_reports = PauseReports(clock, log, self._instruments)
-        self._pauses = PauseMeter(clock, read_processor_time, pause_reports.report)
+        self._overload = OverloadMeter()
+        self._pauses = PauseMeter(
+            clock,
+            read_processor_time,
+            pause_reports.report,
+            self._overload.note_pause,
+        )
         self._configuration = ConfigurationFeed(
             clock,
             self._store,
