Refuse at arrival what an overloaded VM can't serve

The gateway refuses, by customer, urgency, value and time left, while OverloadMeter reports an excess and deliveries are late. The excess now also rises within a long turn, and waits for the loop to catch up after a pause of the host.

--- a/lavendershift/errors.py
+++ b/lavendershift/errors.py
@@ -53,6 +53,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     INTERNAL = "internal"
+    VM_OVERLOADED = "vm_overloaded"
 
 
 class Answer(NamedTuple):
@@ -176,6 +177,9 @@
         "failed.internal",
         "An internal error occurred.",
     ),
+    ErrorKind.VM_OVERLOADED: _refuse(
+        503, "vm_overloaded", "This router gets more requests than it can serve.", 1
+    ),
 }
 
 
@@ -195,6 +199,7 @@
         ErrorKind.CONFIGURATION_STALE,
         ErrorKind.SERVER_REFUSED,
         ErrorKind.QUARANTINED,
+        ErrorKind.VM_OVERLOADED,
     }
 )
 
--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -22,6 +22,8 @@
 from lavendershift.delivery import Delivery
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.evacuation.homes import find_homes
+from lavendershift.overload.admissions import OverloadAdmission
+from lavendershift.overload.works import Work, describe_work, find_urgency
 from lavendershift.pendingtokens import TokenRequest
 from lavendershift.preparations import Backends
 from lavendershift.quarantine import Parts, make_quarantine_error
@@ -86,6 +88,7 @@
         self._table: RoutingTable | None = None
         # Set once a new request could not complete before the process stops.
         self.is_stopping = False
+        self.admission = OverloadAdmission(clock, rng, lambda: 0.0, timedelta)
         self.on_arrival: Callable[[], None] = lambda: None
         self.estimate_peer_tokens: Callable[[str], int | None] = lambda customer: None
         self.take_trial: Callable[[Parts], Awaitable[bool]] = _refuse_trial
@@ -175,6 +178,8 @@
         trace.route = route.name
         trace.version = table.version
         trace.customer = customer.name if customer else ""
+        work = describe_work(request, route, customer)
+        self.admission.admit(work)
         service = self._choose_service(table, route)
         delivery = self._make_delivery(trace, writer, route, service, customer)
         is_urgent = table.is_urgent(route)
@@ -183,6 +188,8 @@
             delivery.guard.trial = await self._check_quarantine(request.prompt)
             if customer is not None and customer.prepaid is not None:
                 await self._reserve_tokens(trace, route.target, is_urgent)
+                if trace.waited:
+                    self.admission.check_after_wait(work)
             if request.prompt is None and not route.is_stream:
                 await self._take_place(delivery, service.name)
 
@@ -193,6 +200,7 @@
             self._deliveries.discard(delivery)
             delivery.place.release(delivery.may_have_run)
             self._settle(trace, delivery)
+            self._note_time(trace, work, delivery)
 
     async def _take_place(self, delivery: Delivery, service: str) -> None:
         """Wait for a place at a server with few slots; raises ``RequestError``."""
@@ -229,7 +237,8 @@
         started = self._clock.elapsed()
         self._draws.find_account(trace.customer).note_demand(tokens, started)
         left = request.deadline - started
-        wait, longest = find_wait(target), find_longest_wait(target)
+        wait = find_wait(target)
+        longest = find_longest_wait(target)
         token_request = TokenRequest(trace.customer, tokens, is_urgent)
         result = await self._draws.wait_for(
             token_request, min(wait, left), min(longest, left)
@@ -254,6 +263,15 @@
             trace.used_tokens = min(used, reserved)
         self._draws.find_account(trace.customer).settle(reserved, trace.used_tokens)
 
+    def _note_time(self, trace: RequestTrace, work: Work, delivery: Delivery) -> None:
+        """Note how long a request took until its caller got a response, or gave up."""
+        received, ending = trace.request.received, delivery.ending
+        if delivery.response.has_started:
+            delivered = trace.first_event_at or self._clock.elapsed()
+            self.admission.note_delivery(work, received, trace.waited, delivered)
+        elif ending and ending.reason in (EndReason.TIME_OVER, EndReason.CALLER_GONE):
+            self.admission.note_delivery(work, received, trace.waited, None)
+
     def _make_shortage_error(
         self, token_request: TokenRequest, result: WaitResult
     ) -> RequestError:
@@ -286,9 +304,6 @@
     ) -> Delivery:
         budget = self._find_retry_budget(service.name)
         budget.record_success()
-        urgency = route.urgency
-        if customer is not None and customer.urgency is not None:
-            urgency = customer.urgency
 
         def take_retry(end: AttemptEnd) -> bool:
             if not budget.spend():
@@ -313,7 +328,7 @@
             report_attempt,
             report_error,
             customer.name if customer else "",
-            urgency,
+            find_urgency(route, customer),
             find_homes(route, customer),
         )
 
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -106,6 +106,11 @@
     "connections_refused": Instrument(
         "Connections from callers refused for lack of file descriptors."
     ),
+    "overload_refusals": Instrument(
+        "Requests refused because the event loop can't handle the load, by cause: "
+        "load, too little time left at arrival (time) or after a wait (wait).",
+        ("cause",),
+    ),
 }
 
 GAUGES: dict[str, Instrument] = {
@@ -128,6 +133,9 @@
     ),
     "domains_evacuated": Instrument("Failure domains whose servers get no requests."),
     "servers_cold": Instrument("Backend servers that are limited as cold."),
+    "overload_excess": Instrument(
+        "Fraction of the load beyond what the event loop can handle."
+    ),
 }
 
 HISTOGRAMS: dict[str, Instrument] = {
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -175,6 +175,7 @@
     entry: str
     error: str
     events: int
+    excess: float
     expected_ms: int
     first_ms: int
     free_tokens: int
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -259,6 +259,9 @@
             RetryBounds(settings.retry_share, settings.retry_slack),
             self._find_retry_share,
         )
+        self._overload = OverloadMeter(clock, read_processor_time)
+        self._gateway.admission.find_excess = self._overload.find_excess
+        self._gateway.admission.find_lag = lambda: self._overload.lag
         self._gateway.take_trial = self._crash_control.trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
@@ -286,7 +289,6 @@
             self._handle_metrics, METRICS_TYPE, METRICS_CONNECTIONS
         )
         pause_reports = PauseReports(clock, log, self._instruments)
-        self._overload = OverloadMeter()
         self._pauses = PauseMeter(
             clock,
             read_processor_time,
@@ -499,6 +501,7 @@
         instruments.set_gauge("servers_cold", self._servers.cold.count())
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
+        instruments.set_gauge("overload_excess", self._overload.find_excess())
         instruments.set_gauge("held_bytes", self._budget.used)
         instruments.set_gauge("vms", self._vms.count())
         instruments.set_gauge("vms_active", self._working_set.count())
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -18,6 +18,7 @@
 from lavendershift.errors import RequestError
 from lavendershift.instruments import Instruments
 from lavendershift.logs import Event, EventFields, EventLog, in_milliseconds
+from lavendershift.overload.admissions import OverloadError
 from lavendershift.requestends import RequestEnding
 
 
@@ -83,6 +84,9 @@
         fields["error"] = error.kind.value
         fields["reason"] = error.detail
         fields["ran"] = answer.ran.value
+        if isinstance(error, OverloadError):
+            self._instruments.count("overload_refusals", error.cause.value)
+            fields["excess"] = round(error.excess, 2)
         self._write(Event.REQUEST_REFUSED, trace, **fields)
 
     def report_rejected(self, request_id: str, error: RequestError) -> None:
--- a/lavendershift/tests/test_overloadmeters.py
+++ b/lavendershift/tests/test_overloadmeters.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from lavendershift.clocks import ManualClock
 from lavendershift.looppauses import INTERVAL, NO_WORK, Pause, PauseMeter
 from lavendershift.overload.meters import LAG_LIMIT, MAX_EXCESS, OverloadMeter
 from lavendershift.tests.virtualloop import VirtualLoop
@@ -36,9 +37,9 @@
         self.used = timedelta()
         self.excesses = []  # time and excess at each measurement
         self.lags = []
-        self.meter = OverloadMeter()
         with asyncio.Runner(loop_factory=VirtualLoop) as runner:
             self.loop = runner.get_loop()
+            self.meter = OverloadMeter(self.loop, lambda: self.used)
             pauses = PauseMeter(self.loop, lambda: self.used, self.note_pause)
             runner.run(self.play(pauses))
 
@@ -101,7 +102,7 @@
 def test_one_long_pause_does_not_count(length_s, is_working):
     """Guards against refusals for a pause that is over, whatever its cause."""
     length = timedelta(seconds=length_s)
-    meter = OverloadMeter()
+    meter = OverloadMeter(ManualClock(), timedelta)
     for pause in [timedelta()] * 5 + [length] + [timedelta()] * 5:
         used = pause * CORES if is_working else timedelta()
         meter.note_pause(make_pause(pause, used + MS))
@@ -110,7 +111,7 @@
 
 def test_pauses_of_the_host_are_no_load():
     """Guards against refusals on an idle VM that its host often suspends."""
-    meter = OverloadMeter()
+    meter = OverloadMeter(ManualClock(), timedelta)
     for _ in range(100):
         meter.note_pause(make_pause(300 * MS, 2 * MS))
         assert not meter.find_excess()
@@ -122,9 +123,35 @@
     assert not any(loop.list_excesses(4, 6))
 
 
+def test_the_excess_rises_within_a_long_turn():
+    """In a growing load a turn takes seconds, in which everything was admitted."""
+    clock, used = ManualClock(), timedelta()
+    meter = OverloadMeter(clock, lambda: used)
+    meter.note_pause(make_pause(100 * MS))
+    assert not meter.find_excess()
+    clock.advance(INTERVAL + 300 * MS)
+    assert not meter.find_excess()  # the host has paused the process
+    used += 200 * MS
+    assert meter.find_excess() > 0.3
+
+
+def test_a_pause_of_the_host_is_followed_by_time_to_catch_up():
+    clock = ManualClock()
+    meter = OverloadMeter(clock, timedelta)
+    meter.note_pause(make_pause(timedelta(seconds=1), MS))
+    for _ in range(3):
+        clock.advance(INTERVAL + 200 * MS)
+        meter.note_pause(make_pause(200 * MS))
+        assert not meter.find_excess()
+    for _ in range(3):
+        clock.advance(INTERVAL + 200 * MS)
+        meter.note_pause(make_pause(200 * MS))
+    assert meter.find_excess() > 0.3
+
+
 def test_the_excess_leaves_some_load():
     """Guards against a VM that sheds everything and can't notice a lower load."""
-    meter = OverloadMeter()
+    meter = OverloadMeter(ManualClock(), timedelta)
     for _ in range(100):
         meter.note_pause(make_pause(timedelta(seconds=20)))
     assert 0.5 < meter.find_excess() <= MAX_EXCESS
--- a/lavendershift/tests/test_requestreports.py
+++ b/lavendershift/tests/test_requestreports.py
@@ -14,6 +14,7 @@
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.instruments import Instruments
 from lavendershift.logs import EventLog, make_handler
+from lavendershift.overload.admissions import Cause, OverloadError
 from lavendershift.requestends import (
     AttemptEnding,
     EndReason,
@@ -51,6 +52,24 @@
     return report
 
 
+@pytest.mark.parametrize("cause", list(Cause))
+def test_a_refusal_under_overload_tells_its_cause_and_the_excess(tmp_path, cause):
+    """Guards against refusals that an operator can't tell from those of servers."""
+    path = tmp_path / "log"
+    log = EventLog(
+        make_handler(LoggingSection(path, "info")), "edge-1", "rennes", ManualClock()
+    )
+    instruments = Instruments()
+    reports = RequestReports(ManualClock(), log, instruments)
+    error = OverloadError(cause, 0.6543, timedelta(seconds=0.2))
+    reports.report_refused(RequestTrace(REQUEST), error)
+    line = json.loads(path.read_text())
+    assert (line["error"], line["reason"]) == ("vm_overloaded", cause.value)
+    assert (line["excess"], line["ran"]) == (0.65, "no")
+    counted = f'lavendershift_overload_refusals_total{{cause="{cause.value}"}} 1.0'
+    assert counted in instruments.render().decode()
+
+
 def test_stream_attempt_reports_events_and_bytes_received(report_attempt):
     stream = StreamReport("12", 3, 7, "text/event-stream")
     line, metrics = report_attempt(AttemptEnd.SILENT, stream)
