--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -238,7 +238,7 @@
         self._draws.find_account(trace.customer).note_demand(tokens, started)
         left = request.deadline - started
         wait = find_wait(target)
-        longest = find_longest_wait(target)
+        longest = find_longest_wait(target, self.admission.find_excess())
         token_request = TokenRequest(trace.customer, tokens, is_urgent)
         result = await self._draws.wait_for(
             token_request, min(wait, left), min(longest, left)
--- a/lavendershift/tests/test_tokenshortages.py
+++ b/lavendershift/tests/test_tokenshortages.py
@@ -11,6 +11,7 @@
     SETTLEMENT_DELAY,
     TokenShortage,
     choose_retry_delay,
+    find_longest_wait,
     find_wait,
 )
 
@@ -128,6 +129,16 @@
     assert timedelta() < find_wait(timedelta()) < timedelta(seconds=1)
 
 
+def test_a_wait_for_a_draw_in_flight_shrinks_with_the_excess_of_load():
+    """With longer waits, an overloaded VM served more requests late."""
+    target = timedelta(milliseconds=800)
+    waits = [find_longest_wait(target, excess) for excess in (0.0, 0.25, 0.5, 0.9)]
+    assert waits == sorted(waits, reverse=True)
+    assert waits[0] == find_longest_wait(target) == target / 2
+    assert waits[2] == target / 4
+    assert waits[3] == find_wait(target)
+
+
 def test_a_retry_comes_when_the_next_draw_or_return_is_expected():
     """On a slow VM, draws took longer than the delay told to refused callers."""
     rng = random.Random(1)
--- a/lavendershift/tokenshortages.py
+++ b/lavendershift/tokenshortages.py
@@ -76,9 +76,14 @@
     return min(target / WAIT_DIVISOR, MAX_WAIT)
 
 
-def find_longest_wait(target: timedelta) -> timedelta:
-    """Return how long a request may wait for a draw or a loan that is in flight."""
-    return max(target / LONGEST_WAIT_DIVISOR, find_wait(target))
+def find_longest_wait(target: timedelta, excess: float = 0.0) -> timedelta:
+    """Return how long a request may wait for a draw or a loan that is in flight.
+
+    ``excess`` is the fraction of the VM's load beyond what its event loop can handle.
+    A request that waits there is served late, which is worth less than a refusal that
+    comes soon, so that the wait shrinks to that of other requests.
+    """
+    return max(target / LONGEST_WAIT_DIVISOR * (1 - excess), find_wait(target))
 
 
 def choose_retry_delay(shortage: TokenShortage, rng: random.Random) -> timedelta:
