--- a/lavendershift/overload/admissions.py
+++ b/lavendershift/overload/admissions.py
@@ -42,6 +42,9 @@
 RATE_TIME = timedelta(
     milliseconds=400
 )  # memory of arrivals, for shares within a second
+# Recent arrivals below which requests aren't the load: 10 to 12 a second, where the
+# smallest VM serves 38. On a busy machine, other work may keep the loop late.
+MIN_ARRIVALS = 5
 PLAN_INTERVAL = timedelta(milliseconds=50)
 MIN_DEMAND = 0.01  # smallest number of recent requests that is remembered
 # Value of a request, relative to the mean of its kind: a fixed part, and one by size.
@@ -196,10 +199,11 @@
         self._planned_at = now
         late = min(self._late.measure() / LATE_LIMIT, 1.0)
         refused = min(excess * REFUSALS_PER_EXCESS * late, MAX_REFUSED)
-        self._rate = 1 - refused
-        floor = self._rate * MIN_SHARE
         demands = {name: sum(d.values()) for name, d in self._demands.items()}
-        parts = divide_evenly(demands, sum(demands.values()) * self._rate, floor)
+        total = sum(demands.values())
+        self._rate = 1 - refused if total >= MIN_ARRIVALS else 1.0
+        floor = self._rate * MIN_SHARE
+        parts = divide_evenly(demands, total * self._rate, floor)
         self._rates.clear()
         for customer, part in parts.items():
             groups = sorted(self._demands[customer].items())
--- a/lavendershift/overload/servicetimes.py
+++ b/lavendershift/overload/servicetimes.py
@@ -61,9 +61,9 @@
         self._total += 1
 
     def measure(self) -> float:
-        """Return the fraction; it tends to 1 if nothing is delivered."""
+        """Return the fraction; it tends to 0 if nothing is delivered."""
         self._decay()
-        return (self._late + 1) / (self._total + 1)
+        return self._late / (self._total + 1)
 
     def _decay(self) -> None:
         now = self._clock.elapsed()
