--- a/lavendershift/platform/tests/test_callerrefusals.py
+++ b/lavendershift/platform/tests/test_callerrefusals.py
@@ -8,6 +8,8 @@
 from lavendershift.connectionreports import EndCause, Stage
 from lavendershift.gateway import Gateway, RetryBounds
 from lavendershift.instruments import Instruments
+from lavendershift.overload.admissions import Cause, OverloadError
+from lavendershift.platform.callerstreams import CallerStream
 from lavendershift.platform.tests.listeners import RecordedLog, play
 from lavendershift.platform.tests.test_callers import make_request
 from lavendershift.requestreports import RequestReports
@@ -240,6 +242,38 @@
         assert b"internal" in received
 
 
+class OverloadedGateway(FailingGateway):
+    """Refuses all requests, as a VM under overload does."""
+
+    def __init__(self, gateway):
+        super().__init__(gateway, "returned")
+
+    async def serve(self, request, writer):
+        writer.refuse(OverloadError(Cause.LOAD, 0.5, SECOND / 4))
+
+
+def test_a_refusal_takes_one_write(monkeypatch):
+    """Guards against refusals that cost an overloaded VM more than they need to."""
+    writes = []
+    write = CallerStream.write_to_fd
+
+    def count(stream, data):
+        writes.append(bytes(data))
+        return write(stream, data)
+
+    async def work(listener):
+        listener.server._gateway = OverloadedGateway(listener.gateway)
+        caller = listener.connect()
+        caller.send(make_request("r1"))
+        return await caller.read_until(b"vm_overloaded")
+
+    monkeypatch.setattr(CallerStream, "write_to_fd", count)
+    received = play(work)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 0.25\r\n" in received
+    assert writes == [received]
+
+
 class CancelledGateway(Gateway):
     """Waits for something that another task cancels."""
 
