--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -111,6 +111,10 @@
         "load, too little time left at arrival (time) or after a wait (wait).",
         ("cause",),
     ),
+    "connections_forwarded": Instrument(
+        "New connections that an overloaded VM forwarded, or could not forward.",
+        ("outcome",),
+    ),
 }
 
 GAUGES: dict[str, Instrument] = {
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -50,6 +50,7 @@
     count_server_connections,
     derive_limits,
 )
+from lavendershift.overload.forwarding import ConnectionForwarding, Target
 from lavendershift.overload.meters import OverloadMeter
 from lavendershift.permits import Permits
 from lavendershift.platform.callers import CallerServer
@@ -271,7 +272,20 @@
         self._gateway.take_trial = self._crash_control.trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
-        self._callers = CallerServer(clock, self._gateway, memory, self._budget)
+        forwarding = ConnectionForwarding(
+            clock,
+            rng,
+            settings.failure_domain,
+            self._overload.find_excess,
+            self._list_forwarding_targets,
+        )
+        self._callers = CallerServer(
+            clock, self._gateway, memory, self._budget, forwarding, settings.ip
+        )
+        self._callers.is_vm = self._vms.is_vm
+        self._callers.on_forwarded = lambda outcome: self._instruments.count(
+            "connections_forwarded", outcome
+        )
         self._connections.find_limit = lambda: count_server_connections(
             memory, self._callers.count_descriptors()
         )
@@ -602,6 +616,15 @@
         """Return the datagram addresses of the other active VMs."""
         return self._vms.list_peers(self._working_set.list_names())
 
+    def _list_forwarding_targets(self) -> list[Target]:
+        """Return the other active VMs, which may take connections of this one."""
+        rows = self._vms.find_rows(self._working_set.list_names())
+        return [
+            Target(row.address, row.failure_domain, row.capacity, row.arrivals)
+            for row in rows
+            if row.address and not row.is_leaving
+        ]
+
     def _list_heartbeat_peers(self) -> list[Peer]:
         """Return the VMs that get this VM's heartbeats, none while it stands by.
 
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -27,6 +27,7 @@
 from lavendershift.connectionreports import ConnectionEnd, EndCause, Stage
 from lavendershift.connections import reset_stream
 from lavendershift.errors import ErrorKind, RequestError
+from lavendershift.forwardedconnections import ForwardedConnections
 from lavendershift.gateway import Gateway
 from lavendershift.lingering import LingeringSockets
 from lavendershift.memory.budgets import SEARCH_INTERVAL, MemoryBudget
@@ -36,6 +37,7 @@
     MemoryLimits,
     derive_limits,
 )
+from lavendershift.overload.forwarding import ConnectionForwarding
 from lavendershift.platform.callerresponses import CallerResponseWriter
 from lavendershift.platform.callerstreams import (
     CHUNK_BYTES,
@@ -58,6 +60,9 @@
 MAX_HEADER_READ = 1_048_576
 # Slow connections that are ended at once if there is no descriptor for another one.
 EVICTED_AT_ONCE = 16
+# Forwarded connections as a part of those from callers, and the descriptors of one.
+FORWARDED_SHARE = 0.25
+DESCRIPTORS_PER_FORWARDED = 2
 # Lingering sockets as a part of the connections from callers.
 LINGERING_SHARE = 0.25
 
@@ -74,8 +79,17 @@
         gateway: Gateway,
         limits: MemoryLimits = DEFAULT_LIMITS,
         budget: MemoryBudget | None = None,
+        forwarding: ConnectionForwarding | None = None,
+        address: str = "",
     ) -> None:
         self.clock = clock
+        self._forwarding = forwarding
+        self._forwarded = ForwardedConnections(
+            address, int(limits.caller_connections * FORWARDED_SHARE)
+        )
+        # Whether an address is that of another VM.
+        self.is_vm: Callable[[str], bool] = lambda address: False
+        self.on_forwarded: Callable[[str], None] = lambda outcome: None
         self.budget = budget or MemoryBudget(clock, limits.held_bytes)
         self.find_customer: Callable[[str], str] = lambda key: ""
         self.on_connection_refused: Callable[[], None] = lambda: None
@@ -104,6 +118,7 @@
         self._http.conn_params.max_body_size = sys.maxsize
         self._http.make_stream = self.make_stream
         self._http.may_accept = self.may_accept
+        self._http.forward = self.forward
         self._http.refuse_connection = self.refuse_connection
         self.update_limits(self._gateway.find_limits())
         host, _, port = address.rpartition(":")
@@ -146,7 +161,36 @@
         self, connection: HTTPConnection, method: str
     ) -> CallerResponseWriter:
         """Return the writer of the response to a request of ``method``."""
-        return CallerResponseWriter(connection, lambda: self._is_leaving, method)
+        stream = connection.stream  # type: ignore[attr-defined]
+        # The VM that forwards a connection doesn't know where its requests end.
+        is_last = self.is_vm(stream.address) or (
+            self._forwarding is not None and self._forwarding.may_shift()
+        )
+        return CallerResponseWriter(
+            connection, lambda: is_last or self._is_leaving, method
+        )
+
+    def forward(self, endpoint: socket.socket, address: Any) -> bool:
+        """Forward a new connection to another VM; return false to serve it here.
+
+        Connections that come from another VM, which may have forwarded them, stay.
+        """
+        if self._forwarding is None or self._is_leaving or not self._forwarded.has_room:
+            return False
+        target = None if self.is_vm(address[0]) else self._forwarding.choose()
+        if target is None:
+            return False
+        forwarding, http = self._forwarding, self._http
+
+        def serve_here() -> None:
+            self.on_forwarded("failed")
+            forwarding.note_failure(target)
+            if http is not None:
+                http.serve_connection(endpoint, address)
+
+        self.on_forwarded("begun")
+        self._forwarded.start(endpoint, target, serve_here)
+        return True
 
     def find_limits(self) -> CallerLimits:
         """Return the limits in force, with the idle timeout that callers rely on."""
@@ -177,7 +221,8 @@
 
     def count_descriptors(self) -> int:
         """Return how many descriptors connections have, open or lingering."""
-        return self._open + self._lingering.count
+        forwarded = len(self._forwarded) * DESCRIPTORS_PER_FORWARDED
+        return self._open + self._lingering.count + forwarded
 
     def may_accept(self) -> bool:
         """Return whether there is a descriptor for one more connection.
@@ -251,6 +296,7 @@
         if self._http is not None:
             self._http.accept_pending()
             self._http.stop()
+        self._forwarded.close_unused()
 
     def count_stages(self) -> Counter[Stage]:
         """Return how many connections with a request are at each stage."""
@@ -271,6 +317,7 @@
 
         Those that were not read completely are refused.
         """
+        self._forwarded.reset_all()
         streams = [stream for stream in self._streams if not stream.closed()]
         for stream in streams:
             if stream.find_stage() is Stage.IN_FLIGHT:
@@ -298,6 +345,8 @@
 
     def _has_requests(self) -> bool:
         """Whether any connection has a request, unread bytes or an unsent response."""
+        if len(self._forwarded):
+            return True
         streams = [stream for stream in self._streams if not stream.closed()]
         return not all(stream.is_waiting for stream in streams) or any(
             stream.has_unread() for stream in streams
@@ -309,9 +358,15 @@
 
     make_stream: Callable[[socket.socket], CallerStream]
     may_accept: Callable[[], bool]
+    forward: Callable[[socket.socket, Any], bool]
     refuse_connection: Callable[[socket.socket], None]
 
     def _handle_connection(self, connection: socket.socket, address: Any) -> None:
+        if not self.forward(connection, address):
+            self.serve_connection(connection, address)
+
+    def serve_connection(self, connection: socket.socket, address: Any) -> None:
+        """Serve a connection that was accepted, or refuse it."""
         if not self.may_accept():
             self.refuse_connection(connection)
             return
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -197,6 +197,17 @@
         addresses = [each.row.peer_address for each in known]
         return [peer for peer in map(split_address, addresses) if peer is not None]
 
+    def find_rows(self, names: Iterable[str]) -> list[VmRow]:
+        """Return the rows of the other VMs among ``names``."""
+        return [self._known[name].row for name in names if name in self._known]
+
+    def is_vm(self, host: str) -> bool:
+        """Whether a host is another VM."""
+        return any(
+            known.row.peer_address.rpartition(":")[0] == host
+            for known in self._known.values()
+        )
+
     def list_domain_peers(self) -> list[str]:
         """Return the names of the other VMs in this VM's failure domain."""
         domain = self.own.failure_domain
