--- a/lavendershift/forwardedconnections.py
+++ b/lavendershift/forwardedconnections.py
@@ -117,7 +117,7 @@
         target: str,
         on_failure: Callable[[], None],
     ) -> None:
-        """Forward a caller's connection; ``on_failure`` is called if that isn't done."""
+        """Forward a caller's connection; ``on_failure`` is called if that fails."""
         task = asyncio.ensure_future(self._forward(endpoint, target, on_failure))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/lavendershift/overload/forwarding.py
+++ b/lavendershift/overload/forwarding.py
@@ -93,7 +93,7 @@
     def _list_spare(self) -> dict[str, float]:
         """Return the requests/s that VMs can take, by address.
 
-        VMs of this failure domain are preferred, as crossing takes time and has a price.
+        VMs of this failure domain are preferred, as crossing takes time and is priced.
         """
         now = self._clock.elapsed()
         spare: dict[bool, dict[str, float]] = {True: {}, False: {}}
