--- a/lavendershift/restoredgrants.py
+++ b/lavendershift/restoredgrants.py
@@ -14,13 +14,20 @@
     grants.lost  # {"plume": 5000}, to be written again
 
 VMs also tell each other of their draws (``grantnotices``), so that the draw of a VM
-that has ended since is known to another one.
+that has ended since is known to another one. Before its first draw in a history, a VM
+asks the others for grants that they can't write, as the store may reject them, or
+hasn't told them of the restore::
+
+    grants.begin_inquiry(["plume"])  # {"plume": 3000}, to be sent to the others
+    grants.is_answered("plume")  # once they had the time to reply
 
 The larger number is kept where two VMs know different ones, also if the smaller one is
 newer: tokens returned since then stay granted, which never overspends a total.
 """
 
+from collections.abc import Iterable
 from datetime import timedelta
+from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 from lavendershift.storehistories import History
@@ -28,10 +35,25 @@
 # Time from the first reading after a restore until tokens are drawn. VMs read some
 # topic of the store every 0.4 to 1.2 s, and then write lost grants at once.
 CONFIRMATION_TIME = timedelta(seconds=2)
+# Time in which other VMs reply to an inquiry; event loops pause for up to 300 ms.
+ANSWER_TIME = timedelta(milliseconds=400)
+# Time from the first reading in which other VMs are asked: the store may reject a VM
+# for 9 s.
+INQUIRY_TIME = timedelta(seconds=10)
+INQUIRIES = 2  # for each customer, as datagrams get lost
+MAX_ASKED = 50  # customers in one inquiry, which goes to all active VMs
 # The era of a store that was never restored, if it counts from 1.
 FIRST_ERA = 1
 
 
+class _Inquiry(NamedTuple):
+    """When other VMs were asked about a customer first and last, and how often."""
+
+    first: timedelta
+    last: timedelta
+    number: int = 1
+
+
 class KnownGrants:
     """The numbers of grants in one partition of the quota records.
 
@@ -49,8 +71,9 @@
         self._has_older_records = False
         # Customers whose newest record was written after lost grants were.
         self._confirmed: set[str] = set()
-        # Grants that other VMs have told of, and when.
-        self._told: dict[str, tuple[int, timedelta]] = {}
+        # Grants that other VMs have told of and when, by customer and era.
+        self._told: dict[tuple[str, int], tuple[int, timedelta]] = {}
+        self._inquiries: dict[str, _Inquiry] = {}
 
     @property
     def era(self) -> int:
@@ -66,12 +89,64 @@
         """
         if self.lost:
             return False
+        if self._is_confirmed(customer):
+            return True
+        return self._clock.elapsed() - self._began_at >= CONFIRMATION_TIME
+
+    def _is_confirmed(self, customer: str) -> bool:
         is_first = not self._has_changed and self.era <= FIRST_ERA
         # Records of a copy at another address may have been confirmed at the old one.
         is_confirmed = customer in self._confirmed and not self._has_moved
-        if is_confirmed or (is_first and not self._has_older_records):
+        return is_confirmed or (is_first and not self._has_older_records)
+
+    def is_answered(self, customer: str) -> bool:
+        """Return whether other VMs had the time to reply, if they are to be asked."""
+        now = self._clock.elapsed()
+        if now - self._began_at >= INQUIRY_TIME or self._is_confirmed(customer):
             return True
-        return self._clock.elapsed() - self._began_at >= CONFIRMATION_TIME
+        inquiry = self._inquiries.get(customer)
+        return inquiry is not None and now - inquiry.first >= ANSWER_TIME
+
+    def find_wait(self, customer: str) -> timedelta:
+        """Return how long nothing can be drawn for ``customer``, as far as is known."""
+        if self._is_confirmed(customer) and not self.lost:
+            return timedelta()
+        now = self._clock.elapsed()
+        until = self._began_at + CONFIRMATION_TIME
+        if not self.is_answered(customer):
+            inquiry = self._inquiries.get(customer)
+            until = max(until, (inquiry.first if inquiry else now) + ANSWER_TIME)
+        return max(until - now, timedelta())
+
+    def begin_inquiry(self, customers: Iterable[str]) -> dict[str, int]:
+        """Return the known grants of the ``customers`` to ask other VMs about now.
+
+        The others of more than ``MAX_ASKED`` are asked about the next time.
+        """
+        now = self._clock.elapsed()
+        asked: dict[str, int] = {}
+        if now - self._began_at >= INQUIRY_TIME:
+            return asked
+        for customer in customers:
+            if len(asked) == MAX_ASKED:
+                break
+            inquiry = self._inquiries.get(customer)
+            if self._is_confirmed(customer):
+                continue
+            if inquiry is None:
+                self._inquiries[customer] = _Inquiry(now, now)
+            elif inquiry.number < INQUIRIES and now - inquiry.last >= ANSWER_TIME:
+                number = inquiry.number + 1
+                self._inquiries[customer] = _Inquiry(inquiry.first, now, number)
+            else:
+                continue
+            asked[customer] = self.granted.get(customer, 0)
+        return asked
+
+    def find_known(self, customer: str) -> int:
+        """Return the largest number that was read, written or told."""
+        told = [n for (c, _), (n, _) in self._told.items() if c == customer]
+        return max([self.granted.get(customer, 0), *told])
 
     def begin(self, history: History) -> None:
         """Begin with the records of ``history``; all that is known may be lost."""
@@ -80,11 +155,15 @@
         if self._history is not None:
             self._has_changed = True
             self._has_moved = history.moves != self._history.moves
-            for customer, (granted, _) in self._told.items():
-                self._raise(customer, granted)
             self.lost = dict(self.granted)
-        self._told.clear()
         self._history = history
+        self._inquiries.clear()
+        told, self._told = self._told, {}
+        for (customer, era), notice in told.items():
+            if era < history.era or self._has_moved:
+                self.raise_lost(customer, notice[0])
+            else:
+                self._told[customer, era] = notice
         self._began_at = self._clock.elapsed()
         self._has_older_records = False
         self._confirmed.clear()
@@ -93,15 +172,22 @@
         """Write no number again for a customer whose newest record is malformed."""
         self.lost.pop(customer, None)
 
-    def _raise(self, customer: str, granted: int) -> None:
-        self.granted[customer] = max(granted, self.granted.get(customer, 0))
+    def has_told_before(self, history: History) -> bool:
+        """Return whether ``history`` may lack grants that other VMs have told of."""
+        return any(era < history.era for _, era in self._told)
+
+    def raise_lost(self, customer: str, granted: int) -> None:
+        """Note grants that the store's record may lack."""
+        if granted > self.granted.get(customer, 0):
+            self.granted[customer] = self.lost[customer] = granted
 
     def note_told(self, customer: str, granted: int, era: int) -> None:
         """Note the grants after a draw of another VM, which may not be read yet."""
-        told, _ = self._told.get(customer, (0, timedelta()))
-        self._told[customer] = max(told, granted), self._clock.elapsed()
-        if era < self.era and granted > self.granted.get(customer, 0):
-            self.granted[customer] = self.lost[customer] = granted
+        if era < self.era:
+            self.raise_lost(customer, granted)
+            return
+        told, _ = self._told.get((customer, era), (0, timedelta()))
+        self._told[customer, era] = max(told, granted), self._clock.elapsed()
 
     def note_reading(self, began_at: timedelta) -> None:
         """Note that all records were read that were written before ``began_at``."""
@@ -111,10 +197,11 @@
         """Note a record that was written in ``era``.
 
         A lower number than the known one from an earlier era is part of the copy, or an
-        append from before the restore that the store executed late.
+        append from before the restore that the store executed late. A later era than
+        the store's was read from a damaged response, or at another address.
         """
         known = self.granted.get(customer, 0)
-        if era < self.era:
+        if era != self.era:
             self._has_older_records = True
             self._confirmed.discard(customer)
             if granted < known:
--- a/lavendershift/tests/test_tokenwaits.py
+++ b/lavendershift/tests/test_tokenwaits.py
@@ -11,7 +11,9 @@
 from lavendershift.clocks import ManualClock, SystemClock
 from lavendershift.leases import LeaseBook
 from lavendershift.pendingtokens import TokenRequest
-from lavendershift.quotarecords import QuotaRecord
+from lavendershift.prepaid import find_urgent_reserve
+from lavendershift.quotalogs import QuotaRecord
+from lavendershift.storehistories import History
 from lavendershift.tests.test_tokendraws import (
     TOTAL,
     FailingLeaseLog,
@@ -63,6 +65,15 @@
     quota_log.records.append(QuotaRecord("plume", TOTAL["plume"], "other/1"))
 
 
+def restore(draws, quota_log):
+    async def read_newest():
+        quota_log.history, quota_log.is_restored = History(0, 5), False
+        return [], 0
+
+    quota_log.read_newest, quota_log.records = read_newest, []
+    quota_log.newest_history, quota_log.is_restored = History(0, 5), True
+
+
 def cut(failure=None):
     def change(draws, quota_log):
         draws.is_store_reachable = False
@@ -77,6 +88,7 @@
         (lose_races, WaitResult.CONFLICT),
         (slow_down, WaitResult.IN_FLIGHT),
         (exhaust, WaitResult.EXHAUSTED),
+        (restore, WaitResult.UNCONFIRMED),
         (cut(), WaitResult.STORE_UNREACHABLE),
         (cut(LoanFailure.NO_REPLY), WaitResult.LENDER_UNREACHABLE),
         (cut(LoanFailure.EMPTY), WaitResult.LENDER_EMPTY),
@@ -178,6 +190,47 @@
     assert loans <= 2
 
 
+def test_an_urgent_request_does_not_rely_on_a_loan_that_is_not_urgent():
+    """It was refused with that loan, although lenders could draw the urgent reserve."""
+
+    async def work():
+        draws = make_draws(MemoryQuotaLog(), SystemClock())
+        draws.is_store_reachable = False
+
+        async def borrow(request, most):
+            await asyncio.sleep(0.01)
+            if not request.is_urgent:
+                return 0
+            draws.add_loan("plume", request.tokens)
+            return request.tokens
+
+        draws.use_loans(borrow, lambda customer: True)
+        requests = [
+            TokenRequest("plume", 500, is_urgent) for is_urgent in (False, True)
+        ]
+        return await asyncio.gather(*(draws.wait_for(r, SHORT) for r in requests))
+
+    refused, granted = asyncio.run(work())
+    assert refused is not WaitResult.GRANTED
+    assert granted is WaitResult.GRANTED
+
+
+def test_a_loan_takes_no_more_of_the_urgent_reserve_than_an_urgent_request_needs():
+    """The reserve was spent on later demand that is not urgent."""
+
+    async def work(lender, borrower, quota_log):
+        reserve = find_urgent_reserve(TOTAL["plume"])
+        granted = TOTAL["plume"] - reserve
+        quota_log.records.append(QuotaRecord("plume", granted, "other/1"))
+        await asyncio.sleep(0.15)
+        lender.account.reserve(lender.account.free, timedelta())
+        lent = await lender.draws.lend(TokenRequest("plume", 800, True), 50_000)
+        return lent, quota_log.records[-1].granted - granted, reserve
+
+    lent, drawn, reserve = run_nodes(work)
+    assert lent == drawn == 800 < reserve
+
+
 def test_a_lender_gives_what_is_free_up_to_what_is_useful():
     async def work(lender, borrower, quota_log):
         lender.draws.is_store_reachable = False
