--- a/lavendershift/platform/tests/listeners.py
+++ b/lavendershift/platform/tests/listeners.py
@@ -121,13 +121,16 @@
 class Listener:
     """A ``CallerServer`` with a scripted gateway; ``ends`` has its closed streams."""
 
-    def __init__(self):
+    def __init__(self, forwarding=None, ip="127.0.0.1"):
         self.gateway = PathGateway()
-        self.server = CallerServer(SystemClock(), self.gateway)
+        self.server = CallerServer(
+            SystemClock(), self.gateway, forwarding=forwarding, address=ip
+        )
         self.ends = []
         self.server.on_connection_end = self.ends.append
-        self._address = ("127.0.0.1", find_port())
-        self.server.listen("{}:{}".format(*self._address))
+        self._address = (ip, find_port())
+        self.address = "{}:{}".format(*self._address)
+        self.server.listen(self.address)
 
     def connect(self):
         return Caller(self._address)
--- a/lavendershift/platform/tests/test_forwardedconnections.py
+++ b/lavendershift/platform/tests/test_forwardedconnections.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import socket
+from datetime import timedelta
 
 import pytest
 
 from lavendershift.forwardedconnections import MAX_BUFFERED_BYTES, ForwardedConnections
+from lavendershift.platform.tests.listeners import Listener
+from lavendershift.platform.tests.test_callers import make_request
 
 OWN, OTHER = "127.0.0.1", "127.0.0.2"
 TIMEOUT_S = 10
@@ -185,3 +188,95 @@
         await scene.wait_gone()
 
     play(answer, work)
+
+
+class FixedForwarding:
+    """Forwards all connections to one VM while ``is_on``."""
+
+    def __init__(self, address):
+        self.address = address
+        self.is_on = True
+        self.failures = []
+
+    def choose(self):
+        return self.address if self.is_on else None
+
+    def may_shift(self):
+        return self.is_on
+
+    def note_failure(self, address):
+        self.failures.append(address)
+
+
+def play_two(work):
+    """Run ``work`` with a VM that forwards its connections, and the other VM."""
+
+    async def run():
+        other = Listener(ip=OTHER)
+        other.server.is_vm = lambda host: host == OWN
+        own = Listener(FixedForwarding(other.address), OWN)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await work(own, other)
+        finally:
+            own.server.stop_listening()
+            other.server.stop_listening()
+
+    asyncio.run(run())
+
+
+def test_a_forwarded_request_is_served_once_and_its_connection_ends():
+    async def work(own, other):
+        caller = own.connect()
+        await caller.send_all(make_request("r1") + make_request("r2"))
+        received, was_reset = await caller.read_all()
+        assert received.count(b"HTTP/1.1 200") == 1 and not was_reset
+        assert b"connection: close" in received.lower()
+        assert (own.gateway.served, other.gateway.served) == ([], ["r1"])
+
+    play_two(work)
+
+
+def test_a_vm_that_cannot_forward_serves_the_connection():
+    async def work(own, other):
+        other.server.stop_listening()
+        caller = own.connect()
+        await caller.send_all(make_request("r1"))
+        assert b"done r1" in await caller.read_until(b"done r1")
+        assert own.gateway.served == ["r1"]
+
+    play_two(work)
+
+
+def test_callers_of_an_overloaded_vm_are_asked_to_connect_anew():
+    async def work(own, other):
+        forwarding = own.server._forwarding
+        forwarding.is_on = False
+        caller = own.connect()
+        await caller.send_all(make_request("r1"))
+        assert b"close" not in (await caller.read_until(b"done r1")).lower()
+        forwarding.is_on = True
+        await caller.send_all(make_request("r2"))
+        received, _ = await caller.read_all()
+        assert b"done r2" in received and b"connection: close" in received.lower()
+
+    play_two(work)
+
+
+@pytest.mark.parametrize("path", ["/slow", "/stream"])
+def test_a_stop_waits_for_forwarded_requests(path):
+    """The VM that stops can't see requests in the bytes, and must not cut them off."""
+
+    async def work(own, other):
+        caller = own.connect()
+        await caller.send_all(make_request("r1", path))
+        async with asyncio.timeout(5):
+            while not other.gateway.served:
+                await asyncio.sleep(0.01)
+        own.server.announce_leaving()
+        own.server.stop_listening()
+        reading = asyncio.ensure_future(caller.read_until(b"done r1"))
+        await own.end_connections(timedelta(seconds=3))
+        assert b"done r1" in await reading
+
+    play_two(work)
