Forward connections by the load of the processor

By the excess of the event loop, few were forwarded: 35 streams in 4 s beside 224 that the VM served itself, with a median first event of 653 ms. Its turns took 60 to 90 ms, and a request takes some ten of them.

--- a/lavendershift/overload/meters.py
+++ b/lavendershift/overload/meters.py
@@ -39,6 +39,7 @@
 RISE_TIME = timedelta(milliseconds=150)
 FALL_TIME = timedelta(milliseconds=300)
 MIN_EXCESS = 0.05
+LOAD_TIME = timedelta(milliseconds=300)  # averaging time of the load
 MAX_EXCESS = 0.9  # with a part of the load left, the meter notices when it can be more
 
 
@@ -52,12 +53,18 @@
         self._calm_until = self._noted
         self._lag = timedelta()
         self._excess = 0.0
+        self._load = 0.0
 
     @property
     def lag(self) -> timedelta:
         """The time for which an event waited until the loop handled it."""
         return self._lag
 
+    @property
+    def load(self) -> float:
+        """The recent fraction of time in which the process used the processor."""
+        return self._load
+
     def note_pause(self, pause: Pause) -> None:
         """Note a measurement of ``PauseMeter``.
 
@@ -67,13 +74,15 @@
         turns in which the loop catches up after it.
         """
         self._noted, self._used = self._clock.elapsed(), self._read_processor()
+        duration = pause.length + INTERVAL
+        weight = 1 - math.exp(-duration / LOAD_TIME)
+        self._load += (pause.processor_time / duration - self._load) * weight
         explained = pause.processor_time * PAUSE_PER_PROCESSOR_TIME
         if pause.length - explained >= MIN_HOST_PAUSE:
             catching_up = min(pause.length, MAX_CATCHING_UP)
             self._calm_until = self._noted + catching_up
         former, self._lag = self._lag, min(pause.length, explained)
         if self._lag < LAG_LIMIT:
-            duration = pause.length + INTERVAL
             self._excess *= math.exp(-duration / FALL_TIME)
         else:
             self._excess = self._find_risen(former, self._lag)
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -280,8 +280,8 @@
         forwarding = ConnectionForwarding(
             clock,
             rng,
-            settings.failure_domain,
-            self._overload.find_excess,
+            lambda: self._overload.load,
+            self._find_forwarding_source,
             self._list_forwarding_targets,
         )
         self._callers = CallerServer(
@@ -622,6 +622,12 @@
         """Return the datagram addresses of the other active VMs."""
         return self._vms.list_peers(self._working_set.list_names())
 
+    def _find_forwarding_source(self) -> Target:
+        """Return this VM, as one that forwards connections."""
+        row = self._vms.own
+        arrivals = self._activity.measure_arrivals()
+        return Target(row.address, row.failure_domain, row.capacity, arrivals)
+
     def _list_forwarding_targets(self) -> list[Target]:
         """Return the other active VMs, which may take connections of this one."""
         rows = self._vms.find_rows(self._working_set.list_names())
