End forwarded connections that the other VM closes at once

A connection that the other VM closed before the caller's side was set up stayed open. Forwarded connections count against the limit of callers' connections.

--- a/lavendershift/forwardedconnections.py
+++ b/lavendershift/forwardedconnections.py
@@ -44,7 +44,7 @@
 
     def eof_received(self) -> bool:
         other = self._find_open_other()
-        if other is None:
+        if other is None or self.is_discarding:
             return False
         if other.can_write_eof():
             other.write_eof()
@@ -69,14 +69,20 @@
                 reset(other)
         self._on_end()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether this side is closed, or will be once what is written was sent."""
+        return self.transport is None or self.transport.is_closing()
+
     def close(self) -> None:
         """Close this side after what is written was sent."""
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and not self.is_closed:
             self.transport.close()
 
     def _find_open_other(self) -> asyncio.Transport | None:
-        transport = self.other.transport if self.other is not None else None
-        return None if transport is None or transport.is_closing() else transport
+        if self.other is None or self.other.is_closed:
+            return None
+        return self.other.transport
 
 
 class _TargetSide(_Side):
@@ -138,6 +144,9 @@
         except OSError:  # includes TimeoutError
             on_failure()
             return
+        if to_target.is_closed:
+            on_failure()
+            return
         caller = _Side(lambda: self._forget(caller))
         caller.other, to_target.other = to_target, caller
         self._callers[caller] = to_target
@@ -146,6 +155,9 @@
         except OSError:  # the caller disconnected
             self._forget(caller)
             to_target.close()
+            return
+        if to_target.is_closed and caller.transport is not None:
+            reset(caller.transport)
 
     def _forget(self, caller: _Side) -> None:
         self._callers.pop(caller, None)
@@ -160,7 +172,7 @@
         """Reset all connections, as the process ends."""
         for caller, to_target in list(self._callers.items()):
             for side in (caller, to_target):
-                if side.transport is not None and not side.transport.is_closing():
+                if side.transport is not None and not side.is_closed:
                     reset(side.transport)
 
 
--- a/lavendershift/platform/callers.py
+++ b/lavendershift/platform/callers.py
@@ -162,11 +162,11 @@
         self, connection: HTTPConnection, method: str
     ) -> CallerResponseWriter:
         """Return the writer of the response to a request of ``method``."""
-        stream = connection.stream  # type: ignore[attr-defined]
+        stream = getattr(connection, "stream", None)
         # The VM that forwards a connection doesn't know where its requests end.
-        is_last = self.is_vm(stream.address) or (
-            self._forwarding is not None and self._forwarding.may_shift()
-        )
+        is_last = stream is not None and self.is_vm(stream.address)
+        if not is_last and self._forwarding is not None:
+            is_last = self._forwarding.may_shift()
         return CallerResponseWriter(
             connection, lambda: is_last or self._is_leaving, method
         )
@@ -178,6 +178,11 @@
         """
         if self._forwarding is None or self._is_leaving or not self._forwarded.has_room:
             return False
+        if (
+            self._count_open() + DESCRIPTORS_PER_FORWARDED
+            > self._limits.caller_connections
+        ):
+            return False
         target = None if self.is_vm(address[0]) else self._forwarding.choose()
         if target is None:
             return False
@@ -223,24 +228,28 @@
 
     def count_descriptors(self) -> int:
         """Return how many descriptors connections have, open or lingering."""
-        forwarded = len(self._forwarded) * DESCRIPTORS_PER_FORWARDED
-        return self._open + self._lingering.count + forwarded
+        return self._count_open() + self._lingering.count
+
+    def _count_open(self) -> int:
+        """Return the descriptors of open connections, those that are forwarded too."""
+        return self._open + len(self._forwarded) * DESCRIPTORS_PER_FORWARDED
 
     def may_accept(self) -> bool:
         """Return whether there is a descriptor for one more connection.
 
         If there isn't, slow connections are ended for it, or one that has been idle.
         """
-        if self._open < self._limits.caller_connections:
+        if self._count_open() < self._limits.caller_connections:
             return True
         if self.clock.elapsed() - self._searched_at >= SEARCH_INTERVAL:
             self._searched_at = self.clock.elapsed()
             for victim in self.budget.find_slow()[:EVICTED_AT_ONCE]:
                 victim.evict()
             idle = self.budget.find_longest_idle()
-            if idle is not None and self._open >= self._limits.caller_connections:
+            most = self._limits.caller_connections
+            if idle is not None and self._count_open() >= most:
                 idle.evict()
-        return self._open < self._limits.caller_connections
+        return self._count_open() < self._limits.caller_connections
 
     def refuse_connection(self, endpoint: socket.socket) -> None:
         """Refuse what a new connection may request, for lack of descriptors."""
--- a/lavendershift/platform/tests/test_forwardedconnections.py
+++ b/lavendershift/platform/tests/test_forwardedconnections.py
@@ -147,6 +147,23 @@
     play(answer, work)
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_a_connection_that_the_other_vm_closes_at_once_ends(delay_s):
+    """It stayed open for ever if that came before the caller's side was set up."""
+
+    async def close(reader, writer):
+        await asyncio.sleep(delay_s)
+
+    async def work(scene):
+        reader, writer = await scene.connect()
+        await scene.wait_gone()
+        if not scene.failures:
+            assert await reader.read() == b""
+        writer.close()
+
+    play(close, work)
+
+
 def test_little_is_held_for_a_caller_that_does_not_read():
     """The bytes count against no budget, so that they have to be few."""
     sent = 0
--- a/lavendershift/tests/test_vmlist.py
+++ b/lavendershift/tests/test_vmlist.py
@@ -256,3 +256,17 @@
             make_row(name, 2, is_leaving=name == "c")._replace(peer_address=f"{name}:9")
         )
     assert [row.name for row in vms.rank_standby("plume", ["a"])] == ["b"]
+
+
+def test_hosts_of_other_vms_are_known_until_they_are_dropped():
+    """Connections from VMs may be forwarded ones, and are not forwarded again."""
+    clock = ManualClock()
+    vms = make_list(clock, "a")
+    assert not vms.is_vm("10.0.0.2")
+    vms.update(make_row("b")._replace(peer_address="10.0.0.2:90"))
+    assert vms.is_vm("10.0.0.2") and not vms.is_vm("10.0.0.3")
+    vms.update(make_row("b", renewal=2)._replace(peer_address="10.0.0.3:90"))
+    assert vms.is_vm("10.0.0.3") and not vms.is_vm("10.0.0.2")
+    renew(vms, clock, ["a"], ROW_EXPIRY / 2)
+    renew(vms, clock, ["a"], ROW_EXPIRY)
+    assert not vms.is_vm("10.0.0.3")
--- a/lavendershift/vmlist.py
+++ b/lavendershift/vmlist.py
@@ -105,6 +105,7 @@
         self._find_silence: Callable[[str], timedelta | None] = lambda name: None
         self.own = own
         self._known: dict[str, _KnownVm] = {}
+        self._hosts: set[str] | None = None  # of the other VMs, if they were collected
         # The incarnation and renewal number of the newest row of each VM.
         self._newest_renewals: dict[str, tuple[str, int]] = {}
         # The last incarnation of each VM that announced its shutdown.
@@ -142,6 +143,8 @@
         if self._leaving_incarnations.get(row.name) == row.incarnation:
             row = row._replace(is_leaving=True)
         known = self._known.get(row.name)
+        if known is None or known.row.peer_address != row.peer_address:
+            self._hosts = None
         has_renewed = is_new or (known is not None and known.has_renewed)
         self._known[row.name] = _KnownVm(row, self._clock.elapsed(), has_renewed)
         if known is None:
@@ -185,6 +188,7 @@
         ]
         for name in expired:
             del self._known[name]
+            self._hosts = None
         return expired
 
     def count(self) -> int:
@@ -203,10 +207,10 @@
 
     def is_vm(self, host: str) -> bool:
         """Whether a host is another VM."""
-        return any(
-            known.row.peer_address.rpartition(":")[0] == host
-            for known in self._known.values()
-        )
+        if self._hosts is None:
+            rows = (known.row for known in self._known.values())
+            self._hosts = {row.peer_address.rpartition(":")[0] for row in rows}
+        return host in self._hosts
 
     def list_domain_peers(self) -> list[str]:
         """Return the names of the other VMs in this VM's failure domain."""
