--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -50,6 +50,8 @@
     count_server_connections,
     derive_limits,
 )
+from lavendershift.overload.forwarding import ConnectionForwarding, Target
+from lavendershift.overload.meters import OverloadMeter
 from lavendershift.permits import Permits
 from lavendershift.platform.callers import CallerServer
 from lavendershift.platform.directory import SyncHttpServer, VmDirectory
@@ -269,10 +271,26 @@
             RetryBounds(settings.retry_share, settings.retry_slack),
             self._find_retry_share,
         )
+        self._overload = OverloadMeter(clock, read_processor_time)
+        self._gateway.admission.find_excess = self._overload.find_excess
+        self._gateway.admission.find_lag = lambda: self._overload.lag
         self._gateway.take_trial = self._crash_control.trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
-        self._callers = CallerServer(clock, self._gateway, memory, self._budget)
+        forwarding = ConnectionForwarding(
+            clock,
+            rng,
+            self._measure_load,
+            self._find_forwarding_source,
+            self._list_forwarding_targets,
+        )
+        self._callers = CallerServer(
+            clock, self._gateway, memory, self._budget, forwarding, settings.ip
+        )
+        self._callers.is_vm = self._vms.is_vm
+        self._callers.on_forwarded = lambda outcome: self._instruments.count(
+            "connections_forwarded", outcome
+        )
         self._connections.find_limit = lambda: count_server_connections(
             memory, self._callers.count_descriptors()
         )
@@ -300,7 +318,12 @@
             self._handle_metrics, METRICS_TYPE, METRICS_CONNECTIONS
         )
         pause_reports = PauseReports(clock, log, self._instruments)
-        self._pauses = PauseMeter(clock, read_processor_time, pause_reports.report)
+        self._pauses = PauseMeter(
+            clock,
+            read_processor_time,
+            pause_reports.report,
+            self._overload.note_pause,
+        )
         self._configuration = ConfigurationFeed(
             clock,
             self._store,
@@ -509,6 +532,7 @@
         instruments.set_gauge("servers_cold", self._servers.cold.count())
         quarantines = len(self._crash_control.quarantine.list_active())
         instruments.set_gauge("quarantines", quarantines)
+        instruments.set_gauge("overload_excess", self._overload.find_excess())
         instruments.set_gauge("held_bytes", self._budget.used)
         instruments.set_gauge("vms", self._vms.count())
         instruments.set_gauge("vms_active", self._working_set.count())
@@ -598,6 +622,29 @@
         """Return the datagram addresses of the other active VMs."""
         return self._vms.list_peers(self._working_set.list_names())
 
+    def _measure_load(self) -> float:
+        """Return the load of the processor, 1 if the event loop can't keep up.
+
+        A host may limit the processor time to less than a core, so that the measured
+        load stays low.
+        """
+        return 1.0 if self._overload.find_excess() else self._overload.load
+
+    def _find_forwarding_source(self) -> Target:
+        """Return this VM, as one that forwards connections."""
+        row = self._vms.own
+        arrivals = self._activity.measure_arrivals()
+        return Target(row.address, row.failure_domain, row.capacity, arrivals)
+
+    def _list_forwarding_targets(self) -> list[Target]:
+        """Return the other active VMs, which may take connections of this one."""
+        rows = self._vms.find_rows(self._working_set.list_names())
+        return [
+            Target(row.address, row.failure_domain, row.capacity, row.arrivals)
+            for row in rows
+            if row.address and not row.is_leaving
+        ]
+
     def _list_heartbeat_peers(self) -> list[Peer]:
         """Return the VMs that get this VM's heartbeats, none while it stands by.
 
