Refuse and forward under overload only where the settings ask for it

Forwarding helped until 8 s, and then cost callers of the other domains: more processor time, and a customer's tokens spread over more VMs.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -272,17 +272,14 @@
             self._find_retry_share,
         )
         self._overload = OverloadMeter(clock, read_processor_time)
-        self._gateway.admission.find_excess = self._overload.find_excess
-        self._gateway.admission.find_lag = lambda: self._overload.lag
+        if settings.refuses_overload:
+            self._gateway.admission.find_excess = self._overload.find_excess
+            self._gateway.admission.find_lag = lambda: self._overload.lag
         self._gateway.take_trial = self._crash_control.trials.take
         self._gateway.on_arrival = self._activity.note_arrival
         self._gateway.estimate_peer_tokens = self._estimate_peer_tokens
-        forwarding = ConnectionForwarding(
-            clock,
-            rng,
-            self._measure_load,
-            self._find_forwarding_source,
-            self._list_forwarding_targets,
+        forwarding = (
+            self._make_forwarding(rng) if settings.forwards_connections else None
         )
         self._callers = CallerServer(
             clock, self._gateway, memory, self._budget, forwarding, settings.ip
@@ -356,6 +353,15 @@
             self._activity.is_active,
         )
 
+    def _make_forwarding(self, rng: random.Random) -> ConnectionForwarding:
+        return ConnectionForwarding(
+            self._clock,
+            rng,
+            self._measure_load,
+            self._find_forwarding_source,
+            self._list_forwarding_targets,
+        )
+
     def _make_places(self, rng: random.Random) -> ServerPlaces:
         places = ServerPlaces(
             self._clock, rng, self._servers, self._datagrams, self._find_keeper
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -46,6 +46,9 @@
     max_fds: int = DEFAULT_MAX_FDS  # file descriptors that the process may open
     # Whether places at plain servers with few slots are granted by one VM.
     shares_places: bool = False
+    # Whether requests are refused, and connections forwarded, on a busy VM.
+    refuses_overload: bool = False
+    forwards_connections: bool = False
 
 
 class SettingsError(Exception):
@@ -75,6 +78,7 @@
 def _decode_sections(data: dict[str, Any]) -> NodeSettings:
     listen, bounds, store = data["listen"], data["bounds"], data["platform"]
     limits = data.get("limits", {})
+    overload = data.get("overload", {})
     return NodeSettings(
         name=str(data["node"]),
         role=str(data["role"]),
@@ -103,6 +107,8 @@
         memory_mb=float(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         max_fds=int(limits.get("max_fds", DEFAULT_MAX_FDS)),
         shares_places=bool(data.get("servers", {}).get("shares_places", False)),
+        refuses_overload=bool(overload.get("refuses", False)),
+        forwards_connections=bool(overload.get("forwards_connections", False)),
     )
 
 
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -104,6 +104,24 @@
     assert 'lavendershift_places_total{outcome="granted"} 40.0' in text
 
 
+def test_a_calm_vm_that_may_refuse_and_forward_serves_all_requests(tmp_path):
+    """Both are off by default, so that other tests don't run their composition."""
+    platform = Platform(tmp_path, nodes=2)
+    for node in platform.nodes:
+        text = node.settings.read_text()
+        settings = "[overload]\nrefuses = true\nforwards_connections = true\n"
+        node.settings.write_text(text + settings)
+    try:
+        platform.start()
+        for number in range(20):
+            for node in platform.nodes:
+                assert node.ask(f"{node.name}-{number}").status == 200
+        text = platform.nodes[0].get(9464, "/metrics").body.decode()
+        assert "lavendershift_overload_excess 0.0" in text
+    finally:
+        platform.stop()
+
+
 @pytest.mark.parametrize(
     "head",
     [
