Log what the reading of a configuration cost, and what version refused

A version that was late at a VM could not be told from one that was written late: its line had the duration of the reading alone.

A request refused with 404 or 401 had version 0 in its line, as the version was noted after the admission; it has the version that refused it.

No decision changes. Both tests fail on the code before.

--- a/lavendershift/gateway.py
+++ b/lavendershift/gateway.py
@@ -174,9 +174,9 @@
             raise RequestError(ErrorKind.STOPPING)
         if table is None:
             raise RequestError(ErrorKind.STARTING)
+        trace.version = trace.current_version = table.version
         route, customer = admit(table, request)
         trace.route = route.name
-        trace.version = table.version
         trace.customer = customer.name if customer else ""
         work = describe_work(request, route, customer)
         self.admission.admit(work)
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -194,8 +194,11 @@
     processor_ms: int
     progress: str
     ran: str
+    read_bytes: int
     read_ms: int
     reason: str
+    records: int
+    records_left: int
     result: str
     resumed_after: str
     route: str
@@ -203,6 +206,7 @@
     served: int
     server: str
     silent_ms: int
+    source: str
     stage: str
     status: int
     stream: str
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from datetime import timedelta
+from typing import NamedTuple
 
 from lavendershift.clocks import Clock
 from lavendershift.errors import DecodeError, LogUnavailableError
@@ -39,6 +40,22 @@
 MIN_SNAPSHOT_AGE = timedelta(seconds=3)
 
 
+class Reading(NamedTuple):
+    """What one reading of a topic brought, and how long it took.
+
+    ``called_at`` is the begin of its call and ``received_at`` the time of the first
+    byte, as the time on the feed's clock. ``left`` is the number of records that the
+    partition had beyond those read.
+    """
+
+    called_at: timedelta = timedelta()
+    received_at: timedelta = timedelta()
+    records: int = 0
+    size: int = 0  # bytes of the records' values
+    left: int = 0
+    is_snapshot: bool = False
+
+
 class Feed:
     """A loop that follows a topic and survives outages of the store.
 
@@ -66,7 +83,7 @@
         self.restored_at: timedelta | None = None
         self._history: History | None = None
         self.measure: Callable[[str], AbstractContextManager[object]] = nullcontext
-        self._receiving_since = timedelta()
+        self.reading = Reading()
         self._schedule = ReadSchedule()
         self._calls: dict[asyncio.Task[ReadResult], int] = {}
 
@@ -110,14 +127,15 @@
         is_hedge = bool(self._calls) or self._unreachable_since is not None
         schedule, clock = self._schedule, self._clock
         wait = timedelta() if is_hedge else self._reader.wait
-        number = schedule.start(clock.elapsed(), wait)
+        began = clock.elapsed()
+        number = schedule.start(began, wait)
 
         def note_connected() -> None:
             schedule.note_connected(number, clock.elapsed())
 
         def note_bytes() -> None:
             if schedule.note_bytes(number, clock.elapsed()):
-                self._receiving_since = clock.elapsed()
+                self.reading = Reading(began, clock.elapsed())
                 for task, other in list(self._calls.items()):
                     if other != number:
                         task.cancel()
@@ -193,6 +211,12 @@
                 Event.STORE_RESTORED, name=self.name, version=batch.history.era
             )
         self._history = batch.history
+        self.reading = self.reading._replace(
+            records=len(batch.records),
+            size=sum(len(record.value) for record in batch.records),
+            left=max(batch.end - batch.next_offset, 0),
+            is_snapshot=is_snapshot,
+        )
         with self.measure(self.name):
             self.apply_records(batch.records, is_snapshot)
         if was_unreachable:
@@ -280,13 +304,19 @@
         for reason in decoded.skipped:
             self.skips.note(self.kind, reason)
         self._version = table.version
+        reading = self.reading
         self._log.write(
             Event.CONFIGURATION_CHANGED,
             version=table.version,
             offset=record.offset,
             routes=table.count_routes(),
             bytes=len(record.value),
-            read_ms=in_milliseconds(began - self._receiving_since),
+            source="snapshot" if reading.is_snapshot else "log",
+            records=reading.records,
+            records_left=reading.left,
+            read_bytes=reading.size,
+            first_ms=in_milliseconds(reading.received_at - reading.called_at),
+            read_ms=in_milliseconds(began - reading.received_at),
             build_ms=in_milliseconds(self._clock.elapsed() - began),
         )
         return True
--- a/lavendershift/platform/tests/test_feed_schedules.py
+++ b/lavendershift/platform/tests/test_feed_schedules.py
@@ -147,6 +147,16 @@
     assert world.find_lateness(51) <= 0
 
 
+def test_log_line_of_a_version_tells_what_its_reading_cost():
+    """A late version could not be told from one that was read late."""
+    world = FeedWorld(10, lambda now: 0.01, []).play([(1, 1, 20), (5.3, 51, 600)], 8.0)
+    lines = [e for e in world.lines if e["event"] == "configuration_changed"]
+    line = lines[-1]
+    assert (line["source"], line["records"], line["records_left"]) == ("log", 1, 0)
+    assert line["read_bytes"] == line["bytes"] > 100_000
+    assert line["read_ms"] > 50
+
+
 def test_a_short_failure_costs_no_snapshot():
     """A snapshot is larger than a reading without a new version."""
     world = FeedWorld(10, lambda now: 0.01, [(15.0, 15.3)])
--- a/lavendershift/platform/tests/test_nodes.py
+++ b/lavendershift/platform/tests/test_nodes.py
@@ -61,6 +61,8 @@
 def test_refused_requests_get_their_status_and_reach_no_server(platform):
     (node,) = platform.nodes
     assert node.ask("r1", path="/nowhere/").status == 404
+    (refusal,) = node.find_log_lines("request_refused", request="r1")
+    assert refusal["version"] == refusal["current_version"] == 7
     assert node.ask("r2", Authorization="Bearer other").status == 401
     too_much = node.ask("r3", tokens=(200_000, 10))
     assert too_much.status == 429
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -25,9 +25,10 @@
 class RequestTrace:
     """Data of one request that its last log line reports.
 
-    ``version`` is the version of the configuration it was admitted under,
-    ``current_version`` the one in force when it ended, ``waited`` the time it waited
-    for tokens. ``ending`` is set if it ended without a complete response.
+    ``version`` is the version of the configuration that admitted it, or refused it for
+    its path or key, ``current_version`` the one in force when it ended, ``waited`` the
+    time it waited for tokens. ``ending`` is set if it ended without a complete
+    response.
     """
 
     def __init__(self, request: CallerRequest) -> None:
