--- /dev/null
+++ b/lavendershift/platform/tests/feedfleet.py
@@ -0,0 +1,109 @@
+"""VMs that follow the configuration over links of their own, in virtual time."""
+
+import asyncio
+from datetime import timedelta
+
+import logbook
+
+from lavendershift.logs import EventLog
+from lavendershift.platform import names
+from lavendershift.platform.feeds import ConfigurationFeed
+from lavendershift.platform.store import StoreClient
+from lavendershift.platform.tests.conftest import make_configuration
+from lavendershift.platform.tests.storelinks import Link, LinkedPool, LinkedStore
+from lavendershift.tests.virtualloop import VirtualLoop
+
+STABLE_WINDOW = timedelta(seconds=4)
+STORE_MBPS, STORE_ROUND_TRIP_S = 1000, 0.002
+
+
+class LinkSpeed:
+    """Rate of a VM's link in Mbit/s, and the time of its round trip in seconds."""
+
+    def __init__(self, mbps, round_trip_s):
+        self.mbps, self.round_trip_s = mbps, round_trip_s
+
+
+class FeedVm:
+    """A VM; ``in_force`` has the times at which versions came into force."""
+
+    def __init__(self, fleet, number, speed):
+        loop = fleet.loop
+        self.name = f"edge-{number}"
+        self.in_force = {}
+        self.link = Link(
+            loop, speed.mbps, lambda now: speed.round_trip_s, has_window=True
+        )
+        pool = LinkedPool(loop, fleet.store, self.link)
+        client = StoreClient("store:1", pool, loop)
+        self.handler = logbook.TestHandler()
+        log = EventLog(self.handler, self.name, "rennes", loop)
+        self.feed = ConfigurationFeed(loop, client, log, self._accept, STABLE_WINDOW)
+        self._loop = loop
+
+    def _accept(self, table):
+        self.in_force[table.version] = self._loop.time()
+
+    def find_time(self, version):
+        """Return when a version, or a newer one, came into force."""
+        times = [at for v, at in self.in_force.items() if v >= version]
+        return min(times, default=float("inf"))
+
+
+class FeedFleet:
+    """VMs with links of the given speeds, and a store whose link is fast."""
+
+    def __init__(self, speeds):
+        self.loop = VirtualLoop()
+        link = Link(self.loop, STORE_MBPS, lambda now: STORE_ROUND_TRIP_S)
+        self.store = LinkedStore(link)
+        self.vms = [FeedVm(self, n, speed) for n, speed in enumerate(speeds)]
+        self.written = {}
+
+    def play(self, versions, length_s):
+        """Write configurations, given as pairs of a time and a body."""
+        with asyncio.Runner(loop_factory=lambda: self.loop) as runner:
+            runner.run(self._play(versions, length_s))
+        return self
+
+    async def _play(self, versions, length_s):
+        running = [asyncio.ensure_future(vm.feed.run()) for vm in self.vms]
+        for version, (at, body) in enumerate(versions, 1):
+            await asyncio.sleep(at - self.loop.time())
+            self.written[version] = self.loop.time()
+            self.store.append(names.OPERATOR_TOPIC, names.CONFIGURATION_KEY, body)
+        await asyncio.sleep(length_s - self.loop.time())
+        for task in running:
+            task.cancel()
+        await asyncio.wait(running)
+
+    def measure_delays(self, vm):
+        """Return after how many seconds each version was in force at ``vm``."""
+        return {v: vm.find_time(v) - at for v, at in self.written.items()}
+
+
+def make_versions(times, routes):
+    """Return pairs of times and configurations of ``routes`` routes and more."""
+    template = {
+        "host": "books.example",
+        "kind": "streaming",
+        "timeout_ms": 5000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": "pool",
+        "max_attempts": 2,
+        "resumable": True,
+    }
+    return [
+        (
+            at,
+            make_configuration(
+                version=version,
+                routes=[
+                    template | {"name": f"r-{n}", "path_prefix": f"/{n}/"}
+                    for n in range(routes + version)
+                ],
+            ),
+        )
+        for version, at in enumerate(times, 1)
+    ]
--- a/lavendershift/platform/tests/storelinks.py
+++ b/lavendershift/platform/tests/storelinks.py
@@ -27,10 +27,14 @@
 
 
 class Link:
-    """The link of a VM; ``round_trip`` returns its time in seconds at a time."""
+    """The link of a VM; ``round_trip`` returns its time in seconds at a time.
 
-    def __init__(self, loop, mbps, round_trip, outages=()):
+    A connection with a send window gets one window of bytes in each round trip.
+    """
+
+    def __init__(self, loop, mbps, round_trip, outages=(), has_window=False):
         self.loop = loop
+        self.has_window = has_window
         self.bytes_per_s = mbps * 1e6 / 8
         self.round_trip = round_trip
         self.outages = outages
@@ -55,10 +59,15 @@
 
 
 class LinkedStore:
-    """Keyed topics; records are pairs of key and value."""
+    """Keyed topics; records are pairs of key and value.
+
+    While ``has_lost_wakeups``, a call that waits for a record is answered at the end
+    of its wait only.
+    """
 
     def __init__(self, link):
         self.link = link
+        self.has_lost_wakeups = False
         self.topics = {}
         self.changed = asyncio.Event()
         self.calls = []  # paths and times of the calls that arrived
@@ -83,6 +92,9 @@
         offset = int(query["from"])
         wait_until = self.link.loop.time() + int(query.get("wait_ms", 0)) / 1000
         while len(records) <= offset and self.link.loop.time() < wait_until:
+            if self.has_lost_wakeups:
+                await asyncio.sleep(wait_until - self.link.loop.time())
+                break
             try:
                 async with asyncio.timeout_at(wait_until):
                     await self.changed.wait()
@@ -107,11 +119,11 @@
 
 
 class LinkedConnection:
-    """A connection to the store over the link."""
+    """A connection to the store over a link."""
 
-    def __init__(self, store, address):
+    def __init__(self, store, link, address):
         self.store = store
-        self.link = store.link
+        self.link = link
         self.address = address
         self.is_closed = False
         self.is_silent = False
@@ -124,6 +136,9 @@
         reader.start(200, HTTPHeaders())
         for begin in range(0, len(body), WINDOW_BYTES):
             window = body[begin : begin + WINDOW_BYTES]
+            if begin and self.link.has_window:
+                await self._carry()
+                await self._carry()
             for position in range(0, len(window), CHUNK_BYTES):
                 chunk = window[position : position + CHUNK_BYTES]
                 await self._sleep_until(self.link.reserve(len(chunk)))
@@ -152,10 +167,10 @@
 class LinkedPool(ConnectionPool):
     """Opens connections to a store over its link."""
 
-    def __init__(self, loop, store):
+    def __init__(self, loop, store, link=None):
         super().__init__(loop)
         self.store = store
-        self.link = store.link
+        self.link = link or store.link
         self.attempts = 0
 
     async def connect(self, address, timeout):
@@ -166,7 +181,7 @@
         except TimeoutError:
             raise ConnectError(f"{address}: TimeoutError") from None
         self.opened += 1
-        return LinkedConnection(self.store, address)
+        return LinkedConnection(self.store, self.link, address)
 
     async def _shake_hands(self):
         began = self.link.loop.time()
--- a/lavendershift/tests/virtualloop.py
+++ b/lavendershift/tests/virtualloop.py
@@ -8,11 +8,15 @@
 class VirtualSelector(selectors.DefaultSelector):
     """Advances its time instead of waiting."""
 
-    now = 0.0
+    now = turn_s = 0.0
+
+    def be_busy(self, turn_s):
+        """Let each turn of the event loop take some seconds from now on."""
+        self.turn_s = turn_s
 
     def select(self, timeout=None):
         assert timeout is not None, "no event is scheduled"
-        self.now += max(timeout, 0)
+        self.now += max(timeout, self.turn_s)
         return super().select(0)
 
 
