Read the configuration periodically in place of waiting for a change

Callers would see: a version that is 2.2 s late at a VM that others have had all the time.

Cause: a call waited up to 2.2 s for a record, and the VM relied on being woken. A call that the store answers at the end of its wait only costs the whole wait, most of the 3 s that a change has. The wait followed from the time in which a silent connection is found, not from the time within which a change is due.

Change: readings in intervals of a fifth of the time that a change has, a third on standby, as for the entries of servers. No call waits.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -326,8 +326,9 @@
             self._store,
             log,
             self._accept_table,
-            settings.stable_window,
+            settings.apply_time,
             self._servers.evacuations,
+            self._activity.is_active,
         )
         self._server_feed = ServerFeed(
             clock,
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -29,13 +29,10 @@
 from lavendershift.skips import SkipReports
 from lavendershift.storehistories import History
 
-MIN_LONG_POLL = timedelta(milliseconds=1200)  # shortest wait for a new configuration
-MAX_LONG_POLL = timedelta(seconds=3)  # longest wait for a new configuration
-# Time until a connection that has fallen silent is detected and given up.
-DETECTION_TIME = timedelta(milliseconds=1800)
-# Readings within the drain time, in which a leaving server may still get requests.
-READS_PER_DRAIN = 5
-STANDBY_READS_PER_DRAIN = 3  # number of readings within the drain time on a standby VM
+# Readings within the time in which a change has to be in force: that until a new
+# configuration is, or a leaving server gets no more requests.
+READS_PER_CHANGE = 5
+STANDBY_READS_PER_CHANGE = 3  # the same on a standby VM
 # Age of the last reading from which the log holds several records of most keys.
 MIN_SNAPSHOT_AGE = timedelta(seconds=3)
 
@@ -53,7 +50,6 @@
     records: int = 0
     size: int = 0  # bytes of the records' values
     left: int = 0
-    is_snapshot: bool = False
 
 
 class Feed:
@@ -215,7 +211,6 @@
             records=len(batch.records),
             size=sum(len(record.value) for record in batch.records),
             left=max(batch.end - batch.next_offset, 0),
-            is_snapshot=is_snapshot,
         )
         with self.measure(self.name):
             self.apply_records(batch.records, is_snapshot)
@@ -230,22 +225,18 @@
             self._log.write(Event.DEPENDENCY_LOST, name=self.name, reason=str(error))
 
 
-def find_long_poll_time(stable_window: timedelta) -> timedelta:
-    """Return how long a call waits for a new configuration.
-
-    A connection that has fallen silent is detected only after that time and
-    ``DETECTION_TIME``. Both have to fit in ``stable_window``, the time in which a VM
-    may still use an old configuration.
-    """
-    return min(max(stable_window - DETECTION_TIME, MIN_LONG_POLL), MAX_LONG_POLL)
+def find_interval(change_time: timedelta, is_active: bool) -> timedelta:
+    """Return the interval between readings of what changes within ``change_time``."""
+    return change_time / (READS_PER_CHANGE if is_active else STANDBY_READS_PER_CHANGE)
 
 
 class ConfigurationFeed(Feed):
     """Follows the operator's configuration; its version never decreases.
 
-    ``stable_window`` is the time after a connection fault in which a VM may still use
-    an old configuration. ``evacuations`` gets the evacuations that the operator
-    requests, before a VM that starts has a configuration and serves.
+    ``apply_time`` is the time within which a new version has to be in force. The store
+    isn't asked to wait for one, as a wake-up that is lost would cost the whole wait.
+    ``evacuations`` gets the evacuations that the operator requests, before a VM that
+    starts has a configuration and serves.
     """
 
     name = kind = "configuration"
@@ -257,22 +248,30 @@
         store: StoreClient,
         log: EventLog,
         accept: Callable[[RoutingTable], None],
-        stable_window: timedelta,
+        apply_time: timedelta,
         evacuations: Evacuations | None = None,
+        is_active: Callable[[], bool] = lambda: True,
     ) -> None:
-        wait = find_long_poll_time(stable_window)
-        reader = TopicReader(store, names.OPERATOR_TOPIC, wait)
+        reader = TopicReader(store, names.OPERATOR_TOPIC, timedelta())
         super().__init__(clock, reader, log)
         self._accept = accept
+        self._apply_time = apply_time
         self._evacuations = evacuations or Evacuations()
+        self._is_active = is_active
         self._version: int | None = None
 
+    async def pause(self) -> None:
+        """Wait for further versions."""
+        interval = find_interval(self._apply_time, self._is_active())
+        await asyncio.sleep(interval.total_seconds())
+
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Apply evacuations, and the newest valid configuration among ``records``."""
         self._apply_evacuations(records, is_snapshot)
         for record in reversed(records):
-            is_configuration = record.key == names.CONFIGURATION_KEY
-            if is_configuration and record.value and self._activate(record):
+            if record.key != names.CONFIGURATION_KEY or not record.value:
+                continue
+            if self._activate(record, "snapshot" if is_snapshot else "log"):
                 return
 
     def _apply_evacuations(self, records: list[Record], is_snapshot: bool) -> None:
@@ -290,7 +289,7 @@
     def _note_odd(self, error: DecodeError) -> None:
         self.skips.note(error.location, error.reason)
 
-    def _activate(self, record: Record) -> bool:
+    def _activate(self, record: Record, source: str) -> bool:
         began = self._clock.elapsed()
         try:
             decoded = decode_configuration(record.value)
@@ -311,7 +310,7 @@
             offset=record.offset,
             routes=table.count_routes(),
             bytes=len(record.value),
-            source="snapshot" if reading.is_snapshot else "log",
+            source=source,
             records=reading.records,
             records_left=reading.left,
             read_bytes=reading.size,
@@ -360,8 +359,8 @@
 
     async def pause(self) -> None:
         """Wait for further entries, as each server writes one about every second."""
-        reads = READS_PER_DRAIN if self._is_active() else STANDBY_READS_PER_DRAIN
-        await asyncio.sleep((self._drain / reads).total_seconds())
+        interval = find_interval(self._drain, self._is_active())
+        await asyncio.sleep(interval.total_seconds())
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Update servers from their entries; drop those missing after their grace."""
--- a/lavendershift/platform/nodesettings.py
+++ b/lavendershift/platform/nodesettings.py
@@ -30,6 +30,7 @@
     grace: timedelta  # time from the stop signal until the process is killed
     drain: timedelta  # time in which a leaving server may still get requests
     heartbeat_interval: timedelta  # interval between two entries that a server writes
+    apply_time: timedelta  # time until a new configuration has to be in force
     stable_window: timedelta  # time after a fault until the VM counts as recovered
     # Number of retries allowed for each request, over the whole fleet.
     retry_share: float
@@ -94,6 +95,7 @@
         grace=timedelta(seconds=bounds["grace_s"]),
         drain=timedelta(milliseconds=bounds["drain_ms"]),
         heartbeat_interval=timedelta(milliseconds=data.get("heartbeat_ms", 1200)),
+        apply_time=timedelta(milliseconds=bounds.get("config_apply_ms", 2000)),
         stable_window=timedelta(milliseconds=bounds.get("stable_window_ms", 3000)),
         retry_share=float(bounds["retry_budget_ratio"]),
         retry_slack=float(bounds["retry_budget_slack"]),
--- a/lavendershift/platform/tests/feedfleet.py
+++ b/lavendershift/platform/tests/feedfleet.py
@@ -13,7 +13,7 @@
 from lavendershift.platform.tests.storelinks import Link, LinkedPool, LinkedStore
 from lavendershift.tests.virtualloop import VirtualLoop
 
-STABLE_WINDOW = timedelta(seconds=4)
+APPLY_TIME = timedelta(seconds=3)
 STORE_MBPS, STORE_ROUND_TRIP_S = 1000, 0.002
 
 
@@ -38,7 +38,7 @@
         client = StoreClient("store:1", pool, loop)
         self.handler = logbook.TestHandler()
         log = EventLog(self.handler, self.name, "rennes", loop)
-        self.feed = ConfigurationFeed(loop, client, log, self._accept, STABLE_WINDOW)
+        self.feed = ConfigurationFeed(loop, client, log, self._accept, APPLY_TIME)
         self._loop = loop
 
     def _accept(self, table):
--- a/lavendershift/platform/tests/test_feed_schedules.py
+++ b/lavendershift/platform/tests/test_feed_schedules.py
@@ -72,9 +72,9 @@
         client = StoreClient("store:1", self.pool, self.loop)
         handler = logbook.TestHandler()
         log = EventLog(handler, "edge-1", "rennes", self.loop)
-        window = timedelta(seconds=STABLE_WINDOW_S)
+        apply_time = timedelta(seconds=CONFIG_APPLY_S)
         feeds = [
-            ConfigurationFeed(self.loop, client, log, self._accept, window),
+            ConfigurationFeed(self.loop, client, log, self._accept, apply_time),
             OtherFeed(self.loop, client, names.SERVERS_TOPIC, log),
             OtherFeed(self.loop, client, names.VMS_TOPIC, log),
         ]
--- a/lavendershift/tests/test_readschedules.py
+++ b/lavendershift/tests/test_readschedules.py
@@ -4,7 +4,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lavendershift.platform.feeds import DETECTION_TIME, MIN_LONG_POLL
 from lavendershift.readschedules import (
     MAX_CONCURRENT_CALLS,
     MAX_DELAY,
@@ -16,6 +15,8 @@
 MS = timedelta(milliseconds=1)
 SECOND = timedelta(seconds=1)
 NO_WAIT = timedelta()
+WAIT = 1200 * MS  # time that a log may wait for a record
+DETECTION_TIME = 1800 * MS  # time until a connection that fell silent is given up
 
 
 @pytest.fixture
@@ -65,14 +66,13 @@
 
 def test_one_slow_connect_does_not_delay_later_detection(schedule):
     """A silent connection was detected 2 s later ever after."""
-    wait = MIN_LONG_POLL
-    call = schedule.start(SECOND, wait)
+    call = schedule.start(SECOND, WAIT)
     schedule.note_connected(call, 3 * SECOND)
-    schedule.note_bytes(call, 3 * SECOND + wait)
+    schedule.note_bytes(call, 3 * SECOND + WAIT)
     schedule.clear()
-    call = schedule.start(60 * SECOND, wait)  # on the connection that was kept
+    call = schedule.start(60 * SECOND, WAIT)  # on the connection that was kept
     schedule.note_connected(call, 60 * SECOND)
-    assert schedule.plan(60 * SECOND + wait + DETECTION_TIME).starts_call
+    assert schedule.plan(60 * SECOND + WAIT + DETECTION_TIME).starts_call
 
 
 def test_the_next_call_after_a_failure_starts_after_an_interval(schedule):
