Tell other VMs a new configuration as a patch

Callers would see: an old version in use up to seconds too long at a VM whose link is congested, while versions come in quick succession.

Cause: a VM read every version whole, older ones before the newest, though only the newest counts.

Change: a VM that puts a new version into force tells five others the change, a patch of some 100 bytes in one datagram, and so do those. Readings of the store go on below, and nothing depends on a datagram. A VM skips a record only if it has it or knows that it is an older version of the same key.

--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -64,6 +64,10 @@
     "attempts_beside": Instrument(
         "Attempts begun while another one was silent, by how they ended.", ("end",)
     ),
+    "version_notices": Instrument(
+        "Notices of configurations from other VMs, by what became of them.",
+        ("outcome",),
+    ),
     "permits": Instrument(
         "Permits needed for requests to servers with limits, by outcome.", ("outcome",)
     ),
--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -70,6 +70,7 @@
 from lavendershift.platform.store import StoreClient
 from lavendershift.prepaid import LARGE_FLEET
 from lavendershift.preparations import Backends
+from lavendershift.recordexchange import RecordExchange
 from lavendershift.requestreports import RequestReports
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlimits import LimitState
@@ -325,11 +326,23 @@
             clock,
             self._store,
             log,
+            rng,
             self._accept_table,
             settings.apply_time,
             self._servers.evacuations,
             self._activity.is_active,
         )
+        self._exchange = RecordExchange(
+            rng,
+            self._datagrams,
+            self._list_all_peers,
+            self._configuration.accept_version,
+        )
+        self._exchange.on_missed = self._configuration.note_missed
+        self._exchange.on_notice = lambda outcome: self._instruments.count(
+            "version_notices", outcome
+        )
+        self._configuration.on_read = self._exchange.note
         self._server_feed = ServerFeed(
             clock,
             self._store,
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import random
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from datetime import timedelta
@@ -23,6 +25,7 @@
 from lavendershift.platform.storerecords import Batch, Record
 from lavendershift.platform.topicreaders import ReadResult, TopicReader
 from lavendershift.readschedules import ReadSchedule
+from lavendershift.recordexchange import Place, Version
 from lavendershift.routes import RoutingTable
 from lavendershift.serverlist import ServerList
 from lavendershift.serverstates import ServerEntry
@@ -33,6 +36,9 @@
 # configuration is, or a leaving server gets no more requests.
 READS_PER_CHANGE = 5
 STANDBY_READS_PER_CHANGE = 3  # the same on a standby VM
+# Shortest part of the interval, as VMs that read at the same time could tell each other
+# nothing new.
+MIN_INTERVAL_PART = 0.75
 # Age of the last reading from which the log holds several records of most keys.
 MIN_SNAPSHOT_AGE = timedelta(seconds=3)
 
@@ -236,7 +242,8 @@
     ``apply_time`` is the time within which a new version has to be in force. The store
     isn't asked to wait for one, as a wake-up that is lost would cost the whole wait.
     ``evacuations`` gets the evacuations that the operator requests, before a VM that
-    starts has a configuration and serves.
+    starts has a configuration and serves. ``on_read`` is called with each version that
+    was read and put into force.
     """
 
     name = kind = "configuration"
@@ -247,23 +254,51 @@
         clock: Clock,
         store: StoreClient,
         log: EventLog,
+        rng: random.Random,
         accept: Callable[[RoutingTable], None],
         apply_time: timedelta,
         evacuations: Evacuations | None = None,
         is_active: Callable[[], bool] = lambda: True,
     ) -> None:
-        reader = TopicReader(store, names.OPERATOR_TOPIC, timedelta())
+        key = names.CONFIGURATION_KEY
+        reader = TopicReader(store, names.OPERATOR_TOPIC, timedelta(), key)
         super().__init__(clock, reader, log)
+        self._store = store
+        self._rng = rng
         self._accept = accept
         self._apply_time = apply_time
         self._evacuations = evacuations or Evacuations()
         self._is_active = is_active
         self._version: int | None = None
+        self._missed = asyncio.Event()
+        self.on_read: Callable[[Version], None] = lambda version: None
 
     async def pause(self) -> None:
-        """Wait for further versions."""
+        """Wait for further versions, or until one is known to be there."""
         interval = find_interval(self._apply_time, self._is_active())
-        await asyncio.sleep(interval.total_seconds())
+        interval *= self._rng.uniform(MIN_INTERVAL_PART, 1.0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval.total_seconds()):
+                await self._missed.wait()
+        self._missed.clear()
+
+    def note_missed(self) -> None:
+        """Read the store soon, as it has a newer version."""
+        self._missed.set()
+
+    def accept_version(self, version: Version) -> bool:
+        """Put a version into force that another VM has read; return whether it is."""
+        place, value = version
+        history = self._reader.history
+        if (place.store, place.era) != (self._store.address, history.era):
+            return False
+        now = self._clock.elapsed()
+        self.reading = Reading(now, now, 1, len(value))
+        record = Record(place.offset, names.CONFIGURATION_KEY, value)
+        if not self._activate(record, "vm"):
+            return False
+        self._reader.skip(place.since, place.offset)
+        return True
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
         """Apply evacuations, and the newest valid configuration among ``records``."""
@@ -272,8 +307,16 @@
             if record.key != names.CONFIGURATION_KEY or not record.value:
                 continue
             if self._activate(record, "snapshot" if is_snapshot else "log"):
+                self._note_read(record)
                 return
 
+    def _note_read(self, record: Record) -> None:
+        reader = self._reader
+        place = Place(
+            self._store.address, reader.history.era, record.offset, reader.since
+        )
+        self.on_read(Version(place, record.value))
+
     def _apply_evacuations(self, records: list[Record], is_snapshot: bool) -> None:
         """Apply evacuations; the operator has some time to write those a copy lacks."""
         restored_at, is_complete = self.restored_at, is_snapshot
--- a/lavendershift/platform/tests/test_feed_schedules.py
+++ b/lavendershift/platform/tests/test_feed_schedules.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 from datetime import timedelta
 
 import logbook
@@ -80,7 +81,9 @@
         log = EventLog(handler, "edge-1", "rennes", self.loop)
         apply_time = timedelta(seconds=CONFIG_APPLY_S)
         feeds = [
-            ConfigurationFeed(self.loop, client, log, self._accept, apply_time),
+            ConfigurationFeed(
+                self.loop, client, log, random.Random(1), self._accept, apply_time
+            ),
             OtherFeed(self.loop, client, names.SERVERS_TOPIC, log),
             OtherFeed(self.loop, client, names.VMS_TOPIC, log),
         ]
--- a/lavendershift/platform/topicreaders.py
+++ b/lavendershift/platform/topicreaders.py
@@ -6,7 +6,7 @@
 
 from lavendershift.errors import RecordsExpiredError
 from lavendershift.platform.store import StoreClient
-from lavendershift.platform.storerecords import Batch
+from lavendershift.platform.storerecords import Batch, Record
 from lavendershift.storehistories import History
 
 
@@ -21,11 +21,16 @@
     """Reads partition 0 of a keyed topic: a snapshot, then the records after it.
 
     Several calls may be in flight; ``accept`` continues from the result of one.
+    ``since`` is an offset from which on all records have the key ``key``.
     """
 
-    def __init__(self, store: StoreClient, topic: str, wait: timedelta) -> None:
+    def __init__(
+        self, store: StoreClient, topic: str, wait: timedelta, key: bytes = b""
+    ) -> None:
         self.topic = topic
         self.wait = wait
+        self.since = 0
+        self._key = key
         self._store = store
         self._offset: int | None = None
         self._history = History()
@@ -70,10 +75,14 @@
         batch = result.batch
         if batch.history < self._history:
             return Batch([], 0, 0, self._history)
+        if batch.history != self._history:
+            self._offset = None
         self._history = batch.history
-        self._offset = batch.next_offset
+        self._offset = max(batch.next_offset, self._offset or 0)
         if not result.is_snapshot:
+            self._note_keys(batch.records)
             return self._drop_stale(batch)
+        self.since = batch.next_offset
         # A snapshot may hold records from beyond the offset that is read next.
         self._snapshot_offsets = {
             record.key: record.offset
@@ -82,6 +91,26 @@
         }
         return batch
 
+    def _note_keys(self, records: list[Record]) -> None:
+        for record in reversed(records):
+            if record.key != self._key:
+                self.since = max(self.since, record.offset + 1)
+                return
+
+    @property
+    def history(self) -> History:
+        """The history that is read."""
+        return self._history
+
+    def skip(self, since: int, offset: int) -> None:
+        """Go on after the record at ``offset``, if all that would be skipped is known.
+
+        All records from ``since`` to ``offset`` have the key ``key``, and the one at
+        ``offset`` is known.
+        """
+        if self._offset is not None and since <= self._offset <= offset:
+            self._offset = offset + 1
+
     def _drop_stale(self, batch: Batch) -> Batch:
         """Return ``batch`` without records older than those of the snapshot."""
         if not self._snapshot_offsets:
--- /dev/null
+++ b/lavendershift/tests/test_recordexchange.py
@@ -0,0 +1,203 @@
+import random
+from collections import deque
+
+import msgspec
+import pytest
+
+from lavendershift.recordexchange import (
+    MAX_PATCH_BYTES,
+    MAX_VERSIONS,
+    TOLD_VMS,
+    Place,
+    RecordExchange,
+    Version,
+    VersionInquiry,
+)
+from lavendershift.recordpatches import compute_digest
+
+
+class Network:
+    """Delivers datagrams in the order in which they were sent."""
+
+    def __init__(self):
+        self.vms = {}
+        self.sent = []
+        self.drops = lambda message, peer: False
+        self._queue = deque()
+        self._is_delivering = False
+
+    def send(self, message, sender, peers):
+        for peer in peers:
+            self.sent.append((message, peer))
+            if not self.drops(message, peer):
+                self._queue.append((message, sender, peer))
+        if self._is_delivering:
+            return
+        self._is_delivering = True
+        while self._queue:
+            message, sender, peer = self._queue.popleft()
+            data = msgspec.msgpack.encode(message)
+            decoded = msgspec.msgpack.decode(data, type=type(message))
+            self.vms[peer].handlers[type(message)](decoded, sender)
+        self._is_delivering = False
+
+    def add(self, number):
+        vm = Vm(self, ("edge", number))
+        self.vms[vm.address] = vm
+        return vm
+
+    def list_others(self, address):
+        return [other for other in self.vms if other != address]
+
+
+class Vm:
+    """A VM with an exchange; ``accepted`` has the versions that it got."""
+
+    def __init__(self, network, address):
+        self.network, self.address = network, address
+        self.handlers = {}
+        self.accepted, self.outcomes, self.missed = [], [], 0
+        self.rejects = False
+        self.exchange = RecordExchange(
+            random.Random(address[1]),
+            self,
+            lambda: network.list_others(address),
+            self._accept,
+        )
+        self.exchange.on_notice = self.outcomes.append
+        self.exchange.on_missed = self._note_missed
+
+    def _accept(self, version):
+        self.accepted.append(version)
+        return not self.rejects
+
+    def _note_missed(self):
+        self.missed += 1
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, message, peers):
+        self.network.send(message, self.address, peers)
+
+
+def make_version(number, era=0, store="10.0.0.9:8223", rows=3000):
+    value = b",".join(b"%d:%d" % (n, n * n) for n in range(rows)) + b";%d" % number
+    return Version(Place(store, era, number, 0), value)
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+@pytest.mark.parametrize("count", [2, 8, 78, 330])
+def test_all_vms_get_a_version_that_one_of_them_has_read(network, count):
+    vms = [network.add(number) for number in range(count)]
+    for vm in vms:
+        vm.exchange.note(make_version(1))
+    assert not network.sent
+    for number in range(2, 12):
+        vms[number % count].exchange.note(make_version(number))
+    reached = sum(
+        make_version(11) in vm.accepted for vm in vms if vm is not vms[11 % count]
+    )
+    assert reached >= 0.97 * (count - 1)
+    assert len(network.sent) <= 10 * count * (TOLD_VMS + 2)
+
+
+def test_a_version_that_is_known_is_not_told_again(network):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    first.exchange.note(make_version(2))
+    second.exchange.note(make_version(2))
+    assert len(network.sent) == 1
+    assert second.accepted == [make_version(2)]
+
+
+def test_a_vm_that_missed_a_version_asks_for_a_patch_to_its_own(network):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    network.drops = lambda message, peer: True
+    first.exchange.note(make_version(2))
+    network.drops = lambda message, peer: False
+    first.exchange.note(make_version(3))
+    assert second.accepted == [make_version(3)]
+    assert second.outcomes == ["inquired", "accepted"]
+
+
+def test_an_inquiry_with_an_unknown_or_the_newest_version_gets_no_reply(network):
+    first, second = network.add(1), network.add(2)
+    first.exchange.note(make_version(1))
+    second.exchange.note(make_version(1))
+    for base in (7, compute_digest(make_version(1).value)):
+        second.send(VersionInquiry(base), [first.address])
+    assert len(network.sent) == 2
+
+
+def test_a_change_that_is_too_large_for_a_datagram_is_read_from_the_store(network):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    noise = random.Random(1).randbytes(2 * MAX_PATCH_BYTES)
+    large = make_version(2)
+    first.exchange.note(large._replace(value=large.value + noise))
+    ((notice, _),) = network.sent
+    assert notice.patch == b""
+    assert (second.accepted, second.missed) == ([], 1)
+
+
+@pytest.mark.parametrize(
+    "other",
+    [make_version(2, era=1), make_version(2, store="10.0.0.8:8223")],
+    ids=["restored", "moved"],
+)
+def test_a_version_of_another_history_is_not_accepted(network, other):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    first.exchange.note(other)
+    assert second.accepted == []
+    assert second.outcomes == ["foreign"]
+
+
+def test_a_version_that_is_rejected_is_not_passed_on(network):
+    vms = [network.add(number) for number in range(3)]
+    for vm in vms:
+        vm.exchange.note(make_version(1))
+        vm.rejects = True
+    vms[0].exchange.note(make_version(2))
+    assert vms[1].outcomes == vms[2].outcomes == ["rejected"]
+
+
+def test_a_damaged_patch_is_not_accepted(network):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    network.drops = lambda message, peer: True
+    first.exchange.note(make_version(2))
+    network.drops = lambda message, peer: False
+    ((notice, _),) = network.sent
+    for damaged in (
+        msgspec.structs.replace(notice, patch=notice.patch[:-2]),
+        msgspec.structs.replace(notice, digest=notice.digest ^ 1),
+    ):
+        first.send(damaged, [second.address])
+    assert second.outcomes == ["damaged", "damaged"]
+    assert second.accepted == []
+
+
+def test_a_vm_that_has_read_nothing_accepts_nothing(network):
+    first, second = network.add(1), network.add(2)
+    first.exchange.note(make_version(1))
+    first.exchange.note(make_version(2))
+    assert second.outcomes == ["foreign"]
+
+
+def test_few_versions_are_kept(network):
+    vm = network.add(1)
+    for number in range(50):
+        vm.exchange.note(make_version(number))
+    assert len(vm.exchange._values) == MAX_VERSIONS
--- a/lavendershift/tests/test_storedformats.py
+++ b/lavendershift/tests/test_storedformats.py
@@ -53,6 +53,7 @@
     QuarantineUpdate,
     SuspectPrompt,
 )
+from lavendershift.recordexchange import VersionInquiry, VersionNotice
 from lavendershift.records import (
     RECORD_KINDS,
     Abandon,
@@ -347,6 +348,23 @@
 )
 
 DATAGRAMS = [
+    (
+        "98a776657273696f6ead31302e302e302e393a38323233040c09cf2000000000000007"
+        "cd012cc40928b52ffd2002110000",
+        VersionNotice(
+            "10.0.0.9:8223",
+            4,
+            12,
+            9,
+            2**61 + 7,
+            300,
+            bytes.fromhex("28b52ffd2002110000"),
+        ),
+    ),
+    (
+        "92af76657273696f6e5f696e7175697279cd012c",
+        VersionInquiry(300),
+    ),
     (
         "94a76772616e746564a5706c756d65cd038404",
         GrantNotice("plume", 900, 4),
