Read all datagrams that have arrived in a turn of the event loop

Callers would see: late or refused requests at a busy VM, as permits, loans, loads and versions of other VMs reach it seconds late.

Cause: asyncio's datagram transport reads one datagram for each turn of the event loop. On a loop with turns of some 70 ms that is 14 a second, beside dozens of messages from the other VMs, so that those of seconds waited in the socket.

Change: a reader of our own takes up to 64 datagrams in a turn. A send that the socket refuses is lost, as datagrams may be.

--- a/lavendershift/datagrams.py
+++ b/lavendershift/datagrams.py
@@ -13,21 +13,28 @@
     datagrams.send(Ping("edge-1"), [("10.2.0.29", 7340)])
 
 UDP is used instead of pynng because a message to a VM that has stopped must neither be
-queued nor delay messages to other VMs.
+queued nor delay messages to other VMs. The socket is read without a transport of
+asyncio, which reads one datagram in each turn of the event loop: on a busy one, the
+messages of seconds would wait.
 """
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from functools import reduce
 from operator import or_
-from typing import Any, Generic, TypeVar, cast
+from typing import Any, Generic, Protocol, TypeVar
 
 import msgspec
 
 from lavendershift.decoding import is_endpoint, run_decoder
 from lavendershift.timeouts import Timeout
 
+MAX_READS = 64  # datagrams that are read in one turn of the event loop
+MAX_DATAGRAM_BYTES = 65_536
+
 MESSAGES: list[type[msgspec.Struct]] = []
 Peer = tuple[str, int]  # host and port of a UDP socket
 Message = TypeVar("Message", bound=msgspec.Struct)
@@ -70,7 +77,15 @@
             waiting.set_result(result)
 
 
-class Datagrams(asyncio.DatagramProtocol):
+class Endpoint(Protocol):
+    """Sends datagrams; a socket is one."""
+
+    def sendto(self, data: bytes, peer: Peer, /) -> object:
+        """Send ``data``, or raise ``OSError``."""
+        ...
+
+
+class Datagrams:
     """Sends and receives all messages of a process on one UDP port.
 
     ``dropped`` counts messages that can't be decoded, have no handler or make it fail.
@@ -80,7 +95,8 @@
     def __init__(self) -> None:
         self._handlers: dict[type[Any], Callable[[Any, Peer], None]] = {}
         self._decoder: msgspec.msgpack.Decoder[Any] | None = None
-        self._transport: asyncio.DatagramTransport | None = None
+        self._endpoint: Endpoint | None = None
+        self._socket: socket.socket | None = None
         self.dropped = 0
         self.on_dropped: Callable[[Exception], None] = lambda error: None
 
@@ -93,36 +109,57 @@
     async def listen(self, ip: str, port: int) -> None:
         """Bind ``port`` and begin to receive messages."""
         self._decoder = msgspec.msgpack.Decoder(reduce(or_, MESSAGES))
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport, on which messages are sent."""
-        # The selector event loop's transport has the methods, but not the base class.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a peer's closed port: its row expires if its VM has stopped."""
+        endpoint = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        endpoint.setblocking(False)
+        try:
+            endpoint.bind((ip, port))
+        except BaseException:
+            endpoint.close()
+            raise
+        self._socket = endpoint
+        self.use(endpoint)
+        asyncio.get_running_loop().add_reader(endpoint, self._read)
+
+    def use(self, endpoint: Endpoint) -> None:
+        """Send messages on ``endpoint``."""
+        self._endpoint = endpoint
 
     def close(self) -> None:
         """Close the port."""
-        if self._transport is not None:
-            self._transport.close()
+        endpoint, self._socket, self._endpoint = self._socket, None, None
+        if endpoint is not None:
+            asyncio.get_running_loop().remove_reader(endpoint)
+            endpoint.close()
+
+    def _read(self) -> None:
+        """Receive what has arrived, or a part of it if that is much."""
+        for _ in range(MAX_READS):
+            if self._socket is None:
+                return  # closed by a handler
+            try:
+                data, peer = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # A peer's port is closed; its row expires if its VM has stopped.
+                continue
+            self.datagram_received(data, peer)
 
     def send(self, message: msgspec.Struct, peers: Iterable[Peer]) -> None:
         """Send ``message`` to each of ``peers``; failures are not reported.
 
-        An address comes from another program too. A transport closes itself for good
-        at one that no socket takes, so those are left out.
+        An address comes from another program too, and may be one that no socket takes.
         """
-        if self._transport is None:
+        if self._endpoint is None:
             return
         data = msgspec.msgpack.encode(message)
         for peer in peers:
             if not is_endpoint(*peer):
                 self.dropped += 1
                 continue
-            self._transport.sendto(data, peer)
+            # The message is lost if the link is full or the peer's port closed.
+            with contextlib.suppress(OSError):
+                self._endpoint.sendto(data, peer)
 
     def datagram_received(self, data: bytes, addr: Peer) -> None:
         """Decode a message and call its handler."""
--- a/lavendershift/tests/test_decoding.py
+++ b/lavendershift/tests/test_decoding.py
@@ -192,7 +192,8 @@
 
 
 def test_datagrams_are_sent_to_the_peers_with_valid_addresses(datagrams):
-    transport = datagrams._transport = _Transport()
+    transport = _Transport()
+    datagrams.use(transport)
     peers = [("x y", 80), ("10.0.0.1", 2**40), ("10.0.0.1", 80), ("", 0)]
     datagrams.send(StockReport("a", "i", True, {}), peers)
     assert transport.peers == [("10.0.0.1", 80)]
--- a/lavendershift/tests/test_storedformats.py
+++ b/lavendershift/tests/test_storedformats.py
@@ -522,7 +522,7 @@
         await wire.listen("127.0.0.1", 0)
         wire.datagram_received(bytes.fromhex(data), peer)
         wire.close()
-        wire.connection_made(transport)
+        wire.use(transport)
         wire.send(received[0], [peer])
         return received, transport.sent
 
