Compare versions that VMs tell each other by their numbers

VMs whose settings name other addresses of one store told each other nothing, as the offsets of a notice were compared, and for that the address. The soak found it: each of its nodes reaches the store through a link of its own, and no version came from another node. Numbers of versions only rise, whatever the store, so they say which is newer; address and era only decide whether the reader may go on after it. The tests of a restored store and of another address failed before.

--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -41,6 +41,12 @@
 MIN_INTERVAL_PART = 0.75
 # Age of the last reading from which the log holds several records of most keys.
 MIN_SNAPSHOT_AGE = timedelta(seconds=3)
+# Records from which on the newest of each key are read instead of all.
+MIN_SNAPSHOT_RECORDS = 2
+# Records of the operator that are read at once, if they are small.
+MAX_OPERATOR_KILOBYTES = 64
+# Source of a version that another VM has read.
+FROM_VM = "vm"
 
 
 class Reading(NamedTuple):
@@ -151,9 +157,15 @@
     def _needs_snapshot(self) -> bool:
         """Whether the newest record of each key is less than what was written since.
 
-        All that a VM missed in an outage may take seconds to cross its link.
+        All that a VM missed in an outage, or while it read, may take seconds to cross
+        its link.
         """
-        if not self.has_newest_only or self._unreachable_since is None:
+        if not self.has_newest_only:
+            return False
+        reading = self.reading
+        if reading.left >= MIN_SNAPSHOT_RECORDS or reading.left and not reading.records:
+            return True
+        if self._unreachable_since is None:
             return False
         age = self._clock.elapsed() - (self.read_at or timedelta())
         return age >= MIN_SNAPSHOT_AGE
@@ -261,7 +273,9 @@
         is_active: Callable[[], bool] = lambda: True,
     ) -> None:
         key = names.CONFIGURATION_KEY
-        reader = TopicReader(store, names.OPERATOR_TOPIC, timedelta(), key)
+        reader = TopicReader(
+            store, names.OPERATOR_TOPIC, timedelta(), key, MAX_OPERATOR_KILOBYTES
+        )
         super().__init__(clock, reader, log)
         self._store = store
         self._rng = rng
@@ -275,6 +289,8 @@
 
     async def pause(self) -> None:
         """Wait for further versions, or until one is known to be there."""
+        if self.reading.left and self.reading.records:
+            return
         interval = find_interval(self._apply_time, self._is_active())
         interval *= self._rng.uniform(MIN_INTERVAL_PART, 1.0)
         with contextlib.suppress(TimeoutError):
@@ -287,17 +303,18 @@
         self._missed.set()
 
     def accept_version(self, version: Version) -> bool:
-        """Put a version into force that another VM has read; return whether it is."""
-        place, value = version
-        history = self._reader.history
-        if (place.store, place.era) != (self._store.address, history.era):
-            return False
+        """Put a version into force that another VM has read; return whether it is.
+
+        That VM may use another address of the store, or a store of another history.
+        """
+        place, value = version.place, version.value
         now = self._clock.elapsed()
         self.reading = Reading(now, now, 1, len(value))
         record = Record(place.offset, names.CONFIGURATION_KEY, value)
-        if not self._activate(record, "vm"):
+        if not self._activate(record, FROM_VM) or self._version != version.number:
             return False
-        self._reader.skip(place.since, place.offset)
+        if (place.store, place.era) == (self._store.address, self._reader.history.era):
+            self._reader.skip(place.since, place.offset)
         return True
 
     def apply_records(self, records: list[Record], is_snapshot: bool) -> None:
@@ -307,16 +324,8 @@
             if record.key != names.CONFIGURATION_KEY or not record.value:
                 continue
             if self._activate(record, "snapshot" if is_snapshot else "log"):
-                self._note_read(record)
                 return
 
-    def _note_read(self, record: Record) -> None:
-        reader = self._reader
-        place = Place(
-            self._store.address, reader.history.era, record.offset, reader.since
-        )
-        self.on_read(Version(place, record.value))
-
     def _apply_evacuations(self, records: list[Record], is_snapshot: bool) -> None:
         """Apply evacuations; the operator has some time to write those a copy lacks."""
         restored_at, is_complete = self.restored_at, is_snapshot
@@ -361,6 +370,10 @@
             read_ms=in_milliseconds(began - reading.received_at),
             build_ms=in_milliseconds(self._clock.elapsed() - began),
         )
+        if source != FROM_VM:
+            reader, store = self._reader, self._store.address
+            place = Place(store, reader.history.era, record.offset, reader.since)
+            self.on_read(Version(table.version, place, record.value))
         return True
 
 
--- a/lavendershift/recordexchange.py
+++ b/lavendershift/recordexchange.py
@@ -6,7 +6,7 @@
 link then is a patch, whose size is that of the change::
 
     exchange = RecordExchange(rng, datagrams, list_peers, accept)
-    exchange.note(Version(place, value))  # a version that was read from the store
+    exchange.note(Version(7, place, value))  # a version that was read from the store
 
 A datagram may be lost, and a version may differ from the one before by more than fits
 into one. The VMs that miss a version ask the one that told them of a newer one, or read
@@ -34,10 +34,10 @@
 
 
 class Place(NamedTuple):
-    """Where a version lies in the store.
+    """Where a version lies in a store, of which several may be copies.
 
     ``since`` is an offset from which on all records up to it are versions of the same
-    record, so that a reader may go on after it.
+    record, so that a reader of this store may go on after it.
     """
 
     store: str
@@ -47,8 +47,9 @@
 
 
 class Version(NamedTuple):
-    """A version of the record."""
+    """A version of the record; ``number`` rises with each."""
 
+    number: int
     place: Place
     value: bytes
 
@@ -60,6 +61,7 @@
     The patch is empty if it is too large.
     """
 
+    number: Count
     store: str
     era: Count
     offset: Count
@@ -96,7 +98,7 @@
         self._list_peers = list_peers
         self._accept = accept
         self._values: deque[tuple[int, bytes]] = deque(maxlen=MAX_VERSIONS)
-        self._newest: Place | None = None
+        self._newest: tuple[int, Place] | None = None
         self.on_missed: Callable[[], None] = lambda: None
         self.on_notice: Callable[[str], None] = lambda outcome: None
         datagrams.handle(VersionNotice, self._receive)
@@ -107,32 +109,24 @@
 
         The other VMs aren't told of the first one, which they have unless they start.
         """
-        place, value = version
-        is_first = self._newest is None
-        if not self._is_newer(place):
+        if self._newest is not None and version.number <= self._newest[0]:
             return
-        digest = compute_digest(value)
-        notice = None if is_first else self._make_notice(place, digest, value)
-        self._remember(place, digest, value)
+        digest = compute_digest(version.value)
+        notice = self._make_notice(version, digest) if self._values else None
+        self._remember(version, digest)
         if notice is not None:
             self._tell(notice)
 
-    def _is_newer(self, place: Place) -> bool:
-        newest = self._newest
-        if newest is None or newest.store != place.store:
-            return True
-        return (newest.era, newest.offset) < (place.era, place.offset)
+    def _remember(self, version: Version, digest: int) -> None:
+        self._newest = version.number, version.place
+        self._values.append((digest, version.value))
 
-    def _remember(self, place: Place, digest: int, value: bytes) -> None:
-        self._newest = place
-        self._values.append((digest, value))
-
-    def _make_notice(self, place: Place, digest: int, value: bytes) -> VersionNotice:
+    def _make_notice(self, version: Version, digest: int) -> VersionNotice:
         base_digest, base = self._values[-1]
-        patch = make_patch(base, value)
+        patch = make_patch(base, version.value)
         if len(patch) > MAX_PATCH_BYTES:
             patch = b""
-        return VersionNotice(*place, digest, base_digest, patch)
+        return VersionNotice(version.number, *version.place, digest, base_digest, patch)
 
     def _tell(self, notice: VersionNotice, teller: Peer | None = None) -> None:
         peers = [peer for peer in self._list_peers() if peer != teller]
@@ -144,11 +138,9 @@
 
     def _apply(self, notice: VersionNotice, sender: Peer) -> str:
         """Put the version of a notice into force; return what became of it."""
-        newest = self._newest
-        place = Place(notice.store, notice.era, notice.offset, notice.since)
-        if newest is None or (place.store, place.era) != (newest.store, newest.era):
-            return "foreign"
-        if place.offset <= newest.offset:
+        if self._newest is None:
+            return "early"
+        if notice.number <= self._newest[0]:
             return "known"
         if not notice.patch:
             self.on_missed()
@@ -163,9 +155,11 @@
             return "damaged"
         if compute_digest(value) != notice.digest:
             return "damaged"
-        if not self._accept(Version(place, value)):
+        place = Place(notice.store, notice.era, notice.offset, notice.since)
+        version = Version(notice.number, place, value)
+        if not self._accept(version):
             return "rejected"
-        self._remember(place, notice.digest, value)
+        self._remember(version, notice.digest)
         self._tell(notice, sender)
         return "accepted"
 
@@ -178,5 +172,6 @@
             return
         patch = make_patch(base, value)
         if len(patch) <= MAX_PATCH_BYTES:
-            notice = VersionNotice(*self._newest, digest, inquiry.base, patch)
+            number, place = self._newest
+            notice = VersionNotice(number, *place, digest, inquiry.base, patch)
             self._datagrams.send(notice, [sender])
