--- a/lavendershift/platform/store.py
+++ b/lavendershift/platform/store.py
@@ -174,18 +174,22 @@
         on_bytes: ByteListener = lambda: None,
         is_hedge: bool = False,
         on_connect: ByteListener = lambda: None,
+        max_kilobytes: int | None = None,
     ) -> Batch:
         """Return the records from ``offset`` on, waiting up to ``wait`` for one.
 
+        More than one are returned only if they take at most ``max_kilobytes``.
         ``on_connect`` is called once there is a connection, ``on_bytes`` whenever bytes
         arrive. A hedge of a call that hangs is made on a new connection.
 
         Raises ``RecordsExpiredError`` if records at ``offset`` were deleted by the
         store's retention, and ``LogUnavailableError``.
         """
-        query = {"topic": topic, "part": partition, "from": offset}
+        query: dict[str, object] = {"topic": topic, "part": partition, "from": offset}
         if wait:
             query["wait_ms"] = wait // timedelta(milliseconds=1)
+        if max_kilobytes is not None:
+            query["max_kb"] = max_kilobytes
         response = await self._call(
             "GET", "/log-read", query, b"", wait, on_bytes, is_hedge, on_connect
         )
--- a/lavendershift/platform/tests/feedfleet.py
+++ b/lavendershift/platform/tests/feedfleet.py
@@ -134,8 +134,11 @@
         return {v: vm.find_time(v) - at for v, at in self.written.items()}
 
 
-def make_versions(times, routes):
-    """Return pairs of times and configurations of ``routes`` routes and more."""
+def make_versions(times, routes, rng=None):
+    """Return pairs of times and configurations of ``routes`` routes and more.
+
+    With ``rng``, all routes differ from those of the version before.
+    """
     template = {
         "host": "books.example",
         "kind": "streaming",
@@ -152,7 +155,9 @@
             make_configuration(
                 version=version,
                 routes=[
-                    template | {"name": f"r-{n}", "path_prefix": f"/{n}/"}
+                    template
+                    | {"name": f"r-{n}", "path_prefix": f"/{n}/"}
+                    | ({"timeout_ms": rng.randrange(1000, 9000)} if rng else {})
                     for n in range(routes + version)
                 ],
             ),
--- a/lavendershift/platform/tests/storelinks.py
+++ b/lavendershift/platform/tests/storelinks.py
@@ -101,8 +101,12 @@
             except TimeoutError:
                 break
         body = READ_HEADER.pack(len(records), 0)
+        most = 1024 * int(query.get("max_kb", 1024))
         for key, value in records[offset:]:
-            body += encode_record(key, value)
+            record = encode_record(key, value)
+            if len(body) > READ_HEADER.size and len(body) + len(record) > most:
+                break
+            body += record
         return body
 
     def _render_newest(self, records):
--- a/lavendershift/platform/tests/test_configuration_schedules.py
+++ b/lavendershift/platform/tests/test_configuration_schedules.py
@@ -1,5 +1,7 @@
 """Configurations that are written in quick succession, in virtual time."""
 
+import random
+
 import pytest
 
 from lavendershift.platform import names
@@ -20,6 +22,16 @@
     assert max(delays.values()) <= APPLY_S, delays
 
 
+@pytest.mark.parametrize("gap_s", [0.02, 0.1, 0.3])
+def test_changes_of_all_routes_in_quick_succession_are_in_force_in_time(gap_s):
+    """Versions whose patches are too large were all read, one after the other."""
+    times = [5.0, *(15 + gap_s * n for n in range(14))]
+    versions = make_versions(times, 1200, random.Random(1))
+    fleet = FeedFleet([CALM, LinkSpeed(5, 0.02)]).play(versions, 40.0)
+    delays = fleet.measure_delays(fleet.vms[-1])
+    assert max(delays.values()) <= APPLY_S, delays
+
+
 def test_version_is_in_force_in_time_though_the_store_ends_each_wait_late():
     """A poll that missed a record was answered at the end of its wait only."""
     delays = []
--- a/lavendershift/platform/topicreaders.py
+++ b/lavendershift/platform/topicreaders.py
@@ -21,16 +21,23 @@
     """Reads partition 0 of a keyed topic: a snapshot, then the records after it.
 
     Several calls may be in flight; ``accept`` continues from the result of one.
-    ``since`` is an offset from which on all records have the key ``key``.
+    ``since`` is an offset from which on all records have the key ``key``. A call
+    returns one record, and more only if they take at most ``max_kilobytes``.
     """
 
     def __init__(
-        self, store: StoreClient, topic: str, wait: timedelta, key: bytes = b""
+        self,
+        store: StoreClient,
+        topic: str,
+        wait: timedelta,
+        key: bytes = b"",
+        max_kilobytes: int | None = None,
     ) -> None:
         self.topic = topic
         self.wait = wait
         self.since = 0
         self._key = key
+        self._max_kilobytes = max_kilobytes
         self._store = store
         self._offset: int | None = None
         self._history = History()
@@ -56,7 +63,14 @@
             wait = timedelta() if is_hedge else self.wait
             try:
                 batch = await self._store.read(
-                    self.topic, 0, offset, wait, on_bytes, is_hedge, on_connect
+                    self.topic,
+                    0,
+                    offset,
+                    wait,
+                    on_bytes,
+                    is_hedge,
+                    on_connect,
+                    self._max_kilobytes,
                 )
                 if batch.history == history:
                     return ReadResult(batch, False)
--- a/lavendershift_standins/platformstore.py
+++ b/lavendershift_standins/platformstore.py
@@ -29,6 +29,9 @@
     """The partition doesn't end at the offset that a conditional append expects."""
 
 
+DEFAULT_MAX_KILOBYTES = 1024  # of the records that a read returns, if there are several
+
+
 class ExpiredError(Exception):
     """Records from the requested offset on were deleted."""
 
@@ -196,11 +199,17 @@
         except (ExpiredError, AheadError):
             self._send(request, 410, b'{"first":0}')
             return
-        body = READ_HEADER.pack(self.state.end(topic, part), 0)
+        most = 1024 * int(query.get("max_kb", DEFAULT_MAX_KILOBYTES))
+        size = 0
+        encoded: list[bytes] = []
         for key, value in records:
             data = bytes([len(key)]) + key + value
-            body += RECORD_LENGTH.pack(len(data)) + data
-        self._send(request, 200, body)
+            size += RECORD_LENGTH.size + len(data)
+            if encoded and size > most:
+                break
+            encoded.append(RECORD_LENGTH.pack(len(data)) + data)
+        head = READ_HEADER.pack(self.state.end(topic, part), 0)
+        self._send(request, 200, head + b"".join(encoded))
 
     def _send_newest(self, request: HTTPServerRequest, query: dict[str, str]) -> None:
         topic, part = query["topic"], int(query["part"])
