Add a soak of configurations on slow links and busy nodes

Series of small and large versions beside stops, kills, cuts and delays of the store's links, and pauses of nodes; each acknowledged version has to be in force after 2 s at each node that ran and reached the store.

A launch that waited for a stopping process started a node after the end of a run, which wrote to the log of the next run; it is left out now.

--- a/lavendershift/platform/tests/soak/links.py
+++ b/lavendershift/platform/tests/soak/links.py
@@ -23,6 +23,8 @@
     def __init__(self, target_port, rng):
         self.target_port = target_port
         self.delay_s = 0.0
+        self.bytes_per_s = float("inf")
+        self._free_at = 0.0
         self.piece_bytes = 0
         self.is_refusing = False
         self.port = 0
@@ -94,7 +96,7 @@
 
     async def _forward(self, reader, writer, direction, blackhole):
         while data := await reader.read(READ_BYTES):
-            await asyncio.sleep(self.delay_s)
+            await asyncio.sleep(self.delay_s + self._reserve(len(data)))
             while data:
                 await self._passing[direction].wait()
                 size = self._choose_size(len(data), direction)
@@ -109,6 +111,12 @@
         if not blackhole.is_set():
             writer.write_eof()
 
+    def _reserve(self, size):
+        """Return in how many seconds ``size`` further bytes have crossed the link."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(self._free_at, now) + size / self.bytes_per_s
+        return self._free_at - now
+
     def _choose_size(self, length, direction):
         if self.piece_bytes:
             length = min(length, self._rng.randint(1, self.piece_bytes))
--- a/lavendershift/platform/tests/soak/profiles.py
+++ b/lavendershift/platform/tests/soak/profiles.py
@@ -19,6 +19,7 @@
     end_site,
     prepare_site,
 )
+from lavendershift.platform.tests.soak.versions import run_versions
 
 
 class Profile(NamedTuple):
@@ -64,6 +65,13 @@
     ),
     "short": SHORT,
     "site": SITE_SIZE,
+    "versions": SHORT._replace(nodes=6, run_phases=run_versions),
+    "versions-brief": SHORT._replace(
+        nodes=4, run_phases=partial(run_versions, length_s=8.0)
+    ),
+    "versions-large": SHORT._replace(
+        nodes=24, callers=40, run_phases=partial(run_versions, length_s=30.0)
+    ),
     "large": SITE_SIZE._replace(
         nodes=24, servers={"pool": 12, "ledger": 6}, callers=80
     ),
--- a/lavendershift/platform/tests/soak/violations.py
+++ b/lavendershift/platform/tests/soak/violations.py
@@ -60,6 +60,8 @@
     violations += check_limits(world, calls)
     violations += check_deadly_parts(world, calls, received)
     violations += check_logs(world)
+    for check in world.checks:
+        violations += check(world)
     if len(calls) < 100 or not any(call.status == 200 for call in calls):
         violations.append(
             f"expected at least 100 requests and one success, got {len(calls)} requests"
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -79,6 +79,8 @@
         }
         self.version = self.first_version
         self.changes = {}  # changes of the configuration by planned operations
+        self.acknowledged = {}  # times at which the store had versions
+        self.checks = []  # of the profile, beside those of all runs
         self.timeouts = {}  # timeouts in seconds by version and kind of request
         self.is_key_revoked = False
         self.lock = threading.RLock()
@@ -126,6 +128,7 @@
             route["name"]: route["timeout_ms"] / 1000 for route in changes["routes"]
         }
         super().configure(version=self.version, tenants=tenants, **changes)
+        self.acknowledged[self.version] = time.monotonic()
 
     def change_configuration(self, rng):
         """Publish a configuration with a larger budget or a revoked API key."""
@@ -283,6 +286,8 @@
                 return
             if node.stopping is not None:
                 node.stopping.join()
+            if self._is_finished.is_set():
+                return
             self.record_disturbance(node)
             node.launch()
             node.is_running = True
@@ -342,6 +347,7 @@
         for caller in self.callers:
             caller.start()
         starts = run_phases(self)
+        self.ended_at = time.monotonic()
         self._recover()
         for caller in self.callers:
             caller.stop()
@@ -394,4 +400,7 @@
         self._is_finished.set()
         for link in [*self.store_links, *self.server_links.values()]:
             self.call(link.stop)
+        for node in self.nodes:
+            with node.launching:  # a launch that has begun
+                pass
         super().stop()
--- a/lavendershift/platform/tests/test_soak.py
+++ b/lavendershift/platform/tests/test_soak.py
@@ -16,6 +16,13 @@
 }
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_short_soak_of_versions_finds_no_violations(seed, tmp_path):
+    violations, endings = run_seed(seed, "versions-brief", tmp_path)
+    assert violations == []
+    assert endings.total() > 100
+
+
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
 def test_short_soak_finds_no_violations(seed, tmp_path):
     # pytest keeps the folder, with the logs and records of the run.
