--- a/lavendershift/platform/tests/test_servers.py
+++ b/lavendershift/platform/tests/test_servers.py
@@ -340,7 +340,7 @@
         return Batch([], 0, 0)
 
     async def read(
-        self, topic, partition, offset, wait, on_bytes, is_hedge, on_connect
+        self, topic, partition, offset, wait, on_bytes, is_hedge, on_connect, *options
     ):
         self.calls += 1
         on_connect()
@@ -402,7 +402,15 @@
 
     class LateStore(HangingStore):
         async def read(
-            self, topic, partition, offset, wait, on_bytes, is_hedge, on_connect
+            self,
+            topic,
+            partition,
+            offset,
+            wait,
+            on_bytes,
+            is_hedge,
+            on_connect,
+            *options,
         ):
             self.calls += 1
             on_connect()
