Send large patches in parts to the VMs that ask for them

Callers would see: an old version in use too long on a congested link after a change of hundreds of routes, as it was read whole, a window of bytes in each round trip.

Change: a notice of a change that doesn't fit into one datagram has no patch; whoever gets it asks the sender for a patch to its own version, which comes in up to 40 parts. The reader no longer goes to the store for it at once; it reads in its interval anyway.

--- a/lavendershift/platform/application.py
+++ b/lavendershift/platform/application.py
@@ -333,12 +333,12 @@
             self._activity.is_active,
         )
         self._exchange = RecordExchange(
+            clock,
             rng,
             self._datagrams,
             self._list_all_peers,
             self._configuration.accept_version,
         )
-        self._exchange.on_missed = self._configuration.note_missed
         self._exchange.on_notice = lambda outcome: self._instruments.count(
             "version_notices", outcome
         )
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
@@ -284,23 +283,15 @@
         self._evacuations = evacuations or Evacuations()
         self._is_active = is_active
         self._version: int | None = None
-        self._missed = asyncio.Event()
         self.on_read: Callable[[Version], None] = lambda version: None
 
     async def pause(self) -> None:
-        """Wait for further versions, or until one is known to be there."""
+        """Wait for further versions, unless some are known to be there."""
         if self.reading.left and self.reading.records:
             return
         interval = find_interval(self._apply_time, self._is_active())
         interval *= self._rng.uniform(MIN_INTERVAL_PART, 1.0)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(interval.total_seconds()):
-                await self._missed.wait()
-        self._missed.clear()
-
-    def note_missed(self) -> None:
-        """Read the store soon, as it has a newer version."""
-        self._missed.set()
+        await asyncio.sleep(interval.total_seconds())
 
     def accept_version(self, version: Version) -> bool:
         """Put a version into force that another VM has read; return whether it is.
--- a/lavendershift/platform/tests/feedfleet.py
+++ b/lavendershift/platform/tests/feedfleet.py
@@ -75,12 +75,12 @@
         self.address = (self.name, 1)
         self.datagrams = LinkedDatagrams(fleet, self)
         self.exchange = RecordExchange(
+            loop,
             rng,
             self.datagrams,
             lambda: [vm.address for vm in fleet.vms if vm is not self],
             self.feed.accept_version,
         )
-        self.exchange.on_missed = self.feed.note_missed
         self.feed.on_read = self.exchange.note
 
     def _accept(self, table):
--- a/lavendershift/recordexchange.py
+++ b/lavendershift/recordexchange.py
@@ -5,21 +5,25 @@
 version tells a few others, which put it into force and tell a few more. What crosses a
 link then is a patch, whose size is that of the change::
 
-    exchange = RecordExchange(rng, datagrams, list_peers, accept)
+    exchange = RecordExchange(clock, rng, datagrams, list_peers, accept)
     exchange.note(Version(7, place, value))  # a version that was read from the store
 
-A datagram may be lost, and a version may differ from the one before by more than fits
-into one. The VMs that miss a version ask the one that told them of a newer one, or read
-the store.
+A patch that is too large for one datagram is sent in parts to those that ask for it.
+
+Datagrams may be lost. A VM that misses a version asks the one that told it of a newer
+one, and all VMs go on reading the store.
 """
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Collection
+from datetime import timedelta
 from typing import NamedTuple
 
 import msgspec
 
+from lavendershift.clocks import Clock
 from lavendershift.datagrams import Datagrams, Peer, register_message
 from lavendershift.decoding import Count
 from lavendershift.errors import DecodeError
@@ -28,7 +32,10 @@
 # VMs that each VM tells of a version. Of VMs that choose five each at random, 0.7 % are
 # chosen by none; these read the version from the store.
 TOLD_VMS = 5
-MAX_PATCH_BYTES = 1200  # so that a datagram fits into one packet
+MAX_PART_BYTES = 1200  # so that a datagram fits into one packet
+MAX_PARTS = 40  # of one patch; larger changes are read from the store
+# Time for the reply to an inquiry, during which no other one is made.
+INQUIRY_TIME = timedelta(milliseconds=300)
 # Versions that are kept, as the base of patches from VMs that read others.
 MAX_VERSIONS = 4
 
@@ -58,7 +65,8 @@
 class VersionNotice(msgspec.Struct, array_like=True, tag="version"):
     """A new version, as a patch to the version with the digest ``base``.
 
-    The patch is empty if it is too large.
+    ``patch`` is one of its ``parts``. There are none if it is too large to be sent
+    without being asked for.
     """
 
     number: Count
@@ -68,6 +76,8 @@
     since: Count
     digest: Count
     base: Count
+    parts: Count
+    part: Count
     patch: bytes
 
 
@@ -81,25 +91,28 @@
 class RecordExchange:
     """Tells other VMs the versions that this VM reads, and gets theirs.
 
-    ``accept`` puts a version into force and returns whether it did. ``on_missed`` is
-    called when a newer version has to be read from the store, ``on_notice`` with what
-    became of each notice.
+    ``accept`` puts a version into force and returns whether it did. ``on_notice`` is
+    called with what became of each notice.
     """
 
     def __init__(
         self,
+        clock: Clock,
         rng: random.Random,
         datagrams: Datagrams,
         list_peers: Callable[[], Collection[Peer]],
         accept: Callable[[Version], bool],
     ) -> None:
+        self._clock = clock
         self._rng = rng
         self._datagrams = datagrams
         self._list_peers = list_peers
         self._accept = accept
         self._values: deque[tuple[int, bytes]] = deque(maxlen=MAX_VERSIONS)
         self._newest: tuple[int, Place] | None = None
-        self.on_missed: Callable[[], None] = lambda: None
+        self._told: tuple[int, Peer] | None = None  # the newest number that was told
+        self._inquired_until = timedelta()
+        self._collected: tuple[tuple[int, int], dict[int, bytes]] = ((0, 0), {})
         self.on_notice: Callable[[str], None] = lambda outcome: None
         datagrams.handle(VersionNotice, self._receive)
         datagrams.handle(VersionInquiry, self._receive_inquiry)
@@ -112,21 +125,38 @@
         if self._newest is not None and version.number <= self._newest[0]:
             return
         digest = compute_digest(version.value)
-        notice = self._make_notice(version, digest) if self._values else None
+        base = self._values[-1] if self._values else None
         self._remember(version, digest)
-        if notice is not None:
-            self._tell(notice)
+        if base is not None:
+            notices = self._make_notices(*base)
+            self._tell(notices[0] if len(notices) == 1 else self._make_bare(base[0]))
 
     def _remember(self, version: Version, digest: int) -> None:
         self._newest = version.number, version.place
         self._values.append((digest, version.value))
 
-    def _make_notice(self, version: Version, digest: int) -> VersionNotice:
-        base_digest, base = self._values[-1]
-        patch = make_patch(base, version.value)
-        if len(patch) > MAX_PATCH_BYTES:
-            patch = b""
-        return VersionNotice(version.number, *version.place, digest, base_digest, patch)
+    def _make_notices(self, base: int, base_value: bytes) -> list[VersionNotice]:
+        """Return the parts of a patch to the newest version, none if it is too large."""
+        patch = make_patch(base_value, self._values[-1][1])
+        count = math.ceil(len(patch) / MAX_PART_BYTES)
+        if count > MAX_PARTS:
+            return []
+        bare = self._make_bare(base)
+        return [
+            msgspec.structs.replace(
+                bare,
+                parts=count,
+                part=part,
+                patch=patch[part * MAX_PART_BYTES : (part + 1) * MAX_PART_BYTES],
+            )
+            for part in range(count)
+        ]
+
+    def _make_bare(self, base: int) -> VersionNotice:
+        """Return a notice of the newest version without a patch."""
+        assert self._newest is not None
+        number, place = self._newest
+        return VersionNotice(number, *place, self._values[-1][0], base, 0, 0, b"")
 
     def _tell(self, notice: VersionNotice, teller: Peer | None = None) -> None:
         peers = [peer for peer in self._list_peers() if peer != teller]
@@ -142,15 +172,16 @@
             return "early"
         if notice.number <= self._newest[0]:
             return "known"
-        if not notice.patch:
-            self.on_missed()
-            return "large"
+        if self._told is None or notice.number > self._told[0]:
+            self._told = notice.number, sender
         base = dict(self._values).get(notice.base)
-        if base is None:
-            self._datagrams.send(VersionInquiry(self._values[-1][0]), [sender])
-            return "inquired"
+        if base is None or not notice.parts:
+            return "inquired" if self._inquire(sender) else "awaited"
+        patch = self._collect(notice)
+        if patch is None:
+            return "partial"
         try:
-            value = apply_patch(base, notice.patch)
+            value = apply_patch(base, patch)
         except DecodeError:
             return "damaged"
         if compute_digest(value) != notice.digest:
@@ -160,18 +191,46 @@
         if not self._accept(version):
             return "rejected"
         self._remember(version, notice.digest)
+        if notice.parts > 1:
+            notice = self._make_bare(notice.base)
         self._tell(notice, sender)
+        self._go_on()
         return "accepted"
 
+    def _collect(self, notice: VersionNotice) -> bytes | None:
+        """Return the patch once all its parts are there; only one is collected."""
+        if notice.parts == 1:
+            return notice.patch
+        key, parts = self._collected
+        if key != (notice.digest, notice.base):
+            key, parts = (notice.digest, notice.base), {}
+            self._collected = key, parts
+        if notice.part < notice.parts <= MAX_PARTS:
+            parts[notice.part] = notice.patch
+        if len(parts) < notice.parts:
+            return None
+        return b"".join(parts[part] for part in range(notice.parts))
+
+    def _inquire(self, peer: Peer) -> bool:
+        """Ask for the newest version, unless a reply is awaited."""
+        now = self._clock.elapsed()
+        if now < self._inquired_until:
+            return False
+        self._inquired_until = now + INQUIRY_TIME
+        self._datagrams.send(VersionInquiry(self._values[-1][0]), [peer])
+        return True
+
+    def _go_on(self) -> None:
+        """Ask for a version that was told while another one was awaited."""
+        self._inquired_until = timedelta()
+        if self._told is not None and self._newest is not None:
+            number, peer = self._told
+            if number > self._newest[0]:
+                self._inquire(peer)
+
     def _receive_inquiry(self, inquiry: VersionInquiry, sender: Peer) -> None:
         base = dict(self._values).get(inquiry.base)
-        if base is None or self._newest is None:
-            return
-        digest, value = self._values[-1]
-        if digest == inquiry.base:
+        if base is None or inquiry.base == self._values[-1][0]:
             return
-        patch = make_patch(base, value)
-        if len(patch) <= MAX_PATCH_BYTES:
-            number, place = self._newest
-            notice = VersionNotice(number, *place, digest, inquiry.base, patch)
+        for notice in self._make_notices(inquiry.base, base):
             self._datagrams.send(notice, [sender])
--- a/lavendershift/tests/test_recordexchange.py
+++ b/lavendershift/tests/test_recordexchange.py
@@ -4,8 +4,11 @@
 import msgspec
 import pytest
 
+from lavendershift.clocks import ManualClock
 from lavendershift.recordexchange import (
-    MAX_PATCH_BYTES,
+    INQUIRY_TIME,
+    MAX_PART_BYTES,
+    MAX_PARTS,
     MAX_VERSIONS,
     TOLD_VMS,
     Place,
@@ -21,6 +24,7 @@
 
     def __init__(self):
         self.vms = {}
+        self.clock = ManualClock()
         self.sent = []
         self.drops = lambda message, peer: False
         self._queue = deque()
@@ -56,24 +60,21 @@
     def __init__(self, network, address):
         self.network, self.address = network, address
         self.handlers = {}
-        self.accepted, self.outcomes, self.missed = [], [], 0
+        self.accepted, self.outcomes = [], []
         self.rejects = False
         self.exchange = RecordExchange(
+            network.clock,
             random.Random(address[1]),
             self,
             lambda: network.list_others(address),
             self._accept,
         )
         self.exchange.on_notice = self.outcomes.append
-        self.exchange.on_missed = self._note_missed
 
     def _accept(self, version):
         self.accepted.append(version)
         return not self.rejects
 
-    def _note_missed(self):
-        self.missed += 1
-
     def handle(self, kind, handler):
         self.handlers[kind] = handler
 
@@ -137,16 +138,63 @@
     assert len(network.sent) == 2
 
 
-def test_a_change_that_is_too_large_for_a_datagram_is_read_from_the_store(network):
+def make_large(number, parts):
+    """Return a version whose patch takes about ``parts`` datagrams."""
+    noise = random.Random(number).randbytes(int((parts - 0.5) * MAX_PART_BYTES))
+    version = make_version(number)
+    return version._replace(value=version.value + noise)
+
+
+@pytest.mark.parametrize("parts", [2, 10, MAX_PARTS])
+@pytest.mark.parametrize("count", [2, 30])
+def test_a_large_change_is_sent_in_parts_to_those_that_ask(network, parts, count):
+    vms = [network.add(number) for number in range(count)]
+    for vm in vms:
+        vm.exchange.note(make_version(1))
+    vms[0].exchange.note(make_large(2, parts))
+    reached = [vm for vm in vms[1:] if vm.accepted == [make_large(2, parts)]]
+    assert len(reached) >= 0.9 * (count - 1)
+    assert len(network.sent) <= count * (TOLD_VMS + 1 + parts)
+
+
+def test_a_change_of_more_parts_is_left_to_the_store(network):
     first, second = network.add(1), network.add(2)
     for vm in (first, second):
         vm.exchange.note(make_version(1))
-    noise = random.Random(1).randbytes(2 * MAX_PATCH_BYTES)
-    large = make_version(2)
-    first.exchange.note(large._replace(value=large.value + noise))
-    ((notice, _),) = network.sent
-    assert notice.patch == b""
-    assert (second.accepted, second.missed) == ([], 1)
+    first.exchange.note(make_large(2, MAX_PARTS + 1))
+    assert second.accepted == []
+    assert len(network.sent) == 2
+
+
+def test_a_lost_part_is_asked_for_again_with_the_next_notice(network):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    network.drops = lambda message, peer: getattr(message, "part", 0) == 3
+    first.exchange.note(make_large(2, 6))
+    assert second.accepted == []
+    network.drops = lambda message, peer: False
+    first.exchange.note(make_version(3))
+    assert second.accepted == []  # a reply is still awaited
+    network.clock.advance(INQUIRY_TIME)
+    first.exchange.note(make_version(4))
+    assert second.accepted == [make_version(4)]
+
+
+def test_a_version_that_is_told_while_parts_arrive_is_asked_for(network):
+    first, second = network.add(1), network.add(2)
+    for vm in (first, second):
+        vm.exchange.note(make_version(1))
+    kept = []
+    network.drops = lambda message, peer: (
+        getattr(message, "parts", 0) > 1 and kept.append(message) is None
+    )
+    first.exchange.note(make_large(2, 4))
+    network.drops = lambda message, peer: False
+    first.exchange.note(make_large(3, 5))
+    for message in kept:
+        first.send(message, [second.address])
+    assert second.accepted == [make_large(2, 4), make_large(3, 5)]
 
 
 @pytest.mark.parametrize(
