--- a/lavendershift/recordexchange.py
+++ b/lavendershift/recordexchange.py
@@ -136,7 +136,7 @@
         self._values.append((digest, version.value))
 
     def _make_notices(self, base: int, base_value: bytes) -> list[VersionNotice]:
-        """Return the parts of a patch to the newest version, none if it is too large."""
+        """Return a patch to the newest version in parts, none if it is too large."""
         patch = make_patch(base_value, self._values[-1][1])
         count = math.ceil(len(patch) / MAX_PART_BYTES)
         if count > MAX_PARTS:
