Keep the reading in progress apart from versions of other VMs

A version that another VM told replaced what the feed had noted of its own reading, so that the log line of the next one could have its times, and records that were skipped meanwhile counted as left. Found by reading the change; no failure was seen.

--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -60,8 +60,7 @@
 # Interval at which a silent request is tried elsewhere while that is not possible.
 BESIDE_INTERVAL = timedelta(milliseconds=250)
 
-
-# Tasks of ended attempts, which would otherwise be referenced by nothing for sure.
+# Tasks of ended attempts until they are done, as the event loop doesn't keep them.
 _ending: set[asyncio.Task[None]] = set()
 
 
--- a/lavendershift/platform/feeds.py
+++ b/lavendershift/platform/feeds.py
@@ -227,7 +227,7 @@
         self.reading = self.reading._replace(
             records=len(batch.records),
             size=sum(len(record.value) for record in batch.records),
-            left=max(batch.end - batch.next_offset, 0),
+            left=max(batch.end - self._reader.offset, 0),
         )
         with self.measure(self.name):
             self.apply_records(batch.records, is_snapshot)
@@ -300,9 +300,10 @@
         """
         place, value = version.place, version.value
         now = self._clock.elapsed()
-        self.reading = Reading(now, now, 1, len(value))
+        reading = Reading(now, now, 1, len(value))
         record = Record(place.offset, names.CONFIGURATION_KEY, value)
-        if not self._activate(record, FROM_VM) or self._version != version.number:
+        is_used = self._activate(record, FROM_VM, reading)
+        if not is_used or self._version != version.number:
             return False
         if (place.store, place.era) == (self._store.address, self._reader.history.era):
             self._reader.skip(place.since, place.offset)
@@ -314,7 +315,8 @@
         for record in reversed(records):
             if record.key != names.CONFIGURATION_KEY or not record.value:
                 continue
-            if self._activate(record, "snapshot" if is_snapshot else "log"):
+            source = "snapshot" if is_snapshot else "log"
+            if self._activate(record, source, self.reading):
                 return
 
     def _apply_evacuations(self, records: list[Record], is_snapshot: bool) -> None:
@@ -332,7 +334,7 @@
     def _note_odd(self, error: DecodeError) -> None:
         self.skips.note(error.location, error.reason)
 
-    def _activate(self, record: Record, source: str) -> bool:
+    def _activate(self, record: Record, source: str, reading: Reading) -> bool:
         began = self._clock.elapsed()
         try:
             decoded = decode_configuration(record.value)
@@ -346,7 +348,6 @@
         for reason in decoded.skipped:
             self.skips.note(self.kind, reason)
         self._version = table.version
-        reading = self.reading
         self._log.write(
             Event.CONFIGURATION_CHANGED,
             version=table.version,
--- a/lavendershift/platform/topicreaders.py
+++ b/lavendershift/platform/topicreaders.py
@@ -111,6 +111,11 @@
                 self.since = max(self.since, record.offset + 1)
                 return
 
+    @property
+    def offset(self) -> int:
+        """The offset that is read next."""
+        return self._offset or 0
+
     @property
     def history(self) -> History:
         """The history that is read."""
