Show from logs when VMs had each configuration

`lavendershift versions LOGS [--late SECONDS]` prints for each version the first VM that had it, how much later the others had it and from where.

--- a/lavendershift/tools/cli.py
+++ b/lavendershift/tools/cli.py
@@ -20,6 +20,7 @@
 from lavendershift.commands.requests import Requests
 from lavendershift.commands.status import StatusCommand
 from lavendershift.commands.tree import Tree
+from lavendershift.commands.versions import Versions
 
 
 @cappa.command(name="lavendershift")
@@ -41,6 +42,7 @@
         | Drain
         | Log
         | Explain
+        | Versions
     ]
 
 
