Reply to an inquiry with the whole version if the other VM's is unknown

Callers would see: an old version in use too long at a VM that has just started, on a slow link, in a series of large versions.

One that asked another for a patch to a version that this one had skipped got no reply, and read the store, two records of 261 kB on a link of 5 Mbit/s.

Change: the reply is a patch to the empty base then, which is the version compressed, 5 to 30 kB.

--- a/lavendershift/recordexchange.py
+++ b/lavendershift/recordexchange.py
@@ -38,6 +38,7 @@
 INQUIRY_TIME = timedelta(milliseconds=300)
 # Versions that are kept, as the base of patches from VMs that read others.
 MAX_VERSIONS = 4
+NO_VERSION = 0  # digest of the empty base, which all VMs have
 
 
 class Place(NamedTuple):
@@ -83,7 +84,10 @@
 
 @register_message
 class VersionInquiry(msgspec.Struct, array_like=True, tag="version_inquiry"):
-    """Asks for the newest version, as a patch to the one with the digest ``base``."""
+    """Asks for the newest version, as a patch to the one with the digest ``base``.
+
+    A VM that doesn't have that one replies with a patch to the empty base.
+    """
 
     base: Count
 
@@ -174,7 +178,7 @@
             return "known"
         if self._told is None or notice.number > self._told[0]:
             self._told = notice.number, sender
-        base = dict(self._values).get(notice.base)
+        base = self._find_value(notice.base)
         if base is None or not notice.parts:
             return "inquired" if self._inquire(sender) else "awaited"
         patch = self._collect(notice)
@@ -197,6 +201,9 @@
         self._go_on()
         return "accepted"
 
+    def _find_value(self, digest: int) -> bytes | None:
+        return b"" if digest == NO_VERSION else dict(self._values).get(digest)
+
     def _collect(self, notice: VersionNotice) -> bytes | None:
         """Return the patch once all its parts are there; only one is collected."""
         if notice.parts == 1:
@@ -229,8 +236,10 @@
                 self._inquire(peer)
 
     def _receive_inquiry(self, inquiry: VersionInquiry, sender: Peer) -> None:
-        base = dict(self._values).get(inquiry.base)
-        if base is None or inquiry.base == self._values[-1][0]:
+        if not self._values or inquiry.base == self._values[-1][0]:
             return
-        for notice in self._make_notices(inquiry.base, base):
+        base, value = inquiry.base, self._find_value(inquiry.base)
+        if value is None:
+            base, value = NO_VERSION, b""
+        for notice in self._make_notices(base, value):
             self._datagrams.send(notice, [sender])
