--- a/lavendershift/platform/tests/soak/versions.py
+++ b/lavendershift/platform/tests/soak/versions.py
@@ -73,14 +73,15 @@
     for link in links:
         world.call(link.hold, TO_TARGET, TO_CALLER)
 
+    begun_at = time.monotonic()
+
     def undo():
         for link in links:
             world.call(link.heal)
         for number in cut:
-            world.record_disturbance(world.nodes[number])
+            name = world.nodes[number].name
+            world.store_cuts.append((name, begun_at, time.monotonic()))
 
-    for number in cut:
-        world.record_disturbance(world.nodes[number])
     return undo
 
 
@@ -159,4 +160,9 @@
     last_end = max((at for at in ends if at < until), default=float("-inf"))
     if not starts or last_end > max(starts):
         return False
-    return not any(since <= at <= until for at in world.disturbed[node.name])
+    if any(since <= at <= until for at in world.disturbed[node.name]):
+        return False
+    return not any(
+        name == node.name and begin <= until and end >= since
+        for name, begin, end in world.store_cuts
+    )
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -80,6 +80,7 @@
         self.version = self.first_version
         self.changes = {}  # changes of the configuration by planned operations
         self.acknowledged = {}  # times at which the store had versions
+        self.store_cuts = []  # nodes, and from when to when they didn't reach the store
         self.checks = []  # of the profile, beside those of all runs
         self.timeouts = {}  # timeouts in seconds by version and kind of request
         self.is_key_revoked = False
