Log the connection of each attempt, and count requests sent again to an address

An attempt's line told the server's id only. Whether two attempts of a request went to one address or on one connection, and whether the second was refused sooner than its server can have read it, could not be told from any line, so that the hypotheses on requests that ran twice could not be separated.

Attempts that were sent now have address, connection, exchange (its place on the connection) and head_us, and where they occur skipped (responses to other requests) and earlier_sends (of this request to this address). The counters sends_again and skipped_responses cover both.

--- a/lavendershift/attemptowners.py
+++ b/lavendershift/attemptowners.py
@@ -23,6 +23,10 @@
         """Return why a prepared attempt may not be sent; count it if it may be."""
         ...
 
+    def count_sends(self, address: str) -> int:
+        """Count a send to an address; return the number of earlier ones there."""
+        ...
+
     def note_answer(self, attempt: "ServerAttempt") -> None:
         """Handle a complete response, which no other attempt can replace."""
         ...
--- a/lavendershift/attempts.py
+++ b/lavendershift/attempts.py
@@ -173,6 +173,24 @@
     media_type: str = ""
 
 
+class ExchangeReport(NamedTuple):
+    """Report of the connection of an attempt whose request was sent.
+
+    ``number`` is the connection's in this process, ``position`` the place of the
+    exchange among all on it, from 1. ``head_delay`` is the time from the request until
+    the head of its response, ``None`` without one, and ``skipped`` the number of
+    responses before it. ``earlier_sends`` counts how often the delivery had sent the
+    request to this address before.
+    """
+
+    address: str
+    number: int
+    position: int
+    head_delay: timedelta | None
+    skipped: int
+    earlier_sends: int
+
+
 class AttemptReport(NamedTuple):
     """Report of a finished attempt; ``stream`` is set on streaming routes.
 
@@ -183,6 +201,7 @@
     ``parts`` are the ids of the prompt's parts. ``silence`` is the longest time without
     progress, ``None`` if the attempt never fell silent. ``is_beside`` is set if it was
     started while another attempt was silent. ``ending`` is set if this VM ended it.
+    ``exchange`` is ``None`` if the request was not sent.
     """
 
     server: str
@@ -200,3 +219,4 @@
     silence: timedelta | None = None
     is_beside: bool = False
     ending: AttemptEnding | None = None
+    exchange: ExchangeReport | None = None
--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -143,10 +143,16 @@
 
 
 class Connection:
-    """A connection that carries one request at a time."""
+    """A connection that carries one request at a time.
 
-    def __init__(self, stream: ServerStream, address: str) -> None:
+    ``number`` is that of the connection in its process, and ``exchanges`` counts the
+    requests sent on it.
+    """
+
+    def __init__(self, stream: ServerStream, address: str, number: int = 0) -> None:
         self.address = address
+        self.number = number
+        self.exchanges = 0
         self.is_fresh = True
         self.idle_since = timedelta()
         self.max_idle = IDLE_TIMEOUT
@@ -165,6 +171,7 @@
     ) -> Exchange:
         """Send ``request`` and read one response."""
         http = self._make_http()
+        self.exchanges += 1
         self._may_reuse = False
         self._request_line = RequestStartLine(
             request.method, request.target, "HTTP/1.1"
@@ -287,7 +294,7 @@
             stream.close()
             raise
         self.opened += 1
-        return Connection(stream, address)
+        return Connection(stream, address, self.opened)
 
     def _make_room(self) -> bool:
         """Return whether a connection may be opened; an idle one may be closed."""
--- a/lavendershift/delivery.py
+++ b/lavendershift/delivery.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NamedTuple
@@ -134,6 +135,7 @@
         self._is_answered = False
         self._beside_timer: asyncio.TimerHandle | None = None
         self._end_reason: EndReason | None = None
+        self._sends: Counter[str] = Counter()  # by address
 
     @property
     def end_at(self) -> timedelta:
@@ -376,6 +378,11 @@
         self._limits.note_send()
         return None
 
+    def count_sends(self, address: str) -> int:
+        """Count a send to an address; return the number of earlier ones there."""
+        self._sends[address] += 1
+        return self._sends[address] - 1
+
     def note_answer(self, attempt: ServerAttempt) -> None:
         """End the other attempts, as this one has the response."""
         self._replace_others(attempt, Progress.RESPONSE)
--- a/lavendershift/instruments.py
+++ b/lavendershift/instruments.py
@@ -64,6 +64,13 @@
     "attempts_beside": Instrument(
         "Attempts begun while another one was silent, by how they ended.", ("end",)
     ),
+    "sends_again": Instrument(
+        "Requests sent to an address that they had been sent to, by how that ended.",
+        ("end",),
+    ),
+    "skipped_responses": Instrument(
+        "Responses of servers to other requests than the one in flight."
+    ),
     "version_notices": Instrument(
         "Notices of configurations from other VMs, by what became of them.",
         ("outcome",),
--- a/lavendershift/logs.py
+++ b/lavendershift/logs.py
@@ -159,6 +159,7 @@
 class EventFields(TypedDict, total=False):
     """Optional fields of a log line, in addition to those of every line."""
 
+    address: str
     age_ms: int
     allowed_ms: int
     attempt: str
@@ -169,17 +170,21 @@
     cause: str
     config_offset: int
     connect_ms: int
+    connection: int
     current_version: int
     duration_ms: int
+    earlier_sends: int
     ended_for: str
     entry: str
     error: str
     events: int
     excess: float
+    exchange: int
     expected_ms: int
     first_ms: int
     free_tokens: int
     granted_tokens: int
+    head_us: int
     idle_ms: int
     incarnation: str
     known_limit: float
@@ -206,6 +211,7 @@
     served: int
     server: str
     silent_ms: int
+    skipped: int
     source: str
     stage: str
     status: int
--- a/lavendershift/requestreports.py
+++ b/lavendershift/requestreports.py
@@ -12,6 +12,7 @@
     AttemptEnd,
     AttemptReport,
     CallerRequest,
+    ExchangeReport,
     StreamReport,
 )
 from lavendershift.clocks import Clock
@@ -136,6 +137,7 @@
             belief_ms=_to_milliseconds_or_unknown(attempt.knowledge.age),
             connect_ms=_to_milliseconds_or_unknown(attempt.connecting),
         )
+        self._describe_exchange(fields, attempt.end, attempt.exchange)
         if attempt.known_limit is not None:
             self._instruments.count("limited_attempts", attempt.end.value)
             fields["known_limit"] = attempt.known_limit
@@ -163,6 +165,24 @@
             fields["media_type"] = attempt.stream.media_type
         self._log.write(event, request=request.id, **fields)
 
+    def _describe_exchange(
+        self, fields: EventFields, end: AttemptEnd, exchange: ExchangeReport | None
+    ) -> None:
+        """Add the fields of an attempt's connection, and count what is unusual."""
+        if exchange is None:
+            return
+        fields["address"] = exchange.address
+        fields["connection"] = exchange.number
+        fields["exchange"] = exchange.position
+        if exchange.head_delay is not None:
+            fields["head_us"] = exchange.head_delay // timedelta(microseconds=1)
+        if exchange.skipped:
+            self._instruments.count("skipped_responses", amount=exchange.skipped)
+            fields["skipped"] = exchange.skipped
+        if exchange.earlier_sends:
+            self._instruments.count("sends_again", end.value)
+            fields["earlier_sends"] = exchange.earlier_sends
+
     def _count_stream(self, end: AttemptEnd, stream: StreamReport) -> None:
         if stream.resumed_after:
             self._instruments.count("resumes", end.value)
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -16,6 +16,7 @@
     Attempt,
     AttemptEnd,
     AttemptReport,
+    ExchangeReport,
     ResponseKind,
 )
 from lavendershift.clocks import Clock
@@ -90,6 +91,8 @@
             backends, order, self._guard, lambda: owner.find_refusal(self)
         )
         self._named_limit: float | None = None
+        self._head_at: timedelta | None = None
+        self._earlier_sends = 0
 
     @property
     def was_sent(self) -> bool:
@@ -169,6 +172,7 @@
     async def _send(self, connection: Connection) -> AttemptEnd:
         """Send the request on ``connection`` and read the response."""
         self._sent_at = self._progress_at = self._clock.elapsed()
+        self._earlier_sends = self._owner.count_sends(connection.address)
         self._connecting = self._sent_at - self._started
         self._is_after_silence = self.server.silence.is_open
         self._usage = ServerUsage(self._clock, self._servers, self.server, self._prompt)
@@ -314,6 +318,8 @@
     ) -> ResponseKind:
         """Classify a response head, and apply its signals."""
         kind = self._wire.classify(self.order.request, status, headers, is_fresh)
+        if kind is not ResponseKind.FOREIGN:
+            self._head_at = self._clock.elapsed()
         if kind is not ResponseKind.WRONG_SERVER:
             signal = self._wire.read_signal(status, headers)
             is_current = kind is not ResponseKind.FOREIGN
@@ -373,6 +379,20 @@
             return AttemptEnding(EndReason.QUARANTINED)
         return self._ending
 
+    def _describe_exchange(self) -> ExchangeReport | None:
+        connection, reader = self._connection, self.reader
+        if connection is None or reader is None:
+            return None
+        delay = None if self._head_at is None else self._head_at - self._sent_at
+        return ExchangeReport(
+            connection.address,
+            connection.number,
+            connection.exchanges,
+            delay,
+            reader.skipped,
+            self._earlier_sends,
+        )
+
     def _report(self, end: AttemptEnd, reason: str) -> None:
         reader = self.reader
         monitor = self._monitor
@@ -396,5 +416,6 @@
                 silence,
                 self.order.is_beside,
                 self._find_ending(),
+                self._describe_exchange(),
             )
         )
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -69,7 +69,8 @@
     the progress of the response. ``refused`` is set once the response can't be the
     continuation of the stream, or exceeds a limit without an end; ``stop`` is then
     called to close the connection. ``is_streamed`` is set from the head on if the
-    response is forwarded as it arrives.
+    response is forwarded as it arrives. ``skipped`` counts the responses to other
+    requests.
     """
 
     def __init__(
@@ -95,7 +96,7 @@
         self._initial_position = receiver.position
         self._body = CollectedBody()
         self._size = 0
-        self._skipped = 0
+        self.skipped = 0
         self._memory: MemoryBudget | None = None
         self._holding: Holding | None = None
         self._counted = 0
@@ -134,8 +135,8 @@
 
     def _skip(self) -> None:
         """Skip a response to another request, up to a number of them."""
-        self._skipped += 1
-        if self._skipped > MAX_SKIPPED_RESPONSES:
+        self.skipped += 1
+        if self.skipped > MAX_SKIPPED_RESPONSES:
             self._refuse(AttemptEnd.BROKEN, "only responses to other requests")
 
     def _check_continuation(self) -> None:
--- a/lavendershift/tests/test_requestreports.py
+++ b/lavendershift/tests/test_requestreports.py
@@ -8,6 +8,7 @@
     AttemptEnd,
     AttemptReport,
     CallerRequest,
+    ExchangeReport,
     StreamReport,
 )
 from lavendershift.clocks import ManualClock
@@ -70,6 +71,23 @@
     assert counted in instruments.render().decode()
 
 
+def test_attempt_reports_its_connection_and_what_was_sent_there_before(report_attempt):
+    exchange = ExchangeReport(
+        "10.0.0.1:80", 17, 3, timedelta(microseconds=250), skipped=2, earlier_sends=1
+    )
+    line, metrics = report_attempt(AttemptEnd.NOT_RUN, None, exchange=exchange)
+    assert (line["address"], line["connection"]) == ("10.0.0.1:80", 17)
+    assert (line["exchange"], line["head_us"]) == (3, 250)
+    assert (line["skipped"], line["earlier_sends"]) == (2, 1)
+    assert 'lavendershift_sends_again_total{end="not_run"} 1.0' in metrics
+    assert "lavendershift_skipped_responses_total 2.0" in metrics
+
+
+def test_unsent_attempt_reports_no_connection(report_attempt):
+    line, _ = report_attempt(AttemptEnd.NOT_SENT, None)
+    assert not line.keys() & {"address", "connection", "exchange", "head_us"}
+
+
 def test_stream_attempt_reports_events_and_bytes_received(report_attempt):
     stream = StreamReport("12", 3, 7, "text/event-stream")
     line, metrics = report_attempt(AttemptEnd.SILENT, stream)
