Show that a copied refusal lets a request run twice that must run once

What callers saw: a request that must run once ran at two servers.

A stand-in may now send its refusals twice (RefusalCopies: on the idle connection, or after the next request and before its response), and refuse requests for another server's name with 421. A server that restarts at its address under another id is listed under both for a while. A VM before it gets 421 for the old id, sends the request again for the new id on the same kept connection, takes the copy of the 421 for the answer, and sends the request to another server while this one runs it.

--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -18,8 +18,14 @@
 from typing import NamedTuple
 
 from lavendershift_standins.heldwriters import HeldWriter
+from lavendershift_standins.refusalcopies import (
+    ChooseDelay,
+    RefusalCopies,
+    send_no_copy,
+)
 
 ATTEMPT_ID_HEADER = "x-lavendershift-attempt-id"
+EXPECTED_SERVER_HEADER = "x-lavendershift-expect-instance"
 PROMPT_HEADER = "x-lavendershift-prompt-prefix"
 LAST_CHUNK = b"0\r\n\r\n"
 MAX_SILENCE_S = 3600.0  # the event loop takes no infinite delay
@@ -60,7 +66,8 @@
     its first event, or its end, or of the first byte of another body, ``ended_at`` that
     of its end, and ``closed_at`` that of the end of the connection, if it was the last
     there. With ``was_left``, the client closed the connection before; with ``was_cut``,
-    it did so while the server was still responding.
+    it did so while the server was still responding. ``written`` are the bytes of the
+    response up to its first event or the first byte of another body.
     """
 
     def __init__(self, received: ReceivedRequest, behaviour: "Behaviour") -> None:
@@ -72,7 +79,7 @@
         self.closed_at: float | None = None
         self.was_left = False
         self.was_cut = False
-        self._written = b""
+        self.written = b""
 
     def note_written(self, data: bytes) -> None:
         """Record the time of ``data``, bytes of the response that were sent."""
@@ -80,8 +87,8 @@
         self.sent_at = self.sent_at or now
         if self.delivered_at is not None:
             return
-        self._written += data
-        head, _, body = self._written.partition(b"\r\n\r\n")
+        self.written += data
+        head, _, body = self.written.partition(b"\r\n\r\n")
         if b"text/event-stream" in head:
             has_delivered = b"\n\n" in body or body.endswith(LAST_CHUNK)
         else:
@@ -112,6 +119,9 @@
     A crash resets the connections, or closes them if ``resets_at_crash`` is false, and
     calls ``on_crash``. ``fall_silent`` stops all output for a time, as if the process
     had been stopped, and ``silences`` holds the monotonic times of each silence.
+    With ``checks_name``, requests for a server of another name get 421.
+    ``choose_copy_delay`` may let refusals be sent twice, see ``RefusalCopies``, and
+    ``copies`` counts those sent twice.
     """
 
     def __init__(self, name: str) -> None:
@@ -126,6 +136,9 @@
         self.crash_output = CrashOutput.HEAD
         self.resets_at_crash = True
         self.read_s = 0.0
+        self.checks_name = False
+        self.choose_copy_delay: ChooseDelay = send_no_copy
+        self.copies = 0
         self.crashed_at: float | None = None
         self.closed = 0
         self.connections = 0
@@ -194,6 +207,15 @@
         self.crashed_at = None
         await self.start()
 
+    def _count_copy(self) -> None:
+        self.copies += 1
+
+    def _choose_behaviour(self, received: ReceivedRequest) -> "Behaviour":
+        expected = received.headers.get(EXPECTED_SERVER_HEADER, self.name)
+        if self.checks_name and expected != self.name:
+            return answer_misdirected
+        return self.script.pop(0) if self.script else self.default
+
     async def _answer_with_crash(
         self, received: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
@@ -221,20 +243,24 @@
         if self._goes_on is not None:
             writer.hold()
         self._writers.add(writer)
+        copies = RefusalCopies(
+            accepted, lambda: self.choose_copy_delay(), self._count_copy
+        )
         handled = None
         try:
             while True:
                 received = await read_request(reader)
                 received = received._replace(limit=self.limit)
                 self.received.append(received)
-                behaviour = self.script.pop(0) if self.script else self.default
+                behaviour = self._choose_behaviour(received)
                 if not self.crash_parts.isdisjoint(received.parts):
                     behaviour = self._answer_with_crash
                 handled = HandledRequest(received, behaviour)
                 self.handled.append(handled)
                 if not is_refusal(behaviour):
                     self.runs.append(received.id)
-                responding = asyncio.ensure_future(respond(handled, writer))
+                copies.begin_request()
+                responding = asyncio.ensure_future(respond(handled, writer, copies))
                 closing = asyncio.ensure_future(wait_for_close(reader))
                 await asyncio.wait(
                     {responding, closing}, return_when=asyncio.FIRST_COMPLETED
@@ -248,6 +274,9 @@
                     self.closed += 1
                     return
                 await responding
+                copies.end_response()
+                if is_refusal(behaviour):
+                    copies.add(handled.written)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
             if handled is not None:
@@ -259,10 +288,17 @@
                 writer.close()
 
 
-async def respond(handled: HandledRequest, writer: HeldWriter) -> None:
+async def respond(
+    handled: HandledRequest, writer: HeldWriter, copies: RefusalCopies
+) -> None:
     """Respond to one request, after a silence of the server."""
     await writer.wait_released()
-    writer.on_write = handled.note_written
+
+    def note_written(data: bytes) -> None:
+        copies.begin_response()
+        handled.note_written(data)
+
+    writer.on_write = note_written
     await handled.behaviour(handled.received, writer)
 
 
@@ -295,6 +331,8 @@
     """Return whether a behaviour rejects the request without running it."""
     if isinstance(behaviour, RetryLater):
         return behaviour.status == 503
+    if isinstance(behaviour, Refusal):
+        return True
     return behaviour in (answer_not_run, answer_misdirected)
 
 
@@ -370,6 +408,20 @@
         self.answered.append((received.id, time.monotonic()))
 
 
+class Refusal:
+    """Refuse requests with a status and the header that says they weren't run."""
+
+    def __init__(self, status: int) -> None:
+        self._status = status
+
+    async def __call__(
+        self, received: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Respond to one request."""
+        headers = {"Content-Length": "0", "X-Lavendershift-Not-Executed": "1"}
+        writer.write(make_head(received, self._status, headers))
+
+
 async def answer_error(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     """Respond 500 to a request that ran."""
     writer.write(make_head(received, 500, {"Content-Length": "5"}) + b"error")
