Send no request twice on one connection

What callers saw: a request that must run once ran twice, and one that ran could get a refusal that promises it had not.

Cause: a server may send a refusal a second time, and nothing but the request's id tells a response to an earlier request from that of the one in flight. A delivery avoids servers by their ids, but connections are kept by address. After a quick restart an address is listed under two ids: the request refused for the old id was sent again for the new one on the connection that had carried the refusal, and its copy was taken as the proof that the second send had not run.

Now a connection knows the requests that it carried without an answer, and the pool gives it to other requests only. A request that goes to the same address again has another connection, on which no copy can be due, so that the id tells again. Copies on the old one belong to another request and are skipped. What a connection remembers is bounded: after 64 such requests it is replaced.

The fake of a pool in test_staleresponses takes the new argument; its checks are unchanged.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -41,6 +41,8 @@
 IDLE_TIMEOUT = timedelta(seconds=4)  # idle limit if a server sends no Keep-Alive
 IDLE_MARGIN = timedelta(seconds=1)  # margin below the server's own idle timeout
 MAX_IDLE_CONNECTIONS = 16  # idle connections to one address
+# Requests that a connection carried without an answer, after which it is replaced.
+MAX_UNANSWERED = 64
 # Timeout of a connection that only tells whether a process listens.
 PROBE_TIMEOUT = timedelta(milliseconds=100)
 MAX_KEEP_ALIVE_S = 86_400  # largest idle timeout that a server may name
@@ -146,7 +148,9 @@
     """A connection that carries one request at a time.
 
     ``number`` is that of the connection in its process, and ``exchanges`` counts the
-    requests sent on it.
+    requests sent on it. The server may send a response a second time at any later
+    moment. It can be told from the response to another request by its id, so that no
+    request is sent twice on one connection.
     """
 
     def __init__(self, stream: ServerStream, address: str, number: int = 0) -> None:
@@ -158,6 +162,7 @@
         self.max_idle = IDLE_TIMEOUT
         self._stream = stream
         self._reading: asyncio.Task[bool] | None = None
+        self._unanswered: set[str] = set()
         self._may_reuse = False
         self._request_line: RequestStartLine | None = None
 
@@ -222,8 +227,18 @@
             self.max_idle = timeout - IDLE_MARGIN
         self.is_fresh = False
 
+    def note_unanswered(self, request_id: str) -> None:
+        """Note a request that may be sent again, as it got no answer here."""
+        self._unanswered.add(request_id)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a request has not been sent on this connection before."""
+        return request_id not in self._unanswered
+
     def is_reusable(self, now: timedelta) -> bool:
         """Return whether the connection can carry another request."""
+        if len(self._unanswered) >= MAX_UNANSWERED:
+            return False
         if not self._may_reuse or self._stream.closed() or self._stream.writing():
             return False
         if now - self.idle_since > self.max_idle:
@@ -252,12 +267,17 @@
         self.open_count = 0
         self.find_limit: Callable[[], int] = lambda: sys.maxsize
 
-    def take(self, address: str) -> Connection | None:
-        """Return the most recently used idle connection to ``address``."""
-        idle = self._idle.get(address)
+    def take(self, address: str, request_id: str = "") -> Connection | None:
+        """Return the most recently used idle connection to ``address``.
+
+        One that has carried the request ``request_id`` is left to other requests.
+        """
+        idle = self._idle.get(address, deque())
         now = self._clock.elapsed()
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
+            if not connection.may_carry(request_id):
+                continue
+            idle.remove(connection)
             if connection.is_reusable(now):
                 return connection
             connection.close()
--- a/lavendershift/platform/tests/test_staleresponses.py
+++ b/lavendershift/platform/tests/test_staleresponses.py
@@ -268,9 +268,9 @@
 
         open_connection = scene.connections.take
 
-        def take_connection(address):
+        def take_connection(*args):
             scene.permits.take = take_slowly
-            return open_connection(address)
+            return open_connection(*args)
 
         scene.connections.take = take_connection
 
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -146,7 +146,7 @@
         """
         address = self._server.entry.address
         if not self._server.silence.is_open:
-            connection = self._connections.take(address)
+            connection = self._connections.take(address, self._order.request.id)
             if connection is not None:
                 return connection
         return await self._connections.connect(address, CONNECT_TIMEOUT)
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -273,6 +273,8 @@
         while exchange.is_complete and reader.kind is ResponseKind.FOREIGN:
             exchange = await connection.read_next(reader)
         end = self._classify_exchange(exchange, reader)
+        if end is not AttemptEnd.ANSWERED:
+            connection.note_unanswered(order.request.id)
         return end, reader.reason or exchange.reason
 
     def _classify_exchange(
--- a/lavendershift/tests/test_connections.py
+++ b/lavendershift/tests/test_connections.py
@@ -10,6 +10,7 @@
 
 from lavendershift.clocks import SystemClock
 from lavendershift.connections import (
+    MAX_UNANSWERED,
     READ_BYTES,
     ConnectError,
     ConnectionPool,
@@ -103,6 +104,45 @@
     play(work, send(HEAD + b"one two four"), send(HEAD))
 
 
+async def open_used_connections(connections, server, count):
+    """Return connections to ``server`` that have carried a request each."""
+    used = [await connections.connect(server.address, SECOND) for _ in range(count)]
+    for connection in used:
+        await connection.exchange(make_request(), Reader())
+    return used
+
+
+def test_connection_carries_no_request_again_that_got_no_answer_there(play):
+    """Guards against a copied refusal taken for that of a later send (TWICE)."""
+
+    async def work(connections, server):
+        first, second = await open_used_connections(connections, server, 2)
+        second.note_unanswered("r1")
+        connections.give_back(first)
+        connections.give_back(second)
+        assert connections.take(server.address, "r1") is first
+        assert connections.take(server.address, "r1") is None
+        assert connections.take(server.address, "r2") is second
+
+    play(work, *[send(HEAD + b"one two four")] * 2)
+
+
+def test_connection_is_replaced_after_many_requests_without_an_answer(play):
+    """Guards against memory that grows with each refusal of a server."""
+
+    async def work(connections, server):
+        (connection,) = await open_used_connections(connections, server, 1)
+        for number in range(MAX_UNANSWERED - 1):
+            connection.note_unanswered(f"r{number}")
+        connections.give_back(connection)
+        assert connections.take(server.address, "r") is connection
+        connection.note_unanswered("r")
+        connections.give_back(connection)
+        assert connections.take(server.address, "other") is None
+
+    play(work, send(HEAD + b"one two four"))
+
+
 def test_connection_is_not_reused_while_its_request_is_being_written():
     async def work():
         async def answer_early(reader, writer):
