Send requests without an id on new connections only

What callers saw: a request without an id waited until its deadline, though its server had answered.

Cause: on a kept connection a response is taken for a request's own by its id only, and a response to a request without one has none either. It was skipped as one to an earlier request. On a new connection no earlier response can come.

Evidence: of three such requests, one after the other, the second ended with deadline_exceeded before; all three are answered now.

--- a/lavendershift/platform/tests/test_repeatedrequests.py
+++ b/lavendershift/platform/tests/test_repeatedrequests.py
@@ -190,6 +190,24 @@
     play(work)
 
 
+def test_request_without_an_id_gets_its_own_response_on_a_new_connection(play):
+    """Guards against requests that wait until their end for a response with an id."""
+
+    async def answer_without_id(received, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+
+    async def work(scene):
+        server = await scene.add_server()
+        server.default = answer_without_id
+        for _ in range(3):
+            request = scene.make_request()._replace(id="")
+            request.headers.clear()
+            response = await scene.deliver(request=request)
+            assert (response.status, response.body) == (200, b"done")
+
+    play(work)
+
+
 def test_request_sent_again_to_an_address_is_reported(play):
     """Guards against logs that don't tell a copied refusal from another one."""
 
--- a/lavendershift/preparations.py
+++ b/lavendershift/preparations.py
@@ -142,11 +142,12 @@
     async def _open_connection(self) -> Connection:
         """Return a kept connection, or a new one to a server that is silent.
 
-        A kept connection may be the only thing that is silent.
+        A kept connection may be the only thing that is silent. On a new one, a response
+        without an id can't be one to an earlier request.
         """
-        address = self._server.entry.address
-        if not self._server.silence.is_open:
-            connection = self._connections.take(address, self._order.request.id)
+        address, request_id = self._server.entry.address, self._order.request.id
+        if request_id and not self._server.silence.is_open:
+            connection = self._connections.take(address, request_id)
             if connection is not None:
                 return connection
         return await self._connections.connect(address, CONNECT_TIMEOUT)
