Close a connection that may not carry a request before another is opened

Cause: the kept connection that had carried the request stayed open and idle beside the new one.

Now such a connection is closed if no other one is idle, so that the server has as many connections as before.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -270,7 +270,9 @@
     def take(self, address: str, request_id: str = "") -> Connection | None:
         """Return the most recently used idle connection to ``address``.
 
-        One that has carried the request ``request_id`` is left to other requests.
+        One that has carried the request ``request_id`` is left to other requests. If
+        there are no others, it is closed, as its place is needed at a server that takes
+        no more connections.
         """
         idle = self._idle.get(address, deque())
         now = self._clock.elapsed()
@@ -281,6 +283,8 @@
             if connection.is_reusable(now):
                 return connection
             connection.close()
+        if idle:
+            idle.popleft().close()
         return None
 
     async def connect(self, address: str, timeout: timedelta) -> Connection:
--- a/lavendershift/tests/test_connections.py
+++ b/lavendershift/tests/test_connections.py
@@ -121,12 +121,24 @@
         connections.give_back(first)
         connections.give_back(second)
         assert connections.take(server.address, "r1") is first
-        assert connections.take(server.address, "r1") is None
         assert connections.take(server.address, "r2") is second
 
     play(work, *[send(HEAD + b"one two four")] * 2)
 
 
+def test_connection_makes_room_for_another_one_with_the_same_request(play):
+    """Guards against a server at its limit of connections that resets one more."""
+
+    async def work(connections, server):
+        (connection,) = await open_used_connections(connections, server, 1)
+        connection.note_unanswered("r1")
+        connections.give_back(connection)
+        assert connections.take(server.address, "r1") is None
+        assert connections.open_count == 0
+
+    play(work, send(HEAD + b"one two four"))
+
+
 def test_connection_is_replaced_after_many_requests_without_an_answer(play):
     """Guards against memory that grows with each refusal of a server."""
 
