Apply only the drain signal of responses to other requests

What callers saw: after a server's limit had ended, requests to it waited for permits again, on all VMs.

Cause: the limit and the pause in a skipped response were applied as if they were new. A copied refusal repeats a limit that another VM knows has ended, as a state with a higher version, which is told to all VMs; the response after it in the same exchange can't correct it.

What a skipped response said has been applied when it came first. Only a drain never ends, so that it may be applied again.

--- a/lavendershift/platform/tests/test_repeatedrequests.py
+++ b/lavendershift/platform/tests/test_repeatedrequests.py
@@ -23,6 +23,7 @@
     PROMISES,
     answer_own,
 )
+from lavendershift.serverlimits import LimitState
 from lavendershift_standins.platformserver import (
     Refusal,
     answer_complete,
@@ -237,6 +238,48 @@
     play(work)
 
 
+def refuse_and_repeat(refuse):
+    """Return a refusing behaviour, and one that sends all copies before its answer."""
+    refused = []
+
+    async def refuse_first(received, writer):
+        refused.append(received)
+        await refuse(received, writer)
+
+    async def copy_first(received, writer):
+        for each in refused:
+            await refuse(each, writer)
+        refused.clear()
+        await answer_own(received, writer)
+
+    return refuse_first, work_first(copy_first, 0.01)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_copied_refusal_names_no_limit_again(play, kind):
+    """Guards against a limit that has ended and is announced again to all VMs."""
+
+    async def work(scene):
+        async def refuse(received, writer):
+            await answer_not_run(received._replace(limit="0.3"), writer)
+
+        refusal, default = refuse_and_repeat(refuse)
+        server = await scene.add_server(refusal)
+        server.default = default
+        await deliver(scene, kind, 1)
+        incarnation = scene.servers.find(server.name).incarnation
+        limits = scene.servers.limits
+        assert limits.find(incarnation) == 0.3
+        # Another VM has learned from a newer response that there is no limit.
+        ended = LimitState(None, limits.find_state(incarnation).version + 1)
+        limits.merge(incarnation, ended)
+        await deliver(scene, kind, 2)
+        assert server.connections == 1
+        assert limits.find_state(incarnation) == ended
+
+    play(work)
+
+
 def test_request_without_an_id_gets_its_own_response_on_a_new_connection(play):
     """Guards against requests that wait until their end for a response with an id."""
 
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -39,6 +39,7 @@
     AttemptReader,
     ServerResponse,
 )
+from lavendershift.serversignals import ServerSignal
 from lavendershift.serverstates import NO_PROMPT, ServerKnowledge
 from lavendershift.serverusage import ServerUsage
 from lavendershift.silences import (
@@ -320,13 +321,15 @@
     ) -> ResponseKind:
         """Classify a response head, and apply its signals."""
         kind = self._wire.classify(self.order.request, status, headers, is_fresh)
-        if kind is not ResponseKind.FOREIGN:
-            self._head_at = self._clock.elapsed()
+        signal = self._wire.read_signal(status, headers)
+        if kind is ResponseKind.FOREIGN:
+            # A copy may repeat a limit or a pause that has ended, but no drain ends.
+            if signal.is_leaving:
+                self._servers.note_signal(self.server, ServerSignal(is_leaving=True))
+            return kind
+        self._head_at = self._clock.elapsed()
         if kind is not ResponseKind.WRONG_SERVER:
-            signal = self._wire.read_signal(status, headers)
-            is_current = kind is not ResponseKind.FOREIGN
-            sent_at = self._sent_at if is_current else None
-            self._servers.note_signal(self.server, signal, sent_at)
+            self._servers.note_signal(self.server, signal, self._sent_at)
             self._named_limit = signal.limit
         return kind
 
