Skip as many responses as a connection carried refused requests

What callers saw: a request that its server ran ended with outcome_unknown or server_failed.

Cause: an attempt skips eight responses to other requests, and a connection may have carried 63 requests without an answer, each of which may have its copy before one response.

An attempt now skips one more for each such request. Without any, the bound on a server that writes responses without end is as before.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -231,13 +231,18 @@
         """Note a request that may be sent again, as it got no answer here."""
         self._unanswered.add(request_id)
 
+    @property
+    def unanswered(self) -> int:
+        """The number of requests that got no answer here."""
+        return len(self._unanswered)
+
     def may_carry(self, request_id: str) -> bool:
         """Return whether a request has not been sent on this connection before."""
         return request_id not in self._unanswered
 
     def is_reusable(self, now: timedelta) -> bool:
         """Return whether the connection can carry another request."""
-        if len(self._unanswered) >= MAX_UNANSWERED:
+        if self.unanswered >= MAX_UNANSWERED:
             return False
         if not self._may_reuse or self._stream.closed() or self._stream.writing():
             return False
--- a/lavendershift/platform/tests/test_repeatedrequests.py
+++ b/lavendershift/platform/tests/test_repeatedrequests.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from lavendershift.connections import MAX_UNANSWERED
 from lavendershift.errors import RequestError
 from lavendershift.platform import names
 from lavendershift.platform.callerresponses import choose_status
@@ -280,6 +281,24 @@
     play(work)
 
 
+@pytest.mark.parametrize("count", [8, 9, MAX_UNANSWERED - 1])
+@pytest.mark.parametrize("kind", KINDS)
+def test_copies_of_many_refusals_end_no_other_request(play, kind, count):
+    """Guards against a request that runs and fails, as copies are due before it."""
+
+    async def work(scene):
+        refusal, default = refuse_and_repeat(answer_not_run)
+        server = await scene.add_server(*[refusal] * count)
+        server.default = default
+        for number in range(1, count + 1):
+            await deliver(scene, kind, number)
+        response, error = await deliver(scene, kind, count + 1)
+        assert error is None and response.is_done
+        assert server.connections == 1
+
+    play(work)
+
+
 def test_request_without_an_id_gets_its_own_response_on_a_new_connection(play):
     """Guards against requests that wait until their end for a response with an id."""
 
--- a/lavendershift/serverattempts.py
+++ b/lavendershift/serverattempts.py
@@ -182,6 +182,7 @@
         reader = self.reader = AttemptReader(
             self, self.order.route.is_stream, connection.is_fresh, connection.close
         )
+        reader.max_skipped += connection.unanswered
         if self._memory is not None:
             reader.count_in(self._memory)
         reader.monitor = self._monitor = self._make_monitor()
--- a/lavendershift/serverresponses.py
+++ b/lavendershift/serverresponses.py
@@ -27,7 +27,9 @@
 SERVER_ERRORS = range(500, 600)
 EVENT_STREAM = "text/event-stream"  # media type of server-sent events, HTML standard
 MAX_UNSIZED_BYTES = 1_048_576  # limit for a plain body without a Content-Length
-MAX_SKIPPED_RESPONSES = 8  # responses to other requests before the attempt's own
+# Responses to other requests before the attempt's own, beside one for each request that
+# the connection carried without an answer.
+MAX_SKIPPED_RESPONSES = 8
 
 
 class ServerResponse(NamedTuple):
@@ -70,7 +72,7 @@
     continuation of the stream, or exceeds a limit without an end; ``stop`` is then
     called to close the connection. ``is_streamed`` is set from the head on if the
     response is forwarded as it arrives. ``skipped`` counts the responses to other
-    requests.
+    requests, of which there may be ``max_skipped``.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self._body = CollectedBody()
         self._size = 0
         self.skipped = 0
+        self.max_skipped = MAX_SKIPPED_RESPONSES
         self._memory: MemoryBudget | None = None
         self._holding: Holding | None = None
         self._counted = 0
@@ -136,7 +139,7 @@
     def _skip(self) -> None:
         """Skip a response to another request, up to a number of them."""
         self.skipped += 1
-        if self.skipped > MAX_SKIPPED_RESPONSES:
+        if self.skipped > self.max_skipped:
             self._refuse(AttemptEnd.BROKEN, "only responses to other requests")
 
     def _check_continuation(self) -> None:
