Use a connection no more after a HEAD request

What callers saw: a request after a refused HEAD request timed out or failed, though its server had answered.

Cause: a response to HEAD names the length of a body that it doesn't have. Its copy before the next response was read with that body, and took the bytes of the next response for it.

Evidence: four cases, one for each kind of request, failed before.

--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -149,8 +149,9 @@
 
     ``number`` is that of the connection in its process, and ``exchanges`` counts the
     requests sent on it. The server may send a response a second time at any later
-    moment. It can be told from the response to another request by its id, so that no
-    request is sent twice on one connection.
+    moment, which only the request's id tells from the response to another request.
+    Each attempt of a caller has its own id, and a request that got no answer on a
+    connection isn't sent there again.
     """
 
     def __init__(self, stream: ServerStream, address: str, number: int = 0) -> None:
@@ -221,7 +222,10 @@
     def _note_response(self, delegate: ResponseDelegate) -> None:
         headers = delegate.headers
         has_end = is_delimited(delegate.status, headers)
-        self._may_reuse = has_end and not delegate.closes
+        # Copies of responses to HEAD have no body, whatever their length says.
+        assert self._request_line is not None
+        is_head = self._request_line.method == "HEAD"
+        self._may_reuse = has_end and not delegate.closes and not is_head
         timeout = _parse_keep_alive(headers.get("Keep-Alive", ""))
         if timeout is not None:
             self.max_idle = timeout - IDLE_MARGIN
--- a/lavendershift/platform/tests/test_repeatedrequests.py
+++ b/lavendershift/platform/tests/test_repeatedrequests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import random
 import threading
@@ -30,6 +31,7 @@
     answer_complete,
     answer_misdirected,
     answer_not_run,
+    make_head,
     reset,
     work_first,
 )
@@ -299,6 +301,31 @@
     play(work)
 
 
+class HeadRefusal(Refusal):
+    """Refuses HEAD requests; the responses have no body, but the length of one."""
+
+    async def __call__(self, received, writer):
+        headers = {"Content-Length": "120", "X-Lavendershift-Not-Executed": "1"}
+        writer.write(make_head(received, 503, headers))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_copied_refusal_of_a_head_request_hides_no_response(play, kind):
+    """Guards against a response that is read as the body of a copied refusal."""
+
+    async def work(scene):
+        server = await scene.add_server(HeadRefusal(503))
+        server.default = work_first(answer_own, 0.01)
+        server.choose_copy_delay = lambda: AT_NEXT_REQUEST
+        request = scene.make_request(1)._replace(method="HEAD", body=b"")
+        with contextlib.suppress(RequestError):
+            await scene.deliver(request=request, **KINDS[kind])
+        response, error = await deliver(scene, kind, 2)
+        assert error is None and response.is_done
+
+    play(work)
+
+
 def test_request_without_an_id_gets_its_own_response_on_a_new_connection(play):
     """Guards against requests that wait until their end for a response with an id."""
 
