--- a/lavendershift/connections.py
+++ b/lavendershift/connections.py
@@ -163,7 +163,7 @@
         self.max_idle = IDLE_TIMEOUT
         self._stream = stream
         self._reading: asyncio.Task[bool] | None = None
-        self._unanswered: set[str] = set()
+        self._unanswered: set[int] = set()  # hashes of ids, which may be long
         self._may_reuse = False
         self._request_line: RequestStartLine | None = None
 
@@ -233,7 +233,7 @@
 
     def note_unanswered(self, request_id: str) -> None:
         """Note a request that may be sent again, as it got no answer here."""
-        self._unanswered.add(request_id)
+        self._unanswered.add(hash(request_id))
 
     @property
     def unanswered(self) -> int:
@@ -242,7 +242,7 @@
 
     def may_carry(self, request_id: str) -> bool:
         """Return whether a request has not been sent on this connection before."""
-        return request_id not in self._unanswered
+        return hash(request_id) not in self._unanswered
 
     def is_reusable(self, now: timedelta) -> bool:
         """Return whether the connection can carry another request."""
