Number questions to other VMs from a random start

What callers saw: nothing that is recorded. A VM that restarted could send a request to a limited server without a permit, or a quarantined prompt without a trial.

A reply was told by the number of its question alone, and each process counted its questions from 1. The reply to a question of the process before a restart, late, was taken for the reply to the new process's question with the same number, about another server or another prompt. Places at servers already chose their first number at random.

Now all questions with a number do, by one constant.

Evidence: test_a_permit_of_the_process_before_a_restart_is_not_taken and test_a_trial_of_the_process_before_a_restart_is_not_taken failed before ("assert not True" in both) and pass now, with the other tests of permits, trials, timeouts and datagrams (73 passed).

test_a_late_reply_to_another_request_grants_nothing built its reply with the number 1. It takes the number that was sent, so that the other server and the other start in the reply are still what has to be noticed.

--- a/lavendershift/datagrams.py
+++ b/lavendershift/datagrams.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import contextlib
+import secrets
 import socket
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -34,6 +35,9 @@
 
 MAX_READS = 64  # datagrams that are read in one turn of the event loop
 MAX_DATAGRAM_BYTES = 65_536
+# Bound on the first number of a process's questions, which is chosen at random: replies
+# to the questions of its predecessor at the same address may still arrive.
+MAX_FIRST_NUMBER = 2**40
 
 MESSAGES: list[type[msgspec.Struct]] = []
 Peer = tuple[str, int]  # host and port of a UDP socket
@@ -52,7 +56,7 @@
 
     def __init__(self) -> None:
         self._pending: dict[int, asyncio.Future[Result]] = {}
-        self._number = 0
+        self._number = secrets.randbelow(MAX_FIRST_NUMBER)
 
     async def wait(self, send: Callable[[int], None], timeout: timedelta) -> Result:
         """Call ``send`` with a new number, and return the reply to it.
--- a/lavendershift/serverplaces.py
+++ b/lavendershift/serverplaces.py
@@ -28,7 +28,12 @@
 )
 from lavendershift.capacity.servercapacity import Size
 from lavendershift.clocks import Clock
-from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.datagrams import (
+    MAX_FIRST_NUMBER,
+    Datagrams,
+    Peer,
+    register_message,
+)
 from lavendershift.decoding import Count, Integer, Seconds
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.placefallbacks import PlaceFallbacks
@@ -46,7 +51,6 @@
 REPEAT_INTERVAL = timedelta(milliseconds=200)
 # Time that a question only for a reply says to have left; it is released at once.
 PROBE_TIME = timedelta(seconds=1)
-MAX_FIRST_NUMBER = 2**40
 TICK = timedelta(milliseconds=20)  # interval at which waiting requests are looked at
 
 
@@ -139,7 +143,6 @@
         self._find_keeper = find_keeper
         self._queues: dict[str, PlaceQueue] = {}
         self._waits: dict[int, _Wait] = {}
-        # A VM that restarts must not use the numbers of its last process.
         self._number = rng.randrange(MAX_FIRST_NUMBER)
         self._fallbacks = PlaceFallbacks(clock, self._send_probe, ASK_INTERVAL)
         self._timers: dict[str, asyncio.TimerHandle] = {}
--- a/lavendershift/tests/test_permits.py
+++ b/lavendershift/tests/test_permits.py
@@ -319,9 +319,10 @@
     async def work(loop, nodes):
         node = nodes["a"]
         node.name_limit(4.0)
-        nodes["b"].is_silent = True
+        sent = []
+        node.datagrams.send = lambda message, peers: sent.append(message.number)
         assert not await node.permits.take(SERVER, 0)
-        fields = {"number": 1, "server": SERVER[0], "born": SERVER[1]} | changes
+        fields = {"number": sent[0], "server": SERVER[0], "born": SERVER[1]} | changes
         reply = PermitReply(**fields, rate=4.0, version=1, wait_s=0.0)
         node.datagrams._handlers[PermitReply](reply, ("b", 1))
         return await node.permits.take(SERVER, 0)
@@ -329,6 +330,28 @@
     assert not play(work, a="b", b="b")
 
 
+def test_a_permit_of_the_process_before_a_restart_is_not_taken(play):
+    """It was taken as the reply to the question that had the same number."""
+
+    async def work(loop, nodes):
+        node, keeper = nodes["a"], nodes["b"]
+        node.name_limit(4.0)
+        keeper.name_limit(4.0)
+        await keeper.permits.take(SERVER, 0)  # makes the keeper's bucket
+        await asyncio.sleep(1)
+        node.delay_s = 0.05
+        asking = loop.create_task(node.permits.take(SERVER, 0))
+        await asyncio.sleep(0.02)
+        asking.cancel()
+        restarted = Node(loop, nodes, "a", "b")
+        restarted.datagrams.send = lambda message, peers: None
+        other = ("i-2", 1000)
+        restarted.limits.note_response(other, 0.1, loop.elapsed())
+        return await restarted.permits.take(other, 0)
+
+    assert not play(work, a="b", b="b")
+
+
 def test_a_late_permit_of_an_urgent_request_is_left_to_urgent_ones(play):
     async def work(loop, nodes):
         node, keeper = nodes["a"], nodes["b"]
--- a/lavendershift/tests/test_trials.py
+++ b/lavendershift/tests/test_trials.py
@@ -12,7 +12,7 @@
 from lavendershift.datagrams import Datagrams
 from lavendershift.quarantine import FIRST_TRIAL_DELAY, Quarantine, QuarantineState
 from lavendershift.quarantinegossip import CrashGossip, CrashReport, QuarantineFacts
-from lavendershift.trials import TRIAL_TIMEOUT, Trials
+from lavendershift.trials import TRIAL_TIMEOUT, TrialReply, Trials
 
 PARTS = ("dead",)
 SECOND = timedelta(seconds=1)
@@ -104,6 +104,27 @@
     assert take(vms[2], vms[1]) == [True, False]
 
 
+def test_a_trial_of_the_process_before_a_restart_is_not_taken(fleet):
+    """Its late reply was taken as the reply to the question with the same number."""
+    network, clock, (_, second, _) = fleet
+    clock.advance(FIRST_TRIAL_DELAY)
+    network.lost.add(2)
+    assert take(second) == [False]
+    (late,) = [m for _, port, m, _ in network.sent if isinstance(m, TrialReply)]
+    restarted = Vm(network, clock, 2, keeper=1)
+    state = QuarantineState(True, 1, 0, clock.elapsed())
+    restarted.quarantine.merge(("other",), state)
+
+    async def ask():
+        asking = asyncio.ensure_future(restarted.trials.take(("other",)))
+        await asyncio.sleep(0)
+        network.vms[2]._handlers[TrialReply](late, ("", 1))
+        return await asking
+
+    network.lost.add(1)
+    assert not asyncio.run(ask())
+
+
 def test_no_trial_is_made_without_a_reply(fleet):
     network, clock, (_, second, _) = fleet
     clock.advance(FIRST_TRIAL_DELAY)
