Make each control call on a connection of its own

What callers saw: nothing that is recorded. The usage of one attempt could be settled for another one, against the budget of another customer.

Control calls reused connections, and an engine's response to "GET /control/requests/ID" doesn't name its attempt. The copy of an earlier response, sent when the next call was due, was taken for the response to it. curl notices only copies that come before the next call is sent.

Now control calls have connections of their own, as attempts have, so that no copy of another call's response can be due on them.

Evidence: test_a_copied_usage_is_not_taken_for_that_of_the_next_attempt failed before (500 tokens of the first attempt settled for the second, which used 7) and passes now, with the rest of test_upstreams (108 passed).

--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -24,6 +24,7 @@
     run_bench,
 )
 from lavendershift.upstreams import Delivery, Transfer, UpstreamCall, UpstreamClient
+from lavendershift.usages import UsageReader
 
 SECOND = timedelta(seconds=1)
 HEAD = (
@@ -395,3 +396,39 @@
     linger = struct.pack("ii", 1, 0)
     endpoint = writer.get_extra_info("socket")
     endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def make_usage_answer(tokens):
+    usage = b'"usage":{"prompt_tokens":0,"completion_tokens":%d}' % tokens
+    body = b'{"state":"done",%s}' % usage
+    return STATUS + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_a_copied_usage_is_not_taken_for_that_of_the_next_attempt():
+    """A reused connection carried the copy, and nothing in it names its attempt."""
+    tokens = {b"a1": 500, b"a2": 7}
+
+    async def serve(reader, writer):
+        copy = b""
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            attempt = head.split(b" ", 2)[1].rpartition(b"/")[2]
+            answer = make_usage_answer(tokens[attempt])
+            writer.write(copy + answer)
+            copy = answer
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = UpstreamClient()
+        usages = UsageReader(client)
+        read = [await usages.read_usage(address, attempt) for attempt in ("a1", "a2")]
+        client.close()
+        server.close()
+        return read
+
+    assert asyncio.run(scenario()) == [Usage(0, 500), Usage(0, 7)]
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -171,7 +171,12 @@
     async def fetch(
         self, method: str, url: str, timeout: timedelta, body: bytes | None = None
     ) -> HTTPResponse:
-        """Make a control call; a failure is a response with status 599."""
+        """Make a control call; a failure is a response with status 599.
+
+        It has a connection of its own, as attempts have: a server may send a response a
+        second time, and nothing in one names its call.
+        """
+        transfer = Transfer()
         seconds = timeout.total_seconds()
         request = HTTPRequest(
             url,
@@ -180,9 +185,12 @@
             connect_timeout=seconds,
             request_timeout=seconds,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=transfer.attach,
             ca_certs=self._ca_certificates,
         )
-        return await self._http.fetch(request)
+        response = await self._http.fetch(request)
+        transfer.detach()
+        return response
 
     def close(self) -> None:
         """Close the HTTP client; transfers in flight are abandoned."""
