Make each call of the log service on a connection of its own

What callers saw: nothing that is recorded. Records could be missing in the log that a router held for written.

Calls of the log service reused connections, and its responses name no call. The copy of an earlier append's response was taken for that of the next one, which the log had refused, and the copy of a read's response for a read from another offset. That a log service sends copies isn't known; nothing in docs/PROTOCOLS.md rules it out.

Now each call has a connection of its own, by the same function as attempts.

Evidence: test_a_copied_response_of_the_log_is_not_taken_for_that_of_the_next_call failed before ("DID NOT RAISE LogUnavailableError") and passes now, with the rest of test_upstreams, test_logs and test_relay (122 passed).

Cost: a new connection for each call, as measured for control calls. The effect on a fleet's reads and appends was not measured.

--- a/lavendershift/httpclients.py
+++ b/lavendershift/httpclients.py
@@ -50,6 +50,12 @@
             self.io_loop.remove_timeout(self._timeout)
 
 
+def use_own_connection(curl: pycurl.Curl) -> None:
+    """Make a call on a connection of its own, on which no copy of another can come."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
 class HttpClient:
     """Sends requests; at most ``max_clients`` are in flight at a time."""
 
--- a/lavendershift/plugins/http_log.py
+++ b/lavendershift/plugins/http_log.py
@@ -9,7 +9,7 @@
 
 from lavendershift.decoding import prune_depth, run_decoder
 from lavendershift.errors import DecodeError, LogUnavailableError, RecordsExpiredError
-from lavendershift.httpclients import HttpClient
+from lavendershift.httpclients import HttpClient, use_own_connection
 from lavendershift.records import Record, decode_entry, encode_record
 from lavendershift.streams import ReadResult, register_log_client
 
@@ -103,6 +103,7 @@
             headers={"Content-Type": "application/json"},
             connect_timeout=self._timeout.total_seconds(),
             request_timeout=timeout.total_seconds(),
+            prepare_curl_callback=use_own_connection,
         )
         response = await self._http.fetch(request)
         self.received_bytes += len(response.body or b"")
--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import json
 import re
 import socket
@@ -432,3 +433,33 @@
         return read
 
     assert asyncio.run(scenario()) == [Usage(0, 500), Usage(0, 7)]
+
+
+def test_a_copied_response_of_the_log_is_not_taken_for_that_of_the_next_call():
+    """The second append was refused, and its records counted as written."""
+    done = STATUS + b'Content-Length: 18\r\n\r\n{"first_offset":0}'
+    refused = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+    answers = [done, refused]
+
+    async def serve(reader, writer):
+        copy = b""
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2)
+                answer = answers.pop(0)
+                writer.write(copy + answer)
+                copy = answer
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        log = HttpLogClient(url, 5 * SECOND)
+        assert await log.append_raw("ledger-0", []) == 0
+        with pytest.raises(LogUnavailableError):
+            await log.append_raw("ledger-0", [])
+        await log.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -18,7 +18,12 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
-from lavendershift.httpclients import TRANSFER_FAILED_STATUS, UPLOADED, HttpClient
+from lavendershift.httpclients import (
+    TRANSFER_FAILED_STATUS,
+    UPLOADED,
+    HttpClient,
+    use_own_connection,
+)
 from lavendershift.responsedelegates import is_delimited
 
 MAX_CLIENTS = 2000
@@ -82,8 +87,7 @@
     def attach(self, curl: pycurl.Curl) -> None:
         """Attach the curl handle before the transfer starts."""
         self._curl = curl
-        curl.setopt(pycurl.FRESH_CONNECT, 1)
-        curl.setopt(pycurl.FORBID_REUSE, 1)
+        use_own_connection(curl)
         curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
 
     def detach(self) -> None:
