--- a/lavendershift/serverplaces.py
+++ b/lavendershift/serverplaces.py
@@ -28,7 +28,12 @@
 )
 from lavendershift.capacity.servercapacity import Size
 from lavendershift.clocks import Clock
-from lavendershift.datagrams import Datagrams, Peer, register_message
+from lavendershift.datagrams import (
+    MAX_FIRST_NUMBER,
+    Datagrams,
+    Peer,
+    register_message,
+)
 from lavendershift.decoding import Count, Integer, Seconds
 from lavendershift.errors import ErrorKind, RequestError
 from lavendershift.placefallbacks import PlaceFallbacks
@@ -46,7 +51,6 @@
 REPEAT_INTERVAL = timedelta(milliseconds=200)
 # Time that a question only for a reply says to have left; it is released at once.
 PROBE_TIME = timedelta(seconds=1)
-MAX_FIRST_NUMBER = 2**40
 TICK = timedelta(milliseconds=20)  # interval at which waiting requests are looked at
 
 
@@ -139,7 +143,7 @@
         self._find_keeper = find_keeper
         self._queues: dict[str, PlaceQueue] = {}
         self._waits: dict[int, _Wait] = {}
-        # A VM that restarts must not use the numbers of its last process.
+        self._held: set[int] = set()  # numbers of the requests that have a place
         self._number = rng.randrange(MAX_FIRST_NUMBER)
         self._fallbacks = PlaceFallbacks(clock, self._send_probe, ASK_INTERVAL)
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -184,6 +188,7 @@
             self.on_taken("refused")
             raise RequestError(ErrorKind.OVERLOADED, "places", decision.delay)
         self.on_taken("granted")
+        self._held.add(ticket.holder[1])
         return Place(decision.server, release)
 
     async def _ask(
@@ -232,6 +237,7 @@
         self, keeper: Peer | None, service: str, number: int
     ) -> Callable[[bool], None]:
         def release(has_run: bool) -> None:
+            self._held.discard(number)
             if keeper is None:
                 self._release_here(service, (None, number), has_run)
             else:
@@ -341,7 +347,8 @@
         self._fallbacks.note_reply(sender, reply.number)
         wait = self._waits.get(reply.number)
         if wait is None:
-            if reply.server:  # the request ended while the place was granted
+            # The request ended while the place was granted, unless this is a copy.
+            if reply.server and reply.number not in self._held:
                 message = PlaceRelease(reply.number, reply.service, False)
                 self._datagrams.send(message, [sender])
             return
--- a/lavendershift/tests/test_upstreams.py
+++ b/lavendershift/tests/test_upstreams.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import json
 import re
 import socket
@@ -24,6 +25,7 @@
     run_bench,
 )
 from lavendershift.upstreams import Delivery, Transfer, UpstreamCall, UpstreamClient
+from lavendershift.usages import UsageReader
 
 SECOND = timedelta(seconds=1)
 HEAD = (
@@ -395,3 +397,69 @@
     linger = struct.pack("ii", 1, 0)
     endpoint = writer.get_extra_info("socket")
     endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def make_usage_answer(tokens):
+    usage = b'"usage":{"prompt_tokens":0,"completion_tokens":%d}' % tokens
+    body = b'{"state":"done",%s}' % usage
+    return STATUS + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_a_copied_usage_is_not_taken_for_that_of_the_next_attempt():
+    """A reused connection carried the copy, and nothing in it names its attempt."""
+    tokens = {b"a1": 500, b"a2": 7}
+
+    async def serve(reader, writer):
+        copy = b""
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            attempt = head.split(b" ", 2)[1].rpartition(b"/")[2]
+            answer = make_usage_answer(tokens[attempt])
+            writer.write(copy + answer)
+            copy = answer
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = UpstreamClient()
+        usages = UsageReader(client)
+        read = [await usages.read_usage(address, attempt) for attempt in ("a1", "a2")]
+        client.close()
+        server.close()
+        return read
+
+    assert asyncio.run(scenario()) == [Usage(0, 500), Usage(0, 7)]
+
+
+def test_a_copied_response_of_the_log_is_not_taken_for_that_of_the_next_call():
+    """The second append was refused, and its records counted as written."""
+    done = STATUS + b'Content-Length: 18\r\n\r\n{"first_offset":0}'
+    refused = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+    answers = [done, refused]
+
+    async def serve(reader, writer):
+        copy = b""
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2)
+                answer = answers.pop(0)
+                writer.write(copy + answer)
+                copy = answer
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        log = HttpLogClient(url, 5 * SECOND)
+        assert await log.append_raw("ledger-0", []) == 0
+        with pytest.raises(LogUnavailableError):
+            await log.append_raw("ledger-0", [])
+        await log.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/lavendershift/upstreams.py
+++ b/lavendershift/upstreams.py
@@ -18,7 +18,12 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
-from lavendershift.httpclients import TRANSFER_FAILED_STATUS, UPLOADED, HttpClient
+from lavendershift.httpclients import (
+    TRANSFER_FAILED_STATUS,
+    UPLOADED,
+    HttpClient,
+    use_own_connection,
+)
 from lavendershift.responsedelegates import is_delimited
 
 MAX_CLIENTS = 2000
@@ -82,8 +87,7 @@
     def attach(self, curl: pycurl.Curl) -> None:
         """Attach the curl handle before the transfer starts."""
         self._curl = curl
-        curl.setopt(pycurl.FRESH_CONNECT, 1)
-        curl.setopt(pycurl.FORBID_REUSE, 1)
+        use_own_connection(curl)
         curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
 
     def detach(self) -> None:
@@ -171,7 +175,12 @@
     async def fetch(
         self, method: str, url: str, timeout: timedelta, body: bytes | None = None
     ) -> HTTPResponse:
-        """Make a control call; a failure is a response with status 599."""
+        """Make a control call; a failure is a response with status 599.
+
+        It has a connection of its own, as attempts have: a server may send a response a
+        second time, and nothing in one names its call.
+        """
+        transfer = Transfer()
         seconds = timeout.total_seconds()
         request = HTTPRequest(
             url,
@@ -180,9 +189,12 @@
             connect_timeout=seconds,
             request_timeout=seconds,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=transfer.attach,
             ca_certs=self._ca_certificates,
         )
-        return await self._http.fetch(request)
+        response = await self._http.fetch(request)
+        transfer.detach()
+        return response
 
     def close(self) -> None:
         """Close the HTTP client; transfers in flight are abandoned."""
