--- a/lavendershift/platform/tests/soak/runner.py
+++ b/lavendershift/platform/tests/soak/runner.py
@@ -35,7 +35,7 @@
         for server in servers:
             for handled in server.handled:
                 times = {k: v for k, v in vars(handled).items() if k[0] != "_"}
-                del times["behaviour"]
+                del times["behaviour"], times["written"]
                 received = times.pop("received")
                 last = received.headers.get("last-event-id", "")
                 fields = {"request": received.id, "last_event": last}
