Let servers of the soak restart at their address and repeat refusals

Cause: the soak didn't find that requests which must run once ran twice after the copy of a refusal. No server of it repeated a refusal, restarted under another id at the address it had, or took over an address of the other service.

A stand-in may also send a copy without the request's id, or one cut off in its head; a response behind the latter counts as broken off. The checks follow requests that run once over all ids of a server, and include streams that can't be resumed.

--- a/lavendershift/platform/tests/soak/callers.py
+++ b/lavendershift/platform/tests/soak/callers.py
@@ -6,6 +6,8 @@
 import time
 from typing import NamedTuple
 
+from lavendershift.platform.tests.soak.endings import SERVICES
+
 ADDRESS_TTL_S = 1.0  # time for which resolved addresses are cached
 KIND_WEIGHTS = {"index": 5, "record": 3, "read": 2}
 # API keys of customers with a small budget, a large one, and one whose key a
@@ -45,8 +47,9 @@
     """Sends one request at a time until it is stopped."""
 
     ttl_s = ADDRESS_TTL_S
+    kind_weights = KIND_WEIGHTS
     pause_s = 0.05  # longest pause between two requests
-    deadlines_s = {"index": 4.0, "record": 4.0, "read": 4.0}
+    deadlines_s = dict.fromkeys(SERVICES, 4.0)
 
     def __init__(self, number, rng, world):
         super().__init__(daemon=True)
@@ -106,9 +109,9 @@
         rng = self._rng
         self._sent += 1
         request_id = f"c{self._number}-{self._sent}"
-        kind = rng.choices(list(KIND_WEIGHTS), KIND_WEIGHTS.values())[0]
+        kind = rng.choices(list(self.kind_weights), self.kind_weights.values())[0]
         key = rng.choices(list(KEY_WEIGHTS), KEY_WEIGHTS.values())[0]
-        tokens = rng.randint(50, 900) if kind == "index" else 0
+        tokens = rng.randint(50, 900) if SERVICES[kind] == "pool" else 0
         deadline_s = self.deadlines_s[kind]
         headers = {
             "Host": "books.example",
--- a/lavendershift/platform/tests/soak/endings.py
+++ b/lavendershift/platform/tests/soak/endings.py
@@ -9,7 +9,8 @@
 from lavendershift.logs import Event
 from lavendershift.platform.tests.soak.silences import SILENCE_S
 
-SERVICES = {"index": "pool", "record": "ledger", "read": "ledger"}
+# Service of each kind of request; "once" is a stream that can't be resumed.
+SERVICES = {"index": "pool", "record": "ledger", "read": "ledger", "once": "pool"}
 TIMEOUT_SLACK_S = 0.1  # time before the timeout at which a response may be given up
 SCHEDULING_S = 0.1  # inaccuracy of recorded times on a busy machine
 STOP_WINDOW_S = 3.0  # time after SIGTERM in which callers may still send requests
@@ -37,7 +38,8 @@
 def check_endings(world, calls):
     """Check that each request and each attempt ended for a reason of ``Ending``.
 
-    A server doesn't go on if it breaks a response off by its script, if it crashes, if
+    A server doesn't go on if it breaks a response off by its script, if it sent a part
+    of a copied refusal before the response, if it crashes, if
     its link is cut or if it is silent for longer than ``SILENCE_S``. Another attempt
     has delivered once its server has sent an event, the end of a stream without one, or
     a part of another body; if it breaks off afterwards, the request may end with it.
@@ -126,6 +128,8 @@
     """Return whether a server goes on with a request by its script."""
     fails = handled.behaviour in world.fails_resumed
     is_resumed = "last-event-id" in handled.received.headers
+    if handled.is_behind_part:
+        return False
     return handled.behaviour in world.sound and not (fails and is_resumed)
 
 
@@ -216,7 +220,7 @@
     """Return whether a server crashed, or was cut off or hung, during a request."""
     repair_s = call.deadline_s  # data sent before the repair may still be missing
     return (
-        any(each is server and overlaps(call, at, at) for each, at in world.crashes)
+        any(overlaps(call, at, at) for at in world.list_crashes(server))
         or any(
             name == server.name and overlaps(call, start, end + repair_s)
             for name, start, end in world.cuts
--- a/lavendershift/platform/tests/soak/profiles.py
+++ b/lavendershift/platform/tests/soak/profiles.py
@@ -10,6 +10,11 @@
 from lavendershift.platform.tests.soak.faults import FAULTS, PLANNED
 from lavendershift.platform.tests.soak.misbehaviours import MISBEHAVIOURS
 from lavendershift.platform.tests.soak.oddentries import ODD_ENTRIES
+from lavendershift.platform.tests.soak.restarts import (
+    ONCE_ROUTE,
+    RESTARTS,
+    OnceCaller,
+)
 from lavendershift.platform.tests.soak.schedules import run_phase
 from lavendershift.platform.tests.soak.silences import LONG_SILENCES, SILENCES
 from lavendershift.platform.tests.soak.sites import (
@@ -33,10 +38,11 @@
     callers: int
     caller: type
     run_phases: Callable
+    routes: list = []  # beside those of all profiles
 
 
-def run_all_phases(world, planned_s=6.0, faults_s=10.0):
-    """Run planned operations, then faults of all kinds."""
+def run_all_phases(world, planned_s=6.0, faults_s=10.0, others=()):
+    """Run planned operations, then faults of all kinds and of ``others``."""
     starts = [time.monotonic()]
     time.sleep(0.5)
     beside = SILENCES | ODD_ENTRIES | MISBEHAVIOURS
@@ -44,7 +50,7 @@
     time.sleep(0.5)
     starts.append(time.monotonic())
     beside |= LONG_SILENCES
-    run_phase(world, [FAULTS, beside], faults_s, gap_s=(0.05, 0.6))
+    run_phase(world, [FAULTS, beside, *others], faults_s, gap_s=(0.05, 0.6))
     return [*starts, time.monotonic()]
 
 
@@ -59,11 +65,22 @@
 
 SHORT = Profile(3, {"pool": 3, "ledger": 3}, 8, Caller, run_all_phases)
 SITE_SIZE = Profile(8, {"pool": 6, "ledger": 3}, 40, SiteCaller, run_site)
+REPEATS = SHORT._replace(
+    caller=OnceCaller,
+    run_phases=partial(run_all_phases, planned_s=2.0, others=[RESTARTS]),
+    routes=[ONCE_ROUTE],
+)
 PROFILES = {
     "brief": SHORT._replace(
         run_phases=partial(run_all_phases, planned_s=2.5, faults_s=4.0)
     ),
     "short": SHORT,
+    "repeats": REPEATS,
+    "repeats-brief": REPEATS._replace(
+        run_phases=partial(
+            run_all_phases, planned_s=0.5, faults_s=5.0, others=[RESTARTS]
+        )
+    ),
     "site": SITE_SIZE,
     "versions": SHORT._replace(nodes=6, run_phases=run_versions),
     "versions-brief": SHORT._replace(
--- a/lavendershift/platform/tests/soak/runner.py
+++ b/lavendershift/platform/tests/soak/runner.py
@@ -27,6 +27,8 @@
     """Write what happened in a run, by monotonic times, to trace its violations."""
     lines = [{"at": at, "operation": name} for at, name in world.operations]
     lines += [{"at": at, "stop": name} for name, at in world.stops]
+    for server, at, old_id in world.restarts:
+        lines.append({"at": at, "crash": old_id, "restarted_as": server.name})
     for caller in world.callers:
         for call in caller.calls:
             values = call._asdict() | {"body": len(call.body)}
@@ -38,7 +40,9 @@
                 del times["behaviour"], times["written"]
                 received = times.pop("received")
                 last = received.headers.get("last-event-id", "")
+                expected = received.headers.get("x-lavendershift-expect-instance")
                 fields = {"request": received.id, "last_event": last}
+                fields["expected"] = expected
                 lines.append(
                     {"at": received.at, "server": server.name} | fields | times
                 )
--- a/lavendershift/platform/tests/soak/violations.py
+++ b/lavendershift/platform/tests/soak/violations.py
@@ -7,6 +7,7 @@
 from lavendershift.platform.tests.soak.callers import OUTPUT_TOKENS
 from lavendershift.platform.tests.soak.endings import (
     CLOSE_RACE_S,
+    SERVICES,
     check_endings,
     is_time_over,
     was_silenced,
@@ -16,6 +17,7 @@
 from lavendershift_standins.platformserver import make_event
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # responses to requests that never run
+ONCE = ("record", "once")  # kinds of requests that may run once at most
 EVENTS = [make_event(number) for number in range(1, 9)]
 STREAMS = [b"".join(EVENTS[:count]) for count in range(1, len(EVENTS) + 1)]
 KEY_OWNERS = {"key-1": "plume", "key-2": "encre", "key-3": "sable"}
@@ -48,7 +50,7 @@
     )
     violations = list(world.violations)
     violations += check_responses(calls)
-    violations += check_runs(calls, runs)
+    violations += check_runs(world, calls)
     violations += check_headers(calls, received)
     violations += check_spending(world, calls, runs)
     violations += check_endings(world, calls)
@@ -84,7 +86,7 @@
         bodies = [f"done {each.id}".encode()]
         if each.headers.get("Content-Type", "").startswith("text/event-stream"):
             bodies = STREAMS
-            if each.kind != "index":
+            if SERVICES[each.kind] != "pool":
                 yield f"{each.id} got a stream"
         if each.is_complete and each.body != bodies[-1]:
             yield f"{each.id} got a complete body of {describe_body(each.body)}"
@@ -99,15 +101,28 @@
     return f"{count} events in order, then {rest[:60]!r}"
 
 
-def check_runs(calls, runs):
-    """Check that non-repeatable requests run once, and never if reported as not run."""
+def check_runs(world, calls):
+    """Check that non-repeatable requests run once, and never if reported as not run.
+
+    A server that restarts under another id stays one server of the world, and a run
+    that begins after the response counts as well.
+    """
+    places = defaultdict(list)
+    for servers in world.servers.values():
+        for server in servers:
+            for request in server.runs:
+                places[request].append(server.name)
     for each in calls:
-        if each.kind != "record":
+        if each.kind not in ONCE:
             continue
-        if runs[each.id] > 1:
-            yield f"{each.id} ran {runs[each.id]} times"
-        if runs[each.id] and each.status in NOT_RUN_STATUSES:
-            yield f"{each.id} ran, but status {each.status} means not run"
+        ran = places[each.id]
+        if len(ran) > 1:
+            yield f"{each.id} ({each.kind}) ran {len(ran)} times, at {', '.join(ran)}"
+        if ran and each.status in NOT_RUN_STATUSES:
+            yield (
+                f"{each.id} ({each.kind}) ran at {', '.join(ran)}, but status "
+                f"{each.status} means not run"
+            )
 
 
 def check_headers(calls, received):
@@ -125,7 +140,7 @@
     """Check that no customer uses more tokens than it has prepaid."""
     spent = defaultdict(int)
     for each in calls:
-        if each.kind == "index" and runs[each.id]:
+        if SERVICES[each.kind] == "pool" and runs[each.id]:
             events = each.body.count(b"\n\n") if each.status == 200 else 0
             output = min(events * TOKENS_PER_EVENT, OUTPUT_TOKENS)
             spent[KEY_OWNERS[each.key]] += each.input_tokens + output
@@ -206,7 +221,7 @@
         for request, answered_at in behaviour.answered:
             node, until = nodes.get(request), answered_at + seconds
             # The incarnation after a crash has asked for no pause.
-            crashes = [at for each, at in world.crashes if each is server]
+            crashes = world.list_crashes(server)
             until = min([until, *(at for at in crashes if at > answered_at)])
             if node is None or is_disturbed(world, node, answered_at, until):
                 continue
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -60,6 +60,9 @@
         self.deadly_parts = []
         self.sent_part = ""
         self.crashes = []
+        self.replaced = set()  # servers that are down until they get another id
+        self.restarts = []  # servers that got another id, crash times and old ids
+        self.old_ids = {}  # ids of such servers, and until when they are listed
         self.kills = []
         self.stops = []
         self.launches = []
@@ -78,7 +81,8 @@
             "sable": LARGE_BUDGET,
         }
         self.version = self.first_version
-        self.changes = {}  # changes of the configuration by planned operations
+        # Changes of the configuration by the profile and by planned operations.
+        self.changes = {"routes": DEFAULT_ROUTES + profile.routes}
         self.acknowledged = {}  # times at which the store had versions
         self.store_cuts = []  # nodes, and from when to when they didn't reach the store
         self.checks = []  # of the profile, beside those of all runs
@@ -124,7 +128,7 @@
             for name, prepaid in self.prepaid.items()
             if not (self.is_key_revoked and name == "sable")
         ]
-        changes = {"routes": DEFAULT_ROUTES} | self.changes | changes
+        changes = self.changes | changes
         self.timeouts[self.version] = {
             route["name"]: route["timeout_ms"] / 1000 for route in changes["routes"]
         }
@@ -149,6 +153,8 @@
             for server in servers
             if server.name not in self.odd
         ]
+        now = time.monotonic()
+        records += [(n.encode(), b"") for n, end in self.old_ids.items() if end < now]
         self.append(names.SERVERS_TOPIC, records)
 
     def make_entry(self, server):
@@ -175,6 +181,8 @@
 
     def _note_crash(self, server):
         """Let the server's link refuse connections, in the loop of the stand-ins."""
+        if server in self.replaced:
+            return
         self.crashes.append((server, server.crashed_at))
         self.server_links[server.name].stop()
 
@@ -182,6 +190,8 @@
         for server in self.servers["pool"]:
             if server.crashed_at is None or time.monotonic() < server.crashed_at + 1.0:
                 continue
+            if server in self.replaced:
+                continue
             self.thread.run(server.restart())
             # At another address, so that no node takes it for the one that crashed.
             self.server_links[server.name] = self._start_link(server.port)
@@ -193,6 +203,31 @@
                 self.server_incarnations.get(server.name, 1) + 1
             )
 
+    def rename_server(self, server, name, listed_s):
+        """Give a server that is down another id; the old one stays listed for a time.
+
+        Its drain, departure and limit end. The checks find its cuts and silences by
+        the new id.
+        """
+        with self.lock:
+            self.undrain(server)
+            self.restart_server(server)
+            self.end_limit(server)
+            self.odd.discard(server.name)
+            self.restarts.append((server, server.crashed_at, server.name))
+            self.old_ids[server.name] = time.monotonic() + listed_s
+            self.server_links[name] = self.server_links.pop(server.name)
+            self.scripted_silences[name] += self.scripted_silences.pop(server.name, [])
+            for cut in self.cuts:
+                if cut[0] == server.name:
+                    cut[0] = name
+            server.name = name
+
+    def list_crashes(self, server):
+        """Return the times at which a server crashed, also those under other ids."""
+        crashes = [*self.crashes, *((each, at) for each, at, _ in self.restarts)]
+        return [at for each, at in crashes if each is server]
+
     def send_deadly_part(self, output):
         """Let callers send a new part with which the servers of the pool crash."""
         self.sent_part = f"deadly-{len(self.deadly_parts)}"
--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -19,8 +19,10 @@
 
 from lavendershift_standins.heldwriters import HeldWriter
 from lavendershift_standins.refusalcopies import (
+    ChangeCopy,
     ChooseDelay,
     RefusalCopies,
+    keep_whole,
     send_no_copy,
 )
 
@@ -66,8 +68,9 @@
     its first event, or its end, or of the first byte of another body, ``ended_at`` that
     of its end, and ``closed_at`` that of the end of the connection, if it was the last
     there. With ``was_left``, the client closed the connection before; with ``was_cut``,
-    it did so while the server was still responding. ``written`` are the bytes of the
-    response up to its first event or the first byte of another body.
+    it did so while the server was still responding. With ``is_behind_part``, a part of
+    a copied refusal was sent before. ``written`` are the bytes of the response up to
+    its first event or the first byte of another body.
     """
 
     def __init__(self, received: ReceivedRequest, behaviour: "Behaviour") -> None:
@@ -79,6 +82,7 @@
         self.closed_at: float | None = None
         self.was_left = False
         self.was_cut = False
+        self.is_behind_part = False
         self.written = b""
 
     def note_written(self, data: bytes) -> None:
@@ -120,8 +124,9 @@
     calls ``on_crash``. ``fall_silent`` stops all output for a time, as if the process
     had been stopped, and ``silences`` holds the monotonic times of each silence.
     With ``checks_name``, requests for a server of another name get 421.
-    ``choose_copy_delay`` may let refusals be sent twice, see ``RefusalCopies``, and
-    ``copies`` counts those sent twice.
+    ``choose_refusal`` may return a behaviour that refuses a request of the default
+    behaviour. ``choose_copy_delay`` may let refusals be sent twice and ``change_copy``
+    change their copies, see ``RefusalCopies``, and ``copies`` counts those sent twice.
     """
 
     def __init__(self, name: str) -> None:
@@ -137,7 +142,9 @@
         self.resets_at_crash = True
         self.read_s = 0.0
         self.checks_name = False
+        self.choose_refusal: Callable[[], Behaviour | None] = refuse_nothing
         self.choose_copy_delay: ChooseDelay = send_no_copy
+        self.change_copy: ChangeCopy = keep_whole
         self.copies = 0
         self.crashed_at: float | None = None
         self.closed = 0
@@ -214,7 +221,9 @@
         expected = received.headers.get(EXPECTED_SERVER_HEADER, self.name)
         if self.checks_name and expected != self.name:
             return answer_misdirected
-        return self.script.pop(0) if self.script else self.default
+        if self.script:
+            return self.script.pop(0)
+        return self.choose_refusal() or self.default
 
     async def _answer_with_crash(
         self, received: ReceivedRequest, writer: asyncio.StreamWriter
@@ -244,7 +253,10 @@
             writer.hold()
         self._writers.add(writer)
         copies = RefusalCopies(
-            accepted, lambda: self.choose_copy_delay(), self._count_copy
+            accepted,
+            lambda: self.choose_copy_delay(),
+            self._count_copy,
+            lambda refusal: self.change_copy(refusal),
         )
         handled = None
         try:
@@ -269,6 +281,7 @@
                 handled.ended_at = time.monotonic()
                 handled.was_left = is_closed(reader)
                 handled.was_cut = not responding.done()
+                handled.is_behind_part = copies.is_broken
                 if handled.was_cut:
                     responding.cancel()
                     self.closed += 1
@@ -288,6 +301,10 @@
                 writer.close()
 
 
+def refuse_nothing() -> None:
+    """Choose no refusal."""
+
+
 async def respond(
     handled: HandledRequest, writer: HeldWriter, copies: RefusalCopies
 ) -> None:
