Excuse requests in the soak until a killed node has ended

Cause: a kill was one moment, but a process that got SIGKILL may take seconds to end on a busy machine, and the kernel accepts connections for it until then.

Now a kill lasts until the process has ended. Requests before and after count as they did.

--- a/lavendershift/platform/tests/soak/endings.py
+++ b/lavendershift/platform/tests/soak/endings.py
@@ -96,7 +96,9 @@
         return Ending.CALLER_GONE
     if at - call.sent_at > timeouts.find(call, at) - TIMEOUT_SLACK_S:
         return Ending.TIME_OVER
-    if any(name == call.node and overlaps(call, t, t) for name, t in world.kills):
+    if any(
+        name == call.node and overlaps(call, *times) for name, *times in world.kills
+    ):
         return Ending.NODE_KILLED
     stop = find_stop(world, call, at)
     if stop is None or at < stop + world.grace_s * (1 - STOP_END) - SCHEDULING_S:
--- a/lavendershift/platform/tests/soak/versions.py
+++ b/lavendershift/platform/tests/soak/versions.py
@@ -155,7 +155,7 @@
 
 def is_reached(world, node, since, until):
     """Return whether a node ran and reached the store between two times."""
-    ends = [at for name, at in [*world.stops, *world.kills] if name == node.name]
+    ends = [at for name, at, *_ in [*world.stops, *world.kills] if name == node.name]
     starts = [at for name, at in world.launches if name == node.name and at < since]
     last_end = max((at for at in ends if at < until), default=float("-inf"))
     if not starts or last_end > max(starts):
--- a/lavendershift/platform/tests/soak/world.py
+++ b/lavendershift/platform/tests/soak/world.py
@@ -63,7 +63,7 @@
         self.replaced = set()  # servers that are down until they get another id
         self.restarts = []  # servers that got another id, crash times and old ids
         self.old_ids = {}  # ids of such servers, and until when they are listed
-        self.kills = []
+        self.kills = []  # nodes, when they got SIGKILL and when they had ended
         self.stops = []
         self.launches = []
         self.operations = []
@@ -333,8 +333,9 @@
     def kill(self, node):
         self._check_not_exited(node)
         node.is_running = False
-        self.kills.append((node.name, time.monotonic()))
+        killed_at = time.monotonic()
         node.kill()
+        self.kills.append((node.name, killed_at, time.monotonic()))
 
     def terminate(self, node):
         """Stop a node gracefully; a thread waits for its exit during the schedule."""
