Play repeated refusals beside all faults in a profile of their own

The profile repeats has two servers a service, so that a request refused for a server's old id is often sent again for its new one. It has no planned phase: the check of that one supposes a third server. The brief one is in test_soak. A case with scripted servers covers copies without an id and joined copies.

--- a/lavendershift/platform/tests/soak/profiles.py
+++ b/lavendershift/platform/tests/soak/profiles.py
@@ -41,8 +41,8 @@
     routes: list = []  # beside those of all profiles
 
 
-def run_all_phases(world, planned_s=6.0, faults_s=10.0, others=()):
-    """Run planned operations, then faults of all kinds and of ``others``."""
+def run_all_phases(world, planned_s=6.0, faults_s=10.0):
+    """Run planned operations, then faults of all kinds."""
     starts = [time.monotonic()]
     time.sleep(0.5)
     beside = SILENCES | ODD_ENTRIES | MISBEHAVIOURS
@@ -50,10 +50,19 @@
     time.sleep(0.5)
     starts.append(time.monotonic())
     beside |= LONG_SILENCES
-    run_phase(world, [FAULTS, beside, *others], faults_s, gap_s=(0.05, 0.6))
+    run_phase(world, [FAULTS, beside], faults_s, gap_s=(0.05, 0.6))
     return [*starts, time.monotonic()]
 
 
+def run_repeats(world, length_s=20.0):
+    """Run servers that restart and repeat refusals beside faults of all kinds."""
+    start = time.monotonic()
+    beside = SILENCES | ODD_ENTRIES | MISBEHAVIOURS | LONG_SILENCES
+    kinds = [FAULTS, beside, RESTARTS | EVACUATIONS]
+    run_phase(world, kinds, length_s, gap_s=(0.05, 0.6))
+    return [start, start, time.monotonic()]
+
+
 def run_site(world, length_s=30.0):
     """Run planned operations and silences; ``check_endings`` covers all of them."""
     start = time.monotonic()
@@ -65,9 +74,11 @@
 
 SHORT = Profile(3, {"pool": 3, "ledger": 3}, 8, Caller, run_all_phases)
 SITE_SIZE = Profile(8, {"pool": 6, "ledger": 3}, 40, SiteCaller, run_site)
+# With few servers, the next one to try is often the restarted one.
 REPEATS = SHORT._replace(
+    servers={"pool": 2, "ledger": 2},
     caller=OnceCaller,
-    run_phases=partial(run_all_phases, planned_s=2.0, others=[RESTARTS]),
+    run_phases=run_repeats,
     routes=[ONCE_ROUTE],
 )
 PROFILES = {
@@ -76,11 +87,7 @@
     ),
     "short": SHORT,
     "repeats": REPEATS,
-    "repeats-brief": REPEATS._replace(
-        run_phases=partial(
-            run_all_phases, planned_s=0.5, faults_s=5.0, others=[RESTARTS]
-        )
-    ),
+    "repeats-brief": REPEATS._replace(run_phases=partial(run_repeats, length_s=6.0)),
     "site": SITE_SIZE,
     "versions": SHORT._replace(nodes=6, run_phases=run_versions),
     "versions-brief": SHORT._replace(
--- a/lavendershift/platform/tests/soak/restarts.py
+++ b/lavendershift/platform/tests/soak/restarts.py
@@ -96,7 +96,7 @@
 def repeat_refusals(world, rng):
     """Let the servers of a service refuse requests, and send refusals twice."""
     servers = world.servers[rng.choice(list(world.servers))]
-    share, copied = rng.uniform(0.0, 0.3), rng.uniform(0.3, 1.0)
+    share, copied = rng.uniform(0.0, 0.3), rng.uniform(0.5, 1.0)
     rng_copies = random.Random(rng.random())  # for the loop of the stand-ins
 
     def choose_refusal():
@@ -106,7 +106,7 @@
         if rng_copies.random() > copied:
             return None
         delay_s = rng_copies.uniform(0.0, MAX_COPY_DELAY_S)
-        return rng_copies.choice([AT_NEXT_REQUEST, 0.01, 0.1 * delay_s, delay_s])
+        return rng_copies.choice([AT_NEXT_REQUEST] * 2 + [0.1 * delay_s, delay_s])
 
     def change_copy(refusal):
         changes = list(COPY_CHANGES)
--- a/lavendershift/platform/tests/test_repeatedrequests.py
+++ b/lavendershift/platform/tests/test_repeatedrequests.py
@@ -23,6 +23,7 @@
     PROMISES,
     answer_own,
 )
+from lavendershift_standins import refusalcopies
 from lavendershift_standins.platformserver import (
     Refusal,
     answer_complete,
@@ -190,6 +191,30 @@
     play(work)
 
 
+@pytest.mark.parametrize("delay", DELAYS)
+@pytest.mark.parametrize("change", [refusalcopies.remove_id, refusalcopies.cut_in_head])
+@pytest.mark.parametrize("kind", KINDS)
+def test_copy_without_an_id_is_no_refusal_of_another_request(play, kind, change, delay):
+    """Guards against copies that lack their id, or are joined with a response."""
+
+    async def work(scene):
+        servers = [await scene.add_server(answer_not_run) for _ in range(2)]
+        for server in servers:
+            server.default = work_first(answer_own, 0.03)
+            server.choose_copy_delay = lambda: DELAYS[delay]
+            server.change_copy = change
+        for number in range(1, 6):
+            response, error = await deliver(scene, kind, number)
+            runs = len(list_runs(scene, f"r{number}"))
+            if kind.endswith("once"):
+                assert runs <= 1
+            if error is not None and choose_status(error.answer) in PROMISES:
+                assert runs == 0
+        assert sum(server.copies for server in servers) > 0
+
+    play(work)
+
+
 def test_request_without_an_id_gets_its_own_response_on_a_new_connection(play):
     """Guards against requests that wait until their end for a response with an id."""
 
--- a/lavendershift/platform/tests/test_soak.py
+++ b/lavendershift/platform/tests/test_soak.py
@@ -23,6 +23,14 @@
     assert endings.total() > 100
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_short_soak_of_repeated_refusals_finds_no_violations(seed, tmp_path):
+    """Guards against requests that run twice after a copied refusal (TWICE)."""
+    violations, endings = run_seed(seed, "repeats-brief", tmp_path)
+    assert violations == []
+    assert endings.total() > 100
+
+
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
 def test_short_soak_finds_no_violations(seed, tmp_path):
     # pytest keeps the folder, with the logs and records of the run.
