--- a/lavendershift/platform/tests/soak/restarts.py
+++ b/lavendershift/platform/tests/soak/restarts.py
@@ -22,9 +22,9 @@
 REFUSALS = (answer_not_run, answer_misdirected, Refusal(429), Refusal(408))
 AT_NEXT_REQUEST = float("inf")
 MAX_COPY_DELAY_S = 0.5
-# Copies equal their refusals in most cases.
+# How often copies equal their refusals, lack an id or are cut off.
 COPY_CHANGES = {
-    refusalcopies.keep_whole: 4,
+    refusalcopies.keep_whole: 2,
     refusalcopies.remove_id: 1,
     refusalcopies.cut_in_head: 1,
 }
@@ -96,7 +96,7 @@
 def repeat_refusals(world, rng):
     """Let the servers of a service refuse requests, and send refusals twice."""
     servers = world.servers[rng.choice(list(world.servers))]
-    share, copied = rng.uniform(0.0, 0.3), rng.uniform(0.5, 1.0)
+    share, copied = rng.uniform(0.1, 0.4), rng.uniform(0.5, 1.0)
     rng_copies = random.Random(rng.random())  # for the loop of the stand-ins
 
     def choose_refusal():
