Forward nothing to the port of a server that is down in the soak

Cause: while a server is down before a restart under another id, its link forwarded to the port it had, where another process of the machine may listen. The link goes to port 0 until the restart now.

The port of a closed link can be taken by another process.

--- a/lavendershift/platform/tests/soak/restarts.py
+++ b/lavendershift/platform/tests/soak/restarts.py
@@ -67,6 +67,8 @@
     if server.crashed_at is not None:
         return False
     world.replaced.add(server)
+    # Another process may listen on the port meanwhile; none does on port 0.
+    world.server_links[server.name].target_port = 0
     server.go_on()
     server.crash()
     return True
