Let a stand-in crash while one of its connections ends

Cause: a crash resets all connections of a stand-in, also one whose socket is closed already, and setsockopt then raises an error in the middle of the crash.

The error is ignored now, as the links do.

--- a/lavendershift_standins/platformserver.py
+++ b/lavendershift_standins/platformserver.py
@@ -485,7 +485,10 @@
 def abort(writer: asyncio.StreamWriter) -> None:
     """Reset a connection."""
     endpoint: socket.socket = writer.get_extra_info("socket")
-    endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with contextlib.suppress(OSError):  # the connection has ended already
+        endpoint.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
     writer.transport.abort()
 
 
