--- a/lavendershift/platform/tests/soak/profiles.py
+++ b/lavendershift/platform/tests/soak/profiles.py
@@ -10,6 +10,11 @@
 from lavendershift.platform.tests.soak.faults import FAULTS, PLANNED
 from lavendershift.platform.tests.soak.misbehaviours import MISBEHAVIOURS
 from lavendershift.platform.tests.soak.oddentries import ODD_ENTRIES
+from lavendershift.platform.tests.soak.restarts import (
+    ONCE_ROUTE,
+    RESTARTS,
+    OnceCaller,
+)
 from lavendershift.platform.tests.soak.schedules import run_phase
 from lavendershift.platform.tests.soak.silences import LONG_SILENCES, SILENCES
 from lavendershift.platform.tests.soak.sites import (
@@ -33,6 +38,7 @@
     callers: int
     caller: type
     run_phases: Callable
+    routes: list = []  # beside those of all profiles
 
 
 def run_all_phases(world, planned_s=6.0, faults_s=10.0):
@@ -48,6 +54,15 @@
     return [*starts, time.monotonic()]
 
 
+def run_repeats(world, length_s=20.0):
+    """Run servers that restart and repeat refusals beside faults of all kinds."""
+    start = time.monotonic()
+    beside = SILENCES | ODD_ENTRIES | MISBEHAVIOURS | LONG_SILENCES
+    kinds = [FAULTS, beside, RESTARTS | EVACUATIONS]
+    run_phase(world, kinds, length_s, gap_s=(0.05, 0.6))
+    return [start, start, time.monotonic()]
+
+
 def run_site(world, length_s=30.0):
     """Run planned operations and silences; ``check_endings`` covers all of them."""
     start = time.monotonic()
@@ -59,11 +74,20 @@
 
 SHORT = Profile(3, {"pool": 3, "ledger": 3}, 8, Caller, run_all_phases)
 SITE_SIZE = Profile(8, {"pool": 6, "ledger": 3}, 40, SiteCaller, run_site)
+# With few servers, the next one to try is often the restarted one.
+REPEATS = SHORT._replace(
+    servers={"pool": 2, "ledger": 2},
+    caller=OnceCaller,
+    run_phases=run_repeats,
+    routes=[ONCE_ROUTE],
+)
 PROFILES = {
     "brief": SHORT._replace(
         run_phases=partial(run_all_phases, planned_s=2.5, faults_s=4.0)
     ),
     "short": SHORT,
+    "repeats": REPEATS,
+    "repeats-brief": REPEATS._replace(run_phases=partial(run_repeats, length_s=6.0)),
     "site": SITE_SIZE,
     "versions": SHORT._replace(nodes=6, run_phases=run_versions),
     "versions-brief": SHORT._replace(
--- a/lavendershift/platform/tests/test_repeatedrequests.py
+++ b/lavendershift/platform/tests/test_repeatedrequests.py
@@ -26,6 +26,7 @@
     answer_own,
 )
 from lavendershift.serverlimits import LimitState
+from lavendershift_standins import refusalcopies
 from lavendershift_standins.platformserver import (
     Refusal,
     answer_complete,
@@ -323,6 +324,28 @@
         response, error = await deliver(scene, kind, 2)
         assert error is None and response.is_done
 
+
+@pytest.mark.parametrize("delay", DELAYS)
+@pytest.mark.parametrize("change", [refusalcopies.remove_id, refusalcopies.cut_in_head])
+@pytest.mark.parametrize("kind", KINDS)
+def test_copy_without_an_id_is_no_refusal_of_another_request(play, kind, change, delay):
+    """Guards against copies that lack their id, or are joined with a response."""
+
+    async def work(scene):
+        servers = [await scene.add_server(answer_not_run) for _ in range(2)]
+        for server in servers:
+            server.default = work_first(answer_own, 0.03)
+            server.choose_copy_delay = lambda: DELAYS[delay]
+            server.change_copy = change
+        for number in range(1, 6):
+            response, error = await deliver(scene, kind, number)
+            runs = len(list_runs(scene, f"r{number}"))
+            if kind.endswith("once"):
+                assert runs <= 1
+            if error is not None and choose_status(error.answer) in PROMISES:
+                assert runs == 0
+        assert sum(server.copies for server in servers) > 0
+
     play(work)
 
 
